--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+
+.PHONY: venv test format
+
+venv: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -e '.[dev]'
+	touch $@
+
+test: venv
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/pytest
+
+format: venv
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/figwalk/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent process beside each backend server."""
--- /dev/null
+++ b/figwalk/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command line."""
--- /dev/null
+++ b/figwalk/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination layer: log, lease, claims, publishing, routing, roles, membership."""
--- /dev/null
+++ b/figwalk/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: callers' HTTP, routing, retries, operator API."""
--- /dev/null
+++ b/figwalk/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol layer: messages between figwalk processes, log records, bodies of model calls."""
--- /dev/null
+++ b/figwalk/protocol/peer.capnp
@@ -0,0 +1,170 @@
+@0xb7d1f0c2a94e6538;
+
+# Messages between figwalk processes. `figwalk/protocol/messages.py` has one attrs class for each
+# struct; field names differ only in case style.
+
+struct Header {
+  name @0 :Data;
+  value @1 :Data;
+}
+
+struct Hello {
+  kind @0 :Text;
+  process @1 :Text;
+  incarnation @2 :UInt64;
+  zone @3 :Text;
+  region @4 :Text;
+  backend @5 :Text;
+  service @6 :Text;
+  clock @7 :UInt64;
+}
+
+struct Call {
+  callId @0 :UInt64;
+  requestId @1 :Text;
+  method @2 :Text;
+  target @3 :Text;
+  headers @4 :List(Header);
+  body @5 :Data;
+  deadlineMs @6 :UInt32;
+  priority @7 :Text;
+  organisation @8 :Text;
+  promptTokens @9 :UInt32;
+  maxTokens @10 :UInt32;
+  stream @11 :Bool;
+  claimId @12 :Text;
+  incarnation @13 :UInt64;
+  clock @14 :UInt64;
+}
+
+struct Answer {
+  callId @0 :UInt64;
+  status @1 :UInt16;
+  headers @2 :List(Header);
+  clock @3 :UInt64;
+}
+
+struct LoadReport {
+  sequence @0 :UInt64;
+  backend @1 :Text;
+  role @2 :Text;
+  state @3 :Text;
+  running @4 :UInt32;
+  queued @5 :UInt32;
+  queuedPromptTokens @6 :UInt64;
+  queuedOutputTokens @7 :UInt64;
+  maxRunning @8 :UInt32;
+  prefillTokensPerS @9 :Float32;
+  decodeTokensPerS @10 :Float32;
+  promptTokensTotal @11 :UInt64;
+  generatedTokensTotal @12 :UInt64;
+  orderOffset @13 :Int64;
+  controlOffset @14 :Int64;
+  revision @15 :UInt64;
+  queueWaitMs @16 :UInt32;
+  engineReportAgeMs @17 :UInt32;
+  cacheStored @18 :List(UInt64);
+  cacheEvicted @19 :List(UInt64);
+}
+
+struct End {
+  callId @0 :UInt64;
+  byteCount @1 :UInt64;
+  complete @2 :Bool;
+  load @3 :LoadReport;
+  clock @4 :UInt64;
+}
+
+struct Refusal {
+  callId @0 :UInt64;
+  code @1 :Text;
+  outcome @2 :Text;
+  retryAfterMs @3 :UInt32;
+  detail @4 :Text;
+  load @5 :LoadReport;
+  clock @6 :UInt64;
+}
+
+struct Cancel {
+  callId @0 :UInt64;
+}
+
+struct Leaving {
+  backend @0 :Text;
+  graceMs @1 :UInt32;
+  clock @2 :UInt64;
+}
+
+struct Desired {
+  controlOffset @0 :Int64;
+  orderOffset @1 :Int64;
+  term @2 :Int64;
+  backend @3 :Text;
+  role @4 :Text;
+  model @5 :Text;
+  adapter @6 :Text;
+  version @7 :Text;
+}
+
+struct Confirm {
+  nonce @0 :UInt64;
+  backend @1 :Text;
+}
+
+struct Confirmed {
+  nonce @0 :UInt64;
+  desired @1 :Desired;
+}
+
+struct ConfigUpdate {
+  revision @0 :UInt64;
+  full @1 :Bool;
+  entries @2 :Data;
+}
+
+struct ConfigQuery {
+  revision @0 :UInt64;
+}
+
+struct KeyLookup {
+  claimId @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct KeyStatus {
+  claimId @0 :Text;
+  state @1 :Text;
+  status @2 :UInt16;
+  headers @3 :List(Header);
+  body @4 :Data;
+}
+
+struct EventsQuery {
+  requestId @0 :Text;
+}
+
+struct EventsReply {
+  events @0 :Data;
+}
+
+struct Message {
+  union {
+    hello @0 :Hello;
+    call @1 :Call;
+    answer @2 :Answer;
+    end @3 :End;
+    refusal @4 :Refusal;
+    cancel @5 :Cancel;
+    loadReport @6 :LoadReport;
+    leaving @7 :Leaving;
+    desired @8 :Desired;
+    confirm @9 :Confirm;
+    confirmed @10 :Confirmed;
+    configUpdate @11 :ConfigUpdate;
+    configQuery @12 :ConfigQuery;
+    keyLookup @13 :KeyLookup;
+    keyStatus @14 :KeyStatus;
+    eventsQuery @15 :EventsQuery;
+    eventsReply @16 :EventsReply;
+  }
+}
--- /dev/null
+++ b/figwalk/protocol/peer_connection.py
@@ -0,0 +1,92 @@
+"""A connection between two figwalk processes that carries messages and answer data."""
+
+from __future__ import annotations
+
+import struct
+
+import attrs
+import trio
+
+from figwalk.errors import MalformedFrameError
+from figwalk.protocol.codec import decode_message, encode_message
+from figwalk.protocol.messages import Hello, Message
+from figwalk.transport.frame_stream import FrameStream, FrameType
+
+CONNECT_TIMEOUT_S = 3.0
+_CALL_ID = struct.Struct("!Q")
+
+
+@attrs.frozen
+class AnswerData:
+    """Body bytes of an answer.
+
+    Attributes:
+        call_id: The answered call.
+        data: Bytes in the order in which the backend server sent them.
+    """
+
+    call_id: int
+    data: bytes
+
+
+class PeerConnection:
+    """Sends and receives messages; several tasks may send, one receives."""
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._frames = FrameStream(stream)
+
+    @classmethod
+    async def connect(cls, host: str, port: int, hello: Hello) -> tuple[PeerConnection, Hello]:
+        """Dial a peer and exchange `Hello`.
+
+        Raises:
+            OSError: The peer could not be reached in time.
+            TransportError: The peer does not speak this protocol.
+        """
+        with trio.move_on_after(CONNECT_TIMEOUT_S) as scope:
+            stream = await trio.open_tcp_stream(host, port)
+            connection = cls(stream)
+            try:
+                await connection.send(hello)
+                return connection, await connection.receive_hello()
+            except BaseException:
+                await trio.aclose_forcefully(stream)
+                raise
+        assert scope.cancelled_caught
+        raise TimeoutError(f"peer {host}:{port} did not answer within {CONNECT_TIMEOUT_S} s")
+
+    async def send(self, message: Message) -> None:
+        """Send a message."""
+        await self._frames.send(FrameType.MESSAGE, encode_message(message))
+
+    async def send_data(self, call_id: int, data: bytes) -> None:
+        """Send body bytes of an answer."""
+        await self._frames.send(FrameType.DATA, _CALL_ID.pack(call_id), data)
+
+    async def receive(self) -> Message | AnswerData:
+        """Receive the next message or piece of answer data.
+
+        Raises:
+            TransportError: The connection is lost or the peer broke the protocol.
+        """
+        frame = await self._frames.receive()
+        if frame.type is FrameType.MESSAGE:
+            return decode_message(frame.payload)
+        if len(frame.payload) < _CALL_ID.size:
+            raise MalformedFrameError("data frame is shorter than its call id")
+        return AnswerData(_CALL_ID.unpack_from(frame.payload)[0], frame.payload[_CALL_ID.size :])
+
+    async def receive_hello(self) -> Hello:
+        """Receive the peer's first message.
+
+        Raises:
+            MalformedFrameError: It is another message.
+        """
+        message = await self.receive()
+        if not isinstance(message, Hello):
+            raise MalformedFrameError(f"expected Hello, received {type(message).__name__}")
+        return message
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._frames.aclose()
--- /dev/null
+++ b/figwalk/state/__init__.py
@@ -0,0 +1,1 @@
+"""State layer: settings, configuration, and folds over log records."""
--- /dev/null
+++ b/figwalk/transport/__init__.py
@@ -0,0 +1,29 @@
+"""Transport layer: frames between figwalk processes, and HTTP."""
+
+from figwalk.transport.frame_stream import Frame, FrameStream, FrameType
+from figwalk.transport.http_client import HttpClient, HttpConnectError, HttpResponse
+from figwalk.transport.http_server import HttpServer, Responder, render_error
+from figwalk.transport.http_types import (
+    Headers,
+    HttpLimits,
+    HttpRequest,
+    find_header,
+    strip_hop_by_hop,
+)
+
+__all__ = [
+    "Frame",
+    "FrameStream",
+    "FrameType",
+    "Headers",
+    "HttpClient",
+    "HttpConnectError",
+    "HttpLimits",
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
+    "Responder",
+    "find_header",
+    "render_error",
+    "strip_hop_by_hop",
+]
--- /dev/null
+++ b/figwalk/transport/frame_stream.py
@@ -0,0 +1,106 @@
+"""Length-prefixed frames over a byte stream.
+
+A frame is 4 bytes of big-endian length, 1 byte of type and the payload; the length counts the
+type byte and the payload.
+"""
+
+from __future__ import annotations
+
+import struct
+from enum import IntEnum
+
+import attrs
+import trio
+
+from figwalk.errors import ConnectionLostError, FrameTooLargeError, MalformedFrameError
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+RECEIVE_BYTES = 65536
+_HEADER = struct.Struct("!IB")
+_LENGTH_BYTES = 4
+
+
+class FrameType(IntEnum):
+    """How the payload of a frame is coded."""
+
+    MESSAGE = 0
+    DATA = 1
+
+
+@attrs.frozen
+class Frame:
+    """A received frame."""
+
+    type: FrameType
+    payload: bytes
+
+
+class FrameStream:
+    """Sends and receives frames.
+
+    Args:
+        stream: Connected byte stream.
+        max_frame_bytes: Frames above this are refused in both directions.
+    """
+
+    def __init__(self, stream: trio.abc.Stream, *, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
+        self._stream = stream
+        self._max_frame_bytes = max_frame_bytes
+        self._buffer = bytearray()
+        self._send_lock = trio.Lock()
+
+    async def send(self, frame_type: FrameType, *parts: bytes) -> None:
+        """Send one frame whose payload is the concatenation of the parts.
+
+        Raises:
+            FrameTooLargeError: The frame is above the limit; nothing was sent.
+            ConnectionLostError: The connection is gone.
+        """
+        length = 1 + sum(map(len, parts))
+        if length > self._max_frame_bytes:
+            raise FrameTooLargeError(
+                f"frame of {length} bytes is above the limit of {self._max_frame_bytes}",
+                remedy="send a smaller request",
+            )
+        data = b"".join((_HEADER.pack(length, frame_type), *parts))
+        async with self._send_lock:
+            try:
+                await self._stream.send_all(data)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                raise ConnectionLostError("peer connection lost while sending") from error
+
+    async def receive(self) -> Frame:
+        """Receive one frame.
+
+        Raises:
+            ConnectionLostError: The connection ended before the end of a frame.
+            FrameTooLargeError: The announced frame is above the limit.
+            MalformedFrameError: The frame's type is unknown or its length is zero.
+        """
+        await self._fill(_HEADER.size)
+        length, type_number = _HEADER.unpack_from(self._buffer)
+        if length > self._max_frame_bytes:
+            raise FrameTooLargeError(
+                f"peer announced a frame of {length} bytes, limit {self._max_frame_bytes}"
+            )
+        if length == 0 or type_number not in FrameType.__members__.values():
+            raise MalformedFrameError(f"frame of length {length} has type {type_number}")
+        end = _LENGTH_BYTES + length
+        await self._fill(end)
+        payload = bytes(memoryview(self._buffer)[_HEADER.size : end])
+        del self._buffer[:end]
+        return Frame(FrameType(type_number), payload)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+    async def _fill(self, size: int) -> None:
+        while len(self._buffer) < size:
+            try:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                raise ConnectionLostError("peer connection lost while receiving") from error
+            if not data:
+                raise ConnectionLostError("peer closed the connection")
+            self._buffer += data
--- /dev/null
+++ b/figwalk/transport/http_server.py
@@ -0,0 +1,294 @@
+"""HTTP/1.1 server: one task for each connection, requests one after the other."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable
+
+import h11
+import trio
+
+from figwalk.errors import CallerError, ConnectionLostError
+from figwalk.events import Event, EventLog
+from figwalk.transport.http_types import Headers, HttpLimits, HttpRequest
+
+RECEIVE_BYTES = 65536
+LISTEN_BACKLOG = 1024
+
+JSON_HEADER = (b"content-type", b"application/json")
+
+
+class Responder:
+    """Sends the answer to one request.
+
+    Attributes are private; handlers call `send` for a whole answer, or `start`, `send_chunk` and
+    `finish` for a streamed one.
+    """
+
+    def __init__(self, connection: h11.Connection, stream: trio.abc.Stream) -> None:
+        self._connection = connection
+        self._stream = stream
+        self._started = False
+        self._finished = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the status line has been sent."""
+        return self._started
+
+    @property
+    def finished(self) -> bool:
+        """Whether the whole answer has been sent."""
+        return self._finished
+
+    async def send(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        """Send a whole answer."""
+        headers = [*headers, (b"content-length", str(len(body)).encode())]
+        data = self._connection.send(h11.Response(status_code=status, headers=headers)) or b""
+        if body:
+            data += self._connection.send(h11.Data(data=body)) or b""
+        data += self._connection.send(h11.EndOfMessage()) or b""
+        self._started = True
+        self._finished = True
+        await self._write(data)
+
+    async def send_json(self, status: int, content: object, headers: Headers | None = None) -> None:
+        """Send a whole answer with a JSON body."""
+        body = json.dumps(content).encode()
+        await self.send(status, [JSON_HEADER, *(headers or [])], body)
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send status and headers of a streamed answer."""
+        self._started = True
+        await self._write(
+            self._connection.send(h11.Response(status_code=status, headers=headers)) or b""
+        )
+
+    async def send_chunk(self, data: bytes) -> None:
+        """Send a piece of a streamed answer's body."""
+        await self._write(self._connection.send(h11.Data(data=data)) or b"")
+
+    async def finish(self) -> None:
+        """End a streamed answer; the client sees from this that it was whole."""
+        self._finished = True
+        await self._write(self._connection.send(h11.EndOfMessage()) or b"")
+
+    async def _write(self, data: bytes) -> None:
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ConnectionLostError("the client closed its connection") from error
+
+
+HttpHandler = Callable[[HttpRequest, Responder], Awaitable[None]]
+
+
+class HttpServer:
+    """Serves HTTP on one address.
+
+    A handler raises `CallerError` for a typed 4xx answer. Any other exception gives a 500 answer
+    and a `TASK_FAILED` event, and the server goes on.
+
+    Args:
+        handler: Coroutine function called with each whole request and its responder.
+        events: Event log.
+        limits: Limits for requests and connections.
+    """
+
+    def __init__(
+        self, handler: HttpHandler, events: EventLog, *, limits: HttpLimits | None = None
+    ) -> None:
+        self._handler = handler
+        self._events = events
+        self._limits = limits or HttpLimits()
+        self._connections = 0
+        self._active_requests = 0
+        self._draining = False
+        self._idle: set[trio.CancelScope] = set()
+        self._all_answered = trio.Event()
+
+    @property
+    def active_requests(self) -> int:
+        """Requests being answered now."""
+        return self._active_requests
+
+    async def serve(
+        self,
+        host: str,
+        port: int,
+        *,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Listen and serve until cancelled; reports the bound port when started."""
+        listeners = await trio.open_tcp_listeners(port, host=host, backlog=LISTEN_BACKLOG)
+        bound_port = listeners[0].socket.getsockname()[1]
+        await trio.serve_listeners(
+            self._serve_connection,
+            listeners,
+            task_status=_PortStatus(task_status, bound_port),
+        )
+
+    async def drain(self) -> None:
+        """Close idle connections, answer what is running, and return when nothing runs.
+
+        Requests that arrive meanwhile on open connections are still answered, with
+        ``Connection: close``.
+        """
+        self._draining = True
+        for scope in list(self._idle):
+            scope.cancel()
+        while self._active_requests:
+            self._all_answered = trio.Event()
+            await self._all_answered.wait()
+
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        if self._connections >= self._limits.max_connections:
+            self._events.record(Event.HTTP_TOO_MANY_CONNECTIONS, limit=self._connections)
+            await trio.aclose_forcefully(stream)
+            return
+        self._connections += 1
+        try:
+            await self._serve_requests(stream)
+        except (ConnectionLostError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            self._connections -= 1
+            with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
+                await trio.aclose_forcefully(stream)
+
+    async def _serve_requests(self, stream: trio.SocketStream) -> None:
+        connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
+        )
+        while True:
+            try:
+                request = await self._receive_request(connection, stream)
+            except h11.RemoteProtocolError as error:
+                await self._refuse(
+                    connection, stream, error.error_status_hint, "malformed_request", str(error)
+                )
+                return
+            except CallerError as error:
+                await self._refuse(connection, stream, error.status, error.code, error.message)
+                return
+            if request is None:
+                return
+            responder = Responder(connection, stream)
+            self._active_requests += 1
+            try:
+                await self._answer(request, responder)
+            finally:
+                self._active_requests -= 1
+                if not self._active_requests:
+                    self._all_answered.set()
+            if not responder.finished or self._draining:
+                return
+            if connection.our_state is h11.MUST_CLOSE:
+                return
+            connection.start_next_cycle()
+
+    async def _receive_request(
+        self, connection: h11.Connection, stream: trio.SocketStream
+    ) -> HttpRequest | None:
+        """Return the next request, or None when the connection is to be closed."""
+        with trio.CancelScope() as idle_scope:
+            idle_scope.deadline = trio.current_time() + self._limits.idle_timeout_s
+            self._idle.add(idle_scope)
+            try:
+                if not connection.trailing_data[0]:
+                    data = await stream.receive_some(RECEIVE_BYTES)
+                    connection.receive_data(data)
+            finally:
+                self._idle.discard(idle_scope)
+        if idle_scope.cancelled_caught:
+            return None
+        with trio.move_on_after(self._limits.receive_timeout_s) as receive_scope:
+            return await self._receive_events(connection, stream)
+        if receive_scope.cancelled_caught:
+            self._events.record(Event.HTTP_SLOW_SENDER, timeout_s=self._limits.receive_timeout_s)
+            raise CallerError(
+                408, "request_timeout", "the request was not complete in time; send it faster"
+            )
+        return None
+
+    async def _receive_events(
+        self, connection: h11.Connection, stream: trio.SocketStream
+    ) -> HttpRequest | None:
+        head: h11.Request | None = None
+        body = bytearray()
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                if connection.they_are_waiting_for_100_continue:
+                    go_on = h11.InformationalResponse(status_code=100, headers=[])
+                    await stream.send_all(connection.send(go_on) or b"")
+                connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > self._limits.max_body_bytes:
+                    raise CallerError(
+                        413,
+                        "body_too_large",
+                        f"the body is above the limit of {self._limits.max_body_bytes} bytes",
+                    )
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return HttpRequest(
+                    head.method.decode("ascii"),
+                    head.target.decode("latin-1"),
+                    list(head.headers),
+                    bytes(body),
+                )
+            else:
+                return None
+
+    async def _answer(self, request: HttpRequest, responder: Responder) -> None:
+        try:
+            await self._handler(request, responder)
+        except CallerError as error:
+            self._events.record(Event.HTTP_BAD_REQUEST, status=error.status, code=error.code)
+            if not responder.started:
+                await responder.send_json(
+                    error.status, render_error("invalid_request_error", error.code, error.message)
+                )
+        except ConnectionLostError:
+            raise
+        except Exception as error:
+            self._events.record(Event.TASK_FAILED, task=request.path, error=repr(error))
+            if not responder.started:
+                await responder.send_json(
+                    500,
+                    render_error("server_error", "internal_error", "internal error; see the log"),
+                )
+
+    async def _refuse(
+        self,
+        connection: h11.Connection,
+        stream: trio.SocketStream,
+        status: int,
+        code: str,
+        message: str,
+    ) -> None:
+        self._events.record(Event.HTTP_BAD_REQUEST, status=status, code=code, detail=message)
+        if connection.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        responder = Responder(connection, stream)
+        body = render_error("invalid_request_error", code, message)
+        await responder.send_json(status, body, [(b"connection", b"close")])
+
+
+class _PortStatus:
+    """Adapts `trio.serve_listeners` to report the bound port."""
+
+    def __init__(self, task_status: trio.TaskStatus[int], port: int) -> None:
+        self._task_status = task_status
+        self._port = port
+
+    def started(self, _listeners: object) -> None:
+        self._task_status.started(self._port)
+
+
+def render_error(kind: str, code: str, message: str, **fields: object) -> dict[str, object]:
+    """Return an error body in the shape that OpenAI clients read."""
+    return {"error": {"type": kind, "code": code, "message": message, **fields}}
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and the backend servers, for tests and demos."""
--- /dev/null
+++ b/tests/test_codec.py
@@ -0,0 +1,25 @@
+import pytest
+
+from figwalk.errors import MalformedFrameError
+from figwalk.protocol.codec import decode_message, encode_message
+from figwalk.protocol.messages import Call, ConnectionKind, End, Hello, LoadReport, Refusal
+
+SAMPLES = [
+    Hello(ConnectionKind.CALL, "entry-1", 2**64 - 1, "rajkot-a", "saurashtra"),
+    Call(7, "r", "POST", "/x", [(b"a", b"b")], b"body", 30, stream=True),
+    End(7, 12, True),
+    End(7, 12, True, LoadReport(1, "llm-1", cache_stored=[1, 2**64 - 1])),
+    Refusal(9, "overloaded"),
+]
+
+
+@pytest.mark.parametrize("message", SAMPLES, ids=lambda m: type(m).__name__)
+def test_message_survives_the_wire(message):
+    assert decode_message(encode_message(message)) == message
+
+
+@pytest.mark.parametrize("data", [b"", b"\x00" * 7, b"\xff" * 64, encode_message(SAMPLES[1])[:-9]])
+def test_garbage_is_a_typed_error(data):
+    """Guards against a decoder exception that ends the connection task with a traceback."""
+    with pytest.raises(MalformedFrameError):
+        decode_message(data)
