--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,137 @@
+import pytest
+
+from figwalk.protocol.messages import BackendState
+from figwalk.state.mix import MixEstimator
+from figwalk.state.prefixes import PrefixIndex
+from tests.policy_fakes import ManualTimer, make_fleet, make_report
+
+
+@pytest.fixture
+def timer():
+    return ManualTimer()
+
+
+@pytest.fixture
+def fleet(timer):
+    return make_fleet(timer, ["a", "b"])
+
+
+def names(views):
+    return sorted(view.name for view in views)
+
+
+def test_sent_calls_count_until_a_report_can_include_them(fleet, timer):
+    """Guards against a report that was made before a call was sent making it disappear."""
+    fleet.note_sent("a", 1, 4000, 100)
+    timer.time += 0.3
+    fleet.update_report(make_report("a", 2, engine_report_age_ms=400))
+    assert fleet.find("a").predicted.prompt_tokens == 4000
+    fleet.update_report(make_report("a", 3, running=1, queued_prompt_tokens=1500))
+    assert fleet.find("a").predicted.prompt_tokens == 1500
+    assert fleet.find("a").predicted.calls == 1
+
+
+def test_own_calls_are_a_lower_bound(fleet, timer):
+    """Guards against a busy backend server that reports idle looking idle to the one using it."""
+    for call_id in range(5):
+        fleet.note_sent("a", call_id, 100, 100)
+    timer.time += 1
+    fleet.update_report(make_report("a", 2, running=0))
+    assert fleet.find("a").predicted.calls == 5
+    for call_id in range(5):
+        fleet.note_finished("a", call_id)
+        fleet.note_finished("a", call_id)
+    assert fleet.find("a").predicted.calls == 0
+
+
+@pytest.mark.parametrize("state", [s for s in BackendState if s is not BackendState.SERVING])
+def test_only_serving_backends_are_candidates(fleet, state):
+    """Guards against new work for a backend server that said it takes none."""
+    fleet.update_report(make_report("a", 2, state=state))
+    assert names(fleet.candidates("llm")) == ["b"]
+
+
+def test_silent_leaving_withdrawn_and_excluded_are_no_candidates(fleet, timer):
+    """Guards against new work after each of the other reasons to avoid a backend server."""
+    assert names(fleet.candidates("llm", excluded={"b"})) == ["a"]
+    fleet.set_withdrawn({"b"})
+    assert names(fleet.candidates("llm")) == ["a"]
+    fleet.set_withdrawn(set())
+    timer.time += 1.1
+    fleet.update_report(make_report("b", 2))
+    assert names(fleet.candidates("llm")) == ["b"]
+    fleet.mark_leaving("b")
+    fleet.update_report(make_report("b", 3))
+    assert fleet.candidates("llm") == []
+
+
+def test_model_restricts_only_where_it_is_known(fleet):
+    """Guards against calls to an engine with another model, and against refusing unknown ones."""
+    fleet.set_model("a", "m1")
+    assert names(fleet.candidates("llm", "m2")) == ["b"]
+    assert names(fleet.candidates("llm", "m1")) == ["a", "b"]
+
+
+def test_new_incarnation_starts_afresh_and_old_reports_are_ignored(fleet):
+    """Guards against a restarted agent staying avoided, and its old reports hiding new ones."""
+    fleet.update_report(make_report("a", 500))
+    fleet.mark_leaving("a")
+    fleet.note_sent("a", 1, 100, 100)
+    fleet.register("a", "llm", incarnation=2)
+    assert not fleet.update_report(make_report("a", 501), incarnation=1)
+    assert fleet.update_report(make_report("a", 1), incarnation=2)
+    assert names(fleet.candidates("llm")) == ["a", "b"]
+    assert fleet.find("a").predicted.calls == 0
+
+
+def test_reports_out_of_order_do_not_revert(fleet):
+    """Guards against an older report on another connection overwriting a newer one."""
+    fleet.update_report(make_report("a", 9, state=BackendState.LEAVING))
+    assert not fleet.update_report(make_report("a", 8))
+    assert names(fleet.candidates("llm")) == ["b"]
+
+
+def test_prefix_match_survives_one_lost_event_but_not_an_eviction():
+    """Guards against cache gaps hiding a held prefix, and evicted pieces counting as held."""
+    index = PrefixIndex()
+    index.note_stored("a", [1, 3, 6], 0.0)
+    assert index.count_matched("a", [1, 2, 3, 4, 5, 6], 0.0) == 3
+    index.note_evicted("a", [1], 1.0)
+    assert index.count_matched("a", [1, 2, 3], 1.0) == 0
+    assert index.count_matched("b", [1, 2, 3], 1.0) == 0
+
+
+def test_prefix_index_is_bounded_and_ages_out():
+    """Guards against memory growth and against hints that outlive the engine's cache."""
+    index = PrefixIndex(max_entries=10, max_age_s=5.0)
+    index.note_stored("a", range(100), 0.0)
+    assert len(index) == 10
+    assert index.count_matched("a", [99], 5.1) == 0
+    index.note_stored("a", [7], 5.1)
+    assert len(index) == 1
+
+
+def test_fast_average_follows_a_change_that_the_slow_one_damps():
+    """Guards against a mix estimate that lags the load, or has no memory to compare with."""
+    mix = MixEstimator(fast_s=10, slow_s=120)
+    prompt = output = 0
+    for second in range(600):
+        prompt += 900 if second < 570 else 100
+        output += 100 if second < 570 else 900
+        report = make_report("a", prompt_tokens_total=prompt, generated_tokens_total=output)
+        mix.observe(report, float(second))
+    estimate = mix.estimate(599.0)
+    assert estimate.fast.prompt_share < 0.2
+    assert estimate.slow.prompt_share > 0.6
+
+
+def test_counter_reset_and_late_reports_do_not_distort_the_rate():
+    """Guards against a restart or a long silence looking like a burst of tokens."""
+    mix = MixEstimator(fast_s=10)
+    total = 1_000_000
+    for second in (*range(60), 120):
+        report = make_report("a", prompt_tokens_total=total + 1000 * second)
+        mix.observe(report, float(second))
+    assert mix.estimate(120.0).fast.prompt_per_s == pytest.approx(1000, rel=0.05)
+    mix.observe(make_report("a", prompt_tokens_total=1000), 121.0)
+    assert mix.estimate(121.0).fast.prompt_per_s == pytest.approx(1000, rel=0.05)
