--- /dev/null
+++ b/figwalk/state/settings_file.py
@@ -0,0 +1,337 @@
+"""Reads settings and published configuration from YAML files and lists every fault at once.
+
+A file names its kind with the top-level key `kind`: `entry`, `agent` or `published`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+from enum import StrEnum
+from pathlib import Path
+from typing import Any, TypeVar
+
+import attrs
+import cattrs
+import yaml
+
+from figwalk.errors import SettingsError
+from figwalk.state._structuring import (
+    InvalidValueError,
+    describe_unknown_key,
+    list_faults,
+    structure,
+    unstructure,
+)
+from figwalk.state.published import (
+    LIMITS_PATH,
+    ORGANISATIONS_PREFIX,
+    PRESET_IN_FORCE_PATH,
+    PRESETS_PREFIX,
+    SERVICES_PREFIX,
+    WITHDRAWN_PREFIX,
+    Limits,
+    OrganisationConfig,
+    Preset,
+    ServiceConfig,
+)
+from figwalk.state.settings import AgentSettings, EntrySettings
+
+T = TypeVar("T")
+
+KIND_KEY = "kind"
+
+
+class FileKind(StrEnum):
+    """What a file is for."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+    PUBLISHED = "published"
+
+
+class WithdrawalMode(StrEnum):
+    """How a backend server leaves service.
+
+    With `drain` running calls end in their own time; with `withdraw` streams are moved to other
+    backend servers when the grace time is over.
+    """
+
+    DRAIN = "drain"
+    WITHDRAW = "withdraw"
+
+
+@attrs.frozen
+class Withdrawal:
+    """Value of `withdrawn/<backend>`."""
+
+    mode: WithdrawalMode = WithdrawalMode.WITHDRAW
+
+
+PublishedObject = Preset | ServiceConfig | OrganisationConfig | Withdrawal | Limits
+
+VALUE_CLASSES: dict[str, type] = {
+    PRESETS_PREFIX: Preset,
+    SERVICES_PREFIX: ServiceConfig,
+    ORGANISATIONS_PREFIX: OrganisationConfig,
+    WITHDRAWN_PREFIX: Withdrawal,
+}
+
+
+@attrs.frozen
+class PublishedValue:
+    """A configuration path and its new value.
+
+    Attributes:
+        path: Configuration path, for example `presets/peak`.
+        value: Typed value; the name of a preset for `preset_in_force`; None deletes the path.
+    """
+
+    path: str
+    value: PublishedObject | str | None
+
+    @property
+    def json_value(self) -> Any:
+        """The value as it is published."""
+        return unstructure(self.value)
+
+
+@attrs.frozen
+class PublishedFile:
+    """Content of a file of kind `published`, in the order of the file's sections."""
+
+    values: tuple[PublishedValue, ...]
+
+    def find(self, path: str) -> PublishedValue | None:
+        """Return the value of a path, or None if the file does not have the path."""
+        return next((value for value in self.values if value.path == path), None)
+
+
+@attrs.frozen
+class _Sections:
+    """Sections of a file of kind `published`; a null value deletes its path."""
+
+    presets: dict[str, Preset | None] = attrs.field(factory=dict)
+    preset_in_force: str | None = None
+    services: dict[str, ServiceConfig | None] = attrs.field(factory=dict)
+    organisations: dict[str, OrganisationConfig | None] = attrs.field(factory=dict)
+    withdrawn: dict[str, Withdrawal | None] = attrs.field(factory=dict)
+    limits: Limits | None = None
+
+
+_KINDS: dict[type, FileKind] = {
+    EntrySettings: FileKind.ENTRY,
+    AgentSettings: FileKind.AGENT,
+}
+
+
+def load_settings(path: str | Path, cls: type[T]) -> T:
+    """Read a settings file.
+
+    The key `kind` may be absent, because the class already says it; another kind is refused.
+
+    Args:
+        path: YAML file.
+        cls: `EntrySettings` or `AgentSettings`.
+
+    Raises:
+        SettingsError: The file can't be read or is not valid; the error names every fault.
+    """
+    path = Path(path)
+    content, faults = _read_mapping(path)
+    faults += _check_kind(path, content.pop(KIND_KEY, None), _KINDS.get(cls))
+    return _structure_file(path, content, cls, faults)
+
+
+def load_published(path: str | Path) -> PublishedFile:
+    """Read a file of kind `published`.
+
+    Raises:
+        SettingsError: The file can't be read or is not valid; the error names every fault.
+    """
+    path = Path(path)
+    content, faults = _read_mapping(path)
+    faults += _check_kind(path, content.pop(KIND_KEY, None), FileKind.PUBLISHED)
+    sections = _structure_file(path, content, _Sections, faults)
+    faults = [f"{path}: {fault}" for fault in _check_sections(sections)]
+    if faults:
+        raise SettingsError(faults)
+    return PublishedFile(tuple(_list_values(sections)))
+
+
+def check_file(path: str | Path) -> FileKind:
+    """Check a file of any kind by its key `kind`, which must be present.
+
+    Returns:
+        The kind of the file.
+
+    Raises:
+        SettingsError: The file can't be read or is not valid; the error names every fault.
+    """
+    path = Path(path)
+    kind = _read_mapping(path)[0].get(KIND_KEY)
+    if kind not in set(FileKind):
+        raise SettingsError([_describe_kind(path, kind)])
+    if kind == FileKind.PUBLISHED:
+        load_published(path)
+    else:
+        load_settings(path, EntrySettings if kind == FileKind.ENTRY else AgentSettings)
+    return FileKind(kind)
+
+
+def check_published_value(path: str, value: object) -> list[str]:
+    """Return the faults of one published value, as JSON, under its configuration path.
+
+    Args:
+        path: Configuration path, for example `presets/peak`.
+        value: JSON value; None deletes the path.
+    """
+    prefix, slash, name = path.partition("/")
+    cls = VALUE_CLASSES.get(prefix + slash)
+    if path == LIMITS_PATH:
+        cls = Limits
+    elif path == PRESET_IN_FORCE_PATH:
+        if isinstance(value, str) and value:
+            return []
+        return [f"{path}: expected the name of a preset; give one that is published"]
+    elif cls is None:
+        known = [f"{section}NAME" for section in VALUE_CLASSES]
+        return [f"{path}: unknown path; use {', '.join([*known, PRESET_IN_FORCE_PATH])} or limits"]
+    elif not _is_name(name):
+        return [f"{path}: {_describe_name(name)}"]
+    if value is None:
+        return []
+    try:
+        structured = structure(value, cls)
+    except (cattrs.BaseValidationError, InvalidValueError) as error:
+        return list(list_faults(error, path))
+    return [f"{path}{fault}" for fault in _check_service(structured)]
+
+
+def _read_mapping(path: Path) -> tuple[dict[Any, Any], list[str]]:
+    """Return the content of a YAML file, and its repeated keys as faults."""
+    try:
+        loader = _Loader(path.read_bytes())
+        try:
+            content = loader.get_single_data()
+        finally:
+            loader.dispose()
+    except OSError as error:
+        raise SettingsError(
+            [f"{path}: can't be read: {error.strerror}; check the path and its permissions"]
+        ) from error
+    except yaml.YAMLError as error:
+        raise SettingsError([f"{path}{_describe_yaml_error(error)}"]) from error
+    except (RecursionError, ValueError) as error:
+        raise SettingsError([f"{path}: not valid YAML: {error}; correct the file"]) from error
+    if not isinstance(content, dict):
+        raise SettingsError(
+            [f"{path}: the file has no keys; write settings as KEY: VALUE on lines of their own"]
+        )
+    return content, [f"{path}: {fault}" for fault in loader.faults]
+
+
+class _Loader(yaml.SafeLoader):
+    """Loads YAML and notes repeated keys, of which YAML would silently keep the last."""
+
+    def __init__(self, stream: bytes) -> None:
+        super().__init__(stream)
+        self.faults: list[str] = []
+
+    def construct_mapping(self, node: yaml.MappingNode, deep: bool = False) -> dict[Hashable, Any]:
+        seen: set[str] = set()
+        for key_node, _ in node.value:
+            key = getattr(key_node, "value", None)
+            if not isinstance(key, str) or key == "<<":
+                continue
+            if key in seen:
+                line = key_node.start_mark.line + 1
+                self.faults.append(f"{key}: repeated on line {line}; keep one of them")
+            seen.add(key)
+        return super().construct_mapping(node, deep)
+
+
+def _describe_yaml_error(error: yaml.YAMLError) -> str:
+    """Return place and problem without the text around it, which may hold the admin token."""
+    mark = getattr(error, "problem_mark", None)
+    place = f" line {mark.line + 1} column {mark.column + 1}" if mark else ""
+    problem = getattr(error, "problem", None) or getattr(error, "reason", None) or "unreadable"
+    return f"{place}: not valid YAML: {problem}; correct the syntax at this place"
+
+
+def _check_kind(path: Path, kind: object, expected: FileKind | None) -> list[str]:
+    if expected is None or kind == expected:
+        return []
+    if kind is None and expected is not FileKind.PUBLISHED:
+        return []
+    return [_describe_kind(path, kind, expected)]
+
+
+def _describe_kind(path: Path, kind: object, expected: FileKind | None = None) -> str:
+    kinds = " | ".join(FileKind)
+    remedy = f"this file must be 'kind: {expected}'" if expected else f"give 'kind: {kinds}'"
+    found = "missing key" if kind is None else f"{kind!r} does not fit"
+    return f"{path}: {KIND_KEY}: {found}; {remedy}"
+
+
+def _structure_file(path: Path, content: dict[Any, Any], cls: type[T], faults: list[str]) -> T:
+    try:
+        settings = structure(content, cls)
+    except (cattrs.BaseValidationError, InvalidValueError) as error:
+        faults += [f"{path}: {fault}" for fault in list_faults(error)]
+    if faults:
+        raise SettingsError(faults)
+    return settings
+
+
+def _check_sections(sections: _Sections) -> list[str]:
+    """Return the faults between the values of a file of kind `published`."""
+    faults = []
+    for section in ("presets", "services", "organisations", "withdrawn"):
+        names = getattr(sections, section)
+        faults += [f"{section}: {_describe_name(name)}" for name in names if not _is_name(name)]
+    chosen = sections.preset_in_force
+    if chosen is not None and sections.presets and sections.presets.get(chosen) is None:
+        known = [name for name, preset in sections.presets.items() if preset is not None]
+        hint = describe_unknown_key(chosen, known).replace("unknown key", "unknown preset")
+        faults.append(f"{PRESET_IN_FORCE_PATH}: {chosen!r}: {hint.replace('keys', 'presets')}")
+    for name, service in sections.services.items():
+        faults += [f"{SERVICES_PREFIX}{name}{fault}" for fault in _check_service(service)]
+    return faults
+
+
+def _check_service(value: object) -> list[str]:
+    """Return the faults between the keys of a service."""
+    if not isinstance(value, ServiceConfig):
+        return []
+    if value.kind == "model" and not value.models:
+        return [".models: a model service has no models; name at least one"]
+    if value.kind == "model" and value.non_repeatable:
+        return [".non_repeatable: only plain services have such calls; remove the key"]
+    if value.kind == "plain" and value.models:
+        return [".models: a plain service serves no models; remove the key"]
+    return []
+
+
+def _is_name(name: str) -> bool:
+    return bool(name) and name.isascii() and all(c.isalnum() or c in "-_." for c in name)
+
+
+def _describe_name(name: str) -> str:
+    return f"{name!r} is not a name; use letters, digits, '-', '_' and '.'"
+
+
+def _list_values(sections: _Sections) -> list[PublishedValue]:
+    """Return the values of a file, presets before the choice among them."""
+    values = _list_section(PRESETS_PREFIX, sections.presets)
+    if sections.preset_in_force is not None:
+        values.append(PublishedValue(PRESET_IN_FORCE_PATH, sections.preset_in_force))
+    values += _list_section(SERVICES_PREFIX, sections.services)
+    values += _list_section(ORGANISATIONS_PREFIX, sections.organisations)
+    values += _list_section(WITHDRAWN_PREFIX, sections.withdrawn)
+    if sections.limits is not None:
+        values.append(PublishedValue(LIMITS_PATH, sections.limits))
+    return values
+
+
+def _list_section(prefix: str, section: dict[str, Any]) -> list[PublishedValue]:
+    return [PublishedValue(prefix + name, value) for name, value in section.items()]
