--- /dev/null
+++ b/figwalk/entry/attempt_plan.py
@@ -0,0 +1,102 @@
+"""Chooses the backend servers that a request is tried on, one after the other."""
+
+from __future__ import annotations
+
+from figwalk.coordination.retry_budget import RetryBudget
+from figwalk.coordination.router import RouteRequest
+from figwalk.entry.attempt_target import Target
+from figwalk.entry.backends import Backends
+from figwalk.errors import CallOutcome, RefusalError
+from figwalk.events import Event, EventLog
+
+# Refusals of planned changes cost no retry budget: a planned change must not cut a request.
+FREE_RETRY_CODES = frozenset({"leaving", "changing", "withdrawn"})
+NO_BACKEND_RETRY_MS = 1000
+
+
+class AttemptPlan:
+    """Plans the attempts of one request.
+
+    Args:
+        backends: Backend servers that this entry is connected to.
+        budget: Retry budget of the entry.
+        route: What the routing policy needs to know of the request.
+        request_id: Request for events.
+        events: Event log.
+    """
+
+    def __init__(
+        self,
+        backends: Backends,
+        budget: RetryBudget,
+        route: RouteRequest,
+        request_id: str,
+        events: EventLog,
+    ) -> None:
+        self._backends = backends
+        self._budget = budget
+        self._route = route
+        self._request_id = request_id
+        self._events = events
+        self._excluded: set[str] = set()
+        self._refusals: list[RefusalError] = []
+        self._retry_is_free = True
+        budget.note_first_attempt()
+
+    def next_target(self) -> Target:
+        """Choose the next backend server.
+
+        Raises:
+            RefusalError: None is left, or the retry budget is empty.
+        """
+        choice = self._backends.choose(self._route, frozenset(self._excluded))
+        if choice is None:
+            raise self._final_refusal()
+        if not self._retry_is_free and not self._budget.try_retry():
+            self._events.record(Event.RETRY_BUDGET_EMPTY, request_id=self._request_id)
+            raise self._final_refusal()
+        if self._excluded:
+            self._events.record(
+                Event.REQUEST_RETRIED, request_id=self._request_id, backend=choice.backend
+            )
+        self._excluded.add(choice.backend)
+        self._events.record(
+            Event.REQUEST_ROUTED,
+            request_id=self._request_id,
+            backend=choice.backend,
+            reason=choice.reason,
+        )
+        return self._backends.target(choice)
+
+    def note_refusal(self, error: RefusalError) -> None:
+        """Take in that the last target refused the call."""
+        self._refusals.append(error)
+        self._retry_is_free = error.code in FREE_RETRY_CODES
+
+    def note_lost(self, error: Exception) -> None:
+        """Take in that the last target or its answer was lost."""
+        self._refusals.append(RefusalError("backend_lost", str(error), outcome=CallOutcome.UNKNOWN))
+        self._retry_is_free = False
+
+    def allow_resume(self) -> None:
+        """Let the next attempt continue a broken stream without using the retry budget."""
+        self._retry_is_free = True
+
+    def _final_refusal(self) -> RefusalError:
+        if not self._refusals:
+            return RefusalError(
+                "no_backend",
+                f"no backend server of service {self._route.service!r} takes work now",
+                retry_after_ms=NO_BACKEND_RETRY_MS,
+            )
+        soonest = min(self._refusals, key=lambda error: error.retry_after_ms)
+        if all(error.outcome is CallOutcome.NOT_RUN for error in self._refusals):
+            return soonest
+        # One attempt may have run, so the whole request may have.
+        return RefusalError(
+            soonest.code,
+            soonest.message,
+            status=soonest.status,
+            outcome=CallOutcome.UNKNOWN,
+            retry_after_ms=soonest.retry_after_ms,
+        )
--- /dev/null
+++ b/figwalk/entry/backends.py
@@ -0,0 +1,239 @@
+"""The backend servers that an entry is connected to, through their agents."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+import trio
+
+from figwalk.coordination.log_follower import LogFollower
+from figwalk.coordination.membership import Vm
+from figwalk.coordination.router import Choice, RouteRequest, RoutingPolicy
+from figwalk.entry.agent_link import AgentLink, LinkOwner
+from figwalk.entry.attempt_target import Target
+from figwalk.entry.call_pool import CallPool
+from figwalk.events import EventLog
+from figwalk.protocol.messages import (
+    Confirm,
+    Confirmed,
+    ConnectionKind,
+    Desired,
+    Hello,
+    Leaving,
+    LoadReport,
+)
+from figwalk.state.configuration import Configuration
+from figwalk.state.control import Control
+from figwalk.state.fleet import Fleet
+from figwalk.state.notifier import Notifier
+from figwalk.state.published import Limits, ServiceConfig
+from figwalk.state.settings import Address, EntrySettings
+from figwalk.timer import Timer
+
+CALL_ID_BITS = 64
+
+
+class Backends(LinkOwner):
+    """Links to agents, and the routing over them.
+
+    Args:
+        settings: Settings of the entry.
+        configuration: Published configuration.
+        control: Lease and orders read from the log.
+        control_follower: Reader of the control stream, for confirmations.
+        fleet: What is known of the backend servers.
+        changed: Notified when configuration or orders change.
+        events: Event log.
+        timer: Source of time.
+        incarnation: Incarnation of this entry.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        *,
+        configuration: Configuration,
+        control: Control,
+        control_follower: LogFollower,
+        fleet: Fleet,
+        changed: Notifier,
+        events: EventLog,
+        timer: Timer,
+        incarnation: int,
+    ) -> None:
+        self._settings = settings
+        self._configuration = configuration
+        self._control = control
+        self._control_follower = control_follower
+        self._fleet = fleet
+        self._changed = changed
+        self._events = events
+        self._timer = timer
+        self._incarnation = incarnation
+        self._links: dict[str, AgentLink] = {}
+        self._pools: dict[AgentLink, CallPool] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self._by_backend: dict[str, AgentLink] = {}
+        self._nursery: trio.Nursery | None = None
+        self._policy: RoutingPolicy | None = None
+        # Two entries, or an entry before and after a restart, must not use one call id.
+        self._call_ids = itertools.count(random.getrandbits(CALL_ID_BITS - 1))
+
+    @property
+    def zone(self) -> str:
+        """Availability zone of this entry."""
+        return self._settings.zone
+
+    @property
+    def region(self) -> str:
+        """Region of this entry."""
+        return self._settings.region
+
+    @property
+    def links(self) -> list[AgentLink]:
+        """Links to all known agents."""
+        return list(self._links.values())
+
+    def services(self) -> dict[str, ServiceConfig]:
+        """Return the configured services by name."""
+        return self._configuration.services()
+
+    def limits(self) -> Limits:
+        """Return the configured limits."""
+        return self._configuration.limits()
+
+    def set_policy(self, policy: RoutingPolicy) -> None:
+        """Route by another policy from now on."""
+        self._policy = policy
+
+    def next_call_id(self) -> int:
+        """Return an identifier for one attempt."""
+        return next(self._call_ids) % (1 << CALL_ID_BITS)
+
+    def find_link(self, backend: str) -> AgentLink | None:
+        """Return the link to the agent beside a backend server."""
+        return self._by_backend.get(backend)
+
+    def choose(self, route: RouteRequest, excluded: frozenset[str]) -> Choice | None:
+        """Choose a backend server for a request, or None if there is none."""
+        if self._policy is None:
+            return None
+        candidates = [
+            view
+            for view in self._fleet.candidates(route.service, excluded=excluded)
+            if view.name in self._by_backend and self._by_backend[view.name].connected
+        ]
+        return self._policy.choose(route, candidates, self._timer.now())
+
+    def target(self, choice: Choice) -> Target:
+        """Return how to reach a chosen backend server."""
+        link = self._by_backend[choice.backend]
+        return Target(choice, self._pools[link], link.peer.incarnation, self._fleet)
+
+    async def run(self) -> None:
+        """Serve all links until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            for vm in self._links:
+                self._start(vm)
+            await trio.sleep_forever()
+
+    def add_vm(self, vm: Vm) -> None:
+        """Connect to the agent on a VM."""
+        if vm.id in self._links:
+            self.remove_vm(vm)
+        link = AgentLink(
+            vm.id,
+            Address(vm.address, vm.port),
+            owner=self,
+            configuration=self._configuration,
+            changed=self._changed,
+            events=self._events,
+            report_timeout_s=self._settings.report_timeout_s,
+        )
+        self._links[vm.id] = link
+        self._pools[link] = CallPool(link, self, self._events)
+        self._start(vm.id)
+
+    def mark_leaving(self, vm: Vm) -> None:
+        """Send no new work to a VM that the list shows as leaving."""
+        link = self._links.get(vm.id)
+        if link is not None and link.connected:
+            self._fleet.mark_leaving(link.peer.backend)
+
+    def remove_vm(self, vm: Vm) -> None:
+        """Disconnect from the agent on a VM that is gone."""
+        link = self._links.pop(vm.id, None)
+        if link is None:
+            return
+        del self._pools[link]
+        scope = self._scopes.pop(vm.id, None)
+        if scope is not None:
+            scope.cancel()
+        for backend in [name for name, known in self._by_backend.items() if known is link]:
+            del self._by_backend[backend]
+            self._fleet.remove(backend)
+
+    def hello(self, kind: ConnectionKind) -> Hello:
+        """Return this process's first message."""
+        return Hello(
+            kind,
+            self._settings.process,
+            self._incarnation,
+            self._settings.zone,
+            self._settings.region,
+            clock=self._events.clock.tick(),
+        )
+
+    def on_connected(self, link: AgentLink) -> None:
+        """Take in what the agent says of itself."""
+        peer = link.peer
+        self._by_backend[peer.backend] = link
+        self._fleet.register(
+            peer.backend,
+            peer.service,
+            zone=peer.zone,
+            region=peer.region,
+            address=link.address,
+            incarnation=peer.incarnation,
+        )
+
+    def on_lost(self, link: AgentLink) -> None:
+        """Drop idle call connections, which the lost agent no longer serves."""
+        pool = self._pools.get(link)
+        if pool is not None:
+            pool.discard_idle()
+
+    def on_report(self, link: AgentLink, report: LoadReport) -> None:
+        """Take in a load report."""
+        self._fleet.update_report(report, incarnation=link.peer.incarnation)
+
+    def on_leaving(self, link: AgentLink, leaving: Leaving) -> None:
+        """Send no new work to a leaving backend server."""
+        self._fleet.mark_leaving(leaving.backend)
+
+    def desired(self, backend: str) -> Desired:
+        """Return the newest valid order for a backend server."""
+        return self._control.desired(backend)
+
+    async def confirmed(self, confirm: Confirm) -> Confirmed:
+        """Read the log to its head and return the desired state.
+
+        Raises:
+            LogError: The log can't be read now.
+        """
+        await self._control_follower.read_to_head()
+        return Confirmed(confirm.nonce, self._control.desired(confirm.backend))
+
+    def _start(self, vm: str) -> None:
+        if self._nursery is not None:
+            self._nursery.start_soon(self._run_link, vm)
+
+    async def _run_link(self, vm: str) -> None:
+        link = self._links.get(vm)
+        if link is None:
+            return
+        scope = self._scopes[vm] = trio.CancelScope()
+        with scope:
+            await link.run()
--- /dev/null
+++ b/figwalk/entry/call_pool.py
@@ -0,0 +1,191 @@
+"""Call connections to one agent, one call on a connection at a time."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+
+from figwalk.errors import CallOutcome, ConnectionLostError, MalformedFrameError, RefusalError
+from figwalk.events import Event, EventLog
+from figwalk.protocol.messages import Answer, Call, ConnectionKind, End, Refusal
+from figwalk.protocol.peer_connection import AnswerData, PeerConnection
+from figwalk.entry.agent_link import AgentLink, LinkOwner
+
+MAX_IDLE_CONNECTIONS = 128
+
+
+class AgentRefusalError(RefusalError):
+    """The agent did not answer the call; a `RefusalError` with the agent's own words."""
+
+    @classmethod
+    def from_refusal(cls, refusal: Refusal) -> AgentRefusalError:
+        """Build the error from the agent's message."""
+        status = 429 if refusal.code in {"overloaded", "deadline"} else 503
+        return cls(
+            refusal.code,
+            refusal.detail or f"the backend server refused the call: {refusal.code}",
+            status=status,
+            outcome=refusal.outcome,
+            retry_after_ms=refusal.retry_after_ms,
+        )
+
+
+class Reply:
+    """Answer of an agent to one call."""
+
+    def __init__(self, connection: PeerConnection, call: Call, events: EventLog) -> None:
+        self._connection = connection
+        self._call = call
+        self._events = events
+        self._received_bytes = 0
+        self._end: End | None = None
+
+    @property
+    def finished(self) -> bool:
+        """Whether the connection is free for another call."""
+        return self._end is not None
+
+    @property
+    def complete(self) -> bool:
+        """Whether the whole answer has been received."""
+        return self._end is not None and self._end.complete
+
+    @property
+    def end(self) -> End | None:
+        """The end of the answer, once received."""
+        return self._end
+
+    async def head(self) -> Answer:
+        """Receive status and headers.
+
+        Raises:
+            AgentRefusalError: The agent refused the call.
+            TransportError: The connection is lost or carries another call's frames.
+        """
+        message = await self._receive()
+        if isinstance(message, Refusal):
+            self._end = End(message.call_id, 0, False, message.load, message.clock)
+            raise AgentRefusalError.from_refusal(message)
+        if not isinstance(message, Answer):
+            raise MalformedFrameError(f"expected Answer, received {type(message).__name__}")
+        return message
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives.
+
+        Raises:
+            ConnectionLostError: The answer is not whole.
+            TransportError: The connection carries another call's frames.
+        """
+        while True:
+            message = await self._receive()
+            if isinstance(message, AnswerData):
+                self._received_bytes += len(message.data)
+                yield message.data
+            elif isinstance(message, End):
+                self._end = message
+                self._check_whole(message)
+                return
+            else:
+                raise MalformedFrameError(f"unexpected {type(message).__name__} in an answer")
+
+    async def read(self) -> bytes:
+        """Receive the whole body."""
+        return b"".join([chunk async for chunk in self.chunks()])
+
+    def _check_whole(self, end: End) -> None:
+        if not end.complete:
+            raise ConnectionLostError("the backend server's answer ended before its end")
+        if end.byte_count != self._received_bytes:
+            raise ConnectionLostError(
+                f"received {self._received_bytes} of {end.byte_count} bytes of the answer"
+            )
+
+    async def _receive(self) -> Answer | AnswerData | End | Refusal:
+        message = await self._connection.receive()
+        if not isinstance(message, Answer | AnswerData | End | Refusal):
+            raise MalformedFrameError(f"unexpected {type(message).__name__} on a call connection")
+        if message.call_id != self._call.call_id:
+            self._events.record(
+                Event.ANSWER_MISMATCH,
+                request_id=self._call.request_id,
+                expected=self._call.call_id,
+                received=message.call_id,
+            )
+            raise MalformedFrameError("answer frame of another call")
+        if not isinstance(message, AnswerData):
+            self._events.clock.observe(message.clock)
+        return message
+
+
+class CallPool:
+    """Opens calls to one agent and keeps connections for the next ones."""
+
+    def __init__(self, link: AgentLink, owner: LinkOwner, events: EventLog) -> None:
+        self._link = link
+        self._owner = owner
+        self._events = events
+        self._idle: list[PeerConnection] = []
+
+    @asynccontextmanager
+    async def open(self, call: Call) -> AsyncIterator[Reply]:
+        """Send a call; leaving before the end of the answer cancels it.
+
+        Raises:
+            NotSentError: The agent could not be reached, so that the call did not run.
+            ConnectionLostError: The connection or the agent was lost after the send.
+        """
+        connection = await self._checkout(call)
+        reply = Reply(connection, call, self._events)
+        scope = trio.CancelScope()
+        self._link.register_call(scope)
+        try:
+            with scope:
+                await connection.send(call)
+                yield reply
+        finally:
+            self._link.unregister_call(scope)
+            if reply.finished and not scope.cancelled_caught:
+                self._idle.append(connection)
+            else:
+                connection.close()
+            if len(self._idle) > MAX_IDLE_CONNECTIONS:
+                self._idle.pop(0).close()
+        if scope.cancelled_caught:
+            raise ConnectionLostError(f"agent at {self._link.address} was lost during the call")
+
+    def discard_idle(self) -> None:
+        """Close connections without a call, after the agent was lost."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.close()
+
+    async def _checkout(self, call: Call) -> PeerConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.alive:
+                return connection
+            connection.close()
+        try:
+            connection, _hello = await PeerConnection.connect(
+                self._link.address.host,
+                self._link.address.port,
+                self._owner.hello(ConnectionKind.CALL),
+            )
+        except OSError as error:
+            raise NotSentError(call, str(error)) from error
+        return connection
+
+
+class NotSentError(AgentRefusalError):
+    """A call could not be sent to its agent; the agent has not seen it."""
+
+    def __init__(self, call: Call, reason: str) -> None:
+        super().__init__(
+            "agent_unreachable",
+            f"call {call.call_id:x} was not sent: {reason}",
+            outcome=CallOutcome.NOT_RUN,
+            retry_after_ms=500,
+        )
--- /dev/null
+++ b/figwalk/entry/caller_request.py
@@ -0,0 +1,108 @@
+"""What an entry knows of a caller's request, whatever it is for."""
+
+from __future__ import annotations
+
+import re
+import uuid
+
+import attrs
+
+from figwalk.errors import CallerError
+from figwalk.protocol.messages import Priority
+from figwalk.timer import MS_PER_S, Timer
+from figwalk.transport import HttpRequest
+
+DEADLINE_HEADER = b"figwalk-deadline-ms"
+PRIORITY_HEADER = b"figwalk-priority"
+ORGANISATION_HEADER = b"figwalk-organisation"
+REQUEST_ID_HEADER = b"x-request-id"
+MAX_DEADLINE_MS = 24 * 3600 * MS_PER_S
+_DIGITS = re.compile(r"[0-9]{1,9}")
+_NAME = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+
+
+@attrs.frozen
+class CallerRequest:
+    """A caller's request with its deadline.
+
+    Attributes:
+        http: The HTTP request.
+        request_id: Identifies the request in events; the caller's `X-Request-Id` if it sent one.
+        organisation: Organisation of the caller, or an empty string.
+        priority: Priority class.
+        arrived: Monotonic seconds when it arrived.
+        deadline: Monotonic seconds when its answer is due.
+        has_deadline: Whether the caller set the deadline.
+    """
+
+    http: HttpRequest = attrs.field(repr=False)
+    request_id: str
+    organisation: str
+    priority: Priority
+    arrived: float
+    deadline: float
+    has_deadline: bool
+
+    @classmethod
+    def from_http(cls, http: HttpRequest, timer: Timer, *, timeout_s: float) -> CallerRequest:
+        """Check the headers of a request.
+
+        Args:
+            http: The HTTP request.
+            timer: Source of time.
+            timeout_s: Seconds until the deadline if the caller gives none.
+
+        Raises:
+            CallerError: A header has no valid value.
+        """
+        deadline_ms = _deadline_ms(http)
+        arrived = timer.now()
+        due_s = deadline_ms / MS_PER_S if deadline_ms else timeout_s
+        return cls(
+            http,
+            _name_header(http, REQUEST_ID_HEADER) or uuid.uuid4().hex,
+            _name_header(http, ORGANISATION_HEADER),
+            _priority(http),
+            arrived,
+            arrived + due_s,
+            bool(deadline_ms),
+        )
+
+    def remaining_ms(self, now: float) -> int:
+        """Return the milliseconds left until the deadline, at least 0."""
+        return max(0, int((self.deadline - now) * MS_PER_S))
+
+
+def _deadline_ms(http: HttpRequest) -> int:
+    text = http.header(DEADLINE_HEADER)
+    if not text:
+        return 0
+    if not _DIGITS.fullmatch(text) or not 0 < int(text) <= MAX_DEADLINE_MS:
+        raise CallerError(
+            400,
+            "invalid_deadline",
+            f"Figwalk-Deadline-Ms must be milliseconds from 1 to {MAX_DEADLINE_MS}",
+        )
+    return int(text)
+
+
+def _priority(http: HttpRequest) -> Priority:
+    text = http.header(PRIORITY_HEADER, Priority.NORMAL.value)
+    try:
+        return Priority(text)
+    except ValueError as error:
+        names = ", ".join(Priority)
+        raise CallerError(
+            400, "invalid_priority", f"Figwalk-Priority must be one of {names}"
+        ) from error
+
+
+def _name_header(http: HttpRequest, name: bytes) -> str:
+    text = http.header(name)
+    if text and not _NAME.fullmatch(text):
+        raise CallerError(
+            400,
+            "invalid_header",
+            f"{name.decode()} must have 1 to 128 letters, digits or any of . _ : -",
+        )
+    return text
--- /dev/null
+++ b/figwalk/entry/keyed_calls.py
@@ -0,0 +1,435 @@
+"""Calls that may not be repeated: claimed in the log before they are sent, run at most once."""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+import re
+import uuid
+
+import attrs
+import trio
+
+from figwalk.coordination.claim_writer import ClaimWriter
+from figwalk.coordination.log_follower import LogFollower
+from figwalk.entry.attempt_plan import AttemptPlan
+from figwalk.entry.attempt_target import Target
+from figwalk.entry.backends import Backends
+from figwalk.entry.call_pool import AgentRefusalError
+from figwalk.entry.caller_request import CallerRequest
+from figwalk.errors import (
+    CallerError,
+    CallOutcome,
+    ConnectionLostError,
+    FigwalkError,
+    LogError,
+    RefusalError,
+    TransportError,
+)
+from figwalk.events import Event, EventLog
+from figwalk.protocol.messages import Call, KeyState, KeyStatus
+from figwalk.protocol.records import Claim, Outcome, Release
+from figwalk.state.claims import Claims, KeyRecord
+from figwalk.timer import MS_PER_S, Timer
+from figwalk.transport import Headers, HttpRequest, strip_hop_by_hop
+
+KEY_HEADER = b"idempotency-key"
+MAX_KEY_LENGTH = 255
+# A claim of another entry is given this long to reach its agent before the agent is asked, since
+# asking voids a claim that has not arrived.
+CLAIM_SETTLE_S = 0.25
+POLL_S = 0.05
+HEAD_READ_TIMEOUT_S = 1.0
+LOG_DOWN_RETRY_MS = 2000
+UNKNOWN_RETRY_MS = 5000
+# Larger answers are replayed by the agent that has them, not from the log.
+MAX_RECORDED_BODY_BYTES = 64 * 1024
+_KEY = re.compile(r"[\x21-\x7e]{1,255}")
+_UUID7_VERSION = 7
+_UUID7_TIME_SHIFT_BITS = 80
+
+
+@attrs.frozen
+class KeyedCall:
+    """A caller's request that may not be repeated.
+
+    Attributes:
+        request: The caller's request.
+        service: Service that it is for.
+        target: Path and query at the backend server.
+        key: The idempotency key.
+        digest: Digest of method, target and body.
+    """
+
+    request: CallerRequest
+    service: str
+    target: str
+    key: str
+    digest: str
+
+    @classmethod
+    def from_request(cls, request: CallerRequest, *, service: str, target: str) -> KeyedCall:
+        """Check the key of a request.
+
+        Raises:
+            CallerError: There is no key, or it has no valid form.
+        """
+        key = request.http.header(KEY_HEADER)
+        if not key:
+            raise CallerError(
+                400,
+                "idempotency_key_required",
+                "this call may not be repeated; send an Idempotency-Key header",
+            )
+        if not _KEY.fullmatch(key):
+            raise CallerError(
+                400,
+                "invalid_idempotency_key",
+                f"Idempotency-Key must have 1 to {MAX_KEY_LENGTH} printable ASCII characters",
+            )
+        return cls(request, service, target, key, _digest(request.http, target))
+
+
+@attrs.frozen
+class KeyedAnswer:
+    """Answer to a keyed call.
+
+    Attributes:
+        status: HTTP status.
+        headers: End-to-end headers.
+        body: Body.
+        replayed: Whether it is the answer of an earlier request with the same key.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+    replayed: bool
+
+
+class KeyedCalls:
+    """Runs keyed calls.
+
+    Args:
+        backends: Backend servers that this entry is connected to.
+        claims: Claims and outcomes read from the log.
+        follower: Reader of the claims stream.
+        writer: Appends claims and outcomes.
+        events: Event log.
+        timer: Source of time.
+    """
+
+    def __init__(
+        self,
+        backends: Backends,
+        claims: Claims,
+        follower: LogFollower,
+        writer: ClaimWriter,
+        events: EventLog,
+        timer: Timer,
+    ) -> None:
+        self._backends = backends
+        self._claims = claims
+        self._follower = follower
+        self._writer = writer
+        self._events = events
+        self._timer = timer
+        self._sending: dict[str, trio.Event] = {}
+
+    async def run(self, call: KeyedCall, plan: AttemptPlan) -> KeyedAnswer:
+        """Run a call once, or return the answer of the run that its key already had.
+
+        Raises:
+            CallerError: The key was used for another request, or is too old.
+            RefusalError: The call was not answered; the error says what is known of the key.
+        """
+        self._check_key_age(call)
+        record = self._find(call)
+        while True:
+            if record is not None:
+                answer = await self._settle(call, record)
+                if answer is not None:
+                    return answer
+            claim, target = await self._choose(call, plan)
+            record = await self._writer.claim(claim)
+            if record.claim.claim_id != claim.claim_id:
+                continue
+            answer = await self._send(call, claim, target, plan)
+            if answer is not None:
+                return answer
+            record = self._find(call)
+
+    def _find(self, call: KeyedCall) -> KeyRecord | None:
+        record = self._claims.find(call.service, call.request.organisation, call.key)
+        if record is not None and record.claim.digest != call.digest:
+            raise CallerError(
+                422,
+                "key_reused",
+                "this Idempotency-Key was used for another request; use a new key",
+            )
+        return record
+
+    def _check_key_age(self, call: KeyedCall) -> None:
+        made_ms = _uuid7_time_ms(call.key)
+        if made_ms is None:
+            return
+        memory_s = self._backends.limits().key_memory_s
+        if self._timer.wall_ms() - made_ms > memory_s * MS_PER_S:
+            raise CallerError(
+                409,
+                "key_expired",
+                f"keys are remembered for {memory_s:.0f} s and this one is older; "
+                "check the outcome with the service, then use a new key",
+            )
+
+    async def _choose(self, call: KeyedCall, plan: AttemptPlan) -> tuple[Claim, Target]:
+        """Choose the backend server and build the claim that names it.
+
+        Raises:
+            RefusalError: The log is down or incomplete, or no backend server takes the call.
+        """
+        if not self._follower.available:
+            raise _log_refusal("the platform's log does not answer")
+        memory_ms = self._backends.limits().key_memory_s * MS_PER_S
+        if self._claims.complete_since_ms > self._timer.wall_ms() - memory_ms:
+            raise _log_refusal("the log no longer keeps the claims that must be remembered")
+        try:
+            target = plan.next_target()
+        except RefusalError as error:
+            raise await self._with_proof(call, error) from error
+        claim = Claim(
+            claim_id=uuid.uuid4().hex,
+            service=call.service,
+            organisation=call.request.organisation,
+            key=call.key,
+            digest=call.digest,
+            backend=target.choice.backend,
+            incarnation=target.incarnation,
+        )
+        return claim, target
+
+    async def _with_proof(self, call: KeyedCall, error: RefusalError) -> RefusalError:
+        """Return the refusal with the outcome that the log proves for the key."""
+        outcome = CallOutcome.UNKNOWN
+        with trio.move_on_after(HEAD_READ_TIMEOUT_S):
+            try:
+                await self._follower.read_to_head()
+            except LogError:
+                pass
+            else:
+                if self._find(call) is None:
+                    outcome = CallOutcome.NOT_RUN
+        return RefusalError(
+            error.code,
+            error.message,
+            status=error.status,
+            outcome=outcome,
+            attempt=CallOutcome.NOT_RUN,
+            retry_after_ms=error.retry_after_ms,
+        )
+
+    async def _send(
+        self, call: KeyedCall, claim: Claim, target: Target, plan: AttemptPlan
+    ) -> KeyedAnswer | None:
+        """Send a call whose claim won; return None if it did not run and may be claimed anew."""
+        request_id = call.request.request_id
+        self._events.record(
+            Event.KEY_CLAIMED, request_id=request_id, key=call.key, backend=claim.backend
+        )
+        done = self._sending[claim.claim_id] = trio.Event()
+        try:
+            with trio.move_on_at(call.request.deadline) as scope:
+                async with target.open(self._build_call(call, claim)) as reply:
+                    answer = await reply.head()
+                    body = await reply.read()
+            if scope.cancelled_caught:
+                # The agent lets the call run on and keeps its answer for a retry of the key.
+                raise self._unknown(call, "it was still running at the deadline")
+        except AgentRefusalError as error:
+            if error.outcome is CallOutcome.UNKNOWN:
+                return await self._settle_own(call, claim, plan, error)
+            plan.note_refusal(error)
+            self._writer.release(Release(claim.claim_id))
+            self._events.record(Event.KEY_RELEASED, request_id=request_id, code=error.code)
+            return None
+        except TransportError as error:
+            return await self._settle_own(call, claim, plan, error)
+        finally:
+            del self._sending[claim.claim_id]
+            done.set()
+        result = KeyedAnswer(answer.status, strip_hop_by_hop(answer.headers), body, replayed=False)
+        self._record(claim, result, request_id)
+        return attrs.evolve(result, headers=_caller_headers(result.headers))
+
+    def _build_call(self, call: KeyedCall, claim: Claim) -> Call:
+        http = call.request.http
+        headers = [
+            (name, value)
+            for name, value in strip_hop_by_hop(http.headers)
+            if name not in {b"expect", b"accept-encoding", b"x-request-id"}
+            and not name.startswith(b"figwalk-")
+        ]
+        return Call(
+            call_id=self._backends.next_call_id(),
+            request_id=call.request.request_id,
+            method=http.method,
+            target=call.target,
+            headers=headers,
+            body=http.body,
+            deadline_ms=call.request.remaining_ms(self._timer.now()),
+            priority=call.request.priority,
+            organisation=call.request.organisation,
+            claim_id=claim.claim_id,
+            incarnation=claim.incarnation,
+            clock=self._events.clock.tick(),
+        )
+
+    async def _settle_own(
+        self, call: KeyedCall, claim: Claim, plan: AttemptPlan, error: FigwalkError
+    ) -> KeyedAnswer | None:
+        """Find the outcome of an own call whose answer was lost after the send.
+
+        Returns:
+            The answer, or None if the call did not reach its agent and never will.
+
+        Raises:
+            RefusalError: The outcome is unknown.
+        """
+        answer = await self._ask_agent(call, claim)
+        if answer is None:
+            plan.note_refusal(RefusalError("not_sent", str(error)))
+            return None
+        return attrs.evolve(answer, replayed=False)
+
+    async def _settle(self, call: KeyedCall, record: KeyRecord) -> KeyedAnswer | None:
+        """Return the answer of an earlier claim of the key, or None once it was released.
+
+        Raises:
+            RefusalError: The outcome is unknown, or the call is still running at the deadline.
+        """
+        sending = self._sending.get(record.claim.claim_id)
+        if sending is not None:
+            with trio.move_on_at(call.request.deadline):
+                await sending.wait()
+        elif record.outcome is None:
+            with trio.move_on_after(CLAIM_SETTLE_S):
+                await self._wait_for_outcome(call, record)
+        current = self._find(call)
+        if current is None:
+            return None
+        if current.outcome is not None:
+            return self._replay(call, current.outcome)
+        if current.claim.claim_id != record.claim.claim_id:
+            return await self._settle(call, current)
+        return await self._ask_agent(call, current.claim)
+
+    async def _wait_for_outcome(self, call: KeyedCall, record: KeyRecord) -> None:
+        while True:
+            current = self._find(call)
+            if current is None or current.outcome is not None:
+                return
+            if current.claim.claim_id != record.claim.claim_id:
+                return
+            await self._follower.wait_changed()
+
+    async def _ask_agent(self, call: KeyedCall, claim: Claim) -> KeyedAnswer | None:
+        """Ask the agent that a claim names until the outcome is known.
+
+        Returns:
+            The answer, or None once the claim is voided and released.
+
+        Raises:
+            RefusalError: The outcome is unknown, or the call is still running at the deadline.
+        """
+        while True:
+            status = await self._lookup(call, claim)
+            if status.state is KeyState.FINISHED:
+                result = KeyedAnswer(status.status, status.headers, status.body, replayed=True)
+                self._record(claim, result, call.request.request_id)
+                return attrs.evolve(result, headers=_caller_headers(result.headers))
+            if status.state is KeyState.VOIDED:
+                self._writer.release(Release(claim.claim_id))
+                self._events.record(
+                    Event.KEY_VOIDED, request_id=call.request.request_id, key=call.key
+                )
+                return None
+            if status.state is KeyState.UNKNOWN:
+                raise self._unknown(call, "the agent that was to run it is gone")
+            if self._timer.now() >= call.request.deadline:
+                raise RefusalError(
+                    "in_progress",
+                    "an earlier request with this key is still running",
+                    status=409,
+                    outcome=CallOutcome.UNKNOWN,
+                    attempt=CallOutcome.NOT_RUN,
+                    retry_after_ms=MS_PER_S,
+                )
+            await trio.sleep(POLL_S)
+
+    async def _lookup(self, call: KeyedCall, claim: Claim) -> KeyStatus:
+        link = self._backends.find_link(claim.backend)
+        if link is None:
+            raise self._unknown(call, "the backend server that was to run it is gone")
+        try:
+            return await link.lookup(claim.claim_id, claim.incarnation)
+        except ConnectionLostError as error:
+            raise self._unknown(call, str(error)) from error
+
+    def _unknown(self, call: KeyedCall, reason: str) -> RefusalError:
+        self._events.record(
+            Event.KEY_UNKNOWN, request_id=call.request.request_id, key=call.key, reason=reason
+        )
+        return RefusalError(
+            "outcome_unknown",
+            f"it is not known whether the call ran: {reason}",
+            outcome=CallOutcome.UNKNOWN,
+            retry_after_ms=UNKNOWN_RETRY_MS,
+        )
+
+    def _replay(self, call: KeyedCall, outcome: Outcome) -> KeyedAnswer:
+        self._events.record(Event.KEY_REPLAYED, request_id=call.request.request_id, key=call.key)
+        headers = [(name.encode(), value.encode("latin-1")) for name, value in outcome.headers]
+        return KeyedAnswer(
+            outcome.status, _caller_headers(headers), outcome.body_bytes, replayed=True
+        )
+
+    def _record(self, claim: Claim, answer: KeyedAnswer, request_id: str) -> None:
+        if len(answer.body) > MAX_RECORDED_BODY_BYTES:
+            return
+        headers = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in answer.headers]
+        body = base64.b64encode(answer.body).decode()
+        self._writer.record_outcome(Outcome(claim.claim_id, answer.status, headers, body))
+        self._events.record(Event.KEY_OUTCOME_RECORDED, request_id=request_id, key=claim.key)
+
+
+def _caller_headers(headers: Headers) -> Headers:
+    return [(name, value) for name, value in headers if name not in {b"x-request-id", b"date"}]
+
+
+def _digest(http: HttpRequest, target: str) -> str:
+    hasher = hashlib.blake2b(digest_size=16)
+    for part in (http.method.encode(), target.encode(), http.body):
+        hasher.update(len(part).to_bytes(8, "big"))
+        hasher.update(part)
+    return hasher.hexdigest()
+
+
+def _uuid7_time_ms(key: str) -> int | None:
+    """Return the creation time of a UUIDv7 key (RFC 9562), or None for other keys."""
+    try:
+        value = uuid.UUID(key)
+    except ValueError:
+        return None
+    if value.version != _UUID7_VERSION:
+        return None
+    return value.int >> _UUID7_TIME_SHIFT_BITS
+
+
+def _log_refusal(reason: str) -> RefusalError:
+    return RefusalError(
+        "log_unavailable",
+        f"calls that may not be repeated are refused now: {reason}",
+        outcome=CallOutcome.UNKNOWN,
+        attempt=CallOutcome.NOT_RUN,
+        retry_after_ms=LOG_DOWN_RETRY_MS,
+    )
--- /dev/null
+++ b/figwalk/entry/model_calls.py
@@ -0,0 +1,303 @@
+"""Calls to models: routing, retries, and resumption of broken streams."""
+
+from __future__ import annotations
+
+import attrs
+import trio
+
+from figwalk.coordination.retry_budget import RetryBudget
+from figwalk.coordination.router import RouteRequest
+from figwalk.entry.attempt_plan import AttemptPlan
+from figwalk.entry.attempt_target import Target
+from figwalk.entry.backends import Backends
+from figwalk.entry.caller_request import CallerRequest
+from figwalk.entry.refusals import send_refusal
+from figwalk.entry.tallies import FIRST_TOKEN_TARGET_S, TOKEN_GAP_TARGET_S, Tallies
+from figwalk.errors import CallerError, CallOutcome, RefusalError, TransportError
+from figwalk.events import Event, EventLog
+from figwalk.protocol.chat import (
+    JsonObject,
+    ModelRequest,
+    StreamTranscript,
+    render_error_event,
+    rewrite_identity,
+)
+from figwalk.protocol.messages import Answer, Call
+from figwalk.state.published import ServiceConfig
+from figwalk.timer import Timer
+from figwalk.transport import (
+    ClientGoneError,
+    Headers,
+    HttpRequest,
+    Responder,
+    find_header,
+    strip_hop_by_hop,
+)
+
+MAX_RESUMES = 3
+SERVER_ERROR_STATUS = 500
+JSON_HEADERS: Headers = [(b"content-type", b"application/json")]
+STREAM_HEADERS: Headers = [
+    (b"content-type", b"text/event-stream"),
+    (b"cache-control", b"no-cache"),
+]
+
+
+class BackendFailedError(TransportError):
+    """A backend server answered a model call with a server error."""
+
+
+@attrs.define
+class _ModelCall:
+    """One caller's model call while it is being answered."""
+
+    request: CallerRequest
+    model: ModelRequest
+    plan: AttemptPlan
+    responder: Responder
+    transcript: StreamTranscript = attrs.field(factory=StreamTranscript)
+    first_chunk_at: float = 0.0
+    identity: JsonObject = attrs.field(factory=dict)
+
+
+class ModelCalls:
+    """Answers model calls.
+
+    Args:
+        backends: Backend servers that this entry is connected to.
+        budget: Retry budget of the entry.
+        tallies: Counts for operators.
+        events: Event log.
+        timer: Source of time.
+    """
+
+    def __init__(
+        self,
+        backends: Backends,
+        budget: RetryBudget,
+        tallies: Tallies,
+        events: EventLog,
+        timer: Timer,
+    ) -> None:
+        self._backends = backends
+        self._budget = budget
+        self._tallies = tallies
+        self._events = events
+        self._timer = timer
+
+    async def serve(self, http: HttpRequest, responder: Responder) -> None:
+        """Answer one request.
+
+        Raises:
+            CallerError: The request is not valid.
+        """
+        model = ModelRequest.parse(http.path, http.body)
+        name, service = self._find_service(model.model)
+        model.check_limits(service)
+        request = CallerRequest.from_http(http, self._timer, timeout_s=service.timeout_s)
+        self._events.record(
+            Event.REQUEST_RECEIVED,
+            request_id=request.request_id,
+            target=http.path,
+            prompt_tokens=model.prompt_tokens,
+            max_tokens=model.max_tokens,
+        )
+        call = self._start_call(request, model, name, responder)
+        try:
+            await (self._stream(call) if model.stream else self._answer_whole(call))
+        except RefusalError as error:
+            self._tallies.note_refused(error.code)
+            self._events.record(
+                Event.REQUEST_REFUSED,
+                request_id=request.request_id,
+                code=error.code,
+                outcome=error.outcome,
+            )
+            await self._refuse(call, error)
+        except ClientGoneError:
+            self._events.record(Event.REQUEST_CANCELLED, request_id=request.request_id)
+            raise
+
+    def _find_service(self, model: str) -> tuple[str, ServiceConfig]:
+        for name, service in self._backends.services().items():
+            if model in service.models:
+                return name, service
+        raise CallerError(
+            404, "model_not_found", f"model {model!r} does not exist; GET /v1/models lists them"
+        )
+
+    def _start_call(
+        self, request: CallerRequest, model: ModelRequest, service: str, responder: Responder
+    ) -> _ModelCall:
+        route = RouteRequest(
+            service=service,
+            model=model.model,
+            prompt_tokens=model.prompt_tokens,
+            max_tokens=model.max_tokens,
+            pieces=tuple(model.pieces),
+            priority=request.priority,
+            deadline=request.deadline,
+            zone=self._backends.zone,
+            region=self._backends.region,
+        )
+        plan = AttemptPlan(self._backends, self._budget, route, request.request_id, self._events)
+        return _ModelCall(request, model, plan, responder)
+
+    async def _answer_whole(self, call: _ModelCall) -> None:
+        timeout_s = call.request.deadline - self._timer.now()
+        with trio.move_on_after(timeout_s) as scope:
+            while not await self._try_whole(call, call.plan.next_target()):
+                pass
+        if scope.cancelled_caught and not call.responder.started:
+            raise RefusalError(
+                "deadline_exceeded",
+                "the answer was not ready at the deadline",
+                status=504,
+                outcome=CallOutcome.UNKNOWN,
+            )
+
+    async def _try_whole(self, call: _ModelCall, target: Target) -> bool:
+        """Try one backend server; return whether the caller has its answer."""
+        try:
+            async with target.open(self._build_call(call, target)) as reply:
+                answer = await reply.head()
+                body = await reply.read()
+                _check_status(answer)
+        except ClientGoneError:
+            raise
+        except RefusalError as error:
+            call.plan.note_refusal(error)
+            return False
+        except TransportError as error:
+            call.plan.note_lost(error)
+            return False
+        self._count_region_bytes(call, target, len(body))
+        await call.responder.send(
+            answer.status, _answer_headers(answer, call, whole=True), body
+        )
+        self._note_answered(call, in_time=self._timer.now() <= call.request.deadline)
+        return True
+
+    async def _stream(self, call: _ModelCall) -> None:
+        resumes = 0
+        while not await self._try_stream(call, call.plan.next_target()):
+            if not call.transcript.empty:
+                resumes += 1
+                if resumes > MAX_RESUMES:
+                    raise RefusalError("stream_cut", "the stream could not be resumed")
+                call.plan.allow_resume()
+                self._events.record(
+                    Event.STREAM_RESUMED,
+                    request_id=call.request.request_id,
+                    sent_bytes=call.transcript.size_bytes,
+                )
+        await call.responder.finish()
+        self._note_answered(call, in_time=self._stream_in_time(call))
+
+    async def _try_stream(self, call: _ModelCall, target: Target) -> bool:
+        """Try one backend server; return whether the whole stream has been passed on."""
+        try:
+            async with target.open(self._build_call(call, target)) as reply:
+                answer = await reply.head()
+                _check_status(answer)
+                if not find_header(answer.headers, b"content-type").startswith("text/event-stream"):
+                    await self._pass_on_error(call, answer, await reply.read())
+                    return True
+                await self._start_stream(call, answer)
+                async for data in reply.chunks():
+                    await self._pass_on(call, target, data)
+        except ClientGoneError:
+            raise
+        except RefusalError as error:
+            call.plan.note_refusal(error)
+        except TransportError as error:
+            call.plan.note_lost(error)
+        return call.transcript.done or call.responder.finished
+
+    async def _start_stream(self, call: _ModelCall, answer: Answer) -> None:
+        if not call.responder.started:
+            await call.responder.start(200, _answer_headers(answer, call, whole=False))
+        elif not call.transcript.empty:
+            call.identity = call.transcript.identity()
+
+    async def _pass_on(self, call: _ModelCall, target: Target, data: bytes) -> None:
+        if call.transcript.empty:
+            call.first_chunk_at = self._timer.now()
+        if call.identity:
+            data = rewrite_identity(data, call.identity)
+        # A chunk that may have reached the caller must never be generated again.
+        call.transcript.add(data)
+        self._count_region_bytes(call, target, len(data))
+        await call.responder.send_chunk(data)
+
+    async def _pass_on_error(self, call: _ModelCall, answer: Answer, body: bytes) -> None:
+        if call.responder.started:
+            raise RefusalError("stream_cut", f"the backend server answered {answer.status}")
+        await call.responder.send(answer.status, _answer_headers(answer, call, whole=True), body)
+
+    def _build_call(self, call: _ModelCall, target: Target) -> Call:
+        body = call.request.http.body
+        if not call.transcript.empty:
+            body = call.model.resumed_body(call.transcript.tokens())
+        return Call(
+            call_id=self._backends.next_call_id(),
+            request_id=call.request.request_id,
+            method="POST",
+            target=call.model.path,
+            headers=JSON_HEADERS,
+            body=body,
+            deadline_ms=call.request.remaining_ms(self._timer.now()),
+            priority=call.request.priority,
+            organisation=call.request.organisation,
+            prompt_tokens=call.model.prompt_tokens,
+            max_tokens=call.model.max_tokens,
+            stream=call.model.stream,
+            incarnation=target.incarnation,
+            clock=self._events.clock.tick(),
+        )
+
+    def _count_region_bytes(self, call: _ModelCall, target: Target, answer_bytes: int) -> None:
+        if target.choice.crosses_region:
+            self._tallies.note_region_bytes(answer_bytes + len(call.request.http.body))
+
+    def _stream_in_time(self, call: _ModelCall) -> bool:
+        now = self._timer.now()
+        if call.request.has_deadline:
+            return now <= call.request.deadline
+        gap_s = (now - call.first_chunk_at) / max(1, call.model.max_tokens)
+        first_s = call.first_chunk_at - call.request.arrived
+        return first_s <= FIRST_TOKEN_TARGET_S and gap_s <= TOKEN_GAP_TARGET_S
+
+    def _note_answered(self, call: _ModelCall, *, in_time: bool) -> None:
+        self._tallies.note_answered(in_time=in_time)
+        self._events.record(
+            Event.REQUEST_ANSWERED, request_id=call.request.request_id, in_time=in_time
+        )
+
+    async def _refuse(self, call: _ModelCall, error: RefusalError) -> None:
+        if not call.responder.started:
+            await send_refusal(call.responder, error, [_request_id_header(call)])
+            return
+        self._events.record(Event.STREAM_CUT, request_id=call.request.request_id, code=error.code)
+        # The connection closes without the final chunk, which also tells the caller.
+        await call.responder.send_chunk(render_error_event(error.code, error.message))
+
+
+def _check_status(answer: Answer) -> None:
+    if answer.status >= SERVER_ERROR_STATUS:
+        raise BackendFailedError(f"the backend server answered with status {answer.status}")
+
+
+def _request_id_header(call: _ModelCall) -> tuple[bytes, bytes]:
+    return (b"x-request-id", call.request.request_id.encode())
+
+
+def _answer_headers(answer: Answer, call: _ModelCall, *, whole: bool) -> Headers:
+    kept = [
+        (name, value)
+        for name, value in strip_hop_by_hop(answer.headers)
+        if name not in {b"x-request-id", b"date"}
+    ]
+    if not whole:
+        kept = STREAM_HEADERS
+    return [*kept, _request_id_header(call)]
--- /dev/null
+++ b/figwalk/entry/service_calls.py
@@ -0,0 +1,179 @@
+"""Calls to plain services: `/services/{service}/{path}`."""
+
+from __future__ import annotations
+
+from figwalk.coordination.retry_budget import RetryBudget
+from figwalk.coordination.router import RouteRequest
+from figwalk.entry.attempt_plan import AttemptPlan
+from figwalk.entry.attempt_target import Target
+from figwalk.entry.backends import Backends
+from figwalk.entry.caller_request import CallerRequest
+from figwalk.entry.keyed_calls import KeyedCall, KeyedCalls
+from figwalk.entry.refusals import send_refusal
+from figwalk.entry.tallies import Tallies
+from figwalk.errors import CallerError, RefusalError, TransportError
+from figwalk.events import Event, EventLog
+from figwalk.protocol.messages import Call
+from figwalk.state.published import ServiceConfig
+from figwalk.timer import Timer
+from figwalk.transport import Headers, HttpRequest, Responder, strip_hop_by_hop
+
+SERVICES_PATH = "/services/"
+PLAIN_KIND = "plain"
+# Meant for figwalk or for one hop; the backend server gets its own.
+_DROPPED_HEADERS = frozenset({b"expect", b"x-request-id", b"accept-encoding"})
+
+
+class ServiceCalls:
+    """Routes calls to plain services; those that may not be repeated go to `KeyedCalls`."""
+
+    def __init__(
+        self,
+        backends: Backends,
+        budget: RetryBudget,
+        keyed: KeyedCalls,
+        tallies: Tallies,
+        events: EventLog,
+        timer: Timer,
+    ) -> None:
+        self._backends = backends
+        self._budget = budget
+        self._keyed = keyed
+        self._tallies = tallies
+        self._events = events
+        self._timer = timer
+
+    async def serve(self, http: HttpRequest, responder: Responder) -> None:
+        """Answer one request.
+
+        Raises:
+            CallerError: The request is not valid.
+        """
+        name, _, rest = http.target.removeprefix(SERVICES_PATH).partition("/")
+        service = self._backends.services().get(name)
+        if service is None or service.kind != PLAIN_KIND:
+            raise CallerError(404, "service_not_found", f"service {name!r} does not exist")
+        target = f"/{rest}"
+        request = CallerRequest.from_http(http, self._timer, timeout_s=service.timeout_s)
+        self._events.record(
+            Event.REQUEST_RECEIVED,
+            request_id=request.request_id,
+            target=http.path,
+            method=http.method,
+        )
+        plan = self._plan(request, name)
+        try:
+            if service.needs_key(http.method, target.partition("?")[0]):
+                await self._serve_keyed(request, responder, name, service, target, plan)
+            else:
+                await self._serve_repeatable(request, responder, target, plan)
+        except RefusalError as error:
+            self._tallies.note_refused(error.code)
+            self._events.record(
+                Event.REQUEST_REFUSED,
+                request_id=request.request_id,
+                code=error.code,
+                outcome=error.outcome,
+            )
+            await send_refusal(responder, error, [_request_id_header(request)])
+
+    def _plan(self, request: CallerRequest, service: str) -> AttemptPlan:
+        route = RouteRequest(
+            service=service,
+            model="",
+            prompt_tokens=0,
+            max_tokens=0,
+            pieces=(),
+            priority=request.priority,
+            deadline=request.deadline,
+            zone=self._backends.zone,
+            region=self._backends.region,
+        )
+        return AttemptPlan(self._backends, self._budget, route, request.request_id, self._events)
+
+    async def _serve_keyed(
+        self,
+        request: CallerRequest,
+        responder: Responder,
+        name: str,
+        service: ServiceConfig,
+        target: str,
+        plan: AttemptPlan,
+    ) -> None:
+        call = KeyedCall.from_request(request, service=name, target=target)
+        answer = await self._keyed.run(call, plan)
+        headers = [*answer.headers, _request_id_header(request)]
+        if answer.replayed:
+            headers.append((b"idempotent-replayed", b"true"))
+        await responder.send(answer.status, headers, answer.body)
+        self._note_answered(request)
+
+    async def _serve_repeatable(
+        self, request: CallerRequest, responder: Responder, target: str, plan: AttemptPlan
+    ) -> None:
+        while not await self._try(request, responder, target, plan, plan.next_target()):
+            pass
+        self._note_answered(request)
+
+    async def _try(
+        self,
+        request: CallerRequest,
+        responder: Responder,
+        target: str,
+        plan: AttemptPlan,
+        chosen: Target,
+    ) -> bool:
+        """Try one backend server; return whether the caller has its answer."""
+        call = Call(
+            call_id=self._backends.next_call_id(),
+            request_id=request.request_id,
+            method=request.http.method,
+            target=target,
+            headers=forwarded_headers(request.http),
+            body=request.http.body,
+            deadline_ms=request.remaining_ms(self._timer.now()),
+            priority=request.priority,
+            organisation=request.organisation,
+            incarnation=chosen.incarnation,
+            clock=self._events.clock.tick(),
+        )
+        try:
+            async with chosen.open(call) as reply:
+                answer = await reply.head()
+                body = await reply.read()
+        except RefusalError as error:
+            plan.note_refusal(error)
+            return False
+        except TransportError as error:
+            plan.note_lost(error)
+            return False
+        if chosen.choice.crosses_region:
+            self._tallies.note_region_bytes(len(body) + len(request.http.body))
+        headers = [*answer_headers(answer.headers), _request_id_header(request)]
+        await responder.send(answer.status, headers, body)
+        return True
+
+    def _note_answered(self, request: CallerRequest) -> None:
+        in_time = self._timer.now() <= request.deadline
+        self._tallies.note_answered(in_time=in_time)
+        self._events.record(
+            Event.REQUEST_ANSWERED, request_id=request.request_id, in_time=in_time
+        )
+
+
+def forwarded_headers(http: HttpRequest) -> Headers:
+    """Return the headers of a caller that its plain service gets."""
+    return [
+        (name, value)
+        for name, value in strip_hop_by_hop(http.headers)
+        if name not in _DROPPED_HEADERS and not name.startswith(b"figwalk-")
+    ]
+
+
+def answer_headers(headers: Headers) -> Headers:
+    """Return the headers of a plain service's answer that the caller gets."""
+    return [(name, value) for name, value in strip_hop_by_hop(headers) if name != b"x-request-id"]
+
+
+def _request_id_header(request: CallerRequest) -> tuple[bytes, bytes]:
+    return (b"x-request-id", request.request_id.encode())
--- /dev/null
+++ b/figwalk/entry/tallies.py
@@ -0,0 +1,78 @@
+"""Counts of one entry for operators: goodput, refusals, region traffic."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+
+from figwalk.metrics import Metrics
+from figwalk.timer import Timer
+
+FIRST_TOKEN_TARGET_S = 1.7
+TOKEN_GAP_TARGET_S = 0.053
+GOODPUT_WINDOW_S = 60.0
+
+
+class Tallies:
+    """Counts finished and refused requests."""
+
+    def __init__(self, metrics: Metrics, timer: Timer) -> None:
+        self._metrics = metrics
+        self._timer = timer
+        self._answered = 0
+        self._in_deadline = 0
+        self._region_bytes = 0
+        self._refusals: Counter[str] = Counter()
+        self._recent: deque[float] = deque()
+        self._started = timer.now()
+
+    @property
+    def answered(self) -> int:
+        """Requests answered in full."""
+        return self._answered
+
+    @property
+    def in_deadline(self) -> int:
+        """Requests answered in full and in time."""
+        return self._in_deadline
+
+    @property
+    def region_bytes(self) -> int:
+        """Bytes of requests and answers that crossed regions."""
+        return self._region_bytes
+
+    @property
+    def refusals(self) -> dict[str, int]:
+        """Refused requests by reason."""
+        return dict(self._refusals)
+
+    @property
+    def goodput_per_s(self) -> float:
+        """Requests answered in time a second, over the last minute."""
+        self._drop_old()
+        window_s = min(GOODPUT_WINDOW_S, max(1.0, self._timer.now() - self._started))
+        return len(self._recent) / window_s
+
+    def note_answered(self, *, in_time: bool) -> None:
+        """Count a whole answer."""
+        self._answered += 1
+        self._metrics.count("answered")
+        if in_time:
+            self._in_deadline += 1
+            self._metrics.count("answered_in_time")
+            self._recent.append(self._timer.now())
+            self._drop_old()
+
+    def note_refused(self, code: str) -> None:
+        """Count a refusal."""
+        self._refusals[code] += 1
+        self._metrics.count(f"refused.{code}")
+
+    def note_region_bytes(self, count: int) -> None:
+        """Count bytes that crossed regions."""
+        self._region_bytes += count
+        self._metrics.count("region_bytes", count)
+
+    def _drop_old(self) -> None:
+        horizon = self._timer.now() - GOODPUT_WINDOW_S
+        while self._recent and self._recent[0] < horizon:
+            self._recent.popleft()
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -6,10 +6,12 @@
 from __future__ import annotations
 
 import itertools
+import json
 from collections import deque
 from enum import Enum
 
 import attrs
+import cattrs
 import structlog
 
 from figwalk.timer import Timer
@@ -35,9 +37,9 @@
     PEER_LOST = (205, "warning", "A connection to another figwalk process was lost.")
     ANSWER_MISMATCH = (206, "error", "An answer frame carried the identifier of another call.")
 
-    REQUEST_RECEIVED = (300, "info", "A caller's request was accepted for routing.")
-    REQUEST_ROUTED = (301, "info", "A backend server was chosen for a request.")
-    REQUEST_ANSWERED = (302, "info", "The whole answer went to the caller.")
+    REQUEST_RECEIVED = (300, "debug", "A caller's request was accepted for routing.")
+    REQUEST_ROUTED = (301, "debug", "A backend server was chosen for a request.")
+    REQUEST_ANSWERED = (302, "debug", "The whole answer went to the caller.")
     REQUEST_REFUSED = (303, "info", "The request was refused; the fields say why.")
     REQUEST_RETRIED = (304, "info", "The request goes to another backend server.")
     REQUEST_CANCELLED = (305, "info", "The caller went away before the end of the answer.")
@@ -45,10 +47,10 @@
     STREAM_CUT = (307, "error", "A stream ended before its end.")
     RETRY_BUDGET_EMPTY = (308, "warning", "The retry budget allows no further attempt.")
 
-    CALL_ADMITTED = (400, "info", "The agent admitted a call.")
+    CALL_ADMITTED = (400, "debug", "The agent admitted a call.")
     CALL_REFUSED = (401, "info", "The agent refused a call.")
-    CALL_SENT = (402, "info", "The agent sent a call to its backend server.")
-    CALL_FINISHED = (403, "info", "The backend server's answer ended.")
+    CALL_SENT = (402, "debug", "The agent sent a call to its backend server.")
+    CALL_FINISHED = (403, "debug", "The backend server's answer ended.")
     CALL_FAILED = (404, "warning", "The backend server failed during a call.")
     CALL_CANCELLED = (405, "info", "A call was cancelled by the entry or its loss.")
     BACKEND_DOWN = (406, "warning", "The backend server does not answer.")
@@ -75,12 +77,12 @@
     ORDER_REFUSED = (607, "warning", "The backend server refused an order.")
     ORDER_UNCONFIRMED = (608, "warning", "An order waits because it can't be proved current.")
 
-    KEY_CLAIMED = (700, "info", "A claim of an idempotency key won.")
+    KEY_CLAIMED = (700, "debug", "A claim of an idempotency key won.")
     KEY_REPLAYED = (701, "info", "The recorded answer of a key was sent again.")
     KEY_VOIDED = (702, "warning", "A claim was voided before it was sent.")
     KEY_RELEASED = (703, "info", "A claim was recorded as not run.")
     KEY_UNKNOWN = (704, "warning", "The outcome of a key is unknown.")
-    KEY_OUTCOME_RECORDED = (705, "info", "The outcome of a key is in the log.")
+    KEY_OUTCOME_RECORDED = (705, "debug", "The outcome of a key is in the log.")
 
     MEMBER_JOINED = (800, "info", "The VM list shows a new VM.")
     MEMBER_LEAVING = (801, "info", "The VM list shows a VM as leaving.")
@@ -211,6 +213,19 @@
     return sorted(records, key=lambda record: (record.clock, record.process, record.sequence))
 
 
+def encode_events(records: list[EventRecord]) -> bytes:
+    """Return the JSON form of events."""
+    return json.dumps([attrs.asdict(record) for record in records]).encode()
+
+
+def decode_events(data: bytes) -> list[EventRecord]:
+    """Return the events of a JSON form; none if it is not valid."""
+    try:
+        return cattrs.structure(json.loads(data), list[EventRecord])
+    except (ValueError, cattrs.BaseValidationError):
+        return []
+
+
 def render_catalogue() -> str:
     """Return the event catalogue as a Markdown table."""
     rows = ["| number | event | level | meaning |", "| --- | --- | --- | --- |"]
--- /dev/null
+++ b/figwalk/protocol/chat.py
@@ -0,0 +1,218 @@
+"""Bodies of model calls: OpenAI-compatible requests and server-sent events."""
+
+from __future__ import annotations
+
+import json
+
+import attrs
+
+from figwalk.errors import CallerError
+from figwalk.protocol.prefix import estimate_tokens, prefix_pieces
+from figwalk.state.published import ServiceConfig
+
+CHAT_PATH = "/v1/chat/completions"
+COMPLETIONS_PATH = "/v1/completions"
+MODELS_PATH = "/v1/models"
+DEFAULT_MAX_TOKENS = 256
+EVENT_END = b"\n\n"
+EVENT_PREFIX = b"data: "
+DONE_DATA = b"[DONE]"
+
+JsonObject = dict[str, object]
+
+
+@attrs.frozen
+class ModelRequest:
+    """A checked request for a model.
+
+    Attributes:
+        path: `/v1/chat/completions` or `/v1/completions`.
+        model: Model asked for.
+        stream: Whether the caller wants server-sent events.
+        prompt: Prompt text in UTF-8.
+        max_tokens: Largest answer length in tokens.
+        body: The whole JSON body.
+    """
+
+    path: str
+    model: str
+    stream: bool
+    prompt: bytes = attrs.field(repr=False)
+    max_tokens: int
+    body: JsonObject = attrs.field(repr=False)
+
+    @classmethod
+    def parse(cls, path: str, data: bytes) -> ModelRequest:
+        """Check a request body.
+
+        Raises:
+            CallerError: The body is not a valid request; the message names the field.
+        """
+        body = _parse_object(data)
+        model = body.get("model")
+        if not isinstance(model, str) or not model:
+            raise CallerError(400, "invalid_model", "model must be the name of a model")
+        stream = body.get("stream", False)
+        if not isinstance(stream, bool):
+            raise CallerError(400, "invalid_stream", "stream must be true or false")
+        if body.get("n", 1) != 1:
+            raise CallerError(400, "invalid_n", "n must be 1; send one request for each answer")
+        prompt = _chat_prompt(body) if path == CHAT_PATH else _completion_prompt(body)
+        return cls(path, model, stream, prompt, _max_tokens(body), body)
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Estimated prompt length in tokens."""
+        return estimate_tokens(self.prompt)
+
+    @property
+    def pieces(self) -> list[int]:
+        """Hashes of the prompt's prefix pieces."""
+        return prefix_pieces(self.prompt)
+
+    def check_limits(self, service: ServiceConfig) -> None:
+        """Refuse a request above the service's limits.
+
+        Raises:
+            CallerError: Prompt or answer length is above the limit.
+        """
+        if self.max_tokens > service.max_output_tokens:
+            raise CallerError(
+                400,
+                "max_tokens_too_large",
+                f"max_tokens is {self.max_tokens}; send at most {service.max_output_tokens}",
+            )
+        if self.prompt_tokens > service.max_prompt_tokens:
+            raise CallerError(
+                400,
+                "prompt_too_long",
+                f"the prompt has about {self.prompt_tokens} tokens; "
+                f"send at most {service.max_prompt_tokens}",
+            )
+
+    def resumed_body(self, tokens: list[str]) -> bytes:
+        """Return the body that continues after tokens that were already generated."""
+        return json.dumps({**self.body, "resume_tokens": tokens}).encode()
+
+
+def _parse_object(data: bytes) -> JsonObject:
+    try:
+        body = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise CallerError(400, "invalid_json", f"the body is not valid JSON: {error}") from error
+    if not isinstance(body, dict):
+        raise CallerError(400, "invalid_json", "the body must be a JSON object")
+    return body
+
+
+def _max_tokens(body: JsonObject) -> int:
+    for name in ("max_completion_tokens", "max_tokens"):
+        value = body.get(name)
+        if value is None:
+            continue
+        if not isinstance(value, int) or isinstance(value, bool) or value < 1:
+            raise CallerError(400, f"invalid_{name}", f"{name} must be a positive integer")
+        return value
+    return DEFAULT_MAX_TOKENS
+
+
+def _chat_prompt(body: JsonObject) -> bytes:
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise CallerError(400, "invalid_messages", "messages must be a non-empty list")
+    return "\n".join(_message_text(message) for message in messages).encode(errors="replace")
+
+
+def _message_text(message: object) -> str:
+    if not isinstance(message, dict) or not isinstance(message.get("role"), str):
+        raise CallerError(400, "invalid_messages", "each message must be an object with a role")
+    content = message.get("content")
+    if content is None:
+        return ""
+    if isinstance(content, str):
+        return content
+    if isinstance(content, list):
+        return "".join(_part_text(part) for part in content)
+    raise CallerError(400, "invalid_messages", "content must be a string or a list of parts")
+
+
+def _part_text(part: object) -> str:
+    if isinstance(part, dict) and isinstance(part.get("text"), str):
+        return part["text"]
+    raise CallerError(400, "invalid_messages", "only text parts are supported in content")
+
+
+def _completion_prompt(body: JsonObject) -> bytes:
+    prompt = body.get("prompt")
+    if not isinstance(prompt, str):
+        raise CallerError(400, "invalid_prompt", "prompt must be a string")
+    return prompt.encode(errors="replace")
+
+
+@attrs.define
+class StreamTranscript:
+    """Server-sent events already passed to a caller, kept to resume a broken stream."""
+
+    _events: list[bytes] = attrs.field(factory=list)
+
+    def add(self, data: bytes) -> None:
+        """Keep whole events."""
+        self._events.append(data)
+
+    @property
+    def empty(self) -> bool:
+        """Whether no event has been passed on."""
+        return not self._events
+
+    @property
+    def done(self) -> bool:
+        """Whether the closing `[DONE]` has been passed on."""
+        return bool(self._events) and self._events[-1].rstrip().endswith(DONE_DATA)
+
+    @property
+    def size_bytes(self) -> int:
+        """Bytes passed on."""
+        return sum(map(len, self._events))
+
+    def tokens(self) -> list[str]:
+        """Return the texts generated so far, one for each event that has text."""
+        texts = (_event_text(event) for event in parse_events(b"".join(self._events)))
+        return [text for text in texts if text]
+
+    def identity(self) -> JsonObject:
+        """Return `id` and `created` of the first event, which all later events must repeat."""
+        events = parse_events(b"".join(self._events))
+        return {key: events[0][key] for key in ("id", "created") if events and key in events[0]}
+
+
+def parse_events(data: bytes) -> list[JsonObject]:
+    """Return the JSON objects of whole server-sent events, without `[DONE]`."""
+    events = []
+    for block in data.split(EVENT_END):
+        payload = block.strip().removeprefix(EVENT_PREFIX.strip()).strip()
+        if payload and payload != DONE_DATA:
+            events.append(json.loads(payload))
+    return events
+
+
+def rewrite_identity(data: bytes, identity: JsonObject) -> bytes:
+    """Return whole server-sent events with `id` and `created` replaced."""
+    blocks = []
+    for block in data.split(EVENT_END):
+        payload = block.strip().removeprefix(EVENT_PREFIX.strip()).strip()
+        if payload and payload != DONE_DATA:
+            block = EVENT_PREFIX + json.dumps({**json.loads(payload), **identity}).encode()
+        blocks.append(block)
+    return EVENT_END.join(blocks)
+
+
+def render_error_event(code: str, message: str) -> bytes:
+    """Return the event that tells a caller that its stream is not whole."""
+    content = {"error": {"type": "server_error", "code": code, "message": message}}
+    return EVENT_PREFIX + json.dumps(content).encode() + EVENT_END
+
+
+def _event_text(event: JsonObject) -> str:
+    choices = event.get("choices") or [{}]
+    delta = choices[0].get("delta") or {}
+    return delta.get("content") or choices[0].get("text") or ""
--- a/figwalk/protocol/peer_connection.py
+++ b/figwalk/protocol/peer_connection.py
@@ -32,9 +32,15 @@
 class PeerConnection:
     """Sends and receives messages; several tasks may send, one receives."""
 
-    def __init__(self, stream: trio.abc.Stream) -> None:
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._stream = stream
         self._frames = FrameStream(stream)
 
+    @property
+    def alive(self) -> bool:
+        """Whether an idle connection can still be used: the peer has neither closed nor sent."""
+        return not self._stream.socket.is_readable()
+
     @classmethod
     async def connect(cls, host: str, port: int, hello: Hello) -> tuple[PeerConnection, Hello]:
         """Dial a peer and exchange `Hello`.
@@ -90,3 +96,7 @@
     async def aclose(self) -> None:
         """Close the connection."""
         await self._frames.aclose()
+
+    def close(self) -> None:
+        """Close the connection at once, without waiting."""
+        self._stream.socket.close()
--- a/figwalk/transport/__init__.py
+++ b/figwalk/transport/__init__.py
@@ -2,7 +2,7 @@
 
 from figwalk.transport.frame_stream import Frame, FrameStream, FrameType
 from figwalk.transport.http_client import HttpClient, HttpConnectError, HttpResponse
-from figwalk.transport.http_server import HttpServer, Responder, render_error
+from figwalk.transport.http_server import ClientGoneError, HttpServer, Responder, render_error
 from figwalk.transport.http_types import (
     Headers,
     HttpLimits,
@@ -12,6 +12,7 @@
 )
 
 __all__ = [
+    "ClientGoneError",
     "Frame",
     "FrameStream",
     "FrameType",
--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -16,6 +16,7 @@
 LISTEN_BACKLOG = 1024
 
 JSON_HEADER = (b"content-type", b"application/json")
+CLOSE_HEADER = (b"connection", b"close")
 
 
 class Responder:
@@ -25,9 +26,15 @@
     `finish` for a streamed one.
     """
 
-    def __init__(self, connection: h11.Connection, stream: trio.abc.Stream) -> None:
+    def __init__(
+        self,
+        connection: h11.Connection,
+        stream: trio.abc.Stream,
+        closing: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._connection = connection
         self._stream = stream
+        self._closing = closing
         self._started = False
         self._finished = False
 
@@ -43,7 +50,7 @@
 
     async def send(self, status: int, headers: Headers, body: bytes = b"") -> None:
         """Send a whole answer."""
-        headers = [*headers, (b"content-length", str(len(body)).encode())]
+        headers = [*headers, (b"content-length", str(len(body)).encode()), *self._closing_header()]
         data = self._connection.send(h11.Response(status_code=status, headers=headers)) or b""
         if body:
             data += self._connection.send(h11.Data(data=body)) or b""
@@ -60,6 +67,7 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Send status and headers of a streamed answer."""
         self._started = True
+        headers = [*headers, *self._closing_header()]
         await self._write(
             self._connection.send(h11.Response(status_code=status, headers=headers)) or b""
         )
@@ -73,11 +81,18 @@
         self._finished = True
         await self._write(self._connection.send(h11.EndOfMessage()) or b"")
 
+    def _closing_header(self) -> Headers:
+        return [CLOSE_HEADER] if self._closing() else []
+
     async def _write(self, data: bytes) -> None:
         try:
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise ConnectionLostError("the client closed its connection") from error
+            raise ClientGoneError("the client closed its connection") from error
+
+
+class ClientGoneError(ConnectionLostError):
+    """The client of the HTTP server went away before the end of its answer."""
 
 
 HttpHandler = Callable[[HttpRequest, Responder], Awaitable[None]]
@@ -173,7 +188,7 @@
                 return
             if request is None:
                 return
-            responder = Responder(connection, stream)
+            responder = Responder(connection, stream, lambda: self._draining)
             self._active_requests += 1
             try:
                 await self._answer(request, responder)
@@ -252,7 +267,7 @@
                 await responder.send_json(
                     error.status, render_error("invalid_request_error", error.code, error.message)
                 )
-        except ConnectionLostError:
+        except ClientGoneError:
             raise
         except Exception as error:
             self._events.record(Event.TASK_FAILED, task=request.path, error=repr(error))
@@ -275,7 +290,7 @@
             return
         responder = Responder(connection, stream)
         body = render_error("invalid_request_error", code, message)
-        await responder.send_json(status, body, [(b"connection", b"close")])
+        await responder.send_json(status, body, [CLOSE_HEADER])
 
 
 class _PortStatus:
