--- a/figwalk/state/fleet.py
+++ b/figwalk/state/fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 
 import attrs
 
@@ -358,12 +358,30 @@
         self._mixes.setdefault(view.service, MixEstimator()).observe(report, now)
         return True
 
-    def note_sent(self, backend: str, call_id: int, prompt_tokens: int, output_tokens: int) -> None:
-        """Count a call that this entry is sending."""
+    def note_sent(
+        self,
+        backend: str,
+        call_id: int,
+        prompt_tokens: int,
+        output_tokens: int,
+        *,
+        pieces: Sequence[int] = (),
+    ) -> None:
+        """Count a call that this entry is sending.
+
+        Args:
+            backend: Where it goes.
+            call_id: The call.
+            prompt_tokens: Prompt tokens that are not expected in the cache.
+            output_tokens: Tokens that may be generated.
+            pieces: Prefix pieces of the prompt, which the backend server will hold soon.
+        """
         view = self._backends.get(backend)
-        if view is not None:
-            call = SentCall(call_id, prompt_tokens, output_tokens, self._timer.now())
-            view.add_call(call)
+        if view is None:
+            return
+        now = self._timer.now()
+        view.add_call(SentCall(call_id, prompt_tokens, output_tokens, now))
+        self._prefixes.note_stored(backend, pieces, now)
 
     def note_finished(self, backend: str, call_id: int) -> None:
         """Stop counting a call, however it ended; an unknown call is ignored."""
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,131 @@
+from collections import Counter
+
+import pytest
+
+from figwalk.coordination.router import ROUTING_POLICIES, PredictedPolicy, RouteRequest, make_policy
+from figwalk.errors import SettingsError
+from figwalk.protocol.messages import Role
+from figwalk.state.prefixes import PrefixIndex
+from figwalk.state.published import Preset
+from tests.policy_fakes import ManualTimer, make_fleet, make_report
+
+NAMES = ["a", "b", "c", "d"]
+CHAT = RouteRequest("llm", "north-a", "north", prompt_tokens=4000, max_tokens=100)
+
+
+@pytest.fixture
+def timer():
+    return ManualTimer()
+
+
+def route(policy, fleet, timer, call_id, request=CHAT):
+    choice = policy.choose(request, fleet.candidates(request.service), timer.now())
+    new_tokens = request.prompt_tokens - choice.matched_tokens
+    fleet.note_sent(choice.backend, call_id, new_tokens, request.max_tokens, pieces=request.pieces)
+    return choice
+
+
+def test_busy_engine_that_reports_idle_is_not_picked_by_everybody(timer):
+    """Guards against all entries sending to the one engine whose lagging report says idle."""
+    picked = Counter()
+    for entry in range(6):
+        fleet = make_fleet(timer, NAMES)
+        for name in NAMES[1:]:
+            busy = make_report(name, 2, running=2, queued_prompt_tokens=8000)
+            fleet.update_report(busy)
+        policy = PredictedPolicy(fleet.prefixes, seed=entry)
+        for call_id in range(12):
+            if call_id % 3 == 0:  # Reports go on and stay wrong.
+                timer.time += 0.25
+                fleet.update_report(make_report("a", 2 + call_id))
+            picked[route(policy, fleet, timer, call_id).backend] += 1
+    assert picked["a"] <= 36
+    assert min(picked.values()) >= 6
+
+
+def test_entries_with_the_same_view_spread_their_first_call(timer):
+    """Guards against a herd: equal entries must not all take the same of several equal engines."""
+    picked = Counter()
+    for entry in range(40):
+        fleet = make_fleet(timer, NAMES)
+        picked[route(PredictedPolicy(fleet.prefixes, seed=entry), fleet, timer, 1).backend] += 1
+    assert max(picked.values()) <= 20
+    assert set(picked) == set(NAMES)
+
+
+def test_long_prompt_goes_where_its_prefix_is(timer):
+    """Guards against processing a long prompt again beside an engine that has it cached."""
+    fleet = make_fleet(timer, NAMES)
+    pieces = list(range(10))
+    fleet.update_report(make_report("c", 2, cache_stored=pieces))
+    request = RouteRequest("llm", "north-a", "north", prompt_tokens=20_500, pieces=pieces)
+    policy = PredictedPolicy(fleet.prefixes, seed=1)
+    choice = policy.choose(request, fleet.candidates("llm"), timer.now())
+    assert (choice.backend, choice.matched_tokens) == ("c", 20_000)
+    assert choice.first_token_s < 0.1
+
+
+def test_cached_prefix_does_not_outweigh_a_long_queue(timer):
+    """Guards against a hot prefix overloading the one engine that holds it."""
+    fleet = make_fleet(timer, NAMES)
+    pieces = [1, 2]
+    fleet.update_report(make_report("c", 2, cache_stored=pieces, queue_wait_ms=3000))
+    request = RouteRequest("llm", "north-a", "north", prompt_tokens=4000, pieces=pieces)
+    policy = PredictedPolicy(fleet.prefixes, seed=1)
+    assert policy.choose(request, fleet.candidates("llm"), timer.now()).backend != "c"
+
+
+def test_unmeasured_engines_are_chosen_by_role(timer):
+    """Guards against long prompts on a decode engine, and long answers on a prefill engine."""
+    fleet = make_fleet(timer, ["p", "d"])
+    unmeasured = {"prefill_tokens_per_s": 0, "decode_tokens_per_s": 0}
+    fleet.update_report(make_report("p", 2, role=Role.PREFILL, **unmeasured))
+    fleet.update_report(make_report("d", 2, role=Role.DECODE, **unmeasured))
+    policy = PredictedPolicy(fleet.prefixes, seed=1)
+    log = RouteRequest("llm", "north-a", "north", prompt_tokens=30_000, max_tokens=50)
+    chat = RouteRequest("llm", "north-a", "north", prompt_tokens=100, max_tokens=1000)
+    assert policy.choose(log, fleet.candidates("llm"), timer.now()).backend == "p"
+    assert policy.choose(chat, fleet.candidates("llm"), timer.now()).backend == "d"
+
+
+@pytest.mark.parametrize(("penalty_ms", "expected"), [(0, "far"), (2000, "near")])
+def test_region_penalty_decides_when_to_cross(timer, penalty_ms, expected):
+    """Guards against billed traffic that the preset does not want, and against ignoring load."""
+    fleet = make_fleet(timer, ["near"])
+    fleet.register("far", "llm", zone="south-a", region="south")
+    fleet.update_report(make_report("far"))
+    fleet.update_report(make_report("near", 2, queued_prompt_tokens=20_000))
+    preset = Preset(region_penalty_ms=penalty_ms)
+    policy = make_policy("predicted", prefixes=fleet.prefixes, preset=preset, seed=1)
+    choice = policy.choose(CHAT, fleet.candidates("llm"), timer.now())
+    assert choice.backend == expected
+    assert choice.crosses_region == (expected == "far")
+
+
+def test_deadline_excludes_slow_engines_while_one_can_meet_it(timer):
+    """Guards against a long job on an engine that starts sooner but finishes too late."""
+    fleet = make_fleet(timer, ["slow", "fast"])
+    fleet.update_report(make_report("slow", 2, decode_tokens_per_s=100))
+    fleet.update_report(make_report("fast", 2, queued_prompt_tokens=80_000))
+    policy = PredictedPolicy(fleet.prefixes, seed=1)
+    for deadline_s, expected in ((15, "fast"), (None, "slow")):
+        deadline = None if deadline_s is None else timer.now() + deadline_s
+        request = RouteRequest("llm", "north-a", "north", None, 100, 2000, deadline=deadline)
+        assert policy.choose(request, fleet.candidates("llm"), timer.now()).backend == expected
+
+
+@pytest.mark.parametrize("name", ROUTING_POLICIES)
+def test_plain_services_are_shared_out(timer, name):
+    """Guards against a policy that can't rank backend servers without tokens."""
+    fleet = make_fleet(timer, NAMES)
+    request = RouteRequest("llm", "north-a", "north")
+    policy = make_policy(name, prefixes=PrefixIndex(), preset=Preset(), seed=3)
+    picked = Counter(route(policy, fleet, timer, n, request).backend for n in range(200))
+    assert min(picked.values()) >= 30
+    assert policy.choose(request, [], timer.now()) is None
+
+
+def test_unknown_policy_name_is_a_settings_error():
+    """Guards against a misspelt preset that silently routes in another way."""
+    with pytest.raises(SettingsError, match="routing_policy"):
+        make_policy("least-load", prefixes=PrefixIndex(), preset=Preset())
