--- a/figwalk/entry/call_pool.py
+++ b/figwalk/entry/call_pool.py
@@ -7,11 +7,11 @@
 
 import trio
 
+from figwalk.entry.agent_link import AgentLink, LinkOwner
 from figwalk.errors import CallOutcome, ConnectionLostError, MalformedFrameError, RefusalError
 from figwalk.events import Event, EventLog
 from figwalk.protocol.messages import Answer, Call, ConnectionKind, End, Refusal
 from figwalk.protocol.peer_connection import AnswerData, PeerConnection
-from figwalk.entry.agent_link import AgentLink, LinkOwner
 
 MAX_IDLE_CONNECTIONS = 128
 
--- a/figwalk/entry/model_calls.py
+++ b/figwalk/entry/model_calls.py
@@ -172,9 +172,7 @@
             call.plan.note_lost(error)
             return False
         self._count_region_bytes(call, target, len(body))
-        await call.responder.send(
-            answer.status, _answer_headers(answer, call, whole=True), body
-        )
+        await call.responder.send(answer.status, _answer_headers(answer, call, whole=True), body)
         self._note_answered(call, in_time=self._timer.now() <= call.request.deadline)
         return True
 
--- /dev/null
+++ b/figwalk/entry/process.py
@@ -0,0 +1,303 @@
+"""Composition of the entry process."""
+
+from __future__ import annotations
+
+import random
+
+import trio
+
+from figwalk.coordination.claim_writer import ClaimWriter
+from figwalk.coordination.http_log_client import HttpLogClient
+from figwalk.coordination.lease import Lease
+from figwalk.coordination.log_client import StoredRecord
+from figwalk.coordination.log_follower import LogFollower
+from figwalk.coordination.membership import Membership, MembershipSubscriber, Vm, VmKind
+from figwalk.coordination.publisher import Publisher, Snapshotter
+from figwalk.coordination.retry_budget import RetryBudget
+from figwalk.coordination.role_controller import RoleController
+from figwalk.coordination.router import make_policy
+from figwalk.entry.admin_api import AdminApi
+from figwalk.entry.backends import Backends
+from figwalk.entry.caller_api import CallerApi
+from figwalk.entry.entry_peers import EntryPeers
+from figwalk.entry.keyed_calls import KeyedCalls
+from figwalk.entry.model_calls import ModelCalls
+from figwalk.entry.service_calls import ServiceCalls
+from figwalk.entry.status import RoleChanges, StatusReporter
+from figwalk.entry.tallies import Tallies
+from figwalk.entry.timeline import Timeline
+from figwalk.events import Event, EventLog
+from figwalk.metrics import Metrics
+from figwalk.protocol.records import CLAIMS_STREAM, CONFIG_STREAM, CONTROL_STREAM
+from figwalk.state.claims import Claims
+from figwalk.state.configuration import Configuration
+from figwalk.state.control import Control
+from figwalk.state.fleet import Fleet
+from figwalk.state.notifier import Notifier
+from figwalk.state.settings import EntrySettings
+from figwalk.timer import Timer
+from figwalk.transport import HttpClient, HttpServer
+
+INCARNATION_BITS = 64
+PEER_CONFIG_PERIOD_S = 1.0
+PEER_BACKLOG = 256
+
+
+class EntryProcess(MembershipSubscriber):
+    """All parts of one entry.
+
+    Args:
+        settings: Settings of the process.
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self._settings = settings
+        self._timer = Timer()
+        self._events = EventLog(settings.process, self._timer)
+        self._metrics = Metrics(
+            settings.platform.statsd, prefix=f"figwalk.entry.{settings.process}", timer=self._timer
+        )
+        self._changed = Notifier()
+        self._stopping = False
+        self._build_log_readers()
+        self._build_routing()
+        self._build_interfaces()
+
+    def _build_log_readers(self) -> None:
+        platform = self._settings.platform
+        client = HttpLogClient(platform.log, timeout_s=platform.log_timeout_s)
+        self._log_client = client
+        self._configuration = Configuration()
+        self._control = Control()
+        self._claims = Claims()
+        self._role_changes = RoleChanges(self._control)
+        self._config_follower = LogFollower(
+            client,
+            CONFIG_STREAM,
+            self._apply_config,
+            self._events,
+            self._timer,
+            on_truncated=self._configuration.skip_to,
+        )
+        self._control_follower = LogFollower(
+            client,
+            CONTROL_STREAM,
+            self._apply_control,
+            self._events,
+            self._timer,
+            on_truncated=self._control.skip_to,
+        )
+        self._claims_follower = LogFollower(
+            client,
+            CLAIMS_STREAM,
+            self._claims.apply,
+            self._events,
+            self._timer,
+            on_truncated=self._claims.skip_to,
+        )
+
+    def _build_routing(self) -> None:
+        settings = self._settings
+        self._fleet = Fleet(self._timer, report_timeout_s=settings.report_timeout_s)
+        self._tallies = Tallies(self._metrics, self._timer)
+        self._budget = RetryBudget(self._timer)
+        self._backends = Backends(
+            settings,
+            configuration=self._configuration,
+            control=self._control,
+            control_follower=self._control_follower,
+            fleet=self._fleet,
+            changed=self._changed,
+            events=self._events,
+            timer=self._timer,
+            incarnation=random.getrandbits(INCARNATION_BITS),
+        )
+        self._peers = EntryPeers(
+            settings.process, self._configuration, self._backends, self._events
+        )
+        self._membership = Membership(
+            HttpClient(settings.platform.vms.host, settings.platform.vms.port),
+            self._timer,
+            self._events,
+            period_s=settings.platform.vms_poll_s,
+        )
+        self._membership.subscribe(self)
+        self._lease = Lease(
+            self._log_client,
+            self._control,
+            self._control_follower,
+            self._events,
+            self._timer,
+            holder=settings.process,
+            ttl_s=settings.lease_ttl_s,
+        )
+        self._role_controller = RoleController(
+            self._fleet, self._configuration, self._control, self._lease, self._events, self._timer
+        )
+        self._set_policies()
+
+    def _build_interfaces(self) -> None:
+        settings = self._settings
+        self._claim_writer = ClaimWriter(
+            self._log_client, self._claims, self._claims_follower, self._events, self._timer
+        )
+        self._publisher = Publisher(
+            self._log_client, self._configuration, self._config_follower, self._events, self._timer
+        )
+        self._snapshotter = Snapshotter(
+            self._log_client, self._configuration, self._config_follower, self._events, self._timer
+        )
+        keyed = KeyedCalls(
+            self._backends,
+            self._claims,
+            self._claims_follower,
+            self._claim_writer,
+            self._events,
+            self._timer,
+        )
+        common = (self._tallies, self._events, self._timer)
+        self._caller_api = CallerApi(
+            ModelCalls(self._backends, self._budget, *common),
+            ServiceCalls(self._backends, self._budget, keyed, *common),
+            self._configuration,
+            self._is_ready,
+        )
+        self._callers_server = HttpServer(
+            self._caller_api.handle, self._events, limits=settings.limits
+        )
+        self._admin_api = AdminApi(
+            settings.admin_token,
+            self._configuration,
+            self._publisher,
+            StatusReporter(
+                settings,
+                self._configuration,
+                self._control,
+                self._config_follower,
+                self._fleet,
+                self._tallies,
+                self._role_changes,
+                self._timer,
+            ),
+            Timeline(self._events, self._backends, self._peers),
+            self._events,
+        )
+        self._admin_server = HttpServer(self._admin_api.handle, self._events)
+
+    async def run(self) -> None:
+        """Serve until `stop` has let the last request finish."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            for task in (
+                self._timer.run,
+                self._config_follower.run,
+                self._control_follower.run,
+                self._claims_follower.run,
+                self._claim_writer.run,
+                self._backends.run,
+                self._lease.run,
+                self._snapshot_as_holder,
+                self._adopt_from_peers,
+            ):
+                nursery.start_soon(task)
+            await self._listen(nursery)
+            self._events.record(Event.PROCESS_STARTED, process_kind="entry")
+
+    async def stop(self) -> None:
+        """Take no new requests, finish the running ones within the grace time, then end."""
+        self._stopping = True
+        self._events.record(Event.PROCESS_STOPPING, running=self._callers_server.active_requests)
+        with trio.move_on_after(self._settings.grace_s) as scope:
+            await self._callers_server.drain()
+            await self._claim_writer.flush()
+        running = self._callers_server.active_requests
+        if scope.cancelled_caught and running:
+            self._events.record(Event.PROCESS_STOP_CUT, running=running)
+        else:
+            self._events.record(Event.PROCESS_STOPPED)
+        self._nursery.cancel_scope.cancel()
+
+    def on_joined(self, vm: Vm) -> None:
+        """Connect to a new VM."""
+        if vm.kind is VmKind.BACKEND:
+            self._backends.add_vm(vm)
+        else:
+            self._peers.add_vm(vm)
+
+    def on_leaving(self, vm: Vm) -> None:
+        """Send no new work to a leaving VM."""
+        if vm.kind is VmKind.BACKEND:
+            self._backends.mark_leaving(vm)
+
+    def on_gone(self, vm: Vm) -> None:
+        """Disconnect from a VM that is gone."""
+        if vm.kind is VmKind.BACKEND:
+            self._backends.remove_vm(vm)
+        else:
+            self._peers.remove_vm(vm)
+
+    async def _listen(self, nursery: trio.Nursery) -> None:
+        settings = self._settings
+        peers = await trio.open_tcp_listeners(
+            settings.peers.port, host=settings.peers.host, backlog=PEER_BACKLOG
+        )
+        nursery.start_soon(trio.serve_listeners, self._peers.serve, peers)
+        _announce("peers", settings.peers.host, peers[0].socket.getsockname()[1])
+        if settings.admin_token:
+            port = await nursery.start(
+                self._admin_server.serve, settings.admin.host, settings.admin.port
+            )
+            _announce("admin", settings.admin.host, port)
+        port = await nursery.start(
+            self._callers_server.serve, settings.callers.host, settings.callers.port
+        )
+        _announce("callers", settings.callers.host, port)
+
+    def _is_ready(self) -> bool:
+        return self._configuration.revision > 0 and not self._stopping
+
+    def _apply_config(self, record: StoredRecord) -> None:
+        before = self._configuration.revision
+        self._configuration.apply(record)
+        if self._configuration.revision != before:
+            self._adopt_revision("the log")
+
+    def _apply_control(self, record: StoredRecord) -> None:
+        self._control.apply(record)
+        self._role_changes.note(record)
+        self._changed.notify()
+
+    def _adopt_revision(self, source: str) -> None:
+        self._events.record(
+            Event.CONFIG_ADOPTED, revision=self._configuration.revision, source=source
+        )
+        self._fleet.set_withdrawn(self._configuration.withdrawn())
+        self._set_policies()
+        self._changed.notify()
+
+    def _set_policies(self) -> None:
+        preset = self._configuration.preset_in_force()
+        self._backends.set_policy(
+            make_policy(preset.routing_policy, prefixes=self._fleet.prefixes, preset=preset)
+        )
+        self._budget.set_ratio(preset.retry_ratio)
+
+    async def _adopt_from_peers(self) -> None:
+        """Take the configuration of other entries as long as the log does not answer."""
+        while True:
+            await trio.sleep(PEER_CONFIG_PERIOD_S)
+            if self._config_follower.available:
+                continue
+            if await self._peers.adopt_configuration():
+                self._adopt_revision("another entry")
+
+    async def _snapshot_as_holder(self) -> None:
+        """Append snapshots while this entry holds the controller lease."""
+        while True:
+            await trio.sleep(PEER_CONFIG_PERIOD_S)
+            if self._lease.term is not None:
+                await self._snapshotter.append_if_due()
+
+
+def _announce(name: str, host: str, port: int) -> None:
+    print(f"listening {name} {host}:{port}", flush=True)
--- a/figwalk/entry/service_calls.py
+++ b/figwalk/entry/service_calls.py
@@ -156,9 +156,7 @@
     def _note_answered(self, request: CallerRequest) -> None:
         in_time = self._timer.now() <= request.deadline
         self._tallies.note_answered(in_time=in_time)
-        self._events.record(
-            Event.REQUEST_ANSWERED, request_id=request.request_id, in_time=in_time
-        )
+        self._events.record(Event.REQUEST_ANSWERED, request_id=request.request_id, in_time=in_time)
 
 
 def forwarded_headers(http: HttpRequest) -> Headers:
--- a/figwalk/entry/status.py
+++ b/figwalk/entry/status.py
@@ -6,10 +6,10 @@
 
 import attrs
 
+from figwalk.coordination.log_client import StoredRecord
 from figwalk.coordination.log_follower import LogFollower
 from figwalk.entry.tallies import Tallies
 from figwalk.protocol.records import MalformedRecordError, RoleOrder, decode_record
-from figwalk.coordination.log_client import StoredRecord
 from figwalk.state.configuration import Configuration
 from figwalk.state.control import Control
 from figwalk.state.fleet import BackendView, Fleet
