--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""Small models of the core protocols, checked exhaustively by `make model`."""
