Answer HEAD without a body and contain invalid HTTP answers

A HEAD request, or a handler's answer that h11 refuses, raised LocalProtocolError out of the connection task and ended the process. The client reported a malformed chunk that arrived together with earlier data as an h11 error instead of HttpError.

--- a/figwalk/transport/http_client.py
+++ b/figwalk/transport/http_client.py
@@ -153,7 +153,7 @@
         parts: list[bytes] = []
         while isinstance(event, h11.Data):
             parts.append(bytes(event.data))
-            event = self._h11.next_event()
+            event = self._parse_event()
         if isinstance(event, h11.ConnectionClosed):
             raise HttpError(f"{self._address} closed the connection in mid-answer")
         return b"".join(parts), isinstance(event, h11.EndOfMessage)
@@ -194,11 +194,15 @@
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
             try:
-                event = self._h11.next_event()
+                event = self._parse_event()
                 if event is not h11.NEED_DATA:
                     return event
                 self._h11.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise HttpError(f"{self._address} closed the connection") from error
-            except h11.RemoteProtocolError as error:
-                raise HttpError(f"{self._address} broke the HTTP exchange: {error}") from error
+
+    def _parse_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        try:
+            return self._h11.next_event()
+        except h11.RemoteProtocolError as error:
+            raise HttpError(f"{self._address} broke the HTTP exchange: {error}") from error
--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -31,10 +31,13 @@
         connection: h11.Connection,
         stream: trio.abc.Stream,
         closing: Callable[[], bool] = lambda: False,
+        *,
+        head_only: bool = False,
     ) -> None:
         self._connection = connection
         self._stream = stream
         self._closing = closing
+        self._head_only = head_only
         self._started = False
         self._finished = False
 
@@ -43,6 +46,11 @@
         """Whether the status line has been sent."""
         return self._started
 
+    @property
+    def startable(self) -> bool:
+        """Whether an answer can still be started; not so after an attempt that was not valid."""
+        return not self._started and self._connection.our_state in {h11.IDLE, h11.SEND_RESPONSE}
+
     @property
     def finished(self) -> bool:
         """Whether the whole answer has been sent."""
@@ -52,8 +60,7 @@
         """Send a whole answer."""
         headers = [*headers, (b"content-length", str(len(body)).encode()), *self._closing_header()]
         data = self._connection.send(h11.Response(status_code=status, headers=headers)) or b""
-        if body:
-            data += self._connection.send(h11.Data(data=body)) or b""
+        data += self._render_body(body)
         data += self._connection.send(h11.EndOfMessage()) or b""
         self._started = True
         self._finished = True
@@ -74,13 +81,19 @@
 
     async def send_chunk(self, data: bytes) -> None:
         """Send a piece of a streamed answer's body."""
-        await self._write(self._connection.send(h11.Data(data=data)) or b"")
+        await self._write(self._render_body(data))
 
     async def finish(self) -> None:
         """End a streamed answer; the client sees from this that it was whole."""
         self._finished = True
         await self._write(self._connection.send(h11.EndOfMessage()) or b"")
 
+    def _render_body(self, data: bytes) -> bytes:
+        # The answer to HEAD has no body, and h11 refuses to send one.
+        if not data or self._head_only:
+            return b""
+        return self._connection.send(h11.Data(data=data)) or b""
+
     def _closing_header(self) -> Headers:
         return [CLOSE_HEADER] if self._closing() else []
 
@@ -166,6 +179,9 @@
             await self._serve_requests(stream)
         except (ConnectionLostError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
+        except h11.LocalProtocolError as error:
+            # An answer that is not valid HTTP must not end the connections of other clients.
+            self._events.record(Event.TASK_FAILED, task="http answer", error=repr(error))
         finally:
             self._connections -= 1
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
@@ -188,7 +204,9 @@
                 return
             if request is None:
                 return
-            responder = Responder(connection, stream, lambda: self._draining)
+            responder = Responder(
+                connection, stream, lambda: self._draining, head_only=request.method == "HEAD"
+            )
             self._active_requests += 1
             try:
                 await self._answer(request, responder)
@@ -263,7 +281,7 @@
             await self._handler(request, responder)
         except CallerError as error:
             self._events.record(Event.HTTP_BAD_REQUEST, status=error.status, code=error.code)
-            if not responder.started:
+            if responder.startable:
                 await responder.send_json(
                     error.status, render_error("invalid_request_error", error.code, error.message)
                 )
@@ -271,7 +289,7 @@
             raise
         except Exception as error:
             self._events.record(Event.TASK_FAILED, task=request.path, error=repr(error))
-            if not responder.started:
+            if responder.startable:
                 await responder.send_json(
                     500,
                     render_error("server_error", "internal_error", "internal error; see the log"),
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,67 @@
+"""Tests of the HTTP server and client against peers that send unusual messages."""
+
+from functools import partial
+
+import pytest
+import trio
+
+from figwalk.errors import HttpError
+from figwalk.events import EventLog
+from figwalk.timer import Timer
+from figwalk.transport import HttpClient, HttpServer
+
+LOOPBACK = "127.0.0.1"
+
+
+async def answer(request, responder):
+    if request.path == "/streamed":
+        await responder.start(200, [])
+        await responder.send_chunk(b"text")
+        await responder.finish()
+    else:
+        # A 204 answer can't have a body.
+        await responder.send(204 if request.path == "/bad" else 200, [], b"text")
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [("HEAD", "/", b"200"), ("HEAD", "/streamed", b"200"), ("GET", "/bad", b"")],
+)
+def test_server_goes_on_after_an_unusual_answer(method, path, status):
+    """Guards against one request, HEAD or with an invalid answer, that ends the whole process."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            server = HttpServer(answer, EventLog("test", Timer()))
+            port = await nursery.start(server.serve, LOOPBACK, 0)
+            stream = await trio.open_tcp_stream(LOOPBACK, port)
+            await stream.send_all(f"{method} {path} HTTP/1.1\r\nhost: x\r\n\r\n".encode())
+            await stream.send_eof()
+            data = b"".join([part async for part in stream])
+            assert data.split(b" ")[1:2] == ([status] if status else [])
+            assert b"text" not in data
+            assert (await HttpClient(LOOPBACK, port).fetch("GET", "/"))[1] == b"text"
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+async def send_bad_chunk(stream):
+    await stream.receive_some(1000)
+    head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+    await stream.send_all(head + b"3\r\nabc\r\nZZ\r\n")
+
+
+def test_client_reports_a_malformed_chunk_as_an_http_error():
+    """Guards against an untyped error from a backend server that ends the agent's task."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            serve = partial(trio.serve_tcp, host=LOOPBACK)
+            listeners = await nursery.start(serve, send_bad_chunk, 0)
+            client = HttpClient(LOOPBACK, listeners[0].socket.getsockname()[1])
+            with pytest.raises(HttpError, match="broke the HTTP exchange"):
+                await client.fetch("GET", "/")
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
