--- a/standins/base.py
+++ b/standins/base.py
@@ -8,6 +8,7 @@
 
 import argparse
 import json
+import os
 import signal
 import sys
 from abc import ABC, abstractmethod
@@ -26,6 +27,7 @@
 
 LOOPBACK = "127.0.0.1"
 DEFAULT_GRACE_S = 5.0
+PARENT_CHECK_S = 1.0
 MAX_BODY_BYTES = 8 * 1024 * 1024
 REQUEST_ID_HEADER = b"x-request-id"
 
@@ -175,6 +177,11 @@
     parser.add_argument("--host", default=LOOPBACK, help="IP number to listen on")
     parser.add_argument("--port", type=int, default=0, help="TCP port; 0 lets the system choose")
     parser.add_argument("--name", default=module, help="process name in the log lines")
+    parser.add_argument(
+        "--exit-with-parent",
+        action="store_true",
+        help="end when the process that started this one has ended",
+    )
     parser.add_argument(
         "--grace-s",
         type=float,
@@ -190,12 +197,20 @@
     trio.run(_serve, standin, options)
 
 
+async def _exit_with_parent(parent: int, scope: trio.CancelScope) -> None:
+    while os.getppid() == parent:
+        await trio.sleep(PARENT_CHECK_S)
+    scope.cancel()
+
+
 async def _serve(standin: Standin, options: argparse.Namespace) -> None:
     events = EventLog(options.name, Timer())
     server = HttpServer(standin.answer, events, limits=HttpLimits(max_body_bytes=MAX_BODY_BYTES))
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(standin.run)
+            if options.exit_with_parent:
+                nursery.start_soon(_exit_with_parent, os.getppid(), nursery.cancel_scope)
             port = await nursery.start(server.serve, options.host, options.port)
             events.record(Event.PROCESS_STARTED, host=options.host, port=port)
             print(f"listening http {options.host}:{port}", flush=True)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -1,8 +1,8 @@
 """Stand-in for a model engine; section 10 of docs/design.md lists its calls.
 
 Besides those calls, `GET /orders` gives all orders that arrived, with their result and the number
-of calls that they interrupted. Answers echo X-Request-Id. A call whose client disconnects is
-cancelled when the next token is sent.
+of calls that they interrupted. Answers echo X-Request-Id. A streamed call whose client disconnects
+is cancelled when the next token is sent; a call whose answer is sent whole runs to its end.
 
 Answers: the tokens depend only on the prompt and the position (`standins.text.expected_text`). An
 answer has `max_tokens` tokens; without `max_tokens` it has 16 to 256, chosen by the prompt. With
@@ -21,6 +21,7 @@
 
 Faults (POST /faults):
   crash_in_change            true: the process ends in the middle of the next change
+  hold_changes               true: a change does not go beyond its middle
   crash_after_tokens         N: the process ends once a streamed answer has sent N tokens
   cut_after_tokens           N: every streamed answer is closed after N tokens
   report_idle                true: /load shows nothing running or queued
@@ -37,6 +38,7 @@
 import argparse
 import os
 import uuid
+from functools import partial
 
 import attrs
 import trio
@@ -65,9 +67,10 @@
 )
 from standins.cost import CostModel, EngineRole
 from standins.load import LoadReporter
-from standins.orders import CRASH_STATUS, ChangeDurations, Loaded, Order, OrderExecutor
+from standins.orders import ChangeDurations, Loaded, Order, OrderExecutor
 
 MS_PER_S = 1000
+CRASH_STATUS = 70
 DOWNLOAD_RETRY_S = 0.5
 PRIORITY_HEADER = b"x-priority"
 STREAM_HEADERS: Headers = [
@@ -81,6 +84,7 @@
     """Faults of the engine; the module documentation describes them."""
 
     crash_in_change: bool = False
+    hold_changes: bool = False
     crash_after_tokens: int | None = None
     cut_after_tokens: int | None = None
     report_idle: bool = False
@@ -126,7 +130,8 @@
             ),
             checks_fencing=options.checks_fencing,
             interrupt=self._batch.interrupt,
-            prepare=self._load_weights,
+            prepare=self._prepare_change,
+            fails=partial(self.use_up, "failing_changes"),
         )
         self._load = LoadReporter(
             self._batch,
@@ -137,13 +142,20 @@
             period_s=options.load_period_s,
         )
         self._previous_call = PreviousCall()
+        self._faults_changed = trio.Event()
+
+    def set_faults(self, faults: EngineFaults) -> None:
+        """Change the faults and let a held change see it."""
+        super().set_faults(faults)
+        self._faults_changed.set()
+        self._faults_changed = trio.Event()
 
     async def run(self) -> None:
         """Run batch, changes and load reports."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._batch.run)
             nursery.start_soon(self._load.run)
-            nursery.start_soon(self._orders.run, self._crashes_in_change, self._fails_change)
+            nursery.start_soon(self._orders.run)
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one call."""
@@ -321,10 +333,16 @@
         models = [{"id": name, "object": "model", "owned_by": "standins"} for name in names]
         return {"object": "list", "data": models}
 
-    async def _load_weights(self, before: Loaded, after: Loaded) -> None:
-        if before.has_same_weights(after):
-            return
-        self._cache.clear()
+    async def _prepare_change(self, before: Loaded, after: Loaded) -> None:
+        while self._faults.hold_changes:
+            await self._faults_changed.wait()
+        if self._faults.crash_in_change:
+            os._exit(CRASH_STATUS)
+        if not before.has_same_weights(after):
+            self._cache.clear()
+            await self._download_weights(after)
+
+    async def _download_weights(self, after: Loaded) -> None:
         if not self._options.weights:
             return
         host, _, port = self._options.weights.rpartition(":")
@@ -337,12 +355,6 @@
     def _current_role(self) -> EngineRole:
         return self._orders.loaded.role
 
-    def _crashes_in_change(self) -> bool:
-        return self._faults.crash_in_change
-
-    def _fails_change(self) -> bool:
-        return self.use_up("failing_changes")
-
     @staticmethod
     def _reached(limit: int | None, sent: int) -> bool:
         return limit is not None and sent >= limit
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -1,6 +1,7 @@
 """Starts processes on loopback for tests, demos and benchmarks, and ends them by process id.
 
-A development tool that is not part of figwalk. Example:
+A development tool that is not part of figwalk. Stand-ins end by themselves when the process that
+runs the launcher ends without leaving its block; other processes don't. Example:
 
     async with Launcher(directory) as launcher:
         log = await launcher.start("log", "standins.log", "--append-rate", "100")
@@ -30,6 +31,7 @@
 ENTRY_SOCKETS = ("callers", "peers", "admin")
 AGENT_SOCKETS = ("peers", "health")
 STANDIN_SOCKETS = ("http",)
+STANDIN_PREFIX = "standins."
 
 
 class LaunchError(FigwalkError):
@@ -218,6 +220,8 @@
         self, name: str, module: str, arguments: tuple[str, ...], environment: dict[str, str]
     ) -> ProcessHandle:
         assert self._nursery is not None, "use the launcher in an async with block"
+        if module.startswith(STANDIN_PREFIX):
+            arguments = (*arguments, "--exit-with-parent")
         log_path = self._directory / f"{name}.log"
         with log_path.open("ab") as log:
             process = await trio.lowlevel.open_process(
--- a/standins/log.py
+++ b/standins/log.py
@@ -155,25 +155,27 @@
 
 
 class RateLimit:
-    """Token bucket that holds at most one second's worth of appends.
+    """Token bucket.
 
     Args:
         per_s: Appends a second; 0 for no limit.
+        burst: Appends that may come at once.
     """
 
-    def __init__(self, per_s: float) -> None:
+    def __init__(self, per_s: float, burst: float) -> None:
         self._per_s = per_s
-        self._tokens = per_s
-        self._updated = 0.0
+        self._burst = burst
+        self._tokens = burst
+        self._updated: float | None = None
 
     def take(self) -> float:
         """Take a token, or return the seconds until there is one."""
         if not self._per_s:
             return 0.0
         now = trio.current_time()
-        if self._updated:
+        if self._updated is not None:
             refill = (now - self._updated) * self._per_s
-            self._tokens = min(max(self._per_s, 1.0), self._tokens + refill)
+            self._tokens = min(self._burst, self._tokens + refill)
         self._updated = now
         if self._tokens < 1:
             return (1 - self._tokens) / self._per_s
@@ -192,7 +194,7 @@
         super().__init__(LogFaults())
         self._options = options
         self._streams: dict[str, Stream] = {}
-        self._rate_limit = RateLimit(options.append_rate)
+        self._rate_limit = RateLimit(options.append_rate, options.append_burst)
         self._late_writes: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -293,6 +295,9 @@
     parser.add_argument(
         "--append-rate", type=float, default=300.0, help="appends a second; 0 for no limit"
     )
+    parser.add_argument(
+        "--append-burst", type=float, default=300.0, help="appends that may come at once, >= 1"
+    )
     parser.add_argument(
         "--retention-s", type=float, default=7 * 86400.0, help="seconds that records are kept"
     )
--- a/standins/orders.py
+++ b/standins/orders.py
@@ -3,12 +3,12 @@
 An order that changes something interrupts all running calls and makes the engine unavailable for
 seconds: `role_change_s` for another role, `model_load_s` for another model or version,
 `adapter_load_s` for another adapter; what changes together adds up. An order that changes nothing
-only moves the order number.
+only moves the order number. With the check of order numbers, a number that was carried out before
+is old, also for the same order again.
 """
 
 from __future__ import annotations
 
-import os
 import random
 from collections.abc import Awaitable, Callable
 from enum import StrEnum
@@ -18,7 +18,6 @@
 
 from standins.cost import EngineRole
 
-CRASH_STATUS = 70
 NO_ORDER = -1
 
 
@@ -108,7 +107,8 @@
         durations: Duration of changes.
         checks_fencing: Whether an order with an old number is refused.
         interrupt: Ends all running calls and returns how many there were.
-        prepare: Called in the middle of a change with what is to be loaded.
+        prepare: Called in the middle of a change with what is loaded and what is to be loaded.
+        fails: Returns at the end of a change whether it is to have no effect.
     """
 
     def __init__(
@@ -119,12 +119,14 @@
         checks_fencing: bool,
         interrupt: Callable[[], int],
         prepare: Callable[[Loaded, Loaded], Awaitable[None]],
+        fails: Callable[[], bool],
     ) -> None:
         self._loaded = loaded
         self._durations = durations
         self._checks_fencing = checks_fencing
         self._interrupt = interrupt
         self._prepare = prepare
+        self._fails = fails
         self._status = EngineStatus.READY
         self._order = NO_ORDER
         self._incarnation = random.SystemRandom().getrandbits(64)
@@ -162,19 +164,14 @@
         self._receipts.append(receipt)
         return receipt
 
-    async def run(self, crashes: Callable[[], bool], fails: Callable[[], bool]) -> None:
-        """Carry out accepted orders until cancelled.
-
-        Args:
-            crashes: Whether the process is to end in the middle of a change.
-            fails: Whether a change is to end without effect.
-        """
+    async def run(self) -> None:
+        """Carry out accepted orders until cancelled."""
         while True:
             await self._received.wait()
             self._received = trio.Event()
             if self._pending is not None:
                 order, self._pending = self._pending, None
-                await self._change(order, crashes, fails)
+                await self._change(order)
 
     def _judge(self, order: Order) -> OrderReceipt:
         if self._checks_fencing and order.order <= self._order:
@@ -189,17 +186,13 @@
         self._received.set()
         return OrderReceipt(order.order, order.role, "accepted", self._interrupt())
 
-    async def _change(
-        self, order: Order, crashes: Callable[[], bool], fails: Callable[[], bool]
-    ) -> None:
+    async def _change(self, order: Order) -> None:
         target = self._loaded.after(order)
         duration_s = self._durations.total_s(self._loaded, target)
         await trio.sleep(duration_s / 2)
-        if crashes():
-            os._exit(CRASH_STATUS)
         await self._prepare(self._loaded, target)
         await trio.sleep(duration_s / 2)
-        if not fails():
+        if not self._fails():
             self._loaded = target
             self._order = order.order
         self._status = EngineStatus.READY
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -14,9 +14,9 @@
 from standins.batch import Batch, EndReason, Sequence
 from standins.cache import CacheEventLog, PrefixCache
 from standins.cost import CostModel, EngineRole
+from standins.engine import CRASH_STATUS
 from standins.launcher import Launcher, LaunchError
 from standins.load import LoadReporter
-from standins.orders import CRASH_STATUS
 from standins.text import digest_prompt, expected_text, expected_tokens
 from standins.vms import LaggingList, Vm
 from standins.weights import render_weights
@@ -122,7 +122,7 @@
         page = (await api.call("GET", "/streams/s/records?from=1"))[1]
         assert (page["oldest"], page["head"], page["records"][0]["offset"]) == (3, 5, 3)
 
-    run_with(tmp_path, "log", ["--append-rate", "5"], scenario)
+    run_with(tmp_path, "log", ["--append-rate", "0.001", "--append-burst", "5"], scenario)
 
 
 def test_log_read_waits_for_a_record_and_sees_an_outage(tmp_path):
@@ -208,11 +208,11 @@
                 if count == 3:
                     nursery.start_soon(api.call, "DELETE", "/requests/call-1")
 
-            tokens, is_whole = await read_tokens(api, "x", cancel, max_tokens=5000)
+            tokens, is_whole = await read_tokens(api, "x", cancel, max_tokens=20_000)
         assert not is_whole
         assert tokens == expected_tokens(b"x", len(tokens))
         load = await api.wait_until("/load", lambda load: not load["running"])
-        assert load["generated_tokens_total"] < 5000
+        assert load["generated_tokens_total"] < 20_000
         assert (await api.call("DELETE", "/requests/call-1"))[0] == 404
 
     run_with(tmp_path, "engine", FAST, scenario)
@@ -233,9 +233,10 @@
     """Guards against a crash before the engine has reported the change."""
 
     async def scenario(api, handle):
-        await api.set_faults(crash_in_change=True)
+        await api.set_faults(hold_changes=True, crash_in_change=True)
         assert (await api.call("POST", "/orders", {"order": 5, "role": "decode"}))[0] == 202
         assert (await api.call("GET", "/state"))[1]["state"] == "changing"
+        await api.set_faults(hold_changes=False)
         assert await handle.wait() == CRASH_STATUS
 
     run_with(tmp_path, "engine", FAST, scenario)
@@ -252,16 +253,18 @@
         async def order(number, role):
             return await api.call("POST", "/orders", {"order": number, "role": role})
 
+        await api.set_faults(hold_changes=True)
         async with trio.open_nursery() as nursery:
 
             def give_order(count):
                 if count == 3:
                     nursery.start_soon(order, 7, "decode")
 
-            assert not (await read_tokens(api, "x", give_order, max_tokens=5000))[1]
+            assert not (await read_tokens(api, "x", give_order, max_tokens=20_000))[1]
         assert (await api.call("POST", CHAT, chat_body("x")))[0] == 503
         status, content = await order(8, "mixed")
         assert (status, content["error"]["code"]) == (409, "busy")
+        await api.set_faults(hold_changes=False)
         state = await api.wait_until("/state", is_ready)
         assert (state["role"], state["order"]) == ("decode", 7)
         assert (await order(6, "prefill"))[0] == (409 if checks_fencing else 202)
@@ -271,7 +274,7 @@
         assert [receipt["interrupted"] for receipt in receipts] == [1, 0, 0]
 
     option = "--checks-fencing" if checks_fencing else "--no-checks-fencing"
-    run_with(tmp_path, "engine", [*FAST, "--role-change-s", "10", option], scenario)
+    run_with(tmp_path, "engine", [*FAST, option], scenario)
 
 
 def test_engine_exports_and_imports_kv(tmp_path):
