--- a/standins/base.py
+++ b/standins/base.py
@@ -34,6 +34,45 @@
 _CONVERTER = cattrs.Converter(forbid_extra_keys=True, detailed_validation=False)
 
 
+class FaultSwitch:
+    """The faults in force.
+
+    Args:
+        values: attrs object with the faults.
+    """
+
+    def __init__(self, values: Any) -> None:
+        self._values = values
+        self._changed = trio.Event()
+
+    @property
+    def values(self) -> Any:
+        """Attrs object with the faults."""
+        return self._values
+
+    @property
+    def changed(self) -> trio.Event:
+        """Event that the next `replace` sets."""
+        return self._changed
+
+    def replace(self, values: Any) -> None:
+        """Put other faults in force."""
+        self._values = values
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def use_up(self, fault: str) -> bool:
+        """Return whether a counted fault applies to the present call, and count the call.
+
+        Args:
+            fault: Name of a fault whose value is the number of calls left; -1 is for all calls.
+        """
+        left = getattr(self._values, fault)
+        if left > 0:
+            self._values = attrs.evolve(self._values, **{fault: left - 1})
+        return left != 0
+
+
 class Standin(ABC):
     """One stand-in process.
 
@@ -42,7 +81,7 @@
     """
 
     def __init__(self, faults: Any) -> None:
-        self._faults = faults
+        self._switch = FaultSwitch(faults)
         self._stopping = trio.Event()
 
     @abstractmethod
@@ -55,18 +94,21 @@
 
     def set_faults(self, faults: Any) -> None:
         """Put the faults of a `POST /faults` in force."""
-        self._faults = faults
+        self._switch.replace(faults)
 
-    def use_up(self, fault: str) -> bool:
-        """Return whether a counted fault applies to the present call, and count the call.
+    @property
+    def switch(self) -> FaultSwitch:
+        """Holder of the faults, for the parts of the stand-in."""
+        return self._switch
 
-        Args:
-            fault: Name of a fault whose value is the number of calls left; -1 is for all calls.
-        """
-        left = getattr(self._faults, fault)
-        if left > 0:
-            self._faults = attrs.evolve(self._faults, **{fault: left - 1})
-        return left != 0
+    @property
+    def faults(self) -> Any:
+        """Faults in force."""
+        return self._switch.values
+
+    def use_up(self, fault: str) -> bool:
+        """Return whether a counted fault applies to the present call, and count the call."""
+        return self._switch.use_up(fault)
 
     @property
     def stopping(self) -> trio.Event:
@@ -86,8 +128,8 @@
             await responder.send_json(200, {"status": "ok"}, echo_headers(request))
         elif request.path == "/faults":
             if request.method == "POST":
-                self.set_faults(change_faults(self._faults, request.body))
-            await responder.send_json(200, attrs.asdict(self._faults))
+                self.set_faults(change_faults(self.faults, request.body))
+            await responder.send_json(200, attrs.asdict(self.faults))
         else:
             await self.handle(request, responder)
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -19,6 +19,11 @@
 model or version clears the cache, another role does not. With --weights a model load also
 downloads from the weight store and waits for it.
 
+KV data: pieces are decimal numbers in paths and JSON. An import (PUT) stores the piece in the
+prefix cache at once, if the data is that of the loaded model, else it gets 422. Pieces named in
+`kv_import` that are in the cache cost a few milliseconds each and are marked as used; others are
+ignored.
+
 Faults (POST /faults):
   crash_in_change            true: the process ends in the middle of the next change
   hold_changes               true: a change does not go beyond its middle
@@ -37,17 +42,15 @@
 
 import argparse
 import os
-import uuid
 from functools import partial
 
 import attrs
 import trio
 
-from figwalk.errors import ConnectionLostError, HttpError
-from figwalk.protocol.prefix import PIECE_TOKENS, prefix_pieces
-from figwalk.transport import Headers, HttpClient, HttpRequest, Responder, render_error
+from figwalk.errors import HttpError
+from figwalk.protocol.prefix import PIECE_TOKENS
+from figwalk.transport import HttpClient, HttpRequest, Responder, render_error
 from standins.base import (
-    REQUEST_ID_HEADER,
     Standin,
     build_parser,
     echo_headers,
@@ -57,50 +60,16 @@
     run_standin,
     structure,
 )
-from standins.batch import PRIORITIES, Batch, EndReason, Sequence
+from standins.batch import Batch, EndReason
 from standins.cache import CacheEventLog, PrefixCache, render_kv
-from standins.completions import (
-    CHAT_PATH,
-    COMPLETIONS_PATH,
-    AnswerRenderer,
-    GenerationRequest,
-)
+from standins.completions import CHAT_PATH, COMPLETIONS_PATH
 from standins.cost import CostModel, EngineRole
+from standins.engine_faults import CRASH_STATUS, EngineFaults
+from standins.generation import GenerationHandler
 from standins.load import LoadReporter
 from standins.orders import ChangeDurations, Loaded, Order, OrderExecutor
 
-MS_PER_S = 1000
-CRASH_STATUS = 70
 DOWNLOAD_RETRY_S = 0.5
-PRIORITY_HEADER = b"x-priority"
-STREAM_HEADERS: Headers = [
-    (b"content-type", b"text/event-stream"),
-    (b"cache-control", b"no-cache"),
-]
-
-
-@attrs.frozen
-class EngineFaults:
-    """Faults of the engine; the module documentation describes them."""
-
-    crash_in_change: bool = False
-    hold_changes: bool = False
-    crash_after_tokens: int | None = None
-    cut_after_tokens: int | None = None
-    report_idle: bool = False
-    delay_ms: float = 0.0
-    errors: int = 0
-    wrong_answers: int = 0
-    lose_order_answers: int = 0
-    failing_changes: int = 0
-
-
-@attrs.frozen
-class PreviousCall:
-    """Id and prompt digest of a generation call, for the fault `wrong_answers`."""
-
-    request_id: str = "none"
-    digest: bytes = bytes(16)
 
 
 class EngineStandin(Standin):
@@ -141,14 +110,9 @@
             lag_s=options.load_lag_s,
             period_s=options.load_period_s,
         )
-        self._previous_call = PreviousCall()
-        self._faults_changed = trio.Event()
-
-    def set_faults(self, faults: EngineFaults) -> None:
-        """Change the faults and let a held change see it."""
-        super().set_faults(faults)
-        self._faults_changed.set()
-        self._faults_changed = trio.Event()
+        self._generation = GenerationHandler(
+            self._batch, self._orders, self.switch, max_queued=options.max_queued
+        )
 
     async def run(self) -> None:
         """Run batch, changes and load reports."""
@@ -161,7 +125,7 @@
         """Answer one call."""
         call = f"{request.method} {request.path}"
         if call in {f"POST {CHAT_PATH}", f"POST {COMPLETIONS_PATH}"}:
-            await self._handle_generation(request, responder)
+            await self._generation.handle(request, responder)
         elif call == "GET /v1/models":
             await responder.send_json(200, self._render_models(), echo_headers(request))
         elif call == "GET /state":
@@ -172,7 +136,7 @@
             receipts = [attrs.asdict(receipt) for receipt in self._orders.receipts]
             await responder.send_json(200, {"orders": receipts})
         elif call == "GET /load":
-            await responder.send_json(200, self._load.render(idle=self._faults.report_idle))
+            await responder.send_json(200, self._load.render(idle=self.faults.report_idle))
         elif call == "GET /cache/events":
             await self._send_cache_events(request, responder)
         elif call.startswith("DELETE /requests/"):
@@ -182,107 +146,6 @@
         else:
             await refuse_unknown_path(request, responder)
 
-    async def _handle_generation(self, request: HttpRequest, responder: Responder) -> None:
-        request_id = request.header(REQUEST_ID_HEADER) or uuid.uuid4().hex
-        await trio.sleep(self._faults.delay_ms / MS_PER_S)
-        refusal = self._check_generation(request_id)
-        if refusal is not None:
-            status, code, message = refusal
-            await self._refuse(responder, request_id, status, code, message)
-            return
-        generation = GenerationRequest.parse(request.path, request.body)
-        loaded = self._orders.loaded
-        if generation.model not in {"", loaded.model, loaded.adapter}:
-            message = f"model {generation.model!r} is not loaded; {loaded.model!r} is"
-            await self._refuse(responder, request_id, 404, "model_not_found", message)
-            return
-        previous = self._previous_call
-        self._previous_call = PreviousCall(request_id, generation.digest)
-        shown_id = request_id
-        if self.use_up("wrong_answers"):
-            shown_id = previous.request_id
-            generation = attrs.evolve(generation, digest=previous.digest)
-        rank = PRIORITIES.get(request.header(PRIORITY_HEADER, "normal"), PRIORITIES["normal"])
-        sequence = _build_sequence(generation, request_id, rank)
-        renderer = AnswerRenderer(generation, f"cmpl-{request_id}", loaded.model)
-        self._batch.add(sequence)
-        try:
-            if generation.stream:
-                await self._stream(sequence, renderer, responder, shown_id)
-            else:
-                await self._send_whole(sequence, generation, renderer, responder, shown_id)
-        except ConnectionLostError:
-            self._batch.end(sequence, EndReason.CANCELLED)
-            raise
-
-    def _check_generation(self, request_id: str) -> tuple[int, str, str] | None:
-        if not self._orders.ready:
-            return 503, "changing", "the engine changes its role or model"
-        if self.use_up("errors"):
-            return 500, "failed", "the call did not run"
-        if self._batch.find(request_id) is not None:
-            return 409, "duplicate_request", f"a call with id {request_id!r} is running"
-        if len(self._batch.waiting) >= self._options.max_queued:
-            return 503, "overloaded", f"{self._options.max_queued} calls are waiting"
-        return None
-
-    async def _stream(
-        self, sequence: Sequence, renderer: AnswerRenderer, responder: Responder, shown_id: str
-    ) -> None:
-        sent = 0
-        async for token in sequence.tokens:
-            if self._reached(self._faults.cut_after_tokens, sent):
-                self._batch.end(sequence, EndReason.CANCELLED)
-                return
-            data = renderer.render_token_event(token)
-            if not responder.started:
-                await responder.start(200, [*STREAM_HEADERS, _id_header(shown_id)])
-                data = renderer.render_role_event() + data
-            await responder.send_chunk(data)
-            sent += 1
-            if self._reached(self._faults.crash_after_tokens, sent):
-                os._exit(CRASH_STATUS)
-        if sequence.end_reason is EndReason.FINISHED:
-            if self._reached(self._faults.cut_after_tokens, sent):
-                return
-            if not responder.started:
-                await responder.start(200, [*STREAM_HEADERS, _id_header(shown_id)])
-            await responder.send_chunk(renderer.render_end_events())
-            await responder.finish()
-        elif not responder.started:
-            await self._refuse_ended(responder, sequence)
-
-    async def _send_whole(
-        self,
-        sequence: Sequence,
-        generation: GenerationRequest,
-        renderer: AnswerRenderer,
-        responder: Responder,
-        shown_id: str,
-    ) -> None:
-        tokens = [*generation.resume_tokens, *[token async for token in sequence.tokens]]
-        if sequence.end_reason is not EndReason.FINISHED:
-            await self._refuse_ended(responder, sequence)
-            return
-        headers = [(b"content-type", b"application/json"), _id_header(shown_id)]
-        await responder.send(200, headers, renderer.render_whole("".join(tokens)))
-
-    async def _refuse_ended(self, responder: Responder, sequence: Sequence) -> None:
-        if sequence.end_reason is EndReason.CANCELLED:
-            status, code, message = 499, "cancelled", "the call was cancelled"
-        else:
-            status, code, message = 503, "changing", "a change of the engine ended the call"
-        await self._refuse(responder, sequence.request_id, status, code, message)
-
-    async def _refuse(
-        self, responder: Responder, request_id: str, status: int, code: str, message: str
-    ) -> None:
-        kind = "server_error" if status >= 500 else "invalid_request_error"
-        headers = [_id_header(request_id)]
-        if status == 503:
-            headers.append((b"retry-after", b"1"))
-        await responder.send_json(status, render_error(kind, code, message), headers)
-
     async def _handle_cancel(self, request: HttpRequest, responder: Responder) -> None:
         sequence = self._batch.find(request.path.removeprefix("/requests/"))
         if sequence is None:
@@ -334,9 +197,9 @@
         return {"object": "list", "data": models}
 
     async def _prepare_change(self, before: Loaded, after: Loaded) -> None:
-        while self._faults.hold_changes:
-            await self._faults_changed.wait()
-        if self._faults.crash_in_change:
+        while self.faults.hold_changes:
+            await self.switch.changed.wait()
+        if self.faults.crash_in_change:
             os._exit(CRASH_STATUS)
         if not before.has_same_weights(after):
             self._cache.clear()
@@ -355,10 +218,6 @@
     def _current_role(self) -> EngineRole:
         return self._orders.loaded.role
 
-    @staticmethod
-    def _reached(limit: int | None, sent: int) -> bool:
-        return limit is not None and sent >= limit
-
 
 async def _download(client: HttpClient, target: str) -> bool:
     """Download from the weight store and return whether all arrived."""
@@ -371,24 +230,6 @@
         return False
 
 
-def _build_sequence(generation: GenerationRequest, request_id: str, rank: int) -> Sequence:
-    resumed = len(generation.resume_tokens)
-    return Sequence(
-        request_id=request_id,
-        rank=rank,
-        digest=generation.digest,
-        pieces=prefix_pieces(generation.prompt),
-        prompt_tokens=generation.prompt_tokens,
-        resumed_tokens=resumed,
-        end_position=generation.length,
-        imports=generation.kv_import,
-    )
-
-
-def _id_header(request_id: str) -> tuple[bytes, bytes]:
-    return REQUEST_ID_HEADER, request_id.encode("latin-1")
-
-
 def build_engine_parser() -> argparse.ArgumentParser:
     """Return the parser of the command line."""
     parser = build_parser("standins.engine", __doc__)
--- a/standins/log.py
+++ b/standins/log.py
@@ -214,8 +214,8 @@
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Append or read."""
-        await trio.sleep(self._faults.delay_ms / MS_PER_S)
-        if self._faults.outage:
+        await trio.sleep(self.faults.delay_ms / MS_PER_S)
+        if self.faults.outage:
             await _refuse(responder, 503, "unavailable", "the log is not available")
             return
         parts = request.path.split("/")
@@ -244,13 +244,13 @@
             self._late_writes.start_soon(self._write_late, name, record_id, request.body)
             return
         record = self._stream(name).append(record_id, request.body)
-        await trio.sleep(self._faults.answer_delay_ms / MS_PER_S)
+        await trio.sleep(self.faults.answer_delay_ms / MS_PER_S)
         if self.use_up("lose_answers"):
             return
         await responder.send_json(200, {"offset": record.offset, "time_ms": record.time_ms})
 
     async def _write_late(self, name: str, record_id: str, data: bytes) -> None:
-        await trio.sleep(self._faults.late_append_ms / MS_PER_S)
+        await trio.sleep(self.faults.late_append_ms / MS_PER_S)
         self._stream(name).append(record_id, data)
 
     async def _read(self, name: str, request: HttpRequest, responder: Responder) -> None:
@@ -259,9 +259,9 @@
         wait_ms = min(read_query_number(request, "wait_ms", 0), MAX_WAIT_MS)
         stream = self._stream(name)
         with trio.move_on_after(wait_ms / MS_PER_S):
-            while stream.head <= offset and not self.stopping.is_set() and not self._faults.outage:
+            while stream.head <= offset and not self.stopping.is_set() and not self.faults.outage:
                 await stream.changed.wait()
-        if self._faults.outage:
+        if self.faults.outage:
             await _refuse(responder, 503, "unavailable", "the log is not available")
             return
         records = [record.render() for record in stream.read(offset, max(max_records, 1))]
--- a/standins/service.py
+++ b/standins/service.py
@@ -87,7 +87,7 @@
             await self._run_and_answer(request, responder)
 
     async def _run_and_answer(self, request: HttpRequest, responder: Responder) -> None:
-        await trio.sleep(self._work_s + self._faults.delay_ms / MS_PER_S)
+        await trio.sleep(self._work_s + self.faults.delay_ms / MS_PER_S)
         status, content = self._run(request)
         if self.use_up("errors_after_run"):
             status, content = 500, render_error("server_error", "failed", "failed after the run")
--- a/standins/vms.py
+++ b/standins/vms.py
@@ -127,8 +127,8 @@
             await refuse_unknown_path(request, responder)
 
     async def _send_list(self, responder: Responder) -> None:
-        await trio.sleep(self._faults.delay_ms / MS_PER_S)
-        if self._faults.outage:
+        await trio.sleep(self.faults.delay_ms / MS_PER_S)
+        if self.faults.outage:
             body = render_error("server_error", "unavailable", "the VM list is not available")
             await responder.send_json(503, body)
             return
--- a/standins/weights.py
+++ b/standins/weights.py
@@ -84,7 +84,7 @@
             await responder.send_json(200, self._render_downloads())
         elif request.method != "GET" or len(parts) != 4 or parts[1] != "weights":
             await refuse_unknown_path(request, responder)
-        elif self._faults.outage:
+        elif self.faults.outage:
             self._refused += 1
             body = render_error("server_error", "unavailable", "the weight store is not available")
             await responder.send_json(503, body, echo_headers(request))
@@ -104,11 +104,11 @@
         data = render_weights(model, version, self._options.size_bytes)
         await responder.start(200, [(b"content-length", str(len(data)).encode())])
         for start in range(0, len(data), CHUNK_BYTES):
-            limit = self._faults.cut_after_bytes
+            limit = self.faults.cut_after_bytes
             if limit is not None and start >= limit:
                 return
             chunk = data[start : start + CHUNK_BYTES]
-            rate = self._faults.bytes_per_s or self._options.bytes_per_s
+            rate = self.faults.bytes_per_s or self._options.bytes_per_s
             await self._rate.wait(len(chunk), rate)
             await responder.send_chunk(chunk)
         await responder.finish()
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -14,7 +14,7 @@
 from standins.batch import Batch, EndReason, Sequence
 from standins.cache import CacheEventLog, PrefixCache
 from standins.cost import CostModel, EngineRole
-from standins.engine import CRASH_STATUS
+from standins.engine_faults import CRASH_STATUS
 from standins.launcher import Launcher, LaunchError
 from standins.load import LoadReporter
 from standins.text import digest_prompt, expected_text, expected_tokens
