--- a/standins/log.py
+++ b/standins/log.py
@@ -155,25 +155,27 @@
 
 
 class RateLimit:
-    """Token bucket that holds at most one second's worth of appends.
+    """Token bucket.
 
     Args:
         per_s: Appends a second; 0 for no limit.
+        burst: Appends that may come at once.
     """
 
-    def __init__(self, per_s: float) -> None:
+    def __init__(self, per_s: float, burst: float) -> None:
         self._per_s = per_s
-        self._tokens = per_s
-        self._updated = 0.0
+        self._burst = burst
+        self._tokens = burst
+        self._updated: float | None = None
 
     def take(self) -> float:
         """Take a token, or return the seconds until there is one."""
         if not self._per_s:
             return 0.0
         now = trio.current_time()
-        if self._updated:
+        if self._updated is not None:
             refill = (now - self._updated) * self._per_s
-            self._tokens = min(max(self._per_s, 1.0), self._tokens + refill)
+            self._tokens = min(self._burst, self._tokens + refill)
         self._updated = now
         if self._tokens < 1:
             return (1 - self._tokens) / self._per_s
@@ -192,7 +194,7 @@
         super().__init__(LogFaults())
         self._options = options
         self._streams: dict[str, Stream] = {}
-        self._rate_limit = RateLimit(options.append_rate)
+        self._rate_limit = RateLimit(options.append_rate, options.append_burst)
         self._late_writes: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -212,8 +214,8 @@
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Append or read."""
-        await trio.sleep(self._faults.delay_ms / MS_PER_S)
-        if self._faults.outage:
+        await trio.sleep(self.faults.delay_ms / MS_PER_S)
+        if self.faults.outage:
             await _refuse(responder, 503, "unavailable", "the log is not available")
             return
         parts = request.path.split("/")
@@ -242,13 +244,13 @@
             self._late_writes.start_soon(self._write_late, name, record_id, request.body)
             return
         record = self._stream(name).append(record_id, request.body)
-        await trio.sleep(self._faults.answer_delay_ms / MS_PER_S)
+        await trio.sleep(self.faults.answer_delay_ms / MS_PER_S)
         if self.use_up("lose_answers"):
             return
         await responder.send_json(200, {"offset": record.offset, "time_ms": record.time_ms})
 
     async def _write_late(self, name: str, record_id: str, data: bytes) -> None:
-        await trio.sleep(self._faults.late_append_ms / MS_PER_S)
+        await trio.sleep(self.faults.late_append_ms / MS_PER_S)
         self._stream(name).append(record_id, data)
 
     async def _read(self, name: str, request: HttpRequest, responder: Responder) -> None:
@@ -257,9 +259,9 @@
         wait_ms = min(read_query_number(request, "wait_ms", 0), MAX_WAIT_MS)
         stream = self._stream(name)
         with trio.move_on_after(wait_ms / MS_PER_S):
-            while stream.head <= offset and not self.stopping.is_set() and not self._faults.outage:
+            while stream.head <= offset and not self.stopping.is_set() and not self.faults.outage:
                 await stream.changed.wait()
-        if self._faults.outage:
+        if self.faults.outage:
             await _refuse(responder, 503, "unavailable", "the log is not available")
             return
         records = [record.render() for record in stream.read(offset, max(max_records, 1))]
@@ -293,6 +295,9 @@
     parser.add_argument(
         "--append-rate", type=float, default=300.0, help="appends a second; 0 for no limit"
     )
+    parser.add_argument(
+        "--append-burst", type=float, default=300.0, help="appends that may come at once, >= 1"
+    )
     parser.add_argument(
         "--retention-s", type=float, default=7 * 86400.0, help="seconds that records are kept"
     )
