--- /dev/null
+++ b/figwalk/coordination/claim_writer.py
@@ -0,0 +1,284 @@
+"""Appends claims, outcomes and releases of keyed calls in groups."""
+
+from __future__ import annotations
+
+import random
+import uuid
+from collections import deque
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from figwalk.coordination.backoff import Backoff
+from figwalk.coordination.log_appender import LogAppender
+from figwalk.coordination.log_client import LogClient
+from figwalk.coordination.log_follower import LogFollower
+from figwalk.errors import CallOutcome, LogAnswerLostError, LogUnavailableError, RefusalError
+from figwalk.events import Event, EventLog
+from figwalk.protocol.records import Claim, ClaimBatch, Outcome, Release
+from figwalk.state.claims import Claims, KeyRecord
+from figwalk.state.published import Limits
+from figwalk.timer import Timer
+
+CLAIM_TIMEOUT_S = 2.0
+RETRY_AFTER_MS = 1000
+MAX_BATCH_RECORDS = 200
+MAX_BATCH_BYTES = 256 * 1024
+# Outcomes wait in memory while the log is down. Past this the oldest are given up; the agent
+# that ran the call still has the answer.
+MAX_QUEUED_OUTCOME_BYTES = 8 * 1024 * 1024
+
+# A quiet stream gets an empty batch this often. Otherwise a reader that starts at the oldest
+# kept record could not tell a quiet day from claims that the log has dropped.
+MARKER_PERIOD_S = 600.0
+
+
+@attrs.define(eq=False)
+class _Waiter:
+    """A claim that a caller waits for."""
+
+    claim: Claim
+    done: trio.Event = attrs.field(factory=trio.Event)
+    in_batch: bool = False
+    refusal: RefusalError | None = None
+    record: KeyRecord | None = None
+
+
+class ClaimWriter:
+    """Groups what arrives while an append is under way into the next batch.
+
+    Args:
+        client: The log.
+        follower: Follower of the stream `claims`.
+        claims: Fold that the follower applies records to.
+        events: Event log.
+        timer: Source of time.
+        key_memory_s: Returns the published key memory.
+        claim_timeout_s: Seconds after which a claim without a result is given up.
+        rng: Source of jitter; tests give a seeded one.
+    """
+
+    def __init__(
+        self,
+        client: LogClient,
+        follower: LogFollower,
+        claims: Claims,
+        events: EventLog,
+        timer: Timer,
+        *,
+        key_memory_s: Callable[[], float] = lambda: Limits().key_memory_s,
+        claim_timeout_s: float = CLAIM_TIMEOUT_S,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._follower = follower
+        self._claims = claims
+        self._events = events
+        self._timer = timer
+        self._key_memory_s = key_memory_s
+        self._claim_timeout_s = claim_timeout_s
+        self._rng = rng or random.Random()
+        self._appender = LogAppender(client, follower, claims)
+        self._backoff = Backoff(rng=self._rng)
+        self._waiters: deque[_Waiter] = deque()
+        self._releases: deque[Release] = deque()
+        self._outcomes: deque[Outcome] = deque()
+        self._outcome_bytes = 0
+        self._wake = trio.Event()
+        self._quiet_offset = 0
+        self._quiet_since = 0.0
+
+    @property
+    def queued(self) -> int:
+        """Records that wait for the next batch."""
+        return len(self._waiters) + len(self._releases) + len(self._outcomes)
+
+    async def claim(self, claim: Claim) -> KeyRecord:
+        """Claim a key and return its winning claim, as read from the log.
+
+        The caller may send its call only if the returned claim is its own. If this call ends
+        without a result, the claim is released in the log as soon as the log allows; the next
+        attempt therefore needs a new claim id.
+
+        Raises:
+            RefusalError: The key could not be claimed; the call was not sent by this attempt.
+        """
+        if not self._follower.available:
+            raise _refuse("log_unavailable", "keyed calls wait for the log, which does not answer")
+        self._require_complete_view()
+        waiter = _Waiter(claim)
+        self._waiters.append(waiter)
+        self._notify()
+        returned = False
+        try:
+            record = await self._wait(waiter)
+            returned = True
+        finally:
+            if not returned:
+                self._give_up(waiter)
+        return record
+
+    def record_outcome(self, outcome: Outcome) -> None:
+        """Append the outcome of a claimed call in the background."""
+        self._outcomes.append(outcome)
+        self._outcome_bytes += _size(outcome)
+        while self._outcome_bytes > MAX_QUEUED_OUTCOME_BYTES and len(self._outcomes) > 1:
+            dropped = self._outcomes.popleft()
+            self._outcome_bytes -= _size(dropped)
+            self._events.record(Event.KEY_UNKNOWN, claim_id=dropped.claim_id, reason="queue full")
+        self._notify()
+
+    def release(self, release: Release) -> None:
+        """Append in the background that a claimed call did not run and never will."""
+        self._releases.append(release)
+        self._notify()
+
+    async def run(self) -> None:
+        """Append batches, one at a time, until cancelled."""
+        self._quiet_since = self._timer.now()
+        while True:
+            if not self.queued:
+                await self._wait_for_work()
+            if self.queued:
+                await self._append_batch()
+            elif self._is_quiet():
+                await self._append(ClaimBatch(str(uuid.uuid4())), [])
+
+    async def _wait(self, waiter: _Waiter) -> KeyRecord:
+        with trio.move_on_after(self._claim_timeout_s):
+            await waiter.done.wait()
+        if waiter.refusal is not None:
+            raise waiter.refusal
+        if waiter.record is None:
+            raise _refuse("log_unavailable", "the log did not confirm the claim in time")
+        self._require_complete_view()
+        return waiter.record
+
+    def _require_complete_view(self) -> None:
+        if not self._claims.covers(self._key_memory_s()):
+            raise _refuse("claims_incomplete", "this entry has not read all remembered claims")
+
+    def _give_up(self, waiter: _Waiter) -> None:
+        """Make sure that the claim of a call that will not be sent doesn't keep its key."""
+        if not waiter.in_batch and waiter in self._waiters:
+            self._waiters.remove(waiter)
+        elif waiter.in_batch:
+            self.release(Release(waiter.claim.claim_id))
+
+    async def _wait_for_work(self) -> None:
+        self._wake = trio.Event()
+        with trio.move_on_after(MARKER_PERIOD_S * self._rng.uniform(0.5, 1.0)):
+            await self._wake.wait()
+
+    def _is_quiet(self) -> bool:
+        now = self._timer.now()
+        if self._follower.offset != self._quiet_offset or not self._follower.available:
+            self._quiet_offset = self._follower.offset
+            self._quiet_since = now
+        return now - self._quiet_since >= MARKER_PERIOD_S
+
+    def _notify(self) -> None:
+        self._wake.set()
+
+    async def _append_batch(self) -> None:
+        waiters = self._take_waiters()
+        batch = ClaimBatch(
+            str(uuid.uuid4()),
+            self._take_releases(MAX_BATCH_RECORDS - len(waiters)),
+            [waiter.claim for waiter in waiters],
+            self._take_outcomes(),
+            key_memory_s=self._key_memory_s(),
+        )
+        await self._append(batch, waiters)
+
+    async def _append(self, batch: ClaimBatch, waiters: list[_Waiter]) -> None:
+        """Append a batch; returns when it is in the log or certainly is not."""
+        try:
+            await self._appender.append(batch)
+        except LogUnavailableError as error:
+            self._return_batch(batch, waiters, error)
+            await trio.sleep(self._backoff.next_delay())
+            return
+        except LogAnswerLostError:
+            await self._settle()
+        self._backoff.reset()
+        self._finish(batch, waiters)
+
+    async def _settle(self) -> None:
+        while True:
+            await trio.sleep(self._backoff.next_delay())
+            try:
+                await self._appender.settle()
+            except LogAnswerLostError:
+                continue
+            return
+
+    def _return_batch(
+        self, batch: ClaimBatch, waiters: list[_Waiter], error: LogUnavailableError
+    ) -> None:
+        """Refuse the claims of a batch that is not in the log and keep the rest for later."""
+        self._releases.extendleft(reversed(batch.releases))
+        self._outcomes.extendleft(reversed(batch.outcomes))
+        self._outcome_bytes += sum(_size(outcome) for outcome in batch.outcomes)
+        for waiter in waiters:
+            waiter.in_batch = False
+            waiter.refusal = _refuse("log_unavailable", f"claim not appended: {error.message}")
+            waiter.done.set()
+
+    def _finish(self, batch: ClaimBatch, waiters: list[_Waiter]) -> None:
+        for waiter in waiters:
+            self._resolve(waiter)
+        for release in batch.releases:
+            self._events.record(Event.KEY_RELEASED, claim_id=release.claim_id)
+        for outcome in batch.outcomes:
+            self._events.record(Event.KEY_OUTCOME_RECORDED, claim_id=outcome.claim_id)
+
+    def _resolve(self, waiter: _Waiter) -> None:
+        claim = waiter.claim
+        waiter.record = self._claims.find(claim.service, claim.organisation, claim.key)
+        if waiter.record is None:
+            waiter.refusal = _refuse("claim_released", "the claim was released by another entry")
+        elif waiter.record.claim.claim_id == claim.claim_id:
+            self._events.record(
+                Event.KEY_CLAIMED, claim_id=claim.claim_id, offset=waiter.record.claim_offset
+            )
+        waiter.done.set()
+
+    def _take_waiters(self) -> list[_Waiter]:
+        taken: list[_Waiter] = []
+        while self._waiters and len(taken) < MAX_BATCH_RECORDS:
+            waiter = self._waiters.popleft()
+            waiter.in_batch = True
+            taken.append(waiter)
+        return taken
+
+    def _take_releases(self, limit: int) -> list[Release]:
+        count = min(limit, len(self._releases))
+        return [self._releases.popleft() for _ in range(count)]
+
+    def _take_outcomes(self) -> list[Outcome]:
+        taken: list[Outcome] = []
+        taken_bytes = 0
+        while self._outcomes and len(taken) < MAX_BATCH_RECORDS:
+            size = _size(self._outcomes[0])
+            if taken and taken_bytes + size > MAX_BATCH_BYTES:
+                break
+            taken.append(self._outcomes.popleft())
+            taken_bytes += size
+        self._outcome_bytes -= taken_bytes
+        return taken
+
+
+def _size(outcome: Outcome) -> int:
+    return len(outcome.body) + sum(len(name) + len(value) for name, value in outcome.headers)
+
+
+def _refuse(code: str, message: str) -> RefusalError:
+    """Return a refusal of an attempt that was not sent; the key itself may have run before."""
+    return RefusalError(
+        code,
+        message,
+        outcome=CallOutcome.UNKNOWN,
+        attempt=CallOutcome.NOT_RUN,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/figwalk/coordination/publisher.py
@@ -0,0 +1,250 @@
+"""Publishes configuration to the log, and snapshots of it."""
+
+from __future__ import annotations
+
+import uuid
+
+import trio
+
+from figwalk.coordination.lease import Lease
+from figwalk.coordination.log_appender import LogAppender
+from figwalk.coordination.log_client import LogClient
+from figwalk.coordination.log_follower import LogFollower
+from figwalk.errors import (
+    LogAnswerLostError,
+    LogError,
+    LogUnavailableError,
+    PublishConflictError,
+    SettingsError,
+)
+from figwalk.events import Event, EventLog
+from figwalk.protocol.records import Change, JsonValue, Publish
+from figwalk.state.configuration import Configuration, PublishResult
+from figwalk.state.published import PRESET_IN_FORCE_PATH, PRESETS_PREFIX
+from figwalk.state.value_parser import find_class, parse_value
+from figwalk.timer import MS_PER_S, Timer
+
+PUBLISH_TIMEOUT_S = 10.0
+SNAPSHOT_CHECK_S = 10.0
+SNAPSHOT_AGE_S = 600.0
+SNAPSHOT_RECORDS = 1000  # Two pages of a read, which a new entry has to fold after a snapshot.
+
+
+class Publisher:
+    """Publishes changes that take effect only if every path is still at its base revision.
+
+    Args:
+        client: The log.
+        follower: Follower of the stream `config`.
+        configuration: Fold that the follower applies records to.
+        events: Event log.
+        timeout_s: Seconds after which a publication without a result is given up.
+    """
+
+    def __init__(
+        self,
+        client: LogClient,
+        follower: LogFollower,
+        configuration: Configuration,
+        events: EventLog,
+        *,
+        timeout_s: float = PUBLISH_TIMEOUT_S,
+    ) -> None:
+        self._configuration = configuration
+        self._events = events
+        self._timeout_s = timeout_s
+        # An abandoned publication is not sent again: its operator was told that it failed or
+        # may have, and must not see it take effect minutes later.
+        self._appender = LogAppender(client, follower, configuration, resend_abandoned=False)
+
+    @property
+    def appender(self) -> LogAppender:
+        """The process's only writer to the stream."""
+        return self._appender
+
+    async def publish(self, changes: list[Change], *, author: str) -> int:
+        """Publish changes, all or none, and return their revision.
+
+        Args:
+            changes: New values with the revisions that they were made from.
+            author: Operator, for the log.
+
+        Raises:
+            SettingsError: Paths or values are not valid; names every fault.
+            PublishConflictError: Another publication changed one of the paths first.
+            LogUnavailableError: Nothing was published.
+            LogAnswerLostError: The changes may be published; read the configuration first.
+        """
+        self._check(changes)
+        if not self._configuration.complete:
+            raise LogUnavailableError(
+                "the log dropped records and no snapshot was read yet",
+                remedy="publish through another entry or wait for a snapshot",
+            )
+        changes = self._guard_preset_in_force(changes)
+        publish = Publish(str(uuid.uuid4()), author, changes)
+        await self._append(publish)
+        return self._report(publish, self._configuration.result(publish.record_id))
+
+    async def _append(self, publish: Publish) -> None:
+        with trio.move_on_after(self._timeout_s) as scope:
+            await self._appender.append(publish)
+        if scope.cancelled_caught:
+            raise LogAnswerLostError(
+                f"no result of publication {publish.record_id!r} within {self._timeout_s} s",
+                remedy="read the configuration before publishing again",
+            )
+
+    def _report(self, publish: Publish, result: PublishResult | None) -> int:
+        if result is None:
+            raise LogAnswerLostError(
+                f"publication {publish.record_id!r} was appended but its result is not known",
+                remedy="read the configuration before publishing again",
+            )
+        if not result.accepted:
+            self._events.record(
+                Event.CONFIG_CONFLICT,
+                author=publish.author,
+                path=result.conflict_path,
+                revision=result.revision,
+            )
+            raise PublishConflictError(result.conflict_path, result.revision)
+        paths = ", ".join(change.path for change in publish.changes)
+        self._events.record(
+            Event.CONFIG_PUBLISHED, author=publish.author, paths=paths, revision=result.revision
+        )
+        return result.revision
+
+    def _check(self, changes: list[Change]) -> None:
+        faults = list_faults(changes)
+        if not faults:
+            faults = self._list_reference_faults(changes)
+        if faults:
+            self._events.record(Event.CONFIG_REJECTED, faults="; ".join(faults))
+            raise SettingsError(faults)
+
+    def _list_reference_faults(self, changes: list[Change]) -> list[str]:
+        values = {change.path: change.value for change in changes}
+        name = self._value_after(values, PRESET_IN_FORCE_PATH)
+        if name is None or self._value_after(values, PRESETS_PREFIX + name) is not None:
+            return []
+        return [f"{PRESET_IN_FORCE_PATH}: preset {name!r} does not exist"]
+
+    def _value_after(self, values: dict[str, JsonValue], path: str) -> JsonValue:
+        if path in values:
+            return values[path]
+        entry = self._configuration.get(path)
+        return entry.value if entry else None
+
+    def _guard_preset_in_force(self, changes: list[Change]) -> list[Change]:
+        """Add unchanged paths whose change by others would leave the active preset undefined.
+
+        Without them one operator could activate a preset while another one deletes it, since
+        both change different paths.
+        """
+        values = {change.path: change.value for change in changes}
+        guards: list[str] = []
+        name = values.get(PRESET_IN_FORCE_PATH)
+        if name is not None:
+            guards.append(PRESETS_PREFIX + name)
+        if any(p.startswith(PRESETS_PREFIX) and v is None for p, v in values.items()):
+            guards.append(PRESET_IN_FORCE_PATH)
+        return changes + [self._keep(path) for path in guards if path not in values]
+
+    def _keep(self, path: str) -> Change:
+        entry = self._configuration.get(path)
+        if entry is None:
+            return Change(path, None, 0)
+        return Change(path, entry.value, entry.revision)
+
+
+def list_faults(changes: list[Change]) -> list[str]:
+    """Return every fault of the paths and values of a publication."""
+    faults: list[str] = []
+    if not changes:
+        faults.append("a publication needs at least one change")
+    paths = [change.path for change in changes]
+    faults += [
+        f"{path}: changed more than once" for path in sorted(set(paths)) if paths.count(path) > 1
+    ]
+    for change in changes:
+        faults += _list_change_faults(change)
+    return faults
+
+
+def _list_change_faults(change: Change) -> list[str]:
+    if change.base < 0:
+        return [f"{change.path}: base revision must not be negative"]
+    if change.value is None:
+        return [] if find_class(change.path) else [f"{change.path}: not a configuration path"]
+    try:
+        parse_value(change.path, change.value)
+    except SettingsError as error:
+        return list(error.faults)
+    return []
+
+
+class Snapshotter:
+    """Appends snapshots of the configuration while this process holds the lease.
+
+    Snapshots by a process that lost the lease are harmless: each is a state of the log at a
+    known offset. The lease only keeps all entries from writing them.
+
+    Args:
+        publisher: Gives the writer to the stream.
+        configuration: Fold over the stream.
+        lease: The controller lease.
+        events: Event log.
+        timer: Source of time.
+        max_age_s: Seconds after which a snapshot is replaced; the log must retain records
+            longer than twice this time.
+        max_records: Records after which a snapshot is replaced.
+    """
+
+    def __init__(
+        self,
+        publisher: Publisher,
+        configuration: Configuration,
+        lease: Lease,
+        events: EventLog,
+        timer: Timer,
+        *,
+        max_age_s: float = SNAPSHOT_AGE_S,
+        max_records: int = SNAPSHOT_RECORDS,
+    ) -> None:
+        self._publisher = publisher
+        self._configuration = configuration
+        self._lease = lease
+        self._events = events
+        self._timer = timer
+        self._max_age_s = max_age_s
+        self._max_records = max_records
+
+    async def run(self) -> None:
+        """Check periodically until cancelled."""
+        while True:
+            await trio.sleep(SNAPSHOT_CHECK_S)
+            if self._lease.term is not None and self._is_due():
+                await self._append()
+
+    def _is_due(self) -> bool:
+        configuration = self._configuration
+        if not configuration.complete or configuration.next_offset == 0:
+            return False
+        if configuration.snapshot_time_ms is None:
+            return True
+        if configuration.records_since_snapshot >= self._max_records:
+            return True
+        age_ms = self._timer.wall_ms() - configuration.snapshot_time_ms
+        return age_ms >= self._max_age_s * MS_PER_S
+
+    async def _append(self) -> None:
+        snapshot = self._configuration.create_snapshot(str(uuid.uuid4()))
+        try:
+            with trio.fail_after(PUBLISH_TIMEOUT_S):
+                await self._publisher.appender.append(snapshot)
+        except (LogError, trio.TooSlowError):
+            return  # The follower reports an unavailable log; the next check tries again.
+        self._events.record(
+            Event.CONFIG_SNAPSHOT, revision=snapshot.revision, entries=len(snapshot.entries)
+        )
--- a/figwalk/protocol/records.py
+++ b/figwalk/protocol/records.py
@@ -180,12 +180,23 @@
 
 @attrs.frozen
 class ClaimBatch:
-    """Records of keyed calls appended together; applied as releases, claims, outcomes."""
+    """Records of keyed calls appended together; applied as releases, claims, outcomes.
+
+    Attributes:
+        record_id: Unique id of the record.
+        releases: Claims that did not run.
+        claims: New claims.
+        outcomes: Recorded answers.
+        key_memory_s: Seconds that the keys of these claims are remembered. It is part of the
+            record because processes can have different revisions of the published limit for a
+            moment, and all readers must agree on when a key is free again.
+    """
 
     record_id: str
     releases: list[Release] = attrs.field(factory=list)
     claims: list[Claim] = attrs.field(factory=list)
     outcomes: list[Outcome] = attrs.field(factory=list)
+    key_memory_s: float = 86400.0
 
 
 Record = Publish | Snapshot | LeaseClaim | LeaseRenewal | RoleOrder | ClaimBatch
--- /dev/null
+++ b/figwalk/state/claims.py
@@ -0,0 +1,146 @@
+"""Claims of idempotency keys: a fold over the stream `claims`."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+import attrs
+
+from figwalk.protocol.records import Claim, ClaimBatch, Outcome, Record, Release
+from figwalk.state.log_fold import LogFold, RecentIds
+from figwalk.timer import MS_PER_S
+
+if TYPE_CHECKING:
+    from figwalk.coordination.log_client import StoredRecord
+
+# Long enough for an append that is held up in the network, short enough for the memory that
+# several hundred record ids a second take.
+RECENT_IDS_WINDOW_MS = 600_000
+
+# Expired keys are forgotten this much later, so that a small step back of the log's clock
+# can't make readers disagree on whether a key was still taken.
+FORGET_SLACK_MS = 60_000
+
+NEVER_MS = 2**63 - 1
+
+Key = tuple[str, str, str]
+
+
+@attrs.frozen
+class KeyRecord:
+    """Winning claim of an idempotency key.
+
+    Attributes:
+        claim: The claim.
+        claim_offset: Offset of the batch with the claim.
+        time_ms: Record time of that batch.
+        expires_ms: Record time from which another claim of the key wins.
+        outcome: Recorded answer, or None.
+    """
+
+    claim: Claim
+    claim_offset: int
+    time_ms: int
+    expires_ms: int
+    outcome: Outcome | None = None
+
+
+class Claims(LogFold[None]):
+    """Winning claims and outcomes of the keys that are still remembered.
+
+    The first claim of a free key wins. Claims compete by record times and by the key memory
+    that their own batches name, never by a local clock or limit, so that all readers agree.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(RECENT_IDS_WINDOW_MS)
+        self._keys: dict[Key, KeyRecord] = {}
+        self._key_of_claim: dict[str, Key] = {}
+        self._released = RecentIds(RECENT_IDS_WINDOW_MS)
+        self._expiries: list[tuple[int, str]] = []
+        self._complete_since_ms = 0
+        self._newest_ms = 0
+        self._gap_open = False
+
+    @property
+    def complete_since_ms(self) -> int:
+        """Record time from which this view has all claims.
+
+        0 if the stream was read from its first record, `NEVER_MS` after a gap until a record
+        shows where the remaining ones begin.
+        """
+        return self._complete_since_ms
+
+    def covers(self, key_memory_s: float) -> bool:
+        """Return whether this view has all claims of the key memory, by the log's own clock.
+
+        An entry refuses keyed calls while it does not.
+        """
+        if self._complete_since_ms == 0:
+            return True
+        return self._newest_ms - self._complete_since_ms >= key_memory_s * MS_PER_S
+
+    def __len__(self) -> int:
+        return len(self._keys)
+
+    def find(self, service: str, organisation: str, key: str) -> KeyRecord | None:
+        """Return the winning claim of a key, or None if the key is free or forgotten."""
+        return self._keys.get((service, organisation, key))
+
+    def _enter_gap(self, offset: int) -> None:
+        self._complete_since_ms = NEVER_MS
+        self._gap_open = True
+
+    def _observe(self, record: StoredRecord) -> None:
+        if self._gap_open:
+            self._complete_since_ms = record.time_ms
+            self._gap_open = False
+        self._newest_ms = max(self._newest_ms, record.time_ms)
+        self._forget_expired(record.time_ms - FORGET_SLACK_MS)
+
+    def _fold(self, record: StoredRecord, content: Record) -> None:
+        if not isinstance(content, ClaimBatch):
+            return
+        for release in content.releases:
+            self._fold_release(record, release)
+        for claim in content.claims:
+            self._fold_claim(record, claim, content.key_memory_s)
+        for outcome in content.outcomes:
+            self._fold_outcome(outcome)
+
+    def _fold_release(self, record: StoredRecord, release: Release) -> None:
+        # A claim that comes later in the log than its release must not win either.
+        self._released.add(release.claim_id, record.offset, record.time_ms)
+        key = self._key_of_claim.get(release.claim_id)
+        if key is not None and self._keys[key].outcome is None:
+            self._forget(key)
+
+    def _fold_claim(self, record: StoredRecord, claim: Claim, key_memory_s: float) -> None:
+        if claim.claim_id in self._released:
+            return
+        key = (claim.service, claim.organisation, claim.key)
+        present = self._keys.get(key)
+        if present is not None:
+            if record.time_ms < present.expires_ms:
+                return
+            self._forget(key)
+        expires_ms = record.time_ms + int(key_memory_s * MS_PER_S)
+        self._keys[key] = KeyRecord(claim, record.offset, record.time_ms, expires_ms)
+        self._key_of_claim[claim.claim_id] = key
+        heapq.heappush(self._expiries, (expires_ms, claim.claim_id))
+
+    def _fold_outcome(self, outcome: Outcome) -> None:
+        key = self._key_of_claim.get(outcome.claim_id)
+        if key is not None and self._keys[key].outcome is None:
+            self._keys[key] = attrs.evolve(self._keys[key], outcome=outcome)
+
+    def _forget_expired(self, time_ms: int) -> None:
+        while self._expiries and self._expiries[0][0] <= time_ms:
+            _, claim_id = heapq.heappop(self._expiries)
+            key = self._key_of_claim.get(claim_id)
+            if key is not None:
+                self._forget(key)
+
+    def _forget(self, key: Key) -> None:
+        del self._key_of_claim[self._keys.pop(key).claim.claim_id]
--- /dev/null
+++ b/figwalk/state/configuration.py
@@ -0,0 +1,294 @@
+"""Configuration: a fold over the stream `config`, and updates adopted from other processes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from figwalk.errors import SettingsError
+from figwalk.protocol.messages import ConfigUpdate
+from figwalk.protocol.records import (
+    Change,
+    ConfigEntry,
+    Publish,
+    Record,
+    Snapshot,
+    decode_entries,
+    encode_entries,
+)
+from figwalk.state.log_fold import LogFold
+from figwalk.state.published import (
+    LIMITS_PATH,
+    ORGANISATIONS_PREFIX,
+    PRESET_IN_FORCE_PATH,
+    PRESETS_PREFIX,
+    SERVICES_PREFIX,
+    WITHDRAWN_PREFIX,
+    Limits,
+    OrganisationConfig,
+    Preset,
+    ServiceConfig,
+)
+from figwalk.state.value_parser import parse_value
+
+if TYPE_CHECKING:
+    from figwalk.coordination.log_client import StoredRecord
+
+RECENT_IDS_WINDOW_MS = 3_600_000  # An append can hardly reach the log later than this.
+RECENT_RESULTS = 1024
+
+Entries = dict[str, ConfigEntry]
+
+
+@attrs.frozen
+class PublishResult:
+    """Result of one publication, the same for every reader of the log.
+
+    Attributes:
+        record_id: Record id of the publication.
+        accepted: Whether it took effect.
+        revision: Its revision if it was accepted, else the revision of the path that won.
+        conflict_path: Path whose base was not current; empty if the publication was accepted
+            or is malformed.
+    """
+
+    record_id: str
+    accepted: bool
+    revision: int
+    conflict_path: str = ""
+
+
+class Configuration(LogFold[PublishResult]):
+    """Published configuration of this process.
+
+    The fold over the log and the state adopted from other processes are kept apart; the one
+    with the higher revision is in force. Adopted entries therefore never change the decision
+    on a publication, and the configuration in force never steps back.
+
+    Deleted paths stay as entries without a value. Their revision keeps a repeated or late
+    publication from creating the path again.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(RECENT_IDS_WINDOW_MS)
+        self._folded: Entries = {}
+        self._folded_revision = 0
+        self._adopted: Entries = {}
+        self._adopted_revision = 0
+        self._gap_end = 0
+        self._complete = True
+        self._undecided: list[tuple[int, Publish]] = []
+        self._results: dict[str, PublishResult] = {}
+        self._parsed: dict[str, Any] = {}
+        self._snapshot_revision = 0
+        self._snapshot_time_ms: int | None = None
+
+    @property
+    def revision(self) -> int:
+        """Revision in force: that of the newest accepted publication; 0 if there is none."""
+        return max(self._folded_revision, self._adopted_revision)
+
+    @property
+    def complete(self) -> bool:
+        """Whether the log decides on publications here: False between a gap and a snapshot."""
+        return self._complete
+
+    @property
+    def records_since_snapshot(self) -> int:
+        """Records that the newest snapshot does not cover."""
+        return self.next_offset - self._snapshot_revision
+
+    @property
+    def snapshot_time_ms(self) -> int | None:
+        """Record time of the newest snapshot, or None if none was read."""
+        return self._snapshot_time_ms
+
+    def adopt(self, update: ConfigUpdate) -> bool:
+        """Take over the configuration of another process if it is newer.
+
+        An update that is not full must hold all changes after a revision that this process has.
+
+        Args:
+            update: State or changes from another process.
+
+        Returns:
+            Whether the configuration in force changed.
+
+        Raises:
+            MalformedRecordError: The entries of the update can't be read.
+        """
+        if update.revision <= self.revision:
+            return False
+        entries = dict(self._in_force)
+        _merge(entries, decode_entries(update.entries))
+        self._adopted = entries
+        self._adopted_revision = update.revision
+        self._parsed.clear()
+        if not self._complete and update.revision >= self._gap_end:
+            self._complete_from(update.revision, entries)
+        return True
+
+    def create_update(self, after_revision: int = 0) -> ConfigUpdate:
+        """Return the entries that a process at a revision lacks, all of them for revision 0."""
+        entries = encode_entries(self.entries_after(after_revision))
+        return ConfigUpdate(self.revision, after_revision == 0, entries)
+
+    def create_snapshot(self, record_id: str) -> Snapshot:
+        """Return a snapshot of the fold over the log.
+
+        Its revision is the offset up to which it covers the log, because the newest accepted
+        publication can be older than refused ones and snapshots that it covers too.
+        """
+        return Snapshot(record_id, self.next_offset, _sort(self._folded))
+
+    def get(self, path: str) -> ConfigEntry | None:
+        """Return the entry of a path, without a value if it was deleted; None if it never was."""
+        return self._in_force.get(path)
+
+    def entries(self) -> list[ConfigEntry]:
+        """Return all entries by path, with deleted ones."""
+        return _sort(self._in_force)
+
+    def entries_after(self, revision: int) -> list[ConfigEntry]:
+        """Return the entries that changed after a revision, with deleted ones."""
+        return [entry for entry in self.entries() if entry.revision > revision]
+
+    def result(self, record_id: str) -> PublishResult | None:
+        """Return the result of a recent publication, or None if it is not known."""
+        return self._results.get(record_id)
+
+    def preset_in_force(self) -> Preset:
+        """Return the active preset; the default one if it is not published."""
+        name = self._parse(PRESET_IN_FORCE_PATH)
+        preset = self._parse(PRESETS_PREFIX + name) if name else None
+        return preset or Preset()
+
+    def services(self) -> dict[str, ServiceConfig]:
+        """Return the services by name."""
+        return self._parse_all(SERVICES_PREFIX)
+
+    def organisation(self, name: str) -> OrganisationConfig:
+        """Return the configuration of an organisation; the default one if not published."""
+        return self._parse(ORGANISATIONS_PREFIX + name) or OrganisationConfig()
+
+    def withdrawn(self) -> set[str]:
+        """Return the names of the withdrawn backend servers."""
+        return set(self._parse_all(WITHDRAWN_PREFIX))
+
+    def limits(self) -> Limits:
+        """Return the limits; the default ones if not published."""
+        return self._parse(LIMITS_PATH) or Limits()
+
+    @property
+    def _in_force(self) -> Entries:
+        return self._adopted if self._adopted_revision > self._folded_revision else self._folded
+
+    def _enter_gap(self, offset: int) -> None:
+        self._gap_end = offset
+        self._complete = False
+        self._undecided.clear()
+
+    def _fold(self, record: StoredRecord, content: Record) -> PublishResult | None:
+        if isinstance(content, Snapshot):
+            self._fold_snapshot(record, content)
+            return None
+        if not isinstance(content, Publish):
+            return None
+        if not self._complete:
+            self._undecided.append((record.offset, content))
+            return None
+        return self._decide(record.offset, content)
+
+    def _fold_snapshot(self, record: StoredRecord, snapshot: Snapshot) -> None:
+        if not self._complete and snapshot.revision >= self._gap_end:
+            entries: Entries = {}
+            _merge(entries, snapshot.entries)
+            self._complete_from(snapshot.revision, entries)
+        if self._complete and snapshot.revision >= self._snapshot_revision:
+            self._snapshot_revision = snapshot.revision
+            self._snapshot_time_ms = record.time_ms
+
+    def _complete_from(self, offset: int, entries: Entries) -> None:
+        """Continue the fold from the state before an offset, with what was read after it."""
+        self._complete = True
+        self._folded = dict(entries)
+        self._folded_revision = max((entry.revision for entry in entries.values()), default=0)
+        self._parsed.clear()
+        undecided, self._undecided = self._undecided, []
+        for publish_offset, publish in undecided:
+            if publish_offset >= offset:
+                self._decide(publish_offset, publish)
+
+    def _decide(self, offset: int, publish: Publish) -> PublishResult:
+        conflict = self._find_conflict(publish.changes)
+        if conflict is not None:
+            result = PublishResult(
+                publish.record_id, False, self._folded_revision_of(conflict), conflict
+            )
+        elif _is_well_formed(publish.changes):
+            self._accept(offset + 1, publish.changes)
+            result = PublishResult(publish.record_id, True, offset + 1)
+        else:
+            result = PublishResult(publish.record_id, False, self._folded_revision)
+        self._remember(result)
+        return result
+
+    def _find_conflict(self, changes: list[Change]) -> str | None:
+        for change in changes:
+            if change.base != self._folded_revision_of(change.path):
+                return change.path
+        return None
+
+    def _folded_revision_of(self, path: str) -> int:
+        entry = self._folded.get(path)
+        return entry.revision if entry else 0
+
+    def _accept(self, revision: int, changes: list[Change]) -> None:
+        for change in changes:
+            self._folded[change.path] = ConfigEntry(change.path, change.value, revision)
+        self._folded_revision = revision
+        self._parsed.clear()
+
+    def _remember(self, result: PublishResult) -> None:
+        self._results[result.record_id] = result
+        if len(self._results) > RECENT_RESULTS:
+            del self._results[next(iter(self._results))]
+
+    def _parse(self, path: str) -> Any:
+        """Return the typed value of a path; None if there is none or it is not valid."""
+        if path not in self._in_force:
+            return None
+        if path not in self._parsed:
+            self._parsed[path] = _parse_entry(self._in_force[path])
+        return self._parsed[path]
+
+    def _parse_all(self, prefix: str) -> dict[str, Any]:
+        paths = [path for path in self._in_force if path.startswith(prefix)]
+        values = {path.removeprefix(prefix): self._parse(path) for path in paths}
+        return {name: value for name, value in values.items() if value is not None}
+
+
+def _merge(entries: Entries, newer: list[ConfigEntry]) -> None:
+    for entry in newer:
+        present = entries.get(entry.path)
+        if present is None or present.revision < entry.revision:
+            entries[entry.path] = entry
+
+
+def _sort(entries: Entries) -> list[ConfigEntry]:
+    return [entries[path] for path in sorted(entries)]
+
+
+def _parse_entry(entry: ConfigEntry) -> Any:
+    if entry.value is None:
+        return None
+    try:
+        return parse_value(entry.path, entry.value)
+    except SettingsError:
+        return None
+
+
+def _is_well_formed(changes: list[Change]) -> bool:
+    paths = {change.path for change in changes}
+    return bool(changes) and len(paths) == len(changes)
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by tests."""
--- /dev/null
+++ b/tests/support/fake_log.py
@@ -0,0 +1,114 @@
+"""In-memory log that can be down, lose answers, delay appends and drop old records."""
+
+from __future__ import annotations
+
+import base64
+import json
+from collections import defaultdict
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from figwalk.coordination.log_client import LogClient, LogPage, StoredRecord
+from figwalk.errors import LogAnswerLostError, LogTruncatedError, LogUnavailableError
+from figwalk.protocol.records import Record, encode_record
+
+START_MS = 1_700_000_000_000
+
+
+class FakeLog(LogClient):
+    """Log for tests; its clock is trio's plus `clock_skew_ms`.
+
+    Attributes:
+        down: Refuses every call.
+        lost_answers: Number of coming appends that are written but get no answer.
+        lost_requests: Number of coming appends that get no answer and are not written.
+        appends: Record ids of all append calls, in order.
+        before_append: Coroutine function that each append awaits before it is written.
+    """
+
+    def __init__(self) -> None:
+        self.down = False
+        self.lost_answers = 0
+        self.lost_requests = 0
+        self.clock_skew_ms = 0
+        self.appends: list[str] = []
+        self.before_append: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
+        self._streams: dict[str, list[StoredRecord]] = defaultdict(list)
+        self._oldest: dict[str, int] = defaultdict(int)
+        self._grown = trio.Event()
+
+    async def append(self, stream: str, record_id: str, data: bytes) -> int:
+        """Append a record, unless a fault is set."""
+        self.appends.append(record_id)
+        await self.before_append()
+        if self.down:
+            raise LogUnavailableError("fake log is down")
+        if self.lost_requests:
+            self.lost_requests -= 1
+            raise LogAnswerLostError("request lost")
+        offset = self.write(stream, record_id, data)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise LogAnswerLostError("answer lost")
+        return offset
+
+    async def read(
+        self, stream: str, offset: int, *, max_records: int = 500, wait_ms: int = 0
+    ) -> LogPage:
+        """Read records, unless the log is down."""
+        await trio.lowlevel.checkpoint()
+        with trio.move_on_after(wait_ms / 1000):
+            while not self.down and offset >= len(self._streams[stream]) and wait_ms:
+                await self._grown.wait()
+        if self.down:
+            raise LogUnavailableError("fake log is down")
+        oldest = self._oldest[stream]
+        if offset < oldest:
+            raise LogTruncatedError(oldest)
+        records = self._streams[stream]
+        return LogPage(oldest, len(records), tuple(records[offset : offset + max_records]))
+
+    def write(self, stream: str, record_id: str, data: bytes) -> int:
+        """Put a record into the log, past all faults."""
+        offset = len(self._streams[stream])
+        time_ms = START_MS + int(trio.current_time() * 1000) + self.clock_skew_ms
+        self._streams[stream].append(StoredRecord(offset, time_ms, record_id, data))
+        self._grown.set()
+        self._grown = trio.Event()
+        return offset
+
+    def put(self, stream: str, record: Record) -> int:
+        """Put a record into the log, past all faults."""
+        return self.write(stream, record.record_id, encode_record(record))
+
+    def drop_before(self, stream: str, offset: int) -> None:
+        """Drop old records."""
+        self._oldest[stream] = offset
+
+    def records(self, stream: str) -> list[StoredRecord]:
+        """Return all records, also dropped ones."""
+        return self._streams[stream]
+
+
+def store(records: list[Record], *, times_ms: list[int] | None = None) -> list[StoredRecord]:
+    """Return records as a log would keep them, a second apart if no times are given."""
+    times = times_ms or [START_MS + 1000 * index for index in range(len(records))]
+    return [
+        StoredRecord(offset, times[offset], record.record_id, encode_record(record))
+        for offset, record in enumerate(records)
+    ]
+
+
+def page_json(oldest: int, head: int, records: list[StoredRecord]) -> bytes:
+    """Return the body of the log service's answer to a read."""
+    items = [
+        {
+            "offset": r.offset,
+            "time_ms": r.time_ms,
+            "record_id": r.record_id,
+            "data": base64.b64encode(r.data).decode(),
+        }
+        for r in records
+    ]
+    return json.dumps({"oldest": oldest, "head": head, "records": items}).encode()
