--- a/figwalk/coordination/claim_writer.py
+++ b/figwalk/coordination/claim_writer.py
@@ -25,6 +25,8 @@
 RETRY_AFTER_MS = 1000
 MAX_BATCH_RECORDS = 200
 MAX_BATCH_BYTES = 256 * 1024
+# The log refuses records above 1 MiB. A larger answer stays with the agent that ran the call.
+MAX_OUTCOME_BYTES = 512 * 1024
 # Outcomes wait in memory while the log is down. Past this the oldest are given up; the agent
 # that ran the call still has the answer.
 MAX_QUEUED_OUTCOME_BYTES = 8 * 1024 * 1024
@@ -50,8 +52,8 @@
 
     Args:
         client: The log.
-        follower: Follower of the stream `claims`.
-        claims: Fold that the follower applies records to.
+        claims: Fold over the stream `claims`.
+        follower: Follower that applies the stream to `claims`.
         events: Event log.
         timer: Source of time.
         key_memory_s: Returns the published key memory.
@@ -62,8 +64,8 @@
     def __init__(
         self,
         client: LogClient,
-        follower: LogFollower,
         claims: Claims,
+        follower: LogFollower,
         events: EventLog,
         timer: Timer,
         *,
@@ -85,6 +87,9 @@
         self._outcomes: deque[Outcome] = deque()
         self._outcome_bytes = 0
         self._wake = trio.Event()
+        self._idle = trio.Event()
+        self._appending = False
+        self._request_ids: dict[str, str] = {}
         self._quiet_offset = 0
         self._quiet_since = 0.0
 
@@ -118,21 +123,31 @@
                 self._give_up(waiter)
         return record
 
-    def record_outcome(self, outcome: Outcome) -> None:
-        """Append the outcome of a claimed call in the background."""
+    def record_outcome(self, outcome: Outcome, *, request_id: str = "") -> None:
+        """Append the outcome of a claimed call in the background.
+
+        It is given up if it is too large for the log or the log is down for too long.
+        """
+        if _size(outcome) > MAX_OUTCOME_BYTES:
+            self._report_dropped(outcome, "outcome is too large for the log")
+            return
         self._outcomes.append(outcome)
         self._outcome_bytes += _size(outcome)
-        while self._outcome_bytes > MAX_QUEUED_OUTCOME_BYTES and len(self._outcomes) > 1:
-            dropped = self._outcomes.popleft()
-            self._outcome_bytes -= _size(dropped)
-            self._events.record(Event.KEY_UNKNOWN, claim_id=dropped.claim_id, reason="queue full")
+        self._request_ids[outcome.claim_id] = request_id
+        self._bound_outcomes()
         self._notify()
 
-    def release(self, release: Release) -> None:
+    def release(self, release: Release, *, request_id: str = "") -> None:
         """Append in the background that a claimed call did not run and never will."""
         self._releases.append(release)
+        self._request_ids[release.claim_id] = request_id
         self._notify()
 
+    async def flush(self) -> None:
+        """Wait until no record waits for the log or is on its way to it."""
+        while self.queued or self._appending:
+            await self._idle.wait()
+
     async def run(self) -> None:
         """Append batches, one at a time, until cancelled."""
         self._quiet_since = self._timer.now()
@@ -143,6 +158,7 @@
                 await self._append_batch()
             elif self._is_quiet():
                 await self._append(ClaimBatch(str(uuid.uuid4())), [])
+            self._report_idle()
 
     async def _wait(self, waiter: _Waiter) -> KeyRecord:
         with trio.move_on_after(self._claim_timeout_s):
@@ -151,12 +167,11 @@
             raise waiter.refusal
         if waiter.record is None:
             raise _refuse("log_unavailable", "the log did not confirm the claim in time")
-        self._require_complete_view()
         return waiter.record
 
     def _require_complete_view(self) -> None:
         if not self._claims.covers(self._key_memory_s()):
-            raise _refuse("claims_incomplete", "this entry has not read all remembered claims")
+            raise _refuse_incomplete()
 
     def _give_up(self, waiter: _Waiter) -> None:
         """Make sure that the claim of a call that will not be sent doesn't keep its key."""
@@ -193,6 +208,7 @@
 
     async def _append(self, batch: ClaimBatch, waiters: list[_Waiter]) -> None:
         """Append a batch; returns when it is in the log or certainly is not."""
+        self._appending = True
         try:
             await self._appender.append(batch)
         except LogUnavailableError as error:
@@ -204,6 +220,23 @@
         self._backoff.reset()
         self._finish(batch, waiters)
 
+    def _report_idle(self) -> None:
+        self._appending = False
+        self._idle.set()
+        self._idle = trio.Event()
+
+    def _bound_outcomes(self) -> None:
+        while self._outcome_bytes > MAX_QUEUED_OUTCOME_BYTES:
+            dropped = self._outcomes.popleft()
+            self._outcome_bytes -= _size(dropped)
+            self._report_dropped(dropped, "too many outcomes wait for the log")
+
+    def _report_dropped(self, outcome: Outcome, reason: str) -> None:
+        request_id = self._request_ids.pop(outcome.claim_id, "")
+        self._events.record(
+            Event.KEY_UNKNOWN, request_id=request_id, claim_id=outcome.claim_id, reason=reason
+        )
+
     async def _settle(self) -> None:
         while True:
             await trio.sleep(self._backoff.next_delay())
@@ -229,27 +262,31 @@
         for waiter in waiters:
             self._resolve(waiter)
         for release in batch.releases:
-            self._events.record(Event.KEY_RELEASED, claim_id=release.claim_id)
+            self._report_recorded(Event.KEY_RELEASED, release.claim_id)
         for outcome in batch.outcomes:
-            self._events.record(Event.KEY_OUTCOME_RECORDED, claim_id=outcome.claim_id)
+            self._report_recorded(Event.KEY_OUTCOME_RECORDED, outcome.claim_id)
+
+    def _report_recorded(self, event: Event, claim_id: str) -> None:
+        request_id = self._request_ids.pop(claim_id, "")
+        self._events.record(event, request_id=request_id, claim_id=claim_id)
 
     def _resolve(self, waiter: _Waiter) -> None:
         claim = waiter.claim
         waiter.record = self._claims.find(claim.service, claim.organisation, claim.key)
         if waiter.record is None:
             waiter.refusal = _refuse("claim_released", "the claim was released by another entry")
-        elif waiter.record.claim.claim_id == claim.claim_id:
-            self._events.record(
-                Event.KEY_CLAIMED, claim_id=claim.claim_id, offset=waiter.record.claim_offset
-            )
+        elif not waiter.record.certain:
+            waiter.refusal = _refuse_incomplete()
         waiter.done.set()
 
     def _take_waiters(self) -> list[_Waiter]:
         taken: list[_Waiter] = []
-        while self._waiters and len(taken) < MAX_BATCH_RECORDS:
+        taken_bytes = 0
+        while self._waiters and len(taken) < MAX_BATCH_RECORDS and taken_bytes < MAX_BATCH_BYTES:
             waiter = self._waiters.popleft()
             waiter.in_batch = True
             taken.append(waiter)
+            taken_bytes += len(waiter.claim.key) + len(waiter.claim.organisation)
         return taken
 
     def _take_releases(self, limit: int) -> list[Release]:
@@ -273,6 +310,10 @@
     return len(outcome.body) + sum(len(name) + len(value) for name, value in outcome.headers)
 
 
+def _refuse_incomplete() -> RefusalError:
+    return _refuse("claims_incomplete", "this entry has not read all remembered claims")
+
+
 def _refuse(code: str, message: str) -> RefusalError:
     """Return a refusal of an attempt that was not sent; the key itself may have run before."""
     return RefusalError(
--- a/figwalk/coordination/http_log_client.py
+++ b/figwalk/coordination/http_log_client.py
@@ -16,7 +16,7 @@
     LogTruncatedError,
     LogUnavailableError,
 )
-from figwalk.state.settings import PlatformSettings
+from figwalk.state.settings import Address
 from figwalk.timer import MS_PER_S
 from figwalk.transport.http_client import HttpClient, HttpConnectError
 
@@ -27,20 +27,14 @@
     """Appends to and reads from the log service.
 
     Args:
-        client: Connections to the log service.
+        address: Address of the log service.
         timeout_s: Seconds after which a call has failed; a read may take its wait time longer.
     """
 
-    def __init__(self, client: HttpClient, *, timeout_s: float = 2.0) -> None:
-        self._client = client
+    def __init__(self, address: Address, *, timeout_s: float = 2.0) -> None:
+        self._client = HttpClient(address.host, address.port)
         self._timeout_s = timeout_s
 
-    @classmethod
-    def from_settings(cls, platform: PlatformSettings) -> HttpLogClient:
-        """Return a client of the log that the settings name."""
-        client = HttpClient(platform.log.host, platform.log.port)
-        return cls(client, timeout_s=platform.log_timeout_s)
-
     async def append(self, stream: str, record_id: str, data: bytes) -> int:
         """Append a record and return its offset; see `LogClient.append`."""
         headers = [(RECORD_ID_HEADER, record_id.encode())]
--- a/figwalk/coordination/lease.py
+++ b/figwalk/coordination/lease.py
@@ -34,11 +34,11 @@
 
     Args:
         client: The log.
-        follower: Follower of the stream `control`.
-        control: Fold that the follower applies records to.
-        process: Name of this process.
+        control: Fold over the stream `control`.
+        follower: Follower that applies the stream to `control`.
         events: Event log.
         timer: Source of time.
+        holder: Name of this process.
         ttl_s: Seconds that the lease lasts without a renewal.
         rng: Source of jitter; tests give a seeded one.
     """
@@ -46,18 +46,18 @@
     def __init__(
         self,
         client: LogClient,
-        follower: LogFollower,
         control: Control,
-        process: str,
+        follower: LogFollower,
         events: EventLog,
         timer: Timer,
         *,
+        holder: str,
         ttl_s: float,
         rng: random.Random | None = None,
     ) -> None:
         self._follower = follower
         self._control = control
-        self._process = process
+        self._name = holder
         self._events = events
         self._timer = timer
         self._ttl_s = ttl_s
@@ -136,7 +136,7 @@
         term = self.term
         if term is None:
             raise LeaseNotHeldError(
-                f"{self._process} does not hold the controller lease",
+                f"{self._name} does not hold the controller lease",
                 remedy=f"the holder is {self._control.holder or 'not known'}",
             )
         return term
@@ -163,7 +163,7 @@
 
     async def _claim(self) -> None:
         claim = LeaseClaim(
-            str(uuid.uuid4()), self._process, self._control.last_lease_offset, self._ttl_s
+            str(uuid.uuid4()), self._name, self._control.last_lease_offset, self._ttl_s
         )
         self._watched = None
         sent_at = self._timer.now()
@@ -173,14 +173,14 @@
         self._term = offset
         self._held_until = sent_at + self._ttl_s
         if self.term is not None:
-            self._events.record(Event.LEASE_ACQUIRED, term=offset, holder=self._process)
+            self._events.record(Event.LEASE_ACQUIRED, term=offset, holder=self._name)
 
     async def _sleep_and_renew(self) -> None:
         await trio.sleep(self._ttl_s / RENEWALS_PER_TTL)
         term = self.term
         if term is None:
             return
-        renewal = LeaseRenewal(str(uuid.uuid4()), self._process, term)
+        renewal = LeaseRenewal(str(uuid.uuid4()), self._name, term)
         sent_at = self._timer.now()
         offset = await self._append_until(renewal, self._held_until)
         # A renewal counts only if the term was still current at its offset.
--- a/figwalk/coordination/publisher.py
+++ b/figwalk/coordination/publisher.py
@@ -6,7 +6,6 @@
 
 import trio
 
-from figwalk.coordination.lease import Lease
 from figwalk.coordination.log_appender import LogAppender
 from figwalk.coordination.log_client import LogClient
 from figwalk.coordination.log_follower import LogFollower
@@ -25,7 +24,6 @@
 from figwalk.timer import MS_PER_S, Timer
 
 PUBLISH_TIMEOUT_S = 10.0
-SNAPSHOT_CHECK_S = 10.0
 SNAPSHOT_AGE_S = 600.0
 SNAPSHOT_RECORDS = 1000  # Two pages of a read, which a new entry has to fold after a snapshot.
 
@@ -35,23 +33,26 @@
 
     Args:
         client: The log.
-        follower: Follower of the stream `config`.
-        configuration: Fold that the follower applies records to.
+        configuration: Fold over the stream `config`.
+        follower: Follower that applies the stream to `configuration`.
         events: Event log.
+        timer: Source of time.
         timeout_s: Seconds after which a publication without a result is given up.
     """
 
     def __init__(
         self,
         client: LogClient,
-        follower: LogFollower,
         configuration: Configuration,
+        follower: LogFollower,
         events: EventLog,
+        timer: Timer,
         *,
         timeout_s: float = PUBLISH_TIMEOUT_S,
     ) -> None:
         self._configuration = configuration
         self._events = events
+        self._timer = timer
         self._timeout_s = timeout_s
         # An abandoned publication is not sent again: its operator was told that it failed or
         # may have, and must not see it take effect minutes later.
@@ -87,7 +88,8 @@
         return self._report(publish, self._configuration.result(publish.record_id))
 
     async def _append(self, publish: Publish) -> None:
-        with trio.move_on_after(self._timeout_s) as scope:
+        started = self._timer.now()
+        with trio.move_on_at(started + self._timeout_s) as scope:
             await self._appender.append(publish)
         if scope.cancelled_caught:
             raise LogAnswerLostError(
@@ -185,15 +187,11 @@
 
 
 class Snapshotter:
-    """Appends snapshots of the configuration while this process holds the lease.
-
-    Snapshots by a process that lost the lease are harmless: each is a state of the log at a
-    known offset. The lease only keeps all entries from writing them.
+    """Appends snapshots of the configuration, so that the log may drop older records.
 
     Args:
         publisher: Gives the writer to the stream.
         configuration: Fold over the stream.
-        lease: The controller lease.
         events: Event log.
         timer: Source of time.
         max_age_s: Seconds after which a snapshot is replaced; the log must retain records
@@ -205,7 +203,6 @@
         self,
         publisher: Publisher,
         configuration: Configuration,
-        lease: Lease,
         events: EventLog,
         timer: Timer,
         *,
@@ -214,18 +211,18 @@
     ) -> None:
         self._publisher = publisher
         self._configuration = configuration
-        self._lease = lease
         self._events = events
         self._timer = timer
         self._max_age_s = max_age_s
         self._max_records = max_records
 
-    async def run(self) -> None:
-        """Check periodically until cancelled."""
-        while True:
-            await trio.sleep(SNAPSHOT_CHECK_S)
-            if self._lease.term is not None and self._is_due():
-                await self._append()
+    async def append_if_due(self) -> bool:
+        """Append a snapshot if the newest one is too old; return whether that was done.
+
+        The lease holder calls this periodically. A snapshot by a process that has lost the
+        lease is harmless: each is a state of the log at a known offset.
+        """
+        return self._is_due() and await self._append()
 
     def _is_due(self) -> bool:
         configuration = self._configuration
@@ -238,13 +235,14 @@
         age_ms = self._timer.wall_ms() - configuration.snapshot_time_ms
         return age_ms >= self._max_age_s * MS_PER_S
 
-    async def _append(self) -> None:
+    async def _append(self) -> bool:
         snapshot = self._configuration.create_snapshot(str(uuid.uuid4()))
         try:
             with trio.fail_after(PUBLISH_TIMEOUT_S):
                 await self._publisher.appender.append(snapshot)
         except (LogError, trio.TooSlowError):
-            return  # The follower reports an unavailable log; the next check tries again.
+            return False  # The follower reports an unavailable log; the next check tries again.
         self._events.record(
             Event.CONFIG_SNAPSHOT, revision=snapshot.revision, entries=len(snapshot.entries)
         )
+        return True
--- a/figwalk/state/claims.py
+++ b/figwalk/state/claims.py
@@ -36,6 +36,8 @@
         claim_offset: Offset of the batch with the claim.
         time_ms: Record time of that batch.
         expires_ms: Record time from which another claim of the key wins.
+        certain: Whether the claim is known to have won. After a gap, a claim that was dropped
+            unread may hold the key instead, and this one must not be sent.
         outcome: Recorded answer, or None.
     """
 
@@ -43,6 +45,7 @@
     claim_offset: int
     time_ms: int
     expires_ms: int
+    certain: bool = True
     outcome: Outcome | None = None
 
 
@@ -51,6 +54,10 @@
 
     The first claim of a free key wins. Claims compete by record times and by the key memory
     that their own batches name, never by a local clock or limit, so that all readers agree.
+
+    After a gap this reader can't know which claims won until the key memory has passed. A key
+    claimed in that time stays uncertain until no claim of it was read for the key memory; by
+    then it is free for every reader, whoever held it.
     """
 
     def __init__(self) -> None:
@@ -77,9 +84,7 @@
 
         An entry refuses keyed calls while it does not.
         """
-        if self._complete_since_ms == 0:
-            return True
-        return self._newest_ms - self._complete_since_ms >= key_memory_s * MS_PER_S
+        return self._newest_ms >= self._certain_from_ms(int(key_memory_s * MS_PER_S))
 
     def __len__(self) -> int:
         return len(self._keys)
@@ -88,7 +93,19 @@
         """Return the winning claim of a key, or None if the key is free or forgotten."""
         return self._keys.get((service, organisation, key))
 
+    def _certain_from_ms(self, memory_ms: int) -> int:
+        """Return the record time from which no claim dropped unread can hold a key.
+
+        A repeated record counts only while its id is remembered, which takes as long.
+        """
+        if self._complete_since_ms == 0:
+            return 0
+        return self._complete_since_ms + max(memory_ms, RECENT_IDS_WINDOW_MS)
+
     def _enter_gap(self, offset: int) -> None:
+        self._keys.clear()
+        self._key_of_claim.clear()
+        self._expiries.clear()
         self._complete_since_ms = NEVER_MS
         self._gap_open = True
 
@@ -113,23 +130,37 @@
         # A claim that comes later in the log than its release must not win either.
         self._released.add(release.claim_id, record.offset, record.time_ms)
         key = self._key_of_claim.get(release.claim_id)
-        if key is not None and self._keys[key].outcome is None:
+        if key is None:
+            return
+        present = self._keys[key]
+        if present.certain and present.outcome is None:
             self._forget(key)
 
     def _fold_claim(self, record: StoredRecord, claim: Claim, key_memory_s: float) -> None:
         if claim.claim_id in self._released:
             return
         key = (claim.service, claim.organisation, claim.key)
+        memory_ms = int(key_memory_s * MS_PER_S)
+        certain_from_ms = self._certain_from_ms(memory_ms)
+        expires_ms = max(record.time_ms + memory_ms, certain_from_ms)
         present = self._keys.get(key)
+        if present is not None and record.time_ms < present.expires_ms:
+            if not present.certain:
+                self._extend(key, expires_ms)
+            return
         if present is not None:
-            if record.time_ms < present.expires_ms:
-                return
             self._forget(key)
-        expires_ms = record.time_ms + int(key_memory_s * MS_PER_S)
-        self._keys[key] = KeyRecord(claim, record.offset, record.time_ms, expires_ms)
+        certain = record.time_ms >= certain_from_ms
+        self._keys[key] = KeyRecord(claim, record.offset, record.time_ms, expires_ms, certain)
         self._key_of_claim[claim.claim_id] = key
         heapq.heappush(self._expiries, (expires_ms, claim.claim_id))
 
+    def _extend(self, key: Key, expires_ms: int) -> None:
+        present = self._keys[key]
+        if expires_ms > present.expires_ms:
+            self._keys[key] = attrs.evolve(present, expires_ms=expires_ms)
+            heapq.heappush(self._expiries, (expires_ms, present.claim.claim_id))
+
     def _fold_outcome(self, outcome: Outcome) -> None:
         key = self._key_of_claim.get(outcome.claim_id)
         if key is not None and self._keys[key].outcome is None:
@@ -139,7 +170,7 @@
         while self._expiries and self._expiries[0][0] <= time_ms:
             _, claim_id = heapq.heappop(self._expiries)
             key = self._key_of_claim.get(claim_id)
-            if key is not None:
+            if key is not None and self._keys[key].expires_ms <= time_ms:
                 self._forget(key)
 
     def _forget(self, key: Key) -> None:
