--- a/figwalk/coordination/log_follower.py
+++ b/figwalk/coordination/log_follower.py
@@ -80,8 +80,10 @@
     async def run(self) -> None:
         """Follow the stream until cancelled."""
         while True:
+            # The first read and the one after a failure show at once whether the log answers.
+            wait_ms = LONG_POLL_MS if self._available else 0
             try:
-                await self._read_page(LONG_POLL_MS)
+                await self._read_page(wait_ms)
             except LogError:
                 await trio.sleep(self._backoff.next_delay())
             else:
