--- a/figwalk/coordination/claim_writer.py
+++ b/figwalk/coordination/claim_writer.py
@@ -21,7 +21,7 @@
 from figwalk.state.published import Limits
 from figwalk.timer import Timer
 
-CLAIM_TIMEOUT_S = 2.0
+CLAIM_TIMEOUT_S = 5.0  # Leaves time to look up an append whose answer took the log timeout.
 RETRY_AFTER_MS = 1000
 MAX_BATCH_RECORDS = 200
 MAX_BATCH_BYTES = 256 * 1024
--- a/figwalk/coordination/lease.py
+++ b/figwalk/coordination/lease.py
@@ -159,7 +159,8 @@
             return max(VACANCY_MS / MS_PER_S, self._ttl_s) * PROBE_MARGIN
         if self._control.term == NO_OFFSET:
             return 0.0
-        return max(self._control.last_ttl_s, self._ttl_s)
+        # Past the vacancy time a claim wins anyway, whatever time the last claim named.
+        return min(max(self._control.last_ttl_s, self._ttl_s), VACANCY_MS / MS_PER_S)
 
     async def _claim(self) -> None:
         claim = LeaseClaim(
--- a/figwalk/protocol/records.py
+++ b/figwalk/protocol/records.py
@@ -68,7 +68,13 @@
 
 @attrs.frozen
 class Snapshot:
-    """The whole configuration at a revision, so that older records are no longer needed."""
+    """The whole configuration, so that older records are no longer needed.
+
+    Attributes:
+        record_id: Unique id of the record.
+        revision: Offset up to which it covers the log.
+        entries: All paths, with deleted ones.
+    """
 
     record_id: str
     revision: int
--- a/figwalk/state/claims.py
+++ b/figwalk/state/claims.py
@@ -9,6 +9,7 @@
 
 from figwalk.protocol.records import Claim, ClaimBatch, Outcome, Record, Release
 from figwalk.state.log_fold import LogFold, RecentIds
+from figwalk.state.value_parser import MAX_KEY_MEMORY_S
 from figwalk.timer import MS_PER_S
 
 if TYPE_CHECKING:
@@ -84,7 +85,7 @@
 
         An entry refuses keyed calls while it does not.
         """
-        return self._newest_ms >= self._certain_from_ms(int(key_memory_s * MS_PER_S))
+        return self._newest_ms >= self._certain_from_ms(_to_memory_ms(key_memory_s))
 
     def __len__(self) -> int:
         return len(self._keys)
@@ -140,7 +141,7 @@
         if claim.claim_id in self._released:
             return
         key = (claim.service, claim.organisation, claim.key)
-        memory_ms = int(key_memory_s * MS_PER_S)
+        memory_ms = _to_memory_ms(key_memory_s)
         certain_from_ms = self._certain_from_ms(memory_ms)
         expires_ms = max(record.time_ms + memory_ms, certain_from_ms)
         present = self._keys.get(key)
@@ -175,3 +176,9 @@
 
     def _forget(self, key: Key) -> None:
         del self._key_of_claim[self._keys.pop(key).claim.claim_id]
+
+
+def _to_memory_ms(key_memory_s: float) -> int:
+    # A batch of another writer may name any number, also one that is not finite.
+    valid = 0 <= key_memory_s <= MAX_KEY_MEMORY_S
+    return int((key_memory_s if valid else MAX_KEY_MEMORY_S) * MS_PER_S)
--- a/figwalk/state/configuration.py
+++ b/figwalk/state/configuration.py
@@ -264,9 +264,11 @@
         return self._parsed[path]
 
     def _parse_all(self, prefix: str) -> dict[str, Any]:
-        paths = [path for path in self._in_force if path.startswith(prefix)]
-        values = {path.removeprefix(prefix): self._parse(path) for path in paths}
-        return {name: value for name, value in values.items() if value is not None}
+        if prefix not in self._parsed:
+            paths = [path for path in self._in_force if path.startswith(prefix)]
+            values = {path.removeprefix(prefix): self._parse(path) for path in paths}
+            self._parsed[prefix] = {k: value for k, value in values.items() if value is not None}
+        return dict(self._parsed[prefix])
 
 
 def _merge(entries: Entries, newer: list[ConfigEntry]) -> None:
--- a/figwalk/state/value_parser.py
+++ b/figwalk/state/value_parser.py
@@ -26,6 +26,7 @@
 
 ROLE_POLICIES = ("adaptive", "threshold", "fixed")
 ROUTING_POLICIES = ("predicted", "least_load", "round_robin")
+MAX_KEY_MEMORY_S = 31_536_000  # One year.
 SERVICE_KINDS = ("model", "plain")
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
 
@@ -110,7 +111,13 @@
 def _list_faults(path: str, error: Exception) -> list[str]:
     if not isinstance(error, cattrs.BaseValidationError):
         return [f"{path}: {error}"]
-    return cattrs.transform_error(error, path=path, format_exception=_format_fault)
+    faults = cattrs.transform_error(error, path=path, format_exception=_format_fault)
+    return [_put_path_first(fault) for fault in faults]
+
+
+def _put_path_first(fault: str) -> str:
+    text, _, where = fault.rpartition(" @ ")
+    return f"{where}: {text}"
 
 
 def _format_fault(error: BaseException, _: type | None) -> str:
@@ -158,7 +165,7 @@
 
 
 def _check_limits(limits: Limits) -> list[str]:
-    return _require_positive("key_memory_s", limits.key_memory_s)
+    return _require_range("key_memory_s", limits.key_memory_s, 1, MAX_KEY_MEMORY_S)
 
 
 _RANGE_CHECKS: dict[type, Callable[[Any], list[str]]] = {
