--- a/figwalk/coordination/router.py
+++ b/figwalk/coordination/router.py
@@ -27,6 +27,9 @@
 UNMEASURED_DECODE_TOKENS_PER_S = 1_000.0
 UNMEASURED_WEAK_SIDE = 0.25
 
+# Part of a step of continuous batching that does not depend on the number of calls in it.
+STEP_BASE_S = 0.01
+
 # Answers usually end well before `max_tokens`, so that a choice by the whole length would only
 # look at the time between tokens.
 WEIGHED_OUTPUT_TOKENS = 256
@@ -105,7 +108,7 @@
         report = view.report or LoadReport(0, view.name)
         load = view.predicted
         matched = self._count_matched_tokens(request, view, now)
-        wait_s = self._predict_wait_s(report, load)
+        wait_s = self._predict_wait_s(report, load, view.sent_backlog_tokens(now))
         prompt_s = (request.prompt_tokens - matched) / prefill_speed(report)
         return Choice(
             view.name,
@@ -120,10 +123,10 @@
         pieces = self._prefixes.count_matched(view.name, request.pieces, now)
         return min(pieces * PIECE_TOKENS, request.prompt_tokens)
 
-    def _predict_wait_s(self, report: LoadReport, load: PredictedLoad) -> float:
+    def _predict_wait_s(self, report: LoadReport, load: PredictedLoad, sent_tokens: float) -> float:
         """Return the time until the prefill of a new call begins."""
         queue_s = report.queue_wait_ms / MS_PER_S
-        backlog_s = load.prompt_tokens / prefill_speed(report)
+        backlog_s = max(load.prompt_tokens, sent_tokens) / prefill_speed(report)
         return max(queue_s, backlog_s, self._predict_slot_wait_s(report, load))
 
     def _predict_slot_wait_s(self, report: LoadReport, load: PredictedLoad) -> float:
@@ -137,9 +140,12 @@
         return drain_s * excess / (load.calls + 1)
 
     def _predict_between_tokens_s(self, report: LoadReport, load: PredictedLoad) -> float:
-        """Return the time between tokens when the generation speed is shared evenly."""
-        sharing = min(load.calls + 1, max(report.max_running, 1))
-        return sharing / decode_speed(report)
+        """Return the time of a step with one more call; the report has the full batch's speed."""
+        places = max(report.max_running, 1)
+        full_step_s = places / decode_speed(report)
+        base_s = min(STEP_BASE_S, full_step_s / 2)
+        sharing = min(load.calls + 1, places)
+        return base_s + (full_step_s - base_s) * sharing / places
 
 
 class RoutingPolicy(ABC):
--- a/figwalk/state/fleet.py
+++ b/figwalk/state/fleet.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Collection, Sequence
 
 import attrs
 
-from figwalk.protocol.messages import BackendState, LoadReport
+from figwalk.protocol.messages import BackendState, LoadReport, Role
+from figwalk.state.demand import CallClass, DemandProfile
 from figwalk.state.mix import MixEstimate, MixEstimator
 from figwalk.state.prefixes import PrefixIndex
 from figwalk.state.settings import Address
@@ -17,6 +19,8 @@
 # is harmless, missing it makes a busy backend server look idle.
 REPORT_TRANSIT_S = 0.05
 
+ROLE_CHANGES_KEPT = 64  # For each service; the role policy looks back about ten minutes.
+
 
 @attrs.frozen
 class SentCall:
@@ -50,6 +54,25 @@
     output_tokens: int = 0
 
 
+@attrs.frozen
+class RoleChange:
+    """A change of role that load reports showed.
+
+    Attributes:
+        backend: Backend server.
+        before: Role until then.
+        after: Role since then.
+        at: When the first report with the new role arrived.
+        away_s: Seconds that the backend server was reported as changing.
+    """
+
+    backend: str
+    before: Role
+    after: Role
+    at: float
+    away_s: float
+
+
 class _CallSet:
     """Calls in flight with running totals, so that a routing decision sums nothing."""
 
@@ -132,6 +155,11 @@
         self._leaving = False
         self._in_flight = _CallSet()
         self._unreported = _CallSet()
+        self._entry_count = 1
+        self._sent_prompt_tokens = 0.0
+        self._sent_prompt_at = 0.0
+        self._role: Role | None = None
+        self._changing_since: float | None = None
 
     @property
     def name(self) -> str:
@@ -195,19 +223,36 @@
 
     @property
     def predicted(self) -> PredictedLoad:
-        """The newest report and what this entry has sent since.
+        """The newest report and what the entries have sent since, as much each as this one.
 
-        What this entry has in flight is a lower bound of the number of calls: a backend server
-        whose report lags by more than it says must not look idle to the one that keeps it busy.
+        What this entry has in flight is a lower bound of the number of calls, and half of its
+        tokens of the output: a backend server whose report lags by more than it says must not
+        look idle to the one that keeps it busy.
         """
         report = self._report or LoadReport(0, self._name)
         reported_calls = report.running + report.queued
+        entries = self._entry_count
         return PredictedLoad(
-            max(reported_calls + len(self._unreported), len(self._in_flight)),
-            report.queued_prompt_tokens + self._unreported.prompt_tokens,
-            report.queued_output_tokens + self._unreported.output_tokens,
+            max(reported_calls + entries * len(self._unreported), len(self._in_flight)),
+            report.queued_prompt_tokens + entries * self._unreported.prompt_tokens,
+            max(
+                report.queued_output_tokens + entries * self._unreported.output_tokens,
+                self._in_flight.output_tokens // 2,
+            ),
         )
 
+    def sent_backlog_tokens(self, now: float) -> float:
+        """Return the prompt tokens of the entries that can't have been processed yet.
+
+        It takes the reported speed, and the other entries' calls to be as many as this one's, but
+        not the reported queue, so that it holds when an engine wrongly reports none.
+        """
+        speed = self._report.prefill_tokens_per_s if self._report else 0.0
+        if speed <= 0:
+            return 0.0
+        processed = speed * (now - self._sent_prompt_at)
+        return max(0.0, self._sent_prompt_tokens - processed)
+
     def is_fresh(self, now: float, report_timeout_s: float) -> bool:
         """Return whether a report arrived within the timeout."""
         return self._report is not None and now - self._reported_at <= report_timeout_s
@@ -226,6 +271,7 @@
         self._leaving = False
         self._in_flight = _CallSet()
         self._unreported = _CallSet()
+        self._sent_prompt_tokens = 0.0
         return True
 
     def update_report(self, report: LoadReport, now: float) -> bool:
@@ -238,16 +284,41 @@
         self._unreported.discard_until(now - age_s - REPORT_TRANSIT_S)
         return True
 
+    def take_role_change(self, now: float) -> RoleChange | None:
+        """Return the change of role that the newest report completes, once.
+
+        The role outlives the agent's incarnation, so that an agent that restarts while its engine
+        changes hides no change.
+        """
+        if self._report.state is BackendState.CHANGING:
+            if self._changing_since is None:
+                self._changing_since = now
+            return None
+        before, self._role = self._role, self._report.role
+        since, self._changing_since = self._changing_since, None
+        if before in (None, self._role):
+            return None
+        away_s = now - since if since is not None else 0.0
+        return RoleChange(self._name, before, self._role, now, away_s)
+
     def set_model(self, model: str | None) -> None:
         """Set the loaded model."""
         self._model = model
 
+    def set_entry_count(self, count: int) -> None:
+        """Set how many entries send calls to the backend server."""
+        self._entry_count = count
+
     def set_leaving(self) -> None:
         """Give no new work to this incarnation."""
         self._leaving = True
 
     def add_call(self, call: SentCall) -> None:
         """Add a call that this entry sent."""
+        self._sent_prompt_tokens = (
+            self.sent_backlog_tokens(call.sent_at) + self._entry_count * call.prompt_tokens
+        )
+        self._sent_prompt_at = call.sent_at
         self._in_flight.add(call)
         self._unreported.add(call)
 
@@ -275,7 +346,10 @@
         self._backends: dict[str, BackendView] = {}
         self._by_service: dict[str, dict[str, BackendView]] = {}
         self._mixes: dict[str, MixEstimator] = {}
+        self._profiles: dict[str, DemandProfile] = {}
+        self._role_changes: dict[str, deque[RoleChange]] = {}
         self._withdrawn: frozenset[str] = frozenset()
+        self._entry_count = 1
 
     @property
     def prefixes(self) -> PrefixIndex:
@@ -310,6 +384,7 @@
             view = BackendView(
                 name, service, zone=zone, region=region, address=address, incarnation=incarnation
             )
+            view.set_entry_count(self._entry_count)
             self._backends[name] = view
             self._by_service.setdefault(service, {})[name] = view
             return view
@@ -356,6 +431,10 @@
         if not view.update_report(report, now):
             return False
         self._mixes.setdefault(view.service, MixEstimator()).observe(report, now)
+        change = view.take_role_change(now)
+        if change is not None:
+            kept = self._role_changes.setdefault(view.service, deque(maxlen=ROLE_CHANGES_KEPT))
+            kept.append(change)
         return True
 
     def note_sent(
@@ -381,6 +460,8 @@
             return
         now = self._timer.now()
         view.add_call(SentCall(call_id, prompt_tokens, output_tokens, now))
+        profile = self._profiles.setdefault(view.service, DemandProfile())
+        profile.note_call(prompt_tokens, output_tokens, now)
         self._prefixes.note_stored(backend, pieces, now)
 
     def note_finished(self, backend: str, call_id: int) -> None:
@@ -401,6 +482,17 @@
         if view is not None:
             view.set_model(model)
 
+    def set_entry_count(self, count: int) -> None:
+        """Set the number of live entries.
+
+        The load balancer spreads callers evenly, so that since the last report the others have
+        sent about as much as this entry. Without them an engine that looks idle is overloaded by
+        the entries together before the next report.
+        """
+        self._entry_count = max(1, count)
+        for view in self._backends.values():
+            view.set_entry_count(self._entry_count)
+
     def set_withdrawn(self, backends: Collection[str]) -> None:
         """Set the backend servers that the configuration in force withdraws."""
         self._withdrawn = frozenset(backends)
@@ -430,6 +522,19 @@
         estimator = self._mixes.get(service)
         return estimator.estimate(self._timer.now()) if estimator else MixEstimate()
 
+    def call_classes(self, service: str) -> tuple[CallClass, ...]:
+        """Return the profile of the calls that this entry sends to a service."""
+        profile = self._profiles.get(service)
+        return profile.classes(self._timer.now()) if profile else ()
+
+    def role_changes(self, service: str) -> tuple[RoleChange, ...]:
+        """Return the changes of role seen in a service, oldest first."""
+        return tuple(self._role_changes.get(service, ()))
+
+    def is_fresh(self, view: BackendView) -> bool:
+        """Return whether a report arrived within the timeout."""
+        return view.is_fresh(self._timer.now(), self._report_timeout_s)
+
     def _takes_work(self, view: BackendView, now: float) -> bool:
         if view.leaving or not view.is_fresh(now, self._report_timeout_s):
             return False
