--- /dev/null
+++ b/tests/test_roles.py
@@ -0,0 +1,361 @@
+from itertools import product
+
+import attrs
+import pytest
+import trio
+
+from figwalk.coordination._role_model import (
+    EngineGroup,
+    EngineSpeed,
+    estimate_goodput,
+    estimate_utilisation,
+)
+from figwalk.coordination._role_rules import can_decode, can_prefill, find_violation
+from figwalk.coordination.role_controller import (
+    AdaptivePolicy,
+    EngineView,
+    FixedPolicy,
+    RoleController,
+    RoleDecision,
+    RolePolicy,
+    ServiceView,
+    ThresholdPolicy,
+    build_service_view,
+    make_role_policy,
+)
+from figwalk.errors import LogAnswerLostError, LogUnavailableError, SettingsError
+from figwalk.events import Event, EventLog
+from figwalk.protocol.messages import BackendState, Role
+from figwalk.state.demand import CallClass
+from figwalk.state.fleet import PredictedLoad, RoleChange
+from figwalk.state.mix import MixEstimate, TokenRates
+from figwalk.state.published import Preset
+from tests.policy_fakes import ManualTimer, make_fleet, make_report
+
+# Prompt and generated tokens a second, as the engine stand-in has them.
+SPEEDS = {Role.PREFILL: (23_800, 235), Role.MIXED: (10_000, 900), Role.DECODE: (3_500, 1_780)}
+LOGS = CallClass(40_000, 400)
+LOGS_ONLY = (CallClass(60_000, 100),)
+CHAT = CallClass(500, 4_000)
+AWAY_S = 5.0
+
+
+def make_engine(backend, role=Role.MIXED, **fields):
+    prefill, decode = SPEEDS[role]
+    return EngineView(
+        backend, role, prefill_tokens_per_s=prefill, decode_tokens_per_s=decode, **fields
+    )
+
+
+def make_view(roles, classes=(LOGS, CHAT), changes=(), **engine_fields):
+    engines = tuple(make_engine(f"e{n}", role, **engine_fields) for n, role in enumerate(roles))
+    prompt = sum(item.prompt_per_s for item in classes)
+    output = sum(item.output_per_s for item in classes)
+    rates = TokenRates(prompt, output)
+    return ServiceView("llm", engines, MixEstimate(rates, rates, 600.0), tuple(classes), changes)
+
+
+class SmallService:
+    """Four engines that carry out orders in `AWAY_S` seconds under a given course of demand."""
+
+    def __init__(self, demand):
+        self.demand = demand
+        self.roles = [Role.MIXED] * 4
+        self.changed_at = [-1000.0] * 4
+        self.changes = []
+
+    def view(self, now):
+        """Return the view at a time."""
+        view = make_view(self.roles, self.demand(now), tuple(self.changes))
+        engines = [
+            attrs.evolve(
+                engine,
+                changed_s=now - at,
+                state=BackendState.CHANGING if now < at else BackendState.SERVING,
+            )
+            for engine, at in zip(view.engines, self.changed_at, strict=True)
+        ]
+        return attrs.evolve(view, engines=tuple(engines))
+
+    def run(self, policy, until_s):
+        """Ask a policy every 5 s and return the number of changes."""
+        for now in range(0, until_s, 5):
+            decision = policy.decide(self.view(now), now)
+            if decision is not None:
+                self.change(int(decision.backend[1:]), decision.role, now)
+        return len(self.changes)
+
+    def change(self, index, role, now):
+        """Let an engine change."""
+        at = now + AWAY_S
+        self.changes.append(RoleChange(f"e{index}", self.roles[index], role, at, AWAY_S))
+        self.roles[index] = role
+        self.changed_at[index] = at
+
+
+def swing(period_s):
+    """Return a demand that changes between prompt-heavy and output-heavy."""
+    return lambda now: (
+        (LOGS, CallClass(200, 300)) if now // period_s % 2 == 0 else (CallClass(3_000, 50), CHAT)
+    )
+
+
+def test_no_plan_takes_the_last_engine_that_can_prefill_or_decode():
+    """Guards against a service that can't serve long prompts or long answers during a change."""
+    for roles in product(Role, repeat=3):
+        view = make_view(roles)
+        for index, target in product(range(3), Role):
+            others = [role for n, role in enumerate(roles) if n != index]
+            suffices = any(map(can_prefill, others)) and any(map(can_decode, others))
+            allowed = not find_violation(view, f"e{index}", target)
+            assert allowed == (suffices and roles[index] is not target)
+    assert find_violation(make_view([Role.MIXED]), "e0", Role.PREFILL)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"state": BackendState.CHANGING},
+        {"state": BackendState.DOWN},
+        {"state": BackendState.LEAVING},
+        {"fresh": False},
+        {"order_newest": 7, "order_done": 3},
+    ],
+    ids=str,
+)
+def test_no_second_engine_changes_while_one_is_away_or_has_an_open_order(fields):
+    """Guards against two engines of a service away at the same time."""
+    view = make_view([Role.MIXED] * 4)
+    engines = (*view.engines[:3], attrs.evolve(view.engines[3], **fields))
+    view = attrs.evolve(view, engines=engines)
+    for index in range(4):
+        assert find_violation(view, f"e{index}", Role.PREFILL)
+
+
+def test_withdrawn_engine_is_not_changed_and_does_not_block_or_count():
+    """Guards against changing a withdrawn engine, counting on it, or freezing roles beside it."""
+    view = make_view([Role.MIXED, Role.PREFILL, Role.MIXED])
+    engines = (attrs.evolve(view.engines[0], withdrawn=True), *view.engines[1:])
+    view = attrs.evolve(view, engines=engines)
+    assert "withdrawn" in find_violation(view, "e0", Role.PREFILL)
+    assert "decode" in find_violation(view, "e2", Role.PREFILL)
+    assert not find_violation(view, "e1", Role.MIXED)
+
+
+def test_specialised_roles_pay_for_different_calls_but_not_for_uniform_ones():
+    """Guards against splitting roles for calls that have long prompts and long answers at once."""
+    groups = {role: EngineGroup(EngineSpeed(*speed), 2) for role, speed in SPEEDS.items()}
+    split = [groups[Role.PREFILL], groups[Role.DECODE]]
+    mixed = [attrs.evolve(groups[Role.MIXED], count=4)]
+    apart = (LOGS, CHAT)
+    uniform = (CallClass(30_400, 3_300),)
+    assert estimate_utilisation(split, apart) < estimate_utilisation(mixed, apart)
+    assert estimate_utilisation(split, uniform) > estimate_utilisation(mixed, uniform)
+
+
+def test_utilisation_is_work_for_capacity():
+    """Guards against a search that ends away from the value that can be computed by hand."""
+    mixed = [EngineGroup(EngineSpeed(*SPEEDS[Role.MIXED]), 4)]
+    assert estimate_utilisation(mixed, (CallClass(10_000, 900),)) == pytest.approx(0.5, abs=1e-4)
+    assert estimate_goodput(0.0, 4) == 1.0
+    assert estimate_goodput(1.0, 4) == pytest.approx(8 / 9)
+    assert estimate_goodput(4.0, 4) == pytest.approx(0.25, abs=0.01)
+
+
+def test_adaptive_policy_follows_a_lasting_change_of_the_mix():
+    """Guards against roles that stay wrong while the service can't serve what is offered."""
+    service = SmallService(lambda _: LOGS_ONLY)
+    service.run(AdaptivePolicy(), 300)
+    assert service.roles.count(Role.PREFILL) == 3
+
+
+def test_adaptive_policy_does_nothing_at_low_load():
+    """Guards against role changes that take an engine away and gain nothing."""
+    service = SmallService(lambda _: (CallClass(5_000, 50), CallClass(50, 300)))
+    assert service.run(AdaptivePolicy(), 600) == 0
+
+
+@pytest.mark.parametrize(("period_s", "limit"), [(20, 10), (45, 10), (90, 15)])
+def test_no_flapping_under_an_oscillating_mix(period_s, limit):
+    """Guards against an engine away in each swing of a mix that comes back anyway.
+
+    There are 90, 40 and 20 swings; those of 90 s last longer than the horizon, so that following
+    some of them pays.
+    """
+    changes = SmallService(swing(period_s)).run(AdaptivePolicy(), 1800)
+    baseline = SmallService(swing(period_s)).run(ThresholdPolicy(), 1800)
+    assert 0 < changes <= limit
+    assert changes < baseline / 2
+
+
+def test_higher_weight_gives_fewer_changes():
+    """Guards against a weight without effect: one user pays more for a change than the other."""
+    counts = [
+        SmallService(swing(120)).run(AdaptivePolicy(role_change_weight=weight), 3600)
+        for weight in (0.5, 2.0, 50.0)
+    ]
+    assert counts[0] > counts[1] > counts[2] == 0
+
+
+def test_dwell_time_holds_an_engine_in_its_role():
+    """Guards against a second change of an engine right after its first."""
+    view = make_view([Role.MIXED] * 4, LOGS_ONLY, changed_s=29.0)
+    assert AdaptivePolicy(min_dwell_s=30.0).decide(view, 0.0) is None
+    assert AdaptivePolicy(min_dwell_s=20.0).decide(view, 0.0) is not None
+
+
+def test_busy_engine_is_not_chosen_while_an_idle_one_has_the_same_role():
+    """Guards against draining the engine that has most to lose."""
+    view = make_view([Role.MIXED] * 4, LOGS_ONLY)
+    busy = [
+        attrs.evolve(engine, load=PredictedLoad(9, 10_000, 9_000)) for engine in view.engines[:3]
+    ]
+    view = attrs.evolve(view, engines=(*busy, view.engines[3]))
+    assert AdaptivePolicy().decide(view, 0.0).backend == "e3"
+
+
+def test_policies_by_name():
+    """Guards against a preset that names one policy and gets another."""
+    assert isinstance(make_role_policy(Preset()), AdaptivePolicy)
+    assert isinstance(make_role_policy(Preset(role_policy="threshold")), ThresholdPolicy)
+    fixed = make_role_policy(Preset(role_policy="fixed"))
+    assert fixed.decide(make_view([Role.MIXED] * 4, LOGS_ONLY), 0.0) is None
+    with pytest.raises(SettingsError, match="role_policy"):
+        make_role_policy(Preset(role_policy="static"))
+
+
+def test_service_view_shows_orders_changes_and_leaving_engines():
+    """Guards against a view that hides what the invariants need."""
+    timer = ManualTimer()
+    fleet = make_fleet(timer, ["a", "b", "c"])
+    fleet.register("d", "llm")
+    for sequence, state, role in (
+        (2, BackendState.CHANGING, Role.MIXED),
+        (3, BackendState.SERVING, Role.PREFILL),
+    ):
+        timer.time += 0.4
+        fleet.update_report(make_report("a", sequence, state=state, role=role, order_offset=5))
+    fleet.mark_leaving("b")
+    timer.time += 0.5
+    view = build_service_view(fleet, "llm", lambda name: 9 if name == "a" else -1, timer.now())
+    a, b, c, d = view.engines
+    assert (a.role, a.order_open, a.changed_s) == (Role.PREFILL, True, pytest.approx(0.5))
+    assert view.changes[0].away_s == pytest.approx(0.4)
+    assert b.state is BackendState.LEAVING
+    assert not c.fresh
+    assert not d.fresh
+
+
+class Lease:
+    """A lease held at term 3."""
+
+    term = 3
+
+
+class Appender:
+    """Keeps orders, and fails if told to."""
+
+    def __init__(self):
+        self.orders = []
+        self.error = None
+
+    async def append_order(self, backend, role, reason):
+        """Keep an order."""
+        self.orders.append((backend, role))
+        if self.error is not None:
+            raise self.error
+
+
+class RecklessPolicy(RolePolicy):
+    """Always wants the same change, allowed or not."""
+
+    def decide(self, view, now):
+        """Return the change."""
+        return RoleDecision("e0", Role.DECODE, "test")
+
+
+class Bench:
+    """A controller with fakes around it."""
+
+    def __init__(self, monkeypatch, roles):
+        self.timer = ManualTimer()
+        self.events = EventLog("entry-1", self.timer)
+        self.lease = Lease()
+        self.appender = Appender()
+        self.view = make_view(roles, LOGS_ONLY)
+        monkeypatch.setattr(
+            "figwalk.coordination.role_controller.make_role_policy", lambda _: RecklessPolicy()
+        )
+        self.controller = RoleController(
+            self.timer,
+            self.events,
+            self.lease,
+            self.appender,
+            services=lambda: ["llm"],
+            view=lambda _: self.view,
+            preset=Preset,
+        )
+
+    def control(self, rounds=1):
+        """Run rounds and return the number of orders so far."""
+        for _ in range(rounds):
+            trio.run(self.controller.control)
+        return len(self.appender.orders)
+
+    def decisions(self):
+        """Return the fields of the recorded decisions."""
+        return [e.fields for e in self.events.select() if e.number == Event.ROLE_DECIDED.number]
+
+
+def test_controller_appends_nothing_without_the_lease(monkeypatch):
+    """Guards against orders from a process that has no authority."""
+    bench = Bench(monkeypatch, [Role.MIXED] * 4)
+    bench.lease.term = None
+    assert bench.control() == 0
+
+
+def test_controller_refuses_what_a_policy_may_not_do(monkeypatch):
+    """Guards against a faulty policy that takes the last prefill engine."""
+    bench = Bench(monkeypatch, [Role.PREFILL, Role.DECODE, Role.DECODE])
+    assert bench.control() == 0
+    assert "last engine" in bench.decisions()[0]["detail"]
+
+
+def test_controller_waits_until_it_reads_its_order(monkeypatch):
+    """Guards against a second order while the log follower lags behind the first."""
+    bench = Bench(monkeypatch, [Role.MIXED] * 4)
+    assert bench.control(rounds=5) == 1
+    assert bench.decisions()[0]["gain_s"] == "0.000"
+    engine = attrs.evolve(bench.view.engines[0], order_newest=8, order_done=8)
+    bench.view = attrs.evolve(bench.view, engines=(engine, *bench.view.engines[1:]))
+    assert bench.control() == 2
+
+
+@pytest.mark.parametrize(
+    ("error", "rounds_until_retry"),
+    [(LogUnavailableError("down"), 1), (LogAnswerLostError("lost"), 60)],
+    ids=["not written", "perhaps written"],
+)
+def test_order_without_answer_blocks_the_next_one(monkeypatch, error, rounds_until_retry):
+    """Guards against a second order while a lost first one may still appear in the log."""
+    bench = Bench(monkeypatch, [Role.MIXED] * 4)
+    bench.appender.error = error
+    bench.control()
+    for _ in range(rounds_until_retry - 1):
+        bench.timer.time += 1
+        assert bench.control() == 1
+    bench.timer.time += 1
+    assert bench.control() == 2
+
+
+def test_new_term_forgets_orders_of_the_old_one(monkeypatch):
+    """Guards against waiting forever for an order that the log ignored as stale."""
+    bench = Bench(monkeypatch, [Role.MIXED] * 4)
+    bench.control()
+    bench.lease.term = 12
+    assert bench.control() == 2
+
+
+def test_fixed_policy_keeps_roles():
+    """Guards against changes during maintenance."""
+    assert FixedPolicy().decide(make_view([Role.MIXED] * 4, LOGS_ONLY), 0.0) is None
