--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,136 @@
+import json
+
+import attrs
+import pytest
+import trio
+import trio.testing
+
+from figwalk.coordination.membership import Membership, Vm, VmKind, VmState
+from figwalk.errors import HttpError
+from figwalk.events import Event, EventLog
+from figwalk.timer import Timer
+from figwalk.transport import HttpClient, HttpServer
+from tests.policy_fakes import ManualTimer
+
+A = Vm("a", VmKind.BACKEND, VmState.LIVE, "127.0.0.1", 7001, "north-a", "north", "llm")
+B = attrs.evolve(A, id="b", port=7002)
+
+
+def render(*vms):
+    return json.dumps({"vms": [attrs.asdict(vm) for vm in vms]}).encode()
+
+
+@attrs.frozen
+class FakeResponse:
+    """Answer with a status only."""
+
+    status: int
+
+
+class FakeClient:
+    """Gives the next prepared body, status or error."""
+
+    address = "127.0.0.1:9"
+
+    def __init__(self, *answers):
+        self._answers = list(answers)
+
+    async def fetch(self, method, target):
+        """Return the next answer; one that is None never comes."""
+        assert (method, target) == ("GET", "/vms")
+        answer = self._answers.pop(0)
+        if answer is None:
+            await trio.sleep_forever()
+        if isinstance(answer, Exception):
+            raise answer
+        if isinstance(answer, int):
+            return FakeResponse(answer), b"{}"
+        return FakeResponse(200), answer
+
+
+def poll_all(*answers):
+    """Return the changes after all answers, the membership and its events."""
+    events = EventLog("entry-1", ManualTimer())
+    membership = Membership(FakeClient(*answers), ManualTimer(), events)
+    changes = []
+    membership.subscribe(lambda change: changes.append(f"{change.kind} {change.vm.id}"))
+
+    async def poll():
+        for _ in answers:
+            await membership.poll()
+
+    trio.run(poll, clock=trio.testing.MockClock(autojump_threshold=0))
+    return changes, membership, events
+
+
+def test_changes_are_told_once():
+    """Guards against missed and repeated calls of subscribers."""
+    leaving = attrs.evolve(A, state=VmState.LEAVING)
+    answers = [render(A), render(A, B), render(leaving, B), render(leaving, B), *[render(B)] * 3]
+    changes, membership, _ = poll_all(*answers)
+    assert changes == ["joined a", "joined b", "leaving a", "gone a"]
+    assert membership.vms == (B,)
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [503, HttpError("reset"), None, b"not json", b"[]", b'{"vms": [{"id": "a"}]}', b"\xff"],
+    ids=repr,
+)
+def test_last_list_stays_while_the_list_is_down(fault):
+    """Guards against dropping the whole fleet when the platform's list fails."""
+    changes, membership, events = poll_all(render(A, B), fault, fault, fault)
+    assert changes == ["joined a", "joined b"]
+    assert membership.vms == (A, B)
+    assert not membership.available
+    numbers = [record.number for record in events.select()]
+    assert numbers.count(Event.MEMBER_LIST_UNAVAILABLE.number) == 1
+
+
+def test_one_short_list_drops_nobody():
+    """Guards against ending calls to live VMs that a single list lacks."""
+    changes, _, _ = poll_all(render(A, B), render(), render(A, B), render(B), render(A, B))
+    assert changes == ["joined a", "joined b"]
+
+
+def test_replaced_and_restarted_vms_join_anew():
+    """Guards against calls to the old address, and against avoiding a VM that came back."""
+    moved = attrs.evolve(A, address="127.0.0.2")
+    leaving = attrs.evolve(moved, state=VmState.LEAVING)
+    changes, _, _ = poll_all(render(A), render(moved), render(leaving), render(moved))
+    assert changes == ["joined a", "gone a", "joined a", "leaving a", "gone a", "joined a"]
+
+
+def test_late_subscriber_hears_of_known_vms():
+    """Guards against a part that starts after the first list and never learns of the fleet."""
+    _, membership, _ = poll_all(render(A, attrs.evolve(B, state=VmState.LEAVING)))
+    changes = []
+    membership.subscribe(lambda change: changes.append(f"{change.kind} {change.vm.id}"))
+    assert changes == ["joined a", "joined b", "leaving b"]
+
+
+def test_timer_polls_over_http():
+    """Guards against a poll that is never subscribed or a request that the list refuses."""
+
+    async def main():
+        timer = Timer()
+        events = EventLog("entry-1", timer)
+        joined = trio.Event()
+
+        async def answer(request, responder):
+            assert (request.method, request.target) == ("GET", "/vms")
+            await responder.send(200, [], render(A))
+
+        with trio.fail_after(30):
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(HttpServer(answer, events).serve, "127.0.0.1", 0)
+                client = HttpClient("127.0.0.1", port)
+                membership = Membership(client, timer, events, poll_s=0.01)
+                membership.subscribe(lambda _: joined.set())
+                membership.start()
+                nursery.start_soon(timer.run)
+                await joined.wait()
+                nursery.cancel_scope.cancel()
+        assert membership.vms == (A,)
+
+    trio.run(main)
