--- /dev/null
+++ b/figwalk/agent/call_server.py
@@ -0,0 +1,505 @@
+"""Serves call connections: one call at a time on each, from admission to the end of its answer."""
+
+from __future__ import annotations
+
+import math
+import re
+
+import attrs
+import h11
+import trio
+
+from figwalk.agent.backend_client import BackendClient, check_echo, render_call_id
+from figwalk.agent.event_stream import EventStreamCutter
+from figwalk.agent.key_memory import MAX_KEPT_BODY_BYTES, KeyMemory
+from figwalk.agent.load_reporter import LoadReporter
+from figwalk.agent.metrics import Metrics
+from figwalk.agent.serving_state import ServingState
+from figwalk.coordination.admission import AdmissionQueue, Ticket, Work
+from figwalk.errors import (
+    CallOutcome,
+    ConnectionLostError,
+    FrameTooLargeError,
+    HttpError,
+    MalformedFrameError,
+    RefusalError,
+)
+from figwalk.events import Event, EventLog
+from figwalk.protocol.messages import Answer, Call, Cancel, End, Hello, Message, Refusal
+from figwalk.protocol.peer_connection import AnswerData, PeerConnection
+from figwalk.timer import MS_PER_S, Timer
+from figwalk.transport import Headers, HttpConnectError, HttpResponse, strip_hop_by_hop
+
+HTTP_SERVICE_UNAVAILABLE = 503
+EVENT_STREAM_TYPE = "text/event-stream"
+CANCEL_TIMEOUT_S = 2.0
+# Time for the last frames of cut calls to leave the process.
+LAST_FRAMES_TIMEOUT_S = 2.0
+_USAGE_TAIL_BYTES = 512
+_COMPLETION_TOKENS = re.compile(rb'"completion_tokens"\s*:\s*(\d+)')
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """A call on its way through the agent.
+
+    Attributes:
+        call: The call.
+        scope: Cancelling it ends the call.
+        deadline: Time at which the answer is worthless, or infinity.
+        sent: Whether the backend server may have received it.
+        answered: Whether `Answer` went to the entry.
+        detached: Whether the entry is gone and the call runs on for its kept answer.
+        writing: Whether a frame is being written now.
+        byte_count: Body bytes sent to the entry.
+        complete: Whether the backend server's answer was whole.
+        cut_code: Why the call was cut, or an empty string.
+    """
+
+    call: Call
+    scope: trio.CancelScope
+    deadline: float = math.inf
+    sent: bool = False
+    answered: bool = False
+    detached: bool = False
+    writing: bool = False
+    byte_count: int = 0
+    complete: bool = False
+    cut_code: str = ""
+
+    @property
+    def keyed(self) -> bool:
+        """Whether the call may not be repeated."""
+        return bool(self.call.claim_id)
+
+    def cancel(self) -> None:
+        """End the call for its entry; a keyed call that was sent runs on."""
+        if self.keyed and self.sent:
+            self.detached = True
+        else:
+            self.cut("cancelled")
+
+    def cut(self, code: str) -> None:
+        """End the call in any case."""
+        self.cut_code = self.cut_code or code
+        self.scope.cancel()
+
+
+class CallServer:
+    """Runs the calls of all entries.
+
+    Args:
+        backend: Access to the backend server.
+        admission: Decides which calls start.
+        keys: Memory of claimed calls.
+        serving: State of the backend server.
+        reporter: Source of load reports for `End` and `Refusal`.
+        metrics: Counters.
+        events: Event log.
+        timer: Source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        backend: BackendClient,
+        admission: AdmissionQueue,
+        keys: KeyMemory,
+        serving: ServingState,
+        reporter: LoadReporter,
+        metrics: Metrics,
+        events: EventLog,
+        timer: Timer,
+    ) -> None:
+        self._backend = backend
+        self._admission = admission
+        self._keys = keys
+        self._serving = serving
+        self._reporter = reporter
+        self._metrics = metrics
+        self._events = events
+        self._timer = timer
+        self._attempts: set[Attempt] = set()
+        self._idle = trio.Event()
+        self._idle.set()
+
+    @property
+    def active(self) -> int:
+        """Calls that wait or run."""
+        return len(self._attempts)
+
+    async def wait_idle(self) -> None:
+        """Wait until no call waits or runs."""
+        while self._attempts:
+            await self._idle.wait()
+
+    async def cut_all(self, code: str) -> None:
+        """End all calls; entries get an incomplete `End` and can resume streams elsewhere."""
+        for attempt in list(self._attempts):
+            attempt.cut(code)
+        with trio.move_on_after(LAST_FRAMES_TIMEOUT_S):
+            await self.wait_idle()
+
+    async def serve(self, connection: PeerConnection, entry: Hello) -> None:
+        """Serve one call connection until it is lost."""
+        await _CallSession(self, connection, entry, self._events).run()
+
+    def open_attempt(self, call: Call) -> Attempt:
+        """Note the arrival of a call."""
+        self._events.clock.observe(call.clock)
+        attempt = Attempt(call, trio.CancelScope())
+        if call.deadline_ms:
+            attempt.deadline = self._timer.now() + call.deadline_ms / MS_PER_S
+        return attempt
+
+    async def run_call(self, attempt: Attempt, session: _CallSession) -> None:
+        """Run one call and send its whole answer or refusal."""
+        self._attempts.add(attempt)
+        if len(self._attempts) == 1:
+            self._idle = trio.Event()
+        try:
+            await self._run_to_end(attempt, session)
+        except ConnectionLostError:
+            session.lost = True
+        finally:
+            self._attempts.discard(attempt)
+            if not self._attempts:
+                self._idle.set()
+
+    async def _run_to_end(self, attempt: Attempt, session: _CallSession) -> None:
+        refusal: RefusalError | None = None
+        with attempt.scope:
+            try:
+                await self._claim_and_run(attempt, session)
+            except RefusalError as error:
+                refusal = error
+            except ConnectionLostError:
+                attempt.cancel()
+                await trio.lowlevel.checkpoint()
+        if attempt.scope.cancelled_caught:
+            refusal = self._explain_cut(attempt)
+            if attempt.sent:
+                session.start_soon(self._cancel_at_engine, attempt.call)
+        if attempt.writing or session.lost:
+            # Half a frame may have left, so nothing can follow it on this connection.
+            raise ConnectionLostError("the entry's connection can't be used further")
+        await self._send_last(attempt, refusal, session)
+
+    def _explain_cut(self, attempt: Attempt) -> RefusalError:
+        code = attempt.cut_code or "deadline"
+        outcome = CallOutcome.UNKNOWN if attempt.sent else CallOutcome.NOT_RUN
+        self._events.record(
+            Event.CALL_CANCELLED, request_id=attempt.call.request_id, code=code, outcome=outcome
+        )
+        return RefusalError(code, f"the call was cut ({code})", outcome=outcome)
+
+    async def _cancel_at_engine(self, call: Call) -> None:
+        if not self._backend.is_engine:
+            return
+        with trio.CancelScope(shield=True, deadline=trio.current_time() + CANCEL_TIMEOUT_S):
+            await self._backend.cancel(call.call_id)
+
+    async def _claim_and_run(self, attempt: Attempt, session: _CallSession) -> None:
+        """Run the call only if its claim, if any, allows it; note what became of the claim."""
+        code = self._serving.refusal_code
+        if code:
+            raise RefusalError(code, f"the backend server takes no new calls ({code})")
+        call = attempt.call
+        if not attempt.keyed:
+            await self._admit_and_forward(attempt, session, None)
+            return
+        self._keys.begin(call.claim_id, call.incarnation)
+        answer = _KeptAnswer()
+        try:
+            await self._admit_and_forward(attempt, session, answer)
+        finally:
+            if not attempt.sent:
+                self._keys.void(call.claim_id, call.incarnation)
+                self._events.record(Event.KEY_VOIDED, request_id=call.request_id)
+            elif attempt.complete and answer.whole:
+                self._keys.finish(
+                    call.claim_id, call.incarnation, answer.status, answer.headers, answer.body
+                )
+            else:
+                self._keys.lose(call.claim_id, call.incarnation)
+                self._events.record(Event.KEY_UNKNOWN, request_id=call.request_id)
+
+    async def _admit_and_forward(
+        self, attempt: Attempt, session: _CallSession, kept: _KeptAnswer | None
+    ) -> None:
+        call = attempt.call
+        work = Work(
+            call.priority, call.organisation, attempt.deadline, call.prompt_tokens, call.max_tokens
+        )
+        ticket = await self._admission.admit(work)
+        try:
+            waited_ms = round((ticket.started_at - ticket.enqueued_at) * MS_PER_S)
+            if waited_ms:
+                self._events.record(
+                    Event.CALL_ADMITTED, request_id=call.request_id, waited_ms=waited_ms
+                )
+            await self._forward(attempt, ticket, session, kept)
+        finally:
+            # Both in one step, so that the token totals in load reports never go back.
+            self._metrics.count_call(ticket)
+            self._admission.release(ticket, complete=attempt.complete)
+
+    async def _forward(
+        self,
+        attempt: Attempt,
+        ticket: Ticket,
+        session: _CallSession,
+        kept: _KeptAnswer | None,
+    ) -> None:
+        """Send the call and pass its answer on."""
+        call = attempt.call
+        if attempt.scope.cancel_called:
+            # Ends here while it is certain that nothing was sent.
+            await trio.lowlevel.checkpoint()
+        if not attempt.keyed:
+            attempt.scope.deadline = attempt.deadline
+        self._events.record(
+            Event.CALL_SENT, request_id=call.request_id, call_id=render_call_id(call.call_id)
+        )
+        attempt.sent = True
+        try:
+            async with self._backend.open_call(call) as response:
+                self._check_answer(call, response)
+                await self._pass_on(attempt, ticket, response, session, kept)
+        except (HttpError, _EngineBusyError) as error:
+            self._fail(attempt, error)
+        else:
+            self._events.record(
+                Event.CALL_FINISHED,
+                request_id=call.request_id,
+                status=response.status,
+                bytes=attempt.byte_count,
+                complete=attempt.complete,
+            )
+
+    def _check_answer(self, call: Call, response: HttpResponse) -> None:
+        """Refuse an answer to another call, and one that says that the engine took no call."""
+        check_echo(response, render_call_id(call.call_id))
+        if response.status == HTTP_SERVICE_UNAVAILABLE and self._backend.is_engine:
+            raise _EngineBusyError
+
+    def _fail(self, attempt: Attempt, error: Exception) -> None:
+        """Turn a failure of the backend server into a refusal or an incomplete end."""
+        call = attempt.call
+        self._metrics.failed += 1
+        self._events.record(Event.CALL_FAILED, request_id=call.request_id, error=error)
+        if isinstance(error, _EngineBusyError):
+            attempt.sent = False
+            raise RefusalError("changing", "the engine is changing its role") from error
+        if isinstance(error, HttpConnectError):
+            attempt.sent = False
+            self._serving.set_up(False)
+            raise RefusalError("down", str(error)) from error
+        # The client reports a request that h11 rejects, which is never sent, with this cause.
+        if isinstance(error.__cause__, h11.LocalProtocolError):
+            attempt.sent = False
+            raise RefusalError("invalid_request", str(error)) from error
+        if not attempt.answered:
+            raise RefusalError("backend_failed", str(error), outcome=CallOutcome.UNKNOWN) from error
+
+    async def _pass_on(
+        self,
+        attempt: Attempt,
+        ticket: Ticket,
+        response: HttpResponse,
+        session: _CallSession,
+        kept: _KeptAnswer | None,
+    ) -> None:
+        call = attempt.call
+        headers = [
+            header for header in strip_hop_by_hop(response.headers) if header[0] != b"x-request-id"
+        ]
+        if kept is not None:
+            kept.status, kept.headers = response.status, headers
+        await session.send_answer(
+            attempt, Answer(call.call_id, response.status, headers, self._events.clock.tick())
+        )
+        if call.stream and response.header(b"content-type").startswith(EVENT_STREAM_TYPE):
+            await self._pass_on_events(attempt, ticket, response, session)
+            return
+        tail = b""
+        async for data in response.chunks():
+            if not ticket.first_byte_at:
+                ticket.first_byte_at = self._timer.now()
+            if kept is not None:
+                kept.add(data)
+            tail = data
+            await session.send_data(attempt, data)
+        attempt.complete = response.complete
+        if call.max_tokens:
+            usage = _COMPLETION_TOKENS.search(tail, max(0, len(tail) - _USAGE_TAIL_BYTES))
+            ticket.generated = int(usage[1]) if usage else 0
+
+    async def _pass_on_events(
+        self, attempt: Attempt, ticket: Ticket, response: HttpResponse, session: _CallSession
+    ) -> None:
+        cutter = EventStreamCutter()
+        async for data in response.chunks():
+            whole = cutter.feed(data)
+            if not whole:
+                continue
+            if not ticket.first_byte_at:
+                ticket.first_byte_at = self._timer.now()
+            ticket.generated = cutter.event_count
+            await session.send_data(attempt, whole)
+        attempt.complete = response.complete and cutter.done
+
+    async def _send_last(
+        self, attempt: Attempt, refusal: RefusalError | None, session: _CallSession
+    ) -> None:
+        call_id = attempt.call.call_id
+        load = self._reporter.piggyback(session.entry.process)
+        clock = self._events.clock.tick()
+        if attempt.answered:
+            complete = attempt.complete and not attempt.detached
+            await session.send_last(End(call_id, attempt.byte_count, complete, load, clock))
+            return
+        if refusal is None:
+            refusal = RefusalError("cancelled", "cancelled", outcome=CallOutcome.UNKNOWN)
+        self._metrics.refused += 1
+        self._events.record(
+            Event.CALL_REFUSED,
+            request_id=attempt.call.request_id,
+            code=refusal.code,
+            outcome=refusal.outcome,
+            retry_after_ms=refusal.retry_after_ms,
+        )
+        await session.send_last(
+            Refusal(
+                call_id,
+                refusal.code,
+                refusal.outcome,
+                refusal.retry_after_ms,
+                refusal.message,
+                load,
+                clock,
+            )
+        )
+
+
+class _EngineBusyError(Exception):
+    """The engine answered that it did not take the call."""
+
+
+class _KeptAnswer:
+    """Collects the answer of a keyed call."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: Headers = []
+        self._parts: list[bytes] = []
+        self._size = 0
+
+    @property
+    def whole(self) -> bool:
+        """Whether it is within the limit."""
+        return self._size <= MAX_KEPT_BODY_BYTES
+
+    @property
+    def body(self) -> bytes:
+        """The collected body."""
+        return b"".join(self._parts)
+
+    def add(self, data: bytes) -> None:
+        """Add body bytes; those above the limit are counted and dropped."""
+        self._size += len(data)
+        if self.whole:
+            self._parts.append(data)
+
+
+class _CallSession:
+    """One call connection."""
+
+    def __init__(
+        self, server: CallServer, connection: PeerConnection, entry: Hello, events: EventLog
+    ) -> None:
+        self._server = server
+        self._connection = connection
+        self._events = events
+        self._nursery: trio.Nursery | None = None
+        self._send_attempt, self._receive_attempt = trio.open_memory_channel[Attempt](1)
+        self._attempt: Attempt | None = None
+        self.entry = entry
+        self.lost = False
+
+    async def run(self) -> None:
+        """Serve calls until the connection is lost and the last call has ended."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._receive_messages)
+            async for attempt in self._receive_attempt:
+                await self._server.run_call(attempt, self)
+                if self.lost:
+                    break
+            nursery.cancel_scope.cancel()
+
+    def start_soon(self, function: object, *arguments: object) -> None:
+        """Run a task that the end of the connection waits for."""
+        self._nursery.start_soon(function, *arguments)
+
+    async def send_last(self, message: End | Refusal) -> None:
+        """Send the last message of an answer; the entry may send its next call then."""
+        self._attempt = None
+        await self._connection.send(message)
+
+    async def send_answer(self, attempt: Attempt, answer: Answer) -> None:
+        """Send the head of an answer."""
+        attempt.answered = not attempt.detached
+        await self._write(attempt, self._connection.send, answer)
+
+    async def send_data(self, attempt: Attempt, data: bytes) -> None:
+        """Send body bytes of an answer."""
+        if not attempt.detached:
+            attempt.byte_count += len(data)
+        await self._write(attempt, self._connection.send_data, attempt.call.call_id, data)
+
+    async def _write(self, attempt: Attempt, send: object, *arguments: object) -> None:
+        if attempt.detached:
+            return
+        attempt.writing = True
+        try:
+            await send(*arguments)
+        except ConnectionLostError:
+            self.lost = True
+            if not attempt.keyed:
+                raise
+            attempt.detached = True
+        attempt.writing = False
+
+    async def _receive_messages(self) -> None:
+        try:
+            while True:
+                self._handle(await self._connection.receive())
+        except ConnectionLostError:
+            pass
+        except (MalformedFrameError, FrameTooLargeError) as error:
+            self._events.record(
+                Event.PEER_FRAME_REJECTED, peer=self.entry.process, error=error.message
+            )
+        finally:
+            self._end()
+
+    def _handle(self, message: Message | AnswerData) -> None:
+        if isinstance(message, Call) and self._attempt is None:
+            self._attempt = self._server.open_attempt(message)
+            self._send_attempt.send_nowait(self._attempt)
+        elif isinstance(message, Cancel):
+            self._cancel(message.call_id)
+        else:
+            name = type(message).__name__
+            raise MalformedFrameError(f"{name} is out of place on a call connection")
+
+    def _end(self) -> None:
+        self.lost = True
+        self._send_attempt.close()
+        if self._attempt is not None:
+            self._attempt.cancel()
+
+    def _cancel(self, call_id: int) -> None:
+        if self._attempt is not None and self._attempt.call.call_id == call_id:
+            self._attempt.cancel()
--- /dev/null
+++ b/figwalk/agent/control_server.py
@@ -0,0 +1,246 @@
+"""Serves control connections: reports out; desired roles, configuration and queries in."""
+
+from __future__ import annotations
+
+import json
+import secrets
+
+import attrs
+import trio
+
+from figwalk.agent.agent_config import AgentConfig
+from figwalk.agent.cache_tracker import CacheTracker
+from figwalk.agent.desired_role import DesiredRole
+from figwalk.agent.key_memory import KeyMemory
+from figwalk.agent.load_reporter import LoadReporter
+from figwalk.errors import FrameTooLargeError, MalformedFrameError, TransportError
+from figwalk.events import Event, EventLog
+from figwalk.protocol.messages import (
+    ConfigUpdate,
+    Confirm,
+    Confirmed,
+    Desired,
+    EventsQuery,
+    EventsReply,
+    Hello,
+    KeyLookup,
+    KeyState,
+    Leaving,
+    Message,
+)
+from figwalk.protocol.peer_connection import AnswerData, PeerConnection
+
+# An entry that reads nothing for this long is treated as lost.
+SEND_TIMEOUT_S = 5.0
+# An entry answers after one read of the log, which may take its log timeout of 2 s.
+CONFIRM_TIMEOUT_S = 3.0
+NONCE_BITS = 64
+# Below the frame limit of 4 MiB.
+MAX_EVENTS_BYTES = 3 * 1024 * 1024
+
+
+class ControlServer:
+    """Keeps the control connections of all entries.
+
+    Args:
+        backend: Name of the backend server.
+        reporter: Builds load reports.
+        report_s: Seconds between two reports.
+        cache: Source of cache changes.
+        keys: Memory of claimed calls.
+        desired: Is told desired roles.
+        config: Is told configuration updates.
+        events: Event log.
+    """
+
+    def __init__(
+        self,
+        backend: str,
+        *,
+        reporter: LoadReporter,
+        report_s: float,
+        cache: CacheTracker,
+        keys: KeyMemory,
+        desired: DesiredRole,
+        config: AgentConfig,
+        events: EventLog,
+    ) -> None:
+        self._backend = backend
+        self._reporter = reporter
+        self._report_s = report_s
+        self._cache = cache
+        self._keys = keys
+        self._desired = desired
+        self._config = config
+        self._events = events
+        self._sessions: dict[_ControlSession, None] = {}
+        self._leaving: Leaving | None = None
+        self._waiting_confirms: dict[int, _PendingConfirm] = {}
+
+    @property
+    def entry_count(self) -> int:
+        """Open control connections."""
+        return len(self._sessions)
+
+    async def serve(self, connection: PeerConnection, entry: Hello) -> None:
+        """Serve one control connection until it is lost."""
+        session = _ControlSession(connection)
+        self._sessions[session] = None
+        self._events.record(Event.PEER_CONNECTED, peer=entry.process, kind=entry.kind)
+        if self._leaving is not None:
+            session.post(self._leaving)
+        try:
+            async with trio.open_nursery() as nursery:
+                session.scope = nursery.cancel_scope
+                nursery.start_soon(self._send_reports, session)
+                await self._receive_messages(session, entry)
+        finally:
+            del self._sessions[session]
+            self._reporter.forget_entry(entry.process)
+            self._events.record(Event.PEER_LOST, peer=entry.process, kind=entry.kind)
+
+    def report_now(self) -> None:
+        """Send a report on every connection at once."""
+        for session in self._sessions:
+            session.wake()
+
+    def tell_leaving(self, grace_s: float) -> None:
+        """Tell all entries, also later ones, that the backend server takes no new work."""
+        clock = self._events.clock.tick()
+        self._leaving = Leaving(self._backend, round(grace_s * 1000), clock)
+        for session in self._sessions:
+            session.post(self._leaving)
+
+    def take_back_leaving(self) -> None:
+        """Stop telling it to new connections; load reports show the state."""
+        self._leaving = None
+
+    def close_all(self) -> None:
+        """Close all control connections; entries come back and read a fresh `Hello`."""
+        for session in self._sessions:
+            session.scope.cancel()
+
+    async def confirm(self) -> Desired | None:
+        """Return the desired state as of a log read that begins now.
+
+        Entries are asked one after the other; None means that none of them could read the log.
+        """
+        for session in list(self._sessions):
+            pending = _PendingConfirm(session)
+            nonce = secrets.randbits(NONCE_BITS)
+            self._waiting_confirms[nonce] = pending
+            session.post(Confirm(nonce, self._backend))
+            try:
+                with trio.move_on_after(CONFIRM_TIMEOUT_S):
+                    await pending.arrived.wait()
+            finally:
+                del self._waiting_confirms[nonce]
+            if pending.desired is not None:
+                return pending.desired
+        return None
+
+    async def _send_reports(self, session: _ControlSession) -> None:
+        feed = self._cache.open_feed()
+        try:
+            while True:
+                with trio.move_on_after(SEND_TIMEOUT_S) as scope:
+                    for message in session.take_outbox():
+                        await session.connection.send(message)
+                    await session.connection.send(self._reporter.build(*feed.take()))
+                if scope.cancelled_caught:
+                    break
+                await session.wait(self._report_s)
+        except TransportError:
+            pass
+        finally:
+            self._cache.close_feed(feed)
+            session.scope.cancel()
+
+    async def _receive_messages(self, session: _ControlSession, entry: Hello) -> None:
+        try:
+            while True:
+                self._handle(session, await session.connection.receive())
+        except (MalformedFrameError, FrameTooLargeError) as error:
+            self._events.record(Event.PEER_FRAME_REJECTED, peer=entry.process, error=error.message)
+        except TransportError:
+            pass
+        session.scope.cancel()
+
+    def _handle(self, session: _ControlSession, message: Message | AnswerData) -> None:
+        match message:
+            case Desired():
+                self._desired.offer(message)
+            case Confirmed():
+                self._take_confirmed(session, message)
+            case ConfigUpdate():
+                self._config.adopt(message)
+            case KeyLookup():
+                self._answer_lookup(session, message)
+            case EventsQuery():
+                session.post(self._select_events(message.request_id))
+            case _:
+                name = type(message).__name__
+                raise MalformedFrameError(f"{name} is out of place on a control connection")
+
+    def _take_confirmed(self, session: _ControlSession, message: Confirmed) -> None:
+        pending = self._waiting_confirms.get(message.nonce)
+        if pending is not None and pending.session is session:
+            pending.desired = message.desired
+            pending.arrived.set()
+
+    def _answer_lookup(self, session: _ControlSession, lookup: KeyLookup) -> None:
+        status = self._keys.look_up(lookup)
+        if status.state is KeyState.VOIDED:
+            self._events.record(Event.KEY_VOIDED, claim_id=lookup.claim_id)
+        session.post(status)
+
+    def _select_events(self, request_id: str) -> EventsReply:
+        """Return the newest events that fit into one frame."""
+        texts: list[str] = []
+        size = 0
+        for record in reversed(self._events.select(request_id)):
+            text = json.dumps(attrs.asdict(record), separators=(",", ":"))
+            size += len(text) + 1
+            if size > MAX_EVENTS_BYTES:
+                break
+            texts.append(text)
+        return EventsReply(f"[{','.join(reversed(texts))}]".encode())
+
+
+@attrs.define
+class _PendingConfirm:
+    """A `Confirm` on its way."""
+
+    session: _ControlSession
+    arrived: trio.Event = attrs.field(factory=trio.Event)
+    desired: Desired | None = None
+
+
+class _ControlSession:
+    """One control connection with the messages to be sent on it."""
+
+    def __init__(self, connection: PeerConnection) -> None:
+        self.connection = connection
+        self.scope = trio.CancelScope()
+        self._outbox: list[Message] = []
+        self._wake = trio.Event()
+
+    def post(self, message: Message) -> None:
+        """Send a message soon, in order."""
+        self._outbox.append(message)
+        self.wake()
+
+    def wake(self) -> None:
+        """End the wait before the next report."""
+        self._wake.set()
+
+    async def wait(self, seconds: float) -> None:
+        """Wait for the time of the next report or for `wake`."""
+        with trio.move_on_after(seconds):
+            await self._wake.wait()
+
+    def take_outbox(self) -> list[Message]:
+        """Return the posted messages."""
+        self._wake = trio.Event()
+        messages, self._outbox = self._outbox, []
+        return messages
--- /dev/null
+++ b/figwalk/agent/metrics.py
@@ -0,0 +1,59 @@
+"""Metrics of an agent, sent by statsd once a second; docs/metrics-agent.md lists them."""
+
+from __future__ import annotations
+
+import statsd
+
+from figwalk.coordination.admission import Ticket
+from figwalk.protocol.messages import BackendState, LoadReport
+from figwalk.state.settings import Address
+
+PUBLISH_PERIOD_S = 1.0
+
+
+class Metrics:
+    """Counters of an agent since its start."""
+
+    def __init__(self) -> None:
+        self.ended = 0
+        self.failed = 0
+        self.refused = 0
+        self.prompt_tokens = 0
+        self.generated_tokens = 0
+
+    def count_call(self, ticket: Ticket) -> None:
+        """Count a call that left the backend server."""
+        self.ended += 1
+        if ticket.first_byte_at:
+            self.prompt_tokens += ticket.work.prompt_tokens
+        self.generated_tokens += ticket.generated
+
+
+class MetricsPublisher:
+    """Sends the counters and the newest load figures.
+
+    Args:
+        address: Metrics receiver (UDP).
+        backend: Name of the backend server, part of every metric's name.
+        metrics: Counters.
+    """
+
+    def __init__(self, address: Address, backend: str, metrics: Metrics) -> None:
+        self._client = statsd.StatsClient(
+            address.host, address.port, prefix=f"figwalk.agent.{backend}"
+        )
+        self._metrics = metrics
+        self._sent: dict[str, int] = {}
+
+    def publish(self, report: LoadReport) -> None:
+        """Send what changed since the last call; lost datagrams are not repeated."""
+        with self._client.pipeline() as pipe:
+            for name, total in vars(self._metrics).items():
+                pipe.incr(f"calls.{name}", total - self._sent.get(name, 0))
+                self._sent[name] = total
+            pipe.gauge("running", report.running)
+            pipe.gauge("queued", report.queued)
+            pipe.gauge("queue_wait_ms", report.queue_wait_ms)
+            pipe.gauge("order_offset", report.order_offset)
+            pipe.gauge("revision", report.revision)
+            pipe.gauge("serving", int(report.state is BackendState.SERVING))
--- /dev/null
+++ b/figwalk/agent/order_executor.py
@@ -0,0 +1,162 @@
+"""Brings the engine to its desired role, with one order at a time and only confirmed ones."""
+
+from __future__ import annotations
+
+import trio
+
+from figwalk.agent.backend_client import BackendClient, EngineState
+from figwalk.agent.backend_monitor import BackendMonitor
+from figwalk.agent.call_server import CallServer
+from figwalk.agent.control_server import ControlServer
+from figwalk.agent.desired_role import DesiredRole
+from figwalk.agent.serving_state import ServingState
+from figwalk.errors import HttpError
+from figwalk.events import Event, EventLog
+from figwalk.protocol.messages import Desired
+
+# Seconds between two reads of the state of an engine that is at rest or in a change.
+REST_POLL_S = 1.0
+CHANGE_POLL_S = 0.1
+# Seconds before the next try after an order that was not confirmed, refused or without effect.
+RETRY_S = 1.0
+
+
+class OrderExecutor:
+    """The only task that gives orders to the engine.
+
+    Each step starts with a read of the engine's state, so that a lost answer, a restarted engine
+    and a change that a dead predecessor began are all handled alike.
+
+    Args:
+        backend: Access to the engine.
+        monitor: Is told the engine's state.
+        desired: The desired role.
+        control: Confirms orders.
+        calls: Calls that have to end before a change.
+        serving: State of the backend server.
+        events: Event log.
+    """
+
+    def __init__(
+        self,
+        *,
+        backend: BackendClient,
+        monitor: BackendMonitor,
+        desired: DesiredRole,
+        control: ControlServer,
+        calls: CallServer,
+        serving: ServingState,
+        events: EventLog,
+    ) -> None:
+        self._backend = backend
+        self._monitor = monitor
+        self._desired = desired
+        self._control = control
+        self._calls = calls
+        self._serving = serving
+        self._events = events
+        self._sent_order: Desired | None = None
+        self._unconfirmed_offset: int | None = None
+
+    async def run(self) -> None:
+        """Carry out desired roles until cancelled."""
+        while True:
+            pause_s = await self._step()
+            with trio.move_on_after(pause_s):
+                await self._desired.wait_changed()
+
+    async def _step(self) -> float:
+        """Do what the engine's present state asks for; return the seconds until the next step."""
+        state = await self._read_state()
+        if state is None:
+            return RETRY_S
+        if not state.ready:
+            self._serving.set_changing(True)
+            return CHANGE_POLL_S
+        applied = self._note_result(state)
+        if not self._is_due(state) or not applied:
+            self._serving.set_changing(False)
+            return REST_POLL_S if applied else RETRY_S
+        if await self._confirm() is None:
+            # Serving goes on while the log can't prove that the order is the newest one.
+            self._serving.set_changing(False)
+            return RETRY_S
+        self._serving.set_changing(True)
+        await self._calls.wait_idle()
+        return await self._confirm_and_send()
+
+    async def _confirm_and_send(self) -> float:
+        """Send the order if the engine still needs it and the log still has it as the newest."""
+        state = await self._read_state()
+        if state is None or not state.ready:
+            return CHANGE_POLL_S
+        confirmed = await self._confirm()
+        if confirmed is None or not self._is_due(state):
+            self._serving.set_changing(False)
+            return RETRY_S
+        return await self._send(confirmed)
+
+    async def _send(self, order: Desired) -> float:
+        self._sent_order = order
+        self._events.record(
+            Event.ORDER_SENT, order=order.order_offset, term=order.term, role=order.role.value
+        )
+        try:
+            answer = await self._backend.send_order(order)
+        except HttpError as error:
+            # The next step reads the engine's state before anything else is sent.
+            self._events.record(Event.ORDER_UNCONFIRMED, order=order.order_offset, error=error)
+            return CHANGE_POLL_S
+        if answer.accepted or answer.busy:
+            return CHANGE_POLL_S
+        self._events.record(Event.ORDER_REFUSED, order=order.order_offset, status=answer.status)
+        self._sent_order = None
+        self._serving.set_changing(False)
+        return RETRY_S
+
+    async def _confirm(self) -> Desired | None:
+        """Return the desired state if an entry has just read it from the log."""
+        confirmed = await self._control.confirm()
+        order = self._desired.order
+        if confirmed is not None:
+            self._desired.offer(confirmed)
+            order = self._desired.order
+            if order is not None and confirmed.order_offset == order.order_offset:
+                self._unconfirmed_offset = None
+                self._events.record(Event.ORDER_CONFIRMED, order=confirmed.order_offset)
+                return confirmed
+        offset = order.order_offset if order else None
+        if offset != self._unconfirmed_offset:
+            self._unconfirmed_offset = offset
+            self._events.record(Event.ORDER_UNCONFIRMED, order=offset)
+        return None
+
+    async def _read_state(self) -> EngineState | None:
+        try:
+            state = await self._backend.read_state()
+        except HttpError:
+            return None
+        self._monitor.set_engine_state(state)
+        return state
+
+    def _is_due(self, state: EngineState) -> bool:
+        """Return whether the engine has not carried out the newest order.
+
+        Only the number counts: comparing names as well would repeat an order for ever, and cut
+        running calls each time, at an engine that reports another spelling of a model.
+        """
+        order = self._desired.order
+        return order is not None and order.order_offset > state.order
+
+    def _note_result(self, state: EngineState) -> bool:
+        """Return whether the order that was sent last, if any, has been carried out."""
+        order = self._sent_order
+        self._sent_order = None
+        if order is None:
+            return True
+        applied = state.order == order.order_offset
+        if applied:
+            self._events.record(
+                Event.ORDER_APPLIED, order=order.order_offset, role=state.role.value
+            )
+        return applied
--- /dev/null
+++ b/figwalk/agent/withdrawal.py
@@ -0,0 +1,80 @@
+"""Takes the backend server out of service without cutting a request."""
+
+from __future__ import annotations
+
+import trio
+
+from figwalk.agent.call_server import CallServer
+from figwalk.agent.control_server import ControlServer
+from figwalk.agent.serving_state import ServingState
+from figwalk.events import Event, EventLog
+
+
+class Withdrawal:
+    """Tells entries, lets running calls end within the grace time, and cuts what is left.
+
+    Args:
+        serving: State of the backend server.
+        control: Tells the entries.
+        calls: Running calls.
+        events: Event log.
+        grace_s: Seconds that running calls may take.
+    """
+
+    def __init__(
+        self,
+        *,
+        serving: ServingState,
+        control: ControlServer,
+        calls: CallServer,
+        events: EventLog,
+        grace_s: float,
+    ) -> None:
+        self._serving = serving
+        self._control = control
+        self._calls = calls
+        self._events = events
+        self._grace_s = grace_s
+        self._wanted = False
+        self._changed = trio.Event()
+
+    def set_withdrawn(self, withdrawn: bool) -> None:
+        """Follow the configuration; takes effect for new calls before this returns."""
+        if withdrawn == self._wanted:
+            return
+        self._wanted = withdrawn
+        self._serving.set_withdrawn(withdrawn)
+        if withdrawn:
+            self._control.tell_leaving(self._grace_s)
+        else:
+            self._control.take_back_leaving()
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def run(self) -> None:
+        """Cut what runs past the grace time of each withdrawal, until cancelled."""
+        while True:
+            changed = self._changed
+            if self._wanted:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._drain)
+                    await changed.wait()
+                    nursery.cancel_scope.cancel()
+            else:
+                await changed.wait()
+
+    async def leave(self) -> bool:
+        """Stop for good; return whether all calls ended by themselves."""
+        self._events.record(Event.PROCESS_STOPPING, grace_s=self._grace_s)
+        self._serving.leave()
+        self._control.tell_leaving(self._grace_s)
+        whole = await self._drain()
+        self._events.record(Event.PROCESS_STOPPED if whole else Event.PROCESS_STOP_CUT)
+        return whole
+
+    async def _drain(self) -> bool:
+        with trio.move_on_after(self._grace_s):
+            await self._calls.wait_idle()
+            return True
+        await self._calls.cut_all("leaving")
+        return False
--- /dev/null
+++ b/figwalk/coordination/admission.py
@@ -0,0 +1,428 @@
+"""Admission queue of an agent: who may start at the backend server, who waits, who is refused."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+from collections.abc import Iterator
+
+import attrs
+import trio
+
+from figwalk.errors import RefusalError
+from figwalk.protocol.messages import Priority
+from figwalk.timer import MS_PER_S, Timer
+
+# Predicted waits count with this factor before they lead to a refusal, because the prediction
+# assumes that calls ahead use their whole estimate.
+WAIT_CONFIDENCE = 0.8
+# Seconds of service by which an organisation may be ahead of its share before others go first.
+SHARE_SLACK_S = 2.0
+MIN_RETRY_AFTER_MS = 100
+MAX_RETRY_AFTER_MS = 60_000
+DEFAULT_OUTPUT_RATIO = 0.5
+_SMOOTHING = 0.2
+# A refused call teaches nothing about output lengths, so each refusal moves the learned ratio
+# this far back to the default; otherwise a wrong ratio would never be corrected.
+_REFUSAL_DRIFT = 0.05
+_CLASSES = (Priority.INTERACTIVE, Priority.NORMAL, Priority.BATCH)
+
+
+@attrs.frozen
+class Work:
+    """What a call asks of the backend server.
+
+    Attributes:
+        priority: Priority class.
+        organisation: Organisation that it counts for.
+        deadline: Time by `Timer.now` at which the answer is worthless, or infinity.
+        prompt_tokens: Prompt length; 0 for plain services.
+        max_tokens: Largest answer length; 0 for plain services.
+    """
+
+    priority: Priority = Priority.NORMAL
+    organisation: str = ""
+    deadline: float = math.inf
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+
+
+class ServiceEstimate:
+    """Predicts how long calls take, from measured speeds and past calls."""
+
+    def __init__(self) -> None:
+        self._prefill_tokens_per_s = 0.0
+        self._decode_tokens_per_s = 0.0
+        self._own_decode = 0.0
+        self._plain_s = 0.0
+        self._output_ratios: dict[int, float] = {}
+
+    @property
+    def prefill_tokens_per_s(self) -> float:
+        """Prompt processing speed of the engine, or 0 while unknown."""
+        return self._prefill_tokens_per_s
+
+    @property
+    def call_decode_tokens_per_s(self) -> float:
+        """Generation speed of one call, or 0 while unknown."""
+        return self._own_decode or self._decode_tokens_per_s
+
+    def set_engine_speeds(self, prefill: float, decode: float, calls: int) -> None:
+        """Take over the engine's own figures.
+
+        Args:
+            prefill: Prompt tokens per second.
+            decode: Generated tokens per second over all calls together.
+            calls: Calls that share this generation speed.
+        """
+        self._prefill_tokens_per_s = max(0.0, prefill)
+        self._decode_tokens_per_s = max(0.0, decode) / max(1, calls)
+
+    def output_tokens(self, work: Work) -> float:
+        """Return the expected answer length."""
+        ratio = self._output_ratios.get(work.max_tokens.bit_length(), DEFAULT_OUTPUT_RATIO)
+        return work.max_tokens * ratio
+
+    def service_s(self, work: Work) -> float:
+        """Return the predicted seconds from start to end."""
+        if not work.prompt_tokens and not work.max_tokens:
+            return self._plain_s
+        total = 0.0
+        if self._prefill_tokens_per_s:
+            total += work.prompt_tokens / self._prefill_tokens_per_s
+        speed = self.call_decode_tokens_per_s
+        if speed:
+            total += self.output_tokens(work) / speed
+        return total
+
+    def learn(self, work: Work, *, duration_s: float, generated: int, decode_s: float) -> None:
+        """Learn from a call that ran to its end."""
+        if not work.max_tokens:
+            self._plain_s = _smooth(self._plain_s, duration_s)
+            return
+        bucket = work.max_tokens.bit_length()
+        ratio = self._output_ratios.get(bucket, DEFAULT_OUTPUT_RATIO)
+        self._output_ratios[bucket] = _smooth(ratio, min(1.0, generated / work.max_tokens))
+        if generated > 1 and decode_s > 0:
+            self._own_decode = _smooth(self._own_decode, (generated - 1) / decode_s)
+
+    def note_refusal(self, work: Work) -> None:
+        """Move the learned output ratio of such calls back towards the default."""
+        bucket = work.max_tokens.bit_length()
+        ratio = self._output_ratios.get(bucket)
+        if ratio is not None:
+            self._output_ratios[bucket] = ratio + _REFUSAL_DRIFT * (DEFAULT_OUTPUT_RATIO - ratio)
+
+
+def _smooth(old: float, new: float) -> float:
+    return old + _SMOOTHING * (new - old) if old else new
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """A call that waits or runs.
+
+    Attributes:
+        work: What it asks.
+        service_s: Predicted seconds from start to end.
+        output_tokens: Expected answer length.
+        enqueued_at: When it asked for admission.
+        started_at: When it was admitted.
+        first_byte_at: When its answer began, or 0.
+        generated: Tokens generated so far.
+    """
+
+    work: Work
+    service_s: float
+    output_tokens: float
+    enqueued_at: float
+    started_at: float = 0.0
+    first_byte_at: float = 0.0
+    generated: int = 0
+    _decided: trio.Event | None = None
+    _refusal: RefusalError | None = None
+
+    @property
+    def latest_start(self) -> float:
+        """Time after which it can no longer finish before its deadline."""
+        return self.work.deadline - self.service_s
+
+
+class AdmissionQueue:
+    """Lets at most `capacity` calls run; the others wait, bounded by what can finish in time.
+
+    The order is priority class, then share of the organisation, then deadline: organisations
+    within `SHARE_SLACK_S` of the least served one compete by deadline.
+
+    Args:
+        timer: Source of time.
+        max_running: Calls that the backend server takes at once.
+        queue_limit: Calls that may wait.
+    """
+
+    def __init__(self, timer: Timer, *, max_running: int, queue_limit: int) -> None:
+        self._timer = timer
+        self._max_running = max_running
+        self._queue_limit = queue_limit
+        self._capacity = max_running
+        self._estimate = ServiceEstimate()
+        self._shares: dict[str, float] = {}
+        self._classes = {priority: _ClassQueue() for priority in _CLASSES}
+        self._waiting = 0
+        self._running: set[Ticket] = set()
+        self._closed_code = ""
+
+    @property
+    def estimate(self) -> ServiceEstimate:
+        """Predictions of service times."""
+        return self._estimate
+
+    @property
+    def capacity(self) -> int:
+        """Calls that may run now."""
+        return self._capacity
+
+    @property
+    def queued(self) -> int:
+        """Calls that wait."""
+        return self._waiting
+
+    @property
+    def running(self) -> int:
+        """Calls that run."""
+        return len(self._running)
+
+    def set_capacity(self, capacity: int) -> None:
+        """Set how many calls may run, within the configured maximum."""
+        self._capacity = max(1, min(capacity, self._max_running))
+        self._start_waiting()
+
+    def set_shares(self, shares: dict[str, float]) -> None:
+        """Set the weights of organisations; others have weight 1."""
+        self._shares = shares
+
+    def close(self, code: str) -> None:
+        """Refuse all waiting and new calls with a code until `reopen`."""
+        self._closed_code = code
+        for ticket in list(self._all_waiting()):
+            self._refuse(ticket, self._closed_refusal())
+
+    def reopen(self) -> None:
+        """Take calls again."""
+        self._closed_code = ""
+
+    async def admit(self, work: Work) -> Ticket:
+        """Wait until a call may start; the caller of this must call `release` after it ended.
+
+        Raises:
+            RefusalError: The call can't finish in time, or the queue is full or closed.
+        """
+        now = self._timer.now()
+        ticket = Ticket(
+            work, self._estimate.service_s(work), self._estimate.output_tokens(work), now
+        )
+        if self._closed_code:
+            raise self._closed_refusal()
+        if now > ticket.latest_start:
+            raise self._deadline_refusal(work, self._predict_wait(ticket))
+        if len(self._running) < self._capacity and not self._waiting:
+            self._start(ticket)
+            return ticket
+        await self._wait(ticket)
+        return ticket
+
+    def release(self, ticket: Ticket, *, complete: bool = True) -> None:
+        """End a running call and start the next one.
+
+        Args:
+            ticket: The call.
+            complete: Whether it ran to its end, so that its duration teaches something.
+        """
+        self._running.discard(ticket)
+        if complete:
+            now = self._timer.now()
+            self._estimate.learn(
+                ticket.work,
+                duration_s=now - ticket.started_at,
+                generated=ticket.generated,
+                decode_s=now - ticket.first_byte_at if ticket.first_byte_at else 0.0,
+            )
+        self._start_waiting()
+
+    def review(self) -> None:
+        """Refuse waiting calls that can no longer finish in time by the present prediction."""
+        now = self._timer.now()
+        for ticket, start in list(self._predict_starts()):
+            ticket.service_s = self._estimate.service_s(ticket.work)
+            wait = (start - now) * WAIT_CONFIDENCE
+            if now + wait > ticket.latest_start:
+                self._refuse(ticket, self._deadline_refusal(ticket.work, start - now))
+
+    def predicted_wait_s(self, priority: Priority = Priority.NORMAL) -> float:
+        """Return the predicted wait of a new call of a class."""
+        return self._predict_wait(Ticket(Work(priority), 0.0, 0.0, self._timer.now()))
+
+    def processed_tokens(self) -> tuple[int, int]:
+        """Return the prompt and output tokens already processed for running calls."""
+        prompt = sum(t.work.prompt_tokens for t in self._running if t.first_byte_at)
+        return prompt, sum(t.generated for t in self._running)
+
+    def pending_tokens(self) -> tuple[int, int]:
+        """Return the prompt and output tokens still to be processed, queued and running."""
+        prompt = sum(t.work.prompt_tokens for t in self._running if not t.first_byte_at)
+        output = sum(max(0.0, t.output_tokens - t.generated) for t in self._running)
+        for ticket in self._all_waiting():
+            prompt += ticket.work.prompt_tokens
+            output += ticket.output_tokens
+        return prompt, math.ceil(output)
+
+    async def _wait(self, ticket: Ticket) -> None:
+        wait = self._predict_wait(ticket)
+        if self._waiting >= self._queue_limit:
+            raise _refusal("overloaded", "the admission queue is full", wait)
+        if self._timer.now() + wait * WAIT_CONFIDENCE > ticket.latest_start:
+            raise self._deadline_refusal(ticket.work, wait)
+        ticket._decided = trio.Event()
+        self._classes[ticket.work.priority].add(ticket, self._timer.now())
+        self._waiting += 1
+        try:
+            with trio.CancelScope(deadline=ticket.latest_start) as scope:
+                await ticket._decided.wait()
+        except trio.Cancelled:
+            self._forget(ticket)
+            raise
+        if ticket._refusal is not None:
+            raise ticket._refusal
+        if scope.cancelled_caught and not ticket._decided.is_set():
+            self._forget(ticket)
+            raise self._deadline_refusal(ticket.work, self._predict_wait(ticket))
+
+    def _forget(self, ticket: Ticket) -> None:
+        """Take a call out whose task is cancelled, wherever it is."""
+        if ticket in self._running:
+            self.release(ticket, complete=False)
+        elif self._classes[ticket.work.priority].remove(ticket):
+            self._waiting -= 1
+
+    def _refuse(self, ticket: Ticket, refusal: RefusalError) -> None:
+        if self._classes[ticket.work.priority].remove(ticket):
+            self._waiting -= 1
+            ticket._refusal = refusal
+            ticket._decided.set()
+
+    def _start(self, ticket: Ticket) -> None:
+        ticket.started_at = self._timer.now()
+        self._running.add(ticket)
+
+    def _start_waiting(self) -> None:
+        while self._waiting and len(self._running) < self._capacity:
+            queue = next(q for q in map(self._classes.get, _CLASSES) if q)
+            ticket = queue.pop(self._shares)
+            self._waiting -= 1
+            if self._timer.now() > ticket.latest_start:
+                ticket._refusal = self._deadline_refusal(ticket.work, self._predict_wait(ticket))
+            else:
+                self._start(ticket)
+            ticket._decided.set()
+
+    def _all_waiting(self) -> Iterator[Ticket]:
+        for priority in _CLASSES:
+            yield from self._classes[priority].in_order()
+
+    def _predict_starts(self) -> Iterator[tuple[Ticket, float]]:
+        """Yield the waiting calls in their order with their predicted start times."""
+        slots = self._free_times()
+        for ticket in self._all_waiting():
+            start = slots[0]
+            heapq.heapreplace(slots, start + ticket.service_s)
+            yield ticket, start
+
+    def _predict_wait(self, new: Ticket) -> float:
+        """Return the predicted seconds until a new call would start."""
+        if len(self._running) < self._capacity and not self._waiting:
+            return 0.0
+        slots = self._free_times()
+        rank = (_CLASSES.index(new.work.priority), new.work.deadline)
+        for ticket in self._all_waiting():
+            if (_CLASSES.index(ticket.work.priority), ticket.work.deadline) > rank:
+                break
+            heapq.heapreplace(slots, slots[0] + ticket.service_s)
+        return max(0.0, slots[0] - self._timer.now())
+
+    def _free_times(self) -> list[float]:
+        """Return a heap of the times at which the slots are predicted to be free."""
+        now = self._timer.now()
+        slots = [max(now, t.started_at + t.service_s) for t in self._running]
+        slots += [now] * (self._capacity - len(slots))
+        heapq.heapify(slots)
+        return slots
+
+    def _closed_refusal(self) -> RefusalError:
+        code = self._closed_code
+        return _refusal(code, f"the backend server takes no new calls ({code})", 0.0)
+
+    def _deadline_refusal(self, work: Work, wait_s: float) -> RefusalError:
+        self._estimate.note_refusal(work)
+        left = work.deadline - self._timer.now()
+        # The queue has to get shorter by what the call would be late.
+        late = wait_s + self._estimate.service_s(work) - left
+        message = f"the call can't finish within the {max(0, round(left * MS_PER_S))} ms left"
+        return _refusal("deadline", message, min(wait_s, late) if late > 0 else wait_s)
+
+
+def _refusal(code: str, message: str, retry_after_s: float) -> RefusalError:
+    retry_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, math.ceil(retry_after_s * MS_PER_S)))
+    return RefusalError(code, message, retry_after_ms=retry_ms)
+
+
+class _ClassQueue:
+    """Waiting calls of one priority class, by organisation."""
+
+    def __init__(self) -> None:
+        self._heaps: dict[str, list[tuple[float, int, Ticket]]] = {}
+        self._served: dict[str, float] = {}
+        self._order = itertools.count()
+
+    def __bool__(self) -> bool:
+        return bool(self._heaps)
+
+    def add(self, ticket: Ticket, now: float) -> None:
+        """Add a call; a returning organisation gets no credit for its idle time."""
+        name = ticket.work.organisation
+        if name not in self._heaps:
+            least = min((self._served[other] for other in self._heaps), default=0.0)
+            self._served = {other: self._served[other] for other in self._heaps} | {
+                name: max(least, self._served.get(name, 0.0))
+            }
+            self._heaps[name] = []
+        heapq.heappush(self._heaps[name], (ticket.work.deadline, next(self._order), ticket))
+
+    def pop(self, shares: dict[str, float]) -> Ticket:
+        """Take the next call and charge it to its organisation."""
+        bound = min(self._served[name] for name in self._heaps) + SHARE_SLACK_S
+        eligible = (name for name in self._heaps if self._served[name] <= bound)
+        name = min(eligible, key=lambda candidate: self._heaps[candidate][0])
+        heap = self._heaps[name]
+        ticket = heapq.heappop(heap)[2]
+        self._served[name] += max(ticket.service_s, 0.001) / max(shares.get(name, 1.0), 0.001)
+        if not heap:
+            del self._heaps[name]
+        return ticket
+
+    def remove(self, ticket: Ticket) -> bool:
+        """Take a call out of the queue; return whether it was there."""
+        heap = self._heaps.get(ticket.work.organisation, [])
+        for index, item in enumerate(heap):
+            if item[2] is ticket:
+                heap[index] = heap[-1]
+                heap.pop()
+                heapq.heapify(heap)
+                if not heap:
+                    del self._heaps[ticket.work.organisation]
+                return True
+        return False
+
+    def in_order(self) -> list[Ticket]:
+        """Return the calls by deadline."""
+        return [item[2] for item in sorted(itertools.chain(*self._heaps.values()))]
