--- a/figwalk/agent/backend_monitor.py
+++ b/figwalk/agent/backend_monitor.py
@@ -123,7 +123,7 @@
         self._load = load
         self._load_at = now
         self._note_surplus(load, now)
-        calls = load.max_running or self._admission.capacity
+        calls = load.max_running or self._admission.max_running
         self._admission.estimate.set_engine_speeds(
             load.prefill_tokens_per_s, load.decode_tokens_per_s, calls
         )
--- a/figwalk/agent/call_server.py
+++ b/figwalk/agent/call_server.py
@@ -338,6 +338,7 @@
     async def _pass_on_events(
         self, attempt: Attempt, ticket: Ticket, response: HttpResponse, session: _CallSession
     ) -> None:
+        ticket.streamed = True
         cutter = EventStreamCutter()
         async for data in response.chunks():
             whole = cutter.feed(data)
@@ -483,6 +484,7 @@
             )
         finally:
             self._end()
+        await self._connection.aclose()
 
     def _handle(self, message: Message | AnswerData) -> None:
         if isinstance(message, Call) and self._attempt is None:
--- a/figwalk/agent/control_server.py
+++ b/figwalk/agent/control_server.py
@@ -137,6 +137,9 @@
                 del self._waiting_confirms[nonce]
             if pending.desired is not None:
                 return pending.desired
+            if session in self._sessions:
+                # The next confirmation begins with another entry.
+                self._sessions[session] = self._sessions.pop(session)
         return None
 
     async def _send_reports(self, session: _ControlSession) -> None:
--- a/figwalk/agent/load_reporter.py
+++ b/figwalk/agent/load_reporter.py
@@ -5,6 +5,7 @@
 import itertools
 
 from figwalk.agent.agent_config import AgentConfig
+from figwalk.agent.backend_client import EngineLoad
 from figwalk.agent.backend_monitor import BackendMonitor
 from figwalk.agent.desired_role import DesiredRole
 from figwalk.agent.metrics import Metrics
@@ -66,7 +67,7 @@
         admission = self._admission
         engine = self._monitor.engine_state
         load = self._monitor.load
-        prompt_pending, output_pending = admission.pending_tokens()
+        prompt_pending, output_pending = self._combine_pending(load)
         prompt_done, output_done = admission.processed_tokens()
         return LoadReport(
             sequence=next(self._sequence),
@@ -91,6 +92,21 @@
             cache_evicted=evicted or [],
         )
 
+    def _combine_pending(self, load: EngineLoad | None) -> tuple[int, int]:
+        """Return the prompt and output tokens still to be processed.
+
+        The engine's figures are brought forward by what it has processed since. The larger figure
+        counts: the engine may look idle with a late report, and it knows of calls that this agent
+        did not send.
+        """
+        prompt, output = self._admission.pending_tokens()
+        if load is None:
+            return prompt, output
+        age_s = self._monitor.load_age_ms / MS_PER_S
+        engine_prompt = load.queued_prompt_tokens - load.prefill_tokens_per_s * age_s
+        engine_output = load.queued_output_tokens - load.decode_tokens_per_s * age_s
+        return max(prompt, round(engine_prompt)), max(output, round(engine_output))
+
     def piggyback(self, entry: str) -> LoadReport | None:
         """Return a report for an End or Refusal to an entry, unless it has just had one."""
         now = self._timer.now()
--- a/figwalk/agent/main.py
+++ b/figwalk/agent/main.py
@@ -108,6 +108,7 @@
             calls=self._calls,
             serving=self._serving,
             events=self._events,
+            timer=timer,
         )
         self._serving.observe(self._apply_state)
         self._addresses: dict[str, Address] = {}
--- a/figwalk/agent/order_executor.py
+++ b/figwalk/agent/order_executor.py
@@ -13,12 +13,15 @@
 from figwalk.errors import HttpError
 from figwalk.events import Event, EventLog
 from figwalk.protocol.messages import Desired
+from figwalk.timer import Timer
 
 # Seconds between two reads of the state of an engine that is at rest or in a change.
 REST_POLL_S = 1.0
 CHANGE_POLL_S = 0.1
 # Seconds before the next try after an order that was not confirmed, refused or without effect.
 RETRY_S = 1.0
+# A process that was paused while it waited asks again; above the time that one entry may take.
+MAX_CONFIRM_AGE_S = 5.0
 
 
 class OrderExecutor:
@@ -35,6 +38,7 @@
         calls: Calls that have to end before a change.
         serving: State of the backend server.
         events: Event log.
+        timer: Source of time.
     """
 
     def __init__(
@@ -47,6 +51,7 @@
         calls: CallServer,
         serving: ServingState,
         events: EventLog,
+        timer: Timer,
     ) -> None:
         self._backend = backend
         self._monitor = monitor
@@ -55,6 +60,7 @@
         self._calls = calls
         self._serving = serving
         self._events = events
+        self._timer = timer
         self._sent_order: Desired | None = None
         self._unconfirmed_offset: int | None = None
 
@@ -90,10 +96,13 @@
         state = await self._read_state()
         if state is None or not state.ready:
             return CHANGE_POLL_S
+        asked_at = self._timer.now()
         confirmed = await self._confirm()
         if confirmed is None or not self._is_due(state):
             self._serving.set_changing(False)
             return RETRY_S
+        if self._timer.now() - asked_at > MAX_CONFIRM_AGE_S:
+            return 0.0
         return await self._send(confirmed)
 
     async def _send(self, order: Desired) -> float:
@@ -121,7 +130,7 @@
         if confirmed is not None:
             self._desired.offer(confirmed)
             order = self._desired.order
-            if order is not None and confirmed.order_offset == order.order_offset:
+            if order is not None and self._is_newest(confirmed, order):
                 self._unconfirmed_offset = None
                 self._events.record(Event.ORDER_CONFIRMED, order=confirmed.order_offset)
                 return confirmed
@@ -131,6 +140,13 @@
             self._events.record(Event.ORDER_UNCONFIRMED, order=offset)
         return None
 
+    def _is_newest(self, confirmed: Desired, order: Desired) -> bool:
+        """Return whether a confirmed state is not behind what is already known."""
+        return (
+            confirmed.order_offset == order.order_offset
+            and confirmed.control_offset >= self._desired.control_offset
+        )
+
     async def _read_state(self) -> EngineState | None:
         try:
             state = await self._backend.read_state()
--- a/figwalk/agent/peer_server.py
+++ b/figwalk/agent/peer_server.py
@@ -94,6 +94,9 @@
             self._events.record(Event.PEER_FRAME_REJECTED, error=error.message)
         except (TransportError, OSError):
             pass
+        except Exception as error:
+            # A fault in the service of one connection ends that connection only.
+            self._events.record(Event.TASK_FAILED, task="peer connection", error=repr(error))
         finally:
             self._connections -= 1
             await trio.aclose_forcefully(stream)
--- a/figwalk/coordination/admission.py
+++ b/figwalk/coordination/admission.py
@@ -22,6 +22,8 @@
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 60_000
 DEFAULT_OUTPUT_RATIO = 0.5
+SPEED_CHANGE = 0.2
+MIN_MEASURED_TOKENS = 8
 _SMOOTHING = 0.2
 # A refused call teaches nothing about output lengths, so each refusal moves the learned ratio
 # this far back to the default; otherwise a wrong ratio would never be corrected.
@@ -77,7 +79,11 @@
             calls: Calls that share this generation speed.
         """
         self._prefill_tokens_per_s = max(0.0, prefill)
-        self._decode_tokens_per_s = max(0.0, decode) / max(1, calls)
+        per_call = max(0.0, decode) / max(1, calls)
+        if abs(per_call - self._decode_tokens_per_s) > SPEED_CHANGE * self._decode_tokens_per_s:
+            # The engine has another role or model now; what was measured before does not hold.
+            self._own_decode = 0.0
+        self._decode_tokens_per_s = per_call
 
     def output_tokens(self, work: Work) -> float:
         """Return the expected answer length."""
@@ -96,16 +102,20 @@
             total += self.output_tokens(work) / speed
         return total
 
-    def learn(self, work: Work, *, duration_s: float, generated: int, decode_s: float) -> None:
+    def learn(self, ticket: Ticket, now: float) -> None:
         """Learn from a call that ran to its end."""
+        work = ticket.work
         if not work.max_tokens:
-            self._plain_s = _smooth(self._plain_s, duration_s)
+            self._plain_s = _smooth(self._plain_s, now - ticket.started_at)
+            return
+        if not ticket.generated:
             return
         bucket = work.max_tokens.bit_length()
         ratio = self._output_ratios.get(bucket, DEFAULT_OUTPUT_RATIO)
-        self._output_ratios[bucket] = _smooth(ratio, min(1.0, generated / work.max_tokens))
-        if generated > 1 and decode_s > 0:
-            self._own_decode = _smooth(self._own_decode, (generated - 1) / decode_s)
+        self._output_ratios[bucket] = _smooth(ratio, min(1.0, ticket.generated / work.max_tokens))
+        decode_s = now - ticket.first_byte_at
+        if ticket.streamed and ticket.generated >= MIN_MEASURED_TOKENS and decode_s > 0:
+            self._own_decode = _smooth(self._own_decode, (ticket.generated - 1) / decode_s)
 
     def note_refusal(self, work: Work) -> None:
         """Move the learned output ratio of such calls back towards the default."""
@@ -131,6 +141,7 @@
         started_at: When it was admitted.
         first_byte_at: When its answer began, or 0.
         generated: Tokens generated so far.
+        streamed: Whether the tokens arrive one by one, so that their speed can be measured.
     """
 
     work: Work
@@ -140,6 +151,7 @@
     started_at: float = 0.0
     first_byte_at: float = 0.0
     generated: int = 0
+    streamed: bool = False
     _decided: trio.Event | None = None
     _refusal: RefusalError | None = None
 
@@ -183,6 +195,11 @@
         """Calls that may run now."""
         return self._capacity
 
+    @property
+    def max_running(self) -> int:
+        """Configured maximum of running calls."""
+        return self._max_running
+
     @property
     def queued(self) -> int:
         """Calls that wait."""
@@ -224,8 +241,9 @@
         )
         if self._closed_code:
             raise self._closed_refusal()
-        if now > ticket.latest_start:
-            raise self._deadline_refusal(work, self._predict_wait(ticket))
+        backlog_s = self._prefill_backlog_s(now) if work.deadline < math.inf else 0.0
+        if now + backlog_s * WAIT_CONFIDENCE > ticket.latest_start:
+            raise self._deadline_refusal(work, max(backlog_s, self._predict_wait(ticket)))
         if len(self._running) < self._capacity and not self._waiting:
             self._start(ticket)
             return ticket
@@ -241,23 +259,22 @@
         """
         self._running.discard(ticket)
         if complete:
-            now = self._timer.now()
-            self._estimate.learn(
-                ticket.work,
-                duration_s=now - ticket.started_at,
-                generated=ticket.generated,
-                decode_s=now - ticket.first_byte_at if ticket.first_byte_at else 0.0,
-            )
+            self._estimate.learn(ticket, self._timer.now())
         self._start_waiting()
 
     def review(self) -> None:
         """Refuse waiting calls that can no longer finish in time by the present prediction."""
+        if not self._waiting:
+            return
         now = self._timer.now()
-        for ticket, start in list(self._predict_starts()):
+        slots = self._free_times()
+        for ticket in list(self._all_waiting()):
             ticket.service_s = self._estimate.service_s(ticket.work)
-            wait = (start - now) * WAIT_CONFIDENCE
-            if now + wait > ticket.latest_start:
-                self._refuse(ticket, self._deadline_refusal(ticket.work, start - now))
+            wait = slots[0] - now
+            if now + wait * WAIT_CONFIDENCE > ticket.latest_start:
+                self._refuse(ticket, self._deadline_refusal(ticket.work, wait))
+            else:
+                heapq.heapreplace(slots, slots[0] + ticket.service_s)
 
     def predicted_wait_s(self, priority: Priority = Priority.NORMAL) -> float:
         """Return the predicted wait of a new call of a class."""
@@ -270,12 +287,13 @@
 
     def pending_tokens(self) -> tuple[int, int]:
         """Return the prompt and output tokens still to be processed, queued and running."""
-        prompt = sum(t.work.prompt_tokens for t in self._running if not t.first_byte_at)
+        now = self._timer.now()
+        prompt = self._prefill_backlog_s(now) * self._estimate.prefill_tokens_per_s
         output = sum(max(0.0, t.output_tokens - t.generated) for t in self._running)
         for ticket in self._all_waiting():
             prompt += ticket.work.prompt_tokens
             output += ticket.output_tokens
-        return prompt, math.ceil(output)
+        return math.ceil(prompt), math.ceil(output)
 
     async def _wait(self, ticket: Ticket) -> None:
         wait = self._predict_wait(ticket)
@@ -330,14 +348,6 @@
         for priority in _CLASSES:
             yield from self._classes[priority].in_order()
 
-    def _predict_starts(self) -> Iterator[tuple[Ticket, float]]:
-        """Yield the waiting calls in their order with their predicted start times."""
-        slots = self._free_times()
-        for ticket in self._all_waiting():
-            start = slots[0]
-            heapq.heapreplace(slots, start + ticket.service_s)
-            yield ticket, start
-
     def _predict_wait(self, new: Ticket) -> float:
         """Return the predicted seconds until a new call would start."""
         if len(self._running) < self._capacity and not self._waiting:
@@ -350,6 +360,19 @@
             heapq.heapreplace(slots, slots[0] + ticket.service_s)
         return max(0.0, slots[0] - self._timer.now())
 
+    def _prefill_backlog_s(self, now: float) -> float:
+        """Return the seconds for the prompts of running calls whose answer has not begun.
+
+        The engine processes prompts one after the other at its prefill speed, and has done so
+        since the oldest of these calls started.
+        """
+        speed = self._estimate.prefill_tokens_per_s
+        waiting = [t for t in self._running if not t.first_byte_at and t.work.prompt_tokens]
+        if not waiting or not speed:
+            return 0.0
+        total_s = sum(t.work.prompt_tokens for t in waiting) / speed
+        return max(0.0, total_s - (now - min(t.started_at for t in waiting)))
+
     def _free_times(self) -> list[float]:
         """Return a heap of the times at which the slots are predicted to be free."""
         now = self._timer.now()
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,196 @@
+import math
+
+import pytest
+import trio
+from trio.testing import MockClock, wait_all_tasks_blocked
+
+from figwalk.coordination.admission import AdmissionQueue, Work
+from figwalk.errors import RefusalError
+from figwalk.protocol.messages import Priority
+from figwalk.timer import Timer
+
+
+class Bench:
+    """A queue with one place for calls of a given prompt, at 100 prompt tokens a second."""
+
+    def __init__(self, nursery, *, max_running=1, queue_limit=8):
+        self.nursery = nursery
+        self.queue = AdmissionQueue(Timer(), max_running=max_running, queue_limit=queue_limit)
+        self.queue.estimate.set_engine_speeds(100, 100, 1)
+        self.order = []
+        self.refused = {}
+        self.tickets = {}
+
+    async def add(self, name, *, seconds=1.0, left=math.inf, **fields):
+        """Ask for admission in a task of its own and let it decide or wait."""
+        deadline = trio.current_time() + left
+        work = Work(deadline=deadline, prompt_tokens=round(seconds * 100), **fields)
+        self.nursery.start_soon(self._admit, name, work)
+        await wait_all_tasks_blocked()
+
+    async def _admit(self, name, work):
+        try:
+            self.tickets[name] = await self.queue.admit(work)
+        except RefusalError as error:
+            self.refused[name] = (error, trio.current_time())
+        else:
+            self.order.append(name)
+
+    async def run_all(self):
+        """End each running call as soon as it runs, and return the order of the starts."""
+        while self.tickets:
+            self.queue.release(self.tickets.pop(next(iter(self.tickets))), complete=False)
+            await wait_all_tasks_blocked()
+        return self.order
+
+
+@pytest.fixture
+def run():
+    def run_on_mock_clock(test, **options):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                await test(Bench(nursery, **options))
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock())
+
+    return run_on_mock_clock
+
+
+def test_priority_goes_before_deadline(run):
+    """Guards against chat that waits behind long jobs with an early deadline."""
+
+    async def test(bench):
+        await bench.add("running")
+        await bench.add("batch", left=100, priority=Priority.BATCH)
+        await bench.add("late", left=300)
+        await bench.add("early", left=200)
+        await bench.add("chat", priority=Priority.INTERACTIVE)
+        assert await bench.run_all() == ["running", "chat", "early", "late", "batch"]
+
+    run(test)
+
+
+def test_one_organisation_cannot_take_all_places(run):
+    """Guards against an organisation that starves others by many early deadlines."""
+
+    async def test(bench):
+        await bench.add("running")
+        for index in range(6):
+            await bench.add(f"big{index}", left=100, organisation="big")
+        for index in range(2):
+            await bench.add(f"small{index}", left=200, organisation="small")
+        order = await bench.run_all()
+        assert order.index("small0") < order.index("big5")
+
+    run(test, queue_limit=20)
+
+
+def test_shares_are_weighted(run):
+    """Guards against published shares without effect."""
+
+    async def test(bench):
+        bench.queue.set_shares({"heavy": 3.0})
+        await bench.add("running")
+        for index in range(12):
+            await bench.add(f"heavy{index}", organisation="heavy", seconds=2.0)
+            await bench.add(f"light{index}", organisation="light", seconds=2.0)
+        first = (await bench.run_all())[1:13]
+        assert sum(name.startswith("heavy") for name in first) >= 8
+
+    run(test, queue_limit=40)
+
+
+def test_full_queue_refuses_at_once_with_the_time_to_retry(run):
+    """Guards against unbounded waiting, and against a Retry-After unrelated to the queue."""
+
+    async def test(bench):
+        await bench.add("running", seconds=2)
+        await bench.add("waiting", seconds=3)
+        await bench.add("third")
+        error, _ = bench.refused["third"]
+        assert (error.code, error.retry_after_ms) == ("overloaded", 5000)
+
+    run(test, queue_limit=1)
+
+
+def test_call_that_cannot_finish_is_refused_at_once(run):
+    """Guards against work that holds a place although its answer comes too late."""
+
+    async def test(bench):
+        await bench.add("too long", seconds=5, left=4)
+        await bench.add("running", seconds=10)
+        await bench.add("behind", seconds=1, left=5)
+        assert {name: error.code for name, (error, _) in bench.refused.items()} == {
+            "too long": "deadline",
+            "behind": "deadline",
+        }
+        assert bench.refused["behind"][0].retry_after_ms == 6000
+
+    run(test)
+
+
+def test_waiting_call_is_refused_when_its_deadline_can_no_longer_be_met(run):
+    """Guards against a refusal that comes only shortly before the deadline."""
+
+    async def test(bench):
+        await bench.add("running", seconds=3)
+        await bench.add("waiting", seconds=2, left=6)
+        clock = trio.lowlevel.current_clock()
+        clock.jump(3.9)
+        await wait_all_tasks_blocked()
+        assert not bench.refused
+        clock.jump(0.2)
+        await wait_all_tasks_blocked()
+        assert bench.refused["waiting"][0].code == "deadline"
+        assert bench.queue.queued == 0
+
+    run(test)
+
+
+def test_slower_engine_refuses_what_no_longer_fits(run):
+    """Guards against waiting calls judged by the speed before a role change."""
+
+    async def test(bench):
+        await bench.add("running", seconds=1)
+        await bench.add("waiting", seconds=1, left=5)
+        bench.queue.estimate.set_engine_speeds(10, 100, 1)
+        bench.queue.review()
+        await wait_all_tasks_blocked()
+        assert bench.refused["waiting"][0].code == "deadline"
+
+    run(test)
+
+
+def test_closing_refuses_what_waits_and_keeps_what_runs(run):
+    """Guards against a planned stop that starts waiting calls or ends running ones."""
+
+    async def test(bench):
+        await bench.add("running")
+        await bench.add("waiting")
+        bench.queue.close("leaving")
+        await wait_all_tasks_blocked()
+        await bench.add("new")
+        assert {name: error.code for name, (error, _) in bench.refused.items()} == {
+            "waiting": "leaving",
+            "new": "leaving",
+        }
+        assert bench.queue.running == 1
+
+    run(test)
+
+
+def test_cancelled_wait_leaves_no_trace(run):
+    """Guards against a place that is lost with a caller who left."""
+
+    async def test(bench):
+        await bench.add("running")
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as bench.nursery:
+                await bench.add("left")
+                scope.cancel()
+        assert bench.queue.queued == 0
+        bench.queue.release(bench.tickets["running"])
+        assert bench.queue.running == 0
+
+    run(test)
--- /dev/null
+++ b/tests/test_agent_keys.py
@@ -0,0 +1,165 @@
+import pytest
+import trio
+from agent_fakes import body_of, run_test, running_agent
+
+from figwalk.agent.key_memory import KeyMemory
+from figwalk.errors import CallOutcome, RefusalError
+from figwalk.protocol.messages import Cancel, KeyLookup, KeyState, KeyStatus, Refusal
+
+
+def is_status(message):
+    return isinstance(message, KeyStatus)
+
+
+async def look_up(control, claim_id, incarnation):
+    await control.connection.send(KeyLookup(claim_id, incarnation))
+    return await control.until(is_status)
+
+
+def test_claim_runs_once_and_its_answer_is_kept():
+    """Guards against a second run of a claim (invariant 6) and a lost answer."""
+
+    async def main():
+        async with running_agent("plain") as running:
+            entry = await running.connect()
+            control = await running.control()
+            claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation}
+            await entry.call(1, **claim)
+            assert body_of(await entry.result()) == b'{"ok":true}'
+            await entry.call(2, **claim)
+            (refusal,) = await entry.result()
+            assert (refusal.code, refusal.outcome) == ("duplicate_claim", CallOutcome.UNKNOWN)
+            status = await look_up(control, **claim)
+            assert (status.state, status.body) == (KeyState.FINISHED, b'{"ok":true}')
+            assert len(running.backend.calls) == 1
+
+    run_test(main)
+
+
+@pytest.mark.parametrize("leave", ["cancel", "lost connection"])
+def test_sent_claim_runs_on_without_its_entry(leave):
+    """Guards against an order cut halfway because an entry died or its caller left."""
+
+    async def main():
+        async with running_agent("plain") as running:
+            running.backend.go_on = trio.Event()
+            entry = await running.connect()
+            control = await running.control()
+            claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation}
+            await entry.call(7, **claim)
+            await running.backend.received.wait()
+            if leave == "cancel":
+                await entry.connection.send(Cancel(7))
+            else:
+                await entry.connection.aclose()
+            assert (await look_up(control, **claim)).state is KeyState.RUNNING
+            running.backend.go_on.set()
+            while (status := await look_up(control, **claim)).state is KeyState.RUNNING:
+                pass
+            assert (status.state, status.body) == (KeyState.FINISHED, b'{"ok":true}')
+            if leave == "cancel":
+                assert isinstance((await entry.result())[-1], Refusal)
+
+    run_test(main)
+
+
+def test_claim_looked_up_before_it_arrives_never_runs():
+    """Guards against a delayed sender that runs a claim already released (invariant 6)."""
+
+    async def main():
+        async with running_agent("plain") as running:
+            entry = await running.connect()
+            control = await running.control()
+            claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation}
+            assert (await look_up(control, **claim)).state is KeyState.VOIDED
+            await entry.call(1, **claim)
+            (refusal,) = await entry.result()
+            assert (refusal.code, refusal.outcome) == ("voided", CallOutcome.NOT_RUN)
+            assert not running.backend.calls
+
+    run_test(main)
+
+
+def test_claim_of_a_dead_agent_never_runs():
+    """Guards against a claim that its named agent may already have run."""
+
+    async def main():
+        async with running_agent("plain") as running:
+            entry = await running.connect()
+            control = await running.control()
+            claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation ^ 1}
+            await entry.call(1, **claim)
+            assert (await entry.result())[-1].code == "incarnation"
+            assert (await look_up(control, **claim)).state is KeyState.UNKNOWN
+            assert not running.backend.calls
+
+    run_test(main)
+
+
+def test_claim_whose_answer_is_lost_is_unknown():
+    """Guards against a second run of a claim that the backend server may have run."""
+
+    async def main():
+        async with running_agent("plain") as running:
+            running.backend.go_on = trio.Event()
+            entry = await running.connect()
+            control = await running.control()
+            claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation}
+            await entry.call(1, **claim)
+            await running.backend.received.wait()
+            await running.backend.stop()
+            assert (await entry.result())[-1].outcome is CallOutcome.UNKNOWN
+            assert (await look_up(control, **claim)).state is KeyState.UNKNOWN
+
+    run_test(main)
+
+
+def test_refused_claim_is_void():
+    """Guards against a `not_run` refusal of a claim that could still run (invariant 5)."""
+
+    async def main():
+        async with running_agent("plain") as running:
+            entry = await running.connect()
+            control = await running.control()
+            running.agent._admission.close("leaving")
+            claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation}
+            await entry.call(1, **claim)
+            assert (await entry.result())[-1].outcome is CallOutcome.NOT_RUN
+            assert (await look_up(control, **claim)).state is KeyState.VOIDED
+
+    run_test(main)
+
+
+def test_full_memory_draws_a_new_incarnation_and_entries_reconnect():
+    """Guards against unbounded memory, and against entries that keep a dead incarnation."""
+
+    async def main():
+        async with running_agent("plain", key_memory_limit=2) as running:
+            control = await running.control()
+            old = control.hello.incarnation
+            for name in "ab":
+                await control.connection.send(KeyLookup(name, old))
+            with pytest.raises(Exception, match="closed"):
+                await control.until(lambda _: False)
+            assert (await running.connect()).hello.incarnation != old
+
+    run_test(main)
+
+
+def test_old_incarnation_is_readable_but_starts_nothing():
+    """Guards against lost answers of claims that ended just before a new incarnation."""
+    keys = KeyMemory(2)
+    old = keys.incarnation
+    keys.begin("a", old)
+    keys.finish("a", old, 200, [], b"answer")
+    keys.begin("running", old)
+    with pytest.raises(RefusalError, match="incarnation"):
+        keys.begin("late", old)
+    assert keys.look_up(KeyLookup("a", old)).body == b"answer"
+    assert keys.look_up(KeyLookup("late", old)).state is KeyState.VOIDED
+    for _ in range(3):
+        for name in "xy":
+            keys.look_up(KeyLookup(name, keys.incarnation))
+    assert keys.look_up(KeyLookup("running", old)).state is KeyState.RUNNING
+    keys.finish("running", old, 200, [], b"late answer")
+    assert keys.look_up(KeyLookup("running", old)).body == b"late answer"
