--- a/figwalk/agent/call_server.py
+++ b/figwalk/agent/call_server.py
@@ -10,6 +10,7 @@
 import trio
 
 from figwalk.agent.backend_client import BackendClient, check_echo, render_call_id
+from figwalk.agent.call_connection import CallConnection
 from figwalk.agent.event_stream import EventStreamCutter
 from figwalk.agent.key_memory import MAX_KEPT_BODY_BYTES, KeyMemory
 from figwalk.agent.load_reporter import LoadReporter
@@ -26,7 +27,7 @@
 )
 from figwalk.events import Event, EventLog
 from figwalk.protocol.messages import Answer, Call, Cancel, End, Hello, Message, Refusal
-from figwalk.protocol.peer_connection import AnswerData, PeerConnection
+from figwalk.protocol.peer_connection import AnswerData
 from figwalk.timer import MS_PER_S, Timer
 from figwalk.transport import Headers, HttpConnectError, HttpResponse, strip_hop_by_hop
 
@@ -140,7 +141,7 @@
         with trio.move_on_after(LAST_FRAMES_TIMEOUT_S):
             await self.wait_idle()
 
-    async def serve(self, connection: PeerConnection, entry: Hello) -> None:
+    async def serve(self, connection: CallConnection, entry: Hello) -> None:
         """Serve one call connection until it is lost."""
         await _CallSession(self, connection, entry, self._events).run()
 
@@ -329,7 +330,7 @@
             if kept is not None:
                 kept.add(data)
             tail = data
-            await session.send_data(attempt, data)
+            await session.send_data(attempt, data, more=not response.complete)
         attempt.complete = response.complete
         if call.max_tokens:
             usage = _COMPLETION_TOKENS.search(tail, max(0, len(tail) - _USAGE_TAIL_BYTES))
@@ -347,7 +348,7 @@
             if not ticket.first_byte_at:
                 ticket.first_byte_at = self._timer.now()
             ticket.generated = cutter.event_count
-            await session.send_data(attempt, whole)
+            await session.send_data(attempt, whole, more=not response.complete)
         attempt.complete = response.complete and cutter.done
 
     async def _send_last(
@@ -417,7 +418,7 @@
     """One call connection."""
 
     def __init__(
-        self, server: CallServer, connection: PeerConnection, entry: Hello, events: EventLog
+        self, server: CallServer, connection: CallConnection, entry: Hello, events: EventLog
     ) -> None:
         self._server = server
         self._connection = connection
@@ -430,6 +431,7 @@
 
     async def run(self) -> None:
         """Serve calls until the connection is lost and the last call has ended."""
+        self._connection.hold()
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._receive_messages)
@@ -447,24 +449,24 @@
         """Send the last message of an answer; the entry may send its next call then."""
         self._attempt = None
         await self._connection.send(message)
+        await self._flush()
 
     async def send_answer(self, attempt: Attempt, answer: Answer) -> None:
         """Send the head of an answer."""
         attempt.answered = not attempt.detached
-        await self._write(attempt, self._connection.send, answer)
-
-    async def send_data(self, attempt: Attempt, data: bytes) -> None:
-        """Send body bytes of an answer."""
-        if not attempt.detached:
-            attempt.byte_count += len(data)
-        await self._write(attempt, self._connection.send_data, attempt.call.call_id, data)
+        if attempt.answered:
+            await self._connection.send(answer)
 
-    async def _write(self, attempt: Attempt, send: object, *arguments: object) -> None:
+    async def send_data(self, attempt: Attempt, data: bytes, *, more: bool) -> None:
+        """Send body bytes of an answer, together with its end if nothing more comes."""
         if attempt.detached:
             return
+        attempt.byte_count += len(data)
         attempt.writing = True
         try:
-            await send(*arguments)
+            await self._connection.send_data(attempt.call.call_id, data)
+            if more:
+                await self._flush()
         except ConnectionLostError:
             self.lost = True
             if not attempt.keyed:
@@ -472,6 +474,12 @@
             attempt.detached = True
         attempt.writing = False
 
+    async def _flush(self) -> None:
+        try:
+            await self._connection.flush()
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ConnectionLostError("the entry closed its connection") from error
+
     async def _receive_messages(self) -> None:
         try:
             while True:
--- a/figwalk/agent/peer_server.py
+++ b/figwalk/agent/peer_server.py
@@ -9,10 +9,10 @@
 import structlog
 import trio
 
+from figwalk.agent.call_connection import CallConnection
 from figwalk.errors import FrameTooLargeError, MalformedFrameError, TransportError
 from figwalk.events import Event, EventLog
 from figwalk.protocol.messages import ConnectionKind, Hello
-from figwalk.protocol.peer_connection import PeerConnection
 from figwalk.state.settings import Address
 
 HELLO_TIMEOUT_S = 5.0
@@ -24,7 +24,7 @@
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 2
 
-ConnectionHandler = Callable[[PeerConnection, Hello], Awaitable[None]]
+ConnectionHandler = Callable[[CallConnection, Hello], Awaitable[None]]
 
 
 async def bind_peer_port(address: Address) -> trio.SocketListener:
@@ -89,7 +89,7 @@
         self._connections += 1
         try:
             _limit_silence(stream)
-            await self._greet_and_serve(PeerConnection(stream))
+            await self._greet_and_serve(CallConnection(stream))
         except (MalformedFrameError, FrameTooLargeError) as error:
             self._events.record(Event.PEER_FRAME_REJECTED, error=error.message)
         except (TransportError, OSError):
@@ -101,7 +101,7 @@
             self._connections -= 1
             await trio.aclose_forcefully(stream)
 
-    async def _greet_and_serve(self, connection: PeerConnection) -> None:
+    async def _greet_and_serve(self, connection: CallConnection) -> None:
         with trio.move_on_after(HELLO_TIMEOUT_S) as scope:
             hello = await connection.receive_hello()
             handler = self._handlers.get(hello.kind)
--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -82,6 +82,7 @@
 
     async def answer_call(self, request, responder):
         """Answer a call as scripted."""
+        chunks = list(self.chunks)
         self.calls.append(request)
         self.received.set()
         identifier = (self.echo or request.header(b"x-request-id")).encode()
@@ -89,14 +90,14 @@
         if "stream" in request.path:
             headers += STREAM_HEADERS
             await responder.start(self.status, headers)
-            for chunk in self.chunks:
+            for chunk in chunks:
                 await responder.send_chunk(chunk)
             await self.go_on.wait()
             if self.finish:
                 await responder.finish()
             return
         await self.go_on.wait()
-        await responder.send(self.status, headers, b"".join(self.chunks))
+        await responder.send(self.status, headers, b"".join(chunks))
 
 
 @attrs.frozen
