--- /dev/null
+++ b/figwalk/cli/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line by `python -m figwalk.cli`."""
+
+from figwalk.cli.main import main
+
+main()
--- /dev/null
+++ b/figwalk/cli/errors.py
@@ -0,0 +1,51 @@
+"""Errors of the operator's command line."""
+
+from __future__ import annotations
+
+from figwalk.errors import FigwalkError
+
+
+class UsageError(FigwalkError):
+    """The command line names something that is not valid or does not exist."""
+
+
+class AdminError(FigwalkError):
+    """The operator API refused a call or gave no usable answer."""
+
+
+class AdminUnavailableError(AdminError):
+    """The operator API could not be reached; nothing was published."""
+
+
+class AdminAnswerLostError(AdminError):
+    """A publication got no answer; it may or may not be in effect."""
+
+
+class AdminTokenError(AdminError):
+    """The operator API did not accept the bearer token."""
+
+
+class AdminRefusedError(AdminError):
+    """The operator API refused a call.
+
+    Args:
+        status: HTTP status.
+        code: Machine-readable reason.
+        message: What was wrong.
+        remedy: What to do about it.
+    """
+
+    def __init__(self, status: int, code: str, message: str, *, remedy: str) -> None:
+        self._status = status
+        self._code = code
+        super().__init__(message, remedy=remedy)
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        return self._status
+
+    @property
+    def code(self) -> str:
+        """Machine-readable reason."""
+        return self._code
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -10,7 +10,7 @@
 
 @pytest.mark.parametrize("user", ["bhumivar", "umugati"])
 def test_deployment_is_consistent(user):
-    """Guards against two processes on one port, and a replica of a service that is not published."""
+    """Guards against two processes on one port, and a replica of an unpublished service."""
     published = load_published(EXAMPLES / user / "published.yaml")
     entries = [load_settings(p, EntrySettings) for p in (EXAMPLES / user).glob("entry-*.yaml")]
     agents = [load_settings(p, AgentSettings) for p in (EXAMPLES / user).glob("agent-*.yaml")]
