--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 
-.PHONY: venv test format
+.PHONY: venv test format docs demo up
 
 venv: $(VENV)/.installed
 
@@ -19,3 +19,12 @@
 format: venv
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+docs: venv
+	{ printf '# Log events\n\n'; $(BIN)/python -m figwalk.events; } > docs/events.md
+
+demo: venv
+	$(BIN)/python -m standins.demo
+
+up: venv
+	$(BIN)/python -m standins.up
--- /dev/null
+++ b/tests/test_events_page.py
@@ -0,0 +1,15 @@
+from pathlib import Path
+
+from figwalk.events import Event, render_catalogue
+
+PAGE = Path(__file__).parent.parent / "docs" / "events.md"
+
+
+def test_event_catalogue_is_current():
+    """Guards against an event that operators can't look up; `make docs` updates the page."""
+    assert PAGE.read_text() == f"# Log events\n\n{render_catalogue()}\n"
+
+
+def test_event_numbers_are_unique():
+    """Guards against two events that look the same in alerts."""
+    assert len({event.number for event in Event}) == len(Event)
