--- a/figwalk/state/settings_file.py
+++ b/figwalk/state/settings_file.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Hashable
 from enum import StrEnum
 from pathlib import Path
@@ -39,6 +40,7 @@
 T = TypeVar("T")
 
 KIND_KEY = "kind"
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
 
 
 class FileKind(StrEnum):
@@ -142,6 +144,12 @@
     return _structure_file(path, content, cls, faults)
 
 
+def dump_settings(settings: EntrySettings | AgentSettings) -> str:
+    """Return the YAML text that `load_settings` reads as these settings."""
+    content = {KIND_KEY: _KINDS[type(settings)].value, **unstructure(settings)}
+    return yaml.safe_dump(content, sort_keys=False)
+
+
 def load_published(path: str | Path) -> PublishedFile:
     """Read a file of kind `published`.
 
@@ -313,11 +321,11 @@
 
 
 def _is_name(name: str) -> bool:
-    return bool(name) and name.isascii() and all(c.isalnum() or c in "-_." for c in name)
+    return NAME_PATTERN.fullmatch(name) is not None
 
 
 def _describe_name(name: str) -> str:
-    return f"{name!r} is not a name; use letters, digits, '-', '_' and '.'"
+    return f"{name!r} is not a name; use 1 to 128 letters, digits, '-', '_' and '.'"
 
 
 def _list_values(sections: _Sections) -> list[PublishedValue]:
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -7,6 +7,7 @@
 from figwalk.state.settings_file import (
     check_file,
     check_published_value,
+    dump_settings,
     load_published,
     load_settings,
 )
@@ -59,9 +60,10 @@
 
 def test_entry_settings_are_typed(write):
     settings = load_settings(write(ENTRY + "grace_s: 7\n"), EntrySettings)
-    assert settings.callers == settings.platform.log.__class__("127.0.0.1", 8080)
+    assert settings.callers == Address("127.0.0.1", 8080)
     assert settings.peers == Address("127.0.0.1", 0)
     assert isinstance(settings.grace_s, float)
+    assert load_settings(write(dump_settings(settings)), EntrySettings) == settings
 
 
 def test_every_fault_is_named_at_once(write):
