Check published values by the class of their path

parse_published_value serves files and publications alike. The launcher starts processes in process groups of their own, so that Ctrl-C lets the parent stop entries first.

--- a/figwalk/cli/main.py
+++ b/figwalk/cli/main.py
@@ -27,7 +27,8 @@
 from figwalk.cli.output import Output
 from figwalk.cli.views import write_presets, write_status, write_timeline
 from figwalk.errors import FigwalkError, SettingsError
-from figwalk.state.settings_file import WithdrawalMode, check_file
+from figwalk.state.published_values import WithdrawalMode
+from figwalk.state.settings_file import check_file
 
 T = TypeVar("T")
 
--- a/figwalk/cli/operator_commands.py
+++ b/figwalk/cli/operator_commands.py
@@ -12,12 +12,8 @@
 from figwalk.cli.errors import UsageError
 from figwalk.protocol.records import Change
 from figwalk.state.published import PRESET_IN_FORCE_PATH, PRESETS_PREFIX, WITHDRAWN_PREFIX
-from figwalk.state.settings_file import (
-    PublishedValue,
-    Withdrawal,
-    WithdrawalMode,
-    load_published,
-)
+from figwalk.state.published_values import PublishedValue, Withdrawal, WithdrawalMode
+from figwalk.state.settings_file import load_published
 
 
 @attrs.frozen
--- a/figwalk/state/settings_file.py
+++ b/figwalk/state/settings_file.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Hashable
 from enum import StrEnum
 from pathlib import Path
@@ -35,12 +34,18 @@
     Preset,
     ServiceConfig,
 )
+from figwalk.state.published_values import (
+    PublishedValue,
+    Withdrawal,
+    describe_name,
+    is_name,
+    list_service_faults,
+)
 from figwalk.state.settings import AgentSettings, EntrySettings
 
 T = TypeVar("T")
 
 KIND_KEY = "kind"
-NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
 
 
 class FileKind(StrEnum):
@@ -51,52 +56,6 @@
     PUBLISHED = "published"
 
 
-class WithdrawalMode(StrEnum):
-    """How a backend server leaves service.
-
-    With `drain` running calls end in their own time; with `withdraw` streams are moved to other
-    backend servers when the grace time is over.
-    """
-
-    DRAIN = "drain"
-    WITHDRAW = "withdraw"
-
-
-@attrs.frozen
-class Withdrawal:
-    """Value of `withdrawn/<backend>`."""
-
-    mode: WithdrawalMode = WithdrawalMode.WITHDRAW
-
-
-PublishedObject = Preset | ServiceConfig | OrganisationConfig | Withdrawal | Limits
-
-VALUE_CLASSES: dict[str, type] = {
-    PRESETS_PREFIX: Preset,
-    SERVICES_PREFIX: ServiceConfig,
-    ORGANISATIONS_PREFIX: OrganisationConfig,
-    WITHDRAWN_PREFIX: Withdrawal,
-}
-
-
-@attrs.frozen
-class PublishedValue:
-    """A configuration path and its new value.
-
-    Attributes:
-        path: Configuration path, for example `presets/peak`.
-        value: Typed value; the name of a preset for `preset_in_force`; None deletes the path.
-    """
-
-    path: str
-    value: PublishedObject | str | None
-
-    @property
-    def json_value(self) -> Any:
-        """The value as it is published."""
-        return unstructure(self.value)
-
-
 @attrs.frozen
 class PublishedFile:
     """Content of a file of kind `published`, in the order of the file's sections."""
@@ -186,35 +145,6 @@
     return FileKind(kind)
 
 
-def check_published_value(path: str, value: object) -> list[str]:
-    """Return the faults of one published value, as JSON, under its configuration path.
-
-    Args:
-        path: Configuration path, for example `presets/peak`.
-        value: JSON value; None deletes the path.
-    """
-    prefix, slash, name = path.partition("/")
-    cls = VALUE_CLASSES.get(prefix + slash)
-    if path == LIMITS_PATH:
-        cls = Limits
-    elif path == PRESET_IN_FORCE_PATH:
-        if isinstance(value, str) and value:
-            return []
-        return [f"{path}: expected the name of a preset; give one that is published"]
-    elif cls is None:
-        known = [f"{section}NAME" for section in VALUE_CLASSES]
-        return [f"{path}: unknown path; use {', '.join([*known, PRESET_IN_FORCE_PATH])} or limits"]
-    elif not _is_name(name):
-        return [f"{path}: {_describe_name(name)}"]
-    if value is None:
-        return []
-    try:
-        structured = structure(value, cls)
-    except (cattrs.BaseValidationError, InvalidValueError) as error:
-        return list(list_faults(error, path))
-    return [f"{path}{fault}" for fault in _check_service(structured)]
-
-
 def _read_mapping(path: Path) -> tuple[dict[Any, Any], list[str]]:
     """Return the content of a YAML file, and its repeated keys as faults."""
     try:
@@ -296,38 +226,17 @@
     faults = []
     for section in ("presets", "services", "organisations", "withdrawn"):
         names = getattr(sections, section)
-        faults += [f"{section}: {_describe_name(name)}" for name in names if not _is_name(name)]
+        faults += [f"{section}: {describe_name(name)}" for name in names if not is_name(name)]
     chosen = sections.preset_in_force
     if chosen is not None and sections.presets and sections.presets.get(chosen) is None:
         known = [name for name, preset in sections.presets.items() if preset is not None]
         hint = describe_unknown_key(chosen, known).replace("unknown key", "unknown preset")
         faults.append(f"{PRESET_IN_FORCE_PATH}: {chosen!r}: {hint.replace('keys', 'presets')}")
     for name, service in sections.services.items():
-        faults += [f"{SERVICES_PREFIX}{name}{fault}" for fault in _check_service(service)]
+        faults += [f"{SERVICES_PREFIX}{name}{fault}" for fault in list_service_faults(service)]
     return faults
 
 
-def _check_service(value: object) -> list[str]:
-    """Return the faults between the keys of a service."""
-    if not isinstance(value, ServiceConfig):
-        return []
-    if value.kind == "model" and not value.models:
-        return [".models: a model service has no models; name at least one"]
-    if value.kind == "model" and value.non_repeatable:
-        return [".non_repeatable: only plain services have such calls; remove the key"]
-    if value.kind == "plain" and value.models:
-        return [".models: a plain service serves no models; remove the key"]
-    return []
-
-
-def _is_name(name: str) -> bool:
-    return NAME_PATTERN.fullmatch(name) is not None
-
-
-def _describe_name(name: str) -> str:
-    return f"{name!r} is not a name; use 1 to 128 letters, digits, '-', '_' and '.'"
-
-
 def _list_values(sections: _Sections) -> list[PublishedValue]:
     """Return the values of a file, presets before the choice among them."""
     values = _list_section(PRESETS_PREFIX, sections.presets)
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -227,6 +227,8 @@
                 stderr=log,
                 cwd=ROOT,
                 env={**os.environ, "PYTHONUNBUFFERED": "1", **environment},
+                # Ctrl-C in the terminal reaches the launcher only, which stops entries first.
+                process_group=0,
             )
         handle = ProcessHandle(name, process, log_path)
         self._handles.append(handle)
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -3,10 +3,10 @@
 import pytest
 
 from figwalk.errors import SettingsError
+from figwalk.state.published_values import parse_published_value
 from figwalk.state.settings import Address, AgentSettings, EntrySettings
 from figwalk.state.settings_file import (
     check_file,
-    check_published_value,
     dump_settings,
     load_published,
     load_settings,
@@ -153,7 +153,7 @@
         {"method": "POST", "path": "/orders/water-calcium"}
     ]
     for value in published.values:
-        assert check_published_value(value.path, value.json_value) == []
+        assert parse_published_value(value.path, value.json_value) == value
 
 
 @pytest.mark.parametrize(
@@ -179,7 +179,7 @@
     [
         ("presets/peak", {"role_change_weight": "x"}),
         ("presets/", {}),
-        ("preset_in_force", None),
+        ("preset_in_force", ""),
         ("elsewhere", 1),
         ("limits", {"key_memory_ms": 3}),
         ("services/x", {"kind": "model"}),
@@ -187,5 +187,5 @@
 )
 def test_published_value_from_the_wire_is_checked(path, value):
     """Guards against a value that skipped the file check and reaches every process."""
-    (fault,) = check_published_value(path, value)
+    (fault,) = faults_of(parse_published_value, path, value)
     assert fault.startswith(path)
