--- a/figwalk/entry/backends.py
+++ b/figwalk/entry/backends.py
@@ -153,6 +153,9 @@
             report_timeout_s=self._settings.report_timeout_s,
         )
         self._links[vm.id] = link
+        # An agent that was never reached must count as away, or a second engine of its service
+        # could be ordered to change at the same time.
+        self._fleet.register(vm.id, vm.service, zone=vm.zone, region=vm.region)
         self._pools[link] = CallPool(link, self, self._events)
         self._start(vm.id)
 
@@ -168,6 +171,7 @@
         if link is None:
             return
         del self._pools[link]
+        self._fleet.remove(vm.id)
         scope = self._scopes.pop(vm.id, None)
         if scope is not None:
             scope.cancel()
@@ -190,6 +194,8 @@
         """Take in what the agent says of itself."""
         peer = link.peer
         self._by_backend[peer.backend] = link
+        if peer.backend != link.vm:
+            self._fleet.remove(link.vm)
         self._fleet.register(
             peer.backend,
             peer.service,
--- a/figwalk/entry/entry_peers.py
+++ b/figwalk/entry/entry_peers.py
@@ -45,6 +45,11 @@
         self._events = events
         self._vms: dict[str, Vm] = {}
 
+    @property
+    def count(self) -> int:
+        """Number of other entries in the VM list."""
+        return len(self._vms)
+
     def add_vm(self, vm: Vm) -> None:
         """Take in an entry VM."""
         if vm.id != self._process:
--- a/figwalk/entry/keyed_calls.py
+++ b/figwalk/entry/keyed_calls.py
@@ -190,8 +190,7 @@
         """
         if not self._follower.available:
             raise _log_refusal("the platform's log does not answer")
-        memory_ms = self._backends.limits().key_memory_s * MS_PER_S
-        if self._claims.complete_since_ms > self._timer.wall_ms() - memory_ms:
+        if not self._claims.covers(self._backends.limits().key_memory_s):
             raise _log_refusal("the log no longer keeps the claims that must be remembered")
         try:
             target = plan.next_target()
--- a/figwalk/entry/process.py
+++ b/figwalk/entry/process.py
@@ -11,10 +11,10 @@
 from figwalk.coordination.lease import Lease
 from figwalk.coordination.log_client import StoredRecord
 from figwalk.coordination.log_follower import LogFollower
-from figwalk.coordination.membership import Membership, MembershipSubscriber, Vm, VmKind
+from figwalk.coordination.membership import Membership, VmChange, VmChangeKind, VmKind
 from figwalk.coordination.publisher import Publisher, Snapshotter
 from figwalk.coordination.retry_budget import RetryBudget
-from figwalk.coordination.role_controller import RoleController
+from figwalk.coordination.role_controller import RoleController, ServiceView, build_service_view
 from figwalk.coordination.router import make_policy
 from figwalk.entry.admin_api import AdminApi
 from figwalk.entry.backends import Backends
@@ -41,9 +41,10 @@
 INCARNATION_BITS = 64
 PEER_CONFIG_PERIOD_S = 1.0
 PEER_BACKLOG = 256
+MODEL_KIND = "model"
 
 
-class EntryProcess(MembershipSubscriber):
+class EntryProcess:
     """All parts of one entry.
 
     Args:
@@ -119,9 +120,10 @@
             HttpClient(settings.platform.vms.host, settings.platform.vms.port),
             self._timer,
             self._events,
-            period_s=settings.platform.vms_poll_s,
+            poll_s=settings.platform.vms_poll_s,
         )
-        self._membership.subscribe(self)
+        self._membership.subscribe(self._take_vm_change)
+        self._membership.start()
         self._lease = Lease(
             self._log_client,
             self._control,
@@ -132,20 +134,32 @@
             ttl_s=settings.lease_ttl_s,
         )
         self._role_controller = RoleController(
-            self._fleet, self._configuration, self._control, self._lease, self._events, self._timer
+            self._timer,
+            self._events,
+            self._lease,
+            self._lease,
+            services=self._list_model_services,
+            view=self._view_service,
+            preset=self._configuration.preset_in_force,
         )
+        self._role_controller.start()
         self._set_policies()
 
     def _build_interfaces(self) -> None:
         settings = self._settings
         self._claim_writer = ClaimWriter(
-            self._log_client, self._claims, self._claims_follower, self._events, self._timer
+            self._log_client,
+            self._claims,
+            self._claims_follower,
+            self._events,
+            self._timer,
+            key_memory_s=lambda: self._configuration.limits().key_memory_s,
         )
         self._publisher = Publisher(
             self._log_client, self._configuration, self._config_follower, self._events, self._timer
         )
         self._snapshotter = Snapshotter(
-            self._log_client, self._configuration, self._config_follower, self._events, self._timer
+            self._publisher, self._configuration, self._events, self._timer
         )
         keyed = KeyedCalls(
             self._backends,
@@ -217,24 +231,32 @@
             self._events.record(Event.PROCESS_STOPPED)
         self._nursery.cancel_scope.cancel()
 
-    def on_joined(self, vm: Vm) -> None:
-        """Connect to a new VM."""
-        if vm.kind is VmKind.BACKEND:
-            self._backends.add_vm(vm)
+    def _take_vm_change(self, change: VmChange) -> None:
+        if change.vm.kind is VmKind.BACKEND:
+            self._take_backend_change(change)
+        elif change.kind is VmChangeKind.JOINED:
+            self._peers.add_vm(change.vm)
+        elif change.kind is VmChangeKind.GONE:
+            self._peers.remove_vm(change.vm)
+        self._fleet.set_entry_count(self._peers.count + 1)
+
+    def _take_backend_change(self, change: VmChange) -> None:
+        if change.kind is VmChangeKind.JOINED:
+            self._backends.add_vm(change.vm)
+        elif change.kind is VmChangeKind.LEAVING:
+            self._backends.mark_leaving(change.vm)
         else:
-            self._peers.add_vm(vm)
+            self._backends.remove_vm(change.vm)
 
-    def on_leaving(self, vm: Vm) -> None:
-        """Send no new work to a leaving VM."""
-        if vm.kind is VmKind.BACKEND:
-            self._backends.mark_leaving(vm)
+    def _list_model_services(self) -> list[str]:
+        services = self._configuration.services()
+        return [name for name, service in services.items() if service.kind == MODEL_KIND]
 
-    def on_gone(self, vm: Vm) -> None:
-        """Disconnect from a VM that is gone."""
-        if vm.kind is VmKind.BACKEND:
-            self._backends.remove_vm(vm)
-        else:
-            self._peers.remove_vm(vm)
+    def _view_service(self, service: str) -> ServiceView:
+        return build_service_view(self._fleet, service, self._newest_order, self._timer.now())
+
+    def _newest_order(self, backend: str) -> int:
+        return self._control.desired(backend).order_offset
 
     async def _listen(self, nursery: trio.Nursery) -> None:
         settings = self._settings
--- a/model/authority.py
+++ b/model/authority.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterator
 
 import attrs
@@ -115,7 +116,7 @@
 
 
 def _ascending(values: tuple[int, ...]) -> bool:
-    return all(a <= b for a, b in zip(values, values[1:], strict=False))
+    return all(a <= b for a, b in itertools.pairwise(values))
 
 
 def _all_valid(state: State, variant: str) -> bool:
--- a/model/keyed_calls.py
+++ b/model/keyed_calls.py
@@ -162,7 +162,10 @@
         yield from _read_back(state, index, live, variant)
     elif entry.phase == WON:
         sent = state.calls | {(entry.claim, entry.incarnation)}
-        yield f"e{index} sends", state.with_entry(index, attrs.evolve(entry, phase=SENT), calls=sent)
+        yield (
+            f"e{index} sends",
+            state.with_entry(index, attrs.evolve(entry, phase=SENT), calls=sent),
+        )
     elif entry.phase == SENT:
         yield from _await_answer(state, index, variant)
     elif entry.phase == ASKING:
