Give a restored backend server work again, and keep a listed leaving VM without work

Cause: the entry kept the agent's Leaving message until the agent restarted, so restore had no effect there; and it dropped a leaving VM of the list when the agent was not connected yet. Ruled out: the agent, whose reports show the serving state after restore. Before: both new tests failed; after: they pass.

--- a/figwalk/entry/backends.py
+++ b/figwalk/entry/backends.py
@@ -15,6 +15,7 @@
 from figwalk.entry.call_pool import CallPool
 from figwalk.events import EventLog
 from figwalk.protocol.messages import (
+    BackendState,
     Confirm,
     Confirmed,
     ConnectionKind,
@@ -75,6 +76,7 @@
         self._pools: dict[AgentLink, CallPool] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._by_backend: dict[str, AgentLink] = {}
+        self._leaving_vms: set[str] = set()
         self._nursery: trio.Nursery | None = None
         self._policy: RoutingPolicy | None = None
         # Two entries, or an entry before and after a restart, must not use one call id.
@@ -161,12 +163,12 @@
 
     def mark_leaving(self, vm: Vm) -> None:
         """Send no new work to a VM that the list shows as leaving."""
-        link = self._links.get(vm.id)
-        if link is not None and link.connected:
-            self._fleet.mark_leaving(link.peer.backend)
+        self._leaving_vms.add(vm.id)
+        self._mark_if_listed_leaving(vm.id)
 
     def remove_vm(self, vm: Vm) -> None:
         """Disconnect from the agent on a VM that is gone."""
+        self._leaving_vms.discard(vm.id)
         link = self._links.pop(vm.id, None)
         if link is None:
             return
@@ -204,6 +206,7 @@
             address=link.address,
             incarnation=peer.incarnation,
         )
+        self._mark_if_listed_leaving(link.vm)
 
     def on_lost(self, link: AgentLink) -> None:
         """Drop idle call connections, which the lost agent no longer serves."""
@@ -214,6 +217,9 @@
     def on_report(self, link: AgentLink, report: LoadReport) -> None:
         """Take in a load report."""
         self._fleet.update_report(report, incarnation=link.peer.incarnation)
+        if report.state is BackendState.SERVING and link.vm not in self._leaving_vms:
+            # Reports and `Leaving` come in order on one connection, so this one is newer.
+            self._fleet.clear_leaving(report.backend)
 
     def on_leaving(self, link: AgentLink, leaving: Leaving) -> None:
         """Send no new work to a leaving backend server."""
@@ -232,6 +238,13 @@
         await self._control_follower.read_to_head()
         return Confirmed(confirm.nonce, self._control.desired(confirm.backend))
 
+    def _mark_if_listed_leaving(self, vm: str) -> None:
+        if vm not in self._leaving_vms:
+            return
+        for backend, link in self._by_backend.items():
+            if link.vm == vm:
+                self._fleet.mark_leaving(backend)
+
     def _start(self, vm: str) -> None:
         if self._nursery is not None:
             self._nursery.start_soon(self._run_link, vm)
--- a/figwalk/state/backend_view.py
+++ b/figwalk/state/backend_view.py
@@ -305,6 +305,10 @@
         """Give no new work to this incarnation."""
         self._leaving = True
 
+    def clear_leaving(self) -> None:
+        """Give work again."""
+        self._leaving = False
+
     def add_call(self, call: SentCall) -> None:
         """Add a call that this entry sent."""
         self._sent_prompt_tokens = (
--- a/figwalk/state/fleet.py
+++ b/figwalk/state/fleet.py
@@ -161,11 +161,17 @@
             view.remove_call(call_id)
 
     def mark_leaving(self, backend: str) -> None:
-        """Give a backend server no new work until its agent has a new incarnation."""
+        """Give a backend server no new work until `clear_leaving` or a new incarnation."""
         view = self._backends.get(backend)
         if view is not None:
             view.set_leaving()
 
+    def clear_leaving(self, backend: str) -> None:
+        """Give a backend server work again that was restored before it stopped."""
+        view = self._backends.get(backend)
+        if view is not None:
+            view.clear_leaving()
+
     def set_model(self, backend: str, model: str | None) -> None:
         """Set the model that a backend server has loaded."""
         view = self._backends.get(backend)
