Count sent calls by the agent's figures, and take roles from serving agents only

The agent counts a call when it arrives, so that subtracting the age of the engine's figures made calls count twice. An agent that has not reached its engine yet reports role mixed, which looked like two role changes.

--- a/figwalk/state/backend_view.py
+++ b/figwalk/state/backend_view.py
@@ -6,11 +6,11 @@
 
 from figwalk.protocol.messages import BackendState, LoadReport, Role
 from figwalk.state.settings import Address
-from figwalk.timer import MS_PER_S
 
 # A call sent this long before a report arrived may not be counted in it: twice the 12 ms between
-# regions, and the time the agent takes to write the report. Counting a call twice for that time
-# is harmless, missing it makes a busy backend server look idle.
+# regions, and the time the agent takes to write the report. The agent counts a call when it
+# arrives, so that the age of the engine's own figures does not matter. Counting a call twice for
+# that time is harmless, missing it makes a busy backend server look idle.
 REPORT_TRANSIT_S = 0.05
 
 
@@ -272,20 +272,21 @@
             return False
         self._report = report
         self._reported_at = now
-        age_s = report.engine_report_age_ms / MS_PER_S
-        self._unreported.discard_until(now - age_s - REPORT_TRANSIT_S)
+        self._unreported.discard_until(now - REPORT_TRANSIT_S)
         return True
 
     def take_role_change(self, now: float) -> RoleChange | None:
         """Return the change of role that the newest report completes, once.
 
         The role outlives the agent's incarnation, so that an agent that restarts while its engine
-        changes hides no change.
+        changes hides no change. Only a serving agent surely knows its engine's role.
         """
         if self._report.state is BackendState.CHANGING:
             if self._changing_since is None:
                 self._changing_since = now
             return None
+        if self._report.state is not BackendState.SERVING:
+            return None
         before, self._role = self._role, self._report.role
         since, self._changing_since = self._changing_since, None
         if before in (None, self._role):
