--- a/figwalk/agent/call_connection.py
+++ b/figwalk/agent/call_connection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+
 import trio
 
 from figwalk.protocol.peer_connection import PeerConnection
@@ -53,7 +55,19 @@
         """Send what was collected."""
         data = b"".join(self._parts)
         self._parts.clear()
-        await self._stream.send_all(data)
+        if not isinstance(self._stream, trio.SocketStream):
+            await self._stream.send_all(data)
+            return
+        # A write that the kernel takes at once needs no pass of the scheduler; the task yields
+        # when it waits for the backend server's next bytes.
+        try:
+            sent = os.write(self._stream.socket.fileno(), data)
+        except BlockingIOError:
+            sent = 0
+        except OSError as error:
+            raise trio.BrokenResourceError from error
+        if sent < len(data):
+            await self._stream.send_all(memoryview(data)[sent:])
 
     async def wait_send_all_might_not_block(self) -> None:
         """Wait until the connection takes bytes."""
