--- a/tests/test_entry_backends.py
+++ b/tests/test_entry_backends.py
@@ -27,6 +27,8 @@
 
 @attrs.frozen
 class FakeLink:
+    """Link to a connected agent."""
+
     peer: Hello
     vm: str = "agent-1"
     address: Address = ADDRESS
