Compile the message codec for each class and send headers as one field

Cause: the codec took 184 us of a relayed request, most of it in the loop over fields and the list of header structs. Ruled out: Cap'n Proto itself, whose parse takes 2 us.

--- a/figwalk/protocol/codec.py
+++ b/figwalk/protocol/codec.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from enum import Enum
 from pathlib import Path
+from typing import Any
 
 import attrs
 import capnp
@@ -31,94 +32,111 @@
     return cls.__name__[0].lower() + cls.__name__[1:]
 
 
-def _write_headers(builder: object, name: str, value: Headers) -> None:
-    if not value:
-        return
-    target = builder.init(name, len(value))
-    for index, (key, text) in enumerate(value):
-        target[index].name = key
-        target[index].value = text
+def _join_headers(headers: Headers) -> bytes:
+    return b"".join([b"%b: %b\r\n" % header for header in headers])
 
 
-def _write_struct(builder: object, name: str, value: object) -> None:
-    if value is not None:
-        _write_fields(builder.init(name), value)
+def _split_headers(data: bytes) -> Headers:
+    if not data:
+        return []
+    return [_split_header(line) for line in data[:-2].split(b"\r\n")]
 
 
-def _write_plain(builder: object, name: str, value: object) -> None:
-    setattr(builder, name, value)
-
-
-def _write_enum(builder: object, name: str, value: Enum) -> None:
-    setattr(builder, name, value.value)
-
-
-def _read_headers(reader: object) -> Headers:
-    return [(header.name, header.value) for header in reader]
-
-
-def _read_plain(value: object) -> object:
-    return value
+def _split_header(line: bytes) -> tuple[bytes, bytes]:
+    name, separator, value = line.partition(b": ")
+    if not separator:
+        raise ValueError(f"header line {line!r} has no colon")
+    return name, value
 
 
 @attrs.frozen
 class _FieldPlan:
-    """How one attribute is written to and read from its Cap'n Proto field."""
+    """How one attribute is written to and read from its Cap'n Proto field.
+
+    Attributes:
+        attribute: Name of the attribute.
+        wire_name: Name of the field.
+        write: Source of the statement that writes `value` to `builder`.
+        read: Source of the expression that reads the field of `reader`.
+    """
 
     attribute: str
     wire_name: str
-    write: Callable[[object, str, object], None]
-    read: Callable[[object], object]
-    optional: bool = False
+    write: str
+    read: str
 
 
-def _plan_field(name: str, annotation: object) -> _FieldPlan:
+def _plan_field(name: str, annotation: object, names: dict[str, object]) -> _FieldPlan:
     wire = _to_camel(name)
+    plain = f"reader.{wire}"
     if annotation == Headers:
-        return _FieldPlan(name, wire, _write_headers, _read_headers)
+        write = f"builder.{wire} = join_headers(value)"
+        return _FieldPlan(name, wire, write, f"split_headers({plain})")
     arguments = typing.get_args(annotation)
-    if type(None) in arguments:
-        inner = next(a for a in arguments if a is not type(None))
-        return _FieldPlan(name, wire, _write_struct, lambda r: _read_fields(inner, r), True)
-    if isinstance(annotation, type) and attrs.has(annotation):
-        return _FieldPlan(name, wire, _write_struct, lambda r: _read_fields(annotation, r))
+    inner = next((a for a in arguments if a is not type(None)), annotation)
+    if isinstance(inner, type) and attrs.has(inner):
+        names[f"fill_{inner.__name__}"] = _WRITERS[inner]
+        names[f"read_{inner.__name__}"] = _READERS[inner]
+        write = f"fill_{inner.__name__}(builder.init({wire!r}), value)"
+        read = f"read_{inner.__name__}({plain})"
+        if type(None) in arguments:
+            read = f"{read} if reader._has({wire!r}) else None"
+        return _FieldPlan(name, wire, write, read)
     if isinstance(annotation, type) and issubclass(annotation, Enum):
-        return _FieldPlan(name, wire, _write_enum, annotation)
+        names[annotation.__name__] = annotation
+        return _FieldPlan(
+            name, wire, f"builder.{wire} = value.value", f"{annotation.__name__}({plain})"
+        )
     if typing.get_origin(annotation) is list:
-        return _FieldPlan(name, wire, _write_plain, list)
-    return _FieldPlan(name, wire, _write_plain, _read_plain)
+        return _FieldPlan(name, wire, f"builder.{wire} = value", f"list({plain})")
+    return _FieldPlan(name, wire, f"builder.{wire} = value", plain)
 
 
-def _plan_class(cls: type) -> list[_FieldPlan]:
-    hints = typing.get_type_hints(cls)
-    return [_plan_field(field.name, hints[field.name]) for field in attrs.fields(cls)]
+def _compile(source: str, name: str, names: dict[str, object]) -> Callable[..., Any]:
+    scope = dict(names)
+    exec(source, scope)
+    return scope[name]
+
 
+def _compile_class(cls: type) -> None:
+    """Compile the functions that write and read one class.
 
+    Straight code for each class takes about half the processor time of a loop over its fields.
+    Values equal to zero or empty are the default of the wire form and are not written.
+    """
+    names: dict[str, object] = {
+        "cls": cls,
+        "join_headers": _join_headers,
+        "split_headers": _split_headers,
+    }
+    hints = typing.get_type_hints(cls)
+    plans = [_plan_field(f.name, hints[f.name], names) for f in attrs.fields(cls)]
+    writer = ["def write(builder, message):"]
+    for plan in plans:
+        writer.append(f"    value = message.{plan.attribute}")
+        writer.append(f"    if value: {plan.write}")
+    reader = ["def read(reader):", "    return cls("]
+    reader += [f"        {plan.read}," for plan in plans]
+    reader.append("    )")
+    _WRITERS[cls] = _compile("\n".join(writer), "write", names)
+    _READERS[cls] = _compile("\n".join(reader), "read", names)
+
+
+_WRITERS: dict[type, Callable[..., None]] = {}
+_READERS: dict[type, Callable[..., Any]] = {}
 _CLASSES: tuple[type, ...] = typing.get_args(Message)
-_PLANS = {cls: _plan_class(cls) for cls in _CLASSES}
+# Classes that are fields of others come first.
+for _cls in sorted(_CLASSES, key=lambda cls: cls not in (messages.LoadReport, messages.Desired)):
+    _compile_class(_cls)
 _UNION_NAMES = {cls: _union_name(cls) for cls in _CLASSES}
-_BY_UNION_NAME = {name: cls for cls, name in _UNION_NAMES.items()}
-
-
-def _write_fields(builder: object, value: object) -> None:
-    for plan in _PLANS[type(value)]:
-        plan.write(builder, plan.wire_name, getattr(value, plan.attribute))
-
-
-def _read_fields(cls: type, reader: object) -> object:
-    values = {}
-    for plan in _PLANS[cls]:
-        if plan.optional and not reader._has(plan.wire_name):
-            values[plan.attribute] = None
-        else:
-            values[plan.attribute] = plan.read(getattr(reader, plan.wire_name))
-    return cls(**values)
+_BY_UNION_NAME = {_union_name(cls): cls for cls in _CLASSES}
 
 
 def encode_message(message: Message) -> bytes:
     """Return the wire form of a message."""
     builder = _SCHEMA.Message.new_message()
-    _write_fields(builder.init(_UNION_NAMES[type(message)]), message)
+    cls = type(message)
+    _WRITERS[cls](builder.init(_UNION_NAMES[cls]), message)
     return builder.to_bytes()
 
 
@@ -132,8 +150,8 @@
         with _SCHEMA.Message.from_bytes(
             data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
         ) as reader:
-            name = reader.which()
-            return _read_fields(_BY_UNION_NAME[str(name)], getattr(reader, str(name)))
+            name = str(reader.which())
+            return _READERS[_BY_UNION_NAME[name]](getattr(reader, name))
     except (capnp.KjException, ValueError, KeyError, UnicodeDecodeError) as error:
         raise MalformedFrameError(f"message can't be decoded: {error}") from error
 
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -3,10 +3,8 @@
 # Messages between figwalk processes. `figwalk/protocol/messages.py` has one attrs class for each
 # struct; field names differ only in case style.
 
-struct Header {
-  name @0 :Data;
-  value @1 :Data;
-}
+# `headers` fields hold HTTP header lines, `name: value\r\n` each: one field costs a fifth of the
+# processor time of a list of structs.
 
 struct Hello {
   kind @0 :Text;
@@ -24,7 +22,7 @@
   requestId @1 :Text;
   method @2 :Text;
   target @3 :Text;
-  headers @4 :List(Header);
+  headers @4 :Data;
   body @5 :Data;
   deadlineMs @6 :UInt32;
   priority @7 :Text;
@@ -40,7 +38,7 @@
 struct Answer {
   callId @0 :UInt64;
   status @1 :UInt16;
-  headers @2 :List(Header);
+  headers @2 :Data;
   clock @3 :UInt64;
 }
 
@@ -135,7 +133,7 @@
   claimId @0 :Text;
   state @1 :Text;
   status @2 :UInt16;
-  headers @3 :List(Header);
+  headers @3 :Data;
   body @4 :Data;
 }
 
