Hold calls back that would make running ones miss their deadlines

Admission predicts the time per token from the number of running calls, learns answer lengths also from calls cut at their deadline, and a cancelled write no longer closes a connection on which nothing was sent.

--- a/figwalk/agent/call_connection.py
+++ b/figwalk/agent/call_connection.py
@@ -16,10 +16,10 @@
     less CPU time for the call than three writes.
 
     Args:
-        stream: Connected byte stream.
+        stream: Connected socket.
     """
 
-    def __init__(self, stream: trio.abc.Stream) -> None:
+    def __init__(self, stream: trio.SocketStream) -> None:
         self._held = _HoldingStream(stream)
         super().__init__(self._held)
 
@@ -27,6 +27,11 @@
         """Hold all further frames back until `flush`."""
         self._held.holding = True
 
+    @property
+    def broken_off(self) -> bool:
+        """Whether a cancelled flush left a part of a frame behind, so that nothing can follow."""
+        return self._held.writing
+
     async def flush(self) -> None:
         """Send the frames that are held back.
 
@@ -39,10 +44,11 @@
 class _HoldingStream(trio.abc.Stream):
     """Passes bytes through, or collects them to be sent together."""
 
-    def __init__(self, stream: trio.abc.Stream) -> None:
+    def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
         self._parts: list[bytes] = []
         self.holding = False
+        self.writing = False
 
     async def send_all(self, data: bytes) -> None:
         """Send or collect."""
@@ -55,11 +61,9 @@
         """Send what was collected."""
         data = b"".join(self._parts)
         self._parts.clear()
-        if not isinstance(self._stream, trio.SocketStream):
-            await self._stream.send_all(data)
-            return
         # A write that the kernel takes at once needs no pass of the scheduler; the task yields
         # when it waits for the backend server's next bytes.
+        self.writing = True
         try:
             sent = os.write(self._stream.socket.fileno(), data)
         except BlockingIOError:
@@ -68,6 +72,7 @@
             raise trio.BrokenResourceError from error
         if sent < len(data):
             await self._stream.send_all(memoryview(data)[sent:])
+        self.writing = False
 
     async def wait_send_all_might_not_block(self) -> None:
         """Wait until the connection takes bytes."""
--- a/figwalk/agent/call_server.py
+++ b/figwalk/agent/call_server.py
@@ -51,7 +51,6 @@
         sent: Whether the backend server may have received it.
         answered: Whether `Answer` went to the entry.
         detached: Whether the entry is gone and the call runs on for its kept answer.
-        writing: Whether a frame is being written now.
         byte_count: Body bytes sent to the entry.
         complete: Whether the backend server's answer was whole.
         cut_code: Why the call was cut, or an empty string.
@@ -63,7 +62,6 @@
     sent: bool = False
     answered: bool = False
     detached: bool = False
-    writing: bool = False
     byte_count: int = 0
     complete: bool = False
     cut_code: str = ""
@@ -161,7 +159,7 @@
         try:
             await self._run_to_end(attempt, session)
         except ConnectionLostError:
-            session.lost = True
+            session.lose()
         finally:
             self._attempts.discard(attempt)
             if not self._attempts:
@@ -181,8 +179,7 @@
             refusal = self._explain_cut(attempt)
             if attempt.sent:
                 session.start_soon(self._cancel_at_engine, attempt.call)
-        if attempt.writing or session.lost:
-            # Half a frame may have left, so nothing can follow it on this connection.
+        if session.lost:
             raise ConnectionLostError("the entry's connection can't be used further")
         await self._send_last(attempt, refusal, session)
 
@@ -426,8 +423,17 @@
         self._nursery: trio.Nursery | None = None
         self._send_attempt, self._receive_attempt = trio.open_memory_channel[Attempt](1)
         self._attempt: Attempt | None = None
+        self._lost = False
         self.entry = entry
-        self.lost = False
+
+    @property
+    def lost(self) -> bool:
+        """Whether nothing more can be sent."""
+        return self._lost or self._connection.broken_off
+
+    def lose(self) -> None:
+        """Note that the entry is gone."""
+        self._lost = True
 
     async def run(self) -> None:
         """Serve calls until the connection is lost and the last call has ended."""
@@ -453,26 +459,24 @@
 
     async def send_answer(self, attempt: Attempt, answer: Answer) -> None:
         """Send the head of an answer."""
-        attempt.answered = not attempt.detached
-        if attempt.answered:
+        if not attempt.detached:
             await self._connection.send(answer)
+            attempt.answered = True
 
     async def send_data(self, attempt: Attempt, data: bytes, *, more: bool) -> None:
         """Send body bytes of an answer, together with its end if nothing more comes."""
         if attempt.detached:
             return
-        attempt.byte_count += len(data)
-        attempt.writing = True
         try:
             await self._connection.send_data(attempt.call.call_id, data)
+            attempt.byte_count += len(data)
             if more:
                 await self._flush()
         except ConnectionLostError:
-            self.lost = True
+            self.lose()
             if not attempt.keyed:
                 raise
             attempt.detached = True
-        attempt.writing = False
 
     async def _flush(self) -> None:
         try:
@@ -505,7 +509,7 @@
             raise MalformedFrameError(f"{name} is out of place on a call connection")
 
     def _end(self) -> None:
-        self.lost = True
+        self.lose()
         self._send_attempt.close()
         if self._attempt is not None:
             self._attempt.cancel()
--- a/figwalk/coordination/admission.py
+++ b/figwalk/coordination/admission.py
@@ -21,13 +21,23 @@
 SHARE_SLACK_S = 2.0
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 60_000
-DEFAULT_OUTPUT_RATIO = 0.5
+DEFAULT_OUTPUT_RATIO = 0.75
+RATIO_RISE = 0.3
+RATIO_FALL = 0.1
+# Share of the rest up to `max_tokens` expected of an answer that is already above its estimate.
+OVERRUN_RATIO = 0.1
+# Share of the time left that running calls may need before no further call starts beside them.
+DEADLINE_MARGIN = 0.9
 SPEED_CHANGE = 0.2
+MEASURED_DECAY = 0.95
+MIN_SPREAD = 0.5
+# Seconds per token of a lone call against one in a full batch, until streams have been measured.
+LONE_CALL_RATIO = 0.25
 MIN_MEASURED_TOKENS = 8
 _SMOOTHING = 0.2
 # A refused call teaches nothing about output lengths, so each refusal moves the learned ratio
 # this far back to the default; otherwise a wrong ratio would never be corrected.
-_REFUSAL_DRIFT = 0.05
+_REFUSAL_DRIFT = 0.01
 _CLASSES = (Priority.INTERACTIVE, Priority.NORMAL, Priority.BATCH)
 
 
@@ -50,13 +60,65 @@
     max_tokens: int = 0
 
 
+class TokenInterval:
+    """Predicts the seconds per token of one call from the number of running calls.
+
+    A step of an engine with continuous batching takes a fixed time and some time for each running
+    call, so the interval is a line, fitted to measured streams. Until there are enough of them, two
+    points from the engine's own figure at a full batch stand in.
+    """
+
+    def __init__(self) -> None:
+        self._full_calls = 1
+        self._full_s = 0.0
+        self._measured = (0.0, 0.0, 0.0, 0.0, 0.0)
+        self._base_s = 0.0
+        self._slope_s = 0.0
+
+    def at(self, calls: int) -> float:
+        """Return the seconds per token beside other calls, `calls` in all; 0 while unknown."""
+        return self._base_s + self._slope_s * calls
+
+    def set_engine_speed(self, tokens_per_s: float, calls: int) -> None:
+        """Take over the engine's generation speed over a full batch of calls."""
+        full_s = calls / tokens_per_s if tokens_per_s > 0 else 0.0
+        if abs(full_s - self._full_s) > SPEED_CHANGE * self._full_s:
+            # The engine has another role or model now; what was measured before does not hold.
+            self._measured = (0.0, 0.0, 0.0, 0.0, 0.0)
+        self._full_calls, self._full_s = calls, full_s
+        self._fit()
+
+    def learn(self, calls: float, interval_s: float) -> None:
+        """Add a measured stream."""
+        sample = (1.0, calls, interval_s, calls * calls, calls * interval_s)
+        self._measured = tuple(
+            MEASURED_DECAY * old + new for old, new in zip(self._measured, sample, strict=True)
+        )
+        self._fit()
+
+    def _fit(self) -> None:
+        weight, n, s, nn, ns = self._measured
+        points = ((1.0, self._full_calls, self._full_s), (0.2, 1, self._full_s * LONE_CALL_RATIO))
+        for point_weight, calls, interval_s in points if self._full_s else ():
+            weight += point_weight
+            n += point_weight * calls
+            s += point_weight * interval_s
+            nn += point_weight * calls * calls
+            ns += point_weight * calls * interval_s
+        if not weight:
+            return
+        spread = nn - n * n / weight
+        slope = (ns - n * s / weight) / spread if spread > MIN_SPREAD else 0.0
+        self._slope_s = max(0.0, slope)
+        self._base_s = max(0.0, (s - self._slope_s * n) / weight)
+
+
 class ServiceEstimate:
     """Predicts how long calls take, from measured speeds and past calls."""
 
     def __init__(self) -> None:
         self._prefill_tokens_per_s = 0.0
-        self._decode_tokens_per_s = 0.0
-        self._own_decode = 0.0
+        self._interval = TokenInterval()
         self._plain_s = 0.0
         self._output_ratios: dict[int, float] = {}
 
@@ -65,11 +127,6 @@
         """Prompt processing speed of the engine, or 0 while unknown."""
         return self._prefill_tokens_per_s
 
-    @property
-    def call_decode_tokens_per_s(self) -> float:
-        """Generation speed of one call, or 0 while unknown."""
-        return self._own_decode or self._decode_tokens_per_s
-
     def set_engine_speeds(self, prefill: float, decode: float, calls: int) -> None:
         """Take over the engine's own figures.
 
@@ -79,43 +136,55 @@
             calls: Calls that share this generation speed.
         """
         self._prefill_tokens_per_s = max(0.0, prefill)
-        per_call = max(0.0, decode) / max(1, calls)
-        if abs(per_call - self._decode_tokens_per_s) > SPEED_CHANGE * self._decode_tokens_per_s:
-            # The engine has another role or model now; what was measured before does not hold.
-            self._own_decode = 0.0
-        self._decode_tokens_per_s = per_call
+        self._interval.set_engine_speed(decode, max(1, calls))
+
+    def token_interval_s(self, calls: int) -> float:
+        """Return the seconds per token of one of `calls` running calls; 0 while unknown."""
+        return self._interval.at(calls)
 
     def output_tokens(self, work: Work) -> float:
         """Return the expected answer length."""
         ratio = self._output_ratios.get(work.max_tokens.bit_length(), DEFAULT_OUTPUT_RATIO)
         return work.max_tokens * ratio
 
-    def service_s(self, work: Work) -> float:
-        """Return the predicted seconds from start to end."""
+    def service_s(self, work: Work, calls: int) -> float:
+        """Return the predicted seconds from start to end as one of `calls` running calls."""
         if not work.prompt_tokens and not work.max_tokens:
             return self._plain_s
-        total = 0.0
+        total = self.output_tokens(work) * self._interval.at(calls)
         if self._prefill_tokens_per_s:
             total += work.prompt_tokens / self._prefill_tokens_per_s
-        speed = self.call_decode_tokens_per_s
-        if speed:
-            total += self.output_tokens(work) / speed
         return total
 
-    def learn(self, ticket: Ticket, now: float) -> None:
-        """Learn from a call that ran to its end."""
+    def output_left(self, ticket: Ticket, interval_s: float, now: float) -> float:
+        """Return the tokens that a running call is still expected to generate."""
+        done = ticket.generated
+        if not done and interval_s:
+            # An answer that comes whole shows no progress.
+            done = (now - ticket.started_at) / interval_s
+        rest = OVERRUN_RATIO * (ticket.work.max_tokens - done)
+        return max(0.0, ticket.output_tokens - done, rest)
+
+    def learn(self, ticket: Ticket, calls: int, now: float) -> None:
+        """Learn from a call that ran to its end beside others, `calls` in all."""
         work = ticket.work
         if not work.max_tokens:
             self._plain_s = _smooth(self._plain_s, now - ticket.started_at)
             return
-        if not ticket.generated:
-            return
-        bucket = work.max_tokens.bit_length()
-        ratio = self._output_ratios.get(bucket, DEFAULT_OUTPUT_RATIO)
-        self._output_ratios[bucket] = _smooth(ratio, min(1.0, ticket.generated / work.max_tokens))
+        if ticket.generated:
+            self._learn_length(work, ticket.generated)
         decode_s = now - ticket.first_byte_at
         if ticket.streamed and ticket.generated >= MIN_MEASURED_TOKENS and decode_s > 0:
-            self._own_decode = _smooth(self._own_decode, (ticket.generated - 1) / decode_s)
+            beside = (ticket.started_beside + calls) / 2
+            self._interval.learn(beside, decode_s / (ticket.generated - 1))
+
+    def learn_late(self, ticket: Ticket, calls: int, now: float) -> None:
+        """Learn from a call that was cut at its deadline, halfway between progress and limit."""
+        interval_s = self._interval.at(calls)
+        done = ticket.generated or ((now - ticket.started_at) / interval_s if interval_s else 0.0)
+        limit = ticket.work.max_tokens
+        if limit and done:
+            self._learn_length(ticket.work, (min(done, limit) + limit) / 2)
 
     def note_refusal(self, work: Work) -> None:
         """Move the learned output ratio of such calls back towards the default."""
@@ -124,6 +193,14 @@
         if ratio is not None:
             self._output_ratios[bucket] = ratio + _REFUSAL_DRIFT * (DEFAULT_OUTPUT_RATIO - ratio)
 
+    def _learn_length(self, work: Work, tokens: float) -> None:
+        """Follow long answers fast and short ones slowly, so that most answers fit."""
+        bucket = work.max_tokens.bit_length()
+        seen = min(1.0, tokens / work.max_tokens)
+        ratio = self._output_ratios.get(bucket, seen)
+        speed = RATIO_RISE if seen > ratio else RATIO_FALL
+        self._output_ratios[bucket] = ratio + speed * (seen - ratio)
+
 
 def _smooth(old: float, new: float) -> float:
     return old + _SMOOTHING * (new - old) if old else new
@@ -142,6 +219,7 @@
         first_byte_at: When its answer began, or 0.
         generated: Tokens generated so far.
         streamed: Whether the tokens arrive one by one, so that their speed can be measured.
+        started_beside: Running calls when it started, with itself.
     """
 
     work: Work
@@ -152,6 +230,7 @@
     first_byte_at: float = 0.0
     generated: int = 0
     streamed: bool = False
+    started_beside: int = 0
     _decided: trio.Event | None = None
     _refusal: RefusalError | None = None
 
@@ -164,6 +243,9 @@
 class AdmissionQueue:
     """Lets at most `capacity` calls run; the others wait, bounded by what can finish in time.
 
+    A call also waits while it would slow down running calls of its own or a higher class so much
+    that they miss their deadlines.
+
     The order is priority class, then share of the organisation, then deadline: organisations
     within `SHARE_SLACK_S` of the least served one compete by deadline.
 
@@ -235,16 +317,15 @@
         Raises:
             RefusalError: The call can't finish in time, or the queue is full or closed.
         """
-        now = self._timer.now()
-        ticket = Ticket(
-            work, self._estimate.service_s(work), self._estimate.output_tokens(work), now
-        )
         if self._closed_code:
             raise self._closed_refusal()
+        now = self._timer.now()
+        service_s = self._estimate.service_s(work, self._next_count())
+        ticket = Ticket(work, service_s, self._estimate.output_tokens(work), now)
         backlog_s = self._prefill_backlog_s(now) if work.deadline < math.inf else 0.0
         if now + backlog_s * WAIT_CONFIDENCE > ticket.latest_start:
             raise self._deadline_refusal(work, max(backlog_s, self._predict_wait(ticket)))
-        if len(self._running) < self._capacity and not self._waiting:
+        if not self._waiting and self._has_place(work.priority):
             self._start(ticket)
             return ticket
         await self._wait(ticket)
@@ -255,21 +336,28 @@
 
         Args:
             ticket: The call.
-            complete: Whether it ran to its end, so that its duration teaches something.
+            complete: Whether it ran to its end; its duration teaches something then.
         """
-        self._running.discard(ticket)
+        now = self._timer.now()
         if complete:
-            self._estimate.learn(ticket, self._timer.now())
+            self._estimate.learn(ticket, len(self._running), now)
+        elif now >= ticket.work.deadline:
+            self._estimate.learn_late(ticket, len(self._running), now)
+        self._running.discard(ticket)
         self._start_waiting()
 
     def review(self) -> None:
-        """Refuse waiting calls that can no longer finish in time by the present prediction."""
+        """Refuse waiting calls that can no longer finish in time by the present prediction.
+
+        Running calls that have made progress may also have made room for a waiting one.
+        """
+        self._start_waiting()
         if not self._waiting:
             return
         now = self._timer.now()
         slots = self._free_times()
         for ticket in list(self._all_waiting()):
-            ticket.service_s = self._estimate.service_s(ticket.work)
+            ticket.service_s = self._estimate.service_s(ticket.work, self._next_count())
             wait = slots[0] - now
             if now + wait * WAIT_CONFIDENCE > ticket.latest_start:
                 self._refuse(ticket, self._deadline_refusal(ticket.work, wait))
@@ -289,7 +377,8 @@
         """Return the prompt and output tokens still to be processed, queued and running."""
         now = self._timer.now()
         prompt = self._prefill_backlog_s(now) * self._estimate.prefill_tokens_per_s
-        output = sum(max(0.0, t.output_tokens - t.generated) for t in self._running)
+        interval_s = self._estimate.token_interval_s(len(self._running))
+        output = sum(self._estimate.output_left(t, interval_s, now) for t in self._running)
         for ticket in self._all_waiting():
             prompt += ticket.work.prompt_tokens
             output += ticket.output_tokens
@@ -332,11 +421,39 @@
     def _start(self, ticket: Ticket) -> None:
         ticket.started_at = self._timer.now()
         self._running.add(ticket)
+        ticket.started_beside = len(self._running)
+
+    def _next_count(self) -> int:
+        """Return how many calls run once one more has started."""
+        return min(len(self._running) + 1, self._capacity)
+
+    def _has_place(self, priority: Priority) -> bool:
+        """Return whether a call of a class may start beside the running ones."""
+        running = len(self._running)
+        if running >= self._capacity:
+            return False
+        interval_s = self._estimate.token_interval_s(running + 1)
+        if not running or not interval_s:
+            return True
+        present_s = self._estimate.token_interval_s(running)
+        now = self._timer.now()
+        backlog_s = self._prefill_backlog_s(now)
+        rank = _CLASSES.index(priority)
+        for ticket in self._running:
+            if ticket.work.deadline == math.inf or _CLASSES.index(ticket.work.priority) > rank:
+                continue
+            left_s = (ticket.work.deadline - now - backlog_s) * DEADLINE_MARGIN
+            rest = self._estimate.output_left(ticket, present_s, now)
+            if rest * present_s <= left_s < rest * interval_s:
+                return False
+        return True
 
     def _start_waiting(self) -> None:
-        while self._waiting and len(self._running) < self._capacity:
-            queue = next(q for q in map(self._classes.get, _CLASSES) if q)
-            ticket = queue.pop(self._shares)
+        while self._waiting:
+            priority = next(name for name in _CLASSES if self._classes[name])
+            if not self._has_place(priority):
+                return
+            ticket = self._classes[priority].pop(self._shares)
             self._waiting -= 1
             if self._timer.now() > ticket.latest_start:
                 ticket._refusal = self._deadline_refusal(ticket.work, self._predict_wait(ticket))
@@ -350,7 +467,7 @@
 
     def _predict_wait(self, new: Ticket) -> float:
         """Return the predicted seconds until a new call would start."""
-        if len(self._running) < self._capacity and not self._waiting:
+        if not self._waiting and self._has_place(new.work.priority):
             return 0.0
         slots = self._free_times()
         rank = (_CLASSES.index(new.work.priority), new.work.deadline)
@@ -374,10 +491,12 @@
         return max(0.0, total_s - (now - min(t.started_at for t in waiting)))
 
     def _free_times(self) -> list[float]:
-        """Return a heap of the times at which the slots are predicted to be free."""
+        """Return a heap of the times at which running calls are predicted to make place.
+
+        It is used while calls wait, so that places above the running calls can't be used now.
+        """
         now = self._timer.now()
-        slots = [max(now, t.started_at + t.service_s) for t in self._running]
-        slots += [now] * (self._capacity - len(slots))
+        slots = [max(now, t.started_at + t.service_s) for t in self._running] or [now]
         heapq.heapify(slots)
         return slots
 
@@ -389,7 +508,7 @@
         self._estimate.note_refusal(work)
         left = work.deadline - self._timer.now()
         # The queue has to get shorter by what the call would be late.
-        late = wait_s + self._estimate.service_s(work) - left
+        late = wait_s + self._estimate.service_s(work, self._next_count()) - left
         message = f"the call can't finish within the {max(0, round(left * MS_PER_S))} ms left"
         return _refusal("deadline", message, min(wait_s, late) if late > 0 else wait_s)
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -4,7 +4,7 @@
 import trio
 from trio.testing import MockClock, wait_all_tasks_blocked
 
-from figwalk.coordination.admission import AdmissionQueue, Work
+from figwalk.coordination.admission import AdmissionQueue, ServiceEstimate, Ticket, Work
 from figwalk.errors import RefusalError
 from figwalk.protocol.messages import Priority
 from figwalk.timer import Timer
@@ -194,3 +194,30 @@
         assert bench.queue.running == 0
 
     run(test)
+
+
+def test_call_that_would_make_running_ones_late_waits(run):
+    """Guards against a full batch in which every call misses its deadline."""
+
+    async def test(bench):
+        bench.queue.estimate.set_engine_speeds(100, 100, 4)
+        for name in "ab":
+            await bench.add(name, seconds=0, max_tokens=100, left=2)
+        await bench.add("c", seconds=0, max_tokens=100)
+        assert bench.order == ["a", "b"]
+        bench.queue.release(bench.tickets["a"], complete=False)
+        await wait_all_tasks_blocked()
+        assert bench.order == ["a", "b", "c"]
+
+    run(test, max_running=4)
+
+
+def test_cut_calls_raise_the_estimate():
+    """Guards against admitting the same too long answers again and again."""
+    estimate = ServiceEstimate()
+    estimate.set_engine_speeds(100, 100, 1)
+    work = Work(max_tokens=100, deadline=5)
+    before = estimate.service_s(work, 1)
+    ticket = Ticket(work, before, 75, 0, generated=90)
+    estimate.learn_late(ticket, 1, 5)
+    assert estimate.service_s(work, 1) > before
