--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -197,3 +197,20 @@
             await function(*arguments)
 
     trio.run(bounded, clock=clock)
+
+
+def agent_test(kind="engine", **changes):
+    """Run an async test with a `running_agent`."""
+
+    def decorate(function):
+        async def main():
+            async with running_agent(kind, **changes) as running:
+                await function(running)
+
+        def test():
+            run_test(main)
+
+        test.__name__, test.__doc__ = function.__name__, function.__doc__
+        return test
+
+    return decorate
--- a/tests/test_agent_calls.py
+++ b/tests/test_agent_calls.py
@@ -1,5 +1,5 @@
 import trio
-from agent_fakes import body_of, run_test, running_agent
+from agent_fakes import agent_test, body_of
 
 from figwalk.errors import CallOutcome
 from figwalk.protocol.messages import Answer, Cancel, End, Priority, Refusal
@@ -8,179 +8,135 @@
 DONE = b"data: [DONE]\n\n"
 
 
-def test_whole_answer_reaches_the_entry():
+@agent_test()
+async def test_whole_answer_reaches_the_entry(running):
     """Guards against a lost, changed or wrongly tagged answer (invariant 4)."""
-
-    async def main():
-        async with running_agent() as running:
-            entry = await running.connect()
-            await entry.call(0xAB, body=b"question", priority=Priority.BATCH)
-            answer, *_, end = frames = await entry.result()
-            assert (answer.call_id, answer.status) == (0xAB, 200)
-            assert body_of(frames) == b'{"ok":true}'
-            assert (end.byte_count, end.complete) == (11, True)
-            sent = running.backend.calls[0]
-            assert sent.body == b"question"
-            assert sent.header(b"x-request-id") == "00000000000000ab"
-            assert sent.header(b"x-priority") == "batch"
-
-    run_test(main)
-
-
-def test_only_whole_events_are_forwarded():
+    entry = await running.connect()
+    await entry.call(0xAB, body=b"question", priority=Priority.BATCH)
+    answer, *_, end = frames = await entry.result()
+    assert (answer.call_id, answer.status) == (0xAB, 200)
+    assert body_of(frames) == b'{"ok":true}'
+    assert (end.byte_count, end.complete) == (11, True)
+    sent = running.backend.calls[0]
+    assert sent.body == b"question"
+    assert sent.header(b"x-request-id") == "00000000000000ab"
+    assert sent.header(b"x-priority") == "batch"
+
+
+@agent_test()
+async def test_only_whole_events_are_forwarded(running):
     """Guards against half an event before a break, which would garble a resumed stream."""
-
-    async def main():
-        async with running_agent() as running:
-            running.backend.chunks = [b"data: a\n\ndata: b\n\nda", b"ta: c\n\ndata: half"]
-            running.backend.finish = False
-            entry = await running.connect()
-            await entry.call(target="/stream", stream=True)
-            frames = await entry.result()
-            assert body_of(frames) == b"data: a\n\ndata: b\n\ndata: c\n\n"
-            assert not frames[-1].complete
-            data = [frame for frame in frames if isinstance(frame, AnswerData)]
-            assert data[0].data.startswith(b"data: a\n\ndata: b\n\n")
-
-    run_test(main)
-
-
-def test_stream_is_complete_only_after_done():
+    running.backend.chunks = [b"data: a\n\ndata: b\n\nda", b"ta: c\n\ndata: half"]
+    running.backend.finish = False
+    entry = await running.connect()
+    await entry.call(target="/stream", stream=True)
+    frames = await entry.result()
+    assert body_of(frames) == b"data: a\n\ndata: b\n\ndata: c\n\n"
+    assert not frames[-1].complete
+    data = [frame for frame in frames if isinstance(frame, AnswerData)]
+    assert data[0].data.startswith(b"data: a\n\ndata: b\n\n")
+
+
+@agent_test()
+async def test_stream_is_complete_only_after_done(running):
     """Guards against a stream that ends properly in HTTP but without its last events."""
+    entry = await running.connect()
+    for call_id, chunks in enumerate([[b"data: a\n\n"], [b"data: a\n\n", DONE]]):
+        running.backend.chunks = chunks
+        await entry.call(call_id, "/stream", stream=True)
+        assert (await entry.result())[-1].complete == (call_id == 1)
 
-    async def main():
-        async with running_agent() as running:
-            entry = await running.connect()
-            for call_id, chunks in enumerate([[b"data: a\n\n"], [b"data: a\n\n", DONE]]):
-                running.backend.chunks = chunks
-                await entry.call(call_id, "/stream", stream=True)
-                assert (await entry.result())[-1].complete == (call_id == 1)
-
-    run_test(main)
 
-
-def test_answer_of_another_call_is_not_forwarded():
+@agent_test()
+async def test_answer_of_another_call_is_not_forwarded(running):
     """Guards against answers that the backend server mixes up (invariant 4)."""
-
-    async def main():
-        async with running_agent() as running:
-            running.backend.echo = "ffff"
-            entry = await running.connect()
-            await entry.call()
-            (refusal,) = await entry.result()
-            assert refusal.outcome is CallOutcome.UNKNOWN
-
-    run_test(main)
+    running.backend.echo = "ffff"
+    entry = await running.connect()
+    await entry.call()
+    (refusal,) = await entry.result()
+    assert refusal.outcome is CallOutcome.UNKNOWN
 
 
-def test_unreachable_backend_has_not_run_the_call():
+@agent_test()
+async def test_unreachable_backend_has_not_run_the_call(running):
     """Guards against `outcome_unknown` for a call that never left, which blocks its retry."""
+    entry = await running.connect()
+    await running.backend.stop()
+    for call_id in (1, 2):
+        await entry.call(call_id)
+        (refusal,) = await entry.result()
+        assert (refusal.code, refusal.outcome) == ("down", CallOutcome.NOT_RUN)
 
-    async def main():
-        async with running_agent() as running:
-            entry = await running.connect()
-            await running.backend.stop()
-            for call_id in (1, 2):
-                await entry.call(call_id)
-                (refusal,) = await entry.result()
-                assert (refusal.code, refusal.outcome) == ("down", CallOutcome.NOT_RUN)
 
-    run_test(main)
-
-
-def test_answer_that_never_came_is_unknown():
+@agent_test()
+async def test_answer_that_never_came_is_unknown(running):
     """Guards against a false `not_run` when the backend server dies with a call (invariant 5)."""
+    running.backend.go_on = trio.Event()
+    entry = await running.connect()
+    await entry.call()
+    await running.backend.received.wait()
+    await running.backend.stop()
+    (refusal,) = await entry.result()
+    assert refusal.outcome is CallOutcome.UNKNOWN
 
-    async def main():
-        async with running_agent() as running:
-            running.backend.go_on = trio.Event()
-            entry = await running.connect()
-            await entry.call()
-            await running.backend.received.wait()
-            await running.backend.stop()
-            (refusal,) = await entry.result()
-            assert refusal.outcome is CallOutcome.UNKNOWN
-
-    run_test(main)
 
-
-def test_engine_in_a_change_has_not_run_the_call():
+@agent_test()
+async def test_engine_in_a_change_has_not_run_the_call(running):
     """Guards against a 503 of a changing engine reaching the caller instead of a retry."""
-
-    async def main():
-        async with running_agent() as running:
-            running.backend.status = 503
-            entry = await running.connect()
-            await entry.call()
-            (refusal,) = await entry.result()
-            assert (refusal.code, refusal.outcome) == ("changing", CallOutcome.NOT_RUN)
-
-    run_test(main)
+    running.backend.status = 503
+    entry = await running.connect()
+    await entry.call()
+    (refusal,) = await entry.result()
+    assert (refusal.code, refusal.outcome) == ("changing", CallOutcome.NOT_RUN)
 
 
-def test_cancel_stops_the_call_at_the_engine_and_keeps_the_connection():
+@agent_test()
+async def test_cancel_stops_the_call_at_the_engine_and_keeps_the_connection(running):
     """Guards against an engine that goes on generating for a caller who left."""
-
-    async def main():
-        async with running_agent() as running:
-            running.backend.go_on = trio.Event()
-            entry = await running.connect()
-            await entry.call(7)
-            await running.backend.received.wait()
-            await entry.connection.send(Cancel(7))
-            (refusal,) = await entry.result()
-            assert (refusal.code, refusal.outcome) == ("cancelled", CallOutcome.UNKNOWN)
-            await running.backend.cancel_received.wait()
-            assert running.backend.cancelled == ["/requests/0000000000000007"]
-            running.backend.go_on.set()
-            await entry.call(8)
-            assert isinstance((await entry.result())[-1], End)
-
-    run_test(main)
-
-
-def test_lost_connection_cancels_the_call():
+    running.backend.go_on = trio.Event()
+    entry = await running.connect()
+    await entry.call(7)
+    await running.backend.received.wait()
+    await entry.connection.send(Cancel(7))
+    (refusal,) = await entry.result()
+    assert (refusal.code, refusal.outcome) == ("cancelled", CallOutcome.UNKNOWN)
+    await running.backend.cancel_received.wait()
+    assert running.backend.cancelled == ["/requests/0000000000000007"]
+    running.backend.go_on.set()
+    await entry.call(8)
+    assert isinstance((await entry.result())[-1], End)
+
+
+@agent_test()
+async def test_lost_connection_cancels_the_call(running):
     """Guards against calls that run on for a dead entry and hold their place."""
-
-    async def main():
-        async with running_agent() as running:
-            running.backend.go_on = trio.Event()
-            entry = await running.connect()
-            await entry.call(7)
-            await running.backend.received.wait()
-            await entry.connection.aclose()
-            await running.backend.cancel_received.wait()
-
-    run_test(main)
+    running.backend.go_on = trio.Event()
+    entry = await running.connect()
+    await entry.call(7)
+    await running.backend.received.wait()
+    await entry.connection.aclose()
+    await running.backend.cancel_received.wait()
 
 
-def test_cancel_right_behind_a_call_is_not_lost():
+@agent_test()
+async def test_cancel_right_behind_a_call_is_not_lost(running):
     """Guards against a Cancel that arrives before the call's task has started."""
+    running.backend.go_on = trio.Event()
+    entry = await running.connect()
+    await entry.call(7)
+    await entry.connection.send(Cancel(7))
+    assert isinstance((await entry.result())[-1], Refusal)
 
-    async def main():
-        async with running_agent() as running:
-            running.backend.go_on = trio.Event()
-            entry = await running.connect()
-            await entry.call(7)
-            await entry.connection.send(Cancel(7))
-            assert isinstance((await entry.result())[-1], Refusal)
 
-    run_test(main)
-
-
-def test_malformed_frame_closes_its_connection_with_one_event():
+@agent_test()
+async def test_malformed_frame_closes_its_connection_with_one_event(running):
     """Guards against a traceback or a dead agent after garbage from the network."""
-
-    async def main():
-        async with running_agent() as running:
-            address = running.agent.addresses["peers"]
-            entry = await running.connect()
-            for garbage in (b"\x00\x00\x00\x05\x00junk", b"\xff\xff\xff\xff\x00"):
-                stream = await trio.open_tcp_stream(address.host, address.port)
-                await stream.send_all(garbage)
-                assert await stream.receive_some() == b""
-            assert running.events().count("PEER_FRAME_REJECTED") == 2
-            await entry.call()
-            assert isinstance((await entry.result())[0], Answer)
-
-    run_test(main)
+    address = running.agent.addresses["peers"]
+    entry = await running.connect()
+    for garbage in (b"\x00\x00\x00\x05\x00junk", b"\xff\xff\xff\xff\x00"):
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        await stream.send_all(garbage)
+        assert await stream.receive_some() == b""
+    assert running.events().count("PEER_FRAME_REJECTED") == 2
+    await entry.call()
+    assert isinstance((await entry.result())[0], Answer)
--- a/tests/test_agent_keys.py
+++ b/tests/test_agent_keys.py
@@ -1,6 +1,6 @@
 import pytest
 import trio
-from agent_fakes import body_of, run_test, running_agent
+from agent_fakes import agent_test, body_of, run_test, running_agent
 
 from figwalk.agent.key_memory import KeyMemory
 from figwalk.errors import CallOutcome, RefusalError
@@ -16,24 +16,20 @@
     return await control.until(is_status)
 
 
-def test_claim_runs_once_and_its_answer_is_kept():
+@agent_test("plain")
+async def test_claim_runs_once_and_its_answer_is_kept(running):
     """Guards against a second run of a claim (invariant 6) and a lost answer."""
-
-    async def main():
-        async with running_agent("plain") as running:
-            entry = await running.connect()
-            control = await running.control()
-            claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation}
-            await entry.call(1, **claim)
-            assert body_of(await entry.result()) == b'{"ok":true}'
-            await entry.call(2, **claim)
-            (refusal,) = await entry.result()
-            assert (refusal.code, refusal.outcome) == ("duplicate_claim", CallOutcome.UNKNOWN)
-            status = await look_up(control, **claim)
-            assert (status.state, status.body) == (KeyState.FINISHED, b'{"ok":true}')
-            assert len(running.backend.calls) == 1
-
-    run_test(main)
+    entry = await running.connect()
+    control = await running.control()
+    claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation}
+    await entry.call(1, **claim)
+    assert body_of(await entry.result()) == b'{"ok":true}'
+    await entry.call(2, **claim)
+    (refusal,) = await entry.result()
+    assert (refusal.code, refusal.outcome) == ("duplicate_claim", CallOutcome.UNKNOWN)
+    status = await look_up(control, **claim)
+    assert (status.state, status.body) == (KeyState.FINISHED, b'{"ok":true}')
+    assert len(running.backend.calls) == 1
 
 
 @pytest.mark.parametrize("leave", ["cancel", "lost connection"])
@@ -63,87 +59,67 @@
     run_test(main)
 
 
-def test_claim_looked_up_before_it_arrives_never_runs():
+@agent_test("plain")
+async def test_claim_looked_up_before_it_arrives_never_runs(running):
     """Guards against a delayed sender that runs a claim already released (invariant 6)."""
-
-    async def main():
-        async with running_agent("plain") as running:
-            entry = await running.connect()
-            control = await running.control()
-            claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation}
-            assert (await look_up(control, **claim)).state is KeyState.VOIDED
-            await entry.call(1, **claim)
-            (refusal,) = await entry.result()
-            assert (refusal.code, refusal.outcome) == ("voided", CallOutcome.NOT_RUN)
-            assert not running.backend.calls
-
-    run_test(main)
-
-
-def test_claim_of_a_dead_agent_never_runs():
+    entry = await running.connect()
+    control = await running.control()
+    claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation}
+    assert (await look_up(control, **claim)).state is KeyState.VOIDED
+    await entry.call(1, **claim)
+    (refusal,) = await entry.result()
+    assert (refusal.code, refusal.outcome) == ("voided", CallOutcome.NOT_RUN)
+    assert not running.backend.calls
+
+
+@agent_test("plain")
+async def test_claim_of_a_dead_agent_never_runs(running):
     """Guards against a claim that its named agent may already have run."""
-
-    async def main():
-        async with running_agent("plain") as running:
-            entry = await running.connect()
-            control = await running.control()
-            claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation ^ 1}
-            await entry.call(1, **claim)
-            assert (await entry.result())[-1].code == "incarnation"
-            assert (await look_up(control, **claim)).state is KeyState.UNKNOWN
-            assert not running.backend.calls
-
-    run_test(main)
+    entry = await running.connect()
+    control = await running.control()
+    claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation ^ 1}
+    await entry.call(1, **claim)
+    assert (await entry.result())[-1].code == "incarnation"
+    assert (await look_up(control, **claim)).state is KeyState.UNKNOWN
+    assert not running.backend.calls
 
 
-def test_claim_whose_answer_is_lost_is_unknown():
+@agent_test("plain")
+async def test_claim_whose_answer_is_lost_is_unknown(running):
     """Guards against a second run of a claim that the backend server may have run."""
-
-    async def main():
-        async with running_agent("plain") as running:
-            running.backend.go_on = trio.Event()
-            entry = await running.connect()
-            control = await running.control()
-            claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation}
-            await entry.call(1, **claim)
-            await running.backend.received.wait()
-            await running.backend.stop()
-            assert (await entry.result())[-1].outcome is CallOutcome.UNKNOWN
-            assert (await look_up(control, **claim)).state is KeyState.UNKNOWN
-
-    run_test(main)
-
-
-def test_refused_claim_is_void():
+    running.backend.go_on = trio.Event()
+    entry = await running.connect()
+    control = await running.control()
+    claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation}
+    await entry.call(1, **claim)
+    await running.backend.received.wait()
+    await running.backend.stop()
+    assert (await entry.result())[-1].outcome is CallOutcome.UNKNOWN
+    assert (await look_up(control, **claim)).state is KeyState.UNKNOWN
+
+
+@agent_test("plain")
+async def test_refused_claim_is_void(running):
     """Guards against a `not_run` refusal of a claim that could still run (invariant 5)."""
+    entry = await running.connect()
+    control = await running.control()
+    running.agent._admission.close("leaving")
+    claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation}
+    await entry.call(1, **claim)
+    assert (await entry.result())[-1].outcome is CallOutcome.NOT_RUN
+    assert (await look_up(control, **claim)).state is KeyState.VOIDED
 
-    async def main():
-        async with running_agent("plain") as running:
-            entry = await running.connect()
-            control = await running.control()
-            running.agent._admission.close("leaving")
-            claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation}
-            await entry.call(1, **claim)
-            assert (await entry.result())[-1].outcome is CallOutcome.NOT_RUN
-            assert (await look_up(control, **claim)).state is KeyState.VOIDED
-
-    run_test(main)
 
-
-def test_full_memory_draws_a_new_incarnation_and_entries_reconnect():
+@agent_test("plain", key_memory_limit=2)
+async def test_full_memory_draws_a_new_incarnation_and_entries_reconnect(running):
     """Guards against unbounded memory, and against entries that keep a dead incarnation."""
-
-    async def main():
-        async with running_agent("plain", key_memory_limit=2) as running:
-            control = await running.control()
-            old = control.hello.incarnation
-            for name in "ab":
-                await control.connection.send(KeyLookup(name, old))
-            with pytest.raises(Exception, match="closed"):
-                await control.until(lambda _: False)
-            assert (await running.connect()).hello.incarnation != old
-
-    run_test(main)
+    control = await running.control()
+    old = control.hello.incarnation
+    for name in "ab":
+        await control.connection.send(KeyLookup(name, old))
+    with pytest.raises(Exception, match="closed"):
+        await control.until(lambda _: False)
+    assert (await running.connect()).hello.incarnation != old
 
 
 def test_old_incarnation_is_readable_but_starts_nothing():
--- a/tests/test_agent_states.py
+++ b/tests/test_agent_states.py
@@ -2,7 +2,7 @@
 import socket
 
 import trio
-from agent_fakes import HOST, body_of, run_test, running_agent
+from agent_fakes import HOST, agent_test, body_of, run_test
 from trio.testing import MockClock
 
 from figwalk.agent.peer_server import bind_peer_port
@@ -28,171 +28,135 @@
     return config(revision, **{"withdrawn/llm-1": value})
 
 
-def test_withdrawal_refuses_new_calls_and_finishes_running_ones():
+@agent_test()
+async def test_withdrawal_refuses_new_calls_and_finishes_running_ones(running):
     """Guards against new work on a withdrawn backend server (invariant 7) and cut calls (8)."""
-
-    async def main():
-        async with running_agent() as running:
-            running.backend.go_on = trio.Event()
-            entry, other = await running.connect(), await running.connect()
-            control, second = await running.control(), await running.control()
-            await entry.call(1)
-            await running.backend.received.wait()
-            await control.connection.send(withdrawn(3, {"reason": "heat"}))
-            for told in (control, second):
-                await told.until(lambda m: isinstance(m, Leaving))
-            await control.report(state=BackendState.WITHDRAWN, revision=3)
-            await other.call(2)
-            (refusal,) = await other.result()
-            assert (refusal.code, refusal.outcome) == ("leaving", CallOutcome.NOT_RUN)
-            running.backend.go_on.set()
-            assert (await entry.result())[-1].complete
-            await control.connection.send(withdrawn(2, None))
-            await control.connection.send(withdrawn(4, None))
-            await control.report(state=BackendState.SERVING, revision=4)
-            await other.call(3)
-            assert (await other.result())[-1].complete
-
-    run_test(main)
-
-
-def test_older_configuration_does_not_revert_a_withdrawal():
+    running.backend.go_on = trio.Event()
+    entry, other = await running.connect(), await running.connect()
+    control, second = await running.control(), await running.control()
+    await entry.call(1)
+    await running.backend.received.wait()
+    await control.connection.send(withdrawn(3, {"reason": "heat"}))
+    for told in (control, second):
+        await told.until(lambda m: isinstance(m, Leaving))
+    await control.report(state=BackendState.WITHDRAWN, revision=3)
+    await other.call(2)
+    (refusal,) = await other.result()
+    assert (refusal.code, refusal.outcome) == ("leaving", CallOutcome.NOT_RUN)
+    running.backend.go_on.set()
+    assert (await entry.result())[-1].complete
+    await control.connection.send(withdrawn(2, None))
+    await control.connection.send(withdrawn(4, None))
+    await control.report(state=BackendState.SERVING, revision=4)
+    await other.call(3)
+    assert (await other.result())[-1].complete
+
+
+@agent_test()
+async def test_older_configuration_does_not_revert_a_withdrawal(running):
     """Guards against a configuration that goes back (invariant 9)."""
-
-    async def main():
-        async with running_agent() as running:
-            control = await running.control()
-            await control.connection.send(withdrawn(5, True))
-            await control.connection.send(withdrawn(4, None))
-            await control.connection.send(ConfigUpdate(6, False, b"garbage"))
-            await control.connection.send(config(7, **{"organisations/x": {"share": 2}}))
-            report = await control.report(revision=7)
-            assert report.state is BackendState.WITHDRAWN
-            assert running.agent._config.shares == {"x": 2.0}
-
-    run_test(main)
-
-
-def test_stop_finishes_running_calls():
+    control = await running.control()
+    await control.connection.send(withdrawn(5, True))
+    await control.connection.send(withdrawn(4, None))
+    await control.connection.send(ConfigUpdate(6, False, b"garbage"))
+    await control.connection.send(config(7, **{"organisations/x": {"share": 2}}))
+    report = await control.report(revision=7)
+    assert report.state is BackendState.WITHDRAWN
+    assert running.agent._config.shares == {"x": 2.0}
+
+
+@agent_test()
+async def test_stop_finishes_running_calls(running):
     """Guards against a planned stop that cuts a request (invariant 8)."""
-
-    async def main():
-        async with running_agent() as running:
-            running.backend.go_on = trio.Event()
-            entry = await running.connect()
-            control = await running.control()
-            await entry.call(1)
-            await running.backend.received.wait()
-            running.agent.stop()
-            await control.until(lambda m: isinstance(m, Leaving))
-            await control.report(state=BackendState.LEAVING)
-            running.backend.go_on.set()
-            assert (await entry.result())[-1].complete
-            await running.stopped.wait()
-            assert "PROCESS_STOPPED" in running.events()
-
-    run_test(main)
-
-
-def test_stop_past_the_grace_time_ends_streams_for_a_resume():
+    running.backend.go_on = trio.Event()
+    entry = await running.connect()
+    control = await running.control()
+    await entry.call(1)
+    await running.backend.received.wait()
+    running.agent.stop()
+    await control.until(lambda m: isinstance(m, Leaving))
+    await control.report(state=BackendState.LEAVING)
+    running.backend.go_on.set()
+    assert (await entry.result())[-1].complete
+    await running.stopped.wait()
+    assert "PROCESS_STOPPED" in running.events()
+
+
+@agent_test(grace_s=0.0)
+async def test_stop_past_the_grace_time_ends_streams_for_a_resume(running):
     """Guards against a stream that breaks off without an End, or holds up a stop for ever."""
-
-    async def main():
-        async with running_agent(grace_s=0.0) as running:
-            running.backend.go_on = trio.Event()
-            running.backend.chunks = [b"data: a\n\n"]
-            entry = await running.connect()
-            await entry.call(1, "/stream", stream=True)
-            answer, data = [await entry.connection.receive() for _ in range(2)]
-            running.agent.stop()
-            *_, end = await entry.result()
-            assert (answer.status, data.data) == (200, b"data: a\n\n")
-            assert (end.byte_count, end.complete) == (9, False)
-            await running.stopped.wait()
-            assert "PROCESS_STOP_CUT" in running.events()
-
-    run_test(main)
-
-
-def test_silent_backend_is_reported_down():
+    running.backend.go_on = trio.Event()
+    running.backend.chunks = [b"data: a\n\n"]
+    entry = await running.connect()
+    await entry.call(1, "/stream", stream=True)
+    answer, data = [await entry.connection.receive() for _ in range(2)]
+    running.agent.stop()
+    *_, end = await entry.result()
+    assert (answer.status, data.data) == (200, b"data: a\n\n")
+    assert (end.byte_count, end.complete) == (9, False)
+    await running.stopped.wait()
+    assert "PROCESS_STOP_CUT" in running.events()
+
+
+@agent_test()
+async def test_silent_backend_is_reported_down(running):
     """Guards against work sent to a crashed backend server."""
+    control = await running.control()
+    await control.report(state=BackendState.SERVING)
+    await running.backend.stop()
+    await control.report(state=BackendState.DOWN)
 
-    async def main():
-        async with running_agent() as running:
-            control = await running.control()
-            await control.report(state=BackendState.SERVING)
-            await running.backend.stop()
-            await control.report(state=BackendState.DOWN)
 
-    run_test(main)
-
-
-def test_cache_events_reach_every_entry():
+@agent_test()
+async def test_cache_events_reach_every_entry(running):
     """Guards against an entry that connects later and routes without the cache's content."""
-
-    async def main():
-        async with running_agent() as running:
-            events = [{"seq": n, "piece": 10 + n, "stored": True} for n in (1, 2)]
-            running.backend.cache = {"next": 2, "events": events}
-            control = await running.control()
-            await control.until(lambda m: getattr(m, "cache_stored", []) == [11, 12])
-            running.backend.cache = {
-                "next": 4,
-                "events": [{"seq": 4, "piece": 11, "stored": False}],
-            }
-            await control.until(lambda m: getattr(m, "cache_evicted", []) == [11])
-            later = await running.control()
-            await later.until(lambda m: getattr(m, "cache_stored", []) == [12])
-
-    run_test(main)
-
-
-def test_calls_of_a_killed_agent_take_places():
+    events = [{"seq": n, "piece": 10 + n, "stored": True} for n in (1, 2)]
+    running.backend.cache = {"next": 2, "events": events}
+    control = await running.control()
+    await control.until(lambda m: getattr(m, "cache_stored", []) == [11, 12])
+    running.backend.cache = {
+        "next": 4,
+        "events": [{"seq": 4, "piece": 11, "stored": False}],
+    }
+    await control.until(lambda m: getattr(m, "cache_evicted", []) == [11])
+    later = await running.control()
+    await later.until(lambda m: getattr(m, "cache_stored", []) == [12])
+
+
+@agent_test()
+async def test_calls_of_a_killed_agent_take_places(running):
     """Guards against an engine overfilled while it still runs calls of a dead agent."""
-
-    async def main():
-        async with running_agent() as running:
-            running.backend.load = {"age_ms": 0, "running": 3, "max_running": 8}
-            control = await running.control()
-            report = await control.report(running=3)
-            assert running.agent._admission.capacity == 5
-            assert report.max_running == 8
-
-    run_test(main)
+    running.backend.load = {"age_ms": 0, "running": 3, "max_running": 8}
+    control = await running.control()
+    report = await control.report(running=3)
+    assert running.agent._admission.capacity == 5
+    assert report.max_running == 8
 
 
-def test_time_line_of_a_request_is_complete():
+@agent_test()
+async def test_time_line_of_a_request_is_complete(running):
     """Guards against a request that leaves no trace at the agent."""
-
-    async def main():
-        async with running_agent() as running:
-            entry, control = await running.connect(), await running.control()
-            await entry.call(1)
-            await entry.result()
-            await control.connection.send(EventsQuery("r1"))
-            reply = await control.until(lambda m: isinstance(m, EventsReply))
-            records = json.loads(reply.events)
-            assert [record["name"] for record in records] == ["CALL_SENT", "CALL_FINISHED"]
-            assert records[0]["request_id"] == "r1"
-
-    run_test(main)
-
-
-def test_readiness_follows_the_state():
+    entry, control = await running.connect(), await running.control()
+    await entry.call(1)
+    await entry.result()
+    await control.connection.send(EventsQuery("r1"))
+    reply = await control.until(lambda m: isinstance(m, EventsReply))
+    records = json.loads(reply.events)
+    assert [record["name"] for record in records] == ["CALL_SENT", "CALL_FINISHED"]
+    assert records[0]["request_id"] == "r1"
+
+
+@agent_test()
+async def test_readiness_follows_the_state(running):
     """Guards against a platform that sends work to an agent whose engine is withdrawn."""
-
-    async def main():
-        async with running_agent() as running:
-            address = running.agent.addresses["health"]
-            client = HttpClient(address.host, address.port)
-            assert (await client.fetch("GET", "/readyz"))[0].status == 200
-            control = await running.control()
-            await control.connection.send(withdrawn(3, True))
-            await control.report(state=BackendState.WITHDRAWN)
-            assert (await client.fetch("GET", "/readyz"))[0].status == 503
-            assert (await client.fetch("GET", "/healthz"))[0].status == 200
-
-    run_test(main)
+    address = running.agent.addresses["health"]
+    client = HttpClient(address.host, address.port)
+    assert (await client.fetch("GET", "/readyz"))[0].status == 200
+    control = await running.control()
+    await control.connection.send(withdrawn(3, True))
+    await control.report(state=BackendState.WITHDRAWN)
+    assert (await client.fetch("GET", "/readyz"))[0].status == 503
+    assert (await client.fetch("GET", "/healthz"))[0].status == 200
 
 
 def test_port_of_a_paused_predecessor_is_waited_for():
@@ -220,18 +184,14 @@
     run_test(main, clock=MockClock(autojump_threshold=0))
 
 
-def test_slow_entry_blocks_no_other():
+@agent_test("plain")
+async def test_slow_entry_blocks_no_other(running):
     """Guards against an answer that nobody reads and that holds up all other calls."""
-
-    async def main():
-        async with running_agent("plain") as running:
-            running.backend.chunks = [b"x" * 32_000_000]
-            slow, fast = await running.connect(), await running.connect()
-            await slow.call(1)
-            await running.backend.received.wait()
-            running.backend.chunks = [b"quick"]
-            await fast.call(2)
-            assert body_of(await fast.result()) == b"quick"
-            assert len(body_of(await slow.result())) == 32_000_000
-
-    run_test(main)
+    running.backend.chunks = [b"x" * 32_000_000]
+    slow, fast = await running.connect(), await running.connect()
+    await slow.call(1)
+    await running.backend.received.wait()
+    running.backend.chunks = [b"quick"]
+    await fast.call(2)
+    assert body_of(await fast.result()) == b"quick"
+    assert len(body_of(await slow.result())) == 32_000_000
