Check publications with the same code as files

The publisher refused the modes of withdrawn backend servers, because it had a second set of checks. parse_published_value replaces it; the limit of key_memory_s is in it, and the value true for a withdrawn backend server is no longer accepted.

--- a/figwalk/coordination/publisher.py
+++ b/figwalk/coordination/publisher.py
@@ -20,7 +20,7 @@
 from figwalk.protocol.records import Change, JsonValue, Publish
 from figwalk.state.configuration import Configuration, PublishResult
 from figwalk.state.published import PRESET_IN_FORCE_PATH, PRESETS_PREFIX
-from figwalk.state.value_parser import find_class, parse_value
+from figwalk.state.published_values import parse_published_value
 from figwalk.timer import MS_PER_S, Timer
 
 PUBLISH_TIMEOUT_S = 10.0
@@ -177,10 +177,8 @@
 def _list_change_faults(change: Change) -> list[str]:
     if change.base < 0:
         return [f"{change.path}: base revision must not be negative"]
-    if change.value is None:
-        return [] if find_class(change.path) else [f"{change.path}: not a configuration path"]
     try:
-        parse_value(change.path, change.value)
+        parse_published_value(change.path, change.value)
     except SettingsError as error:
         return list(error.faults)
     return []
--- a/figwalk/state/_structuring.py
+++ b/figwalk/state/_structuring.py
@@ -17,7 +17,7 @@
 from cattrs.cols import list_structure_factory, mapping_structure_factory
 from cattrs.gen import make_dict_structure_fn, override
 
-from figwalk.state.published import CallRule, Preset, ServiceConfig
+from figwalk.state.published import MAX_KEY_MEMORY_S, CallRule, Preset, ServiceConfig
 from figwalk.state.settings import Address, AgentSettings, BackendSettings, EntrySettings
 
 T = TypeVar("T")
@@ -238,6 +238,8 @@
 
 
 def _check_number(name: str, value: float) -> None:
+    if name == "key_memory_s" and value > MAX_KEY_MEMORY_S:
+        raise InvalidValueError(f"{value:g} is too large; give at most {MAX_KEY_MEMORY_S} seconds")
     if name == "port" and not 0 <= value <= MAX_PORT:
         raise InvalidValueError(f"port {value} is out of range; use 0 to {MAX_PORT}")
     if name.endswith("_ratio") and not 0 <= value <= 1:
--- a/figwalk/state/claims.py
+++ b/figwalk/state/claims.py
@@ -9,7 +9,7 @@
 
 from figwalk.protocol.records import Claim, ClaimBatch, Outcome, Record, Release
 from figwalk.state.log_fold import LogFold, RecentIds
-from figwalk.state.value_parser import MAX_KEY_MEMORY_S
+from figwalk.state.published import MAX_KEY_MEMORY_S
 from figwalk.timer import MS_PER_S
 
 if TYPE_CHECKING:
--- a/figwalk/state/configuration.py
+++ b/figwalk/state/configuration.py
@@ -30,7 +30,7 @@
     Preset,
     ServiceConfig,
 )
-from figwalk.state.value_parser import parse_value
+from figwalk.state.published_values import parse_published_value
 
 if TYPE_CHECKING:
     from figwalk.coordination.log_client import StoredRecord
@@ -286,7 +286,7 @@
     if entry.value is None:
         return None
     try:
-        return parse_value(entry.path, entry.value)
+        return parse_published_value(entry.path, entry.value).value
     except SettingsError:
         return None
 
--- a/figwalk/state/published.py
+++ b/figwalk/state/published.py
@@ -15,6 +15,8 @@
 WITHDRAWN_PREFIX = "withdrawn/"
 LIMITS_PATH = "limits"
 
+MAX_KEY_MEMORY_S = 31_536_000  # One year.
+
 
 @attrs.frozen
 class CallRule:
