--- a/figwalk/agent/agent_config.py
+++ b/figwalk/agent/agent_config.py
@@ -4,11 +4,12 @@
 
 from collections.abc import Callable
 
-from figwalk.errors import FigwalkError
+from figwalk.errors import FigwalkError, SettingsError
 from figwalk.events import Event, EventLog
 from figwalk.protocol.messages import ConfigUpdate
 from figwalk.protocol.records import ConfigEntry, decode_entries
 from figwalk.state.published import ORGANISATIONS_PREFIX, WITHDRAWN_PREFIX
+from figwalk.state.published_values import WithdrawalMode, parse_published_value
 
 
 class AgentConfig:
@@ -25,7 +26,7 @@
         self._events = events
         self._on_change = on_change
         self._revision = 0
-        self._withdrawn = False
+        self._withdrawal: WithdrawalMode | None = None
         self._shares: dict[str, float] = {}
 
     @property
@@ -34,9 +35,9 @@
         return self._revision
 
     @property
-    def withdrawn(self) -> bool:
-        """Whether the backend server is withdrawn."""
-        return self._withdrawn
+    def withdrawal(self) -> WithdrawalMode | None:
+        """How the backend server leaves service, or None if it serves."""
+        return self._withdrawal
 
     @property
     def shares(self) -> dict[str, float]:
@@ -55,7 +56,7 @@
             )
             return
         if update.full:
-            self._withdrawn = False
+            self._withdrawal = None
             self._shares = {}
         for entry in entries:
             self._apply(entry)
@@ -65,12 +66,23 @@
 
     def _apply(self, entry: ConfigEntry) -> None:
         if entry.path == self._withdrawn_path:
-            self._withdrawn = bool(entry.value)
+            self._withdrawal = _read_mode(entry)
         elif entry.path.startswith(ORGANISATIONS_PREFIX):
             name = entry.path.removeprefix(ORGANISATIONS_PREFIX)
             self._shares = {**self._shares, name: _read_share(entry)}
 
 
+def _read_mode(entry: ConfigEntry) -> WithdrawalMode | None:
+    """Return the mode of a withdrawal; a value that can't be read withdraws as well."""
+    if entry.value is None:
+        return None
+    try:
+        value = parse_published_value(entry.path, entry.value).value
+    except SettingsError:
+        return WithdrawalMode.WITHDRAW
+    return value.mode
+
+
 def _read_share(entry: ConfigEntry) -> float:
     share = entry.value.get("share", 1.0) if isinstance(entry.value, dict) else 1.0
     return float(share) if isinstance(share, int | float) and share > 0 else 1.0
--- a/figwalk/agent/main.py
+++ b/figwalk/agent/main.py
@@ -203,7 +203,7 @@
 
     def _apply_config(self) -> None:
         self._admission.set_shares(self._config.shares)
-        self._withdrawal.set_withdrawn(self._config.withdrawn)
+        self._withdrawal.set_mode(self._config.withdrawal)
         self._control.report_now()
 
     def _announce_incarnation(self) -> None:
--- a/figwalk/agent/withdrawal.py
+++ b/figwalk/agent/withdrawal.py
@@ -8,6 +8,7 @@
 from figwalk.agent.control_server import ControlServer
 from figwalk.agent.serving_state import ServingState
 from figwalk.events import Event, EventLog
+from figwalk.state.published_values import WithdrawalMode
 
 
 class Withdrawal:
@@ -35,27 +36,35 @@
         self._calls = calls
         self._events = events
         self._grace_s = grace_s
-        self._wanted = False
+        self._mode: WithdrawalMode | None = None
         self._changed = trio.Event()
 
-    def set_withdrawn(self, withdrawn: bool) -> None:
-        """Follow the configuration; takes effect for new calls before this returns."""
-        if withdrawn == self._wanted:
+    def set_mode(self, mode: WithdrawalMode | None) -> None:
+        """Follow the configuration; takes effect for new calls before this returns.
+
+        Args:
+            mode: How the backend server leaves service, or None to serve again.
+        """
+        if mode is self._mode:
             return
-        self._wanted = withdrawn
-        self._serving.set_withdrawn(withdrawn)
-        if withdrawn:
-            self._control.tell_leaving(self._grace_s)
-        else:
+        was_withdrawn = self._mode is not None
+        self._mode = mode
+        self._serving.set_withdrawn(mode is not None)
+        if mode is None:
             self._control.take_back_leaving()
+        elif not was_withdrawn:
+            self._control.tell_leaving(self._grace_s)
         self._changed.set()
         self._changed = trio.Event()
 
     async def run(self) -> None:
-        """Cut what runs past the grace time of each withdrawal, until cancelled."""
+        """Cut what runs past the grace time of each withdrawal, until cancelled.
+
+        A drained backend server keeps its running calls, however long they take.
+        """
         while True:
             changed = self._changed
-            if self._wanted:
+            if self._mode is WithdrawalMode.WITHDRAW:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._drain)
                     await changed.wait()
--- a/tests/test_agent_states.py
+++ b/tests/test_agent_states.py
@@ -114,6 +114,31 @@
     run_test(main)
 
 
+def test_drain_keeps_running_calls_and_withdrawal_moves_streams():
+    """Guards against a drained backend server that cuts a call at the grace time."""
+
+    async def main():
+        async with running_agent(grace_s=0.0) as running:
+            running.backend.go_on = trio.Event()
+            running.backend.chunks = [b"data: a\n\n"]
+            entry, other = await running.connect(), await running.connect()
+            control = await running.control()
+            await entry.call(1, "/stream", stream=True)
+            [await entry.connection.receive() for _ in range(2)]
+            await control.connection.send(withdrawn(3, {"mode": "drain"}))
+            await control.report(state=BackendState.WITHDRAWN, revision=3)
+            await other.call(2)
+            (refusal,) = await other.result()
+            assert refusal.code == "leaving"
+            report = await control.report(running=1)
+            assert report.state is BackendState.WITHDRAWN
+            await control.connection.send(withdrawn(4, {"mode": "withdraw"}))
+            *_, end = await entry.result()
+            assert (end.byte_count, end.complete) == (9, False)
+
+    run_test(main)
+
+
 def test_silent_backend_is_reported_down():
     """Guards against work sent to a crashed backend server."""
 
