--- a/figwalk/state/fleet.py
+++ b/figwalk/state/fleet.py
@@ -2,259 +2,20 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Collection, Sequence
 
-import attrs
-
 from figwalk.protocol.messages import BackendState, LoadReport
+from figwalk.state.backend_view import BackendView, PredictedLoad, RoleChange, SentCall
+from figwalk.state.demand import CallClass, DemandProfile
 from figwalk.state.mix import MixEstimate, MixEstimator
 from figwalk.state.prefixes import PrefixIndex
 from figwalk.state.settings import Address
-from figwalk.timer import MS_PER_S, Timer
-
-# A call sent this long before a report arrived may not be counted in it: twice the 12 ms between
-# regions, and the time the agent takes to write the report. Counting a call twice for that time
-# is harmless, missing it makes a busy backend server look idle.
-REPORT_TRANSIT_S = 0.05
-
-
-@attrs.frozen
-class SentCall:
-    """A call of this entry in flight at a backend server.
-
-    Attributes:
-        call_id: The call.
-        prompt_tokens: Estimated prompt tokens to be processed.
-        output_tokens: Tokens that may be generated.
-        sent_at: When it was sent.
-    """
-
-    call_id: int
-    prompt_tokens: int
-    output_tokens: int
-    sent_at: float
-
-
-@attrs.frozen
-class PredictedLoad:
-    """Load of a backend server now, as far as this entry can tell.
-
-    Attributes:
-        calls: Calls running or waiting.
-        prompt_tokens: Prompt tokens still to be processed.
-        output_tokens: Tokens still to be generated.
-    """
-
-    calls: int = 0
-    prompt_tokens: int = 0
-    output_tokens: int = 0
-
-
-class _CallSet:
-    """Calls in flight with running totals, so that a routing decision sums nothing."""
-
-    def __init__(self) -> None:
-        self._calls: dict[int, SentCall] = {}
-        self._prompt_tokens = 0
-        self._output_tokens = 0
-
-    def __len__(self) -> int:
-        return len(self._calls)
-
-    @property
-    def calls(self) -> list[SentCall]:
-        """The calls in the order in which they were added."""
-        return list(self._calls.values())
-
-    @property
-    def prompt_tokens(self) -> int:
-        """Prompt tokens of all calls."""
-        return self._prompt_tokens
+from figwalk.timer import Timer
 
-    @property
-    def output_tokens(self) -> int:
-        """Output tokens of all calls."""
-        return self._output_tokens
-
-    def add(self, call: SentCall) -> None:
-        """Add a call, in place of one with the same id."""
-        self.discard(call.call_id)
-        self._calls[call.call_id] = call
-        self._prompt_tokens += call.prompt_tokens
-        self._output_tokens += call.output_tokens
-
-    def discard(self, call_id: int) -> None:
-        """Remove a call if it is there."""
-        call = self._calls.pop(call_id, None)
-        if call is not None:
-            self._prompt_tokens -= call.prompt_tokens
-            self._output_tokens -= call.output_tokens
-
-    def discard_until(self, sent_at: float) -> None:
-        """Remove the calls sent up to a time."""
-        for call in self.calls:
-            if call.sent_at > sent_at:
-                return
-            self.discard(call.call_id)
-
-
-class BackendView:
-    """One backend server as this entry knows it.
-
-    Args:
-        name: Unique name.
-        service: Service that it is a replica of.
-        zone: Its availability zone.
-        region: Its region.
-        address: Where its agent listens.
-        incarnation: Incarnation of its agent.
-    """
-
-    def __init__(
-        self,
-        name: str,
-        service: str,
-        *,
-        zone: str = "",
-        region: str = "",
-        address: Address | None = None,
-        incarnation: int = 0,
-    ) -> None:
-        self._name = name
-        self._service = service
-        self._zone = zone
-        self._region = region
-        self._address = address
-        self._incarnation = incarnation
-        self._model: str | None = None
-        self._report: LoadReport | None = None
-        self._reported_at = 0.0
-        self._leaving = False
-        self._in_flight = _CallSet()
-        self._unreported = _CallSet()
+__all__ = ["BackendView", "Fleet", "PredictedLoad", "RoleChange", "SentCall"]
 
-    @property
-    def name(self) -> str:
-        """Unique name."""
-        return self._name
-
-    @property
-    def service(self) -> str:
-        """Service that it is a replica of."""
-        return self._service
-
-    @property
-    def zone(self) -> str:
-        """Availability zone."""
-        return self._zone
-
-    @property
-    def region(self) -> str:
-        """Region."""
-        return self._region
-
-    @property
-    def address(self) -> Address | None:
-        """Where its agent listens."""
-        return self._address
-
-    @property
-    def incarnation(self) -> int:
-        """Incarnation of its agent."""
-        return self._incarnation
-
-    @property
-    def model(self) -> str | None:
-        """Loaded model, or None if this entry was not told."""
-        return self._model
-
-    @property
-    def report(self) -> LoadReport | None:
-        """Newest load report, or None before the first one."""
-        return self._report
-
-    @property
-    def reported_at(self) -> float:
-        """When the newest report arrived."""
-        return self._reported_at
-
-    @property
-    def leaving(self) -> bool:
-        """Whether its agent or the VM list said that it leaves."""
-        return self._leaving
-
-    @property
-    def in_flight(self) -> list[SentCall]:
-        """Calls of this entry at the backend server, oldest first."""
-        return self._in_flight.calls
-
-    @property
-    def in_flight_count(self) -> int:
-        """Number of calls of this entry at the backend server."""
-        return len(self._in_flight)
-
-    @property
-    def predicted(self) -> PredictedLoad:
-        """The newest report and what this entry has sent since.
-
-        What this entry has in flight is a lower bound of the number of calls: a backend server
-        whose report lags by more than it says must not look idle to the one that keeps it busy.
-        """
-        report = self._report or LoadReport(0, self._name)
-        reported_calls = report.running + report.queued
-        return PredictedLoad(
-            max(reported_calls + len(self._unreported), len(self._in_flight)),
-            report.queued_prompt_tokens + self._unreported.prompt_tokens,
-            report.queued_output_tokens + self._unreported.output_tokens,
-        )
-
-    def is_fresh(self, now: float, report_timeout_s: float) -> bool:
-        """Return whether a report arrived within the timeout."""
-        return self._report is not None and now - self._reported_at <= report_timeout_s
-
-    def update_identity(
-        self, *, zone: str, region: str, address: Address | None, incarnation: int
-    ) -> bool:
-        """Take over what an agent says of itself; return whether it is a new incarnation."""
-        self._zone = zone
-        self._region = region
-        self._address = address
-        if incarnation == self._incarnation:
-            return False
-        self._incarnation = incarnation
-        self._report = None
-        self._leaving = False
-        self._in_flight = _CallSet()
-        self._unreported = _CallSet()
-        return True
-
-    def update_report(self, report: LoadReport, now: float) -> bool:
-        """Take over a report; return whether it was newer than the last one."""
-        if self._report is not None and report.sequence <= self._report.sequence:
-            return False
-        self._report = report
-        self._reported_at = now
-        age_s = report.engine_report_age_ms / MS_PER_S
-        self._unreported.discard_until(now - age_s - REPORT_TRANSIT_S)
-        return True
-
-    def set_model(self, model: str | None) -> None:
-        """Set the loaded model."""
-        self._model = model
-
-    def set_leaving(self) -> None:
-        """Give no new work to this incarnation."""
-        self._leaving = True
-
-    def add_call(self, call: SentCall) -> None:
-        """Add a call that this entry sent."""
-        self._in_flight.add(call)
-        self._unreported.add(call)
-
-    def remove_call(self, call_id: int) -> None:
-        """Remove a call that ended."""
-        self._in_flight.discard(call_id)
-        self._unreported.discard(call_id)
+ROLE_CHANGES_KEPT = 64  # For each service; the role policy looks back about ten minutes.
 
 
 class Fleet:
@@ -275,7 +36,10 @@
         self._backends: dict[str, BackendView] = {}
         self._by_service: dict[str, dict[str, BackendView]] = {}
         self._mixes: dict[str, MixEstimator] = {}
+        self._profiles: dict[str, DemandProfile] = {}
+        self._role_changes: dict[str, deque[RoleChange]] = {}
         self._withdrawn: frozenset[str] = frozenset()
+        self._entry_count = 1
 
     @property
     def prefixes(self) -> PrefixIndex:
@@ -310,6 +74,7 @@
             view = BackendView(
                 name, service, zone=zone, region=region, address=address, incarnation=incarnation
             )
+            view.set_entry_count(self._entry_count)
             self._backends[name] = view
             self._by_service.setdefault(service, {})[name] = view
             return view
@@ -356,6 +121,10 @@
         if not view.update_report(report, now):
             return False
         self._mixes.setdefault(view.service, MixEstimator()).observe(report, now)
+        change = view.take_role_change(now)
+        if change is not None:
+            kept = self._role_changes.setdefault(view.service, deque(maxlen=ROLE_CHANGES_KEPT))
+            kept.append(change)
         return True
 
     def note_sent(
@@ -381,6 +150,8 @@
             return
         now = self._timer.now()
         view.add_call(SentCall(call_id, prompt_tokens, output_tokens, now))
+        profile = self._profiles.setdefault(view.service, DemandProfile())
+        profile.note_call(prompt_tokens, output_tokens, now)
         self._prefixes.note_stored(backend, pieces, now)
 
     def note_finished(self, backend: str, call_id: int) -> None:
@@ -401,6 +172,17 @@
         if view is not None:
             view.set_model(model)
 
+    def set_entry_count(self, count: int) -> None:
+        """Set the number of live entries.
+
+        The load balancer spreads callers evenly, so that since the last report the others have
+        sent about as much as this entry. Without them an engine that looks idle is overloaded by
+        the entries together before the next report.
+        """
+        self._entry_count = max(1, count)
+        for view in self._backends.values():
+            view.set_entry_count(self._entry_count)
+
     def set_withdrawn(self, backends: Collection[str]) -> None:
         """Set the backend servers that the configuration in force withdraws."""
         self._withdrawn = frozenset(backends)
@@ -430,6 +212,19 @@
         estimator = self._mixes.get(service)
         return estimator.estimate(self._timer.now()) if estimator else MixEstimate()
 
+    def call_classes(self, service: str) -> tuple[CallClass, ...]:
+        """Return the profile of the calls that this entry sends to a service."""
+        profile = self._profiles.get(service)
+        return profile.classes(self._timer.now()) if profile else ()
+
+    def role_changes(self, service: str) -> tuple[RoleChange, ...]:
+        """Return the changes of role seen in a service, oldest first."""
+        return tuple(self._role_changes.get(service, ()))
+
+    def is_fresh(self, view: BackendView) -> bool:
+        """Return whether a report arrived within the timeout."""
+        return view.is_fresh(self._timer.now(), self._report_timeout_s)
+
     def _takes_work(self, view: BackendView, now: float) -> bool:
         if view.leaving or not view.is_fresh(now, self._report_timeout_s):
             return False
--- a/standins/base.py
+++ b/standins/base.py
@@ -8,6 +8,7 @@
 
 import argparse
 import json
+import os
 import signal
 import sys
 from abc import ABC, abstractmethod
@@ -26,12 +27,52 @@
 
 LOOPBACK = "127.0.0.1"
 DEFAULT_GRACE_S = 5.0
+PARENT_CHECK_S = 1.0
 MAX_BODY_BYTES = 8 * 1024 * 1024
 REQUEST_ID_HEADER = b"x-request-id"
 
 _CONVERTER = cattrs.Converter(forbid_extra_keys=True, detailed_validation=False)
 
 
+class FaultSwitch:
+    """The faults in force.
+
+    Args:
+        values: attrs object with the faults.
+    """
+
+    def __init__(self, values: Any) -> None:
+        self._values = values
+        self._changed = trio.Event()
+
+    @property
+    def values(self) -> Any:
+        """Attrs object with the faults."""
+        return self._values
+
+    @property
+    def changed(self) -> trio.Event:
+        """Event that the next `replace` sets."""
+        return self._changed
+
+    def replace(self, values: Any) -> None:
+        """Put other faults in force."""
+        self._values = values
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def use_up(self, fault: str) -> bool:
+        """Return whether a counted fault applies to the present call, and count the call.
+
+        Args:
+            fault: Name of a fault whose value is the number of calls left; -1 is for all calls.
+        """
+        left = getattr(self._values, fault)
+        if left > 0:
+            self._values = attrs.evolve(self._values, **{fault: left - 1})
+        return left != 0
+
+
 class Standin(ABC):
     """One stand-in process.
 
@@ -40,7 +81,7 @@
     """
 
     def __init__(self, faults: Any) -> None:
-        self._faults = faults
+        self._switch = FaultSwitch(faults)
         self._stopping = trio.Event()
 
     @abstractmethod
@@ -53,18 +94,21 @@
 
     def set_faults(self, faults: Any) -> None:
         """Put the faults of a `POST /faults` in force."""
-        self._faults = faults
+        self._switch.replace(faults)
 
-    def use_up(self, fault: str) -> bool:
-        """Return whether a counted fault applies to the present call, and count the call.
+    @property
+    def switch(self) -> FaultSwitch:
+        """Holder of the faults, for the parts of the stand-in."""
+        return self._switch
 
-        Args:
-            fault: Name of a fault whose value is the number of calls left; -1 is for all calls.
-        """
-        left = getattr(self._faults, fault)
-        if left > 0:
-            self._faults = attrs.evolve(self._faults, **{fault: left - 1})
-        return left != 0
+    @property
+    def faults(self) -> Any:
+        """Faults in force."""
+        return self._switch.values
+
+    def use_up(self, fault: str) -> bool:
+        """Return whether a counted fault applies to the present call, and count the call."""
+        return self._switch.use_up(fault)
 
     @property
     def stopping(self) -> trio.Event:
@@ -84,8 +128,8 @@
             await responder.send_json(200, {"status": "ok"}, echo_headers(request))
         elif request.path == "/faults":
             if request.method == "POST":
-                self.set_faults(change_faults(self._faults, request.body))
-            await responder.send_json(200, attrs.asdict(self._faults))
+                self.set_faults(change_faults(self.faults, request.body))
+            await responder.send_json(200, attrs.asdict(self.faults))
         else:
             await self.handle(request, responder)
 
@@ -175,6 +219,11 @@
     parser.add_argument("--host", default=LOOPBACK, help="IP number to listen on")
     parser.add_argument("--port", type=int, default=0, help="TCP port; 0 lets the system choose")
     parser.add_argument("--name", default=module, help="process name in the log lines")
+    parser.add_argument(
+        "--exit-with-parent",
+        action="store_true",
+        help="end when the process that started this one has ended",
+    )
     parser.add_argument(
         "--grace-s",
         type=float,
@@ -190,12 +239,20 @@
     trio.run(_serve, standin, options)
 
 
+async def _exit_with_parent(parent: int, scope: trio.CancelScope) -> None:
+    while os.getppid() == parent:
+        await trio.sleep(PARENT_CHECK_S)
+    scope.cancel()
+
+
 async def _serve(standin: Standin, options: argparse.Namespace) -> None:
     events = EventLog(options.name, Timer())
     server = HttpServer(standin.answer, events, limits=HttpLimits(max_body_bytes=MAX_BODY_BYTES))
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(standin.run)
+            if options.exit_with_parent:
+                nursery.start_soon(_exit_with_parent, os.getppid(), nursery.cancel_scope)
             port = await nursery.start(server.serve, options.host, options.port)
             events.record(Event.PROCESS_STARTED, host=options.host, port=port)
             print(f"listening http {options.host}:{port}", flush=True)
