Report a publication whose result is unknown as such

The operator API answered log_unavailable, from which the command line concluded that nothing was published. preset_in_force can no longer be deleted, because exactly one preset is active.

--- a/figwalk/cli/admin_client.py
+++ b/figwalk/cli/admin_client.py
@@ -28,6 +28,8 @@
 API_PREFIX = "/admin/v1"
 # Above the time that an entry takes to give up on the log, so that its refusal arrives.
 TIMEOUT_S = 15.0
+UNKNOWN_PUBLICATION_CODE = "publication_unknown"
+PUBLISH_AGAIN_REMEDY = "run the command again; it leaves out changes that are in effect already"
 
 _CONVERTER = cattrs.Converter(detailed_validation=False)
 
@@ -175,7 +177,7 @@
         except (HttpError, trio.TooSlowError) as error:
             raise AdminAnswerLostError(
                 f"{self._http.address} gave no answer to the publication: {_describe(error)}",
-                remedy="run the command again; it leaves out changes that are in effect already",
+                remedy=PUBLISH_AGAIN_REMEDY,
             ) from error
         return self._structure(answer, _Published).revision
 
@@ -267,5 +269,7 @@
         return PublishConflictError(str(error["path"]), error["revision"])
     if status == 422 and error.get("faults"):
         return SettingsError([str(fault) for fault in error["faults"]])
+    if code == UNKNOWN_PUBLICATION_CODE:
+        return AdminAnswerLostError(message, remedy=PUBLISH_AGAIN_REMEDY)
     remedy = "try again later; nothing was published" if status == 503 else "correct the call"
     return AdminRefusedError(status, code, message, remedy=remedy)
--- a/figwalk/entry/admin_api.py
+++ b/figwalk/entry/admin_api.py
@@ -12,7 +12,13 @@
 from figwalk.coordination.publisher import Publisher
 from figwalk.entry.status import StatusReporter
 from figwalk.entry.timeline import Timeline
-from figwalk.errors import CallerError, LogError, PublishConflictError, SettingsError
+from figwalk.errors import (
+    CallerError,
+    LogAnswerLostError,
+    LogError,
+    PublishConflictError,
+    SettingsError,
+)
 from figwalk.events import Event, EventLog
 from figwalk.protocol.records import Change
 from figwalk.state.configuration import Configuration
@@ -106,6 +112,10 @@
             )
             self._events.record(Event.CONFIG_REJECTED, author=author, faults=len(error.faults))
             await responder.send_json(422, body)
+        except LogAnswerLostError as error:
+            # Not `log_unavailable`, from which an operator may conclude that nothing changed.
+            body = render_error("server_error", "publication_unknown", str(error))
+            await responder.send_json(503, body, [(b"retry-after", b"2")])
         except LogError as error:
             body = render_error("server_error", "log_unavailable", str(error))
             await responder.send_json(503, body, [(b"retry-after", b"2")])
--- a/figwalk/state/published_values.py
+++ b/figwalk/state/published_values.py
@@ -98,6 +98,8 @@
         known = [f"{prefix}NAME" for prefix in VALUE_CLASSES]
         paths = ", ".join([*known, PRESET_IN_FORCE_PATH, LIMITS_PATH])
         raise SettingsError([f"{path}: unknown path; use one of {paths}"])
+    if value is None and path == PRESET_IN_FORCE_PATH:
+        raise SettingsError([f"{path}: can't be deleted; put another preset in force"])
     if value is None:
         return PublishedValue(path, None)
     try:
--- a/standins/up.py
+++ b/standins/up.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import shutil
 import signal
 import sys
 import tempfile
@@ -73,7 +74,9 @@
         sys.exit(1)
     for fault in faults:
         print(f"up: {fault}", file=sys.stderr)
-    sys.exit(1 if faults else 0)
+    if faults:
+        sys.exit(1)
+    shutil.rmtree(run_directory)
 
 
 if __name__ == "__main__":
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -201,6 +201,7 @@
             1,
             "nothing was published",
         ),
+        ((503, render_error("e", "publication_unknown", "no answer")), 1, "run the command again"),
         ((500, ["?"]), 1, "HTTP status 500"),
         ((200, {"revision": "x"}), 1, "use the figwalk version that the entry runs"),
     ],
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -180,6 +180,7 @@
         ("presets/peak", {"role_change_weight": "x"}),
         ("presets/", {}),
         ("preset_in_force", ""),
+        ("preset_in_force", None),
         ("elsewhere", 1),
         ("limits", {"key_memory_ms": 3}),
         ("services/x", {"kind": "model"}),
