--- a/figwalk/state/configuration.py
+++ b/figwalk/state/configuration.py
@@ -125,8 +125,7 @@
         self._adopted = entries
         self._adopted_revision = update.revision
         self._parsed.clear()
-        if not self._complete and update.revision >= self._gap_end:
-            self._complete_from(update.revision, entries)
+        self._complete_from_adopted(self.next_offset)
         return True
 
     def create_update(self, after_revision: int = 0) -> ConfigUpdate:
@@ -184,6 +183,9 @@
     def _in_force(self) -> Entries:
         return self._adopted if self._adopted_revision > self._folded_revision else self._folded
 
+    def _observe(self, record: StoredRecord) -> None:
+        self._complete_from_adopted(record.offset)
+
     def _enter_gap(self, offset: int) -> None:
         self._gap_end = offset
         self._complete = False
@@ -209,6 +211,11 @@
             self._snapshot_revision = snapshot.revision
             self._snapshot_time_ms = record.time_ms
 
+    def _complete_from_adopted(self, next_offset: int) -> None:
+        """Use the adopted state like a snapshot, once this reader is not behind it."""
+        if not self._complete and self._gap_end <= self._adopted_revision <= next_offset:
+            self._complete_from(self._adopted_revision, self._adopted)
+
     def _complete_from(self, offset: int, entries: Entries) -> None:
         """Continue the fold from the state before an offset, with what was read after it."""
         self._complete = True
--- a/figwalk/state/control.py
+++ b/figwalk/state/control.py
@@ -23,22 +23,19 @@
 
 @attrs.frozen
 class _LeaseRecord:
-    """Lease record read while the lease is not known."""
+    """Claim or renewal read while the term is not known; a claim names its own offset as term."""
 
-    offset: int
-    record_id: str
     term: int
-    holder: str
     ttl_s: float
 
 
 class Control(LogFold[None]):
     """Holder of the controller lease and the newest valid order of each backend server.
 
-    After a gap the term is not known, and neither orders nor renewals count. It is known again
-    from a claim by the vacancy rule, a renewal of a claim read after the gap, a second renewal
-    of one term, or a claim that names a lease record read after the gap: claimants and holders
-    append these only after they have read the term from the log.
+    After a gap the term is not known, and no order counts. A renewal proves its term if the
+    lease record before it, read after the gap as well, was of the same term: a holder renews
+    only after it has read its claim or last renewal back as valid, so that a holder that was
+    replaced adds at most one record. A claim by the vacancy rule ends the gap, too.
     """
 
     def __init__(self) -> None:
@@ -50,7 +47,7 @@
         self._last_ttl_s = 0.0
         self._orders: dict[str, tuple[int, RoleOrder]] = {}
         self._complete = True
-        self._lease_records: dict[int, _LeaseRecord] = {}
+        self._unproven: _LeaseRecord | None = None
         self._undecided_orders: list[tuple[int, RoleOrder]] = []
 
     @property
@@ -105,7 +102,7 @@
         self._holder = ""
         self._last_lease_offset = NO_OFFSET
         self._last_lease_time_ms = None
-        self._lease_records.clear()
+        self._unproven = None
         self._undecided_orders.clear()
 
     def _observe(self, record: StoredRecord) -> None:
@@ -122,21 +119,18 @@
             self._fold_order(record.offset, content)
 
     def _fold_claim(self, record: StoredRecord, claim: LeaseClaim) -> None:
-        if not self._complete and claim.after in self._lease_records:
-            self._complete_from(self._lease_records[claim.after])
         vacant = self._is_vacant(record.time_ms)
         if vacant or (self._complete and claim.after == self._last_lease_offset):
             self._win(record, claim)
         elif not self._complete:
-            self._keep(record, record.offset, claim.holder, claim.ttl_s)
+            self._keep(record, record.offset, claim.ttl_s)
 
     def _fold_renewal(self, record: StoredRecord, renewal: LeaseRenewal) -> None:
         if not self._complete:
-            proof = self._find_proof(renewal.term)
-            if proof is None:
-                self._keep(record, renewal.term, renewal.holder, 0.0)
+            if self._unproven is None or self._unproven.term != renewal.term:
+                self._keep(record, renewal.term, 0.0)
                 return
-            self._complete_from(proof)
+            self._prove(self._unproven, renewal.holder)
         if self._is_current(renewal.term):
             self._last_lease_offset = record.offset
             self._last_lease_time_ms = record.time_ms
@@ -156,7 +150,7 @@
 
     def _win(self, record: StoredRecord, claim: LeaseClaim) -> None:
         self._complete = True
-        self._lease_records.clear()
+        self._unproven = None
         self._undecided_orders.clear()
         self._term = record.offset
         self._holder = claim.holder
@@ -164,34 +158,17 @@
         self._last_lease_offset = record.offset
         self._last_lease_time_ms = record.time_ms
 
-    def _keep(self, record: StoredRecord, term: int, holder: str, ttl_s: float) -> None:
-        kept = _LeaseRecord(record.offset, record.record_id, term, holder, ttl_s)
-        self._lease_records[record.offset] = kept
+    def _keep(self, record: StoredRecord, term: int, ttl_s: float) -> None:
+        self._unproven = _LeaseRecord(term, ttl_s)
         self._last_lease_time_ms = record.time_ms
 
-    def _find_proof(self, term: int) -> _LeaseRecord | None:
-        """Return the newest lease record after the gap if it is of a term."""
-        if not self._lease_records:
-            return None
-        claim_or_renewal = self._lease_records.get(term)
-        if claim_or_renewal is not None and claim_or_renewal.term == term:
-            return claim_or_renewal
-        newest = self._lease_records[max(self._lease_records)]
-        return newest if newest.term == term else None
-
-    def _complete_from(self, proof: _LeaseRecord) -> None:
-        """Continue the fold from a lease record that is known to be valid."""
+    def _prove(self, proven: _LeaseRecord, holder: str) -> None:
+        """Take over a term that was current since the gap or since its claim after the gap."""
         self._complete = True
-        self._term = proof.term
-        self._holder = proof.holder
-        self._last_ttl_s = proof.ttl_s or self._last_ttl_s
-        self._last_lease_offset = proof.offset
-        kept = [self._lease_records[o] for o in sorted(self._lease_records) if o > proof.offset]
-        self._lease_records.clear()
-        for lease_record in kept:
-            if lease_record.term == self._term:
-                self._last_lease_offset = lease_record.offset
+        self._unproven = None
+        self._term = proven.term
+        self._holder = holder
+        self._last_ttl_s = proven.ttl_s or self._last_ttl_s
         undecided, self._undecided_orders = self._undecided_orders, []
         for offset, order in undecided:
-            if offset > proof.offset:
-                self._fold_order(offset, order)
+            self._fold_order(offset, order)
