--- a/figwalk/state/claims.py
+++ b/figwalk/state/claims.py
@@ -97,7 +97,9 @@
     def _certain_from_ms(self, memory_ms: int) -> int:
         """Return the record time from which no claim dropped unread can hold a key.
 
-        A repeated record counts only while its id is remembered, which takes as long.
+        A repeated record counts only while its id is remembered, which takes as long. Dropped
+        claims can have a longer memory than this one if the published limit was lowered; the
+        log must retain claims for the memory that they were made with.
         """
         if self._complete_since_ms == 0:
             return 0
