--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -8,7 +8,17 @@
 
 from figwalk.agent.main import Agent
 from figwalk.events import EventLog
-from figwalk.protocol.messages import Call, ConnectionKind, End, Hello, LoadReport, Refusal
+from figwalk.protocol.messages import (
+    Call,
+    Confirm,
+    Confirmed,
+    ConnectionKind,
+    Desired,
+    End,
+    Hello,
+    LoadReport,
+    Refusal,
+)
 from figwalk.protocol.peer_connection import AnswerData, PeerConnection
 from figwalk.state.settings import Address, AgentSettings, BackendSettings
 from figwalk.timer import Timer
@@ -27,6 +37,8 @@
         self.load = {"age_ms": 0, "running": 0, "max_running": 8}
         self.calls = []
         self.orders = []
+        self.answering = 0
+        self.interrupted = 0  # Calls that ran when an order arrived.
         self.cancelled = []
         self.cache = {"next": 0, "events": []}
         self.chunks = [b'{"ok":true}']
@@ -69,6 +81,7 @@
         elif name == "GET /cache/events":
             await responder.send_json(200, self.cache)
         elif name == "POST /orders":
+            self.interrupted += self.answering
             self.orders.append(json.loads(request.body))
             self.state |= {k: self.orders[-1][k] for k in ("order", "role")}
             if not self.lose_order_answer:
@@ -78,7 +91,11 @@
             self.cancel_received.set()
             await responder.send_json(200, {})
         else:
-            await self.answer_call(request, responder)
+            self.answering += 1
+            try:
+                await self.answer_call(request, responder)
+            finally:
+                self.answering -= 1
 
     async def answer_call(self, request, responder):
         """Answer a call as scripted."""
@@ -100,12 +117,13 @@
         await responder.send(self.status, headers, b"".join(chunks))
 
 
-@attrs.frozen
+@attrs.define
 class Entry:
-    """A test's connection to the agent."""
+    """A test's connection to the agent; it answers each `Confirm` while `confirmed` is set."""
 
     connection: PeerConnection
     hello: Hello
+    confirmed: Desired | None = None
 
     async def call(self, call_id=1, target="/v1/x", **fields):
         """Send a call."""
@@ -122,6 +140,8 @@
         """Receive until a message meets a condition, and return it."""
         while True:
             message = await self.connection.receive()
+            if isinstance(message, Confirm) and self.confirmed is not None:
+                await self.connection.send(Confirmed(message.nonce, self.confirmed))
             if condition(message):
                 return message
 
--- a/tests/test_agent_states.py
+++ b/tests/test_agent_states.py
@@ -32,17 +32,22 @@
 async def test_withdrawal_refuses_new_calls_and_finishes_running_ones(running):
     """Guards against new work on a withdrawn backend server (invariant 7) and cut calls (8)."""
     running.backend.go_on = trio.Event()
-    entry, other = await running.connect(), await running.connect()
+    running.backend.load["max_running"] = 1
+    entry, other, waiting = [await running.connect() for _ in range(3)]
     control, second = await running.control(), await running.control()
+    await control.report(max_running=1)
     await entry.call(1)
     await running.backend.received.wait()
+    await waiting.call(9)
+    await control.report(queued=1)
     await control.connection.send(withdrawn(3, {"reason": "heat"}))
     for told in (control, second):
         await told.until(lambda m: isinstance(m, Leaving))
     await control.report(state=BackendState.WITHDRAWN, revision=3)
     await other.call(2)
-    (refusal,) = await other.result()
-    assert (refusal.code, refusal.outcome) == ("leaving", CallOutcome.NOT_RUN)
+    for refused in (other, waiting):
+        (refusal,) = await refused.result()
+        assert (refusal.code, refusal.outcome) == ("leaving", CallOutcome.NOT_RUN)
     running.backend.go_on.set()
     assert (await entry.result())[-1].complete
     await control.connection.send(withdrawn(2, None))
