--- a/figwalk/agent/main.py
+++ b/figwalk/agent/main.py
@@ -129,16 +129,15 @@
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve until `stop` and the graceful shutdown after it."""
-        listener = await bind_peer_port(self._settings.peers)
         async with trio.open_nursery() as nursery:
-            await self._start(nursery, listener)
-            task_status.started()
+            nursery.start_soon(self._start, nursery, task_status)
             await self._stop_requested.wait()
             await self._withdrawal.leave()
             nursery.cancel_scope.cancel()
         self._client.close()
 
-    async def _start(self, nursery: trio.Nursery, listener: trio.SocketListener) -> None:
+    async def _start(self, nursery: trio.Nursery, task_status: trio.TaskStatus[None]) -> None:
+        listener = await bind_peer_port(self._settings.peers)
         # The engine's role and order number are read before the first call is taken.
         await self._monitor.poll()
         self._monitor.start()
@@ -163,6 +162,7 @@
             "health", health.host, await nursery.start(server.serve, health.host, health.port)
         )
         self._events.record(Event.PROCESS_STARTED, backend=self._settings.backend.name)
+        task_status.started()
 
     def _announce(self, name: str, host: str, port: int) -> None:
         self._addresses[name] = Address(host, port)
