--- a/figwalk/agent/call_server.py
+++ b/figwalk/agent/call_server.py
@@ -199,9 +199,6 @@
 
     async def _claim_and_run(self, attempt: Attempt, session: _CallSession) -> None:
         """Run the call only if its claim, if any, allows it; note what became of the claim."""
-        code = self._serving.refusal_code
-        if code:
-            raise RefusalError(code, f"the backend server takes no new calls ({code})")
         call = attempt.call
         if not attempt.keyed:
             await self._admit_and_forward(attempt, session, None)
@@ -226,6 +223,9 @@
         self, attempt: Attempt, session: _CallSession, kept: _KeptAnswer | None
     ) -> None:
         call = attempt.call
+        code = self._serving.refusal_code
+        if code:
+            raise RefusalError(code, f"the backend server takes no new calls ({code})")
         work = Work(
             call.priority, call.organisation, attempt.deadline, call.prompt_tokens, call.max_tokens
         )
--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -8,17 +8,7 @@
 
 from figwalk.agent.main import Agent
 from figwalk.events import EventLog
-from figwalk.protocol.messages import (
-    Call,
-    Confirm,
-    Confirmed,
-    ConnectionKind,
-    Desired,
-    End,
-    Hello,
-    LoadReport,
-    Refusal,
-)
+from figwalk.protocol import messages
 from figwalk.protocol.peer_connection import AnswerData, PeerConnection
 from figwalk.state.settings import Address, AgentSettings, BackendSettings
 from figwalk.timer import Timer
@@ -122,17 +112,17 @@
     """A test's connection to the agent; it answers each `Confirm` while `confirmed` is set."""
 
     connection: PeerConnection
-    hello: Hello
-    confirmed: Desired | None = None
+    hello: messages.Hello
+    confirmed: messages.Desired | None = None
 
     async def call(self, call_id=1, target="/v1/x", **fields):
         """Send a call."""
-        await self.connection.send(Call(call_id, f"r{call_id}", "POST", target, **fields))
+        await self.connection.send(messages.Call(call_id, f"r{call_id}", "POST", target, **fields))
 
     async def result(self):
         """Return the answer's frames up to End or Refusal."""
         frames = []
-        while not frames or not isinstance(frames[-1], End | Refusal):
+        while not frames or not isinstance(frames[-1], messages.End | messages.Refusal):
             frames.append(await self.connection.receive())
         return frames
 
@@ -140,8 +130,8 @@
         """Receive until a message meets a condition, and return it."""
         while True:
             message = await self.connection.receive()
-            if isinstance(message, Confirm) and self.confirmed is not None:
-                await self.connection.send(Confirmed(message.nonce, self.confirmed))
+            if isinstance(message, messages.Confirm) and self.confirmed is not None:
+                await self.connection.send(messages.Confirmed(message.nonce, self.confirmed))
             if condition(message):
                 return message
 
@@ -149,7 +139,7 @@
         """Receive until a load report has the expected values."""
         return await self.until(
             lambda m: (
-                isinstance(m, LoadReport)
+                isinstance(m, messages.LoadReport)
                 and all(getattr(m, key) == value for key, value in expected.items())
             )
         )
@@ -162,21 +152,20 @@
 class Running:
     """An agent beside a fake backend server."""
 
-    def __init__(self, agent, backend, nursery):
+    def __init__(self, agent, backend):
         self.agent = agent
         self.backend = backend
-        self.nursery = nursery
         self.stopped = trio.Event()
 
-    async def connect(self, kind=ConnectionKind.CALL):
+    async def connect(self, kind=messages.ConnectionKind.CALL):
         """Dial the agent."""
         address = self.agent.addresses["peers"]
-        hello = Hello(kind, "entry-1", 5)
+        hello = messages.Hello(kind, "entry-1", 5)
         return Entry(*await PeerConnection.connect(address.host, address.port, hello))
 
     async def control(self):
         """Open a control connection."""
-        return await self.connect(ConnectionKind.CONTROL)
+        return await self.connect(messages.ConnectionKind.CONTROL)
 
     def events(self):
         """Return the names of the agent's events."""
@@ -198,7 +187,7 @@
             BackendSettings("llm-1", "llm", kind, backend.address, max_running=8),
             **{"report_s": 0.02, "grace_s": 5.0} | changes,
         )
-        running = Running(Agent(settings, timer), backend, nursery)
+        running = Running(Agent(settings, timer), backend)
 
         async def run(task_status):
             await running.agent.run(task_status=task_status)
--- a/tests/test_agent_keys.py
+++ b/tests/test_agent_keys.py
@@ -11,6 +11,13 @@
     return isinstance(message, KeyStatus)
 
 
+async def connect(running):
+    """Return a call and a control connection, and the fields of a claim."""
+    entry = await running.connect()
+    claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation}
+    return entry, await running.control(), claim
+
+
 async def look_up(control, claim_id, incarnation):
     await control.connection.send(KeyLookup(claim_id, incarnation))
     return await control.until(is_status)
@@ -19,9 +26,7 @@
 @agent_test("plain")
 async def test_claim_runs_once_and_its_answer_is_kept(running):
     """Guards against a second run of a claim (invariant 6) and a lost answer."""
-    entry = await running.connect()
-    control = await running.control()
-    claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation}
+    entry, control, claim = await connect(running)
     await entry.call(1, **claim)
     assert body_of(await entry.result()) == b'{"ok":true}'
     await entry.call(2, **claim)
@@ -39,9 +44,7 @@
     async def main():
         async with running_agent("plain") as running:
             running.backend.go_on = trio.Event()
-            entry = await running.connect()
-            control = await running.control()
-            claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation}
+            entry, control, claim = await connect(running)
             await entry.call(7, **claim)
             await running.backend.received.wait()
             if leave == "cancel":
@@ -62,9 +65,7 @@
 @agent_test("plain")
 async def test_claim_looked_up_before_it_arrives_never_runs(running):
     """Guards against a delayed sender that runs a claim already released (invariant 6)."""
-    entry = await running.connect()
-    control = await running.control()
-    claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation}
+    entry, control, claim = await connect(running)
     assert (await look_up(control, **claim)).state is KeyState.VOIDED
     await entry.call(1, **claim)
     (refusal,) = await entry.result()
@@ -75,9 +76,8 @@
 @agent_test("plain")
 async def test_claim_of_a_dead_agent_never_runs(running):
     """Guards against a claim that its named agent may already have run."""
-    entry = await running.connect()
-    control = await running.control()
-    claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation ^ 1}
+    entry, control, claim = await connect(running)
+    claim["incarnation"] ^= 1
     await entry.call(1, **claim)
     assert (await entry.result())[-1].code == "incarnation"
     assert (await look_up(control, **claim)).state is KeyState.UNKNOWN
@@ -88,9 +88,7 @@
 async def test_claim_whose_answer_is_lost_is_unknown(running):
     """Guards against a second run of a claim that the backend server may have run."""
     running.backend.go_on = trio.Event()
-    entry = await running.connect()
-    control = await running.control()
-    claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation}
+    entry, control, claim = await connect(running)
     await entry.call(1, **claim)
     await running.backend.received.wait()
     await running.backend.stop()
@@ -101,10 +99,8 @@
 @agent_test("plain")
 async def test_refused_claim_is_void(running):
     """Guards against a `not_run` refusal of a claim that could still run (invariant 5)."""
-    entry = await running.connect()
-    control = await running.control()
-    running.agent._admission.close("leaving")
-    claim = {"claim_id": "c1", "incarnation": entry.hello.incarnation}
+    entry, control, claim = await connect(running)
+    running.agent._serving.set_withdrawn(True)
     await entry.call(1, **claim)
     assert (await entry.result())[-1].outcome is CallOutcome.NOT_RUN
     assert (await look_up(control, **claim)).state is KeyState.VOIDED
--- a/tests/test_agent_states.py
+++ b/tests/test_agent_states.py
@@ -5,15 +5,10 @@
 from agent_fakes import HOST, agent_test, body_of, run_test
 from trio.testing import MockClock
 
+from figwalk.agent.metrics import Metrics, MetricsPublisher
 from figwalk.agent.peer_server import bind_peer_port
 from figwalk.errors import CallOutcome
-from figwalk.protocol.messages import (
-    BackendState,
-    ConfigUpdate,
-    EventsQuery,
-    EventsReply,
-    Leaving,
-)
+from figwalk.protocol import messages
 from figwalk.protocol.records import ConfigEntry, encode_entries
 from figwalk.state.settings import Address
 from figwalk.transport import HttpClient
@@ -21,7 +16,7 @@
 
 def config(revision, **values):
     entries = [ConfigEntry(path, value, revision) for path, value in values.items()]
-    return ConfigUpdate(revision, False, encode_entries(entries))
+    return messages.ConfigUpdate(revision, False, encode_entries(entries))
 
 
 def withdrawn(revision, value):
@@ -42,8 +37,8 @@
     await control.report(queued=1)
     await control.connection.send(withdrawn(3, {"reason": "heat"}))
     for told in (control, second):
-        await told.until(lambda m: isinstance(m, Leaving))
-    await control.report(state=BackendState.WITHDRAWN, revision=3)
+        await told.until(lambda m: isinstance(m, messages.Leaving))
+    await control.report(state=messages.BackendState.WITHDRAWN, revision=3)
     await other.call(2)
     for refused in (other, waiting):
         (refusal,) = await refused.result()
@@ -52,7 +47,7 @@
     assert (await entry.result())[-1].complete
     await control.connection.send(withdrawn(2, None))
     await control.connection.send(withdrawn(4, None))
-    await control.report(state=BackendState.SERVING, revision=4)
+    await control.report(state=messages.BackendState.SERVING, revision=4)
     await other.call(3)
     assert (await other.result())[-1].complete
 
@@ -63,10 +58,10 @@
     control = await running.control()
     await control.connection.send(withdrawn(5, True))
     await control.connection.send(withdrawn(4, None))
-    await control.connection.send(ConfigUpdate(6, False, b"garbage"))
+    await control.connection.send(messages.ConfigUpdate(6, False, b"garbage"))
     await control.connection.send(config(7, **{"organisations/x": {"share": 2}}))
     report = await control.report(revision=7)
-    assert report.state is BackendState.WITHDRAWN
+    assert report.state is messages.BackendState.WITHDRAWN
     assert running.agent._config.shares == {"x": 2.0}
 
 
@@ -79,8 +74,8 @@
     await entry.call(1)
     await running.backend.received.wait()
     running.agent.stop()
-    await control.until(lambda m: isinstance(m, Leaving))
-    await control.report(state=BackendState.LEAVING)
+    await control.until(lambda m: isinstance(m, messages.Leaving))
+    await control.report(state=messages.BackendState.LEAVING)
     running.backend.go_on.set()
     assert (await entry.result())[-1].complete
     await running.stopped.wait()
@@ -107,9 +102,9 @@
 async def test_silent_backend_is_reported_down(running):
     """Guards against work sent to a crashed backend server."""
     control = await running.control()
-    await control.report(state=BackendState.SERVING)
+    await control.report(state=messages.BackendState.SERVING)
     await running.backend.stop()
-    await control.report(state=BackendState.DOWN)
+    await control.report(state=messages.BackendState.DOWN)
 
 
 @agent_test()
@@ -144,13 +139,27 @@
     entry, control = await running.connect(), await running.control()
     await entry.call(1)
     await entry.result()
-    await control.connection.send(EventsQuery("r1"))
-    reply = await control.until(lambda m: isinstance(m, EventsReply))
+    await control.connection.send(messages.EventsQuery("r1"))
+    reply = await control.until(lambda m: isinstance(m, messages.EventsReply))
     records = json.loads(reply.events)
     assert [record["name"] for record in records] == ["CALL_SENT", "CALL_FINISHED"]
     assert records[0]["request_id"] == "r1"
 
 
+def test_metrics_are_sent():
+    """Guards against metrics that never leave, or that count the same call twice."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
+        receiver.bind((HOST, 0))
+        metrics = Metrics()
+        publisher = MetricsPublisher(Address(*receiver.getsockname()), "llm-1", metrics)
+        metrics.refused = 3
+        for count in (3, 0):
+            publisher.publish(messages.LoadReport(1, "llm-1", running=2))
+            lines = receiver.recv(4096).decode().split("\n")
+            assert f"figwalk.agent.llm-1.calls.refused:{count}|c" in lines
+        assert "figwalk.agent.llm-1.running:2|g" in lines
+
+
 @agent_test()
 async def test_readiness_follows_the_state(running):
     """Guards against a platform that sends work to an agent whose engine is withdrawn."""
@@ -159,7 +168,7 @@
     assert (await client.fetch("GET", "/readyz"))[0].status == 200
     control = await running.control()
     await control.connection.send(withdrawn(3, True))
-    await control.report(state=BackendState.WITHDRAWN)
+    await control.report(state=messages.BackendState.WITHDRAWN)
     assert (await client.fetch("GET", "/readyz"))[0].status == 503
     assert (await client.fetch("GET", "/healthz"))[0].status == 200
 
