--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 
-.PHONY: venv test format
+.PHONY: venv test format docs demo up model
 
 venv: $(VENV)/.installed
 
@@ -15,7 +15,20 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/pytest
+	$(BIN)/python -m model.check
+
+model: venv
+	$(BIN)/python -m model.check
 
 format: venv
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+docs: venv
+	{ printf '# Log events\n\n'; $(BIN)/python -m figwalk.events; } > docs/events.md
+
+demo: venv
+	$(BIN)/python -m standins.demo
+
+up: venv
+	$(BIN)/python -m standins.up
--- /dev/null
+++ b/figwalk/entry/attempt_target.py
@@ -0,0 +1,66 @@
+"""A backend server chosen for an attempt, and how to reach it."""
+
+from __future__ import annotations
+
+from types import TracebackType
+
+import attrs
+
+from figwalk.coordination.router import Choice
+from figwalk.entry.call_pool import ActiveCall, CallPool, Reply
+from figwalk.protocol.messages import Call
+from figwalk.state.fleet import Fleet
+
+
+@attrs.frozen
+class Target:
+    """A chosen backend server.
+
+    Attributes:
+        choice: The routing policy's choice.
+        pool: Call connections to its agent.
+        incarnation: Incarnation of its agent.
+        fleet: Load view that counts the call while it is in flight.
+    """
+
+    choice: Choice
+    pool: CallPool
+    incarnation: int
+    fleet: Fleet = attrs.field(repr=False)
+
+    def open(self, call: Call) -> TrackedCall:
+        """Return the context manager of `CallPool.open` that also counts the call as in flight."""
+        return TrackedCall(self, call)
+
+
+class TrackedCall(ActiveCall):
+    """A call that its entry's load view counts until its end."""
+
+    def __init__(self, target: Target, call: Call) -> None:
+        super().__init__(target.pool, call)
+        self._target = target
+
+    async def __aenter__(self) -> Reply:
+        """Count the call and send it."""
+        call = self.call
+        backend = self._target.choice.backend
+        self._target.fleet.note_sent(backend, call.call_id, call.prompt_tokens, call.max_tokens)
+        try:
+            return await super().__aenter__()
+        except BaseException:
+            self._target.fleet.note_finished(backend, call.call_id)
+            raise
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> bool:
+        """Stop counting the call, and take in the load that came with its end."""
+        fleet = self._target.fleet
+        fleet.note_finished(self._target.choice.backend, self.call.call_id)
+        end = self.reply.end if self.reply else None
+        if end is not None and end.load is not None:
+            fleet.update_report(end.load, incarnation=self._target.incarnation)
+        return await super().__aexit__(kind, error, traceback)
--- a/figwalk/protocol/peer_connection.py
+++ b/figwalk/protocol/peer_connection.py
@@ -10,6 +10,7 @@
 from figwalk.errors import MalformedFrameError
 from figwalk.protocol.codec import decode_message, encode_message
 from figwalk.protocol.messages import Hello, Message
+from figwalk.transport.byte_stream import ByteStream
 from figwalk.transport.frame_stream import FrameStream, FrameType
 
 CONNECT_TIMEOUT_S = 3.0
@@ -32,9 +33,15 @@
 class PeerConnection:
     """Sends and receives messages; several tasks may send, one receives."""
 
-    def __init__(self, stream: trio.abc.Stream) -> None:
+    def __init__(self, stream: ByteStream) -> None:
+        self._stream = stream
         self._frames = FrameStream(stream)
 
+    @property
+    def alive(self) -> bool:
+        """Whether an idle connection can still be used: the peer has neither closed nor sent."""
+        return not self._stream.socket.is_readable()
+
     @classmethod
     async def connect(cls, host: str, port: int, hello: Hello) -> tuple[PeerConnection, Hello]:
         """Dial a peer and exchange `Hello`.
@@ -45,7 +52,7 @@
         """
         with trio.move_on_after(CONNECT_TIMEOUT_S) as scope:
             stream = await trio.open_tcp_stream(host, port)
-            connection = cls(stream)
+            connection = cls(ByteStream(stream))
             try:
                 await connection.send(hello)
                 return connection, await connection.receive_hello()
@@ -90,3 +97,7 @@
     async def aclose(self) -> None:
         """Close the connection."""
         await self._frames.aclose()
+
+    def close(self) -> None:
+        """Close the connection at once, without waiting."""
+        self._stream.socket.close()
--- /dev/null
+++ b/figwalk/state/fleet.py
@@ -0,0 +1,237 @@
+"""What one entry knows of the backend servers."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Collection, Sequence
+
+from figwalk.protocol.messages import BackendState, LoadReport
+from figwalk.state.backend_view import BackendView, PredictedLoad, RoleChange, SentCall
+from figwalk.state.demand import CallClass, DemandProfile
+from figwalk.state.mix import MixEstimate, MixEstimator
+from figwalk.state.prefixes import PrefixIndex
+from figwalk.state.settings import Address
+from figwalk.timer import Timer
+
+__all__ = ["BackendView", "Fleet", "PredictedLoad", "RoleChange", "SentCall"]
+
+ROLE_CHANGES_KEPT = 64  # For each service; the role policy looks back about ten minutes.
+
+
+class Fleet:
+    """The backend servers known to an entry, their reports, and this entry's calls in flight.
+
+    Args:
+        timer: Source of time.
+        report_timeout_s: Seconds without a report after which a backend server is avoided.
+        prefixes: Index to fill from the cache events in reports.
+    """
+
+    def __init__(
+        self, timer: Timer, *, report_timeout_s: float = 1.0, prefixes: PrefixIndex | None = None
+    ) -> None:
+        self._timer = timer
+        self._report_timeout_s = report_timeout_s
+        self._prefixes = prefixes if prefixes is not None else PrefixIndex()
+        self._backends: dict[str, BackendView] = {}
+        self._by_service: dict[str, dict[str, BackendView]] = {}
+        self._mixes: dict[str, MixEstimator] = {}
+        self._profiles: dict[str, DemandProfile] = {}
+        self._role_changes: dict[str, deque[RoleChange]] = {}
+        self._withdrawn: frozenset[str] = frozenset()
+        self._entry_count = 1
+
+    @property
+    def prefixes(self) -> PrefixIndex:
+        """Which backend server holds which prefix piece."""
+        return self._prefixes
+
+    @property
+    def withdrawn(self) -> frozenset[str]:
+        """Backend servers withdrawn by configuration."""
+        return self._withdrawn
+
+    def register(
+        self,
+        name: str,
+        service: str,
+        *,
+        zone: str = "",
+        region: str = "",
+        address: Address | None = None,
+        incarnation: int = 0,
+    ) -> BackendView:
+        """Add a backend server or take over what its agent's `Hello` says.
+
+        A new incarnation of the agent forgets the old report, the calls in flight and that it
+        was leaving.
+        """
+        view = self._backends.get(name)
+        if view is not None and view.service != service:
+            self.remove(name)
+            view = None
+        if view is None:
+            view = BackendView(
+                name, service, zone=zone, region=region, address=address, incarnation=incarnation
+            )
+            view.set_entry_count(self._entry_count)
+            self._backends[name] = view
+            self._by_service.setdefault(service, {})[name] = view
+            return view
+        view.update_identity(zone=zone, region=region, address=address, incarnation=incarnation)
+        return view
+
+    def remove(self, backend: str) -> None:
+        """Forget a backend server that is gone."""
+        view = self._backends.pop(backend, None)
+        if view is None:
+            return
+        del self._by_service[view.service][backend]
+        self._prefixes.forget(backend)
+        if view.service in self._mixes:
+            self._mixes[view.service].forget(backend)
+
+    def find(self, backend: str) -> BackendView | None:
+        """Return a backend server by name."""
+        return self._backends.get(backend)
+
+    def backends(self, service: str | None = None) -> list[BackendView]:
+        """Return all backend servers, or those of one service."""
+        if service is None:
+            return list(self._backends.values())
+        return list(self._by_service.get(service, {}).values())
+
+    def update_report(self, report: LoadReport, *, incarnation: int | None = None) -> bool:
+        """Take over a load report, its cache events and its token counters.
+
+        Args:
+            report: From a control connection or the end of an answer.
+            incarnation: Incarnation of the agent that sent it, if known. A late report of an
+                earlier incarnation would otherwise hide the new ones.
+
+        Returns:
+            Whether it was newer than the last one of a known backend server.
+        """
+        view = self._backends.get(report.backend)
+        if view is None or incarnation not in (None, view.incarnation):
+            return False
+        now = self._timer.now()
+        self._prefixes.note_evicted(report.backend, report.cache_evicted, now)
+        self._prefixes.note_stored(report.backend, report.cache_stored, now)
+        if not view.update_report(report, now):
+            return False
+        self._mixes.setdefault(view.service, MixEstimator()).observe(report, now)
+        change = view.take_role_change(now)
+        if change is not None:
+            kept = self._role_changes.setdefault(view.service, deque(maxlen=ROLE_CHANGES_KEPT))
+            kept.append(change)
+        return True
+
+    def note_sent(
+        self,
+        backend: str,
+        call_id: int,
+        prompt_tokens: int,
+        output_tokens: int,
+        *,
+        pieces: Sequence[int] = (),
+    ) -> None:
+        """Count a call that this entry is sending.
+
+        Args:
+            backend: Where it goes.
+            call_id: The call.
+            prompt_tokens: Prompt tokens that are not expected in the cache.
+            output_tokens: Tokens that may be generated.
+            pieces: Prefix pieces of the prompt, which the backend server will hold soon.
+        """
+        view = self._backends.get(backend)
+        if view is None:
+            return
+        now = self._timer.now()
+        view.add_call(SentCall(call_id, prompt_tokens, output_tokens, now))
+        profile = self._profiles.setdefault(view.service, DemandProfile())
+        profile.note_call(prompt_tokens, output_tokens, now)
+        self._prefixes.note_stored(backend, pieces, now)
+
+    def note_finished(self, backend: str, call_id: int) -> None:
+        """Stop counting a call, however it ended; an unknown call is ignored."""
+        view = self._backends.get(backend)
+        if view is not None:
+            view.remove_call(call_id)
+
+    def mark_leaving(self, backend: str) -> None:
+        """Give a backend server no new work until `clear_leaving` or a new incarnation."""
+        view = self._backends.get(backend)
+        if view is not None:
+            view.set_leaving()
+
+    def clear_leaving(self, backend: str) -> None:
+        """Give a backend server work again that was restored before it stopped."""
+        view = self._backends.get(backend)
+        if view is not None:
+            view.clear_leaving()
+
+    def set_model(self, backend: str, model: str | None) -> None:
+        """Set the model that a backend server has loaded."""
+        view = self._backends.get(backend)
+        if view is not None:
+            view.set_model(model)
+
+    def set_entry_count(self, count: int) -> None:
+        """Set the number of live entries.
+
+        The load balancer spreads callers evenly, so that since the last report the others have
+        sent about as much as this entry. Without them an engine that looks idle is overloaded by
+        the entries together before the next report.
+        """
+        self._entry_count = max(1, count)
+        for view in self._backends.values():
+            view.set_entry_count(self._entry_count)
+
+    def set_withdrawn(self, backends: Collection[str]) -> None:
+        """Set the backend servers that the configuration in force withdraws."""
+        self._withdrawn = frozenset(backends)
+
+    def candidates(
+        self, service: str, model: str | None = None, excluded: Collection[str] = frozenset()
+    ) -> list[BackendView]:
+        """Return the backend servers that may get a new call.
+
+        Args:
+            service: Service to be called.
+            model: Model to be used; a backend server whose model is not known may have it.
+            excluded: Backend servers that this request has already tried.
+        """
+        now = self._timer.now()
+        return [
+            view
+            for name, view in self._by_service.get(service, {}).items()
+            if name not in excluded
+            and name not in self._withdrawn
+            and (model is None or view.model in (None, model))
+            and self._takes_work(view, now)
+        ]
+
+    def mix(self, service: str) -> MixEstimate:
+        """Return the prompt-to-output mix of a service."""
+        estimator = self._mixes.get(service)
+        return estimator.estimate(self._timer.now()) if estimator else MixEstimate()
+
+    def call_classes(self, service: str) -> tuple[CallClass, ...]:
+        """Return the profile of the calls that this entry sends to a service."""
+        profile = self._profiles.get(service)
+        return profile.classes(self._timer.now()) if profile else ()
+
+    def role_changes(self, service: str) -> tuple[RoleChange, ...]:
+        """Return the changes of role seen in a service, oldest first."""
+        return tuple(self._role_changes.get(service, ()))
+
+    def is_fresh(self, view: BackendView) -> bool:
+        """Return whether a report arrived within the timeout."""
+        return view.is_fresh(self._timer.now(), self._report_timeout_s)
+
+    def _takes_work(self, view: BackendView, now: float) -> bool:
+        if view.leaving or not view.is_fresh(now, self._report_timeout_s):
+            return False
+        return view.report.state is BackendState.SERVING
--- a/figwalk/transport/http_client.py
+++ b/figwalk/transport/http_client.py
@@ -9,6 +9,7 @@
 import trio
 
 from figwalk.errors import HttpError
+from figwalk.transport.byte_stream import ByteStream
 from figwalk.transport.http_types import Headers, HttpRequest, find_header
 
 RECEIVE_BYTES = 65536
@@ -122,7 +123,7 @@
                 stream = await trio.open_tcp_stream(self._host, self._port)
         except (OSError, trio.TooSlowError) as error:
             raise HttpConnectError(f"cannot connect to {self.address}: {error}") from error
-        return _Connection(stream, self.address)
+        return _Connection(ByteStream(stream), self.address)
 
 
 class HttpConnectError(HttpError):
@@ -132,7 +133,7 @@
 class _Connection:
     """One client connection."""
 
-    def __init__(self, stream: trio.SocketStream, address: str) -> None:
+    def __init__(self, stream: ByteStream, address: str) -> None:
         self._stream = stream
         self._address = address
         self._h11 = h11.Connection(h11.CLIENT)
@@ -153,7 +154,7 @@
         parts: list[bytes] = []
         while isinstance(event, h11.Data):
             parts.append(bytes(event.data))
-            event = self._h11.next_event()
+            event = self._parse_event()
         if isinstance(event, h11.ConnectionClosed):
             raise HttpError(f"{self._address} closed the connection in mid-answer")
         return b"".join(parts), isinstance(event, h11.EndOfMessage)
@@ -194,11 +195,15 @@
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
             try:
-                event = self._h11.next_event()
+                event = self._parse_event()
                 if event is not h11.NEED_DATA:
                     return event
                 self._h11.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise HttpError(f"{self._address} closed the connection") from error
-            except h11.RemoteProtocolError as error:
-                raise HttpError(f"{self._address} broke the HTTP exchange: {error}") from error
+
+    def _parse_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        try:
+            return self._h11.next_event()
+        except h11.RemoteProtocolError as error:
+            raise HttpError(f"{self._address} broke the HTTP exchange: {error}") from error
--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -10,12 +10,14 @@
 
 from figwalk.errors import CallerError, ConnectionLostError
 from figwalk.events import Event, EventLog
+from figwalk.transport.byte_stream import ByteStream
 from figwalk.transport.http_types import Headers, HttpLimits, HttpRequest
 
 RECEIVE_BYTES = 65536
 LISTEN_BACKLOG = 1024
 
 JSON_HEADER = (b"content-type", b"application/json")
+CLOSE_HEADER = (b"connection", b"close")
 
 
 class Responder:
@@ -25,9 +27,18 @@
     `finish` for a streamed one.
     """
 
-    def __init__(self, connection: h11.Connection, stream: trio.abc.Stream) -> None:
+    def __init__(
+        self,
+        connection: h11.Connection,
+        stream: trio.abc.Stream,
+        closing: Callable[[], bool] = lambda: False,
+        *,
+        head_only: bool = False,
+    ) -> None:
         self._connection = connection
         self._stream = stream
+        self._closing = closing
+        self._head_only = head_only
         self._started = False
         self._finished = False
 
@@ -36,6 +47,11 @@
         """Whether the status line has been sent."""
         return self._started
 
+    @property
+    def startable(self) -> bool:
+        """Whether an answer can still be started; not so after an attempt that was not valid."""
+        return not self._started and self._connection.our_state in {h11.IDLE, h11.SEND_RESPONSE}
+
     @property
     def finished(self) -> bool:
         """Whether the whole answer has been sent."""
@@ -43,10 +59,9 @@
 
     async def send(self, status: int, headers: Headers, body: bytes = b"") -> None:
         """Send a whole answer."""
-        headers = [*headers, (b"content-length", str(len(body)).encode())]
+        headers = [*headers, (b"content-length", str(len(body)).encode()), *self._closing_header()]
         data = self._connection.send(h11.Response(status_code=status, headers=headers)) or b""
-        if body:
-            data += self._connection.send(h11.Data(data=body)) or b""
+        data += self._render_body(body)
         data += self._connection.send(h11.EndOfMessage()) or b""
         self._started = True
         self._finished = True
@@ -60,24 +75,38 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Send status and headers of a streamed answer."""
         self._started = True
+        headers = [*headers, *self._closing_header()]
         await self._write(
             self._connection.send(h11.Response(status_code=status, headers=headers)) or b""
         )
 
     async def send_chunk(self, data: bytes) -> None:
         """Send a piece of a streamed answer's body."""
-        await self._write(self._connection.send(h11.Data(data=data)) or b"")
+        await self._write(self._render_body(data))
 
     async def finish(self) -> None:
         """End a streamed answer; the client sees from this that it was whole."""
         self._finished = True
         await self._write(self._connection.send(h11.EndOfMessage()) or b"")
 
+    def _render_body(self, data: bytes) -> bytes:
+        # The answer to HEAD has no body, and h11 refuses to send one.
+        if not data or self._head_only:
+            return b""
+        return self._connection.send(h11.Data(data=data)) or b""
+
+    def _closing_header(self) -> Headers:
+        return [CLOSE_HEADER] if self._closing() else []
+
     async def _write(self, data: bytes) -> None:
         try:
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise ConnectionLostError("the client closed its connection") from error
+            raise ClientGoneError("the client closed its connection") from error
+
+
+class ClientGoneError(ConnectionLostError):
+    """The client of the HTTP server went away before the end of its answer."""
 
 
 HttpHandler = Callable[[HttpRequest, Responder], Awaitable[None]]
@@ -148,15 +177,18 @@
             return
         self._connections += 1
         try:
-            await self._serve_requests(stream)
+            await self._serve_requests(ByteStream(stream))
         except (ConnectionLostError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
+        except h11.LocalProtocolError as error:
+            # An answer that is not valid HTTP must not end the connections of other clients.
+            self._events.record(Event.TASK_FAILED, task="http answer", error=repr(error))
         finally:
             self._connections -= 1
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
                 await trio.aclose_forcefully(stream)
 
-    async def _serve_requests(self, stream: trio.SocketStream) -> None:
+    async def _serve_requests(self, stream: ByteStream) -> None:
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
         )
@@ -173,7 +205,9 @@
                 return
             if request is None:
                 return
-            responder = Responder(connection, stream)
+            responder = Responder(
+                connection, stream, lambda: self._draining, head_only=request.method == "HEAD"
+            )
             self._active_requests += 1
             try:
                 await self._answer(request, responder)
@@ -188,31 +222,34 @@
             connection.start_next_cycle()
 
     async def _receive_request(
-        self, connection: h11.Connection, stream: trio.SocketStream
+        self, connection: h11.Connection, stream: ByteStream
     ) -> HttpRequest | None:
         """Return the next request, or None when the connection is to be closed."""
-        with trio.CancelScope() as idle_scope:
-            idle_scope.deadline = trio.current_time() + self._limits.idle_timeout_s
-            self._idle.add(idle_scope)
-            try:
-                if not connection.trailing_data[0]:
-                    data = await stream.receive_some(RECEIVE_BYTES)
-                    connection.receive_data(data)
-            finally:
-                self._idle.discard(idle_scope)
-        if idle_scope.cancelled_caught:
-            return None
-        with trio.move_on_after(self._limits.receive_timeout_s) as receive_scope:
+        receiving = False
+        with trio.CancelScope() as scope:
+            if not connection.trailing_data[0]:
+                scope.deadline = trio.current_time() + self._limits.idle_timeout_s
+                connection.receive_data(await self._wait_for_request(stream, scope))
+            receiving = True
+            scope.deadline = trio.current_time() + self._limits.receive_timeout_s
             return await self._receive_events(connection, stream)
-        if receive_scope.cancelled_caught:
+        if receiving:
             self._events.record(Event.HTTP_SLOW_SENDER, timeout_s=self._limits.receive_timeout_s)
             raise CallerError(
                 408, "request_timeout", "the request was not complete in time; send it faster"
             )
         return None
 
+    async def _wait_for_request(self, stream: ByteStream, scope: trio.CancelScope) -> bytes:
+        """Return the first bytes of the next request; `drain` cancels the scope until then."""
+        self._idle.add(scope)
+        try:
+            return await stream.receive_some(RECEIVE_BYTES)
+        finally:
+            self._idle.discard(scope)
+
     async def _receive_events(
-        self, connection: h11.Connection, stream: trio.SocketStream
+        self, connection: h11.Connection, stream: ByteStream
     ) -> HttpRequest | None:
         head: h11.Request | None = None
         body = bytearray()
@@ -248,15 +285,15 @@
             await self._handler(request, responder)
         except CallerError as error:
             self._events.record(Event.HTTP_BAD_REQUEST, status=error.status, code=error.code)
-            if not responder.started:
+            if responder.startable:
                 await responder.send_json(
                     error.status, render_error("invalid_request_error", error.code, error.message)
                 )
-        except ConnectionLostError:
+        except ClientGoneError:
             raise
         except Exception as error:
             self._events.record(Event.TASK_FAILED, task=request.path, error=repr(error))
-            if not responder.started:
+            if responder.startable:
                 await responder.send_json(
                     500,
                     render_error("server_error", "internal_error", "internal error; see the log"),
@@ -265,7 +302,7 @@
     async def _refuse(
         self,
         connection: h11.Connection,
-        stream: trio.SocketStream,
+        stream: ByteStream,
         status: int,
         code: str,
         message: str,
@@ -275,7 +312,7 @@
             return
         responder = Responder(connection, stream)
         body = render_error("invalid_request_error", code, message)
-        await responder.send_json(status, body, [(b"connection", b"close")])
+        await responder.send_json(status, body, [CLOSE_HEADER])
 
 
 class _PortStatus:
