--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,10 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 
-.PHONY: venv test format docs demo up
+SEED ?= 1
+SECONDS ?= 60
+
+.PHONY: venv test format docs demo up soak
 
 venv: $(VENV)/.installed
 
@@ -28,3 +31,6 @@
 
 up: venv
 	$(BIN)/python -m standins.up
+
+soak: venv
+	$(BIN)/python -m histories.soak --seed $(SEED) --seconds $(SECONDS)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Awaitable, Callable
+from collections import Counter
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
+from typing import TypeVar
 
 import attrs
 import trio
@@ -14,7 +16,7 @@
 from figwalk.cli.operator_commands import Publication, publish_file
 from figwalk.errors import FigwalkError
 from figwalk.state.published import SERVICES_PREFIX, ServiceConfig
-from figwalk.state.settings import Address, AgentSettings, EntrySettings
+from figwalk.state.settings import Address, AgentSettings, EntrySettings, PlatformSettings
 from figwalk.state.settings_file import (
     PublishedFile,
     dump_settings,
@@ -22,7 +24,7 @@
     load_settings,
 )
 from figwalk.transport import HttpClient
-from standins.launcher import ENTRY_SOCKETS, Launcher, ProcessHandle
+from standins.launcher import AGENT_SOCKETS, ENTRY_SOCKETS, Launcher, ProcessHandle
 
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.1
@@ -30,6 +32,9 @@
 VM_LAG_S = 0.5
 AUTHOR = "standins.deployment"
 
+Settings = TypeVar("Settings", EntrySettings, AgentSettings)
+Route = Callable[[str, Address], Awaitable[Address]]
+
 
 class DeploymentError(FigwalkError):
     """The deployment did not become ready, or a process did not stop as planned."""
@@ -43,15 +48,29 @@
         launcher: Starts the processes and ends what `stop` has left.
         run_directory: Where the settings that the processes read are written.
         fixed_ports: Whether the ports of the files are used; else the system chooses free ones.
+        engine_arguments: Further command line of the engines.
+        route: Given the name of a link and the address of its server, returns the address that
+            the client is to use. Links are named after the agent, or `ENTRY-log`.
     """
 
     def __init__(
-        self, directory: Path, launcher: Launcher, run_directory: Path, *, fixed_ports: bool
+        self,
+        directory: Path,
+        launcher: Launcher,
+        run_directory: Path,
+        *,
+        fixed_ports: bool,
+        engine_arguments: Sequence[str] = (),
+        route: Route | None = None,
     ) -> None:
         self._directory = directory
         self._launcher = launcher
         self._run_directory = run_directory
         self._fixed_ports = fixed_ports
+        self._engine_arguments = tuple(engine_arguments)
+        self._route = route or _keep_address
+        self._platform: PlatformSettings | None = None
+        self._lives: Counter[str] = Counter()
         self._published = load_published(directory / "published.yaml")
         self._entry_settings = [
             load_settings(path, EntrySettings) for path in sorted(directory.glob("entry-*.yaml"))
@@ -59,6 +78,7 @@
         self._agent_settings = [
             load_settings(path, AgentSettings) for path in sorted(directory.glob("agent-*.yaml"))
         ]
+        self._vm_addresses: dict[str, Address] = {}
         self._entries: dict[str, ProcessHandle] = {}
         self._agents: dict[str, ProcessHandle] = {}
         self._backends: dict[str, ProcessHandle] = {}
@@ -73,6 +93,32 @@
         """Bearer token of the operator API."""
         return self._entry_settings[0].admin_token
 
+    @property
+    def entries(self) -> dict[str, ProcessHandle]:
+        """Newest process of each entry by name."""
+        return self._entries
+
+    @property
+    def agents(self) -> dict[str, ProcessHandle]:
+        """Newest process of each agent by name."""
+        return self._agents
+
+    @property
+    def backends(self) -> dict[str, ProcessHandle]:
+        """Newest process of each backend server by name."""
+        return self._backends
+
+    @property
+    def platform(self) -> PlatformSettings:
+        """Addresses of the platform's services; valid after `start`."""
+        assert self._platform is not None, "start the deployment first"
+        return self._platform
+
+    @property
+    def agent_settings(self) -> list[AgentSettings]:
+        """Settings of the agents as in the files."""
+        return list(self._agent_settings)
+
     @property
     def handles(self) -> list[ProcessHandle]:
         """Entries, agents and backend servers that were started."""
@@ -108,11 +154,38 @@
             "vms", "standins.vms", "--lag-s", str(VM_LAG_S), *self._http_port(platform.vms)
         )
         platform = attrs.evolve(platform, log=log.addresses["http"], vms=vms.addresses["http"])
+        self._platform = platform
         await run_together([_bind(self._start_backend, s) for s in self._agent_settings])
         await run_together([_bind(self._start_agent, s) for s in self._agent_settings])
-        await run_together([_bind(self._start_entry, s, platform) for s in self._entry_settings])
+        await run_together([_bind(self._start_entry, s) for s in self._entry_settings])
         await self._list_vms(HttpClient(platform.vms.host, platform.vms.port))
 
+    async def restart(self, name: str) -> ProcessHandle:
+        """Start a process that has ended again, on its old addresses.
+
+        Args:
+            name: Name of an entry, an agent or a backend server.
+        """
+        for entry in self._entry_settings:
+            if entry.process == name:
+                await self._start_entry(entry)
+                return self._entries[name]
+        for agent in self._agent_settings:
+            if agent.process == name:
+                await self._start_agent(agent)
+                return self._agents[name]
+            if agent.backend.name == name:
+                await self._start_backend(agent)
+                return self._backends[name]
+        raise DeploymentError(f"there is no process {name!r}", remedy="use a name of the files")
+
+    async def set_vm_state(self, agent: str, state: str) -> None:
+        """Show the VM of an agent as `live` or `leaving` in the VM list."""
+        settings = next(s for s in self._agent_settings if s.process == agent)
+        vms = HttpClient(self.platform.vms.host, self.platform.vms.port)
+        await _put_vm(vms, settings, "backend", self._vm_addresses[agent], state=state)
+        vms.close()
+
     async def publish(self) -> Publication:
         """Publish the example's configuration through the first entry."""
         path = self._directory / "published.yaml"
@@ -170,38 +243,35 @@
 
     async def _start_backend(self, settings: AgentSettings) -> None:
         backend = settings.backend
-        arguments = ["--name", backend.name, *self._http_port(backend.address)]
+        address = backend.address
+        if backend.name in self._backends:
+            address = self._backends[backend.name].addresses["http"]
+            arguments = ["--name", backend.name, "--port", str(address.port)]
+        else:
+            arguments = ["--name", backend.name, *self._http_port(address)]
         module = "standins.service"
         if backend.kind == ENGINE_KIND:
             module = "standins.engine"
             fencing = "--checks-fencing" if backend.checks_fencing else "--no-checks-fencing"
             arguments += ["--model", self._model_of(backend.service), fencing]
-            arguments += ["--max-running", str(backend.max_running)]
+            arguments += ["--max-running", str(backend.max_running), *self._engine_arguments]
         self._backends[backend.name] = await self._launch(backend.name, module, *arguments)
 
     async def _start_agent(self, settings: AgentSettings) -> None:
         address = self._backends[settings.backend.name].addresses["http"]
         settings = attrs.evolve(settings, backend=attrs.evolve(settings.backend, address=address))
-        if not self._fixed_ports:
-            settings = attrs.evolve(
-                settings, peers=_free_port(settings.peers), health=_free_port(settings.health)
-            )
+        settings = self._place(settings, self._agents, AGENT_SOCKETS)
         self._agents[settings.process] = await self._launch(
             settings.process,
             "figwalk.agent.main",
             self._write_settings(settings),
-            listening=("peers", "health"),
+            listening=AGENT_SOCKETS,
         )
 
-    async def _start_entry(self, settings: EntrySettings, platform: object) -> None:
-        settings = attrs.evolve(settings, platform=platform)
-        if not self._fixed_ports:
-            settings = attrs.evolve(
-                settings,
-                callers=_free_port(settings.callers),
-                peers=_free_port(settings.peers),
-                admin=_free_port(settings.admin),
-            )
+    async def _start_entry(self, settings: EntrySettings) -> None:
+        log = await self._route(f"{settings.process}-log", self.platform.log)
+        settings = attrs.evolve(settings, platform=attrs.evolve(self.platform, log=log))
+        settings = self._place(settings, self._entries, ENTRY_SOCKETS)
         self._entries[settings.process] = await self._launch(
             settings.process,
             "figwalk.entry.main",
@@ -213,15 +283,32 @@
     async def _launch(
         self, name: str, module: str, *arguments: str, listening: tuple[str, ...] = ("http",)
     ) -> ProcessHandle:
-        return await self._launcher.start(name, module, *arguments, listening=listening)
+        self._lives[name] += 1
+        life = self._lives[name]
+        log_name = name if life == 1 else f"{name}.{life}"
+        return await self._launcher.start(log_name, module, *arguments, listening=listening)
+
+    def _place(
+        self, settings: Settings, handles: dict[str, ProcessHandle], sockets: tuple[str, ...]
+    ) -> Settings:
+        """Return the settings with the addresses to listen on."""
+        if settings.process in handles:
+            known = handles[settings.process].addresses
+            return attrs.evolve(settings, **{name: known[name] for name in sockets})
+        if self._fixed_ports:
+            return settings
+        free = {name: _free_port(getattr(settings, name)) for name in sockets}
+        return attrs.evolve(settings, **free)
 
     async def _list_vms(self, vms: HttpClient) -> None:
         for settings in self._agent_settings:
             address = self._agents[settings.process].addresses["peers"]
-            await _put_vm(vms, settings, "backend", address, settings.backend.service)
+            address = await self._route(settings.process, address)
+            self._vm_addresses[settings.process] = address
+            await _put_vm(vms, settings, "backend", address)
         for settings in self._entry_settings:
             address = self._entries[settings.process].addresses["peers"]
-            await _put_vm(vms, settings, "entry", address, "")
+            await _put_vm(vms, settings, "entry", address)
         vms.close()
 
     def _write_settings(self, settings: EntrySettings | AgentSettings) -> str:
@@ -271,6 +358,10 @@
     return lambda: function(*arguments)
 
 
+async def _keep_address(_link: str, address: Address) -> Address:
+    return address
+
+
 def _free_port(address: Address) -> Address:
     return attrs.evolve(address, port=0)
 
@@ -287,11 +378,13 @@
     settings: EntrySettings | AgentSettings,
     kind: str,
     address: Address,
-    service: str,
+    *,
+    state: str = "live",
 ) -> None:
+    service = settings.backend.service if isinstance(settings, AgentSettings) else ""
     vm = {
         "kind": kind,
-        "state": "live",
+        "state": state,
         "address": address.host,
         "port": address.port,
         "zone": settings.zone,
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -1,8 +1,9 @@
 """Stand-in for a model engine; section 10 of docs/design.md lists its calls.
 
 Besides those calls, `GET /orders` gives all orders that arrived, with their result and the number
-of calls that they interrupted. Answers echo X-Request-Id. A streamed call whose client disconnects
-is cancelled when the next token is sent; a call whose answer is sent whole runs to its end.
+of calls that they interrupted, and `GET /calls` the id and arrival time of all generation calls.
+Answers echo X-Request-Id. A streamed call whose client disconnects is cancelled when the next
+token is sent; a call whose answer is sent whole runs to its end.
 
 Answers: the tokens depend only on the prompt and the position (`standins.text.expected_text`). An
 answer has `max_tokens` tokens; without `max_tokens` it has 16 to 256, chosen by the prompt. With
@@ -135,6 +136,9 @@
         elif call == "GET /orders":
             receipts = [attrs.asdict(receipt) for receipt in self._orders.receipts]
             await responder.send_json(200, {"orders": receipts})
+        elif call == "GET /calls":
+            calls = [attrs.asdict(arrival) for arrival in self._generation.arrivals]
+            await responder.send_json(200, {"calls": calls})
         elif call == "GET /load":
             await responder.send_json(200, self._load.render(idle=self.faults.report_idle))
         elif call == "GET /cache/events":
--- a/standins/generation.py
+++ b/standins/generation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import time
 import uuid
 
 import attrs
@@ -35,6 +36,19 @@
     digest: bytes = bytes(16)
 
 
+@attrs.frozen
+class Arrival:
+    """Arrival of a generation call.
+
+    Attributes:
+        id: Request id.
+        at: Unix seconds.
+    """
+
+    id: str
+    at: float
+
+
 class RefusedError(Exception):
     """A call is refused."""
 
@@ -79,10 +93,17 @@
         self._switch = switch
         self._max_queued = max_queued
         self._previous = PreviousCall()
+        self._arrivals: list[Arrival] = []
+
+    @property
+    def arrivals(self) -> list[Arrival]:
+        """All calls that arrived."""
+        return self._arrivals
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer a generation call."""
         request_id = request.header(REQUEST_ID_HEADER) or uuid.uuid4().hex
+        self._arrivals.append(Arrival(request_id, time.time()))
         await trio.sleep(self._faults.delay_ms / MS_PER_S)
         try:
             self._check_engine(request_id)
--- a/standins/service.py
+++ b/standins/service.py
@@ -5,8 +5,10 @@
   POST /orders/water-calcium   {"item", "quantity"}: takes from the stock and gives an order number
   POST /payments, /dispatches  gives a receipt number
   any other method and path    an echo of method, path and body size
-  GET  /runs                   {"runs": {key: count}, "without_key": {"METHOD PATH": count}}:
-                               how often each Idempotency-Key ran, and calls without a key
+  GET  /runs                   {"runs": {key: count}, "without_key": {"METHOD PATH": count},
+                               "starts": [{"key", "attempt", "at"}]}: how often each
+                               Idempotency-Key ran, calls without a key, and when each call
+                               started (Unix seconds) for which X-Attempt of the caller
 
 The service itself does not deduplicate: a key that arrives twice runs twice, and `/runs` shows it.
 Answers echo X-Request-Id. A run goes on when its client disconnects.
@@ -24,6 +26,7 @@
 import argparse
 import itertools
 import json
+import time
 from collections import Counter
 
 import attrs
@@ -34,6 +37,7 @@
 
 MS_PER_S = 1000
 KEY_HEADER = b"idempotency-key"
+ATTEMPT_HEADER = b"x-attempt"
 ORDER_PATH = "/orders/water-calcium"
 RECEIPT_PATHS = ("/payments", "/dispatches")
 
@@ -58,6 +62,21 @@
     body: bytes
 
 
+@attrs.frozen
+class RunStart:
+    """Start of a run.
+
+    Attributes:
+        key: The Idempotency-Key, or an empty string.
+        attempt: X-Attempt of the caller, or an empty string.
+        at: Unix seconds.
+    """
+
+    key: str
+    attempt: str
+    at: float
+
+
 class ServiceStandin(Standin):
     """The plain service.
 
@@ -73,12 +92,17 @@
         self._numbers = itertools.count(1)
         self._runs: Counter[str] = Counter()
         self._runs_without_key: Counter[str] = Counter()
+        self._starts: list[RunStart] = []
         self._last_answer = Answer(200, [], b"{}")
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Run a call, or give the counts of runs."""
         if request.path == "/runs" and request.method == "GET":
-            counts = {"runs": self._runs, "without_key": self._runs_without_key}
+            counts = {
+                "runs": self._runs,
+                "without_key": self._runs_without_key,
+                "starts": [attrs.asdict(start) for start in self._starts],
+            }
             await responder.send_json(200, counts, echo_headers(request))
         elif self.use_up("errors"):
             body = render_error("server_error", "failed", "the call did not run")
@@ -87,6 +111,8 @@
             await self._run_and_answer(request, responder)
 
     async def _run_and_answer(self, request: HttpRequest, responder: Responder) -> None:
+        key, attempt = request.header(KEY_HEADER), request.header(ATTEMPT_HEADER)
+        self._starts.append(RunStart(key, attempt, time.time()))
         await trio.sleep(self._work_s + self.faults.delay_ms / MS_PER_S)
         status, content = self._run(request)
         if self.use_up("errors_after_run"):
