--- a/histories/checker.py
+++ b/histories/checker.py
@@ -9,6 +9,7 @@
 import attrs
 
 from histories.history import (
+    ABANDONED,
     Answer,
     Disturbance,
     History,
@@ -30,8 +31,23 @@
 # Without a fault nothing that a refusal waits for takes longer than this.
 CALM_REFUSAL_LIMIT_S = 3.0
 REFUSAL_STATUSES = frozenset({429, 503})
-# What an entry says when a call was cut, as opposed to refused before it started.
-CUT_CODES = frozenset({"backend_lost", "backend_failed", "stream_cut", "cancelled", "leaving"})
+# What an entry says when a call was cut, or when no backend server took it. Refusals for lack of
+# capacity are not among them.
+CUT_CODES = frozenset(
+    {
+        "backend_lost",
+        "backend_failed",
+        "stream_cut",
+        "cancelled",
+        "leaving",
+        "withdrawn",
+        "changing",
+        "down",
+        "no_backend",
+        "not_sent",
+        "outcome_unknown",
+    }
+)
 ANSWERED_STATUSES = frozenset({200, 201})
 
 
@@ -332,6 +348,8 @@
 def _find_cut(answer: Answer | None) -> str:
     if answer is None:
         return "there is no answer"
+    if answer.loss == ABANDONED:
+        return ""
     if not answer.connected:
         return ""  # The listening socket was closed; a load balancer takes another entry.
     if answer.loss:
--- a/histories/history.py
+++ b/histories/history.py
@@ -12,6 +12,7 @@
 import attrs
 
 DIGEST_BYTES = 8
+ABANDONED = "abandoned"  # Loss of an answer that its caller did not wait for.
 
 
 class Kind(StrEnum):
--- a/histories/workload.py
+++ b/histories/workload.py
@@ -18,6 +18,7 @@
 from figwalk.state.settings import Address
 from figwalk.transport import HttpClient, HttpConnectError, HttpRequest
 from histories.history import (
+    ABANDONED,
     Answer,
     History,
     Invocation,
@@ -47,6 +48,9 @@
 RACE_PATHS = 3
 RACE_PAUSE_S = 0.8
 OPERATOR_TIMEOUT_S = 15.0
+READY_TARGET = "/readyz"
+READY_PERIOD_S = 0.2
+READY_TIMEOUT_S = 0.5
 
 Addresses = Callable[[], dict[str, Address]]
 
@@ -104,6 +108,7 @@
         self._started_at = time.time()
         self._numbers = 0
         self._stopping = False
+        self._ready: set[str] = set(callers())
 
     def stop(self) -> None:
         """Let every caller finish what it is at and send nothing further."""
@@ -111,10 +116,34 @@
 
     async def run(self) -> None:
         """Run until `stop`."""
-        async with trio.open_nursery() as nursery:
-            for number in range(self._traffic.callers):
-                nursery.start_soon(self._call, random.Random(f"{self._seed}-caller-{number}"))
-            nursery.start_soon(self._race, random.Random(f"{self._seed}-operators"))
+        async with trio.open_nursery() as balancing:
+            for entry in self._callers():
+                balancing.start_soon(self._watch_ready, entry)
+            async with trio.open_nursery() as nursery:
+                for number in range(self._traffic.callers):
+                    nursery.start_soon(self._call, random.Random(f"{self._seed}-caller-{number}"))
+                nursery.start_soon(self._race, random.Random(f"{self._seed}-operators"))
+            balancing.cancel_scope.cancel()
+
+    async def _watch_ready(self, entry: str) -> None:
+        """Do what the platform's load balancer does: send only to entries that are ready."""
+        while True:
+            address = self._callers()[entry]
+            client = HttpClient(address.host, address.port)
+            ready = False
+            with trio.move_on_after(READY_TIMEOUT_S):
+                try:
+                    response, _ = await client.fetch("GET", READY_TARGET)
+                    ready = response.status == 200
+                except HttpError:
+                    ready = False
+            client.close()
+            (self._ready.add if ready else self._ready.discard)(entry)
+            await trio.sleep(READY_PERIOD_S)
+
+    def _balance(self) -> list[str]:
+        """Return the ready entries, or all if none is."""
+        return [entry for entry in self._callers() if entry in self._ready] or list(self._callers())
 
     async def _call(self, rng: random.Random) -> None:
         kinds = list(self._traffic.weights)
@@ -124,7 +153,7 @@
             if kind.is_keyed:
                 await self._use_key(kind, rng)
             else:
-                entry = rng.choice(list(self._callers()))
+                entry = rng.choice(self._balance())
                 await self._send(self._invoke(kind, entry, rng))
             await trio.sleep(rng.expovariate(1 / MEAN_PAUSE_S))
 
@@ -155,8 +184,8 @@
         """Send one key until it has an answer, sometimes twice at once or giving up early."""
         key = self._next_id("key")
         quantity = str(rng.randint(1, 9))
-        entries = list(self._callers())
         for _ in range(KEY_ATTEMPTS):
+            entries = self._balance()
             rng.shuffle(entries)
             count = 2 if rng.random() < DUPLICATE_RATIO else 1
             patience_s = rng.uniform(0.0, 0.03) if rng.random() < ABANDON_RATIO else None
@@ -181,7 +210,7 @@
         address = self._callers()[invocation.entry]
         client = HttpClient(address.host, address.port)
         limit_s = invocation.deadline_s + PATIENCE_S if patience_s is None else patience_s
-        answer = Answer(invocation.id, 0.0, loss="timeout" if patience_s is None else "abandoned")
+        answer = Answer(invocation.id, 0.0, loss="timeout" if patience_s is None else ABANDONED)
         with trio.move_on_after(limit_s):
             answer = await _exchange(client, invocation)
         client.close()
