--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 SECONDS ?= 60
 
-.PHONY: venv test format docs demo up soak
+.PHONY: venv test format docs demo up model soak
 
 venv: $(VENV)/.installed
 
@@ -18,6 +18,10 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/pytest
+	$(BIN)/python -m model.check
+
+model: venv
+	$(BIN)/python -m model.check
 
 format: venv
 	$(BIN)/ruff format .
--- a/histories/faults.py
+++ b/histories/faults.py
@@ -12,7 +12,7 @@
 import trio
 
 from figwalk.cli.operator_commands import publish_values, set_withdrawal
-from figwalk.errors import FigwalkError, HttpError
+from figwalk.errors import FigwalkError, HttpError, SettingsError
 from figwalk.state.published import PRESET_IN_FORCE_PATH
 from figwalk.state.published_values import WithdrawalMode
 from figwalk.state.settings import Address
@@ -161,6 +161,8 @@
             client = self.deployment.admin_client(index % len(self.deployment.entries))
             try:
                 await operation(client, *arguments, author="fault schedule")
+            except SettingsError:
+                raise  # Another try would be refused as well.
             except FigwalkError:
                 await trio.sleep(OPERATOR_RETRY_S)
             else:
