Pass the reason of an order by name

The first role change ended the entry process that held the lease: the controller passed the reason to Lease.append_order by position, which takes it by keyword only.

The fake of the controller tests took the wrong arguments, so it now binds them to the signature of the lease; 4 tests failed with that before the change. Ruled out: shutdown and withdrawal, which only coincided.

--- a/figwalk/coordination/role_controller.py
+++ b/figwalk/coordination/role_controller.py
@@ -69,7 +69,7 @@
 class OrderAppender(Protocol):
     """Appends orders to the control stream under the current term."""
 
-    async def append_order(self, backend: str, role: Role, reason: str) -> object:
+    async def append_order(self, backend: str, role: Role, *, reason: str) -> object:
         """Append an order.
 
         Raises:
@@ -187,7 +187,9 @@
         pending = _PendingOrder(decision.backend, newest, term, lost_until)
         self._pending[view.service] = pending
         try:
-            await self._appender.append_order(decision.backend, decision.role, decision.reason)
+            await self._appender.append_order(
+                decision.backend, decision.role, reason=decision.reason
+            )
         except LogAnswerLostError as error:
             self._record(view.service, decision, appended=False, detail=str(error))
         except LogError as error:
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -1,3 +1,4 @@
+from inspect import signature
 from itertools import product
 from types import SimpleNamespace
 
@@ -8,6 +9,7 @@
 from figwalk.coordination import _role_model as model
 from figwalk.coordination import role_controller
 from figwalk.coordination._role_rules import can_decode, can_prefill, find_violation
+from figwalk.coordination.lease import Lease
 from figwalk.coordination.role_controller import (
     AdaptivePolicy,
     EngineView,
@@ -234,15 +236,21 @@
 
 
 class Appender:
-    """Keeps orders, and fails if told to."""
+    """Keeps orders, and fails if told to.
+
+    It takes the arguments that the lease takes: the first role change ended the entry process
+    while the controller passed the reason by position.
+    """
 
     def __init__(self):
         self.orders = []
         self.error = None
 
-    async def append_order(self, backend, role, reason):
+    async def append_order(self, *arguments, **options):
         """Keep an order."""
-        self.orders.append((backend, role))
+        given = signature(Lease.append_order).bind(self, *arguments, **options).arguments
+        assert given["reason"]
+        self.orders.append((given["backend"], given["role"]))
         if self.error is not None:
             raise self.error
 
