Make a new entry ready only once it can serve every service

An entry is now ready once each listed service has a backend server that takes work, or after 5 s, and stays ready until it stops.

--- a/figwalk/entry/process.py
+++ b/figwalk/entry/process.py
@@ -22,6 +22,7 @@
 from figwalk.entry.entry_peers import EntryPeers
 from figwalk.entry.keyed_calls import KeyedCalls
 from figwalk.entry.model_calls import ModelCalls
+from figwalk.entry.readiness import Readiness
 from figwalk.entry.service_calls import ServiceCalls
 from figwalk.entry.status import RoleChanges, StatusReporter
 from figwalk.entry.tallies import Tallies
@@ -59,7 +60,6 @@
             settings.platform.statsd, prefix=f"figwalk.entry.{settings.process}", timer=self._timer
         )
         self._changed = Notifier()
-        self._stopping = False
         self._build_log_readers()
         self._build_routing()
         self._build_interfaces()
@@ -124,6 +124,7 @@
         )
         self._membership.subscribe(self._take_vm_change)
         self._membership.start()
+        self._readiness = Readiness(self._configuration, self._membership, self._fleet, self._timer)
         self._lease = Lease(
             self._log_client,
             self._control,
@@ -174,7 +175,7 @@
             ModelCalls(self._backends, self._budget, *common),
             ServiceCalls(self._backends, self._budget, keyed, *common),
             self._configuration,
-            self._is_ready,
+            self._readiness.is_ready,
         )
         self._callers_server = HttpServer(
             self._caller_api.handle, self._events, limits=settings.limits
@@ -219,7 +220,7 @@
 
     async def stop(self) -> None:
         """Take no new requests, finish the running ones within the grace time, then end."""
-        self._stopping = True
+        self._readiness.stop()
         self._events.record(Event.PROCESS_STOPPING, running=self._callers_server.active_requests)
         with trio.move_on_after(self._settings.grace_s) as scope:
             await self._callers_server.drain()
@@ -275,9 +276,6 @@
         )
         _announce("callers", settings.callers.host, port)
 
-    def _is_ready(self) -> bool:
-        return self._configuration.revision > 0 and not self._stopping
-
     def _apply_config(self, record: StoredRecord) -> None:
         before = self._configuration.revision
         self._configuration.apply(record)
--- /dev/null
+++ b/figwalk/entry/readiness.py
@@ -0,0 +1,59 @@
+"""Decides when the platform's load balancer may send requests to an entry."""
+
+from __future__ import annotations
+
+from figwalk.coordination.membership import Membership, VmKind
+from figwalk.state.configuration import Configuration
+from figwalk.state.fleet import Fleet
+from figwalk.timer import Timer
+
+# A service without any backend server that takes work must not keep the entry from serving others.
+FIRST_REPORTS_LIMIT_S = 5.0
+
+
+class Readiness:
+    """Whether an entry can serve what it is asked for.
+
+    A new entry is ready once it has the configuration, the VM list, and for each listed service a
+    report of a backend server that takes work. Without this, it would refuse every request of its
+    first second. It then stays ready: a balancer that takes entries out for an outage of backend
+    servers would take all of them out at once.
+
+    Args:
+        configuration: Published configuration.
+        membership: The VM list.
+        fleet: Backend servers and their reports.
+        timer: Source of time.
+    """
+
+    def __init__(
+        self, configuration: Configuration, membership: Membership, fleet: Fleet, timer: Timer
+    ) -> None:
+        self._configuration = configuration
+        self._membership = membership
+        self._fleet = fleet
+        self._timer = timer
+        self._listed_at: float | None = None
+        self._reached = False
+        self._stopping = False
+
+    def stop(self) -> None:
+        """Be ready no more."""
+        self._stopping = True
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send new requests."""
+        if self._stopping or self._configuration.revision == 0:
+            return False
+        self._reached = self._reached or self._has_reached_services()
+        return self._reached
+
+    def _has_reached_services(self) -> bool:
+        services = {vm.service for vm in self._membership.vms if vm.kind is VmKind.BACKEND}
+        if not services:
+            return False
+        if self._listed_at is None:
+            self._listed_at = self._timer.now()
+        if self._timer.now() - self._listed_at >= FIRST_REPORTS_LIMIT_S:
+            return True
+        return all(self._fleet.candidates(service) for service in services)
--- a/histories/recorder.py
+++ b/histories/recorder.py
@@ -156,6 +156,9 @@
         self._history.ends.append(
             ProcessEnd(life.process, life.number, time.time(), status, reason)
         )
+        if not reason:
+            # The platform replaces what ends by itself; the end is a violation all the same.
+            self.note_start(life.process, await self._deployment.restart(life.process))
 
     async def _watch_status(self, entry: str) -> None:
         while True:
