--- a/histories/faults.py
+++ b/histories/faults.py
@@ -25,7 +25,7 @@
 
 SHORTEST_S = 0.3
 LONGEST_S = 6.0
-REST_S = 2.0  # Pause between two rounds of the schedule, so that some requests meet no fault.
+REST_S = 1.5  # Pause between two rounds of the schedule, so that some requests meet no fault.
 STOP_TIMEOUT_S = 30.0  # Above the grace time of 20 s in the settings of the example.
 OPERATOR_RETRY_S = 0.5
 CRASH_WAIT_S = 12.0
--- a/histories/workload.py
+++ b/histories/workload.py
@@ -69,7 +69,7 @@
         factory=lambda: {
             Kind.CHAT_STREAM: 4,
             Kind.CHAT_WHOLE: 2,
-            Kind.LONG_JOB: 1,
+            Kind.LONG_JOB: 4,
             Kind.STOCK: 3,
             Kind.ORDER: 4,
             Kind.PAYMENT: 2,
@@ -150,6 +150,8 @@
         weights = list(self._traffic.weights.values())
         while not self._stopping:
             kind = rng.choices(kinds, weights)[0]
+            if kind is Kind.LONG_JOB and not self._is_prompt_heavy():
+                kind = Kind.CHAT_STREAM
             if kind.is_keyed:
                 await self._use_key(kind, rng)
             else:
@@ -172,14 +174,16 @@
         )
 
     def _choose_prompt(self, kind: Kind, name: str, rng: random.Random) -> tuple[str, int, float]:
-        prompt_heavy = int((time.time() - self._started_at) / PHASE_S) % 2 == 1
         if kind is Kind.LONG_JOB:
-            lines = rng.randint(300, 900) if prompt_heavy else rng.randint(50, 200)
+            lines = rng.randint(300, 1500)
             rows = "\n".join(f"{name} tyre {row % 4} {row * 37 % 211} kPa" for row in range(lines))
             return f"Field log {name}\n{rows}", rng.randint(8, 40), rng.choice([8.0, 15.0, 30.0])
-        tokens = rng.randint(8, 40) if prompt_heavy else rng.randint(60, 200)
+        tokens = rng.randint(4, 16) if self._is_prompt_heavy() else rng.randint(60, 250)
         return f"Question {name}: why is the fill ratio 75 percent?", tokens, CHAT_DEADLINE_S
 
+    def _is_prompt_heavy(self) -> bool:
+        return int((time.time() - self._started_at) / PHASE_S) % 2 == 1
+
     async def _use_key(self, kind: Kind, rng: random.Random) -> None:
         """Send one key until it has an answer, sometimes twice at once or giving up early."""
         key = self._next_id("key")
