--- a/figwalk/entry/process.py
+++ b/figwalk/entry/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from functools import partial
 
 import trio
 
@@ -22,6 +23,7 @@
 from figwalk.entry.entry_peers import EntryPeers
 from figwalk.entry.keyed_calls import KeyedCalls
 from figwalk.entry.model_calls import ModelCalls
+from figwalk.entry.readiness import Readiness
 from figwalk.entry.service_calls import ServiceCalls
 from figwalk.entry.status import RoleChanges, StatusReporter
 from figwalk.entry.tallies import Tallies
@@ -41,6 +43,8 @@
 INCARNATION_BITS = 64
 PEER_CONFIG_PERIOD_S = 1.0
 PEER_BACKLOG = 256
+# The platform's load balancer needs a readiness check to notice that an entry stops.
+BALANCER_NOTICE_S = 1.0
 MODEL_KIND = "model"
 
 
@@ -59,7 +63,6 @@
             settings.platform.statsd, prefix=f"figwalk.entry.{settings.process}", timer=self._timer
         )
         self._changed = Notifier()
-        self._stopping = False
         self._build_log_readers()
         self._build_routing()
         self._build_interfaces()
@@ -124,6 +127,7 @@
         )
         self._membership.subscribe(self._take_vm_change)
         self._membership.start()
+        self._readiness = Readiness(self._configuration, self._membership, self._fleet, self._timer)
         self._lease = Lease(
             self._log_client,
             self._control,
@@ -174,7 +178,7 @@
             ModelCalls(self._backends, self._budget, *common),
             ServiceCalls(self._backends, self._budget, keyed, *common),
             self._configuration,
-            self._is_ready,
+            self._readiness.is_ready,
         )
         self._callers_server = HttpServer(
             self._caller_api.handle, self._events, limits=settings.limits
@@ -219,10 +223,12 @@
 
     async def stop(self) -> None:
         """Take no new requests, finish the running ones within the grace time, then end."""
-        self._stopping = True
+        self._readiness.stop()
         self._events.record(Event.PROCESS_STOPPING, running=self._callers_server.active_requests)
         with trio.move_on_after(self._settings.grace_s) as scope:
-            await self._callers_server.drain()
+            async with trio.open_nursery() as nursery:
+                for server in (self._callers_server, self._admin_server):
+                    nursery.start_soon(partial(server.drain, accept_s=BALANCER_NOTICE_S))
             await self._claim_writer.flush()
         running = self._callers_server.active_requests
         if scope.cancelled_caught and running:
@@ -275,9 +281,6 @@
         )
         _announce("callers", settings.callers.host, port)
 
-    def _is_ready(self) -> bool:
-        return self._configuration.revision > 0 and not self._stopping
-
     def _apply_config(self, record: StoredRecord) -> None:
         before = self._configuration.revision
         self._configuration.apply(record)
