--- a/figwalk/agent/agent_config.py
+++ b/figwalk/agent/agent_config.py
@@ -65,7 +65,8 @@
 
     def _apply(self, entry: ConfigEntry) -> None:
         if entry.path == self._withdrawn_path:
-            self._withdrawn = bool(entry.value)
+            # `{}` is a withdrawal with default values; only a deleted path returns the server.
+            self._withdrawn = entry.value is not None
         elif entry.path.startswith(ORGANISATIONS_PREFIX):
             name = entry.path.removeprefix(ORGANISATIONS_PREFIX)
             self._shares = {**self._shares, name: _read_share(entry)}
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -205,7 +205,7 @@
         Raises:
             LaunchError: The process ended or did not listen in time.
         """
-        handle = await self._spawn(name, module, arguments, environment or {})
+        handle = await self.spawn(name, module, *arguments, environment=environment)
         with trio.move_on_after(START_TIMEOUT_S) as scope:
             await handle.wait_listening(listening)
         if scope.cancelled_caught:
@@ -216,9 +216,14 @@
             )
         return handle
 
-    async def _spawn(
-        self, name: str, module: str, arguments: tuple[str, ...], environment: dict[str, str]
+    async def spawn(
+        self,
+        name: str,
+        module: str,
+        *arguments: str,
+        environment: dict[str, str] | None = None,
     ) -> ProcessHandle:
+        """Start `python -m module` without waiting until it listens; arguments as for `start`."""
         assert self._nursery is not None, "use the launcher in an async with block"
         if module.startswith(STANDIN_PREFIX):
             arguments = (*arguments, "--exit-with-parent")
@@ -230,7 +235,7 @@
                 stdout=subprocess.PIPE,
                 stderr=log,
                 cwd=ROOT,
-                env={**os.environ, "PYTHONUNBUFFERED": "1", **environment},
+                env={**os.environ, "PYTHONUNBUFFERED": "1", **(environment or {})},
                 # Ctrl-C in the terminal reaches the launcher only, which stops entries first.
                 process_group=0,
             )
