--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 
-.PHONY: venv test format docs demo up model
+.PHONY: venv test format docs demo up model bench-goodput
 
 venv: $(VENV)/.installed
 
@@ -32,3 +32,6 @@
 
 up: venv
 	$(BIN)/python -m standins.up
+
+bench-goodput: venv
+	$(BIN)/python -m bench.goodput
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -43,15 +43,23 @@
         launcher: Starts the processes and ends what `stop` has left.
         run_directory: Where the settings that the processes read are written.
         fixed_ports: Whether the ports of the files are used; else the system chooses free ones.
+        engine_options: Returns further options of the engine stand-in of a backend server.
     """
 
     def __init__(
-        self, directory: Path, launcher: Launcher, run_directory: Path, *, fixed_ports: bool
+        self,
+        directory: Path,
+        launcher: Launcher,
+        run_directory: Path,
+        *,
+        fixed_ports: bool,
+        engine_options: Callable[[str], list[str]] = lambda backend: [],
     ) -> None:
         self._directory = directory
         self._launcher = launcher
         self._run_directory = run_directory
         self._fixed_ports = fixed_ports
+        self._engine_options = engine_options
         self._published = load_published(directory / "published.yaml")
         self._entry_settings = [
             load_settings(path, EntrySettings) for path in sorted(directory.glob("entry-*.yaml"))
@@ -96,6 +104,20 @@
             if settings.backend.service == service
         ]
 
+    def backend(self, name: str) -> ProcessHandle:
+        """Return the process of a backend server."""
+        return self._backends[name]
+
+    async def restart_backend(self, name: str) -> None:
+        """Start a backend server that has ended again on its port.
+
+        Raises:
+            LaunchError: The process did not start.
+        """
+        port = self._backends[name].addresses["http"].port
+        settings = next(s for s in self._agent_settings if s.backend.name == name)
+        await self._start_backend(settings, ["--port", str(port)])
+
     async def start(self) -> None:
         """Start all processes and list their VMs.
 
@@ -108,7 +130,12 @@
             "vms", "standins.vms", "--lag-s", str(VM_LAG_S), *self._http_port(platform.vms)
         )
         platform = attrs.evolve(platform, log=log.addresses["http"], vms=vms.addresses["http"])
-        await run_together([_bind(self._start_backend, s) for s in self._agent_settings])
+        await run_together(
+            [
+                _bind(self._start_backend, s, self._http_port(s.backend.address))
+                for s in self._agent_settings
+            ]
+        )
         await run_together([_bind(self._start_agent, s) for s in self._agent_settings])
         await run_together([_bind(self._start_entry, s, platform) for s in self._entry_settings])
         await self._list_vms(HttpClient(platform.vms.host, platform.vms.port))
@@ -168,15 +195,16 @@
         """Return a client of the operator API of an entry."""
         return AdminClient(f"http://{self.admin_addresses[index]}", self.admin_token)
 
-    async def _start_backend(self, settings: AgentSettings) -> None:
+    async def _start_backend(self, settings: AgentSettings, port: list[str]) -> None:
         backend = settings.backend
-        arguments = ["--name", backend.name, *self._http_port(backend.address)]
+        arguments = ["--name", backend.name, *port]
         module = "standins.service"
         if backend.kind == ENGINE_KIND:
             module = "standins.engine"
             fencing = "--checks-fencing" if backend.checks_fencing else "--no-checks-fencing"
             arguments += ["--model", self._model_of(backend.service), fencing]
             arguments += ["--max-running", str(backend.max_running)]
+            arguments += self._engine_options(backend.name)
         self._backends[backend.name] = await self._launch(backend.name, module, *arguments)
 
     async def _start_agent(self, settings: AgentSettings) -> None:
