Count prompt tokens in the cache as no work, and a request's region bytes once

Cause: note_sent got the whole prompt and no pieces, so that an engine seemed busy with tokens that it had cached, and the agent's admission and the mix counted them too. The prompt was added to the region bytes for every chunk of a stream.

--- a/figwalk/entry/attempt_plan.py
+++ b/figwalk/entry/attempt_plan.py
@@ -66,7 +66,7 @@
             backend=choice.backend,
             reason=choice.reason,
         )
-        return self._backends.target(choice)
+        return self._backends.target(choice, self._route.pieces)
 
     def note_refusal(self, error: RefusalError) -> None:
         """Take in that the last target refused the call."""
--- a/figwalk/entry/attempt_target.py
+++ b/figwalk/entry/attempt_target.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 
 import attrs
@@ -22,12 +22,14 @@
         pool: Call connections to its agent.
         incarnation: Incarnation of its agent.
         fleet: Load view that counts the call while it is in flight.
+        pieces: Prefix pieces of the prompt, which the backend server will hold soon.
     """
 
     choice: Choice
     pool: CallPool
     incarnation: int
     fleet: Fleet = attrs.field(repr=False)
+    pieces: Sequence[int] = attrs.field(default=(), repr=False)
 
     @asynccontextmanager
     async def open(self, call: Call) -> AsyncIterator[Reply]:
@@ -38,7 +40,9 @@
             ConnectionLostError: The connection or the agent was lost after the send.
         """
         backend = self.choice.backend
-        self.fleet.note_sent(backend, call.call_id, call.prompt_tokens, call.max_tokens)
+        self.fleet.note_sent(
+            backend, call.call_id, call.prompt_tokens, call.max_tokens, pieces=self.pieces
+        )
         try:
             async with self.pool.open(call) as reply:
                 yield reply
--- a/figwalk/entry/backends.py
+++ b/figwalk/entry/backends.py
@@ -4,6 +4,7 @@
 
 import itertools
 import random
+from collections.abc import Sequence
 
 import trio
 
@@ -128,10 +129,15 @@
         ]
         return self._policy.choose(route, candidates, self._timer.now())
 
-    def target(self, choice: Choice) -> Target:
-        """Return how to reach a chosen backend server."""
+    def target(self, choice: Choice, pieces: Sequence[int] = ()) -> Target:
+        """Return how to reach a chosen backend server.
+
+        Args:
+            choice: The routing policy's choice.
+            pieces: Prefix pieces of the prompt.
+        """
         link = self._by_backend[choice.backend]
-        return Target(choice, self._pools[link], link.peer.incarnation, self._fleet)
+        return Target(choice, self._pools[link], link.peer.incarnation, self._fleet, pieces)
 
     async def run(self) -> None:
         """Serve all links until cancelled."""
--- a/figwalk/entry/model_calls.py
+++ b/figwalk/entry/model_calls.py
@@ -171,7 +171,7 @@
         except TransportError as error:
             call.plan.note_lost(error)
             return False
-        self._count_region_bytes(call, target, len(body))
+        self._count_region_bytes(target, len(body))
         await call.responder.send(answer.status, _answer_headers(answer, call, whole=True), body)
         self._note_answered(call, in_time=self._timer.now() <= call.request.deadline)
         return True
@@ -225,7 +225,7 @@
             data = rewrite_identity(data, call.identity)
         # A chunk that may have reached the caller must never be generated again.
         call.transcript.add(data)
-        self._count_region_bytes(call, target, len(data))
+        self._count_region_bytes(target, len(data))
         await call.responder.send_chunk(data)
 
     async def _pass_on_error(self, call: _ModelCall, answer: Answer, body: bytes) -> None:
@@ -237,6 +237,7 @@
         body = call.request.http.body
         if not call.transcript.empty:
             body = call.model.resumed_body(call.transcript.tokens())
+        self._count_region_bytes(target, len(body))
         return Call(
             call_id=self._backends.next_call_id(),
             request_id=call.request.request_id,
@@ -247,16 +248,17 @@
             deadline_ms=call.request.remaining_ms(self._timer.now()),
             priority=call.request.priority,
             organisation=call.request.organisation,
-            prompt_tokens=call.model.prompt_tokens,
+            # What the engine has in its cache is no work, neither here nor at the agent.
+            prompt_tokens=max(1, call.model.prompt_tokens - target.choice.matched_tokens),
             max_tokens=call.model.max_tokens,
             stream=call.model.stream,
             incarnation=target.incarnation,
             clock=self._events.clock.tick(),
         )
 
-    def _count_region_bytes(self, call: _ModelCall, target: Target, answer_bytes: int) -> None:
+    def _count_region_bytes(self, target: Target, count: int) -> None:
         if target.choice.crosses_region:
-            self._tallies.note_region_bytes(answer_bytes + len(call.request.http.body))
+            self._tallies.note_region_bytes(count)
 
     def _stream_in_time(self, call: _ModelCall) -> bool:
         now = self._timer.now()
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -94,7 +94,8 @@
         deadline_ms: Milliseconds left until the caller's deadline; 0 for none.
         priority: Priority class.
         organisation: Organisation of the caller, for shares.
-        prompt_tokens: Estimated prompt length in tokens; 0 for plain services.
+        prompt_tokens: Estimated prompt tokens that are not expected in the engine's cache; 0 for
+            plain services.
         max_tokens: Largest answer length in tokens; 0 for plain services.
         stream: Whether the answer is a stream of server-sent events.
         claim_id: Claim of a call that may not be repeated, or an empty string.
--- /dev/null
+++ b/tests/test_model_calls.py
@@ -0,0 +1,128 @@
+from contextlib import asynccontextmanager
+
+import attrs
+import trio
+
+from figwalk.coordination.retry_budget import RetryBudget
+from figwalk.coordination.router import Choice
+from figwalk.entry.attempt_target import Target
+from figwalk.entry.model_calls import ModelCalls
+from figwalk.entry.tallies import Tallies
+from figwalk.events import EventLog
+from figwalk.metrics import Metrics
+from figwalk.protocol.messages import Answer
+from figwalk.protocol.prefix import PIECE_BYTES, PIECE_TOKENS
+from figwalk.state.fleet import Fleet
+from figwalk.state.published import ServiceConfig
+from figwalk.timer import Timer
+from figwalk.transport import HttpRequest
+
+EVENT = b'data: {"choices": [{"text": "a"}]}\n\n'
+SERVICE = ServiceConfig("model", models=["m"])
+
+
+class _FakeReply:
+    """A stream of two chunks."""
+
+    end = None
+
+    async def head(self):
+        return Answer(1, 200, [(b"content-type", b"text/event-stream")])
+
+    async def chunks(self):
+        yield EVENT
+        yield EVENT + b"data: [DONE]\n\n"
+
+
+class _FakePool:
+    """Keeps the calls that are sent, and looks at the fleet while they are in flight."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.calls = []
+        self.in_flight = []
+
+    @asynccontextmanager
+    async def open(self, call):
+        self.calls.append(call)
+        self.in_flight = self.fleet.find("llm-1").in_flight
+        yield _FakeReply()
+
+
+class _FakeBackends:
+    """One engine in another region that has the first piece of every prompt in its cache."""
+
+    zone = region = "here"
+
+    def __init__(self, fleet, pool):
+        self.fleet = fleet
+        self.pool = pool
+
+    def services(self):
+        return {"llm": SERVICE}
+
+    def choose(self, route, excluded):
+        return Choice("llm-1", 0.1, 0.01, PIECE_TOKENS, True, "")
+
+    def target(self, choice, pieces):
+        return Target(choice, self.pool, 1, self.fleet, pieces)
+
+    def next_call_id(self):
+        return 1
+
+
+@attrs.define
+class _FakeResponder:
+    """Caller's side of an answer."""
+
+    started: bool = False
+    finished: bool = False
+
+    async def start(self, status, headers):
+        self.started = True
+
+    async def send_chunk(self, data):
+        pass
+
+    async def finish(self):
+        self.finished = True
+
+
+def stream_prompt(prompt):
+    """Answer a streamed call and return the fleet, the pool, the tallies and the body's size."""
+    body = b'{"model": "m", "stream": true, "max_tokens": 2, "prompt": "%s"}' % prompt
+
+    async def main():
+        timer = Timer()
+        fleet = Fleet(timer)
+        fleet.register("llm-1", "llm")
+        pool = _FakePool(fleet)
+        tallies = Tallies(Metrics(None, prefix="entry", timer=timer), timer)
+        events = EventLog("entry-1", timer)
+        backends = _FakeBackends(fleet, pool)
+        calls = ModelCalls(backends, RetryBudget(timer), tallies, events, timer)
+        request = HttpRequest("POST", "/v1/completions", [], body)
+        await calls.serve(request, _FakeResponder())
+        return fleet, pool, tallies, len(body)
+
+    return trio.run(main)
+
+
+def test_cached_prompt_tokens_are_no_load():
+    """Guards against an engine that seems busy with prompt tokens that it has in its cache."""
+    fleet, pool, _, _ = stream_prompt(b"x" * 2 * PIECE_BYTES)
+    assert pool.calls[0].prompt_tokens == PIECE_TOKENS
+    assert [call.prompt_tokens for call in pool.in_flight] == [PIECE_TOKENS]
+    assert not fleet.find("llm-1").in_flight
+
+
+def test_pieces_of_a_sent_prompt_are_expected_in_the_cache():
+    """Guards against prompts with one prefix that spread out until late cache events arrive."""
+    fleet, _, _, _ = stream_prompt(b"x" * 2 * PIECE_BYTES)
+    assert len(fleet.prefixes) == 2
+
+
+def test_request_crosses_regions_once():
+    """Guards against a bill that counts the prompt again for every chunk of a stream."""
+    _, _, tallies, body_bytes = stream_prompt(b"x" * PIECE_BYTES)
+    assert tallies.region_bytes == body_bytes + 2 * len(EVENT) + len(b"data: [DONE]\n\n")
