--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 SECONDS ?= 60
 
-.PHONY: venv test format docs demo up model soak
+.PHONY: venv test format docs demo up model soak bench-goodput
 
 venv: $(VENV)/.installed
 
@@ -38,3 +38,6 @@
 
 soak: venv
 	$(BIN)/python -m histories.soak --seed $(SEED) --seconds $(SECONDS)
+
+bench-goodput: venv
+	$(BIN)/python -m bench.goodput
--- a/histories/soak.py
+++ b/histories/soak.py
@@ -101,7 +101,7 @@
                     launcher,
                     self._run_directory,
                     fixed_ports=False,
-                    engine_arguments=ENGINE_ARGUMENTS,
+                    engine_options=lambda _backend: ENGINE_ARGUMENTS,
                     route=lambda link, address: self._route(forwarding, link, address),
                 )
                 await deployment.start()
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -48,7 +48,7 @@
         launcher: Starts the processes and ends what `stop` has left.
         run_directory: Where the settings that the processes read are written.
         fixed_ports: Whether the ports of the files are used; else the system chooses free ones.
-        engine_arguments: Further command line of the engines.
+        engine_options: Returns further options of the engine stand-in of a backend server.
         route: Given the name of a link and the address of its server, returns the address that
             the client is to use. Links are named after the agent, or `ENTRY-log`.
     """
@@ -60,14 +60,14 @@
         run_directory: Path,
         *,
         fixed_ports: bool,
-        engine_arguments: Sequence[str] = (),
+        engine_options: Callable[[str], Sequence[str]] = lambda backend: (),
         route: Route | None = None,
     ) -> None:
         self._directory = directory
         self._launcher = launcher
         self._run_directory = run_directory
         self._fixed_ports = fixed_ports
-        self._engine_arguments = tuple(engine_arguments)
+        self._engine_options = engine_options
         self._route = route or _keep_address
         self._platform: PlatformSettings | None = None
         self._lives: Counter[str] = Counter()
@@ -142,6 +142,10 @@
             if settings.backend.service == service
         ]
 
+    def backend(self, name: str) -> ProcessHandle:
+        """Return the process of a backend server."""
+        return self._backends[name]
+
     async def start(self) -> None:
         """Start all processes and list their VMs.
 
@@ -254,7 +258,11 @@
             module = "standins.engine"
             fencing = "--checks-fencing" if backend.checks_fencing else "--no-checks-fencing"
             arguments += ["--model", self._model_of(backend.service), fencing]
-            arguments += ["--max-running", str(backend.max_running), *self._engine_arguments]
+            arguments += [
+                "--max-running",
+                str(backend.max_running),
+                *self._engine_options(backend.name),
+            ]
         self._backends[backend.name] = await self._launch(backend.name, module, *arguments)
 
     async def _start_agent(self, settings: AgentSettings) -> None:
