Read only the data lines of server-sent events

Cause: parse_events and rewrite_identity parsed every block of a stream as JSON, so that a keep-alive comment or an event field of an engine raised JSONDecodeError when its stream was to be resumed. Ruled out: the agent, which forwards such blocks unchanged as it should. Before: test_comments_and_event_names_of_an_engine_are_not_parsed_as_json failed. After: comments pass through unchanged and the transcript reads data lines only.

Also adds tests of model request parsing, service limits and stream transcripts.

--- a/figwalk/protocol/chat.py
+++ b/figwalk/protocol/chat.py
@@ -187,25 +187,28 @@
 
 def parse_events(data: bytes) -> list[JsonObject]:
     """Return the JSON objects of whole server-sent events, without `[DONE]`."""
-    events = []
-    for block in data.split(EVENT_END):
-        payload = block.strip().removeprefix(EVENT_PREFIX.strip()).strip()
-        if payload and payload != DONE_DATA:
-            events.append(json.loads(payload))
-    return events
+    payloads = (_event_data(block) for block in data.split(EVENT_END))
+    return [json.loads(payload) for payload in payloads if payload and payload != DONE_DATA]
 
 
 def rewrite_identity(data: bytes, identity: JsonObject) -> bytes:
     """Return whole server-sent events with `id` and `created` replaced."""
     blocks = []
     for block in data.split(EVENT_END):
-        payload = block.strip().removeprefix(EVENT_PREFIX.strip()).strip()
+        payload = _event_data(block)
         if payload and payload != DONE_DATA:
             block = EVENT_PREFIX + json.dumps({**json.loads(payload), **identity}).encode()
         blocks.append(block)
     return EVENT_END.join(blocks)
 
 
+def _event_data(block: bytes) -> bytes:
+    """Return the data of one event; comments and other fields have none."""
+    prefix = EVENT_PREFIX.strip()
+    lines = (line.strip() for line in block.splitlines())
+    return b"\n".join(line[len(prefix) :].strip() for line in lines if line.startswith(prefix))
+
+
 def render_error_event(code: str, message: str) -> bytes:
     """Return the event that tells a caller that its stream is not whole."""
     content = {"error": {"type": "server_error", "code": code, "message": message}}
--- /dev/null
+++ b/tests/test_chat.py
@@ -0,0 +1,124 @@
+import json
+
+import pytest
+
+from figwalk.errors import CallerError
+from figwalk.protocol.chat import (
+    CHAT_PATH,
+    COMPLETIONS_PATH,
+    ModelRequest,
+    StreamTranscript,
+    rewrite_identity,
+)
+from figwalk.state.published import ServiceConfig
+
+USER = {"role": "user", "content": "hi"}
+CHAT = {"model": "m", "messages": [USER]}
+FIRST = b'data: {"id": "a", "created": 1, "choices": [{"delta": {"content": "x"}}]}\n\n'
+SECOND = b'data: {"id": "b", "created": 2, "choices": [{"delta": {"content": "y"}}]}\n\n'
+DONE = b"data: [DONE]\n\n"
+
+
+def parse(body, path=CHAT_PATH):
+    return ModelRequest.parse(path, body if isinstance(body, bytes) else json.dumps(body).encode())
+
+
+@pytest.mark.parametrize(
+    ("body", "code"),
+    [
+        (b"", "invalid_json"),
+        (b"\xff\xfe", "invalid_json"),
+        (b"[" * 100_000, "invalid_json"),
+        (b'{"model":' * 100_000, "invalid_json"),
+        (b'{"max_tokens": ' + b"9" * 5000 + b"}", "invalid_json"),
+        (b"[]", "invalid_json"),
+        (b"null", "invalid_json"),
+        ({}, "invalid_model"),
+        (CHAT | {"model": ["m"]}, "invalid_model"),
+        (CHAT | {"stream": "yes"}, "invalid_stream"),
+        (CHAT | {"n": 2}, "invalid_n"),
+        (CHAT | {"n": {}}, "invalid_n"),
+        (CHAT | {"messages": []}, "invalid_messages"),
+        (CHAT | {"messages": "hi"}, "invalid_messages"),
+        (CHAT | {"messages": [None]}, "invalid_messages"),
+        (CHAT | {"messages": [{"role": 1}]}, "invalid_messages"),
+        (CHAT | {"messages": [USER | {"content": 7}]}, "invalid_messages"),
+        (CHAT | {"messages": [USER | {"content": [{"type": "image_url"}]}]}, "invalid_messages"),
+        (CHAT | {"max_tokens": 0}, "invalid_max_tokens"),
+        (CHAT | {"max_tokens": -1}, "invalid_max_tokens"),
+        (CHAT | {"max_tokens": 1.5}, "invalid_max_tokens"),
+        (CHAT | {"max_tokens": True}, "invalid_max_tokens"),
+        (CHAT | {"max_completion_tokens": "9"}, "invalid_max_completion_tokens"),
+    ],
+)
+def test_bad_request_is_a_typed_400(body, code):
+    """Guards against a wrong type that fails later as an internal error."""
+    with pytest.raises(CallerError) as caught:
+        parse(body)
+    assert (caught.value.status, caught.value.code) == (400, code)
+
+
+@pytest.mark.parametrize("prompt", [None, ["a"], 5])
+def test_completion_needs_a_text_prompt(prompt):
+    """Guards against a prompt list that is estimated as one prompt."""
+    with pytest.raises(CallerError, match="prompt must be a string"):
+        parse({"model": "m", "prompt": prompt}, COMPLETIONS_PATH)
+
+
+def test_request_fields():
+    """Guards against a field lost on the way to routing, and text that is not valid UTF-8."""
+    parts = [{"type": "text", "text": "a"}, {"type": "text", "text": "\ud800"}]
+    content = {"messages": [USER, {"role": "user", "content": parts}, {"role": "assistant"}]}
+    model = parse(CHAT | content | {"stream": True, "max_tokens": 3, "max_completion_tokens": 4})
+    assert (model.model, model.stream, model.max_tokens) == ("m", True, 4)
+    assert model.prompt == b"hi\na?\n"
+    assert parse({"model": "m", "prompt": "p"}, COMPLETIONS_PATH).prompt == b"p"
+
+
+@pytest.mark.parametrize(
+    ("change", "code"),
+    [
+        ({"max_tokens": 11}, "max_tokens_too_large"),
+        ({"max_tokens": 10**400}, "max_tokens_too_large"),
+        ({"max_tokens": 1, "messages": [USER | {"content": "x" * 100}]}, "prompt_too_long"),
+    ],
+)
+def test_service_limits(change, code):
+    """Guards against one request that takes a whole engine."""
+    model = parse(CHAT | change)
+    with pytest.raises(CallerError) as caught:
+        model.check_limits(ServiceConfig("model", max_output_tokens=10, max_prompt_tokens=20))
+    assert caught.value.code == code
+
+
+def test_transcript_gives_tokens_and_identity_for_the_resumption():
+    """Guards against a resumed stream that repeats or drops text, or changes its id."""
+    transcript = StreamTranscript()
+    assert transcript.empty
+    role = b'data: {"id": "a", "created": 1, "choices": [{"delta": {"role": "assistant"}}]}\n\n'
+    completion = b'data: {"id": "a", "choices": [{"text": "z"}]}\n\n'
+    usage = b'data: {"id": "a", "choices": []}\n\n'
+    for data in (role + FIRST, SECOND + completion + usage):
+        transcript.add(data)
+    assert transcript.tokens() == ["x", "y", "z"]
+    assert transcript.identity() == {"id": "a", "created": 1}
+    assert not transcript.done
+    transcript.add(SECOND + DONE)
+    assert transcript.done
+    body = json.loads(parse(CHAT).resumed_body(["x"]))
+    assert body == CHAT | {"resume_tokens": ["x"]}
+
+
+def test_identity_is_rewritten_in_every_event_but_done():
+    """Guards against a client that sees two answers in one resumed stream."""
+    data = rewrite_identity(SECOND + SECOND + DONE, {"id": "a", "created": 1})
+    assert data == (SECOND.replace(b'"b"', b'"a"').replace(b"2", b"1")) * 2 + DONE
+
+
+def test_comments_and_event_names_of_an_engine_are_not_parsed_as_json():
+    """Guards against a keep-alive comment that breaks the resumption of its stream."""
+    named = b": ping\n\nevent: chunk\n" + FIRST
+    transcript = StreamTranscript()
+    transcript.add(named)
+    assert transcript.tokens() == ["x"]
+    assert rewrite_identity(b": ping\n\n" + DONE, {"id": "a"}) == b": ping\n\n" + DONE
