Pass an engine's 4xx answer to a streamed call on without an error

Cause: _pass_on_error sends the whole answer and _stream then called finish() again, which h11 refuses after the end of an answer. Ruled out: the agent and the engine; a scripted 422 shows it. Before: the caller got the 422, the entry logged TASK_FAILED twice and closed the connection. After: one answer, no error event, and the connection serves the next request.

Adds tests of the callers' interface: typed 4xx, refusal bodies, status mapping, resumption.

--- a/figwalk/entry/model_calls.py
+++ b/figwalk/entry/model_calls.py
@@ -189,7 +189,8 @@
                     request_id=call.request.request_id,
                     sent_bytes=call.transcript.size_bytes,
                 )
-        await call.responder.finish()
+        if not call.responder.finished:
+            await call.responder.finish()
         self._note_answered(call, in_time=self._stream_in_time(call))
 
     async def _try_stream(self, call: _ModelCall, target: Target) -> bool:
--- /dev/null
+++ b/tests/entry_fakes.py
@@ -0,0 +1,163 @@
+"""Scripted backend servers for the entry's call handlers."""
+# ruff: noqa: D102
+
+from contextlib import asynccontextmanager
+
+import attrs
+import trio
+
+from figwalk.coordination.retry_budget import RetryBudget
+from figwalk.coordination.router import Choice
+from figwalk.entry.caller_api import CallerApi
+from figwalk.entry.keyed_calls import KeyedAnswer
+from figwalk.entry.model_calls import ModelCalls
+from figwalk.entry.service_calls import ServiceCalls
+from figwalk.entry.tallies import Tallies
+from figwalk.errors import ConnectionLostError
+from figwalk.events import EventLog
+from figwalk.metrics import Metrics
+from figwalk.protocol.messages import Answer
+from figwalk.state.published import CallRule, ServiceConfig
+from figwalk.timer import Timer
+from figwalk.transport import HttpClient, HttpServer
+
+HOST = "127.0.0.1"
+JSON = [(b"content-type", b"application/json")]
+SSE = [(b"content-type", b"text/event-stream")]
+SERVICES = {
+    "llm": ServiceConfig("model", models=["m"], max_output_tokens=1000, max_prompt_tokens=1000),
+    "depot": ServiceConfig("plain", non_repeatable=[CallRule("POST", "/orders/*")]),
+}
+
+
+@attrs.define
+class Script:
+    """What one attempt does: refuse, or answer with chunks and then end or break."""
+
+    refusal: Exception | None = None
+    status: int = 200
+    headers: list = attrs.field(factory=lambda: JSON)
+    chunks: list = attrs.field(factory=lambda: [b"{}"])
+    breaks: bool = False
+    waits: bool = False
+
+    async def head(self):
+        if self.waits:
+            await trio.sleep_forever()
+        if self.refusal is not None:
+            raise self.refusal
+        return Answer(1, self.status, self.headers)
+
+    async def chunk_list(self):
+        for chunk in self.chunks:
+            yield chunk
+        if self.breaks:
+            raise ConnectionLostError("backend server lost")
+
+    async def read(self):
+        return b"".join([chunk async for chunk in self.chunk_list()])
+
+
+class FakeReply:
+    """Reply of a scripted attempt."""
+
+    def __init__(self, script):
+        self.head = script.head
+        self.chunks = script.chunk_list
+        self.read = script.read
+
+
+@attrs.frozen
+class FakeTarget:
+    """Target of a scripted attempt."""
+
+    choice: Choice
+    script: Script
+    calls: list
+    incarnation: int = 7
+
+    @asynccontextmanager
+    async def open(self, call):
+        self.calls.append(call)
+        yield FakeReply(self.script)
+
+
+class FakeBackends:
+    """Backend servers `b0`, `b1`, ... that each answer one attempt by its script."""
+
+    zone, region = "rajkot-a", "saurashtra"
+
+    def __init__(self, *scripts):
+        self.scripts = {f"b{number}": script for number, script in enumerate(scripts)}
+        self.calls = []
+
+    def services(self):
+        return SERVICES
+
+    def next_call_id(self):
+        return len(self.calls) + 1
+
+    def choose(self, _route, excluded):
+        left = [name for name in self.scripts if name not in excluded]
+        return Choice(left[0], 0, 0, 0, False, "test") if left else None
+
+    def target(self, choice):
+        return FakeTarget(choice, self.scripts[choice.backend], self.calls)
+
+
+class FakeKeyed:
+    """Keyed calls that end with an answer or an error."""
+
+    def __init__(self, result=None):
+        self.result = result or KeyedAnswer(201, [], b"done", replayed=True)
+
+    async def run(self, _call, _plan):
+        if isinstance(self.result, Exception):
+            raise self.result
+        return self.result
+
+
+class FakeConfiguration:
+    """Configuration with the test's services."""
+
+    def services(self):
+        return SERVICES
+
+
+class RunningApi:
+    """A `CallerApi` on a real HTTP server."""
+
+    def __init__(self, *scripts, keyed=None, retry_ratio=0.1):
+        self.timer = Timer()
+        self.events = EventLog("entry-1", self.timer)
+        self.backends = FakeBackends(*scripts)
+        self.tallies = Tallies(Metrics(None, prefix="t", timer=self.timer), self.timer)
+        self.ready = True
+        budget = RetryBudget(self.timer, ratio=retry_ratio)
+        common = (self.tallies, self.events, self.timer)
+        self.api = CallerApi(
+            ModelCalls(self.backends, budget, *common),
+            ServiceCalls(self.backends, budget, FakeKeyed(keyed), *common),
+            FakeConfiguration(),
+            lambda: self.ready,
+        )
+        self.server = HttpServer(self.api.handle, self.events)
+        self.client = None
+
+    def names(self):
+        return [record.name for record in self.events.select()]
+
+
+def api_test(*scripts, check, **options):
+    """Run an async check with a `RunningApi`."""
+
+    async def main():
+        running = RunningApi(*scripts, **options)
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(running.server.serve, HOST, 0)
+                running.client = HttpClient(HOST, port)
+                await check(running)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
--- /dev/null
+++ b/tests/test_caller_api.py
@@ -0,0 +1,247 @@
+import json
+
+import pytest
+from entry_fakes import JSON, SSE, Script, api_test
+
+from figwalk.errors import CallerError, CallOutcome, HttpError, RefusalError
+from figwalk.transport import HttpRequest
+
+CHAT = json.dumps({"model": "m", "messages": [{"role": "user", "content": "hi"}]}).encode()
+STREAM = CHAT[:-1] + b', "stream": true}'
+CHAT_PATH = "/v1/chat/completions"
+UNKNOWN = CallOutcome.UNKNOWN
+EVENT = b'data: {"id": "%b", "created": %d, "choices": [{"delta": {"content": "%b"}}]}\n\n'
+DONE = b"data: [DONE]\n\n"
+
+
+def refuse(code, **fields):
+    return Script(RefusalError(code, "refused", **fields))
+
+
+def error_of(body):
+    error = json.loads(body)["error"]
+    assert {"type", "code", "message"} <= set(error)
+    return error
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "headers", "body", "status", "code"),
+    [
+        ("GET", "/nothing", [], b"", 404, "not_found"),
+        ("GET", CHAT_PATH, [], b"", 405, "method_not_allowed"),
+        ("POST", "/v1/models", [], b"", 405, "method_not_allowed"),
+        ("POST", CHAT_PATH, [], CHAT.replace(b'"m"', b'"other"'), 404, "model_not_found"),
+        ("POST", CHAT_PATH, [], b"{", 400, "invalid_json"),
+        ("POST", CHAT_PATH, [(b"figwalk-deadline-ms", b"-5")], CHAT, 400, "invalid_deadline"),
+        ("POST", CHAT_PATH, [(b"figwalk-deadline-ms", b"0")], CHAT, 400, "invalid_deadline"),
+        ("POST", CHAT_PATH, [(b"figwalk-deadline-ms", b"9" * 99)], CHAT, 400, "invalid_deadline"),
+        ("POST", CHAT_PATH, [(b"figwalk-priority", b"urgent")], CHAT, 400, "invalid_priority"),
+        ("POST", CHAT_PATH, [(b"figwalk-organisation", b"a b")], CHAT, 400, "invalid_header"),
+        ("POST", CHAT_PATH, [(b"x-request-id", b"\xff")], CHAT, 400, "invalid_header"),
+        ("GET", "/services/none/x", [], b"", 404, "service_not_found"),
+        ("GET", "/services/llm/x", [], b"", 404, "service_not_found"),
+        ("POST", "/services/depot/orders/x", [], b"", 400, "idempotency_key_required"),
+        ("POST", "/services/depot/orders/x?a", [], b"", 400, "idempotency_key_required"),
+        (
+            "POST",
+            "/services/depot/orders/x",
+            [(b"idempotency-key", b"k" * 300)],
+            b"",
+            400,
+            "invalid_idempotency_key",
+        ),
+    ],
+)
+def test_bad_request_is_a_typed_4xx(method, path, headers, body, status, code):
+    """Guards against a bad request that is sent on, or answered as a fault of the server."""
+
+    async def check(api):
+        response, data = await api.client.fetch(method, path, headers=headers, body=body)
+        assert response.status == status
+        error = error_of(data)
+        assert (error["type"], error["code"]) == ("invalid_request_error", code)
+        assert [name for name in api.names() if name != "REQUEST_RECEIVED"] == ["HTTP_BAD_REQUEST"]
+        assert not api.backends.calls
+
+    api_test(Script(), check=check)
+
+
+@pytest.mark.parametrize("path", [CHAT_PATH, "/services/depot/stock/x"])
+@pytest.mark.parametrize(
+    ("scripts", "status", "kind", "code", "outcome", "retry_after"),
+    [
+        ([], 503, "server_error", "no_backend", "not_run", b"1"),
+        (
+            [refuse("overloaded", status=429, retry_after_ms=2001)],
+            429,
+            "rate_limit_error",
+            "overloaded",
+            "not_run",
+            b"3",
+        ),
+        (
+            [
+                refuse("lost", outcome=UNKNOWN, retry_after_ms=9000),
+                refuse("overloaded", status=429, retry_after_ms=1),
+            ],
+            429,
+            "rate_limit_error",
+            "overloaded",
+            "outcome_unknown",
+            b"1",
+        ),
+    ],
+)
+def test_refusal_tells_outcome_and_time(path, scripts, status, kind, code, outcome, retry_after):
+    """Guards against a refusal that says `not_run` of a call that may have run (invariant 5)."""
+
+    async def check(api):
+        method, body = ("POST", CHAT) if path == CHAT_PATH else ("GET", b"")
+        headers = [(b"x-request-id", b"r1")]
+        response, data = await api.client.fetch(method, path, headers=headers, body=body)
+        error = error_of(data)
+        assert (response.status, error["type"], error["code"]) == (status, kind, code)
+        assert error["outcome"] == error["attempt"] == outcome
+        assert response.header(b"retry-after").encode() == retry_after
+        assert response.header(b"x-request-id") == "r1"
+        assert api.tallies.refusals == {code: 1}
+        assert "REQUEST_REFUSED" in api.names()
+
+    api_test(*scripts, check=check)
+
+
+@pytest.mark.parametrize(
+    ("error", "status", "code", "attempt"),
+    [
+        (CallerError(409, "key_expired", "old"), 409, "key_expired", None),
+        (CallerError(422, "key_reused", "other"), 422, "key_reused", None),
+        (
+            RefusalError(
+                "in_progress", "runs", status=409, outcome=UNKNOWN, attempt=CallOutcome.NOT_RUN
+            ),
+            409,
+            "in_progress",
+            "not_run",
+        ),
+        (
+            RefusalError("outcome_unknown", "gone", outcome=UNKNOWN),
+            503,
+            "outcome_unknown",
+            "outcome_unknown",
+        ),
+    ],
+)
+def test_status_of_a_keyed_call(error, status, code, attempt):
+    """Guards against an outcome of a key that a caller can't tell from another."""
+
+    async def check(api):
+        headers = [(b"idempotency-key", b"k")]
+        response, data = await api.client.fetch("POST", "/services/depot/orders/x", headers=headers)
+        body = error_of(data)
+        assert (response.status, body["code"], body.get("attempt")) == (status, code, attempt)
+
+    api_test(check=check, keyed=error)
+
+
+def test_replayed_answer_is_marked():
+    """Guards against a caller that takes an old answer for a second run."""
+
+    async def check(api):
+        headers = [(b"idempotency-key", b"k")]
+        response, data = await api.client.fetch("POST", "/services/depot/orders/x", headers=headers)
+        assert (response.status, data) == (201, b"done")
+        assert response.header(b"idempotent-replayed") == "true"
+
+    api_test(check=check)
+
+
+def test_missed_deadline_is_a_504_with_unknown_outcome():
+    """Guards against an answer that is held back until long after its deadline."""
+
+    async def check(api):
+        headers = [(b"figwalk-deadline-ms", b"1"), (b"figwalk-priority", b"batch")]
+        response, data = await api.client.fetch("POST", CHAT_PATH, headers=headers, body=CHAT)
+        assert response.status == 504
+        assert error_of(data)["outcome"] == "outcome_unknown"
+        assert api.backends.calls[0].priority.value == "batch"
+        assert api.backends.calls[0].deadline_ms <= 1
+
+    api_test(Script(waits=True), check=check)
+
+
+def test_models_health_and_readiness():
+    """Guards against a balancer that sends requests to an entry without configuration."""
+
+    async def check(api):
+        models = json.loads((await api.client.fetch("GET", "/v1/models"))[1])
+        assert [(m["id"], m["object"], m["owned_by"]) for m in models["data"]] == [
+            ("m", "model", "llm")
+        ]
+        assert (await api.client.fetch("GET", "/healthz"))[0].status == 200
+        assert (await api.client.fetch("GET", "/readyz"))[0].status == 200
+        api.ready = False
+        assert (await api.client.fetch("GET", "/readyz"))[0].status == 503
+
+    api_test(check=check)
+
+
+def test_lost_attempt_is_retried_and_a_broken_stream_resumed():
+    """Guards against a stream that stops, repeats text or changes its id when an engine fails."""
+    first = Script(headers=SSE, chunks=[EVENT % (b"a", 1, b"x")], breaks=True)
+    second = Script(headers=SSE, chunks=[EVENT % (b"b", 2, b"y"), DONE])
+
+    async def check(api):
+        response, data = await api.client.fetch("POST", CHAT_PATH, body=STREAM)
+        assert response.status == 200
+        assert data == EVENT % (b"a", 1, b"x") + EVENT % (b"a", 1, b"y") + DONE
+        assert json.loads(api.backends.calls[2].body)["resume_tokens"] == ["x"]
+        assert api.names().count("STREAM_RESUMED") == 1
+        await api.server.drain()
+        assert api.tallies.answered == 1
+
+    lost = Script(RefusalError("leaving", "leaves"))
+    api_test(lost, first, second, check=check)
+
+
+@pytest.mark.parametrize("body", [CHAT, STREAM])
+def test_engine_error_4xx_is_passed_on_and_the_connection_kept(body):
+    """Guards against an engine's refusal of a streamed call that breaks the connection."""
+
+    async def check(api):
+        for _ in range(2):
+            response, data = await api.client.fetch("POST", CHAT_PATH, body=body)
+            assert (response.status, data) == (422, b"bad")
+            assert response.header(b"connection") != "close"
+        assert "TASK_FAILED" not in api.names()
+
+    api_test(Script(status=422, headers=JSON, chunks=[b"bad"]), check=check)
+
+
+def test_stream_that_can_not_be_resumed_ends_with_an_error_event():
+    """Guards against a truncated stream that a caller takes for a whole one."""
+
+    async def check(api):
+        async with api.client.open(HttpRequest("POST", CHAT_PATH, [], STREAM)) as response:
+            parts = []
+            with pytest.raises(HttpError, match="broke the HTTP exchange"):
+                async for part in response.chunks():
+                    parts.append(part)
+        assert b'"error"' in b"".join(parts)
+        assert DONE not in b"".join(parts)
+        assert api.names()[-1] == "STREAM_CUT"
+
+    api_test(Script(headers=SSE, chunks=[EVENT % (b"a", 1, b"x")], breaks=True), check=check)
+
+
+def test_retry_needs_budget():
+    """Guards against retries that multiply an overload."""
+
+    async def check(api):
+        response, data = await api.client.fetch("POST", CHAT_PATH, body=CHAT)
+        assert response.status == 503
+        assert error_of(data)["code"] == "backend_lost"
+        assert error_of(data)["outcome"] == "outcome_unknown"
+        assert len(api.backends.calls) == 1
+        assert "RETRY_BUDGET_EMPTY" in api.names()
+
+    api_test(Script(breaks=True), Script(), check=check, retry_ratio=0)
