Require an idempotency key for every spelling of a non-repeatable path

Cause: the rule was compared with the raw target, while backend servers decode paths and merge slashes and dot segments. //orders/x, /%6frders/x, /a/../orders/x and lower-case methods ran without a key and could be retried. Ruled out: the configuration rules, which are exact as documented. Before: those four requests were sent without a key. After: each gets 400 idempotency_key_required.

--- a/figwalk/entry/service_calls.py
+++ b/figwalk/entry/service_calls.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import posixpath
+import re
+import urllib.parse
+
 from figwalk.coordination.retry_budget import RetryBudget
 from figwalk.coordination.router import RouteRequest
 from figwalk.entry.attempt_plan import AttemptPlan
@@ -63,7 +67,7 @@
         )
         plan = self._plan(request, name)
         try:
-            if service.needs_key(http.method, target.partition("?")[0]):
+            if _needs_key(service, http.method, target):
                 await self._serve_keyed(request, responder, name, service, target, plan)
             else:
                 await self._serve_repeatable(request, responder, target, plan)
@@ -159,6 +163,17 @@
         self._events.record(Event.REQUEST_ANSWERED, request_id=request.request_id, in_time=in_time)
 
 
+def _needs_key(service: ServiceConfig, method: str, target: str) -> bool:
+    """Return whether a call, or another spelling of it, may not be repeated.
+
+    Backend servers commonly decode paths and merge slashes and dot segments, so that a rule must
+    hold for all spellings of its path.
+    """
+    path = re.split("[?#]", target, maxsplit=1)[0]
+    plain = posixpath.normpath("/" + urllib.parse.unquote(path).lstrip("/"))
+    return any(service.needs_key(method.upper(), spelling) for spelling in (path, plain))
+
+
 def forwarded_headers(http: HttpRequest) -> Headers:
     """Return the headers of a caller that its plain service gets."""
     return [
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -42,6 +42,10 @@
         ("GET", "/services/llm/x", [], b"", 404, "service_not_found"),
         ("POST", "/services/depot/orders/x", [], b"", 400, "idempotency_key_required"),
         ("POST", "/services/depot/orders/x?a", [], b"", 400, "idempotency_key_required"),
+        ("POST", "/services/depot//orders/x", [], b"", 400, "idempotency_key_required"),
+        ("POST", "/services/depot/%6frders/x", [], b"", 400, "idempotency_key_required"),
+        ("POST", "/services/depot/a/../orders/x", [], b"", 400, "idempotency_key_required"),
+        ("post", "/services/depot/orders/x", [], b"", 400, "idempotency_key_required"),
         (
             "POST",
             "/services/depot/orders/x",
