Refuse CONNECT with a typed 405

Cause: h11 takes a 2xx answer to CONNECT as the start of a tunnel and refuses its body, so that CONNECT /healthz raised LocalProtocolError. Ruled out: the handlers; any 2xx answer shows it. Before: no answer and a TASK_FAILED event. After: 405 and HTTP_BAD_REQUEST.

--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -278,6 +278,7 @@
 
     async def _answer(self, request: HttpRequest, responder: Responder) -> None:
         try:
+            _refuse_connect(request)
             await self._handler(request, responder)
         except CallerError as error:
             self._events.record(Event.HTTP_BAD_REQUEST, status=error.status, code=error.code)
@@ -311,6 +312,12 @@
         await responder.send_json(status, body, [CLOSE_HEADER])
 
 
+def _refuse_connect(request: HttpRequest) -> None:
+    # h11 takes a 2xx answer to CONNECT as the start of a tunnel and refuses its body.
+    if request.method == "CONNECT":
+        raise CallerError(405, "method_not_allowed", "this server is not a proxy")
+
+
 class _PortStatus:
     """Adapts `trio.serve_listeners` to report the bound port."""
 
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -30,6 +30,7 @@
         ("GET", "/nothing", [], b"", 404, "not_found"),
         ("GET", CHAT_PATH, [], b"", 405, "method_not_allowed"),
         ("POST", "/v1/models", [], b"", 405, "method_not_allowed"),
+        ("CONNECT", "/healthz", [], b"", 405, "method_not_allowed"),
         ("POST", CHAT_PATH, [], CHAT.replace(b'"m"', b'"other"'), 404, "model_not_found"),
         ("POST", CHAT_PATH, [], b"{", 400, "invalid_json"),
         ("POST", CHAT_PATH, [(b"figwalk-deadline-ms", b"-5")], CHAT, 400, "invalid_deadline"),
