--- a/tests/test_log_folds.py
+++ b/tests/test_log_folds.py
@@ -116,7 +116,7 @@
     return store(records), readers
 
 
-UPDATES = st.lists(st.tuples(st.integers(0, 24), st.integers(0, 24), st.booleans()), max_size=4)
+UPDATES = st.lists(st.tuples(st.integers(0, 10), st.integers(0, 24), st.booleans()), min_size=3)
 
 
 @PROPERTY
@@ -226,6 +226,9 @@
     ]
     winners = [find(fold(Claims(), store(records[:count]))) for count in range(1, 8)]
     assert winners == ["a", "a", "e", "e", None, None, None]
+    claims = skip(fold(Claims(), store(records[:1])), records * 9, 9)
+    claims.apply(store([claims_of("9", "z")], first=9)[0])
+    assert not claims.find("depot", "org", "k").certain
 
 
 def test_key_memory_is_the_one_of_the_claim():
--- a/tests/test_log_writers.py
+++ b/tests/test_log_writers.py
@@ -236,10 +236,14 @@
         await until(lambda: process.lease.term is None)
         assert trio.current_time() - acquired <= 0.2 * TTL_S + 0.2
         log.lost_requests = 0
-        log.before_append = trio.lowlevel.checkpoint
+        log.before_append = partial(trio.sleep, 0.2 * TTL_S)
         await until(lambda: process.lease.term is not None)
+        records = log.count("control")
+        await until(lambda: log.count("control") > records)
+        renewed = trio.current_time()
         log.down = True
         await until(lambda: process.lease.term is None)
+        assert trio.current_time() - renewed <= 0.8 * TTL_S + 0.2
         nursery.cancel_scope.cancel()
 
 
@@ -249,14 +253,16 @@
 
     async def lose_answer_and_fail():
         log.before_append = trio.lowlevel.checkpoint
-        log.lost_requests = 1
         log.down = True
+        raise LogAnswerLostError("request lost")
 
     log.before_append = lose_answer_and_fail
-    with pytest.raises(LogUnavailableError):
+    appends = len(log.appends)
+    with pytest.raises(LogAnswerLostError):
         await process.lease.append_order("llm-1", Role.MIXED)
     log.down, log.lost_requests = False, 1
     first = await process.lease.append_order("llm-1", Role.DECODE)
+    assert log.appends[appends] == log.appends[appends + 1]
     log.lost_answers = 1
     second = await process.lease.append_order("llm-1", Role.PREFILL)
     assert process.control.desired("llm-1").order_offset == second > first
