--- a/figwalk/entry/keyed_calls.py
+++ b/figwalk/entry/keyed_calls.py
@@ -248,8 +248,7 @@
             if error.outcome is CallOutcome.UNKNOWN:
                 return await self._settle_own(call, claim, plan, error)
             plan.note_refusal(error)
-            self._writer.release(Release(claim.claim_id))
-            self._events.record(Event.KEY_RELEASED, request_id=request_id, code=error.code)
+            self._writer.release(Release(claim.claim_id), request_id=request_id)
             return None
         except TransportError as error:
             return await self._settle_own(call, claim, plan, error)
@@ -347,7 +346,7 @@
                 self._record(claim, result, call.request.request_id)
                 return attrs.evolve(result, headers=_caller_headers(result.headers))
             if status.state is KeyState.VOIDED:
-                self._writer.release(Release(claim.claim_id))
+                self._writer.release(Release(claim.claim_id), request_id=call.request.request_id)
                 self._events.record(
                     Event.KEY_VOIDED, request_id=call.request.request_id, key=call.key
                 )
@@ -397,8 +396,9 @@
             return
         headers = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in answer.headers]
         body = base64.b64encode(answer.body).decode()
-        self._writer.record_outcome(Outcome(claim.claim_id, answer.status, headers, body))
-        self._events.record(Event.KEY_OUTCOME_RECORDED, request_id=request_id, key=claim.key)
+        self._writer.record_outcome(
+            Outcome(claim.claim_id, answer.status, headers, body), request_id=request_id
+        )
 
 
 def _caller_headers(headers: Headers) -> Headers:
--- a/figwalk/entry/process.py
+++ b/figwalk/entry/process.py
@@ -308,10 +308,10 @@
         self._budget.set_ratio(preset.retry_ratio)
 
     async def _adopt_from_peers(self) -> None:
-        """Take the configuration of other entries as long as the log does not answer."""
+        """Take the configuration of other entries while the log can't give all of it."""
         while True:
             await trio.sleep(PEER_CONFIG_PERIOD_S)
-            if self._config_follower.available:
+            if self._config_follower.available and self._configuration.complete:
                 continue
             if await self._peers.adopt_configuration():
                 self._adopt_revision("another entry")
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -101,7 +101,7 @@
         left = [name for name in self.scripts if name not in excluded]
         return Choice(left[0], 0, 0, 0, False, "test") if left else None
 
-    def target(self, choice):
+    def target(self, choice, pieces=()):
         return FakeTarget(choice, self.scripts[choice.backend], self.calls)
 
 
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -1,5 +1,3 @@
-from contextlib import asynccontextmanager
-
 import attrs
 import trio
 
@@ -42,11 +40,13 @@
         self.calls = []
         self.in_flight = []
 
-    @asynccontextmanager
-    async def open(self, call):
+    async def start(self, call, scope):
         self.calls.append(call)
         self.in_flight = self.fleet.find("llm-1").in_flight
-        yield _FakeReply()
+        return _FakeReply()
+
+    def end(self, reply, scope):
+        pass
 
 
 class _FakeBackends:
