Keep claims waiting while the log limits appends

Cause: a 429 of the log refused every claim of the batch, although the log takes the next batch a few milliseconds later. Ruled out: the log itself, which was up, and the claim timeout. The new test failed before.

--- a/figwalk/coordination/claim_writer.py
+++ b/figwalk/coordination/claim_writer.py
@@ -14,7 +14,13 @@
 from figwalk.coordination.log_appender import LogAppender
 from figwalk.coordination.log_client import LogClient
 from figwalk.coordination.log_follower import LogFollower
-from figwalk.errors import CallOutcome, LogAnswerLostError, LogUnavailableError, RefusalError
+from figwalk.errors import (
+    CallOutcome,
+    LogAnswerLostError,
+    LogRateLimitedError,
+    LogUnavailableError,
+    RefusalError,
+)
 from figwalk.events import Event, EventLog
 from figwalk.protocol.records import Claim, ClaimBatch, Outcome, Release
 from figwalk.state.claims import Claims, KeyRecord
@@ -31,6 +37,10 @@
 # that ran the call still has the answer.
 MAX_QUEUED_OUTCOME_BYTES = 8 * 1024 * 1024
 
+# The log takes several hundred appends a second; after this time it takes some more from each of
+# a few entries, and claims that arrive meanwhile share the next batch.
+RATE_LIMIT_PAUSE_S = 0.02
+
 # A quiet stream gets an empty batch this often. Otherwise a reader that starts at the oldest
 # kept record could not tell a quiet day from claims that the log has dropped.
 MARKER_PERIOD_S = 600.0
@@ -211,6 +221,10 @@
         self._appending = True
         try:
             await self._appender.append(batch)
+        except LogRateLimitedError:
+            self._requeue(batch, waiters)
+            await trio.sleep(RATE_LIMIT_PAUSE_S * self._rng.uniform(0.5, 1.5))
+            return
         except LogUnavailableError as error:
             self._return_batch(batch, waiters, error)
             await trio.sleep(self._backoff.next_delay())
@@ -250,14 +264,23 @@
         self, batch: ClaimBatch, waiters: list[_Waiter], error: LogUnavailableError
     ) -> None:
         """Refuse the claims of a batch that is not in the log and keep the rest for later."""
-        self._releases.extendleft(reversed(batch.releases))
-        self._outcomes.extendleft(reversed(batch.outcomes))
-        self._outcome_bytes += sum(_size(outcome) for outcome in batch.outcomes)
+        self._requeue(batch, [])
         for waiter in waiters:
             waiter.in_batch = False
             waiter.refusal = _refuse("log_unavailable", f"claim not appended: {error.message}")
             waiter.done.set()
 
+    def _requeue(self, batch: ClaimBatch, waiters: list[_Waiter]) -> None:
+        """Put what is not in the log before what has come since, for the next batch."""
+        self._releases.extendleft(reversed(batch.releases))
+        self._outcomes.extendleft(reversed(batch.outcomes))
+        self._outcome_bytes += sum(_size(outcome) for outcome in batch.outcomes)
+        given_up = {release.claim_id for release in self._releases}
+        for waiter in reversed(waiters):
+            waiter.in_batch = False
+            if waiter.claim.claim_id not in given_up:
+                self._waiters.appendleft(waiter)
+
     def _finish(self, batch: ClaimBatch, waiters: list[_Waiter]) -> None:
         for waiter in waiters:
             self._resolve(waiter)
--- a/figwalk/coordination/http_log_client.py
+++ b/figwalk/coordination/http_log_client.py
@@ -13,6 +13,7 @@
 from figwalk.errors import (
     HttpError,
     LogAnswerLostError,
+    LogRateLimitedError,
     LogTruncatedError,
     LogUnavailableError,
 )
@@ -75,6 +76,8 @@
     def _check_append_status(status: int, body: bytes) -> None:
         if HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES:
             return
+        if status == HTTPStatus.TOO_MANY_REQUESTS:
+            raise LogRateLimitedError(_describe(status, body))
         # The log refuses these before it writes. Any other 5xx may come from a proxy that lost
         # the log's answer.
         if status == HTTPStatus.SERVICE_UNAVAILABLE or status < HTTPStatus.INTERNAL_SERVER_ERROR:
--- a/figwalk/errors.py
+++ b/figwalk/errors.py
@@ -94,6 +94,10 @@
     """The log refused the call or could not be reached; nothing was written."""
 
 
+class LogRateLimitedError(LogUnavailableError):
+    """The log takes no further append for a moment; nothing was written."""
+
+
 class LogAnswerLostError(LogError):
     """An append got no answer; the record may or may not be in the log."""
 
--- a/tests/support/fake_log.py
+++ b/tests/support/fake_log.py
@@ -8,7 +8,12 @@
 import trio
 
 from figwalk.coordination.log_client import LogClient, LogPage, StoredRecord
-from figwalk.errors import LogAnswerLostError, LogTruncatedError, LogUnavailableError
+from figwalk.errors import (
+    LogAnswerLostError,
+    LogRateLimitedError,
+    LogTruncatedError,
+    LogUnavailableError,
+)
 from figwalk.protocol.records import Record, encode_record
 from figwalk.timer import MS_PER_S, Timer
 
@@ -30,6 +35,7 @@
         down: Refuses every call.
         lost_answers: Number of coming appends that are written but get no answer.
         lost_requests: Number of coming appends that get no answer and are not written.
+        rate_limited: Number of coming appends that are refused by the rate limit.
         appends: Record ids of all append calls, in order.
         before_append: Coroutine function that each append awaits before it is written.
     """
@@ -38,6 +44,7 @@
         self.down = False
         self.lost_answers = 0
         self.lost_requests = 0
+        self.rate_limited = 0
         self.appends: list[str] = []
         self.before_append: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
         self._streams: dict[str, list[StoredRecord]] = defaultdict(list)
@@ -50,6 +57,9 @@
         await self.before_append()
         if self.down:
             raise LogUnavailableError("fake log is down")
+        if self.rate_limited:
+            self.rate_limited -= 1
+            raise LogRateLimitedError("fake log has had its appends")
         if self.lost_requests:
             self.lost_requests -= 1
             raise LogAnswerLostError("request lost")
--- a/tests/test_log_writers.py
+++ b/tests/test_log_writers.py
@@ -333,6 +333,14 @@
     assert log.count("claims") == 2
 
 
+@scenario()
+async def test_claims_wait_while_the_log_limits_appends(log, process):
+    """Guards against keyed calls refused in a burst that the next batch would have carried."""
+    log.rate_limited = 3
+    assert await claim(process, "a") == "a"
+    assert log.count("claims") == 1
+
+
 @scenario()
 async def test_keyed_calls_are_refused_behind_a_gap_until_the_memory_is_covered(log, process):
     """Guards against a second run of a key whose claim the log dropped before it was read."""
