--- a/figwalk/agent/call_connection.py
+++ b/figwalk/agent/call_connection.py
@@ -49,6 +49,11 @@
         self.holding = False
         self.writing = False
 
+    @property
+    def socket(self) -> trio.socket.SocketType:
+        """The socket."""
+        return self._stream.socket
+
     async def send_all(self, data: bytes) -> None:
         """Send or collect."""
         if self.holding:
--- a/figwalk/coordination/admission.py
+++ b/figwalk/coordination/admission.py
@@ -325,7 +325,7 @@
         backlog_s = self._prefill_backlog_s(now) if work.deadline < math.inf else 0.0
         if now + backlog_s * WAIT_CONFIDENCE > ticket.latest_start:
             raise self._deadline_refusal(work, max(backlog_s, self._predict_wait(ticket)))
-        if not self._waiting and self._has_place(work.priority):
+        if self._can_start(work.priority):
             self._start(ticket)
             return ticket
         await self._wait(ticket)
@@ -387,7 +387,7 @@
     async def _wait(self, ticket: Ticket) -> None:
         wait = self._predict_wait(ticket)
         if self._waiting >= self._queue_limit:
-            raise _refusal("overloaded", "the admission queue is full", wait)
+            self._make_room(ticket.work.priority, wait)
         if self._timer.now() + wait * WAIT_CONFIDENCE > ticket.latest_start:
             raise self._deadline_refusal(ticket.work, wait)
         ticket._decided = trio.Event()
@@ -405,6 +405,20 @@
             self._forget(ticket)
             raise self._deadline_refusal(ticket.work, self._predict_wait(ticket))
 
+    def _make_room(self, priority: Priority, wait_s: float) -> None:
+        """Refuse the last call of the lowest class below a priority.
+
+        Raises:
+            RefusalError: All waiting calls are of this class or above.
+        """
+        for lower in reversed(_CLASSES[_CLASSES.index(priority) + 1 :]):
+            if self._classes[lower]:
+                last = self._classes[lower].in_order()[-1]
+                wait_s = self._predict_wait(last)
+                self._refuse(last, _refusal("overloaded", "calls of a higher class wait", wait_s))
+                return
+        raise _refusal("overloaded", "the admission queue is full", wait_s)
+
     def _forget(self, ticket: Ticket) -> None:
         """Take a call out whose task is cancelled, wherever it is."""
         if ticket in self._running:
@@ -427,6 +441,11 @@
         """Return how many calls run once one more has started."""
         return min(len(self._running) + 1, self._capacity)
 
+    def _can_start(self, priority: Priority) -> bool:
+        """Return whether a new call of a class starts without waiting."""
+        ahead = _CLASSES[: _CLASSES.index(priority) + 1]
+        return not any(self._classes[name] for name in ahead) and self._has_place(priority)
+
     def _has_place(self, priority: Priority) -> bool:
         """Return whether a call of a class may start beside the running ones."""
         running = len(self._running)
@@ -467,7 +486,7 @@
 
     def _predict_wait(self, new: Ticket) -> float:
         """Return the predicted seconds until a new call would start."""
-        if not self._waiting and self._has_place(new.work.priority):
+        if self._can_start(new.work.priority):
             return 0.0
         slots = self._free_times()
         rank = (_CLASSES.index(new.work.priority), new.work.deadline)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,6 +1,5 @@
 import math
 
-import pytest
 import trio
 from trio.testing import MockClock, wait_all_tasks_blocked
 
@@ -44,172 +43,168 @@
         return self.order
 
 
-@pytest.fixture
-def run():
-    def run_on_mock_clock(test, **options):
+def bench_test(**options):
+    """Run an async test with a `Bench` on a mock clock."""
+
+    def decorate(function):
         async def main():
             async with trio.open_nursery() as nursery:
-                await test(Bench(nursery, **options))
+                await function(Bench(nursery, **options))
                 nursery.cancel_scope.cancel()
 
-        trio.run(main, clock=MockClock())
-
-    return run_on_mock_clock
+        def test():
+            trio.run(main, clock=MockClock())
 
+        test.__name__, test.__doc__ = function.__name__, function.__doc__
+        return test
 
-def test_priority_goes_before_deadline(run):
-    """Guards against chat that waits behind long jobs with an early deadline."""
+    return decorate
 
-    async def test(bench):
-        await bench.add("running")
-        await bench.add("batch", left=100, priority=Priority.BATCH)
-        await bench.add("late", left=300)
-        await bench.add("early", left=200)
-        await bench.add("chat", priority=Priority.INTERACTIVE)
-        assert await bench.run_all() == ["running", "chat", "early", "late", "batch"]
 
-    run(test)
+@bench_test()
+async def test_priority_goes_before_deadline(bench):
+    """Guards against chat that waits behind long jobs with an early deadline."""
+    await bench.add("running")
+    await bench.add("batch", left=100, priority=Priority.BATCH)
+    await bench.add("late", left=300)
+    await bench.add("early", left=200)
+    await bench.add("chat", priority=Priority.INTERACTIVE)
+    assert await bench.run_all() == ["running", "chat", "early", "late", "batch"]
 
 
-def test_one_organisation_cannot_take_all_places(run):
+@bench_test(queue_limit=20)
+async def test_one_organisation_cannot_take_all_places(bench):
     """Guards against an organisation that starves others by many early deadlines."""
+    await bench.add("running")
+    for index in range(6):
+        await bench.add(f"big{index}", left=100, organisation="big")
+    for index in range(2):
+        await bench.add(f"small{index}", left=200, organisation="small")
+    order = await bench.run_all()
+    assert order.index("small0") < order.index("big5")
 
-    async def test(bench):
-        await bench.add("running")
-        for index in range(6):
-            await bench.add(f"big{index}", left=100, organisation="big")
-        for index in range(2):
-            await bench.add(f"small{index}", left=200, organisation="small")
-        order = await bench.run_all()
-        assert order.index("small0") < order.index("big5")
-
-    run(test, queue_limit=20)
 
-
-def test_shares_are_weighted(run):
+@bench_test(queue_limit=40)
+async def test_shares_are_weighted(bench):
     """Guards against published shares without effect."""
+    bench.queue.set_shares({"heavy": 3.0})
+    await bench.add("running")
+    for index in range(12):
+        await bench.add(f"heavy{index}", organisation="heavy", seconds=2.0)
+        await bench.add(f"light{index}", organisation="light", seconds=2.0)
+    first = (await bench.run_all())[1:13]
+    assert sum(name.startswith("heavy") for name in first) >= 8
 
-    async def test(bench):
-        bench.queue.set_shares({"heavy": 3.0})
-        await bench.add("running")
-        for index in range(12):
-            await bench.add(f"heavy{index}", organisation="heavy", seconds=2.0)
-            await bench.add(f"light{index}", organisation="light", seconds=2.0)
-        first = (await bench.run_all())[1:13]
-        assert sum(name.startswith("heavy") for name in first) >= 8
-
-    run(test, queue_limit=40)
 
-
-def test_full_queue_refuses_at_once_with_the_time_to_retry(run):
+@bench_test(queue_limit=1)
+async def test_full_queue_refuses_at_once_with_the_time_to_retry(bench):
     """Guards against unbounded waiting, and against a Retry-After unrelated to the queue."""
+    await bench.add("running", seconds=2)
+    await bench.add("waiting", seconds=3)
+    await bench.add("third")
+    error, _ = bench.refused["third"]
+    assert (error.code, error.retry_after_ms) == ("overloaded", 5000)
 
-    async def test(bench):
-        await bench.add("running", seconds=2)
-        await bench.add("waiting", seconds=3)
-        await bench.add("third")
-        error, _ = bench.refused["third"]
-        assert (error.code, error.retry_after_ms) == ("overloaded", 5000)
 
-    run(test, queue_limit=1)
+@bench_test(queue_limit=1)
+async def test_full_queue_of_batch_work_takes_chat(bench):
+    """Guards against batch work that fills the queue and gets chat refused."""
+    await bench.add("running")
+    await bench.add("batch", priority=Priority.BATCH)
+    await bench.add("chat", priority=Priority.INTERACTIVE)
+    assert bench.refused["batch"][0].code == "overloaded"
+    assert await bench.run_all() == ["running", "chat"]
 
 
-def test_call_that_cannot_finish_is_refused_at_once(run):
+@bench_test()
+async def test_call_that_cannot_finish_is_refused_at_once(bench):
     """Guards against work that holds a place although its answer comes too late."""
-
-    async def test(bench):
-        await bench.add("too long", seconds=5, left=4)
-        await bench.add("running", seconds=10)
-        await bench.add("behind", seconds=1, left=5)
-        assert {name: error.code for name, (error, _) in bench.refused.items()} == {
-            "too long": "deadline",
-            "behind": "deadline",
-        }
-        assert bench.refused["behind"][0].retry_after_ms == 6000
-
-    run(test)
-
-
-def test_waiting_call_is_refused_when_its_deadline_can_no_longer_be_met(run):
+    await bench.add("too long", seconds=5, left=4)
+    await bench.add("running", seconds=10)
+    await bench.add("behind", seconds=1, left=5)
+    assert {name: error.code for name, (error, _) in bench.refused.items()} == {
+        "too long": "deadline",
+        "behind": "deadline",
+    }
+    assert bench.refused["behind"][0].retry_after_ms == 6000
+
+
+@bench_test()
+async def test_waiting_call_is_refused_when_its_deadline_can_no_longer_be_met(bench):
     """Guards against a refusal that comes only shortly before the deadline."""
-
-    async def test(bench):
-        await bench.add("running", seconds=3)
-        await bench.add("waiting", seconds=2, left=6)
-        clock = trio.lowlevel.current_clock()
-        clock.jump(3.9)
-        await wait_all_tasks_blocked()
-        assert not bench.refused
-        clock.jump(0.2)
-        await wait_all_tasks_blocked()
-        assert bench.refused["waiting"][0].code == "deadline"
-        assert bench.queue.queued == 0
-
-    run(test)
-
-
-def test_slower_engine_refuses_what_no_longer_fits(run):
+    await bench.add("running", seconds=3)
+    await bench.add("waiting", seconds=2, left=6)
+    clock = trio.lowlevel.current_clock()
+    clock.jump(3.9)
+    await wait_all_tasks_blocked()
+    assert not bench.refused
+    clock.jump(0.2)
+    await wait_all_tasks_blocked()
+    assert bench.refused["waiting"][0].code == "deadline"
+    assert bench.queue.queued == 0
+
+
+@bench_test()
+async def test_slower_engine_refuses_what_no_longer_fits(bench):
     """Guards against waiting calls judged by the speed before a role change."""
-
-    async def test(bench):
-        await bench.add("running", seconds=1)
-        await bench.add("waiting", seconds=1, left=5)
-        bench.queue.estimate.set_engine_speeds(10, 100, 1)
-        bench.queue.review()
-        await wait_all_tasks_blocked()
-        assert bench.refused["waiting"][0].code == "deadline"
-
-    run(test)
+    await bench.add("running", seconds=1)
+    await bench.add("waiting", seconds=1, left=5)
+    bench.queue.estimate.set_engine_speeds(10, 100, 1)
+    bench.queue.review()
+    await wait_all_tasks_blocked()
+    assert bench.refused["waiting"][0].code == "deadline"
 
 
-def test_closing_refuses_what_waits_and_keeps_what_runs(run):
+@bench_test()
+async def test_closing_refuses_what_waits_and_keeps_what_runs(bench):
     """Guards against a planned stop that starts waiting calls or ends running ones."""
-
-    async def test(bench):
-        await bench.add("running")
-        await bench.add("waiting")
-        bench.queue.close("leaving")
-        await wait_all_tasks_blocked()
-        await bench.add("new")
-        assert {name: error.code for name, (error, _) in bench.refused.items()} == {
-            "waiting": "leaving",
-            "new": "leaving",
-        }
-        assert bench.queue.running == 1
-
-    run(test)
-
-
-def test_cancelled_wait_leaves_no_trace(run):
+    await bench.add("running")
+    await bench.add("waiting")
+    bench.queue.close("leaving")
+    await wait_all_tasks_blocked()
+    await bench.add("new")
+    assert {name: error.code for name, (error, _) in bench.refused.items()} == {
+        "waiting": "leaving",
+        "new": "leaving",
+    }
+    assert bench.queue.running == 1
+
+
+@bench_test()
+async def test_cancelled_wait_leaves_no_trace(bench):
     """Guards against a place that is lost with a caller who left."""
-
-    async def test(bench):
-        await bench.add("running")
-        with trio.CancelScope() as scope:
-            async with trio.open_nursery() as bench.nursery:
-                await bench.add("left")
-                scope.cancel()
-        assert bench.queue.queued == 0
-        bench.queue.release(bench.tickets["running"])
-        assert bench.queue.running == 0
-
-    run(test)
-
-
-def test_call_that_would_make_running_ones_late_waits(run):
+    await bench.add("running")
+    with trio.CancelScope() as scope:
+        async with trio.open_nursery() as bench.nursery:
+            await bench.add("left")
+            scope.cancel()
+    assert bench.queue.queued == 0
+    bench.queue.release(bench.tickets["running"])
+    assert bench.queue.running == 0
+
+
+@bench_test(max_running=4)
+async def test_call_that_would_make_running_ones_late_waits(bench):
     """Guards against a full batch in which every call misses its deadline."""
-
-    async def test(bench):
-        bench.queue.estimate.set_engine_speeds(100, 100, 4)
-        for name in "ab":
-            await bench.add(name, seconds=0, max_tokens=100, left=2)
-        await bench.add("c", seconds=0, max_tokens=100)
-        assert bench.order == ["a", "b"]
-        bench.queue.release(bench.tickets["a"], complete=False)
-        await wait_all_tasks_blocked()
-        assert bench.order == ["a", "b", "c"]
-
-    run(test, max_running=4)
+    bench.queue.estimate.set_engine_speeds(100, 100, 4)
+    for name in "ab":
+        await bench.add(name, seconds=0, max_tokens=100, left=2)
+    await bench.add("c", seconds=0, max_tokens=100)
+    assert bench.order == ["a", "b"]
+    bench.queue.release(bench.tickets["a"], complete=False)
+    await wait_all_tasks_blocked()
+    assert bench.order == ["a", "b", "c"]
+
+
+@bench_test(max_running=4)
+async def test_chat_does_not_wait_behind_work_held_back_for_batch_deadlines(bench):
+    """Guards against a lower class whose deadlines keep places empty that chat could use."""
+    bench.queue.estimate.set_engine_speeds(100, 100, 4)
+    for name in "abc":
+        await bench.add(name, seconds=0, max_tokens=100, left=2, priority=Priority.BATCH)
+    assert bench.order == ["a", "b"]
+    await bench.add("chat", seconds=0, max_tokens=100, priority=Priority.INTERACTIVE)
+    assert bench.order == ["a", "b", "chat"]
 
 
 def test_cut_calls_raise_the_estimate():
--- a/tests/test_agent_states.py
+++ b/tests/test_agent_states.py
@@ -108,12 +108,12 @@
     await entry.call(1, "/stream", stream=True)
     [await entry.connection.receive() for _ in range(2)]
     await control.connection.send(withdrawn(3, {"mode": "drain"}))
-    await control.report(state=BackendState.WITHDRAWN, revision=3)
+    await control.report(state=messages.BackendState.WITHDRAWN, revision=3)
     await other.call(2)
     (refusal,) = await other.result()
     assert refusal.code == "leaving"
     report = await control.report(running=1)
-    assert report.state is BackendState.WITHDRAWN
+    assert report.state is messages.BackendState.WITHDRAWN
     await control.connection.send(withdrawn(4, {"mode": "withdraw"}))
     *_, end = await entry.result()
     assert (end.byte_count, end.complete) == (9, False)
