--- a/figwalk/coordination/admission.py
+++ b/figwalk/coordination/admission.py
@@ -21,7 +21,9 @@
 SHARE_SLACK_S = 2.0
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 60_000
-DEFAULT_OUTPUT_RATIO = 0.75
+# Expected share of `max_tokens` before any answer has been seen: on a cold agent, 0.75 let 24
+# calls start together that were all cut at their deadline.
+DEFAULT_OUTPUT_RATIO = 1.0
 RATIO_RISE = 0.3
 RATIO_FALL = 0.1
 # Share of the rest up to `max_tokens` expected of an answer that is already above its estimate.
@@ -35,9 +37,10 @@
 LONE_CALL_RATIO = 0.25
 MIN_MEASURED_TOKENS = 8
 _SMOOTHING = 0.2
-# A refused call teaches nothing about output lengths, so each refusal moves the learned ratio
-# this far back to the default; otherwise a wrong ratio would never be corrected.
-_REFUSAL_DRIFT = 0.01
+# A refusal while nothing runs teaches nothing about output lengths, so it moves the ratio towards
+# the explored one; otherwise a ratio that is too high would refuse such calls for ever.
+EXPLORED_OUTPUT_RATIO = 0.25
+_REFUSAL_DRIFT = 0.05
 _CLASSES = (Priority.INTERACTIVE, Priority.NORMAL, Priority.BATCH)
 
 
@@ -187,11 +190,11 @@
             self._learn_length(ticket.work, (min(done, limit) + limit) / 2)
 
     def note_refusal(self, work: Work) -> None:
-        """Move the learned output ratio of such calls back towards the default."""
+        """Lower the output ratio of such calls a little."""
         bucket = work.max_tokens.bit_length()
-        ratio = self._output_ratios.get(bucket)
-        if ratio is not None:
-            self._output_ratios[bucket] = ratio + _REFUSAL_DRIFT * (DEFAULT_OUTPUT_RATIO - ratio)
+        ratio = self._output_ratios.get(bucket, DEFAULT_OUTPUT_RATIO)
+        if ratio > EXPLORED_OUTPUT_RATIO:
+            self._output_ratios[bucket] = ratio + _REFUSAL_DRIFT * (EXPLORED_OUTPUT_RATIO - ratio)
 
     def _learn_length(self, work: Work, tokens: float) -> None:
         """Follow long answers fast and short ones slowly, so that most answers fit."""
@@ -524,7 +527,8 @@
         return _refusal(code, f"the backend server takes no new calls ({code})", 0.0)
 
     def _deadline_refusal(self, work: Work, wait_s: float) -> RefusalError:
-        self._estimate.note_refusal(work)
+        if not self._running:
+            self._estimate.note_refusal(work)
         left = work.deadline - self._timer.now()
         # The queue has to get shorter by what the call would be late.
         late = wait_s + self._estimate.service_s(work, self._next_count()) - left
