--- a/figwalk/entry/attempt_target.py
+++ b/figwalk/entry/attempt_target.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from types import TracebackType
 
 import attrs
@@ -21,12 +22,14 @@
         pool: Call connections to its agent.
         incarnation: Incarnation of its agent.
         fleet: Load view that counts the call while it is in flight.
+        pieces: Prefix pieces of the prompt, which the backend server will hold soon.
     """
 
     choice: Choice
     pool: CallPool
     incarnation: int
     fleet: Fleet = attrs.field(repr=False)
+    pieces: Sequence[int] = attrs.field(default=(), repr=False)
 
     def open(self, call: Call) -> TrackedCall:
         """Return the context manager of `CallPool.open` that also counts the call as in flight."""
@@ -44,7 +47,13 @@
         """Count the call and send it."""
         call = self.call
         backend = self._target.choice.backend
-        self._target.fleet.note_sent(backend, call.call_id, call.prompt_tokens, call.max_tokens)
+        self._target.fleet.note_sent(
+            backend,
+            call.call_id,
+            call.prompt_tokens,
+            call.max_tokens,
+            pieces=self._target.pieces,
+        )
         try:
             return await super().__aenter__()
         except BaseException:
