--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -15,7 +15,6 @@
 from figwalk.transport import HttpServer
 
 HOST = "127.0.0.1"
-STREAM_HEADERS = [(b"content-type", b"text/event-stream")]
 
 
 class FakeBackend:
@@ -41,7 +40,6 @@
         self.cancel_received = trio.Event()
         self.go_on = trio.Event()  # Calls are answered once this is set.
         self.go_on.set()
-        self.address = None
         self.scope = trio.CancelScope()
 
     async def serve(self, task_status):
@@ -95,7 +93,7 @@
         identifier = (self.echo or request.header(b"x-request-id")).encode()
         headers = [(b"x-request-id", identifier)]
         if "stream" in request.path:
-            headers += STREAM_HEADERS
+            headers.append((b"content-type", b"text/event-stream"))
             await responder.start(self.status, headers)
             for chunk in chunks:
                 await responder.send_chunk(chunk)
