--- a/histories/recorder.py
+++ b/histories/recorder.py
@@ -163,8 +163,10 @@
     async def _watch_status(self, entry: str) -> None:
         while True:
             life = self._counts[entry]
+            handle = self._deployment.entries[entry]
             status = await self._fetch_status(entry)
-            if status is not None and life == self._counts[entry]:
+            # A new process listens on the address before the end of its start is noted.
+            if status is not None and handle.returncode is None:
                 self._history.revisions.append(
                     RevisionInForce(entry, life, time.time(), status.revision, "status")
                 )
