--- a/histories/checker.py
+++ b/histories/checker.py
@@ -124,7 +124,7 @@
         if fault:
             message = f"request {invocation.id}: {fault}"
             violations.append(Violation("own_answer", message, (invocation, answer)))
-    return violations + _check_replays(history)
+    return violations + _check_replays(history) + _check_invented(history)
 
 
 def check_publications(history: History) -> list[Violation]:
@@ -328,6 +328,18 @@
     return f"the answer is about {answer.subject!r} instead of {invocation.subject!r}"
 
 
+def _check_invented(history: History) -> list[Violation]:
+    ran = {count.key for count in history.run_counts}
+    return [
+        Violation("own_answer", f"key {key!r} was answered and never ran", (answer,))
+        for answer in history.answers.values()
+        if (key := history.invocations[answer.invocation_id].key)
+        and answer.whole
+        and answer.status in ANSWERED_STATUSES
+        and key not in ran
+    ]
+
+
 def _check_replays(history: History) -> list[Violation]:
     first: dict[str, Answer] = {}
     violations = []
--- a/tests/test_history_checker.py
+++ b/tests/test_history_checker.py
@@ -160,6 +160,12 @@
     assert rules_broken(history) == {"own_answer"}
 
 
+def test_rejects_answer_of_a_key_that_never_ran(history):
+    """Guards against an answer that no service gave."""
+    history.run_counts = history.run_counts[1:]
+    assert rules_broken(history) == {"own_answer"}
+
+
 @pytest.mark.parametrize(
     "index, told",
     [
