--- a/histories/checker.py
+++ b/histories/checker.py
@@ -10,6 +10,7 @@
 
 from histories.history import (
     ABANDONED,
+    PAUSE_ENTRY,
     Answer,
     Disturbance,
     History,
@@ -260,7 +261,8 @@
             violations.append(Violation("refusal", message, (invocation, answer)))
         faults = _overlapping(unplanned, invocation.sent_at, answer.ended_at)
         limit_s = REFUSAL_LIMIT_S if faults else CALM_REFUSAL_LIMIT_S
-        took_s = answer.ended_at - invocation.sent_at
+        paused_s = _paused_s(history, invocation, answer)
+        took_s = answer.ended_at - invocation.sent_at - paused_s
         if answer.attempt == NOT_RUN and took_s > limit_s:
             message = f"the refusal of {invocation.id} took {took_s:.1f} s"
             violations.append(Violation("refusal", message, (invocation, answer, *faults)))
@@ -317,6 +319,15 @@
     return min(refused.at, answer.ended_at) if refused else invocation.sent_at
 
 
+def _paused_s(history: History, invocation: Invocation, answer: Answer) -> float:
+    """Return how long the entry of a request could do nothing while it was open."""
+    return sum(
+        max(0.0, min(pause.until, answer.ended_at) - max(pause.since, invocation.sent_at))
+        for pause in history.disturbances
+        if pause.name == PAUSE_ENTRY and pause.target == invocation.entry
+    )
+
+
 def _find_answer_fault(invocation: Invocation, answer: Answer) -> str:
     if invocation.kind.is_generation:
         expected = expected_text(invocation.prompt.encode(), invocation.max_tokens)
--- a/histories/faults.py
+++ b/histories/faults.py
@@ -17,7 +17,7 @@
 from figwalk.state.published_values import WithdrawalMode
 from figwalk.state.settings import Address
 from figwalk.transport import HttpClient
-from histories.history import Disturbance, History, Leaving
+from histories.history import PAUSE_ENTRY, Disturbance, History, Leaving
 from histories.recorder import Recorder
 from standins.deployment import ENGINE_KIND, Deployment
 from standins.launcher import ProcessHandle
@@ -312,7 +312,7 @@
     FaultKind("kill_entry", "entry", _kill),
     FaultKind("kill_agent", "agent", _kill),
     FaultKind("kill_engine", "engine", _kill),
-    FaultKind("pause_entry", "entry", _pause),
+    FaultKind(PAUSE_ENTRY, "entry", _pause),
     FaultKind("pause_agent", "agent", _pause),
     FaultKind("pause_engine", "engine", _pause),
     FaultKind("cut_link", "link", _cut_link),
--- a/histories/history.py
+++ b/histories/history.py
@@ -14,6 +14,8 @@
 DIGEST_BYTES = 8
 ABANDONED = "abandoned"  # Loss of an answer that its caller did not wait for.
 
+PAUSE_ENTRY = "pause_entry"  # Name of the fault that stops an entry for a while.
+
 
 class Kind(StrEnum):
     """Kinds of requests."""
--- a/histories/soak.py
+++ b/histories/soak.py
@@ -9,10 +9,12 @@
 from __future__ import annotations
 
 import argparse
+import signal
 import sys
 import tempfile
 import time
 from collections import Counter
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import attrs
@@ -95,7 +97,22 @@
         return self._failures
 
     async def run(self) -> list[Violation]:
-        """Run and return the violations."""
+        """Run and return the violations; SIGTERM and SIGINT end the processes and then this one.
+
+        Raises:
+            KeyboardInterrupt: A signal ended the run.
+        """
+        violations: list[Violation] | None = None
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_on_signal, signals, nursery.cancel_scope)
+                violations = await self._run()
+                nursery.cancel_scope.cancel()
+        if violations is None:
+            raise KeyboardInterrupt
+        return violations
+
+    async def _run(self) -> list[Violation]:
         async with trio.open_nursery() as forwarding:
             async with Launcher(self._run_directory) as launcher:
                 deployment = Deployment(
@@ -174,6 +191,12 @@
         await trio.testing.wait_all_tasks_blocked(0.05)
 
 
+async def _cancel_on_signal(signals: AsyncIterator[int], scope: trio.CancelScope) -> None:
+    async for _ in signals:
+        scope.cancel()
+        return
+
+
 def render_soak_values(values: dict[str, JsonValue]) -> dict[str, JsonValue]:
     """Return the example's configuration with quick role changes and keyed payments."""
     changed: dict[str, JsonValue] = {"limits": {"key_memory_s": KEY_MEMORY_S}}
--- a/tests/test_history_checker.py
+++ b/tests/test_history_checker.py
@@ -276,6 +276,15 @@
     assert rules_broken(history) == {"refusal"}
 
 
+def test_refusal_by_a_paused_entry_is_not_late(history):
+    """Guards against blaming a process for the time in which it was stopped."""
+    change_answer(history, "refused", ended_at=30)
+    history.disturbances.append(Disturbance("pause_entry", "entry-1", False, 20.1, 29.5))
+    assert rules_broken(history) == set()
+    history.disturbances[-1] = attrs.evolve(history.disturbances[-1], target="entry-2")
+    assert rules_broken(history) == {"refusal"}
+
+
 @pytest.mark.parametrize("status, expected", [(1, ""), (1, "stop"), (0, "")])
 def test_rejects_process_that_ends_by_itself(history, status, expected):
     """Guards against a crash that the restart of the process hides."""
