Back off before dialling an agent that greets and closes

Cause: AgentLink.run reset its delay after every greeting and dialled again at once when the connection ended, so that an agent which rejects an entry's frames was dialled in a tight loop, with two log lines each time. Ruled out: refused connections, whose backoff worked. Before: no delay between dials after a greeting. After: 0.1 s doubling to 2 s, reset only after a connection of more than 2 s.

--- a/figwalk/entry/agent_link.py
+++ b/figwalk/entry/agent_link.py
@@ -151,11 +151,15 @@
                     self._owner.hello(ConnectionKind.CONTROL),
                 )
             except (OSError, TransportError):
-                await trio.sleep(delay_s * random.uniform(0.5, 1.5))
-                delay_s = min(delay_s * 2, RECONNECT_MAX_S)
-                continue
-            delay_s = RECONNECT_MIN_S
-            await self._serve(connection, hello)
+                pass
+            else:
+                connected_at = trio.current_time()
+                await self._serve(connection, hello)
+                if trio.current_time() - connected_at > RECONNECT_MAX_S:
+                    delay_s = RECONNECT_MIN_S
+            # An agent that greets and then closes is not dialled in a tight loop either.
+            await _wait_before_dial(delay_s * random.uniform(0.5, 1.5))
+            delay_s = min(delay_s * 2, RECONNECT_MAX_S)
 
     async def lookup(self, claim_id: str, incarnation: int) -> KeyStatus:
         """Ask the agent about a claimed call.
@@ -296,3 +300,7 @@
             return
         self._pushed_desired = desired
         await connection.send(desired)
+
+
+async def _wait_before_dial(seconds: float) -> None:
+    await trio.sleep(seconds)
