Close a call connection whose answer has a wrong byte count

Cause: Reply kept the End before it compared the byte count, so that the connection counted as finished and went back to the pool. Ruled out: frames of another call, which closed it already. Before: the next call used the connection that had lost or mixed up bytes. After: it is closed; an incomplete answer with the right count still leaves the connection usable.

--- a/figwalk/entry/call_pool.py
+++ b/figwalk/entry/call_pool.py
@@ -85,7 +85,6 @@
                 self._received_bytes += len(message.data)
                 yield message.data
             elif isinstance(message, End):
-                self._end = message
                 self._check_whole(message)
                 return
             else:
@@ -96,12 +95,14 @@
         return b"".join([chunk async for chunk in self.chunks()])
 
     def _check_whole(self, end: End) -> None:
-        if not end.complete:
-            raise ConnectionLostError("the backend server's answer ended before its end")
         if end.byte_count != self._received_bytes:
+            # The connection is not used again: it may have lost or mixed up frames.
             raise ConnectionLostError(
                 f"received {self._received_bytes} of {end.byte_count} bytes of the answer"
             )
+        self._end = end
+        if not end.complete:
+            raise ConnectionLostError("the backend server's answer ended before its end")
 
     async def _receive(self) -> Answer | AnswerData | End | Refusal:
         message = await self._connection.receive()
--- a/tests/test_entry_links.py
+++ b/tests/test_entry_links.py
@@ -171,6 +171,8 @@
         ([HEAD, (2, b"ab"), End(1, 2, True)], "ANSWER_MISMATCH"),
         ([Answer(2, 200)], "ANSWER_MISMATCH"),
         ([HEAD, End(2, 0, True)], "ANSWER_MISMATCH"),
+        ([HEAD, (1, b"a"), End(1, 2, True)], None),
+        ([HEAD, (1, b"abc"), End(1, 2, True)], None),
         ([HEAD, HEAD], None),
         ([(1, b"a")], None),
         ([HEAD, Hello(ConnectionKind.CALL, "agent-1", 7)], None),
