Count a call as not sent when its agent does not greet

Cause: CallPool took only OSError of a dial as not sent; an agent at its connection limit, or one that is ending, closes before its greeting, which is a TransportError. Ruled out: loss after the greeting, where the call may have been sent. Before: the refusal said outcome_unknown and the retry cost budget as a lost attempt. After: not_run.

--- a/figwalk/entry/call_pool.py
+++ b/figwalk/entry/call_pool.py
@@ -8,7 +8,13 @@
 import trio
 
 from figwalk.entry.agent_link import AgentLink, LinkOwner
-from figwalk.errors import CallOutcome, ConnectionLostError, MalformedFrameError, RefusalError
+from figwalk.errors import (
+    CallOutcome,
+    ConnectionLostError,
+    MalformedFrameError,
+    RefusalError,
+    TransportError,
+)
 from figwalk.events import Event, EventLog
 from figwalk.protocol.messages import Answer, Call, ConnectionKind, End, Refusal
 from figwalk.protocol.peer_connection import AnswerData, PeerConnection
@@ -175,7 +181,7 @@
                 self._link.address.port,
                 self._owner.hello(ConnectionKind.CALL),
             )
-        except OSError as error:
+        except (OSError, TransportError) as error:
             raise NotSentError(call, str(error)) from error
         return connection
 
--- a/tests/test_entry_links.py
+++ b/tests/test_entry_links.py
@@ -10,7 +10,7 @@
 
 from figwalk.entry import agent_link
 from figwalk.entry.agent_link import AgentLink, LinkOwner
-from figwalk.entry.call_pool import AgentRefusalError, CallPool
+from figwalk.entry.call_pool import AgentRefusalError, CallPool, NotSentError
 from figwalk.errors import CallOutcome, ConnectionLostError, LogUnavailableError, TransportError
 from figwalk.events import EventLog
 from figwalk.protocol.messages import (
@@ -221,6 +221,16 @@
             await reply.read()
 
 
+@link_test
+async def test_call_to_an_agent_that_does_not_greet_did_not_run(agent):
+    """Guards against `outcome_unknown` for a call that was never sent."""
+    agent.greets = False
+    with pytest.raises(NotSentError) as caught:
+        async with agent.pool.open(call()):
+            pass
+    assert caught.value.outcome is CallOutcome.NOT_RUN
+
+
 @link_test
 async def test_loss_of_the_agent_ends_its_calls(agent):
     """Guards against a call that waits for ever for an agent that was partitioned away."""
