Let a refused HTTP client read its answer before the close

Cause: the server closed the socket after a 4xx while the client was still sending. Closing with unread bytes resets the connection, and the client lost the answer. Ruled out: h11 and the limits, which refused as they should. Before: an oversize header or body ended in ConnectionResetError. After: the server ends its sending side and drops what arrives for at most 2 s; the client reads 431 or 413.

Adds tests of bad input against real entry and agent processes.

--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -14,6 +14,9 @@
 
 RECEIVE_BYTES = 65536
 LISTEN_BACKLOG = 1024
+# A client may still be sending when it is refused. Closing a socket with unread bytes resets the
+# connection, and the client then often loses the answer.
+LINGER_S = 2.0
 
 JSON_HEADER = (b"content-type", b"application/json")
 CLOSE_HEADER = (b"connection", b"close")
@@ -176,7 +179,8 @@
             return
         self._connections += 1
         try:
-            await self._serve_requests(stream)
+            if await self._serve_requests(stream):
+                await _linger(stream)
         except (ConnectionLostError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except h11.LocalProtocolError as error:
@@ -187,7 +191,8 @@
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
                 await trio.aclose_forcefully(stream)
 
-    async def _serve_requests(self, stream: trio.SocketStream) -> None:
+    async def _serve_requests(self, stream: trio.SocketStream) -> bool:
+        """Serve requests; return whether the client may still send or read."""
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
         )
@@ -198,12 +203,12 @@
                 await self._refuse(
                     connection, stream, error.error_status_hint, "malformed_request", str(error)
                 )
-                return
+                return True
             except CallerError as error:
                 await self._refuse(connection, stream, error.status, error.code, error.message)
-                return
+                return True
             if request is None:
-                return
+                return False
             responder = Responder(
                 connection, stream, lambda: self._draining, head_only=request.method == "HEAD"
             )
@@ -215,9 +220,9 @@
                 if not self._active_requests:
                     self._all_answered.set()
             if not responder.finished or self._draining:
-                return
+                return True
             if connection.our_state is h11.MUST_CLOSE:
-                return
+                return True
             connection.start_next_cycle()
 
     async def _receive_request(
@@ -312,6 +317,14 @@
         await responder.send_json(status, body, [CLOSE_HEADER])
 
 
+async def _linger(stream: trio.SocketStream) -> None:
+    """End the sending side and drop what still arrives, until the client closes too."""
+    with trio.move_on_after(LINGER_S):
+        await stream.send_eof()
+        while await stream.receive_some(RECEIVE_BYTES):
+            pass
+
+
 def _refuse_connect(request: HttpRequest) -> None:
     # h11 takes a 2xx answer to CONNECT as the start of a tunnel and refuses its body.
     if request.method == "CONNECT":
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,184 @@
+"""Bad input against real entry and agent processes."""
+
+import json
+import socket
+import struct
+
+import pytest
+from deployment_thread import MODEL, DeploymentThread
+
+from figwalk.protocol.codec import encode_message
+from figwalk.protocol.messages import Cancel, ConnectionKind, Hello
+
+ENTRY, AGENT = "entry-1", "agent-depot-1"
+TIMEOUT_S = 30
+MAX_HEADER, MAX_BODY, MAX_CONNECTIONS = 4096, 65536, 40
+QUIET_EVENTS = {"PEER_CONNECTED", "PEER_LOST", "REQUEST_ROUTED"}
+CHAT = {"model": MODEL, "messages": [{"role": "user", "content": "hi"}], "max_tokens": 2}
+
+NESTED = json.dumps(CHAT | {"model": "other", "x": 0}).replace("0}", "[" * 500 + "]" * 500 + "}")
+
+
+@pytest.fixture(scope="module")
+def running(tmp_path_factory):
+    limits = {
+        "max_header_bytes": MAX_HEADER,
+        "max_body_bytes": MAX_BODY,
+        "max_connections": MAX_CONNECTIONS,
+        "receive_timeout_s": 1.0,
+    }
+    with DeploymentThread(tmp_path_factory.mktemp("bad"), **limits) as running:
+        yield running
+        for name in (ENTRY, AGENT):
+            assert "Traceback" not in running.log_text(name)
+    assert running.faults == []
+
+
+def connect(running, process, name):
+    return socket.create_connection(running.address(process, name), TIMEOUT_S)
+
+
+def read_all(stream):
+    parts = []
+    while part := stream.recv(65536):
+        parts.append(part)
+    return b"".join(parts)
+
+
+def request(method, path, body=b"", headers=(), version="1.1"):
+    lines = [f"{method} {path} HTTP/{version}", "host: x", "connection: close", *headers]
+    if body:
+        lines.append(f"content-length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def post(body):
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    return request("POST", "/v1/chat/completions", data)
+
+
+def exchange(running, data, process=ENTRY, name="callers"):
+    with connect(running, process, name) as stream:
+        stream.sendall(data)
+        return read_all(stream)
+
+
+def assert_serving(running):
+    assert exchange(running, post(CHAT)).startswith(b"HTTP/1.1 200")
+
+
+def new_events(running, process, before):
+    events = [name for name in running.events(process) if name not in QUIET_EVENTS]
+    return events[before:]
+
+
+def count_events(running, process):
+    return len(new_events(running, process, 0))
+
+
+BAD_HTTP = {
+    "no request line": (b"\r\n\r\n", 400),
+    "not http": (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", 400),
+    "bad header": (b"GET / HTTP/1.1\r\nhost: x\r\nbad header\r\n\r\n", 400),
+    "no host": (b"GET / HTTP/1.1\r\n\r\n", 400),
+    "two lengths": (request("GET", "/", headers=["content-length: 1", "content-length: 2"]), 400),
+    "negative length": (request("POST", "/", headers=["content-length: -1"]), 400),
+    "bad chunk": (request("POST", "/", headers=["transfer-encoding: chunked"]) + b"zz\r\n", 400),
+    "unknown coding": (request("POST", "/", headers=["transfer-encoding: gzip"]), 501),
+    "oversize header": (request("GET", "/", headers=["x: " + "a" * 500_000]), 431),
+    "oversize body": (post(b"x" * 8_000_000), 413),
+    "connect": (request("CONNECT", "/healthz"), 405),
+    "unknown method": (request("BREW", "/v1/models"), 405),
+    "unknown path": (request("GET", "/%00"), 404),
+    "absolute path": (request("GET", "http://x/v1/nothing"), 404),
+    "bad json": (post(b"{"), 400),
+    "nested json": (post(b"[" * 60_000), 400),
+    "nested field": (post(NESTED.encode()), 404),
+    "unknown model": (post(CHAT | {"model": "other"}), 404),
+    "negative max_tokens": (post(CHAT | {"max_tokens": -1}), 400),
+    "huge max_tokens": (post(CHAT | {"max_tokens": 10**300}), 400),
+    "deadline": (request("POST", "/v1/completions", b"{}", ["figwalk-deadline-ms: x"]), 400),
+    "messages": (post(CHAT | {"messages": {"role": 1}}), 400),
+    "model": (post(CHAT | {"model": {}}), 400),
+    "no key": (request("POST", "/services/depot/orders/water-calcium"), 400),
+}
+
+
+@pytest.mark.parametrize("name", BAD_HTTP)
+def test_bad_http_gets_a_typed_error(running, name):
+    """Guards against a bad request that is not answered, breaks the entry, or floods its log."""
+    data, status = BAD_HTTP[name]
+    before = count_events(running, ENTRY)
+    answer = exchange(running, data)
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 %d" % status)
+    assert {"type", "code", "message"} <= set(json.loads(body)["error"])
+    assert new_events(running, ENTRY, before) == ["HTTP_BAD_REQUEST"]
+    assert_serving(running)
+
+
+@pytest.mark.parametrize(
+    "field",
+    ["temperature", "stop", "seed", "top_p", "user", "resume_tokens", "tools"],
+)
+@pytest.mark.parametrize("value", [[], {}, "x", -1, None, [None], 1e400])
+@pytest.mark.parametrize("stream", [False, True])
+def test_wrong_types_of_other_fields(running, field, value, stream):
+    """Guards against a field that only the engine reads and that breaks the entry."""
+    answer = exchange(running, post(CHAT | {field: value, "stream": stream}))
+    assert answer.split(b" ")[1] in {b"200", b"400", b"422"}
+
+
+def test_head_and_pipelined_requests(running):
+    """Guards against a body after HEAD, and against answers out of order."""
+    assert exchange(running, request("HEAD", "/healthz")).endswith(b"\r\n\r\n")
+    first = b"GET /v1/models HTTP/1.1\r\nhost: x\r\n\r\n"
+    answer = exchange(running, first + first + request("GET", "/readyz"))
+    assert answer.count(b"HTTP/1.1 200") == 3
+    assert answer.index(b'"data"') < answer.index(b'"ready"')
+
+
+def frame(payload, kind=0, length=None):
+    return struct.pack("!IB", length or len(payload) + 1, kind) + payload
+
+
+def hello(**fields):
+    return frame(encode_message(Hello(ConnectionKind.PEER, "entry-9", 5, **fields)))
+
+
+BAD_FRAMES = {
+    "garbage": b"GET / HTTP/1.1\r\n\r\n",
+    "oversize": frame(b"x", length=1 << 30),
+    "unknown type": frame(b"xxxx", kind=9),
+    "length zero": struct.pack("!IB", 0, 0),
+    "bad message": frame(b"\xff" * 64),
+    "wrong first message": frame(encode_message(Cancel(1))),
+    "data first": frame(b"x" * 20, kind=1),
+    "short data": frame(b"x", kind=1),
+    "agent's kind": frame(encode_message(Hello(ConnectionKind.PEER, "x", 1)))
+    + frame(encode_message(Cancel(1))),
+}
+
+
+@pytest.mark.parametrize("process", [ENTRY, AGENT])
+@pytest.mark.parametrize("name", BAD_FRAMES)
+def test_bad_frames_close_the_peer_connection(running, process, name):
+    """Guards against garbage on the peer port that ends the process or fills its log."""
+    before = count_events(running, process)
+    with connect(running, process, "peers") as stream:
+        stream.sendall(BAD_FRAMES[name])
+        read_all(stream)
+    assert new_events(running, process, before) == ["PEER_FRAME_REJECTED"]
+    assert_serving(running)
+
+
+@pytest.mark.parametrize("process", [ENTRY, AGENT])
+def test_truncated_frame_ends_quietly(running, process):
+    """Guards against an error for a peer that ended in the middle of a frame."""
+    before = count_events(running, process)
+    with connect(running, process, "peers") as stream:
+        stream.sendall(hello()[:7])
+        stream.shutdown(socket.SHUT_WR)
+        assert read_all(stream) == b""
+    assert new_events(running, process, before) == []
+    assert_serving(running)
