Log one line for a slow sender

Cause: the timeout was recorded where it was found and again where the 408 is sent. Before: HTTP_SLOW_SENDER and HTTP_BAD_REQUEST for one request. After: HTTP_SLOW_SENDER only.

--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -111,6 +111,10 @@
     """The client of the HTTP server went away before the end of its answer."""
 
 
+class SlowSenderError(CallerError):
+    """A client did not send its request in time."""
+
+
 HttpHandler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 
@@ -200,12 +204,11 @@
             try:
                 request = await self._receive_request(connection, stream)
             except h11.RemoteProtocolError as error:
-                await self._refuse(
-                    connection, stream, error.error_status_hint, "malformed_request", str(error)
-                )
+                refusal = CallerError(error.error_status_hint, "malformed_request", str(error))
+                await self._refuse(connection, stream, refusal)
                 return True
             except CallerError as error:
-                await self._refuse(connection, stream, error.status, error.code, error.message)
+                await self._refuse(connection, stream, error)
                 return True
             if request is None:
                 return False
@@ -240,14 +243,11 @@
                 self._idle.discard(idle_scope)
         if idle_scope.cancelled_caught:
             return None
-        with trio.move_on_after(self._limits.receive_timeout_s) as receive_scope:
+        with trio.move_on_after(self._limits.receive_timeout_s):
             return await self._receive_events(connection, stream)
-        if receive_scope.cancelled_caught:
-            self._events.record(Event.HTTP_SLOW_SENDER, timeout_s=self._limits.receive_timeout_s)
-            raise CallerError(
-                408, "request_timeout", "the request was not complete in time; send it faster"
-            )
-        return None
+        raise SlowSenderError(
+            408, "request_timeout", "the request was not complete in time; send it faster"
+        )
 
     async def _receive_events(
         self, connection: h11.Connection, stream: trio.SocketStream
@@ -309,16 +309,16 @@
         self,
         connection: h11.Connection,
         stream: trio.SocketStream,
-        status: int,
-        code: str,
-        message: str,
+        error: CallerError,
     ) -> None:
-        self._events.record(Event.HTTP_BAD_REQUEST, status=status, code=code, detail=message)
+        slow = isinstance(error, SlowSenderError)
+        event = Event.HTTP_SLOW_SENDER if slow else Event.HTTP_BAD_REQUEST
+        self._events.record(event, status=error.status, code=error.code, detail=error.message)
         if connection.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
         responder = Responder(connection, stream)
-        body = render_error("invalid_request_error", code, message)
-        await responder.send_json(status, body, [CLOSE_HEADER])
+        body = render_error("invalid_request_error", error.code, error.message)
+        await responder.send_json(error.status, body, [CLOSE_HEADER])
 
 
 async def _linger(stream: trio.SocketStream) -> None:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -139,6 +139,15 @@
     assert answer.index(b'"data"') < answer.index(b'"ready"')
 
 
+@pytest.mark.parametrize("data", [b"GET /heal", request("POST", "/x", b"12345")[:-2]])
+def test_slow_sender_gets_a_408(running, data):
+    """Guards against connections that are held open by a sender of single bytes."""
+    before = count_events(running, ENTRY)
+    assert exchange(running, data).startswith(b"HTTP/1.1 408")
+    assert new_events(running, ENTRY, before) == ["HTTP_SLOW_SENDER"]
+    assert_serving(running)
+
+
 def frame(payload, kind=0, length=None):
     return struct.pack("!IB", length or len(payload) + 1, kind) + payload
 
