Answer 503 to connections above the limit

Cause: the server closed the socket without an answer, which a caller can't tell from a crash. Ruled out: the backlog of the listening socket, which was not full. Before: connection reset. After: 503 with Retry-After and outcome not_run, sent without reading; at most 64 such answers at a time, so that file descriptors stay bounded.

--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -8,7 +8,7 @@
 import h11
 import trio
 
-from figwalk.errors import CallerError, ConnectionLostError
+from figwalk.errors import CallerError, CallOutcome, ConnectionLostError
 from figwalk.events import Event, EventLog
 from figwalk.transport.http_types import Headers, HttpLimits, HttpRequest, find_header
 
@@ -17,6 +17,7 @@
 # A client may still be sending when it is refused. Closing a socket with unread bytes resets the
 # connection, and the client then often loses the answer.
 LINGER_S = 2.0
+MAX_TURNED_AWAY = 64
 
 JSON_HEADER = (b"content-type", b"application/json")
 CLOSE_HEADER = (b"connection", b"close")
@@ -137,6 +138,7 @@
         self._events = events
         self._limits = limits or HttpLimits()
         self._connections = 0
+        self._turned_away = 0
         self._active_requests = 0
         self._draining = False
         self._idle: set[trio.CancelScope] = set()
@@ -179,7 +181,7 @@
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         if self._connections >= self._limits.max_connections:
             self._events.record(Event.HTTP_TOO_MANY_CONNECTIONS, limit=self._connections)
-            await trio.aclose_forcefully(stream)
+            await self._turn_away(stream)
             return
         self._connections += 1
         try:
@@ -195,6 +197,22 @@
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
                 await trio.aclose_forcefully(stream)
 
+    async def _turn_away(self, stream: trio.SocketStream) -> None:
+        """Answer 503 without reading; the limit on these keeps file descriptors bounded."""
+        self._turned_away += 1
+        try:
+            if self._turned_away <= MAX_TURNED_AWAY:
+                with trio.move_on_after(LINGER_S):
+                    await Responder(h11.Connection(h11.SERVER), stream).send_json(
+                        503, _TOO_MANY_CONNECTIONS, [CLOSE_HEADER, (b"retry-after", b"1")]
+                    )
+                    await _linger(stream)
+        except (ConnectionLostError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            self._turned_away -= 1
+            await trio.aclose_forcefully(stream)
+
     async def _serve_requests(self, stream: trio.SocketStream) -> bool:
         """Serve requests; return whether the client may still send or read."""
         connection = h11.Connection(
@@ -349,3 +367,12 @@
 def render_error(kind: str, code: str, message: str, **fields: object) -> dict[str, object]:
     """Return an error body in the shape that OpenAI clients read."""
     return {"error": {"type": kind, "code": code, "message": message, **fields}}
+
+
+_TOO_MANY_CONNECTIONS = render_error(
+    "server_error",
+    "too_many_connections",
+    "the server has too many open connections; retry after 1 s",
+    outcome=CallOutcome.NOT_RUN.value,
+    attempt=CallOutcome.NOT_RUN.value,
+)
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import struct
+from contextlib import ExitStack
 
 import pytest
 from deployment_thread import MODEL, DeploymentThread
@@ -148,6 +149,21 @@
     assert_serving(running)
 
 
+def test_connections_above_the_limit_are_refused(running):
+    """Guards against an entry that runs out of file descriptors."""
+    before = count_events(running, ENTRY)
+    with ExitStack() as stack:
+        for _ in range(MAX_CONNECTIONS):
+            stream = stack.enter_context(connect(running, ENTRY, "callers"))
+            stream.sendall(b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n")
+            assert stream.recv(65536).startswith(b"HTTP/1.1 200")
+        answer = exchange(running, request("GET", "/healthz"))
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b"\r\nretry-after: " in answer
+    assert new_events(running, ENTRY, before) == ["HTTP_TOO_MANY_CONNECTIONS"]
+    assert_serving(running)
+
+
 def frame(payload, kind=0, length=None):
     return struct.pack("!IB", length or len(payload) + 1, kind) + payload
 
