--- a/figwalk/entry/entry_peers.py
+++ b/figwalk/entry/entry_peers.py
@@ -88,6 +88,9 @@
             pass
         except TransportError as error:
             self._events.record(Event.PEER_FRAME_REJECTED, reason=error)
+        except Exception as error:
+            # A fault in the service of one connection ends that connection only.
+            self._events.record(Event.TASK_FAILED, task="peer connection", error=repr(error))
         finally:
             connection.close()
 
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -18,6 +18,8 @@
 
 RING_SIZE = 4096
 LOGICAL_BITS = 16  # Low bits of a hybrid clock value count events within one millisecond.
+# Clocks of VMs differ by far less. A value near the 64-bit limit would overflow in messages.
+MAX_CLOCK_LEAD_MS = 24 * 3600 * 1000
 
 
 class Event(Enum):
@@ -121,8 +123,9 @@
         return self._value
 
     def observe(self, remote: int) -> None:
-        """Move past the clock of a received message."""
-        self._value = max(self._value, remote)
+        """Move past the clock of a received message, unless that is far ahead of this VM's."""
+        if remote <= (self._timer.wall_ms() + MAX_CLOCK_LEAD_MS) << LOGICAL_BITS:
+            self._value = max(self._value, remote)
 
 
 @attrs.frozen
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -208,3 +208,14 @@
         assert read_all(stream) == b""
     assert new_events(running, process, before) == []
     assert_serving(running)
+
+
+@pytest.mark.parametrize("process", [ENTRY, AGENT])
+def test_peer_with_a_clock_far_ahead_is_harmless(running, process):
+    """Guards against one wrong clock that makes every later message of a process invalid."""
+    with connect(running, process, "peers") as stream:
+        stream.sendall(hello(clock=2**64 - 1))
+        stream.shutdown(socket.SHUT_WR)
+        read_all(stream)
+    assert "TASK_FAILED" not in running.events(process)
+    assert_serving(running)
