Give the agent's health port the error shape of the entry

Cause: the 404 of the health port was written by hand as a plain string. Before: {"error": "serves ..."}.

--- a/figwalk/agent/main.py
+++ b/figwalk/agent/main.py
@@ -23,7 +23,7 @@
 from figwalk.agent.serving_state import ServingState
 from figwalk.agent.withdrawal import Withdrawal
 from figwalk.coordination.admission import AdmissionQueue
-from figwalk.errors import SettingsError
+from figwalk.errors import CallerError, SettingsError
 from figwalk.events import Event, EventLog
 from figwalk.log_output import configure_logging
 from figwalk.protocol.messages import BackendState, ConnectionKind, Hello
@@ -218,7 +218,7 @@
             status = 200 if state is BackendState.SERVING else 503
             await responder.send_json(status, {"state": state.value})
         else:
-            await responder.send_json(404, {"error": "serves /healthz and /readyz"})
+            raise CallerError(404, "not_found", "this port serves /healthz and /readyz")
 
 
 async def run_agent(settings: AgentSettings) -> None:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -219,3 +219,13 @@
         read_all(stream)
     assert "TASK_FAILED" not in running.events(process)
     assert_serving(running)
+
+
+@pytest.mark.parametrize("path", ["/healthz", "/readyz"])
+def test_health_of_the_agent(running, path):
+    """Guards against a health port that bad input stops."""
+    assert exchange(running, b"bad\r\n\r\n", AGENT, "health").startswith(b"HTTP/1.1 400")
+    assert exchange(running, request("GET", path), AGENT, "health").startswith(b"HTTP/1.1 200")
+    answer = exchange(running, request("GET", "/nothing"), AGENT, "health")
+    assert answer.startswith(b"HTTP/1.1 404")
+    assert {"type", "code", "message"} <= set(json.loads(answer.partition(b"\r\n\r\n")[2])["error"])
