Refuse a wrong stream_options in the engine stand-in

Cause: the stand-in read a field of stream_options without checking its type and answered 500, which the entry rightly reported as a lost backend server. Ruled out: the entry, which passes the body on. Before: 503 for the caller. After: the engine's 400 is passed on.

--- a/standins/completions.py
+++ b/standins/completions.py
@@ -59,6 +59,8 @@
         digest = digest_prompt(prompt)
         max_tokens = _read_max_tokens(body)
         stream_options = body.get("stream_options") or {}
+        if not isinstance(stream_options, dict):
+            raise CallerError(400, "invalid_stream_options", "stream_options must be an object")
         return cls(
             chat=chat,
             model=str(body.get("model") or ""),
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -121,7 +121,7 @@
 
 @pytest.mark.parametrize(
     "field",
-    ["temperature", "stop", "seed", "top_p", "user", "resume_tokens", "tools"],
+    ["temperature", "stop", "seed", "top_p", "user", "stream_options", "resume_tokens", "tools"],
 )
 @pytest.mark.parametrize("value", [[], {}, "x", -1, None, [None], 1e400])
 @pytest.mark.parametrize("stream", [False, True])
