--- a/figwalk/entry/call_pool.py
+++ b/figwalk/entry/call_pool.py
@@ -9,7 +9,13 @@
 import trio
 
 from figwalk.entry.agent_link import AgentLink, LinkOwner
-from figwalk.errors import CallOutcome, ConnectionLostError, MalformedFrameError, RefusalError
+from figwalk.errors import (
+    CallOutcome,
+    ConnectionLostError,
+    MalformedFrameError,
+    RefusalError,
+    TransportError,
+)
 from figwalk.events import Event, EventLog
 from figwalk.protocol.messages import Answer, Call, ConnectionKind, End, Refusal
 from figwalk.protocol.peer_connection import AnswerData, PeerConnection
@@ -92,7 +98,6 @@
                 self._received_bytes += len(message.data)
                 yield message.data
             elif isinstance(message, End):
-                self._end = message
                 self._check_whole(message)
                 return
             else:
@@ -103,12 +108,14 @@
         return b"".join([chunk async for chunk in self.chunks()])
 
     def _check_whole(self, end: End) -> None:
-        if not end.complete:
-            raise ConnectionLostError("the backend server's answer ended before its end")
         if end.byte_count != self._received_bytes:
+            # The connection is not used again: it may have lost or mixed up frames.
             raise ConnectionLostError(
                 f"received {self._received_bytes} of {end.byte_count} bytes of the answer"
             )
+        self._end = end
+        if not end.complete:
+            raise ConnectionLostError("the backend server's answer ended before its end")
 
     async def _receive(self) -> Answer | AnswerData | End | Refusal:
         message = await self._connection.receive()
@@ -192,7 +199,7 @@
                 self._link.address.port,
                 self._owner.hello(ConnectionKind.CALL),
             )
-        except OSError as error:
+        except (OSError, TransportError) as error:
             raise NotSentError(call, str(error)) from error
         return connection
 
