--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 SECONDS ?= 60
 
-.PHONY: venv test format docs demo up model soak bench-goodput
+.PHONY: venv test format docs demo up model soak bench-goodput slopes bench-claims
 
 venv: $(VENV)/.installed
 
@@ -41,3 +41,9 @@
 
 bench-goodput: venv
 	$(BIN)/python -m bench.goodput
+
+slopes: venv
+	$(BIN)/python -m bench.slopes
+
+bench-claims: venv
+	$(BIN)/python -m bench.claims
