--- a/Makefile
+++ b/Makefile
@@ -9,9 +9,9 @@
 
 venv: $(VENV)/.installed
 
-$(VENV)/.installed: pyproject.toml
+$(VENV)/.installed: pyproject.toml constraints.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install -q -e '.[dev]'
+	$(BIN)/pip install -q -c constraints.txt -e '.[dev]'
 	touch $@
 
 test: venv
