--- a/histories/checker.py
+++ b/histories/checker.py
@@ -10,6 +10,7 @@
 
 from histories.history import (
     ABANDONED,
+    LOG_EVENT,
     PAUSE_ENTRY,
     Answer,
     Disturbance,
@@ -24,6 +25,7 @@
 
 NOT_RUN = "not_run"
 LEAVING_GRACE_S = 5.0  # Invariant 7 of the design page.
+SPREAD_LIMIT_S = 11.0  # Invariant 9 of the design page.
 # Reports, links and retry budgets recover within this time after a fault was taken back.
 SETTLE_S = 6.0
 # A refusal that is decided without a run needs no more than two reads of the log and two asks of
@@ -174,6 +176,30 @@
     ]
 
 
+def check_spread(history: History) -> list[Violation]:
+    """Without a fault, an accepted publication is in force everywhere within 11 s."""
+    unplanned = [fault for fault in history.disturbances if not fault.planned]
+    adopted = defaultdict(list)
+    for seen in history.revisions:
+        if seen.source == LOG_EVENT:
+            adopted[seen.process, seen.life].append(seen)
+    ends = {(end.process, end.life): end.at for end in history.ends}
+    violations = []
+    for told in history.publications:
+        limit = told.ended_at + SPREAD_LIMIT_S
+        accepted = told.result is PublishResult.ACCEPTED
+        if not accepted or _overlapping(unplanned, told.sent_at, limit):
+            continue
+        for start in history.starts:
+            life = (start.process, start.life)
+            if start.at > told.sent_at or ends.get(life, math.inf) <= limit:
+                continue
+            if not any(s.revision >= told.revision and s.at <= limit for s in adopted[life]):
+                message = f"{start.process} did not adopt {told.revision} in {SPREAD_LIMIT_S:g} s"
+                violations.append(Violation("spread", message, (told, start)))
+    return violations
+
+
 def check_orders(history: History) -> list[Violation]:
     """Orders that engines accept are valid, in order of their terms, and one at a time."""
     valid = {(order.backend, order.order): order for order in history.valid_orders}
@@ -285,6 +311,7 @@
     check_publications,
     check_revisions,
     check_convergence,
+    check_spread,
     check_orders,
     check_cuts,
     check_leaving,
--- a/histories/history.py
+++ b/histories/history.py
@@ -14,6 +14,8 @@
 DIGEST_BYTES = 8
 ABANDONED = "abandoned"  # Loss of an answer that its caller did not wait for.
 
+LOG_EVENT = "log event"
+STATUS = "status"
 PAUSE_ENTRY = "pause_entry"  # Name of the fault that stops an entry for a while.
 
 
@@ -225,7 +227,7 @@
         life: Number of the process under that name.
         at: When.
         revision: The revision.
-        source: `log event` or `status`.
+        source: `LOG_EVENT` or `STATUS`.
     """
 
     process: str
@@ -275,6 +277,15 @@
     detail: str = ""
 
 
+@attrs.frozen
+class ProcessStart:
+    """Start of an entry or agent, once it listens."""
+
+    process: str
+    life: int
+    at: float
+
+
 @attrs.frozen
 class ProcessEnd:
     """End of a process.
@@ -313,6 +324,7 @@
     leavings: list[Leaving] = attrs.field(factory=list)
     backend_calls: list[BackendCall] = attrs.field(factory=list)
     disturbances: list[Disturbance] = attrs.field(factory=list)
+    starts: list[ProcessStart] = attrs.field(factory=list)
     ends: list[ProcessEnd] = attrs.field(factory=list)
     head_revision: int = 0
     final_revisions: dict[str, int] = attrs.field(factory=dict)
--- a/histories/recorder.py
+++ b/histories/recorder.py
@@ -17,10 +17,13 @@
 from figwalk.state.settings import Address
 from figwalk.transport import HttpClient
 from histories.history import (
+    LOG_EVENT,
+    STATUS,
     BackendCall,
     EngineOrder,
     History,
     ProcessEnd,
+    ProcessStart,
     Refused,
     RevisionInForce,
     Run,
@@ -89,6 +92,8 @@
         self._counts[name] += 1
         life = Life(name, self._counts[name], handle)
         self._lives.append(life)
+        if name not in self._deployment.backends:
+            self._history.starts.append(ProcessStart(name, life.number, time.time()))
         assert self._nursery is not None, "run the recorder first"
         self._nursery.start_soon(self._watch_end, life)
 
@@ -168,7 +173,7 @@
             # A new process listens on the address before the end of its start is noted.
             if status is not None and handle.returncode is None:
                 self._history.revisions.append(
-                    RevisionInForce(entry, life, time.time(), status.revision, "status")
+                    RevisionInForce(entry, life, time.time(), status.revision, STATUS)
                 )
             await trio.sleep(STATUS_PERIOD_S)
 
@@ -239,7 +244,7 @@
         name = event["event"]
         if name == "CONFIG_ADOPTED":
             self._history.revisions.append(
-                RevisionInForce(life.process, life.number, at, int(event["revision"]), "log event")
+                RevisionInForce(life.process, life.number, at, int(event["revision"]), LOG_EVENT)
             )
         elif name == "REQUEST_REFUSED":
             request_id = event["request_id"]
--- a/tests/test_history_checker.py
+++ b/tests/test_history_checker.py
@@ -17,6 +17,7 @@
     Leaving,
     LoggedPublication,
     ProcessEnd,
+    ProcessStart,
     Publication,
     PublishResult,
     Refused,
@@ -96,6 +97,8 @@
         RevisionInForce("entry-1", 2, 2, 0, "status"),
         RevisionInForce("entry-1", 2, 3, 3, "status"),
     ]
+    correct.starts = [ProcessStart("agent-llm-1", 1, 0.5), ProcessStart("entry-1", 2, 1.8)]
+    correct.revisions.append(RevisionInForce("agent-llm-1", 1, 2.5, 3, "log event"))
     correct.leavings = [Leaving("llm-1", "drain", 30, 40)]
     correct.backend_calls = [BackendCall("llm-1", "c", 34), BackendCall("llm-1", "d", 41)]
     correct.disturbances = [Disturbance("withdraw", "agent-llm-1", True, 30, 40)]
@@ -193,6 +196,7 @@
     history.publications[1] = attrs.evolve(
         history.publications[1], result=PublishResult.ACCEPTED, revision=4
     )
+    history.revisions.append(RevisionInForce("agent-llm-1", 1, 3, 4, "log event"))
     assert rules_broken(history) == {"publication"}
 
 
@@ -208,6 +212,14 @@
     assert rules_broken(history) == {"convergence"}
 
 
+def test_rejects_revision_that_is_late_somewhere(history):
+    """Guards against a process that adopts an accepted publication after more than 11 s."""
+    history.revisions[-1] = attrs.evolve(history.revisions[-1], at=13.5)
+    assert rules_broken(history) == {"spread"}
+    history.disturbances.append(Disturbance("cut_link", "agent-llm-1", False, 3, 4))
+    assert rules_broken(history) == set()
+
+
 @pytest.mark.parametrize(
     "order",
     [
