--- a/histories/faults.py
+++ b/histories/faults.py
@@ -13,6 +13,7 @@
 
 from figwalk.cli.operator_commands import publish_values, set_withdrawal
 from figwalk.errors import FigwalkError, HttpError, SettingsError
+from figwalk.protocol.records import CLAIMS_STREAM, CONFIG_STREAM, CONTROL_STREAM
 from figwalk.state.published import PRESET_IN_FORCE_PATH
 from figwalk.state.published_values import WithdrawalMode
 from figwalk.state.settings import Address
@@ -30,7 +31,6 @@
 OPERATOR_RETRY_S = 0.5
 CRASH_WAIT_S = 12.0
 PRESETS = ("ordinary", "peak", "maintenance")
-CLAIMS_STREAM = "claims"
 
 Action = Callable[["FaultInjector", str, random.Random], Awaitable[None]]
 
@@ -92,8 +92,7 @@
                     kind = rng.choice(self._kinds)
                     target = rng.choice(self._targets(kind))
                     own_rng = random.Random(rng.random())
-                    if target not in self._busy:
-                        self._busy.add(target)
+                    if self.take(target):
                         nursery.start_soon(self._inject, kind, target, own_rng)
                         await trio.sleep(rng.uniform(0, 1.5))
 
@@ -103,6 +102,17 @@
         self.history.disturbances.append(started)
         await kind.action(self, target, rng)
         self.history.disturbances[index] = attrs.evolve(started, until=time.time())
+        self.give_back(target)
+
+    def take(self, target: str) -> bool:
+        """Reserve a target for one fault; return False if it has another one."""
+        if target in self._busy:
+            return False
+        self._busy.add(target)
+        return True
+
+    def give_back(self, target: str) -> None:
+        """Let other faults have a target."""
         self._busy.discard(target)
 
     def _targets(self, kind: FaultKind) -> list[str]:
@@ -246,6 +256,14 @@
     forwarder.forward()
 
 
+async def _hold_connections(injector: FaultInjector, target: str, rng: random.Random) -> None:
+    """Hold some connections to an agent, so that what one entry sends arrives after another's."""
+    forwarder = injector.forwarders[target]
+    forwarder.hold_connections(lambda: rng.random() < 0.5)
+    await trio.sleep(_duration(rng))
+    forwarder.forward()
+
+
 async def _slow_link(injector: FaultInjector, target: str, rng: random.Random) -> None:
     forwarder = injector.forwarders[target]
     forwarder.delay(rng.uniform(0.05, 0.8))
@@ -270,8 +288,17 @@
 
 
 async def _drop_records(injector: FaultInjector, _target: str, rng: random.Random) -> None:
-    count = rng.randint(1, 200)
-    await injector.set_faults(injector.deployment.platform.log, drop_oldest={CLAIMS_STREAM: count})
+    """Drop old records, sometimes before an entry starts that has to read what is left."""
+    stream = rng.choice([CLAIMS_STREAM, CONFIG_STREAM, CONTROL_STREAM])
+    droppable = await injector.recorder.log.count_droppable(stream)
+    if not droppable:
+        return
+    count = rng.randint(1, droppable)
+    await injector.set_faults(injector.deployment.platform.log, drop_oldest={stream: count})
+    entry = rng.choice(list(injector.deployment.entries))
+    if rng.random() < 0.5 and injector.take(entry):
+        await _kill(injector, entry, rng)
+        injector.give_back(entry)
 
 
 async def _crash_in_change(injector: FaultInjector, target: str, rng: random.Random) -> None:
@@ -317,6 +344,7 @@
     FaultKind("pause_engine", "engine", _pause),
     FaultKind("cut_link", "link", _cut_link),
     FaultKind("hold_link", "link", _hold_link),
+    FaultKind("hold_connections", "link", _hold_connections),
     FaultKind("slow_link", "link", _slow_link),
     FaultKind("cut_log_link", "log_link", _cut_link),
     FaultKind("hold_log_link", "log_link", _hold_link),
--- a/histories/log_reader.py
+++ b/histories/log_reader.py
@@ -17,6 +17,7 @@
     MalformedRecordError,
     Publish,
     RoleOrder,
+    Snapshot,
     decode_record,
 )
 from figwalk.state.settings import Address
@@ -26,6 +27,7 @@
 POLL_S = 0.2
 READ_TIMEOUT_S = 5.0
 NO_OFFSET = -1
+KEPT_CONTROL_RECORDS = 6
 
 
 @attrs.define
@@ -34,10 +36,13 @@
 
     history: History
     revisions: dict[str, int] = attrs.field(factory=dict)
+    snapshot_offset: int = 0
     seen: set[str] = attrs.field(factory=set)
 
     def apply(self, offset: int, record_id: str, record: object) -> None:
         """Take in one record."""
+        if isinstance(record, Snapshot):
+            self.snapshot_offset = offset
         if not isinstance(record, Publish) or record_id in self.seen:
             return
         self.seen.add(record_id)
@@ -85,12 +90,30 @@
 
     def __init__(self, address: Address, history: History) -> None:
         self._client = HttpClient(address.host, address.port)
-        self._folds = {CONFIG_STREAM: ConfigFold(history), CONTROL_STREAM: ControlFold(history)}
+        self._config = ConfigFold(history)
+        self._folds = {CONFIG_STREAM: self._config, CONTROL_STREAM: ControlFold(history)}
         self._offsets = dict.fromkeys(self._folds, 0)
 
-    def offset(self, stream: str) -> int:
-        """Return the offset up to which a stream has been read."""
-        return self._offsets.get(stream, 0)
+    async def count_droppable(self, stream: str) -> int:
+        """Return how many of the oldest records the platform may drop at most.
+
+        What the configuration needs after its newest snapshot is kept, and of the control stream
+        the records of about ten seconds.
+        """
+        target = f"/streams/{stream}/records?from=0&max=1"
+        try:
+            with trio.fail_after(READ_TIMEOUT_S):
+                response, body = await self._client.fetch("GET", target)
+        except (HttpError, trio.TooSlowError):
+            return 0
+        if response.status != 200:
+            return 0
+        content = json.loads(body)
+        limits = {
+            CONFIG_STREAM: self._config.snapshot_offset,
+            CONTROL_STREAM: self._offsets[CONTROL_STREAM] - KEPT_CONTROL_RECORDS,
+        }
+        return max(0, limits.get(stream, content["head"]) - content["oldest"])
 
     async def run(self) -> None:
         """Read until cancelled."""
--- a/histories/recorder.py
+++ b/histories/recorder.py
@@ -69,6 +69,11 @@
         self._nursery: trio.Nursery | None = None
         self._failures: list[str] = []
 
+    @property
+    def log(self) -> LogReader:
+        """Reader of the log."""
+        return self._log
+
     @property
     def failures(self) -> list[str]:
         """Log lines of processes that tell of an unexpected error."""
--- a/tests/support/forwarder.py
+++ b/tests/support/forwarder.py
@@ -4,6 +4,7 @@
 
 import socket
 import struct
+from collections.abc import Callable
 from enum import Enum
 
 import attrs
@@ -83,6 +84,15 @@
         """Keep back the bytes of the directions, or of both, until `forward`."""
         self._set_mode(Mode.HOLD, directions)
 
+    def hold_connections(self, choose: Callable[[], bool]) -> None:
+        """Keep back the bytes to the server of some open connections until `forward`.
+
+        Args:
+            choose: Called for each connection; returns whether it is held.
+        """
+        for connection in self._connections.values():
+            connection.held = choose()
+
     def drop(self, *directions: Direction) -> None:
         """Discard the bytes of the directions, or of both, until `forward`."""
         self._set_mode(Mode.DROP, directions)
@@ -90,6 +100,8 @@
     def forward(self, *directions: Direction) -> None:
         """Forward the bytes of the directions, or of both, and accept connections again."""
         self._refusing = False
+        for connection in self._connections.values():
+            connection.held = False
         self._set_mode(Mode.FORWARD, directions)
 
     def delay(self, seconds: float, *directions: Direction) -> None:
@@ -205,9 +217,13 @@
         connection.half_close(direction)
 
     async def _wait_released(self, connection: _Connection, direction: Direction) -> None:
-        while self._links[direction].mode is Mode.HOLD and connection.is_open(direction):
+        while self._is_held(connection, direction) and connection.is_open(direction):
             await self._changed.wait()
 
+    def _is_held(self, connection: _Connection, direction: Direction) -> bool:
+        held = connection.held and direction is Direction.TO_SERVER
+        return held or self._links[direction].mode is Mode.HOLD
+
 
 class _Connection:
     """A connection from a client and the one to the server that belongs to it."""
@@ -216,6 +232,7 @@
         self._client = client
         self._server = server
         self._closed: set[Direction] = set()
+        self.held = False
 
     def source(self, direction: Direction) -> trio.SocketStream:
         return self._client if direction is Direction.TO_SERVER else self._server
