--- a/histories/faults.py
+++ b/histories/faults.py
@@ -41,7 +41,8 @@
 
     Attributes:
         name: Its name.
-        targets: Group of targets: `entry`, `agent`, `engine`, `service`, `log`, `vms`, `config`.
+        targets: Group of targets: `entry`, `agent`, `engine`, `service`, `link`, `service_link`,
+            `log_link`, `log`, `vms` or `config`.
         action: Injects it, holds it and takes it back.
         planned: Whether it is a planned change.
     """
@@ -123,6 +124,7 @@
             "engine": [s.backend.name for s in settings if s.backend.kind == ENGINE_KIND],
             "service": [s.backend.name for s in settings if s.backend.kind != ENGINE_KIND],
             "link": list(self.deployment.agents),
+            "service_link": [s.process for s in settings if s.backend.kind != ENGINE_KIND],
             "log_link": [f"{entry}-log" for entry in self.deployment.entries],
         }
         return groups.get(kind.targets, [kind.targets])
@@ -344,7 +346,7 @@
     FaultKind("pause_engine", "engine", _pause),
     FaultKind("cut_link", "link", _cut_link),
     FaultKind("hold_link", "link", _hold_link),
-    FaultKind("hold_connections", "link", _hold_connections),
+    FaultKind("hold_connections", "service_link", _hold_connections),
     FaultKind("slow_link", "link", _slow_link),
     FaultKind("cut_log_link", "log_link", _cut_link),
     FaultKind("hold_log_link", "log_link", _hold_link),
