--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -8,10 +8,10 @@
 import h11
 import trio
 
-from figwalk.errors import CallerError, ConnectionLostError
+from figwalk.errors import CallerError, CallOutcome, ConnectionLostError
 from figwalk.events import Event, EventLog
 from figwalk.transport.byte_stream import ByteStream
-from figwalk.transport.http_types import Headers, HttpLimits, HttpRequest
+from figwalk.transport.http_types import Headers, HttpLimits, HttpRequest, find_header
 
 RECEIVE_BYTES = 65536
 LISTEN_BACKLOG = 1024
@@ -19,6 +19,10 @@
 # well above the one-way latency of 12 ms between regions.
 DRAIN_IDLE_S = 0.2
 BACKLOG_POLL_S = 0.005
+# A client may still be sending when it is refused. Closing a socket with unread bytes resets the
+# connection, and the client then often loses the answer.
+LINGER_S = 2.0
+MAX_TURNED_AWAY = 64
 
 JSON_HEADER = (b"content-type", b"application/json")
 CLOSE_HEADER = (b"connection", b"close")
@@ -113,6 +117,10 @@
     """The client of the HTTP server went away before the end of its answer."""
 
 
+class SlowSenderError(CallerError):
+    """A client did not send its request in time."""
+
+
 HttpHandler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 
@@ -135,6 +143,7 @@
         self._events = events
         self._limits = limits or HttpLimits()
         self._connections = 0
+        self._turned_away = 0
         self._active_requests = 0
         self._draining = False
         self._idle: set[trio.CancelScope] = set()
@@ -205,11 +214,12 @@
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         if self._connections >= self._limits.max_connections:
             self._events.record(Event.HTTP_TOO_MANY_CONNECTIONS, limit=self._connections)
-            await trio.aclose_forcefully(stream)
+            await self._turn_away(stream)
             return
         self._connections += 1
         try:
-            await self._serve_requests(ByteStream(stream))
+            if await self._serve_requests(ByteStream(stream)):
+                await _linger(stream)
         except (ConnectionLostError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except h11.LocalProtocolError as error:
@@ -220,7 +230,24 @@
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
                 await trio.aclose_forcefully(stream)
 
-    async def _serve_requests(self, stream: ByteStream) -> None:
+    async def _turn_away(self, stream: trio.SocketStream) -> None:
+        """Answer 503 without reading; the limit on these keeps file descriptors bounded."""
+        self._turned_away += 1
+        try:
+            if self._turned_away <= MAX_TURNED_AWAY:
+                with trio.move_on_after(LINGER_S):
+                    await Responder(h11.Connection(h11.SERVER), stream).send_json(
+                        503, _TOO_MANY_CONNECTIONS, [CLOSE_HEADER, (b"retry-after", b"1")]
+                    )
+                    await _linger(stream)
+        except (ConnectionLostError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            self._turned_away -= 1
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_requests(self, stream: ByteStream) -> bool:
+        """Serve requests; return whether the client may still send or read."""
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
         )
@@ -228,15 +255,14 @@
             try:
                 request = await self._receive_request(connection, stream)
             except h11.RemoteProtocolError as error:
-                await self._refuse(
-                    connection, stream, error.error_status_hint, "malformed_request", str(error)
-                )
-                return
+                refusal = CallerError(error.error_status_hint, "malformed_request", str(error))
+                await self._refuse(connection, stream, refusal)
+                return True
             except CallerError as error:
-                await self._refuse(connection, stream, error.status, error.code, error.message)
-                return
+                await self._refuse(connection, stream, error)
+                return True
             if request is None:
-                return
+                return False
             responder = Responder(
                 connection, stream, lambda: self._draining, head_only=request.method == "HEAD"
             )
@@ -246,9 +272,9 @@
             finally:
                 self._active_requests -= 1
             if not responder.finished or self._draining:
-                return
+                return True
             if connection.our_state is h11.MUST_CLOSE:
-                return
+                return True
             connection.start_next_cycle()
 
     async def _receive_request(
@@ -265,8 +291,7 @@
             scope.deadline = trio.current_time() + self._limits.receive_timeout_s
             return await self._receive_events(connection, stream)
         if receiving:
-            self._events.record(Event.HTTP_SLOW_SENDER, timeout_s=self._limits.receive_timeout_s)
-            raise CallerError(
+            raise SlowSenderError(
                 408, "request_timeout", "the request was not complete in time; send it faster"
             )
         return None
@@ -293,14 +318,11 @@
                 connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
             elif isinstance(event, h11.Request):
                 head = event
+                # h11 has checked the header; a client that waits for 100 never sends the body.
+                self._check_body_size(int(find_header(list(head.headers), b"content-length", "0")))
             elif isinstance(event, h11.Data):
                 body += event.data
-                if len(body) > self._limits.max_body_bytes:
-                    raise CallerError(
-                        413,
-                        "body_too_large",
-                        f"the body is above the limit of {self._limits.max_body_bytes} bytes",
-                    )
+                self._check_body_size(len(body))
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 return HttpRequest(
                     head.method.decode("ascii"),
@@ -311,6 +333,13 @@
             else:
                 return None
 
+    def _check_body_size(self, size: int) -> None:
+        limit = self._limits.max_body_bytes
+        if size > limit:
+            raise CallerError(
+                413, "body_too_large", f"the body is above the limit of {limit} bytes"
+            )
+
     async def _answer(self, request: HttpRequest, responder: Responder) -> None:
         try:
             _refuse_connect(request)
@@ -335,16 +364,24 @@
         self,
         connection: h11.Connection,
         stream: ByteStream,
-        status: int,
-        code: str,
-        message: str,
+        error: CallerError,
     ) -> None:
-        self._events.record(Event.HTTP_BAD_REQUEST, status=status, code=code, detail=message)
+        slow = isinstance(error, SlowSenderError)
+        event = Event.HTTP_SLOW_SENDER if slow else Event.HTTP_BAD_REQUEST
+        self._events.record(event, status=error.status, code=error.code, detail=error.message)
         if connection.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
         responder = Responder(connection, stream)
-        body = render_error("invalid_request_error", code, message)
-        await responder.send_json(status, body, [CLOSE_HEADER])
+        body = render_error("invalid_request_error", error.code, error.message)
+        await responder.send_json(error.status, body, [CLOSE_HEADER])
+
+
+async def _linger(stream: trio.SocketStream) -> None:
+    """End the sending side and drop what still arrives, until the client closes too."""
+    with trio.move_on_after(LINGER_S):
+        await stream.send_eof()
+        while await stream.receive_some(RECEIVE_BYTES):
+            pass
 
 
 def _refuse_connect(request: HttpRequest) -> None:
@@ -367,3 +404,12 @@
 def render_error(kind: str, code: str, message: str, **fields: object) -> dict[str, object]:
     """Return an error body in the shape that OpenAI clients read."""
     return {"error": {"type": kind, "code": code, "message": message, **fields}}
+
+
+_TOO_MANY_CONNECTIONS = render_error(
+    "server_error",
+    "too_many_connections",
+    "the server has too many open connections; retry after 1 s",
+    outcome=CallOutcome.NOT_RUN.value,
+    attempt=CallOutcome.NOT_RUN.value,
+)
