Finish arriving requests and log records before an entry stops

Cause: the drain waited only for requests that had been received whole, closed kept-alive connections over bytes that had arrived, and forgot connections in the accept queue. The entry then waited for the log and cut whatever had begun meanwhile. Ruled out: the claim writer, whose flush waited for queued and running appends as it should, and h11. Before: a half-sent request, the first request of a new connection, a request in the buffer of a kept-alive connection and one in the accept queue were cut, and so was a stream that began while an outcome waited for the log. After: all are answered whole. The operator API is drained too, and PROCESS_STOP_CUT is recorded when outcomes are missing in the log, not only for running calls.

--- a/figwalk/entry/process.py
+++ b/figwalk/entry/process.py
@@ -222,15 +222,29 @@
         self._stopping = True
         self._events.record(Event.PROCESS_STOPPING, running=self._callers_server.active_requests)
         with trio.move_on_after(self._settings.grace_s) as scope:
-            await self._callers_server.drain()
-            await self._claim_writer.flush()
-        running = self._callers_server.active_requests
-        if scope.cancelled_caught and running:
-            self._events.record(Event.PROCESS_STOP_CUT, running=running)
+            await self._finish_work()
+        if scope.cancelled_caught:
+            self._events.record(
+                Event.PROCESS_STOP_CUT,
+                running=self._callers_server.active_requests,
+                unrecorded=self._claim_writer.queued,
+            )
         else:
             self._events.record(Event.PROCESS_STOPPED)
         self._nursery.cancel_scope.cancel()
 
+    async def _finish_work(self) -> None:
+        """Return once no request runs and every outcome is in the log.
+
+        Requests can arrive while an outcome waits for the log, and bring new outcomes.
+        """
+        while True:
+            await self._callers_server.drain()
+            await self._admin_server.drain()
+            await self._claim_writer.flush()
+            if self._callers_server.quiet and self._admin_server.quiet:
+                return
+
     def _take_vm_change(self, change: VmChange) -> None:
         if change.vm.kind is VmKind.BACKEND:
             self._take_backend_change(change)
--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from enum import Enum
 
 import h11
 import trio
@@ -18,6 +20,11 @@
 # connection, and the client then often loses the answer.
 LINGER_S = 2.0
 MAX_TURNED_AWAY = 64
+# A client that has just connected is about to send a request, also during a drain.
+DRAIN_FIRST_REQUEST_S = 1.0
+# A connection taken from the accept queue is counted a few passes of the scheduler later.
+SETTLE_PASSES = 8
+ACCEPT_POLL_S = 0.01
 
 JSON_HEADER = (b"content-type", b"application/json")
 CLOSE_HEADER = (b"connection", b"close")
@@ -140,15 +147,23 @@
         self._connections = 0
         self._turned_away = 0
         self._active_requests = 0
+        self._busy = 0
         self._draining = False
-        self._idle: set[trio.CancelScope] = set()
-        self._all_answered = trio.Event()
+        # Connections that wait for a request, and whether it would be their first one.
+        self._idle: dict[trio.CancelScope, bool] = {}
+        self._changed = trio.Event()
+        self._listeners: list[trio.SocketListener] = []
 
     @property
     def active_requests(self) -> int:
         """Requests being answered now."""
         return self._active_requests
 
+    @property
+    def quiet(self) -> bool:
+        """Whether no request is being received, answered or about to arrive."""
+        return not self._has_work() and not self._has_unaccepted()
+
     async def serve(
         self,
         host: str,
@@ -158,6 +173,7 @@
     ) -> None:
         """Listen and serve until cancelled; reports the bound port when started."""
         listeners = await trio.open_tcp_listeners(port, host=host, backlog=LISTEN_BACKLOG)
+        self._listeners = listeners
         bound_port = listeners[0].socket.getsockname()[1]
         await trio.serve_listeners(
             self._serve_connection,
@@ -166,17 +182,47 @@
         )
 
     async def drain(self) -> None:
-        """Close idle connections, answer what is running, and return when nothing runs.
+        """Close idle connections, answer what has arrived, and return when nothing runs.
 
-        Requests that arrive meanwhile on open connections are still answered, with
-        ``Connection: close``.
+        Requests that arrive meanwhile are still answered, with ``Connection: close``. The server
+        goes on listening; cancel it without a pause while `quiet` holds.
         """
         self._draining = True
-        for scope in list(self._idle):
-            scope.cancel()
-        while self._active_requests:
-            self._all_answered = trio.Event()
-            await self._all_answered.wait()
+        first_deadline = trio.current_time() + DRAIN_FIRST_REQUEST_S
+        for scope, first in list(self._idle.items()):
+            if first:
+                scope.deadline = min(scope.deadline, first_deadline)
+            else:
+                scope.cancel()
+        passes = 0
+        while passes < SETTLE_PASSES:
+            passes = passes + 1 if self.quiet else 0
+            if self._has_work():
+                await self._changed.wait()
+            elif self._has_unaccepted():
+                await trio.sleep(ACCEPT_POLL_S)
+            else:
+                await trio.lowlevel.checkpoint()
+
+    def _has_work(self) -> bool:
+        return self._busy > 0 or any(self._idle.values())
+
+    def _has_unaccepted(self) -> bool:
+        return any(listener.socket.is_readable() for listener in self._listeners)
+
+    def _notify(self) -> None:
+        if self._draining:
+            self._changed.set()
+            self._changed = trio.Event()
+
+    @contextmanager
+    def _count_busy(self) -> Iterator[None]:
+        self._busy += 1
+        try:
+            yield
+        finally:
+            self._busy -= 1
+            self._notify()
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         if self._connections >= self._limits.max_connections:
@@ -185,8 +231,7 @@
             return
         self._connections += 1
         try:
-            if await self._serve_requests(stream):
-                await _linger(stream)
+            await self._serve_requests(stream)
         except (ConnectionLostError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except h11.LocalProtocolError as error:
@@ -213,54 +258,69 @@
             self._turned_away -= 1
             await trio.aclose_forcefully(stream)
 
-    async def _serve_requests(self, stream: trio.SocketStream) -> bool:
-        """Serve requests; return whether the client may still send or read."""
+    async def _serve_requests(self, stream: trio.SocketStream) -> None:
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
         )
-        while True:
-            try:
-                request = await self._receive_request(connection, stream)
-            except h11.RemoteProtocolError as error:
-                refusal = CallerError(error.error_status_hint, "malformed_request", str(error))
-                await self._refuse(connection, stream, refusal)
-                return True
-            except CallerError as error:
-                await self._refuse(connection, stream, error)
-                return True
-            if request is None:
-                return False
-            responder = Responder(
-                connection, stream, lambda: self._draining, head_only=request.method == "HEAD"
-            )
-            self._active_requests += 1
+        first = True
+        while await self._wait_for_bytes(connection, stream, first=first):
+            with self._count_busy():
+                after = await self._serve_request(connection, stream)
+                if after is _After.LINGER:
+                    await _linger(stream)
+            if after is not _After.NEXT:
+                return
+            first = False
+
+    async def _wait_for_bytes(
+        self, connection: h11.Connection, stream: trio.SocketStream, *, first: bool
+    ) -> bool:
+        """Wait for the beginning of a request; return False if the connection is to be closed."""
+        if connection.trailing_data[0]:
+            return True
+        if self._draining and not first:
+            return stream.socket.is_readable()
+        timeout_s = DRAIN_FIRST_REQUEST_S if self._draining else self._limits.idle_timeout_s
+        with trio.CancelScope(deadline=trio.current_time() + timeout_s) as scope:
+            self._idle[scope] = first
             try:
-                await self._answer(request, responder)
+                connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
             finally:
-                self._active_requests -= 1
-                if not self._active_requests:
-                    self._all_answered.set()
-            if not responder.finished or self._draining:
-                return True
-            if connection.our_state is h11.MUST_CLOSE:
-                return True
-            connection.start_next_cycle()
+                del self._idle[scope]
+                self._notify()
+        # The cancellation of a drain can overtake bytes that have arrived.
+        return not scope.cancelled_caught or (self._draining and stream.socket.is_readable())
+
+    async def _serve_request(self, connection: h11.Connection, stream: trio.SocketStream) -> _After:
+        """Receive and answer one request."""
+        try:
+            request = await self._receive_request(connection, stream)
+        except h11.RemoteProtocolError as error:
+            refusal = CallerError(error.error_status_hint, "malformed_request", str(error))
+            await self._refuse(connection, stream, refusal)
+            return _After.LINGER
+        except CallerError as error:
+            await self._refuse(connection, stream, error)
+            return _After.LINGER
+        if request is None:
+            return _After.CLOSE
+        responder = Responder(
+            connection, stream, lambda: self._draining, head_only=request.method == "HEAD"
+        )
+        self._active_requests += 1
+        try:
+            await self._answer(request, responder)
+        finally:
+            self._active_requests -= 1
+        if not responder.finished or connection.our_state is h11.MUST_CLOSE:
+            return _After.LINGER
+        connection.start_next_cycle()
+        return _After.NEXT
 
     async def _receive_request(
         self, connection: h11.Connection, stream: trio.SocketStream
     ) -> HttpRequest | None:
-        """Return the next request, or None when the connection is to be closed."""
-        with trio.CancelScope() as idle_scope:
-            idle_scope.deadline = trio.current_time() + self._limits.idle_timeout_s
-            self._idle.add(idle_scope)
-            try:
-                if not connection.trailing_data[0]:
-                    data = await stream.receive_some(RECEIVE_BYTES)
-                    connection.receive_data(data)
-            finally:
-                self._idle.discard(idle_scope)
-        if idle_scope.cancelled_caught:
-            return None
+        """Return the next request, or None when the client has closed the connection."""
         with trio.move_on_after(self._limits.receive_timeout_s):
             return await self._receive_events(connection, stream)
         raise SlowSenderError(
@@ -353,6 +413,14 @@
         raise CallerError(405, "method_not_allowed", "this server is not a proxy")
 
 
+class _After(Enum):
+    """What follows a request on its connection."""
+
+    NEXT = "next"
+    CLOSE = "close"
+    LINGER = "linger"
+
+
 class _PortStatus:
     """Adapts `trio.serve_listeners` to report the bound port."""
 
--- a/tests/deployment_thread.py
+++ b/tests/deployment_thread.py
@@ -32,6 +32,7 @@
         self._thread = threading.Thread(target=self._run)
         self._token = None
         self._error = None
+        self._launcher = None
         self.deployment = None
         self.faults = []
 
@@ -49,13 +50,17 @@
     @property
     def handles(self):
         """Processes by name."""
-        return {handle.name: handle for handle in self.deployment.handles}
+        return {handle.name: handle for handle in self._launcher.handles}
 
     def address(self, process, name):
         """Return host and port of a listening socket."""
         address = self.handles[process].addresses[name]
         return address.host, address.port
 
+    def wait_end(self, process):
+        """Wait for the end of a process and return its exit status."""
+        return trio.from_thread.run(self.handles[process].wait, trio_token=self._token)
+
     def log_text(self, process):
         """Return what a process wrote to standard error."""
         return self.handles[process].log_path.read_text()
@@ -84,6 +89,7 @@
             (source / name).write_text(text)
         run_directory = self._directory / "run"
         async with Launcher(run_directory) as launcher:
+            self._launcher = launcher
             self.deployment = Deployment(source, launcher, run_directory, fixed_ports=False)
             await self.deployment.start()
             publication = await self.deployment.publish()
