Say at a stop that outcomes are missing in the log

Ruled out: the flush of the claim writer, which waits for the outcome as long as the grace time allows. Before: PROCESS_STOPPED. After: PROCESS_STOP_CUT with the number of unrecorded outcomes.

--- a/figwalk/entry/process.py
+++ b/figwalk/entry/process.py
@@ -230,10 +230,12 @@
                 for server in (self._callers_server, self._admin_server):
                     nursery.start_soon(partial(server.drain, accept_s=BALANCER_NOTICE_S))
             await self._claim_writer.flush()
-        running = self._callers_server.active_requests
-        unrecorded = self._claim_writer.queued
-        if scope.cancelled_caught and (running or unrecorded):
-            self._events.record(Event.PROCESS_STOP_CUT, running=running, unrecorded=unrecorded)
+        if scope.cancelled_caught:
+            self._events.record(
+                Event.PROCESS_STOP_CUT,
+                running=self._callers_server.active_requests,
+                unrecorded=self._claim_writer.queued,
+            )
         else:
             self._events.record(Event.PROCESS_STOPPED)
         self._nursery.cancel_scope.cancel()
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -28,7 +28,11 @@
     PROCESS_STARTED = (100, "info", "The process serves on its addresses.")
     PROCESS_STOPPING = (101, "info", "A graceful shutdown began.")
     PROCESS_STOPPED = (102, "info", "The process has stopped; nothing was cut.")
-    PROCESS_STOP_CUT = (103, "error", "The grace time ended with calls still running.")
+    PROCESS_STOP_CUT = (
+        103,
+        "error",
+        "The grace time ended with calls running or outcomes not yet in the log.",
+    )
     TASK_FAILED = (104, "error", "A task ended with an unexpected error.")
 
     HTTP_BAD_REQUEST = (200, "warning", "An HTTP request was refused as malformed or too large.")
--- a/tests/deployment_thread.py
+++ b/tests/deployment_thread.py
@@ -21,12 +21,12 @@
 
     Args:
         directory: Directory for settings and logs.
-        limits: Limits of the entry's HTTP server.
+        **changes: Changed settings of the entry.
     """
 
-    def __init__(self, directory, **limits):
+    def __init__(self, directory, **changes):
         self._directory = directory
-        self._limits = limits
+        self._changes = changes
         self._ready = threading.Event()
         self._stop = trio.Event()
         self._thread = threading.Thread(target=self._run)
@@ -85,7 +85,7 @@
         for name in FILES:
             text = (EXAMPLE / name).read_text()
             if name.startswith("entry"):
-                text = yaml.safe_dump(yaml.safe_load(text) | {"limits": self._limits})
+                text = yaml.safe_dump(yaml.safe_load(text) | self._changes)
             (source / name).write_text(text)
         run_directory = self._directory / "run"
         async with Launcher(run_directory) as launcher:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -28,7 +28,7 @@
         "max_connections": MAX_CONNECTIONS,
         "receive_timeout_s": 1.0,
     }
-    with DeploymentThread(tmp_path_factory.mktemp("bad"), **limits) as running:
+    with DeploymentThread(tmp_path_factory.mktemp("bad"), limits=limits) as running:
         yield running
         for name in (ENTRY, AGENT):
             assert "Traceback" not in running.log_text(name)
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -187,18 +187,25 @@
         records = json.load(call(log, "GET", CLAIMS)).get("records", [])
 
 
+def order_and_lose_the_log(running):
+    """Place an order whose claim is in the log and whose outcome is not."""
+    entry, log = running.address(ENTRY, "callers"), running.address("log", "http")
+    call(running.address("depot-1", "http"), "POST", "/faults", {"delay_ms": 1000})
+    statuses = []
+    ordering = threading.Thread(target=place_order, args=(entry, statuses))
+    ordering.start()
+    wait_for_claim_record(log, "claims")
+    call(log, "POST", "/faults", {"outage": True})
+    ordering.join()
+    assert statuses == [201]
+
+
 def test_entry_stops_only_after_streams_and_outcomes(tmp_path):
     """Guards against a stop that cuts a stream, or loses an outcome that the log lacks yet."""
     with DeploymentThread(tmp_path) as running:
         entry, log = running.address(ENTRY, "callers"), running.address("log", "http")
-        call(running.address("depot-1", "http"), "POST", "/faults", {"delay_ms": 1000})
-        statuses, bodies, first_seen = [], [], threading.Event()
-        ordering = threading.Thread(target=place_order, args=(entry, statuses))
-        ordering.start()
-        wait_for_claim_record(log, "claims")
-        call(log, "POST", "/faults", {"outage": True})
-        ordering.join()
-        assert statuses == [201]
+        bodies, first_seen = [], threading.Event()
+        order_and_lose_the_log(running)
         streaming = threading.Thread(target=read_stream, args=(entry, first_seen, bodies))
         streaming.start()
         assert first_seen.wait(30)
@@ -212,3 +219,12 @@
         assert running.wait_end(ENTRY) == 0
     assert running.faults == []
     assert running.events(ENTRY)[-1] == "PROCESS_STOPPED"
+
+
+def test_stop_without_the_log_says_that_an_outcome_is_missing(tmp_path):
+    """Guards against `nothing was cut` in the log line of a stop that left an outcome out."""
+    with DeploymentThread(tmp_path, grace_s=2) as running:
+        order_and_lose_the_log(running)
+        running.handles[ENTRY].terminate()
+        assert running.wait_end(ENTRY) == 0
+        assert running.events(ENTRY)[-1] == "PROCESS_STOP_CUT"
