--- a/figwalk/agent/metrics.py
+++ b/figwalk/agent/metrics.py
@@ -1,9 +1,8 @@
-"""Metrics of an agent, sent by statsd once a second; docs/metrics-agent.md lists them."""
+"""Metrics of an agent, sent by statsd once a second; docs/metrics.md lists them."""
 
 from __future__ import annotations
 
-import statsd
-
+from figwalk import metrics as statsd_metrics
 from figwalk.coordination.admission import Ticket
 from figwalk.protocol.messages import BackendState, LoadReport
 from figwalk.state.settings import Address
@@ -39,21 +38,19 @@
     """
 
     def __init__(self, address: Address, backend: str, metrics: Metrics) -> None:
-        self._client = statsd.StatsClient(
-            address.host, address.port, prefix=f"figwalk.agent.{backend}"
-        )
+        self._sender = statsd_metrics.Metrics(address, prefix=f"figwalk.agent.{backend}")
         self._metrics = metrics
         self._sent: dict[str, int] = {}
 
     def publish(self, report: LoadReport) -> None:
         """Send what changed since the last call; lost datagrams are not repeated."""
-        with self._client.pipeline() as pipe:
-            for name, total in vars(self._metrics).items():
-                pipe.incr(f"calls.{name}", total - self._sent.get(name, 0))
-                self._sent[name] = total
-            pipe.gauge("running", report.running)
-            pipe.gauge("queued", report.queued)
-            pipe.gauge("queue_wait_ms", report.queue_wait_ms)
-            pipe.gauge("order_offset", report.order_offset)
-            pipe.gauge("revision", report.revision)
-            pipe.gauge("serving", int(report.state is BackendState.SERVING))
+        for name, total in vars(self._metrics).items():
+            self._sender.count(f"calls.{name}", total - self._sent.get(name, 0))
+            self._sent[name] = total
+        self._sender.gauge("running", report.running)
+        self._sender.gauge("queued", report.queued)
+        self._sender.gauge("queue_wait_ms", report.queue_wait_ms)
+        self._sender.gauge("order_offset", report.order_offset)
+        self._sender.gauge("revision", report.revision)
+        self._sender.gauge("serving", int(report.state is BackendState.SERVING))
+        self._sender.send()
--- a/figwalk/metrics.py
+++ b/figwalk/metrics.py
@@ -21,16 +21,17 @@
     Args:
         address: statsd receiver (UDP), or None for no sending.
         prefix: Prefix of all names, for example `figwalk.entry`.
-        timer: Timer service that drives the sending.
+        timer: Timer service that drives the sending; without one, the owner calls `send`.
     """
 
-    def __init__(self, address: Address | None, *, prefix: str, timer: Timer) -> None:
+    def __init__(self, address: Address | None, *, prefix: str, timer: Timer | None = None) -> None:
         self._counters: Counter[str] = Counter()
         self._gauges: dict[str, float] = {}
         self._client: statsd.StatsClient | None = None
         if address is not None:
             self._client = statsd.StatsClient(address.host, address.port, prefix=prefix)
-            timer.subscribe("metrics", FLUSH_PERIOD_S, self.flush)
+            if timer is not None:
+                timer.subscribe("metrics", FLUSH_PERIOD_S, self.flush)
 
     def count(self, name: str, value: int = 1) -> None:
         """Add to a counter."""
@@ -41,6 +42,10 @@
         self._gauges[name] = value
 
     async def flush(self) -> None:
+        """Send what changed, as a callback of the timer service."""
+        self.send()
+
+    def send(self) -> None:
         """Send what changed since the last call."""
         counters, self._counters = self._counters, Counter()
         gauges, self._gauges = self._gauges, {}
