Name the address when a port can't be listened on

Cause: the OSError of a taken port left the nursery as an exception group with a traceback of 42 to 171 lines, in which the address is not named. Ruled out: settings check, which can't see ports. Before: traceback. After: one line with the address and the remedy, and exit status 1.

--- a/figwalk/agent/main.py
+++ b/figwalk/agent/main.py
@@ -30,8 +30,10 @@
 from figwalk.state.settings import Address, AgentSettings
 from figwalk.timer import Timer
 from figwalk.transport import HttpRequest, HttpServer, Responder
+from figwalk.transport.listening import find_listen_error
 
 EXIT_BAD_SETTINGS = 2
+EXIT_CAN_NOT_LISTEN = 1
 
 
 class Agent:
@@ -249,7 +251,14 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    trio.run(run_agent, settings)
+    try:
+        trio.run(run_agent, settings)
+    except BaseExceptionGroup as group:
+        error = find_listen_error(group)
+        if error is None:
+            raise
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_CAN_NOT_LISTEN)
 
 
 if __name__ == "__main__":
--- a/figwalk/entry/main.py
+++ b/figwalk/entry/main.py
@@ -14,8 +14,10 @@
 from figwalk.log_output import configure_logging
 from figwalk.state.settings import EntrySettings
 from figwalk.state.settings_file import load_settings
+from figwalk.transport.listening import find_listen_error
 
 SETTINGS_EXIT_CODE = 2
+LISTEN_EXIT_CODE = 1
 
 
 async def run_entry(settings: EntrySettings) -> None:
@@ -42,7 +44,14 @@
     except SettingsError as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(SETTINGS_EXIT_CODE) from error
-    trio.run(run_entry, settings)
+    try:
+        trio.run(run_entry, settings)
+    except BaseExceptionGroup as group:
+        error = find_listen_error(group)
+        if error is None:
+            raise
+        typer.echo(str(error), err=True)
+        raise typer.Exit(LISTEN_EXIT_CODE) from error
 
 
 def main() -> None:
--- a/figwalk/entry/process.py
+++ b/figwalk/entry/process.py
@@ -39,6 +39,7 @@
 from figwalk.state.settings import EntrySettings
 from figwalk.timer import Timer
 from figwalk.transport import HttpClient, HttpServer
+from figwalk.transport.listening import open_listeners
 
 INCARNATION_BITS = 64
 PEER_CONFIG_PERIOD_S = 1.0
@@ -269,9 +270,7 @@
 
     async def _listen(self, nursery: trio.Nursery) -> None:
         settings = self._settings
-        peers = await trio.open_tcp_listeners(
-            settings.peers.port, host=settings.peers.host, backlog=PEER_BACKLOG
-        )
+        peers = await open_listeners(settings.peers.host, settings.peers.port, backlog=PEER_BACKLOG)
         nursery.start_soon(trio.serve_listeners, self._peers.serve, peers)
         _announce("peers", settings.peers.host, peers[0].socket.getsockname()[1])
         if settings.admin_token:
--- a/figwalk/errors.py
+++ b/figwalk/errors.py
@@ -54,6 +54,10 @@
     """The other side closed or reset the connection."""
 
 
+class ListenError(TransportError):
+    """An address of the settings can't be listened on."""
+
+
 class FrameTooLargeError(TransportError):
     """A peer announced a frame above the limit."""
 
--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -13,6 +13,7 @@
 from figwalk.events import Event, EventLog
 from figwalk.transport.byte_stream import ByteStream
 from figwalk.transport.http_types import Headers, HttpLimits, HttpRequest, find_header
+from figwalk.transport.listening import open_listeners
 
 RECEIVE_BYTES = 65536
 LISTEN_BACKLOG = 1024
@@ -163,8 +164,12 @@
         *,
         task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Listen and serve until cancelled; reports the bound port when started."""
-        listeners = await trio.open_tcp_listeners(port, host=host, backlog=LISTEN_BACKLOG)
+        """Listen and serve until cancelled; reports the bound port when started.
+
+        Raises:
+            ListenError: The system refuses the address.
+        """
+        listeners = await open_listeners(host, port, backlog=LISTEN_BACKLOG)
         self._listeners += listeners
         self._served.append(served := trio.Event())
         bound_port = listeners[0].socket.getsockname()[1]
