Keep the entry running when the service of one agent fails

Cause: AgentLink caught only TransportError; any other error of a message handler left the nursery and ended the process. Ruled out: the frames themselves, whose errors are all TransportError. Before: the scripted fault ended the entry's nursery. After: TASK_FAILED, and the link reconnects.

--- a/figwalk/entry/agent_link.py
+++ b/figwalk/entry/agent_link.py
@@ -224,6 +224,11 @@
             self._events.record(
                 Event.PEER_LOST, peer=hello.process, reason=group.exceptions[0], address=self.vm
             )
+        except* Exception as group:
+            # A fault in the service of one agent ends that connection only.
+            self._events.record(
+                Event.TASK_FAILED, task=f"link to {self._vm}", error=repr(group.exceptions[0])
+            )
         finally:
             self._connection = None
             self._owner.on_lost(self)
--- a/tests/test_entry_links.py
+++ b/tests/test_entry_links.py
@@ -294,6 +294,18 @@
     assert states == [KeyState.FINISHED] * 2
 
 
+@link_test
+async def test_fault_in_one_link_does_not_end_the_entry(agent):
+    """Guards against one agent's message that ends the process and all its requests."""
+    agent.owner.reports = None  # Makes `on_report` fail.
+    agent.nursery.start_soon(agent.link.run)
+    control = await agent.next_connection()
+    await control.send(LoadReport(1, "llm-1"))
+    await agent.next_connection()
+    assert agent.owner.lost == 1
+    assert agent.names().count("TASK_FAILED") == 1
+
+
 class Delays:
     """Replaces the link's sleeps and records them."""
 
