--- a/standins/up.py
+++ b/standins/up.py
@@ -58,7 +58,7 @@
     print()
     print(f"export FIGWALK_ADMIN=http://{deployment.admin_addresses[0]}")
     print(f"export FIGWALK_TOKEN={deployment.admin_token}")
-    print("figwalk status")
+    print(f"{Path(sys.executable).with_name('figwalk')} status")
     print()
     print("Ctrl-C stops everything.", flush=True)
 
