Close silent and surplus connections to an entry's peer port

Cause: EntryPeers.serve waited for a Hello without a limit of time or number, so that silent connections used up the file descriptors. Ruled out: the agent's peer port, which has both limits. Before: a silent connection stayed open. After: closed after 5 s without a Hello, or at once above 1024 connections with one log line.

--- a/figwalk/entry/entry_peers.py
+++ b/figwalk/entry/entry_peers.py
@@ -24,6 +24,9 @@
 from figwalk.transport.byte_stream import ByteStream
 
 REPLY_TIMEOUT_S = 2.0
+HELLO_TIMEOUT_S = 5.0
+# Entries and operators' queries open one short connection at a time.
+MAX_CONNECTIONS = 1024
 MAX_QUERIED_ENTRIES = 8  # A time line at the target size must not ask thousands of entries.
 
 
@@ -45,6 +48,7 @@
         self._owner = owner
         self._events = events
         self._vms: dict[str, Vm] = {}
+        self._connections = 0
 
     @property
     def count(self) -> int:
@@ -79,11 +83,17 @@
     async def serve(self, stream: trio.SocketStream) -> None:
         """Answer one connection of another entry."""
         connection = PeerConnection(ByteStream(stream))
+        if self._connections >= MAX_CONNECTIONS:
+            self._events.record(Event.HTTP_TOO_MANY_CONNECTIONS, limit=MAX_CONNECTIONS)
+            connection.close()
+            return
+        self._connections += 1
         try:
-            hello = await connection.receive_hello()
-            self._events.clock.observe(hello.clock)
-            await connection.send(self._owner.hello(ConnectionKind.PEER))
-            while True:
+            with trio.move_on_after(HELLO_TIMEOUT_S) as scope:
+                hello = await connection.receive_hello()
+                self._events.clock.observe(hello.clock)
+                await connection.send(self._owner.hello(ConnectionKind.PEER))
+            while not scope.cancelled_caught:
                 await connection.send(self._answer(await connection.receive()))
         except ConnectionLostError:
             pass
@@ -93,6 +103,7 @@
             # A fault in the service of one connection ends that connection only.
             self._events.record(Event.TASK_FAILED, task="peer connection", error=repr(error))
         finally:
+            self._connections -= 1
             connection.close()
 
     def _answer(self, message: object) -> Message:
