--- a/figwalk/entry/process.py
+++ b/figwalk/entry/process.py
@@ -39,6 +39,7 @@
 from figwalk.state.settings import EntrySettings
 from figwalk.timer import Timer
 from figwalk.transport import HttpClient, HttpServer
+from figwalk.transport.listening import open_listeners
 
 INCARNATION_BITS = 64
 PEER_CONFIG_PERIOD_S = 1.0
@@ -230,9 +231,12 @@
                 for server in (self._callers_server, self._admin_server):
                     nursery.start_soon(partial(server.drain, accept_s=BALANCER_NOTICE_S))
             await self._claim_writer.flush()
-        running = self._callers_server.active_requests
-        if scope.cancelled_caught and running:
-            self._events.record(Event.PROCESS_STOP_CUT, running=running)
+        if scope.cancelled_caught:
+            self._events.record(
+                Event.PROCESS_STOP_CUT,
+                running=self._callers_server.active_requests,
+                unrecorded=self._claim_writer.queued,
+            )
         else:
             self._events.record(Event.PROCESS_STOPPED)
         self._nursery.cancel_scope.cancel()
@@ -266,9 +270,7 @@
 
     async def _listen(self, nursery: trio.Nursery) -> None:
         settings = self._settings
-        peers = await trio.open_tcp_listeners(
-            settings.peers.port, host=settings.peers.host, backlog=PEER_BACKLOG
-        )
+        peers = await open_listeners(settings.peers.host, settings.peers.port, backlog=PEER_BACKLOG)
         nursery.start_soon(trio.serve_listeners, self._peers.serve, peers)
         _announce("peers", settings.peers.host, peers[0].socket.getsockname()[1])
         if settings.admin_token:
