Read Cap'n Proto fields by their field schema

Cause: decoding a Call took 30 us, an Answer 16 us and an End 12 us of processor time, against 7, 4 and 5 us for encoding. pycapnp resolves reader.name only after an ordinary attribute lookup has failed: 1.5 us for each field against 0.4 us by field schema. Ruled out: from_bytes (4 us), splitting header lines (1.4 us); to_dict takes 24 us.

--- a/figwalk/protocol/codec.py
+++ b/figwalk/protocol/codec.py
@@ -66,9 +66,12 @@
     read: str
 
 
-def _plan_field(name: str, annotation: object, names: dict[str, object]) -> _FieldPlan:
+def _plan_field(
+    name: str, annotation: object, schema_fields: Any, names: dict[str, object]
+) -> _FieldPlan:
     wire = _to_camel(name)
-    plain = f"reader.{wire}"
+    names[f"field_{wire}"] = schema_fields[wire]
+    plain = f"reader._get_by_field(field_{wire})"
     if annotation == Headers:
         write = f"builder.{wire} = join_headers(value)"
         return _FieldPlan(name, wire, write, f"split_headers({plain})")
@@ -102,6 +105,8 @@
     """Compile the functions that write and read one class.
 
     Straight code for each class takes about half the processor time of a loop over its fields.
+    A read by field schema takes a third of the time of one by attribute, which pycapnp resolves
+    by name only after an ordinary attribute lookup has failed.
     Values equal to zero or empty are the default of the wire form and are not written.
     """
     names: dict[str, object] = {
@@ -110,7 +115,8 @@
         "split_headers": _split_headers,
     }
     hints = typing.get_type_hints(cls)
-    plans = [_plan_field(f.name, hints[f.name], names) for f in attrs.fields(cls)]
+    fields = getattr(_SCHEMA, cls.__name__).schema.fields
+    plans = [_plan_field(f.name, hints[f.name], fields, names) for f in attrs.fields(cls)]
     writer = ["def write(builder, message):"]
     for plan in plans:
         writer.append(f"    value = message.{plan.attribute}")
@@ -129,7 +135,8 @@
 for _cls in sorted(_CLASSES, key=lambda cls: cls not in (messages.LoadReport, messages.Desired)):
     _compile_class(_cls)
 _UNION_NAMES = {cls: _union_name(cls) for cls in _CLASSES}
-_BY_UNION_NAME = {_union_name(cls): cls for cls in _CLASSES}
+_UNION_FIELDS = _SCHEMA.Message.schema.fields
+_UNION_READERS = {name: (_UNION_FIELDS[name], _READERS[cls]) for cls, name in _UNION_NAMES.items()}
 
 
 def encode_message(message: Message) -> bytes:
@@ -150,8 +157,8 @@
         with _SCHEMA.Message.from_bytes(
             data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
         ) as reader:
-            name = str(reader.which())
-            return _READERS[_BY_UNION_NAME[name]](getattr(reader, name))
+            field, read = _UNION_READERS[reader._which_str()]
+            return read(reader._get_by_field(field))
     except (capnp.KjException, ValueError, KeyError, UnicodeDecodeError) as error:
         raise MalformedFrameError(f"message can't be decoded: {error}") from error
 
