--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -256,61 +256,36 @@
         self, connection: h11.Connection, stream: ByteStream
     ) -> HttpRequest | None:
         """Return the next request, or None when the connection is to be closed."""
-        receiving = False
-        with trio.CancelScope() as scope:
-            if not connection.trailing_data[0]:
-                idle_s = DRAIN_IDLE_S if self._draining else self._limits.idle_timeout_s
-                scope.deadline = trio.current_time() + idle_s
-                connection.receive_data(await self._wait_for_request(stream, scope))
-            receiving = True
-            scope.deadline = trio.current_time() + self._limits.receive_timeout_s
-            return await self._receive_events(connection, stream)
-        if receiving:
-            self._events.record(Event.HTTP_SLOW_SENDER, timeout_s=self._limits.receive_timeout_s)
-            raise CallerError(
-                408, "request_timeout", "the request was not complete in time; send it faster"
-            )
-        return None
+        if not connection.trailing_data[0] and not await self._wait_for_request(connection, stream):
+            return None
+        reader = _RequestReader(connection, self._limits.max_body_bytes)
+        request = reader.parse()
+        if request is not h11.NEED_DATA:
+            # Most requests arrive in one piece and need no timeout, which costs a cancel scope.
+            return request
+        with trio.move_on_after(self._limits.receive_timeout_s):
+            while request is h11.NEED_DATA:
+                await reader.receive(stream)
+                request = reader.parse()
+            return request
+        self._events.record(Event.HTTP_SLOW_SENDER, timeout_s=self._limits.receive_timeout_s)
+        raise CallerError(
+            408, "request_timeout", "the request was not complete in time; send it faster"
+        )
 
-    async def _wait_for_request(self, stream: ByteStream, scope: trio.CancelScope) -> bytes:
-        """Return the first bytes of the next request; `drain` cancels the scope until then."""
-        self._idle.add(scope)
-        try:
-            return await stream.receive_some(RECEIVE_BYTES)
-        finally:
-            self._idle.discard(scope)
+    async def _wait_for_request(self, connection: h11.Connection, stream: ByteStream) -> bool:
+        """Receive the first bytes of the next request; return whether they came in time.
 
-    async def _receive_events(
-        self, connection: h11.Connection, stream: ByteStream
-    ) -> HttpRequest | None:
-        head: h11.Request | None = None
-        body = bytearray()
-        while True:
-            event = connection.next_event()
-            if event is h11.NEED_DATA:
-                if connection.they_are_waiting_for_100_continue:
-                    go_on = h11.InformationalResponse(status_code=100, headers=[])
-                    await stream.send_all(connection.send(go_on) or b"")
+        `drain` brings the deadline forward.
+        """
+        idle_s = DRAIN_IDLE_S if self._draining else self._limits.idle_timeout_s
+        with trio.CancelScope(deadline=trio.current_time() + idle_s) as scope:
+            self._idle.add(scope)
+            try:
                 connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
-            elif isinstance(event, h11.Request):
-                head = event
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self._limits.max_body_bytes:
-                    raise CallerError(
-                        413,
-                        "body_too_large",
-                        f"the body is above the limit of {self._limits.max_body_bytes} bytes",
-                    )
-            elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return HttpRequest(
-                    head.method.decode("ascii"),
-                    head.target.decode("latin-1"),
-                    list(head.headers),
-                    bytes(body),
-                )
-            else:
-                return None
+            finally:
+                self._idle.discard(scope)
+        return not scope.cancelled_caught
 
     async def _answer(self, request: HttpRequest, responder: Responder) -> None:
         try:
@@ -354,6 +329,65 @@
         raise CallerError(405, "method_not_allowed", "this server is not a proxy")
 
 
+class _RequestReader:
+    """Reads one request from its events.
+
+    Args:
+        connection: The client's connection.
+        max_body_bytes: Limit of the body.
+    """
+
+    def __init__(self, connection: h11.Connection, max_body_bytes: int) -> None:
+        self._connection = connection
+        self._max_body_bytes = max_body_bytes
+        self._head: h11.Request | None = None
+        self._body = bytearray()
+
+    def parse(self) -> HttpRequest | type[h11.NEED_DATA] | None:
+        """Return the request if it has arrived, or None when the connection is to be closed.
+
+        Raises:
+            CallerError: The body is above the limit.
+        """
+        while True:
+            event = self._connection.next_event()
+            if event is h11.NEED_DATA:
+                return h11.NEED_DATA
+            if isinstance(event, h11.Request):
+                self._head = event
+            elif isinstance(event, h11.Data):
+                self._add_body(event.data)
+            elif isinstance(event, h11.EndOfMessage) and self._head is not None:
+                return self._build()
+            else:
+                return None
+
+    async def receive(self, stream: ByteStream) -> None:
+        """Receive more of the request."""
+        if self._connection.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await stream.send_all(self._connection.send(go_on) or b"")
+        self._connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
+
+    def _add_body(self, data: bytes) -> None:
+        self._body += data
+        if len(self._body) > self._max_body_bytes:
+            raise CallerError(
+                413,
+                "body_too_large",
+                f"the body is above the limit of {self._max_body_bytes} bytes",
+            )
+
+    def _build(self) -> HttpRequest:
+        head = self._head
+        return HttpRequest(
+            head.method.decode("ascii"),
+            head.target.decode("latin-1"),
+            list(head.headers),
+            bytes(self._body),
+        )
+
+
 class _PortStatus:
     """Adapts `trio.serve_listeners` to report the bound port."""
 
