Draw request identifiers without uuid, spell paths only for services with rules

Cause: uuid4 took 3 us of the 12 us for a caller's headers, and the plain spelling of the path was computed for services that have no rule, 5 us. Failed try: a cache of spelled paths saved 2 us of 9 us and could hold 16 MB of long targets. Conclusion: about 8 us less for each request.

--- a/figwalk/entry/caller_request.py
+++ b/figwalk/entry/caller_request.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-import uuid
+import secrets
 
 import attrs
 
@@ -16,6 +16,7 @@
 PRIORITY_HEADER = b"figwalk-priority"
 ORGANISATION_HEADER = b"figwalk-organisation"
 REQUEST_ID_HEADER = b"x-request-id"
+REQUEST_ID_BYTES = 16
 MAX_DEADLINE_MS = 24 * 3600 * MS_PER_S
 _DIGITS = re.compile(r"[0-9]{1,9}")
 _NAME = re.compile(r"[A-Za-z0-9._:-]{1,128}")
@@ -60,7 +61,7 @@
         due_s = deadline_ms / MS_PER_S if deadline_ms else timeout_s
         return cls(
             http,
-            _name_header(http, REQUEST_ID_HEADER) or uuid.uuid4().hex,
+            _name_header(http, REQUEST_ID_HEADER) or secrets.token_hex(REQUEST_ID_BYTES),
             _name_header(http, ORGANISATION_HEADER),
             _priority(http),
             arrived,
--- a/figwalk/entry/service_calls.py
+++ b/figwalk/entry/service_calls.py
@@ -169,6 +169,8 @@
     Backend servers commonly decode paths and merge slashes and dot segments, so that a rule must
     hold for all spellings of its path.
     """
+    if not service.non_repeatable:
+        return False
     path = re.split("[?#]", target, maxsplit=1)[0]
     plain = posixpath.normpath("/" + urllib.parse.unquote(path).lstrip("/"))
     return any(service.needs_key(method.upper(), spelling) for spelling in (path, plain))
