Collect the frames of an answer without a lock and a coroutine for each

Cause: head, data and end of an answer each passed four coroutines and took and released a trio.Lock, only to be appended to a list: about 45 function calls for each call in the agent. CallConnection now collects rendered frames by plain calls and sends them in one step. FrameStream keeps tasks apart by a flag and a parking lot, so that a free connection costs no lock. Ruled out: fewer writes; there is one for each short answer already.

--- a/figwalk/agent/call_connection.py
+++ b/figwalk/agent/call_connection.py
@@ -1,15 +1,14 @@
-"""A peer connection that can hold frames back and send several of them at once."""
+"""A peer connection whose frames can be collected and sent together."""
 
 from __future__ import annotations
 
-import trio
-
+from figwalk.protocol.messages import Message
 from figwalk.protocol.peer_connection import PeerConnection
 from figwalk.transport.byte_stream import ByteStream
 
 
 class CallConnection(PeerConnection):
-    """Sends at once until `hold` is called, and from then on at every `flush`.
+    """Collects frames until `flush`, beside sending single messages at once.
 
     One write for the head, the body and the end of a short answer costs the agent about a third
     less CPU time for the call than three writes.
@@ -19,59 +18,39 @@
     """
 
     def __init__(self, stream: ByteStream) -> None:
-        self._held = _HoldingStream(stream)
-        super().__init__(self._held)
-
-    def hold(self) -> None:
-        """Hold all further frames back until `flush`."""
-        self._held.holding = True
+        super().__init__(stream)
+        self._collected: list[bytes] = []
+        self._writing = False
 
     @property
     def broken_off(self) -> bool:
         """Whether a cancelled flush left a part of a frame behind, so that nothing can follow."""
-        return self._held.writing
+        return self._writing
 
-    async def flush(self) -> None:
-        """Send the frames that are held back.
+    def collect(self, message: Message) -> None:
+        """Keep a message for the next flush.
 
         Raises:
-            BrokenResourceError, ClosedResourceError: The connection is gone.
+            FrameTooLargeError: The message is above the limit; nothing of it was kept.
         """
-        await self._held.flush()
+        self._collected.append(self.render(message))
 
+    def collect_data(self, call_id: int, data: bytes) -> None:
+        """Keep body bytes of an answer for the next flush.
 
-class _HoldingStream(trio.abc.Stream):
-    """Passes bytes through, or collects them to be sent together."""
-
-    def __init__(self, stream: ByteStream) -> None:
-        self._stream = stream
-        self._parts: list[bytes] = []
-        self.holding = False
-        self.writing = False
-
-    async def send_all(self, data: bytes) -> None:
-        """Send or collect."""
-        if self.holding:
-            self._parts.append(data)
-        else:
-            await self._stream.send_all(data)
+        Raises:
+            FrameTooLargeError: The data are above the limit; nothing of them was kept.
+        """
+        self._collected.append(self.render_data(call_id, data))
 
     async def flush(self) -> None:
-        """Send what was collected."""
-        data = b"".join(self._parts)
-        self._parts.clear()
-        self.writing = True
-        await self._stream.send_all(data)
-        self.writing = False
-
-    async def wait_send_all_might_not_block(self) -> None:
-        """Wait until the connection takes bytes."""
-        await self._stream.wait_send_all_might_not_block()
+        """Send what was collected.
 
-    async def receive_some(self, max_bytes: int | None = None) -> bytes:
-        """Receive bytes."""
-        return await self._stream.receive_some(max_bytes)
-
-    async def aclose(self) -> None:
-        """Close the connection; what was collected is dropped."""
-        await self._stream.aclose()
+        Raises:
+            ConnectionLostError: The connection is gone.
+        """
+        frames = b"".join(self._collected)
+        self._collected.clear()
+        self._writing = True
+        await self.send_rendered(frames)
+        self._writing = False
--- a/figwalk/agent/call_server.py
+++ b/figwalk/agent/call_server.py
@@ -314,7 +314,7 @@
         ]
         if kept is not None:
             kept.status, kept.headers = response.status, headers
-        await session.send_answer(
+        session.collect_answer(
             attempt, Answer(call.call_id, response.status, headers, self._events.clock.tick())
         )
         if call.stream and response.header(b"content-type").startswith(EVENT_STREAM_TYPE):
@@ -437,7 +437,6 @@
 
     async def run(self) -> None:
         """Serve calls until the connection is lost and the last call has ended."""
-        self._connection.hold()
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._receive_messages)
@@ -454,13 +453,13 @@
     async def send_last(self, message: End | Refusal) -> None:
         """Send the last message of an answer; the entry may send its next call then."""
         self._attempt = None
-        await self._connection.send(message)
-        await self._flush()
+        self._connection.collect(message)
+        await self._connection.flush()
 
-    async def send_answer(self, attempt: Attempt, answer: Answer) -> None:
-        """Send the head of an answer."""
+    def collect_answer(self, attempt: Attempt, answer: Answer) -> None:
+        """Send the head of an answer, together with what follows it."""
         if not attempt.detached:
-            await self._connection.send(answer)
+            self._connection.collect(answer)
             attempt.answered = True
 
     async def send_data(self, attempt: Attempt, data: bytes, *, more: bool) -> None:
@@ -468,22 +467,16 @@
         if attempt.detached:
             return
         try:
-            await self._connection.send_data(attempt.call.call_id, data)
+            self._connection.collect_data(attempt.call.call_id, data)
             attempt.byte_count += len(data)
             if more:
-                await self._flush()
+                await self._connection.flush()
         except ConnectionLostError:
             self.lose()
             if not attempt.keyed:
                 raise
             attempt.detached = True
 
-    async def _flush(self) -> None:
-        try:
-            await self._connection.flush()
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise ConnectionLostError("the entry closed its connection") from error
-
     async def _receive_messages(self) -> None:
         try:
             while True:
--- a/figwalk/protocol/peer_connection.py
+++ b/figwalk/protocol/peer_connection.py
@@ -67,13 +67,25 @@
         assert scope.cancelled_caught
         raise TimeoutError(f"peer {host}:{port} did not answer within {CONNECT_TIMEOUT_S} s")
 
+    def render(self, message: Message) -> bytes:
+        """Return the frame of a message."""
+        return self._frames.render(FrameType.MESSAGE, encode_message(message))
+
+    def render_data(self, call_id: int, data: bytes) -> bytes:
+        """Return the frame of body bytes of an answer."""
+        return self._frames.render(FrameType.DATA, _CALL_ID.pack(call_id), data)
+
     async def send(self, message: Message) -> None:
         """Send a message."""
-        await self._frames.send(FrameType.MESSAGE, encode_message(message))
+        await self._frames.send_rendered(self.render(message))
 
     async def send_data(self, call_id: int, data: bytes) -> None:
         """Send body bytes of an answer."""
-        await self._frames.send(FrameType.DATA, _CALL_ID.pack(call_id), data)
+        await self._frames.send_rendered(self.render_data(call_id, data))
+
+    async def send_rendered(self, frames: bytes) -> None:
+        """Send frames from `render` and `render_data`."""
+        await self._frames.send_rendered(frames)
 
     async def receive(self) -> Message | AnswerData:
         """Receive the next message or piece of answer data.
--- a/figwalk/transport/frame_stream.py
+++ b/figwalk/transport/frame_stream.py
@@ -50,14 +50,15 @@
         self._stream = stream
         self._max_frame_bytes = max_frame_bytes
         self._buffer = bytearray()
-        self._send_lock = trio.Lock()
+        # A trio.Lock that is free costs six more function calls for each frame.
+        self._sending = False
+        self._senders = trio.lowlevel.ParkingLot()
 
-    async def send(self, frame_type: FrameType, *parts: bytes) -> None:
-        """Send one frame whose payload is the concatenation of the parts.
+    def render(self, frame_type: FrameType, *parts: bytes) -> bytes:
+        """Return one frame whose payload is the concatenation of the parts.
 
         Raises:
-            FrameTooLargeError: The frame is above the limit; nothing was sent.
-            ConnectionLostError: The connection is gone.
+            FrameTooLargeError: The frame is above the limit.
         """
         length = 1 + sum(map(len, parts))
         if length > self._max_frame_bytes:
@@ -65,14 +66,33 @@
                 f"frame of {length} bytes is above the limit of {self._max_frame_bytes}",
                 remedy="send a smaller request",
             )
-        data = b"".join((_HEADER.pack(length, frame_type), *parts))
-        await self._acquire_send_lock()
+        return b"".join((_HEADER.pack(length, frame_type), *parts))
+
+    async def send(self, frame_type: FrameType, *parts: bytes) -> None:
+        """Render and send one frame.
+
+        Raises:
+            FrameTooLargeError: The frame is above the limit; nothing was sent.
+            ConnectionLostError: The connection is gone.
+        """
+        await self.send_rendered(self.render(frame_type, *parts))
+
+    async def send_rendered(self, frames: bytes) -> None:
+        """Send rendered frames without frames of other tasks between them.
+
+        Raises:
+            ConnectionLostError: The connection is gone.
+        """
+        while self._sending:
+            await self._senders.park()
+        self._sending = True
         try:
-            await self._stream.send_all(data)
+            await self._stream.send_all(frames)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ConnectionLostError("peer connection lost while sending") from error
         finally:
-            self._send_lock.release()
+            self._sending = False
+            self._senders.unpark()
 
     async def receive(self) -> Frame:
         """Receive one frame.
@@ -102,13 +122,6 @@
         """Close the connection."""
         await self._stream.aclose()
 
-    async def _acquire_send_lock(self) -> None:
-        # A free lock is taken without a pass of the scheduler.
-        if self._send_lock.locked():
-            await self._send_lock.acquire()
-        else:
-            self._send_lock.acquire_nowait()
-
     async def _fill(self, size: int) -> None:
         while len(self._buffer) < size:
             try:
