--- a/figwalk/coordination/admission.py
+++ b/figwalk/coordination/admission.py
@@ -21,7 +21,9 @@
 SHARE_SLACK_S = 2.0
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 60_000
-DEFAULT_OUTPUT_RATIO = 0.75
+# Expected share of `max_tokens` before any answer has been seen: on a cold agent, 0.75 let 24
+# calls start together that were all cut at their deadline.
+DEFAULT_OUTPUT_RATIO = 1.0
 RATIO_RISE = 0.3
 RATIO_FALL = 0.1
 # Share of the rest up to `max_tokens` expected of an answer that is already above its estimate.
@@ -35,9 +37,10 @@
 LONE_CALL_RATIO = 0.25
 MIN_MEASURED_TOKENS = 8
 _SMOOTHING = 0.2
-# A refused call teaches nothing about output lengths, so each refusal moves the learned ratio
-# this far back to the default; otherwise a wrong ratio would never be corrected.
-_REFUSAL_DRIFT = 0.01
+# A refusal while nothing runs teaches nothing about output lengths, so it moves the ratio towards
+# the explored one; otherwise a ratio that is too high would refuse such calls for ever.
+EXPLORED_OUTPUT_RATIO = 0.25
+_REFUSAL_DRIFT = 0.05
 _CLASSES = (Priority.INTERACTIVE, Priority.NORMAL, Priority.BATCH)
 
 
@@ -187,11 +190,11 @@
             self._learn_length(ticket.work, (min(done, limit) + limit) / 2)
 
     def note_refusal(self, work: Work) -> None:
-        """Move the learned output ratio of such calls back towards the default."""
+        """Lower the output ratio of such calls a little."""
         bucket = work.max_tokens.bit_length()
-        ratio = self._output_ratios.get(bucket)
-        if ratio is not None:
-            self._output_ratios[bucket] = ratio + _REFUSAL_DRIFT * (DEFAULT_OUTPUT_RATIO - ratio)
+        ratio = self._output_ratios.get(bucket, DEFAULT_OUTPUT_RATIO)
+        if ratio > EXPLORED_OUTPUT_RATIO:
+            self._output_ratios[bucket] = ratio + _REFUSAL_DRIFT * (EXPLORED_OUTPUT_RATIO - ratio)
 
     def _learn_length(self, work: Work, tokens: float) -> None:
         """Follow long answers fast and short ones slowly, so that most answers fit."""
@@ -325,7 +328,7 @@
         backlog_s = self._prefill_backlog_s(now) if work.deadline < math.inf else 0.0
         if now + backlog_s * WAIT_CONFIDENCE > ticket.latest_start:
             raise self._deadline_refusal(work, max(backlog_s, self._predict_wait(ticket)))
-        if not self._waiting and self._has_place(work.priority):
+        if self._can_start(work.priority):
             self._start(ticket)
             return ticket
         await self._wait(ticket)
@@ -387,7 +390,7 @@
     async def _wait(self, ticket: Ticket) -> None:
         wait = self._predict_wait(ticket)
         if self._waiting >= self._queue_limit:
-            raise _refusal("overloaded", "the admission queue is full", wait)
+            self._make_room(ticket.work.priority, wait)
         if self._timer.now() + wait * WAIT_CONFIDENCE > ticket.latest_start:
             raise self._deadline_refusal(ticket.work, wait)
         ticket._decided = trio.Event()
@@ -405,6 +408,20 @@
             self._forget(ticket)
             raise self._deadline_refusal(ticket.work, self._predict_wait(ticket))
 
+    def _make_room(self, priority: Priority, wait_s: float) -> None:
+        """Refuse the last call of the lowest class below a priority.
+
+        Raises:
+            RefusalError: All waiting calls are of this class or above.
+        """
+        for lower in reversed(_CLASSES[_CLASSES.index(priority) + 1 :]):
+            if self._classes[lower]:
+                last = self._classes[lower].in_order()[-1]
+                wait_s = self._predict_wait(last)
+                self._refuse(last, _refusal("overloaded", "calls of a higher class wait", wait_s))
+                return
+        raise _refusal("overloaded", "the admission queue is full", wait_s)
+
     def _forget(self, ticket: Ticket) -> None:
         """Take a call out whose task is cancelled, wherever it is."""
         if ticket in self._running:
@@ -427,6 +444,11 @@
         """Return how many calls run once one more has started."""
         return min(len(self._running) + 1, self._capacity)
 
+    def _can_start(self, priority: Priority) -> bool:
+        """Return whether a new call of a class starts without waiting."""
+        ahead = _CLASSES[: _CLASSES.index(priority) + 1]
+        return not any(self._classes[name] for name in ahead) and self._has_place(priority)
+
     def _has_place(self, priority: Priority) -> bool:
         """Return whether a call of a class may start beside the running ones."""
         running = len(self._running)
@@ -467,7 +489,7 @@
 
     def _predict_wait(self, new: Ticket) -> float:
         """Return the predicted seconds until a new call would start."""
-        if not self._waiting and self._has_place(new.work.priority):
+        if self._can_start(new.work.priority):
             return 0.0
         slots = self._free_times()
         rank = (_CLASSES.index(new.work.priority), new.work.deadline)
@@ -505,7 +527,8 @@
         return _refusal(code, f"the backend server takes no new calls ({code})", 0.0)
 
     def _deadline_refusal(self, work: Work, wait_s: float) -> RefusalError:
-        self._estimate.note_refusal(work)
+        if not self._running:
+            self._estimate.note_refusal(work)
         left = work.deadline - self._timer.now()
         # The queue has to get shorter by what the call would be late.
         late = wait_s + self._estimate.service_s(work, self._next_count()) - left
--- a/histories/faults.py
+++ b/histories/faults.py
@@ -17,7 +17,7 @@
 from figwalk.state.published_values import WithdrawalMode
 from figwalk.state.settings import Address
 from figwalk.transport import HttpClient
-from histories.history import Disturbance, History, Leaving
+from histories.history import PAUSE_ENTRY, Disturbance, History, Leaving
 from histories.recorder import Recorder
 from standins.deployment import ENGINE_KIND, Deployment
 from standins.launcher import ProcessHandle
@@ -81,10 +81,10 @@
         self._kinds = [kind for kind in FAULTS if not only or kind.name in only]
         self._busy: set[str] = set()
 
-    async def run(self, until: float) -> None:
-        """Inject until a Unix time, then return once everything is taken back."""
+    async def run(self, is_over: Callable[[], bool]) -> None:
+        """Inject until told that it is over, then return once everything is taken back."""
         rng = random.Random(f"{self._seed}-faults")
-        while time.time() < until:
+        while not is_over():
             await trio.sleep(rng.uniform(0.5, 2 * REST_S))
             count = 2 if rng.random() < 0.4 else 1
             async with trio.open_nursery() as nursery:
@@ -312,7 +312,7 @@
     FaultKind("kill_entry", "entry", _kill),
     FaultKind("kill_agent", "agent", _kill),
     FaultKind("kill_engine", "engine", _kill),
-    FaultKind("pause_entry", "entry", _pause),
+    FaultKind(PAUSE_ENTRY, "entry", _pause),
     FaultKind("pause_agent", "agent", _pause),
     FaultKind("pause_engine", "engine", _pause),
     FaultKind("cut_link", "link", _cut_link),
--- a/histories/soak.py
+++ b/histories/soak.py
@@ -9,10 +9,12 @@
 from __future__ import annotations
 
 import argparse
+import signal
 import sys
 import tempfile
 import time
 from collections import Counter
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import attrs
@@ -50,12 +52,14 @@
     Attributes:
         seed: Seed of all choices.
         seconds: Seconds during which faults are injected.
+        faults: Number of faults after which to stop instead, or 0.
         only: Names of the faults to use; all if empty.
         traffic: Load.
     """
 
     seed: int
-    seconds: float
+    seconds: float = 0.0
+    faults: int = 0
     only: frozenset[str] = frozenset()
     traffic: Traffic = attrs.field(factory=Traffic)
 
@@ -93,7 +97,22 @@
         return self._failures
 
     async def run(self) -> list[Violation]:
-        """Run and return the violations."""
+        """Run and return the violations; SIGTERM and SIGINT end the processes and then this one.
+
+        Raises:
+            KeyboardInterrupt: A signal ended the run.
+        """
+        violations: list[Violation] | None = None
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_on_signal, signals, nursery.cancel_scope)
+                violations = await self._run()
+                nursery.cancel_scope.cancel()
+        if violations is None:
+            raise KeyboardInterrupt
+        return violations
+
+    async def _run(self) -> list[Violation]:
         async with trio.open_nursery() as forwarding:
             async with Launcher(self._run_directory) as launcher:
                 deployment = Deployment(
@@ -154,10 +173,16 @@
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(workload.run)
-            await injector.run(time.time() + self._options.seconds)
+            until = time.time() + self._options.seconds
+            await injector.run(lambda: self._is_over(until))
             workload.stop()
             nursery.cancel_scope.deadline = trio.current_time() + LAST_CALLS_TIMEOUT_S
 
+    def _is_over(self, until: float) -> bool:
+        if self._options.faults:
+            return len(self._history.disturbances) >= self._options.faults
+        return time.time() >= until
+
     async def _stop(self, deployment: Deployment, recorder: Recorder) -> None:
         for handle in deployment.handles:
             recorder.expect_end(handle, "stop")
@@ -166,6 +191,12 @@
         await trio.testing.wait_all_tasks_blocked(0.05)
 
 
+async def _cancel_on_signal(signals: AsyncIterator[int], scope: trio.CancelScope) -> None:
+    async for _ in signals:
+        scope.cancel()
+        return
+
+
 def render_soak_values(values: dict[str, JsonValue]) -> dict[str, JsonValue]:
     """Return the example's configuration with quick role changes and keyed payments."""
     changed: dict[str, JsonValue] = {"limits": {"key_memory_s": KEY_MEMORY_S}}
@@ -230,7 +261,7 @@
     unknown = only - {kind.name for kind in FAULTS}
     if unknown:
         parser.error(f"unknown faults: {', '.join(sorted(unknown))}")
-    options = SoakOptions(arguments.seed, arguments.seconds, only)
+    options = SoakOptions(arguments.seed, arguments.seconds, only=only)
     run_directory = Path(tempfile.mkdtemp(prefix="figwalk-soak-"))
     print(f"{options.command}; logs in {run_directory}", flush=True)
     soak = Soak(options, run_directory)
