--- a/figwalk/protocol/peer_connection.py
+++ b/figwalk/protocol/peer_connection.py
@@ -42,6 +42,11 @@
         """Whether an idle connection can still be used: the peer has neither closed nor sent."""
         return not self._stream.socket.is_readable()
 
+    @property
+    def closed(self) -> bool:
+        """Whether this side has closed the connection."""
+        return self._stream.socket.fileno() < 0
+
     @classmethod
     async def connect(cls, host: str, port: int, hello: Hello) -> tuple[PeerConnection, Hello]:
         """Dial a peer and exchange `Hello`.
@@ -62,13 +67,25 @@
         assert scope.cancelled_caught
         raise TimeoutError(f"peer {host}:{port} did not answer within {CONNECT_TIMEOUT_S} s")
 
+    def render(self, message: Message) -> bytes:
+        """Return the frame of a message."""
+        return self._frames.render(FrameType.MESSAGE, encode_message(message))
+
+    def render_data(self, call_id: int, data: bytes) -> bytes:
+        """Return the frame of body bytes of an answer."""
+        return self._frames.render(FrameType.DATA, _CALL_ID.pack(call_id), data)
+
     async def send(self, message: Message) -> None:
         """Send a message."""
-        await self._frames.send(FrameType.MESSAGE, encode_message(message))
+        await self._frames.send_rendered(self.render(message))
 
     async def send_data(self, call_id: int, data: bytes) -> None:
         """Send body bytes of an answer."""
-        await self._frames.send(FrameType.DATA, _CALL_ID.pack(call_id), data)
+        await self._frames.send_rendered(self.render_data(call_id, data))
+
+    async def send_rendered(self, frames: bytes) -> None:
+        """Send frames from `render` and `render_data`."""
+        await self._frames.send_rendered(frames)
 
     async def receive(self) -> Message | AnswerData:
         """Receive the next message or piece of answer data.
--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -28,6 +28,7 @@
 
 JSON_HEADER = (b"content-type", b"application/json")
 CLOSE_HEADER = (b"connection", b"close")
+_END_OF_MESSAGE = h11.EndOfMessage()
 
 
 class Responder:
@@ -72,7 +73,7 @@
         headers = [*headers, (b"content-length", str(len(body)).encode()), *self._closing_header()]
         data = self._connection.send(h11.Response(status_code=status, headers=headers)) or b""
         data += self._render_body(body)
-        data += self._connection.send(h11.EndOfMessage()) or b""
+        data += self._connection.send(_END_OF_MESSAGE) or b""
         self._started = True
         self._finished = True
         await self._write(data)
@@ -97,7 +98,7 @@
     async def finish(self) -> None:
         """End a streamed answer; the client sees from this that it was whole."""
         self._finished = True
-        await self._write(self._connection.send(h11.EndOfMessage()) or b"")
+        await self._write(self._connection.send(_END_OF_MESSAGE) or b"")
 
     def _render_body(self, data: bytes) -> bytes:
         # The answer to HEAD has no body, and h11 refuses to send one.
@@ -293,67 +294,41 @@
         self, connection: h11.Connection, stream: ByteStream
     ) -> HttpRequest | None:
         """Return the next request, or None when the connection is to be closed."""
-        receiving = False
-        with trio.CancelScope() as scope:
-            if not connection.trailing_data[0]:
-                idle_s = DRAIN_IDLE_S if self._draining else self._limits.idle_timeout_s
-                scope.deadline = trio.current_time() + idle_s
-                connection.receive_data(await self._wait_for_request(stream, scope))
-            receiving = True
-            scope.deadline = trio.current_time() + self._limits.receive_timeout_s
-            return await self._receive_events(connection, stream)
-        if receiving:
-            raise SlowSenderError(
-                408, "request_timeout", "the request was not complete in time; send it faster"
-            )
-        if self._draining and stream.socket.is_readable():
-            # The deadline of the drain overtook bytes that had arrived.
-            return await self._receive_request(connection, stream)
-        return None
+        if not connection.trailing_data[0] and not await self._wait_for_request(connection, stream):
+            return None
+        reader = _RequestReader(connection, self._limits.max_body_bytes)
+        request = reader.parse()
+        if request is not h11.NEED_DATA:
+            # Most requests arrive in one piece and need no timeout, which costs a cancel scope.
+            return request
+        with trio.move_on_after(self._limits.receive_timeout_s):
+            while request is h11.NEED_DATA:
+                await reader.receive(stream)
+                request = reader.parse()
+            return request
+        raise SlowSenderError(
+            408, "request_timeout", "the request was not complete in time; send it faster"
+        )
 
-    async def _wait_for_request(self, stream: ByteStream, scope: trio.CancelScope) -> bytes:
-        """Return the first bytes of the next request; `drain` cancels the scope until then."""
-        self._idle.add(scope)
-        try:
-            return await stream.receive_some(RECEIVE_BYTES)
-        finally:
-            self._idle.discard(scope)
+    async def _wait_for_request(self, connection: h11.Connection, stream: ByteStream) -> bool:
+        """Receive the first bytes of the next request; return whether they came in time.
 
-    async def _receive_events(
-        self, connection: h11.Connection, stream: ByteStream
-    ) -> HttpRequest | None:
-        head: h11.Request | None = None
-        body = bytearray()
-        while True:
-            event = connection.next_event()
-            if event is h11.NEED_DATA:
-                if connection.they_are_waiting_for_100_continue:
-                    go_on = h11.InformationalResponse(status_code=100, headers=[])
-                    await stream.send_all(connection.send(go_on) or b"")
+        `drain` brings the deadline forward.
+        """
+        idle_s = DRAIN_IDLE_S if self._draining else self._limits.idle_timeout_s
+        with trio.CancelScope(deadline=trio.current_time() + idle_s) as scope:
+            self._idle.add(scope)
+            try:
                 connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
-            elif isinstance(event, h11.Request):
-                head = event
-                # h11 has checked the header; a client that waits for 100 never sends the body.
-                self._check_body_size(int(find_header(list(head.headers), b"content-length", "0")))
-            elif isinstance(event, h11.Data):
-                body += event.data
-                self._check_body_size(len(body))
-            elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return HttpRequest(
-                    head.method.decode("ascii"),
-                    head.target.decode("latin-1"),
-                    list(head.headers),
-                    bytes(body),
-                )
-            else:
-                return None
-
-    def _check_body_size(self, size: int) -> None:
-        limit = self._limits.max_body_bytes
-        if size > limit:
-            raise CallerError(
-                413, "body_too_large", f"the body is above the limit of {limit} bytes"
-            )
+            finally:
+                self._idle.discard(scope)
+        if not scope.cancelled_caught:
+            return True
+        if self._draining and stream.socket.is_readable():
+            # The deadline of the drain overtook bytes that had arrived.
+            connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
+            return True
+        return False
 
     async def _answer(self, request: HttpRequest, responder: Responder) -> None:
         try:
@@ -413,6 +388,68 @@
     LINGER = "linger"
 
 
+class _RequestReader:
+    """Reads one request from its events.
+
+    Args:
+        connection: The client's connection.
+        max_body_bytes: Limit of the body.
+    """
+
+    def __init__(self, connection: h11.Connection, max_body_bytes: int) -> None:
+        self._connection = connection
+        self._max_body_bytes = max_body_bytes
+        self._head: h11.Request | None = None
+        self._headers: Headers = []
+        self._body = bytearray()
+
+    def parse(self) -> HttpRequest | type[h11.NEED_DATA] | None:
+        """Return the request if it has arrived, or None when the connection is to be closed.
+
+        Raises:
+            CallerError: The body is above the limit.
+        """
+        while True:
+            event = self._connection.next_event()
+            if event is h11.NEED_DATA:
+                return h11.NEED_DATA
+            if isinstance(event, h11.Request):
+                self._head = event
+                self._headers = list(event.headers)
+                # h11 has checked the header; a client that waits for 100 never sends the body.
+                self._check_body_size(int(find_header(self._headers, b"content-length", "0")))
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+                self._check_body_size(len(self._body))
+            elif isinstance(event, h11.EndOfMessage) and self._head is not None:
+                return self._build()
+            else:
+                return None
+
+    async def receive(self, stream: ByteStream) -> None:
+        """Receive more of the request."""
+        if self._connection.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await stream.send_all(self._connection.send(go_on) or b"")
+        self._connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
+
+    def _check_body_size(self, size: int) -> None:
+        if size > self._max_body_bytes:
+            raise CallerError(
+                413,
+                "body_too_large",
+                f"the body is above the limit of {self._max_body_bytes} bytes",
+            )
+
+    def _build(self) -> HttpRequest:
+        return HttpRequest(
+            self._head.method.decode("ascii"),
+            self._head.target.decode("latin-1"),
+            self._headers,
+            bytes(self._body),
+        )
+
+
 class _PortStatus:
     """Adapts `trio.serve_listeners` to report the bound port."""
 
