--- a/figwalk/agent/main.py
+++ b/figwalk/agent/main.py
@@ -139,7 +139,7 @@
         self._client.close()
 
     async def _start(self, nursery: trio.Nursery, task_status: trio.TaskStatus[None]) -> None:
-        listener = await bind_peer_port(self._settings.peers)
+        listener = await bind_peer_port(self._settings.peers, self._events)
         # The engine's role and order number are read before the first call is taken.
         await self._monitor.poll()
         self._monitor.start()
--- a/figwalk/agent/peer_server.py
+++ b/figwalk/agent/peer_server.py
@@ -6,7 +6,6 @@
 import socket
 from collections.abc import Awaitable, Callable
 
-import structlog
 import trio
 
 from figwalk.agent.call_connection import CallConnection
@@ -28,7 +27,7 @@
 ConnectionHandler = Callable[[CallConnection, Hello], Awaitable[None]]
 
 
-async def bind_peer_port(address: Address) -> trio.SocketListener:
+async def bind_peer_port(address: Address, events: EventLog) -> trio.SocketListener:
     """Bind the peer port, waiting as long as another process holds it.
 
     A paused predecessor still holds the port, and two agents for one backend server could give it
@@ -45,7 +44,7 @@
             if error.errno != errno.EADDRINUSE:
                 raise
         if not waiting:
-            structlog.get_logger("figwalk").warning("PEER_PORT_TAKEN", address=str(address))
+            events.record(Event.PEER_PORT_TAKEN, address=address)
             waiting = True
         await trio.sleep(BIND_RETRY_S)
 
--- a/figwalk/entry/process.py
+++ b/figwalk/entry/process.py
@@ -43,6 +43,7 @@
 
 INCARNATION_BITS = 64
 PEER_CONFIG_PERIOD_S = 1.0
+SNAPSHOT_CHECK_PERIOD_S = 1.0
 PEER_BACKLOG = 256
 # The platform's load balancer needs a readiness check to notice that an entry stops.
 BALANCER_NOTICE_S = 1.0
@@ -67,6 +68,8 @@
         self._build_log_readers()
         self._build_routing()
         self._build_interfaces()
+        self._timer.subscribe("peer configuration", PEER_CONFIG_PERIOD_S, self._adopt_from_peers)
+        self._timer.subscribe("snapshot", SNAPSHOT_CHECK_PERIOD_S, self._snapshot_as_holder)
 
     def _build_log_readers(self) -> None:
         platform = self._settings.platform
@@ -215,8 +218,6 @@
                 self._claim_writer.run,
                 self._backends.run,
                 self._lease.run,
-                self._snapshot_as_holder,
-                self._adopt_from_peers,
             ):
                 nursery.start_soon(task)
             await self._listen(nursery)
@@ -311,19 +312,15 @@
 
     async def _adopt_from_peers(self) -> None:
         """Take the configuration of other entries while the log can't give all of it."""
-        while True:
-            await trio.sleep(PEER_CONFIG_PERIOD_S)
-            if self._config_follower.available and self._configuration.complete:
-                continue
-            if await self._peers.adopt_configuration():
-                self._adopt_revision("another entry")
+        if self._config_follower.available and self._configuration.complete:
+            return
+        if await self._peers.adopt_configuration():
+            self._adopt_revision("another entry")
 
     async def _snapshot_as_holder(self) -> None:
-        """Append snapshots while this entry holds the controller lease."""
-        while True:
-            await trio.sleep(PEER_CONFIG_PERIOD_S)
-            if self._lease.term is not None:
-                await self._snapshotter.append_if_due()
+        """Append a snapshot if one is due and this entry holds the controller lease."""
+        if self._lease.term is not None:
+            await self._snapshotter.append_if_due()
 
 
 def _announce(name: str, host: str, port: int) -> None:
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -44,6 +44,7 @@
     PEER_FRAME_REJECTED = (203, "warning", "A peer sent an oversize or malformed frame.")
     PEER_CONNECTED = (204, "info", "A connection to another figwalk process opened.")
     PEER_LOST = (205, "warning", "A connection to another figwalk process was lost.")
+    PEER_PORT_TAKEN = (207, "warning", "Another process holds the peer port; this one waits.")
     ANSWER_MISMATCH = (206, "error", "An answer frame carried the identifier of another call.")
 
     REQUEST_RECEIVED = (300, "debug", "A caller's request was accepted for routing.")
--- a/tests/test_agent_states.py
+++ b/tests/test_agent_states.py
@@ -8,9 +8,11 @@
 from figwalk.agent.metrics import Metrics, MetricsPublisher
 from figwalk.agent.peer_server import bind_peer_port
 from figwalk.errors import CallOutcome
+from figwalk.events import EventLog
 from figwalk.protocol import messages
 from figwalk.protocol.records import ConfigEntry, encode_entries
 from figwalk.state.settings import Address
+from figwalk.timer import Timer
 from figwalk.transport import HttpClient
 
 
@@ -198,6 +200,7 @@
     """Guards against two agents for one backend server (invariant 1)."""
 
     async def main():
+        events = EventLog("agent-1", Timer())
         with socket.socket() as paused:
             paused.bind((HOST, 0))
             paused.listen()
@@ -206,13 +209,14 @@
                 bound = trio.Event()
 
                 async def bind():
-                    listener = await bind_peer_port(address)
+                    listener = await bind_peer_port(address, events)
                     bound.set()
                     await listener.aclose()
 
                 nursery.start_soon(bind)
                 await trio.testing.wait_all_tasks_blocked()
                 assert not bound.is_set()
+                assert [record.name for record in events.select()] == ["PEER_PORT_TAKEN"]
                 paused.close()
                 await bound.wait()
 
