Wait for the refused confirmation in the link test

The test could let the log answer again before the link's task for the first Confirm had run; seen once in two runs of all new tests on a busy machine.

--- a/tests/test_entry_links.py
+++ b/tests/test_entry_links.py
@@ -6,6 +6,7 @@
 import attrs
 import pytest
 import trio
+import trio.testing
 from entry_fakes import HOST
 
 from figwalk.entry import agent_link
@@ -263,6 +264,7 @@
     await control.send(LoadReport(1, "llm-1"))
     while not agent.owner.reports:
         await trio.lowlevel.checkpoint()
+    await trio.testing.wait_all_tasks_blocked()  # The first Confirm has been refused.
     agent.owner.log_down = False
     await control.send(Confirm(2, "llm-1"))
     assert (await control.receive()).nonce == 2
