Skip reads and parses that can't succeed

Cause: after each answer the HTTP client asked h11 for an event before the first byte of the next answer could be there, and every wait for bytes began with a read that failed, since the read before it had taken all there was: 2 of 4 reads of the agent for a request.

--- a/figwalk/transport/byte_stream.py
+++ b/figwalk/transport/byte_stream.py
@@ -15,7 +15,8 @@
     """Sends and receives on a connected socket.
 
     `trio.SocketStream` passes the scheduler once for each call, which costs about as much as the
-    system call. This class calls the kernel first and waits only if it has to.
+    system call. This class waits only if the kernel has nothing, or had nothing left at the last
+    read.
 
     Args:
         stream: Connected socket.
@@ -24,6 +25,7 @@
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
         self._reads_without_yield = 0
+        self._drained = False
 
     @property
     def socket(self) -> trio.socket.SocketType:
@@ -51,18 +53,22 @@
         Raises:
             BrokenResourceError: The connection is gone.
         """
-        if self._reads_without_yield >= MAX_READS_WITHOUT_YIELD:
+        max_bytes = max_bytes or RECEIVE_BYTES
+        if self._drained:
+            await self._wait_readable()
+        elif self._reads_without_yield >= MAX_READS_WITHOUT_YIELD:
             self._reads_without_yield = 0
             await trio.lowlevel.checkpoint()
         while True:
             try:
-                data = os.read(self.socket.fileno(), max_bytes or RECEIVE_BYTES)
+                data = os.read(self.socket.fileno(), max_bytes)
             except BlockingIOError:
-                self._reads_without_yield = 0
                 await self._wait_readable()
             except OSError as error:
                 raise trio.BrokenResourceError from error
             else:
+                # A short read took all that was there, so that another one would mostly fail.
+                self._drained = len(data) < max_bytes
                 self._reads_without_yield += 1
                 return data
 
@@ -79,6 +85,7 @@
         self.socket.close()
 
     async def _wait_readable(self) -> None:
+        self._reads_without_yield = 0
         try:
             await trio.lowlevel.wait_readable(self.socket)
         except (OSError, ValueError) as error:
--- a/figwalk/transport/http_client.py
+++ b/figwalk/transport/http_client.py
@@ -177,6 +177,8 @@
     async def exchange(self, request: HttpRequest) -> HttpResponse:
         """Send a request and receive the head of its answer."""
         await self._send(request)
+        # Nothing of the answer can be there yet, so that parsing first would be for nothing.
+        await self._receive()
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
@@ -230,13 +232,16 @@
 
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
-            try:
-                event = self._parse_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                self._h11.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-                raise HttpError(f"{self._address} closed the connection") from error
+            event = self._parse_event()
+            if event is not h11.NEED_DATA:
+                return event
+            await self._receive()
+
+    async def _receive(self) -> None:
+        try:
+            self._h11.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise HttpError(f"{self._address} closed the connection") from error
 
     def _parse_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         try:
