--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 SECONDS ?= 60
 
-.PHONY: venv test format docs demo up model soak bench-goodput slopes bench-claims
+.PHONY: venv test format docs demo up model soak bench bench-goodput slopes bench-claims
 
 venv: $(VENV)/.installed
 
@@ -39,6 +39,9 @@
 soak: venv
 	$(BIN)/python -m histories.soak --seed $(SEED) --seconds $(SECONDS)
 
+bench: venv
+	$(BIN)/python -m bench.cost
+
 bench-goodput: venv
 	$(BIN)/python -m bench.goodput
 
