--- a/figwalk/agent/main.py
+++ b/figwalk/agent/main.py
@@ -30,8 +30,10 @@
 from figwalk.state.settings import Address, AgentSettings
 from figwalk.timer import Timer
 from figwalk.transport import HttpRequest, HttpServer, Responder
+from figwalk.transport.listening import find_listen_error
 
 EXIT_BAD_SETTINGS = 2
+EXIT_CAN_NOT_LISTEN = 1
 
 
 class Agent:
@@ -137,7 +139,7 @@
         self._client.close()
 
     async def _start(self, nursery: trio.Nursery, task_status: trio.TaskStatus[None]) -> None:
-        listener = await bind_peer_port(self._settings.peers)
+        listener = await bind_peer_port(self._settings.peers, self._events)
         # The engine's role and order number are read before the first call is taken.
         await self._monitor.poll()
         self._monitor.start()
@@ -249,7 +251,14 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    trio.run(run_agent, settings)
+    try:
+        trio.run(run_agent, settings)
+    except BaseExceptionGroup as group:
+        error = find_listen_error(group)
+        if error is None:
+            raise
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_CAN_NOT_LISTEN)
 
 
 if __name__ == "__main__":
--- a/figwalk/entry/process.py
+++ b/figwalk/entry/process.py
@@ -39,9 +39,11 @@
 from figwalk.state.settings import EntrySettings
 from figwalk.timer import Timer
 from figwalk.transport import HttpClient, HttpServer
+from figwalk.transport.listening import open_listeners
 
 INCARNATION_BITS = 64
 PEER_CONFIG_PERIOD_S = 1.0
+SNAPSHOT_CHECK_PERIOD_S = 1.0
 PEER_BACKLOG = 256
 # The platform's load balancer needs a readiness check to notice that an entry stops.
 BALANCER_NOTICE_S = 1.0
@@ -66,6 +68,8 @@
         self._build_log_readers()
         self._build_routing()
         self._build_interfaces()
+        self._timer.subscribe("peer configuration", PEER_CONFIG_PERIOD_S, self._adopt_from_peers)
+        self._timer.subscribe("snapshot", SNAPSHOT_CHECK_PERIOD_S, self._snapshot_as_holder)
 
     def _build_log_readers(self) -> None:
         platform = self._settings.platform
@@ -214,8 +218,6 @@
                 self._claim_writer.run,
                 self._backends.run,
                 self._lease.run,
-                self._snapshot_as_holder,
-                self._adopt_from_peers,
             ):
                 nursery.start_soon(task)
             await self._listen(nursery)
@@ -230,9 +232,12 @@
                 for server in (self._callers_server, self._admin_server):
                     nursery.start_soon(partial(server.drain, accept_s=BALANCER_NOTICE_S))
             await self._claim_writer.flush()
-        running = self._callers_server.active_requests
-        if scope.cancelled_caught and running:
-            self._events.record(Event.PROCESS_STOP_CUT, running=running)
+        if scope.cancelled_caught:
+            self._events.record(
+                Event.PROCESS_STOP_CUT,
+                running=self._callers_server.active_requests,
+                unrecorded=self._claim_writer.queued,
+            )
         else:
             self._events.record(Event.PROCESS_STOPPED)
         self._nursery.cancel_scope.cancel()
@@ -266,9 +271,7 @@
 
     async def _listen(self, nursery: trio.Nursery) -> None:
         settings = self._settings
-        peers = await trio.open_tcp_listeners(
-            settings.peers.port, host=settings.peers.host, backlog=PEER_BACKLOG
-        )
+        peers = await open_listeners(settings.peers.host, settings.peers.port, backlog=PEER_BACKLOG)
         nursery.start_soon(trio.serve_listeners, self._peers.serve, peers)
         _announce("peers", settings.peers.host, peers[0].socket.getsockname()[1])
         if settings.admin_token:
@@ -309,19 +312,15 @@
 
     async def _adopt_from_peers(self) -> None:
         """Take the configuration of other entries while the log can't give all of it."""
-        while True:
-            await trio.sleep(PEER_CONFIG_PERIOD_S)
-            if self._config_follower.available and self._configuration.complete:
-                continue
-            if await self._peers.adopt_configuration():
-                self._adopt_revision("another entry")
+        if self._config_follower.available and self._configuration.complete:
+            return
+        if await self._peers.adopt_configuration():
+            self._adopt_revision("another entry")
 
     async def _snapshot_as_holder(self) -> None:
-        """Append snapshots while this entry holds the controller lease."""
-        while True:
-            await trio.sleep(PEER_CONFIG_PERIOD_S)
-            if self._lease.term is not None:
-                await self._snapshotter.append_if_due()
+        """Append a snapshot if one is due and this entry holds the controller lease."""
+        if self._lease.term is not None:
+            await self._snapshotter.append_if_due()
 
 
 def _announce(name: str, host: str, port: int) -> None:
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -31,7 +31,11 @@
     PROCESS_STARTED = (100, "info", "The process serves on its addresses.")
     PROCESS_STOPPING = (101, "info", "A graceful shutdown began.")
     PROCESS_STOPPED = (102, "info", "The process has stopped; nothing was cut.")
-    PROCESS_STOP_CUT = (103, "error", "The grace time ended with calls still running.")
+    PROCESS_STOP_CUT = (
+        103,
+        "error",
+        "The grace time ended with calls running or outcomes not yet in the log.",
+    )
     TASK_FAILED = (104, "error", "A task ended with an unexpected error.")
 
     HTTP_BAD_REQUEST = (200, "warning", "An HTTP request was refused as malformed or too large.")
@@ -40,6 +44,7 @@
     PEER_FRAME_REJECTED = (203, "warning", "A peer sent an oversize or malformed frame.")
     PEER_CONNECTED = (204, "info", "A connection to another figwalk process opened.")
     PEER_LOST = (205, "warning", "A connection to another figwalk process was lost.")
+    PEER_PORT_TAKEN = (207, "warning", "Another process holds the peer port; this one waits.")
     ANSWER_MISMATCH = (206, "error", "An answer frame carried the identifier of another call.")
 
     REQUEST_RECEIVED = (300, "debug", "A caller's request was accepted for routing.")
--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Awaitable, Callable
+from enum import Enum
 
 import h11
 import trio
@@ -12,17 +13,18 @@
 from figwalk.events import Event, EventLog
 from figwalk.transport.byte_stream import ByteStream
 from figwalk.transport.http_types import Headers, HttpLimits, HttpRequest, find_header
+from figwalk.transport.listening import open_listeners
 
 RECEIVE_BYTES = 65536
 LISTEN_BACKLOG = 1024
 # At a drain an open connection may still bring a request that is under way, for which this leaves
 # well above the one-way latency of 12 ms between regions.
 DRAIN_IDLE_S = 0.2
-BACKLOG_POLL_S = 0.005
 # A client may still be sending when it is refused. Closing a socket with unread bytes resets the
 # connection, and the client then often loses the answer.
 LINGER_S = 2.0
 MAX_TURNED_AWAY = 64
+BACKLOG_POLL_S = 0.005
 
 JSON_HEADER = (b"content-type", b"application/json")
 CLOSE_HEADER = (b"connection", b"close")
@@ -163,8 +165,12 @@
         *,
         task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Listen and serve until cancelled; reports the bound port when started."""
-        listeners = await trio.open_tcp_listeners(port, host=host, backlog=LISTEN_BACKLOG)
+        """Listen and serve until cancelled; reports the bound port when started.
+
+        Raises:
+            ListenError: The system refuses the address.
+        """
+        listeners = await open_listeners(host, port, backlog=LISTEN_BACKLOG)
         self._listeners += listeners
         self._served.append(served := trio.Event())
         bound_port = listeners[0].socket.getsockname()[1]
@@ -219,8 +225,7 @@
             return
         self._connections += 1
         try:
-            if await self._serve_requests(ByteStream(stream)):
-                await _linger(stream)
+            await self._serve_requests(stream)
         except (ConnectionLostError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except h11.LocalProtocolError as error:
@@ -247,36 +252,43 @@
             self._turned_away -= 1
             await trio.aclose_forcefully(stream)
 
-    async def _serve_requests(self, stream: ByteStream) -> bool:
-        """Serve requests; return whether the client may still send or read."""
+    async def _serve_requests(self, stream: trio.SocketStream) -> None:
+        byte_stream = ByteStream(stream)
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
         )
-        while True:
-            try:
-                request = await self._receive_request(connection, stream)
-            except h11.RemoteProtocolError as error:
-                refusal = CallerError(error.error_status_hint, "malformed_request", str(error))
-                await self._refuse(connection, stream, refusal)
-                return True
-            except CallerError as error:
-                await self._refuse(connection, stream, error)
-                return True
-            if request is None:
-                return False
-            responder = Responder(
-                connection, stream, lambda: self._draining, head_only=request.method == "HEAD"
-            )
-            self._active_requests += 1
-            try:
-                await self._answer(request, responder)
-            finally:
-                self._active_requests -= 1
-            if not responder.finished or self._draining:
-                return True
-            if connection.our_state is h11.MUST_CLOSE:
-                return True
-            connection.start_next_cycle()
+        after = _After.NEXT
+        while after is _After.NEXT:
+            after = await self._serve_request(connection, byte_stream)
+        if after is _After.LINGER:
+            await _linger(stream)
+
+    async def _serve_request(self, connection: h11.Connection, stream: ByteStream) -> _After:
+        """Receive and answer one request."""
+        try:
+            request = await self._receive_request(connection, stream)
+        except h11.RemoteProtocolError as error:
+            refusal = CallerError(error.error_status_hint, "malformed_request", str(error))
+            await self._refuse(connection, stream, refusal)
+            return _After.LINGER
+        except CallerError as error:
+            await self._refuse(connection, stream, error)
+            return _After.LINGER
+        if request is None:
+            return _After.CLOSE
+        responder = Responder(
+            connection, stream, lambda: self._draining, head_only=request.method == "HEAD"
+        )
+        self._active_requests += 1
+        try:
+            await self._answer(request, responder)
+        finally:
+            self._active_requests -= 1
+        if not responder.finished or connection.our_state is h11.MUST_CLOSE:
+            return _After.LINGER
+        # An answer that began before a drain has not told the client to send no further request.
+        connection.start_next_cycle()
+        return _After.NEXT
 
     async def _receive_request(
         self, connection: h11.Connection, stream: ByteStream
@@ -310,7 +322,13 @@
                 connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
             finally:
                 self._idle.discard(scope)
-        return not scope.cancelled_caught
+        if not scope.cancelled_caught:
+            return True
+        if self._draining and stream.socket.is_readable():
+            # The deadline of the drain overtook bytes that had arrived.
+            connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
+            return True
+        return False
 
     async def _answer(self, request: HttpRequest, responder: Responder) -> None:
         try:
@@ -362,6 +380,14 @@
         raise CallerError(405, "method_not_allowed", "this server is not a proxy")
 
 
+class _After(Enum):
+    """What follows a request on its connection."""
+
+    NEXT = "next"
+    CLOSE = "close"
+    LINGER = "linger"
+
+
 class _RequestReader:
     """Reads one request from its events.
 
