Say truthfully whether this request of a key ran; test keyed calls with processes

Fault found: if the connection of a keyed call broke while the agent went on running it, the entry asked the agent and answered 409 in_progress at the deadline with `attempt: not_run`, although this very attempt was running. The lookup did not know whether it asked for an own claim or an earlier one. In the reverse case, a retry that had sent nothing was refused with `attempt: outcome_unknown`. The lookup now gets what is known of this request. Ruled out: the agent, which answered `running`, and the claim in the log, which stayed. Before: tests that cut the call connection of a held run, and that retry after the kill of an agent, found not_run and outcome_unknown in the wrong places. After: they pass, and the call runs once.

The engine stand-in can hold answers after some tokens, and the plain service can hold its runs, so that a test acts in mid-call without depending on time.

--- a/figwalk/entry/keyed_calls.py
+++ b/figwalk/entry/keyed_calls.py
@@ -293,7 +293,7 @@
         Raises:
             RefusalError: The outcome is unknown.
         """
-        answer = await self._ask_agent(call, claim)
+        answer = await self._ask_agent(call, claim, attempt=CallOutcome.UNKNOWN)
         if answer is None:
             plan.note_refusal(RefusalError("not_sent", str(error)))
             return None
@@ -319,7 +319,8 @@
             return self._replay(call, current.outcome)
         if current.claim.claim_id != record.claim.claim_id:
             return await self._settle(call, current)
-        return await self._ask_agent(call, current.claim)
+        # This request sends nothing as long as the earlier claim is not released.
+        return await self._ask_agent(call, current.claim, attempt=CallOutcome.NOT_RUN)
 
     async def _wait_for_outcome(self, call: KeyedCall, record: KeyRecord) -> None:
         while True:
@@ -330,9 +331,16 @@
                 return
             await self._follower.wait_changed()
 
-    async def _ask_agent(self, call: KeyedCall, claim: Claim) -> KeyedAnswer | None:
+    async def _ask_agent(
+        self, call: KeyedCall, claim: Claim, *, attempt: CallOutcome
+    ) -> KeyedAnswer | None:
         """Ask the agent that a claim names until the outcome is known.
 
+        Args:
+            call: This request.
+            claim: Claim of this or of an earlier request.
+            attempt: What is known of this request if the outcome of the claim is not.
+
         Returns:
             The answer, or None once the claim is voided and released.
 
@@ -340,7 +348,7 @@
             RefusalError: The outcome is unknown, or the call is still running at the deadline.
         """
         while True:
-            status = await self._lookup(call, claim)
+            status = await self._lookup(call, claim, attempt)
             if status.state is KeyState.FINISHED:
                 result = KeyedAnswer(status.status, status.headers, status.body, replayed=True)
                 self._record(claim, result, call.request.request_id)
@@ -352,28 +360,30 @@
                 )
                 return None
             if status.state is KeyState.UNKNOWN:
-                raise self._unknown(call, "the agent that was to run it is gone")
+                raise self._unknown(call, "the agent that was to run it is gone", attempt)
             if self._timer.now() >= call.request.deadline:
                 raise RefusalError(
                     "in_progress",
-                    "an earlier request with this key is still running",
+                    "a request with this key is still running",
                     status=409,
                     outcome=CallOutcome.UNKNOWN,
-                    attempt=CallOutcome.NOT_RUN,
+                    attempt=attempt,
                     retry_after_ms=MS_PER_S,
                 )
             await trio.sleep(POLL_S)
 
-    async def _lookup(self, call: KeyedCall, claim: Claim) -> KeyStatus:
+    async def _lookup(self, call: KeyedCall, claim: Claim, attempt: CallOutcome) -> KeyStatus:
         link = self._backends.find_link(claim.backend)
         if link is None:
-            raise self._unknown(call, "the backend server that was to run it is gone")
+            raise self._unknown(call, "the backend server that was to run it is gone", attempt)
         try:
             return await link.lookup(claim.claim_id, claim.incarnation)
         except ConnectionLostError as error:
-            raise self._unknown(call, str(error)) from error
+            raise self._unknown(call, str(error), attempt) from error
 
-    def _unknown(self, call: KeyedCall, reason: str) -> RefusalError:
+    def _unknown(
+        self, call: KeyedCall, reason: str, attempt: CallOutcome = CallOutcome.UNKNOWN
+    ) -> RefusalError:
         self._events.record(
             Event.KEY_UNKNOWN, request_id=call.request.request_id, key=call.key, reason=reason
         )
@@ -381,6 +391,7 @@
             "outcome_unknown",
             f"it is not known whether the call ran: {reason}",
             outcome=CallOutcome.UNKNOWN,
+            attempt=attempt,
             retry_after_ms=UNKNOWN_RETRY_MS,
         )
 
--- a/standins/batch.py
+++ b/standins/batch.py
@@ -108,6 +108,11 @@
     decoding: list[Sequence]
     prefill: list[tuple[Sequence, int]]
 
+    @property
+    def empty(self) -> bool:
+        """Whether there is nothing to do."""
+        return not self.decoding and not self.prefill
+
     @property
     def prefill_tokens(self) -> int:
         """Prefill tokens of the step."""
@@ -122,6 +127,7 @@
         cache: Prefix cache.
         max_running: Places for running sequences.
         role: Returns the present role.
+        hold_after: Returns the length at which answers stay unfinished until `wake`, or None.
     """
 
     def __init__(
@@ -130,11 +136,14 @@
         cache: PrefixCache,
         max_running: int,
         role: Callable[[], EngineRole],
+        *,
+        hold_after: Callable[[], int | None] = lambda: None,
     ) -> None:
         self._cost = cost
         self._cache = cache
         self._max_running = max_running
         self._role = role
+        self._hold_after = hold_after
         self._arrivals = itertools.count(1)
         self._waiting: list[Sequence] = []
         self._running: list[Sequence] = []
@@ -186,6 +195,11 @@
         sequence.end(reason)
         owner = self._running if sequence in self._running else self._waiting
         owner.remove(sequence)
+        self.wake()
+
+    def wake(self) -> None:
+        """Look again for work after `hold_after` has changed."""
+        self._work.set()
 
     def interrupt(self) -> int:
         """End all sequences and return how many there were."""
@@ -197,12 +211,12 @@
     async def run(self) -> None:
         """Work in steps until cancelled."""
         while True:
+            self._work = trio.Event()
             self._fill_places()
-            if not self._running:
-                self._work = trio.Event()
+            plan = self._plan_step()
+            if plan.empty:
                 await self._work.wait()
                 continue
-            plan = self._plan_step()
             imported, self._imported = self._imported, 0
             duration_s = self._cost.step_s(
                 self._role(),
@@ -231,7 +245,11 @@
         self._imported += len(present)
 
     def _plan_step(self) -> StepPlan:
-        decoding = [sequence for sequence in self._running if not sequence.prefill_left]
+        decoding = [
+            sequence
+            for sequence in self._running
+            if not sequence.prefill_left and not self._is_held(sequence)
+        ]
         budget = max(ROLE_COSTS[self._role()].step_tokens - len(decoding), 1)
         prefill: list[tuple[Sequence, int]] = []
         for sequence in sorted(self._running, key=lambda sequence: sequence.order):
@@ -241,6 +259,10 @@
                 budget -= count
         return StepPlan(decoding, prefill)
 
+    def _is_held(self, sequence: Sequence) -> bool:
+        limit = self._hold_after()
+        return limit is not None and sequence.position >= limit
+
     def _finish_step(self, plan: StepPlan) -> None:
         for sequence, count in plan.prefill:
             if sequence.end_reason is None:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -29,6 +29,7 @@
   crash_in_change            true: the process ends in the middle of the next change
   hold_changes               true: a change does not go beyond its middle
   crash_after_tokens         N: the process ends once a streamed answer has sent N tokens
+  hold_after_tokens          N: answers stop at N tokens until the fault is lifted (null)
   cut_after_tokens           N: every streamed answer is closed after N tokens
   report_idle                true: /load shows nothing running or queued
   delay_ms                   every generation call waits this long first
@@ -90,7 +91,13 @@
             seed=options.seed,
         )
         self._cache = PrefixCache(options.cache_tokens, self._cache_events)
-        self._batch = Batch(self._cost, self._cache, options.max_running, self._current_role)
+        self._batch = Batch(
+            self._cost,
+            self._cache,
+            options.max_running,
+            self._current_role,
+            hold_after=lambda: self.faults.hold_after_tokens,
+        )
         self._orders = OrderExecutor(
             Loaded(EngineRole(options.role), options.model, options.adapter, options.version),
             ChangeDurations(
@@ -115,6 +122,11 @@
             self._batch, self._orders, self.switch, max_queued=options.max_queued
         )
 
+    def set_faults(self, faults: EngineFaults) -> None:
+        """Put faults in force and let held answers go on if they may."""
+        super().set_faults(faults)
+        self._batch.wake()
+
     async def run(self) -> None:
         """Run batch, changes and load reports."""
         async with trio.open_nursery() as nursery:
--- a/standins/engine_faults.py
+++ b/standins/engine_faults.py
@@ -14,6 +14,7 @@
     crash_in_change: bool = False
     hold_changes: bool = False
     crash_after_tokens: int | None = None
+    hold_after_tokens: int | None = None
     cut_after_tokens: int | None = None
     report_idle: bool = False
     delay_ms: float = 0.0
--- a/standins/service.py
+++ b/standins/service.py
@@ -15,6 +15,7 @@
 
 Faults (POST /faults):
   delay_ms           every run takes this much longer
+  hold_runs          true: no run ends until the fault is lifted
   lose_answers       the next N calls run and their connection is closed; -1 for all
   errors             the next N calls get 500 and do not run; -1 for all
   errors_after_run   the next N calls run and get 500; -1 for all
@@ -47,6 +48,7 @@
     """Faults of the service; the module documentation describes them."""
 
     delay_ms: float = 0.0
+    hold_runs: bool = False
     lose_answers: int = 0
     errors: int = 0
     errors_after_run: int = 0
@@ -114,6 +116,8 @@
         key, attempt = request.header(KEY_HEADER), request.header(ATTEMPT_HEADER)
         self._starts.append(RunStart(key, attempt, time.time()))
         await trio.sleep(self._work_s + self.faults.delay_ms / MS_PER_S)
+        while self.faults.hold_runs:
+            await self.switch.changed.wait()
         status, content = self._run(request)
         if self.use_up("errors_after_run"):
             status, content = 500, render_error("server_error", "failed", "failed after the run")
--- a/tests/support/forwarder.py
+++ b/tests/support/forwarder.py
@@ -113,6 +113,10 @@
         for scope in self._connections:
             scope.cancel()
 
+    def cut_newest(self) -> None:
+        """Reset the connection that was opened last."""
+        list(self._connections)[-1].cancel()
+
     def link(self, direction: Direction) -> Link:
         """Return the state of a direction."""
         return self._links[direction]
--- a/tests/support/small_fleet.py
+++ b/tests/support/small_fleet.py
@@ -35,8 +35,9 @@
 T = TypeVar("T")
 
 # Ends a test that hangs; no verdict depends on it.
-HANG_GUARD_S = 20.0
+HANG_GUARD_S = 60.0
 POLL_S = 0.02
+HELD_TOKENS = 5
 TOKEN = "small-fleet-token"
 FREE_PORT = Address("127.0.0.1", 0)
 ZONE = {"zone": "rajkot-a", "region": "saurashtra"}
@@ -173,9 +174,9 @@
         """Start the platform, backend servers, agents and entries, publish, and wait for all."""
         engine_names = [f"llm-{number + 1}" for number in range(engines)]
         service_names = [f"depot-{number + 1}" for number in range(services)]
-        await self.start_platform()
         await run_together(
             [
+                self.start_platform,
                 *(lambda n=n: self.start_engine(n, *engine_options) for n in engine_names),
                 *(lambda n=n: self.start_service(n) for n in service_names),
             ]
@@ -391,6 +392,26 @@
         )
         assert answer.status == 200, answer.body
 
+    async def hold_answers(self, *, hold: bool) -> None:
+        """Stop all streams of running engines after a few tokens, or let them go on."""
+        for name, handle in self.backends.items():
+            if name.startswith("llm") and handle.returncode is None:
+                await self.set_faults(handle, hold_after_tokens=HELD_TOKENS if hold else None)
+
+    async def hold_runs(self, *, hold: bool) -> None:
+        """Keep the runs of all plain services from ending, or let them end."""
+        for name, handle in self.backends.items():
+            if name.startswith("depot"):
+                await self.set_faults(handle, hold_runs=hold)
+
+    async def wait_event(self, handle: ProcessHandle, event: str) -> None:
+        """Wait until a process, or one of the same name before it, has logged an event."""
+
+        async def check() -> bool:
+            return f'"{event}"' in handle.log_path.read_text()
+
+        await until(check)
+
     async def fetch(self, handle: ProcessHandle, target: str) -> Any:
         """Return the JSON answer of a stand-in."""
         return (await Caller(handle.addresses["http"]).call("GET", target)).content
@@ -448,15 +469,20 @@
 
 
 @asynccontextmanager
-async def streaming(callers: list[Caller], count: int, tokens: int) -> AsyncIterator[list[Stream]]:
-    """Run streams that have begun inside the block, and check at its end that all are whole."""
+async def streaming(
+    fleet: SmallFleet, count: int, tokens: int, entry: str = "entry-1"
+) -> AsyncIterator[list[Stream]]:
+    """Keep streams in their middle inside the block, and check after it that all are whole."""
     streams = [Stream(f"Question {number}: why fill a tyre?", tokens) for number in range(count)]
+    await fleet.hold_answers(hold=True)
     async with trio.open_nursery() as nursery:
-        for number, stream in enumerate(streams):
-            nursery.start_soon(callers[number % len(callers)].read, stream)
+        for stream in streams:
+            nursery.start_soon(fleet.caller(entry).read, stream)
         for stream in streams:
             await stream.started.wait()
         yield streams
+        assert not any(stream.ended.is_set() for stream in streams)
+        await fleet.hold_answers(hold=False)
     for stream in streams:
         stream.check_whole()
 
@@ -468,5 +494,7 @@
         with trio.fail_after(HANG_GUARD_S):
             async with Launcher(directory) as launcher:
                 await test(SmallFleet(launcher, directory))
+                for handle in launcher.handles:
+                    handle.kill()
 
     trio.run(main)
