--- /dev/null
+++ b/tests/test_failures_withdrawal.py
@@ -0,0 +1,99 @@
+"""Leaving backend servers with real processes: they receive no new work (invariant 7)."""
+
+import pytest
+import trio
+
+from tests.support.small_fleet import STOCK_TARGET, run_fleet_test, until
+
+CALLS = 10
+
+
+async def count_calls(fleet, backend):
+    """Return how many calls a plain service has received."""
+    return len((await fleet.fetch(fleet.backends[backend], "/runs"))["starts"])
+
+
+async def send_calls(fleet):
+    """Send calls at once through every entry; all must be answered."""
+
+    async def call(entry):
+        answer = await fleet.caller(entry).call("GET", STOCK_TARGET)
+        assert answer.status == 200, answer.body
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(CALLS):
+            for entry in fleet.entries:
+                nursery.start_soon(call, entry)
+
+
+async def send_until_used(fleet, backend):
+    """Send calls until a backend server has received one."""
+    before = await count_calls(fleet, backend)
+    while await count_calls(fleet, backend) == before:
+        await send_calls(fleet)
+
+
+@pytest.mark.parametrize("way", ["configuration", "sigterm"])
+def test_leaving_backend_server_gets_no_new_call(tmp_path, way):
+    """Guards against entries that go on routing to a server that the VM list still calls live.
+
+    The VM list never shows the departure. A call that does not end keeps the agent there. The
+    second entry is paused while the server leaves, so that it still takes it for live when it
+    resumes.
+    """
+
+    async def test(fleet):
+        await fleet.start(entries=2, services=2, grace_s=3600.0)
+        await send_until_used(fleet, "depot-1")
+        await fleet.set_faults(fleet.backends["depot-1"], hold_runs=True)
+        async with trio.open_nursery() as nursery:
+            await start_held_call(fleet, nursery)
+            before = await count_calls(fleet, "depot-1")
+            fleet.entries["entry-2"].pause()
+            if way == "configuration":
+                await fleet.publish({"withdrawn/depot-1": {"mode": "drain"}})
+            else:
+                fleet.agents["depot-1"].terminate()
+            left = "withdrawn" if way == "configuration" else "leaving"
+            await fleet.wait_backend("depot-1", lambda view: view.state == left)
+            fleet.entries["entry-2"].resume()
+            # A call that reached the leaving server would be held and never answered.
+            await send_calls(fleet)
+            await fleet.wait_backend("depot-1", lambda view: view.state == left, "entry-2")
+            await send_calls(fleet)
+            await fleet.set_faults(fleet.backends["depot-1"], hold_runs=False)
+        assert await count_calls(fleet, "depot-1") == before
+        if way == "sigterm":
+            assert await fleet.agents["depot-1"].wait() == 0
+            return
+        await fleet.publish({"withdrawn/depot-1": None})
+        await fleet.wait_serving()
+        await send_until_used(fleet, "depot-1")
+
+    run_fleet_test(tmp_path, test)
+
+
+async def start_held_call(fleet, nursery):
+    """Start calls one after the other until one of them is held at the first server."""
+    while not await count_held(fleet):
+        ended = trio.Event()
+        nursery.start_soon(check_stock, fleet, ended)
+        await until(lambda ended=ended: ends_or_is_held(fleet, ended))
+
+
+async def check_stock(fleet, ended):
+    """Send a call that must be answered."""
+    answer = await fleet.caller().call("GET", STOCK_TARGET)
+    assert answer.status == 200, answer.body
+    ended.set()
+
+
+async def ends_or_is_held(fleet, ended):
+    """Return whether a call has ended or is held."""
+    return ended.is_set() or await count_held(fleet)
+
+
+async def count_held(fleet):
+    """Return how many calls are held at the first server."""
+    counts = await fleet.fetch(fleet.backends["depot-1"], "/runs")
+    return len(counts["starts"]) - sum(counts["without_key"].values())
