Tell entries of a new incarnation on the open connection; take default answer lengths as estimates

Cause of the first: an agent whose memory of claims was full closed its control connections, and the entries then gave up the calls that ran there. Ruled out: the reset of the fleet view by the new incarnation, which loses counts only. Also: a service whose limit is below the default answer length refused requests without one, and a resumed body could grow past the frame limit by escapes.

--- a/figwalk/agent/control_server.py
+++ b/figwalk/agent/control_server.py
@@ -115,10 +115,13 @@
         """Stop telling it to new connections; load reports show the state."""
         self._leaving = None
 
-    def close_all(self) -> None:
-        """Close all control connections; entries come back and read a fresh `Hello`."""
+    def tell_hello(self, hello: Hello) -> None:
+        """Tell all entries who the agent is now.
+
+        On the open connections, since an entry gives up its running calls when it loses one.
+        """
         for session in self._sessions:
-            session.scope.cancel()
+            session.post(hello)
 
     async def confirm(self) -> Desired | None:
         """Return the desired state as of a log read that begins now.
--- a/figwalk/agent/main.py
+++ b/figwalk/agent/main.py
@@ -209,8 +209,7 @@
         self._control.report_now()
 
     def _announce_incarnation(self) -> None:
-        """Entries learn the new incarnation from the `Hello` of their next connection."""
-        self._control.close_all()
+        self._control.tell_hello(self._make_hello(ConnectionKind.CONTROL))
 
     async def _answer_health(self, request: HttpRequest, responder: Responder) -> None:
         state = self._serving.state
--- a/figwalk/protocol/chat.py
+++ b/figwalk/protocol/chat.py
@@ -14,6 +14,7 @@
 COMPLETIONS_PATH = "/v1/completions"
 MODELS_PATH = "/v1/models"
 DEFAULT_MAX_TOKENS = 256
+_MAX_TOKENS_FIELDS = ("max_completion_tokens", "max_tokens")
 EVENT_END = b"\n\n"
 EVENT_PREFIX = b"data: "
 DONE_DATA = b"[DONE]"
@@ -70,13 +71,18 @@
         """Hashes of the prompt's prefix pieces."""
         return prefix_pieces(self.prompt)
 
+    @property
+    def sets_max_tokens(self) -> bool:
+        """Whether the caller gave the answer length; else it is an estimate."""
+        return any(self.body.get(name) is not None for name in _MAX_TOKENS_FIELDS)
+
     def check_limits(self, service: ServiceConfig) -> None:
         """Refuse a request above the service's limits.
 
         Raises:
             CallerError: Prompt or answer length is above the limit.
         """
-        if self.max_tokens > service.max_output_tokens:
+        if self.sets_max_tokens and self.max_tokens > service.max_output_tokens:
             raise CallerError(
                 400,
                 "max_tokens_too_large",
@@ -92,7 +98,13 @@
 
     def resumed_body(self, tokens: list[str]) -> bytes:
         """Return the body that continues after tokens that were already generated."""
-        return json.dumps({**self.body, "resume_tokens": tokens}).encode()
+        body = {**self.body, "resume_tokens": tokens}
+        try:
+            # Escapes would make a body of non-Latin text up to three times as long as it came.
+            return json.dumps(body, ensure_ascii=False).encode()
+        except UnicodeEncodeError:
+            # Lone surrogates have no UTF-8 form.
+            return json.dumps(body).encode()
 
 
 def _parse_object(data: bytes) -> JsonObject:
@@ -106,7 +118,7 @@
 
 
 def _max_tokens(body: JsonObject) -> int:
-    for name in ("max_completion_tokens", "max_tokens"):
+    for name in _MAX_TOKENS_FIELDS:
         value = body.get(name)
         if value is None:
             continue
--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -91,6 +91,19 @@
     assert caught.value.code == code
 
 
+def test_default_answer_length_is_no_fault_of_the_caller():
+    """Guards against a service with short answers that refuses every plain request."""
+    parse(CHAT).check_limits(ServiceConfig("model", max_output_tokens=10))
+
+
+@pytest.mark.parametrize("text", ["\u0a97" * 1000, "\ud800"], ids=["gujarati", "lone surrogate"])
+def test_resumed_body_is_no_longer_than_it_came(text):
+    """Guards against a long prompt whose resumption is above the frame limit."""
+    body = parse(CHAT | {"messages": [USER | {"content": text}]}).resumed_body(["a"])
+    assert json.loads(body)["messages"][0]["content"] == text
+    assert len(body) < 4 * len(text) + 200
+
+
 def test_transcript_gives_tokens_and_identity_for_the_resumption():
     """Guards against a resumed stream that repeats or drops text, or changes its id."""
     transcript = StreamTranscript()
