Make the failure tests independent of routing luck and of short-lived states

The withdrawal test passed when the agent took calls while leaving, because the entry could learn of the departure first. Log and agent are now cut off from that entry, and a call is sent to the leaving agent for certain. Adopted revisions are read from the logs of all processes, since polling the status misses a step back, and a retry now asks while the call of a killed entry runs.

--- a/tests/support/small_fleet.py
+++ b/tests/support/small_fleet.py
@@ -31,6 +31,7 @@
 from standins.deployment import run_together
 from standins.launcher import AGENT_SOCKETS, ENTRY_SOCKETS, Launcher, ProcessHandle
 from standins.text import expected_text
+from tests.support.forwarder import Forwarder
 
 T = TypeVar("T")
 
@@ -120,9 +121,12 @@
         async with self._client.open(HttpRequest(method, target, pairs, body)) as response:
             return Answer(response.status, response, await response.read())
 
-    async def order(self, key: str, body: bytes = ORDER) -> Answer:
+    async def order(self, key: str, body: bytes = ORDER, *, deadline_ms: int = 30_000) -> Answer:
         """Place a water-calcium order."""
-        return await self.call("POST", ORDER_TARGET, body, idempotency_key=key)
+        deadline = str(deadline_ms)
+        return await self.call(
+            "POST", ORDER_TARGET, body, idempotency_key=key, figwalk_deadline_ms=deadline
+        )
 
     async def read(self, stream: Stream) -> None:
         """Ask for a streamed chat answer and read it to its end."""
@@ -271,6 +275,7 @@
         log: Address | None = None,
         vms: Address | None = None,
         grace_s: float = 30.0,
+        report_timeout_s: float = 1.0,
     ) -> None:
         """Start an entry and list its VM.
 
@@ -279,6 +284,7 @@
             log: Address of the log, if not that of the fleet.
             vms: Address of the VM list, if not that of the fleet.
             grace_s: Seconds that running requests may take after SIGTERM.
+            report_timeout_s: Seconds without a report after which a server is avoided.
         """
         platform = PlatformSettings(
             log=log or self.log.addresses["http"],
@@ -295,12 +301,32 @@
             admin_token=TOKEN,
             grace_s=grace_s,
             lease_ttl_s=1.0,
+            report_timeout_s=report_timeout_s,
         )
         self.entries[name] = await self._launcher.start(
             name, "figwalk.entry.main", self._write(settings), listening=ENTRY_SOCKETS
         )
         await self.list_vm(name, "entry", self.entries[name].addresses["peers"])
 
+    async def start_forwarded_entry(
+        self, name: str, backend: str, nursery: trio.Nursery, *, log: Address | None = None
+    ) -> Forwarder:
+        """Start an entry whose connections to one agent go through the forwarder returned.
+
+        The entry relies on reports of any age, so that it goes on calling an agent that it no
+        longer hears.
+        """
+        forwarder = Forwarder(self.agents[backend].addresses["peers"])
+        address = await nursery.start(forwarder.run)
+        vms = await self.start_vm_list(f"vms-{name}")
+        for listed in self.agents:
+            await self.list_agent(listed, address=address if listed == backend else None, vms=vms)
+        await self.start_entry(
+            name, log=log, vms=vms.addresses["http"], report_timeout_s=HANG_GUARD_S
+        )
+        await self.wait_serving()
+        return forwarder
+
     async def list_agent(
         self, backend: str, *, address: Address | None = None, vms: ProcessHandle | None = None
     ) -> None:
--- a/tests/test_failures_configuration.py
+++ b/tests/test_failures_configuration.py
@@ -1,5 +1,7 @@
 """Configuration with real processes: accepted once, in effect everywhere, never taken back."""
 
+import json
+
 import trio
 
 from figwalk.cli.errors import AdminAnswerLostError, AdminError
@@ -160,10 +162,20 @@
         await watch.wait(newer)
         for entry in fleet.entries:
             assert (await fetch_config(fleet, entry)).value(PATH) == {"share": 5}
+        for handle in (*fleet.entries.values(), *fleet.agents.values()):
+            adopted = read_adopted_revisions(handle)
+            assert adopted, f"{handle.name} has logged no revision"
+            assert adopted == sorted(adopted), f"{handle.name} stepped back: {adopted}"
 
     run_fleet_test(tmp_path, test)
 
 
+def read_adopted_revisions(handle):
+    """Return all revisions that a process put in force, also those that no status shows."""
+    records = [json.loads(line) for line in handle.log_path.read_text().splitlines()]
+    return [int(r["revision"]) for r in records if r["event"] == "CONFIG_ADOPTED"]
+
+
 async def watch_log(watch, entry):
     """Return whether an entry reads the log, watching its revision."""
     return (await watch.look(entry)).log_available
--- a/tests/test_failures_keyed_calls.py
+++ b/tests/test_failures_keyed_calls.py
@@ -8,8 +8,8 @@
 
 from figwalk.errors import HttpError
 from figwalk.protocol.records import CLAIMS_STREAM, decode_record
-from tests.support.forwarder import Direction, Forwarder
-from tests.support.small_fleet import ORDER, ORDER_TARGET, Answer, run_fleet_test, until
+from tests.support.forwarder import Direction
+from tests.support.small_fleet import ORDER_TARGET, Answer, run_fleet_test, until
 
 OTHER_ORDER = b'{"item": "water-calcium", "quantity": 4}'
 
@@ -96,7 +96,7 @@
     async def test(fleet):
         await fleet.start(entries=1, services=1)
         async with trio.open_nursery() as nursery:
-            forwarder = await start_forwarded_entry(fleet, nursery)
+            forwarder = await fleet.start_forwarded_entry("entry-2", "depot-1", nursery)
             # Opens the connection on which the delayed call is sent.
             assert (await fleet.caller("entry-2").order("before")).status == 201
             forwarder.hold(Direction.TO_SERVER)
@@ -140,6 +140,9 @@
             await wait_running(fleet, "entry-2")
             fleet.entries["entry-1"].kill()
         assert first.answer is None
+        early = await fleet.caller("entry-2").order("key", deadline_ms=500)
+        assert (early.status, early.error["code"]) == (409, "in_progress"), early.body
+        assert early.error["attempt"] == "not_run", early.body
         await fleet.hold_runs(hold=False)
         retry = await fleet.caller("entry-2").order("key")
         assert (retry.status, retry.replayed) == (201, True), retry.body
@@ -186,14 +189,10 @@
         answers = []
 
         async def order():
-            answers.append(
-                await fleet.caller("entry-2").call(
-                    "POST", ORDER_TARGET, ORDER, idempotency_key="key", figwalk_deadline_ms="500"
-                )
-            )
+            answers.append(await fleet.caller("entry-2").order("key", deadline_ms=500))
 
         async with trio.open_nursery() as nursery:
-            forwarder = await start_forwarded_entry(fleet, nursery)
+            forwarder = await fleet.start_forwarded_entry("entry-2", "depot-1", nursery)
             async with trio.open_nursery() as calls:
                 calls.start_soon(order)
                 await wait_running(fleet, "entry-2")
@@ -271,17 +270,6 @@
     run_fleet_test(tmp_path, test)
 
 
-async def start_forwarded_entry(fleet, nursery):
-    """Start `entry-2`, whose connections to the agent go through the forwarder returned."""
-    forwarder = Forwarder(fleet.agents["depot-1"].addresses["peers"])
-    address = await nursery.start(forwarder.run)
-    other_vms = await fleet.start_vm_list("vms-2")
-    await fleet.list_agent("depot-1", address=address, vms=other_vms)
-    await fleet.start_entry("entry-2", vms=other_vms.addresses["http"])
-    await fleet.wait_serving()
-    return forwarder
-
-
 async def wait_running(fleet, entry):
     """Wait until a backend server runs a call and return its name."""
     status = await fleet.wait_status(entry, lambda s: any(b.running for b in s.backends))
--- a/tests/test_failures_withdrawal.py
+++ b/tests/test_failures_withdrawal.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from tests.support.forwarder import Direction, Forwarder
 from tests.support.small_fleet import STOCK_TARGET, run_fleet_test, until
 
 CALLS = 10
@@ -37,53 +38,74 @@
 def test_leaving_backend_server_gets_no_new_call(tmp_path, way):
     """Guards against entries that go on routing to a server that the VM list still calls live.
 
-    The VM list never shows the departure. A call that does not end keeps the agent there. The
-    second entry is paused while the server leaves, so that it still takes it for live when it
-    resumes.
+    The VM lists never show the departure, and neither the log nor the leaving agent reaches the
+    second entry, which takes the server for live. A call that does not end keeps the agent there.
     """
 
     async def test(fleet):
-        await fleet.start(entries=2, services=2, grace_s=3600.0)
-        await send_until_used(fleet, "depot-1")
-        await fleet.set_faults(fleet.backends["depot-1"], hold_runs=True)
+        await fleet.start(services=2, grace_s=3600.0)
         async with trio.open_nursery() as nursery:
-            await start_held_call(fleet, nursery)
-            before = await count_calls(fleet, "depot-1")
-            fleet.entries["entry-2"].pause()
-            if way == "configuration":
-                await fleet.publish({"withdrawn/depot-1": {"mode": "drain"}})
+            log = Forwarder(fleet.log.addresses["http"])
+            forwarder = await fleet.start_forwarded_entry(
+                "entry-2", "depot-1", nursery, log=await nursery.start(log.run)
+            )
+            await send_until_used(fleet, "depot-1")
+            await fleet.set_faults(fleet.backends["depot-1"], hold_runs=True)
+            async with trio.open_nursery() as calls:
+                await start_held_call(fleet, calls)
+                before = await count_calls(fleet, "depot-1")
+                log.hold()
+                forwarder.hold(Direction.TO_CLIENT)
+                if way == "configuration":
+                    await fleet.publish({"withdrawn/depot-1": {"mode": "drain"}})
+                else:
+                    fleet.agents["depot-1"].terminate()
+                left = "withdrawn" if way == "configuration" else "leaving"
+                await fleet.wait_backend("depot-1", lambda view: view.state == left)
+                async with trio.open_nursery() as late_calls:
+                    await call_leaving_server(fleet, forwarder, late_calls)
+                    log.forward()
+                    forwarder.forward()
+                await fleet.wait_backend("depot-1", lambda view: view.state == left, "entry-2")
+                await send_calls(fleet)
+                assert await count_calls(fleet, "depot-1") == before
+                await fleet.set_faults(fleet.backends["depot-1"], hold_runs=False)
+            if way == "sigterm":
+                assert await fleet.agents["depot-1"].wait() == 0
             else:
-                fleet.agents["depot-1"].terminate()
-            left = "withdrawn" if way == "configuration" else "leaving"
-            await fleet.wait_backend("depot-1", lambda view: view.state == left)
-            fleet.entries["entry-2"].resume()
-            # A call that reached the leaving server would be held and never answered.
-            await send_calls(fleet)
-            await fleet.wait_backend("depot-1", lambda view: view.state == left, "entry-2")
-            await send_calls(fleet)
-            await fleet.set_faults(fleet.backends["depot-1"], hold_runs=False)
-        assert await count_calls(fleet, "depot-1") == before
-        if way == "sigterm":
-            assert await fleet.agents["depot-1"].wait() == 0
-            return
-        await fleet.publish({"withdrawn/depot-1": None})
-        await fleet.wait_serving()
-        await send_until_used(fleet, "depot-1")
+                await fleet.publish({"withdrawn/depot-1": None})
+                await fleet.wait_serving()
+                await send_until_used(fleet, "depot-1")
+            nursery.cancel_scope.cancel()
 
     run_fleet_test(tmp_path, test)
 
 
+async def call_leaving_server(fleet, forwarder, nursery):
+    """Start calls through the second entry until one has gone to the first server's agent."""
+    link = forwarder.link(Direction.TO_SERVER)
+    forwarded = link.forwarded_bytes
+
+    async def is_sent_or_ended(ended):
+        return link.forwarded_bytes > forwarded or ended.is_set()
+
+    while link.forwarded_bytes == forwarded:
+        ended = trio.Event()
+        nursery.start_soon(check_stock, fleet, "entry-2", ended)
+        await until(lambda ended=ended: is_sent_or_ended(ended))
+
+
 async def start_held_call(fleet, nursery):
     """Start calls one after the other until one of them is held at the first server."""
     while not await count_held(fleet):
         ended = trio.Event()
-        nursery.start_soon(check_stock, fleet, ended)
+        nursery.start_soon(check_stock, fleet, "entry-1", ended)
         await until(lambda ended=ended: ends_or_is_held(fleet, ended))
 
 
-async def check_stock(fleet, ended):
+async def check_stock(fleet, entry, ended):
     """Send a call that must be answered."""
-    answer = await fleet.caller().call("GET", STOCK_TARGET)
+    answer = await fleet.caller(entry).call("GET", STOCK_TARGET)
     assert answer.status == 200, answer.body
     ended.set()
 
