Bound the wait of interactive streams by their first token, and end streams at their deadline

Cause: admission knew only the deadline, so that under overload chat waited in the agents' queues for seconds and its first token was late. A stream cut at its deadline was resumed on another engine with 0 ms left, which means no deadline to an agent. Admission of chat also counted prompts that the engine processes after it.

--- a/bench/cell.py
+++ b/bench/cell.py
@@ -22,6 +22,7 @@
 from bench.traces import TRACES, WARM_UP_S, Fault, FaultKind, Trace
 from figwalk.cli.admin_client import StatusView
 from figwalk.cli.operator_commands import publish_values
+from figwalk.entry.tallies import FIRST_TOKEN_TARGET_S
 from figwalk.state.settings import AgentSettings, EntrySettings
 from figwalk.state.settings_file import dump_settings, load_settings
 from figwalk.transport import HttpClient
@@ -188,6 +189,7 @@
             (self._directory / path.name).write_text(dump_settings(settings))
         published = yaml.safe_load((EXAMPLE / "published.yaml").read_text())
         published["services"] = {SERVICE: published["services"][SERVICE]}
+        published["services"][SERVICE]["first_token_s"] = FIRST_TOKEN_TARGET_S * self._time_scale
         published["presets"] = {"bench": self._policy.scaled_preset(self._time_scale)}
         published["preset_in_force"] = "bench"
         (self._directory / "published.yaml").write_text(yaml.safe_dump(published))
--- a/figwalk/agent/call_server.py
+++ b/figwalk/agent/call_server.py
@@ -48,6 +48,7 @@
         call: The call.
         scope: Cancelling it ends the call.
         deadline: Time at which the answer is worthless, or infinity.
+        first_token_due: Time at which the first token is due, or infinity.
         sent: Whether the backend server may have received it.
         answered: Whether `Answer` went to the entry.
         detached: Whether the entry is gone and the call runs on for its kept answer.
@@ -60,6 +61,7 @@
     call: Call
     scope: trio.CancelScope
     deadline: float = math.inf
+    first_token_due: float = math.inf
     sent: bool = False
     answered: bool = False
     detached: bool = False
@@ -151,6 +153,8 @@
         attempt = Attempt(call, trio.CancelScope())
         if call.deadline_ms:
             attempt.deadline = self._timer.now() + call.deadline_ms / MS_PER_S
+        if call.first_token_ms:
+            attempt.first_token_due = self._timer.now() + call.first_token_ms / MS_PER_S
         return attempt
 
     async def run_call(self, attempt: Attempt, session: _CallSession) -> None:
@@ -230,7 +234,12 @@
     ) -> None:
         call = attempt.call
         work = Work(
-            call.priority, call.organisation, attempt.deadline, call.prompt_tokens, call.max_tokens
+            call.priority,
+            call.organisation,
+            attempt.deadline,
+            call.prompt_tokens,
+            call.max_tokens,
+            attempt.first_token_due,
         )
         ticket = await self._admission.admit(work)
         try:
--- a/figwalk/coordination/admission.py
+++ b/figwalk/coordination/admission.py
@@ -41,6 +41,7 @@
         deadline: Time by `Timer.now` at which the answer is worthless, or infinity.
         prompt_tokens: Prompt length; 0 for plain services.
         max_tokens: Largest answer length; 0 for plain services.
+        first_token_due: Time by `Timer.now` at which the answer must begin, or infinity.
     """
 
     priority: Priority = Priority.NORMAL
@@ -48,6 +49,7 @@
     deadline: float = math.inf
     prompt_tokens: int = 0
     max_tokens: int = 0
+    first_token_due: float = math.inf
 
 
 class ServiceEstimate:
@@ -90,13 +92,16 @@
         ratio = self._output_ratios.get(work.max_tokens.bit_length(), DEFAULT_OUTPUT_RATIO)
         return work.max_tokens * ratio
 
+    def prompt_s(self, work: Work) -> float:
+        """Return the predicted seconds from start to the first token."""
+        speed = self._prefill_tokens_per_s
+        return work.prompt_tokens / speed if speed else 0.0
+
     def service_s(self, work: Work) -> float:
         """Return the predicted seconds from start to end."""
         if not work.prompt_tokens and not work.max_tokens:
             return self._plain_s
-        total = 0.0
-        if self._prefill_tokens_per_s:
-            total += work.prompt_tokens / self._prefill_tokens_per_s
+        total = self.prompt_s(work)
         speed = self.call_decode_tokens_per_s
         if speed:
             total += self.output_tokens(work) / speed
@@ -136,6 +141,7 @@
     Attributes:
         work: What it asks.
         service_s: Predicted seconds from start to end.
+        prompt_s: Predicted seconds from start to the first token.
         output_tokens: Expected answer length.
         enqueued_at: When it asked for admission.
         started_at: When it was admitted.
@@ -146,6 +152,7 @@
 
     work: Work
     service_s: float
+    prompt_s: float
     output_tokens: float
     enqueued_at: float
     started_at: float = 0.0
@@ -157,8 +164,8 @@
 
     @property
     def latest_start(self) -> float:
-        """Time after which it can no longer finish before its deadline."""
-        return self.work.deadline - self.service_s
+        """Time after which it can no longer begin and finish in time."""
+        return min(self.work.first_token_due - self.prompt_s, self.work.deadline - self.service_s)
 
 
 class AdmissionQueue:
@@ -236,12 +243,19 @@
             RefusalError: The call can't finish in time, or the queue is full or closed.
         """
         now = self._timer.now()
+        estimate = self._estimate
         ticket = Ticket(
-            work, self._estimate.service_s(work), self._estimate.output_tokens(work), now
+            work,
+            estimate.service_s(work),
+            estimate.prompt_s(work),
+            estimate.output_tokens(work),
+            now,
         )
         if self._closed_code:
             raise self._closed_refusal()
-        backlog_s = self._prefill_backlog_s(now) if work.deadline < math.inf else 0.0
+        backlog_s = 0.0
+        if ticket.latest_start < math.inf:
+            backlog_s = self._prefill_backlog_s(now, work.priority)
         if now + backlog_s * WAIT_CONFIDENCE > ticket.latest_start:
             raise self._deadline_refusal(work, max(backlog_s, self._predict_wait(ticket)))
         if len(self._running) < self._capacity and not self._waiting:
@@ -270,6 +284,7 @@
         slots = self._free_times()
         for ticket in list(self._all_waiting()):
             ticket.service_s = self._estimate.service_s(ticket.work)
+            ticket.prompt_s = self._estimate.prompt_s(ticket.work)
             wait = slots[0] - now
             if now + wait * WAIT_CONFIDENCE > ticket.latest_start:
                 self._refuse(ticket, self._deadline_refusal(ticket.work, wait))
@@ -278,7 +293,7 @@
 
     def predicted_wait_s(self, priority: Priority = Priority.NORMAL) -> float:
         """Return the predicted wait of a new call of a class."""
-        return self._predict_wait(Ticket(Work(priority), 0.0, 0.0, self._timer.now()))
+        return self._predict_wait(Ticket(Work(priority), 0.0, 0.0, 0.0, self._timer.now()))
 
     def processed_tokens(self) -> tuple[int, int]:
         """Return the prompt and output tokens already processed for running calls."""
@@ -360,14 +375,25 @@
             heapq.heapreplace(slots, slots[0] + ticket.service_s)
         return max(0.0, slots[0] - self._timer.now())
 
-    def _prefill_backlog_s(self, now: float) -> float:
+    def _prefill_backlog_s(self, now: float, priority: Priority = Priority.BATCH) -> float:
         """Return the seconds for the prompts of running calls whose answer has not begun.
 
-        The engine processes prompts one after the other at its prefill speed, and has done so
-        since the oldest of these calls started.
+        The engine processes prompts one after the other at its prefill speed, those of a higher
+        priority first, and has done so since the oldest of these calls started.
+
+        Args:
+            now: Timer time.
+            priority: Class whose prompts wait for those of the same and of higher ones.
         """
+        rank = _CLASSES.index(priority)
         speed = self._estimate.prefill_tokens_per_s
-        waiting = [t for t in self._running if not t.first_byte_at and t.work.prompt_tokens]
+        waiting = [
+            ticket
+            for ticket in self._running
+            if not ticket.first_byte_at
+            and ticket.work.prompt_tokens
+            and _CLASSES.index(ticket.work.priority) <= rank
+        ]
         if not waiting or not speed:
             return 0.0
         total_s = sum(t.work.prompt_tokens for t in waiting) / speed
@@ -387,13 +413,22 @@
 
     def _deadline_refusal(self, work: Work, wait_s: float) -> RefusalError:
         self._estimate.note_refusal(work)
-        left = work.deadline - self._timer.now()
+        now = self._timer.now()
+        left = work.deadline - now
+        first_left = work.first_token_due - now
         # The queue has to get shorter by what the call would be late.
         late = wait_s + self._estimate.service_s(work) - left
-        message = f"the call can't finish within the {max(0, round(left * MS_PER_S))} ms left"
+        message = f"the call can't finish within the {_render_ms(left)} ms left"
+        if wait_s + self._estimate.prompt_s(work) - first_left > late:
+            late = wait_s + self._estimate.prompt_s(work) - first_left
+            message = f"the answer can't begin in the {_render_ms(first_left)} ms left"
         return _refusal("deadline", message, min(wait_s, late) if late > 0 else wait_s)
 
 
+def _render_ms(seconds: float) -> str:
+    return f"{max(0.0, seconds) * MS_PER_S:.0f}"
+
+
 def _refusal(code: str, message: str, retry_after_s: float) -> RefusalError:
     retry_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, math.ceil(retry_after_s * MS_PER_S)))
     return RefusalError(code, message, retry_after_ms=retry_ms)
--- a/figwalk/coordination/router.py
+++ b/figwalk/coordination/router.py
@@ -58,6 +58,7 @@
         pieces: Hashes of the whole prefix pieces of the prompt.
         priority: Priority class.
         deadline: Timer time at which the answer must be complete, or None.
+        first_token_due: Timer time at which the first token is due, or None.
     """
 
     service: str
@@ -69,6 +70,7 @@
     pieces: Sequence[int] = ()
     priority: Priority = Priority.NORMAL
     deadline: float | None = None
+    first_token_due: float | None = None
 
 
 @attrs.frozen
@@ -308,6 +310,8 @@
 
 
 def _meets_deadline(request: RouteRequest, choice: Choice, now: float) -> bool:
+    if request.first_token_due is not None and now + choice.first_token_s > request.first_token_due:
+        return False
     if request.deadline is None:
         return True
     output_s = request.max_tokens * choice.between_tokens_s
--- a/figwalk/entry/attempt_plan.py
+++ b/figwalk/entry/attempt_plan.py
@@ -43,6 +43,11 @@
         self._retry_is_free = True
         budget.note_first_attempt()
 
+    @property
+    def route(self) -> RouteRequest:
+        """What the routing policy knows of the request."""
+        return self._route
+
     def next_target(self) -> Target:
         """Choose the next backend server.
 
--- a/figwalk/entry/caller_request.py
+++ b/figwalk/entry/caller_request.py
@@ -69,8 +69,8 @@
         )
 
     def remaining_ms(self, now: float) -> int:
-        """Return the milliseconds left until the deadline, at least 0."""
-        return max(0, int((self.deadline - now) * MS_PER_S))
+        """Return the milliseconds left until the deadline, at least 1: to an agent 0 is none."""
+        return max(1, int((self.deadline - now) * MS_PER_S))
 
 
 def _deadline_ms(http: HttpRequest) -> int:
--- a/figwalk/entry/model_calls.py
+++ b/figwalk/entry/model_calls.py
@@ -22,9 +22,9 @@
     render_error_event,
     rewrite_identity,
 )
-from figwalk.protocol.messages import Answer, Call
+from figwalk.protocol.messages import Answer, Call, Priority
 from figwalk.state.published import ServiceConfig
-from figwalk.timer import Timer
+from figwalk.timer import MS_PER_S, Timer
 from figwalk.transport import (
     ClientGoneError,
     Headers,
@@ -102,7 +102,7 @@
             prompt_tokens=model.prompt_tokens,
             max_tokens=model.max_tokens,
         )
-        call = self._start_call(request, model, name, responder)
+        call = self._start_call(request, model, name, service, responder)
         try:
             await (self._stream(call) if model.stream else self._answer_whole(call))
         except RefusalError as error:
@@ -127,16 +127,23 @@
         )
 
     def _start_call(
-        self, request: CallerRequest, model: ModelRequest, service: str, responder: Responder
+        self,
+        request: CallerRequest,
+        model: ModelRequest,
+        name: str,
+        service: ServiceConfig,
+        responder: Responder,
     ) -> _ModelCall:
+        immediate = model.stream and request.priority is Priority.INTERACTIVE
         route = RouteRequest(
-            service=service,
+            service=name,
             model=model.model,
             prompt_tokens=model.prompt_tokens,
             max_tokens=model.max_tokens,
             pieces=tuple(model.pieces),
             priority=request.priority,
             deadline=request.deadline,
+            first_token_due=request.arrived + service.first_token_s if immediate else None,
             zone=self._backends.zone,
             region=self._backends.region,
         )
@@ -177,6 +184,19 @@
         return True
 
     async def _stream(self, call: _ModelCall) -> None:
+        # Past its deadline a stream would only take time from others, on each engine that it is
+        # resumed on.
+        with trio.move_on_after(call.request.deadline - self._timer.now()) as scope:
+            await self._send_stream(call)
+        if scope.cancelled_caught and not call.responder.finished:
+            raise RefusalError(
+                "deadline_exceeded",
+                "the stream was not complete at the deadline",
+                status=504,
+                outcome=CallOutcome.UNKNOWN,
+            )
+
+    async def _send_stream(self, call: _ModelCall) -> None:
         resumes = 0
         while not await self._try_stream(call, call.plan.next_target()):
             if not call.transcript.empty:
@@ -252,10 +272,18 @@
             prompt_tokens=max(1, call.model.prompt_tokens - target.choice.matched_tokens),
             max_tokens=call.model.max_tokens,
             stream=call.model.stream,
+            first_token_ms=self._first_token_ms(call),
             incarnation=target.incarnation,
             clock=self._events.clock.tick(),
         )
 
+    def _first_token_ms(self, call: _ModelCall) -> int:
+        """Return the time left for the first token of an interactive stream; 0 for no limit."""
+        due = call.plan.route.first_token_due
+        if due is None or not call.transcript.empty:
+            return 0
+        return max(1, int((due - self._timer.now()) * MS_PER_S))
+
     def _count_region_bytes(self, target: Target, count: int) -> None:
         if target.choice.crosses_region:
             self._tallies.note_region_bytes(count)
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -101,6 +101,7 @@
         claim_id: Claim of a call that may not be repeated, or an empty string.
         incarnation: Incarnation of the agent that the claim names.
         clock: Hybrid logical clock.
+        first_token_ms: Milliseconds left until the first token is due; 0 for no limit.
     """
 
     call_id: int
@@ -118,6 +119,7 @@
     claim_id: str = ""
     incarnation: int = 0
     clock: int = 0
+    first_token_ms: int = 0
 
 
 @attrs.frozen
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -35,6 +35,7 @@
   claimId @12 :Text;
   incarnation @13 :UInt64;
   clock @14 :UInt64;
+  firstTokenMs @15 :UInt32;
 }
 
 struct Answer {
--- a/figwalk/state/_structuring.py
+++ b/figwalk/state/_structuring.py
@@ -56,6 +56,7 @@
 # Zero would make these numbers mean "never" or a busy loop.
 POSITIVE_FIELDS = frozenset(
     {
+        "first_token_s",
         "idle_timeout_s",
         "key_memory_limit",
         "key_memory_s",
--- a/figwalk/state/published.py
+++ b/figwalk/state/published.py
@@ -46,6 +46,8 @@
         models: Model names served, for kind `model`.
         non_repeatable: Calls that need an idempotency key, for kind `plain`.
         timeout_s: Seconds a call may take when the caller gives no deadline.
+        first_token_s: Seconds in which an interactive stream must begin; one that can't is refused
+            at once.
         max_output_tokens: Largest `max_tokens` accepted.
         max_prompt_tokens: Largest prompt accepted.
     """
@@ -54,6 +56,7 @@
     models: list[str] = attrs.field(factory=list)
     non_repeatable: list[CallRule] = attrs.field(factory=list)
     timeout_s: float = 60.0
+    first_token_s: float = 1.7
     max_output_tokens: int = 4096
     max_prompt_tokens: int = 131072
 
--- a/figwalk/state/value_parser.py
+++ b/figwalk/state/value_parser.py
@@ -148,6 +148,7 @@
     faults = [
         *_require_choice("kind", service.kind, SERVICE_KINDS),
         *_require_positive("timeout_s", service.timeout_s),
+        *_require_positive("first_token_s", service.first_token_s),
         *_require_positive("max_output_tokens", service.max_output_tokens),
         *_require_positive("max_prompt_tokens", service.max_prompt_tokens),
     ]
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,7 +5,7 @@
 from trio.testing import MockClock, wait_all_tasks_blocked
 
 from figwalk.coordination.admission import AdmissionQueue, Work
-from figwalk.errors import RefusalError
+from figwalk.errors import CallOutcome, RefusalError
 from figwalk.protocol.messages import Priority
 from figwalk.timer import Timer
 
@@ -194,3 +194,43 @@
         assert bench.queue.running == 0
 
     run(test)
+
+
+def test_stream_whose_first_token_would_be_late_is_refused_at_once(run):
+    """Guards against chat that waits for a place until its first token is late."""
+
+    async def test(bench):
+        await bench.add("running", seconds=3.0)
+        due = trio.current_time() + 1.7
+        await bench.add("chat", priority=Priority.INTERACTIVE, first_token_due=due)
+        error, refused_at = bench.refused["chat"]
+        assert refused_at == trio.current_time()
+        assert error.outcome is CallOutcome.NOT_RUN
+        assert error.retry_after_ms >= 1000
+
+    run(test)
+
+
+def test_waiting_stream_is_refused_when_its_first_token_can_no_longer_be_in_time(run):
+    """Guards against a place that is given to a stream that can only be late."""
+
+    async def test(bench):
+        await bench.add("running", seconds=0.2)
+        due = trio.current_time() + 1.7
+        await bench.add("chat", seconds=0.1, priority=Priority.INTERACTIVE, first_token_due=due)
+        await trio.sleep(2)
+        assert bench.refused["chat"][1] == pytest.approx(due - 0.1)
+
+    run(test)
+
+
+def test_chat_does_not_count_prompts_that_the_engine_processes_after_its_own(run):
+    """Guards against chat that is refused because of long jobs of a lower priority."""
+
+    async def test(bench):
+        await bench.add("long job", seconds=60.0)
+        due = trio.current_time() + 1.7
+        await bench.add("chat", seconds=0.1, priority=Priority.INTERACTIVE, first_token_due=due)
+        assert bench.order == ["long job", "chat"]
+
+    run(test, max_running=2)
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -2,6 +2,7 @@
 
 import attrs
 import trio
+from trio.testing import MockClock
 
 from figwalk.coordination.retry_budget import RetryBudget
 from figwalk.coordination.router import Choice
@@ -34,11 +35,20 @@
         yield EVENT + b"data: [DONE]\n\n"
 
 
+class _HangingReply(_FakeReply):
+    """A stream that stops after its first chunk."""
+
+    async def chunks(self):
+        yield EVENT
+        await trio.sleep_forever()
+
+
 class _FakePool:
     """Keeps the calls that are sent, and looks at the fleet while they are in flight."""
 
-    def __init__(self, fleet):
+    def __init__(self, fleet, reply):
         self.fleet = fleet
+        self.reply = reply
         self.calls = []
         self.in_flight = []
 
@@ -46,7 +56,7 @@
     async def open(self, call):
         self.calls.append(call)
         self.in_flight = self.fleet.find("llm-1").in_flight
-        yield _FakeReply()
+        yield self.reply
 
 
 class _FakeBackends:
@@ -77,18 +87,19 @@
 
     started: bool = False
     finished: bool = False
+    sent: bytes = b""
 
     async def start(self, status, headers):
         self.started = True
 
     async def send_chunk(self, data):
-        pass
+        self.sent += data
 
     async def finish(self):
         self.finished = True
 
 
-def stream_prompt(prompt):
+def stream_prompt(prompt, *, headers=(), reply=None, responder=None):
     """Answer a streamed call and return the fleet, the pool, the tallies and the body's size."""
     body = b'{"model": "m", "stream": true, "max_tokens": 2, "prompt": "%s"}' % prompt
 
@@ -96,16 +107,16 @@
         timer = Timer()
         fleet = Fleet(timer)
         fleet.register("llm-1", "llm")
-        pool = _FakePool(fleet)
+        pool = _FakePool(fleet, reply or _FakeReply())
         tallies = Tallies(Metrics(None, prefix="entry", timer=timer), timer)
         events = EventLog("entry-1", timer)
         backends = _FakeBackends(fleet, pool)
         calls = ModelCalls(backends, RetryBudget(timer), tallies, events, timer)
-        request = HttpRequest("POST", "/v1/completions", [], body)
-        await calls.serve(request, _FakeResponder())
+        request = HttpRequest("POST", "/v1/completions", list(headers), body)
+        await calls.serve(request, responder or _FakeResponder())
         return fleet, pool, tallies, len(body)
 
-    return trio.run(main)
+    return trio.run(main, clock=MockClock(autojump_threshold=0))
 
 
 def test_cached_prompt_tokens_are_no_load():
@@ -126,3 +137,25 @@
     """Guards against a bill that counts the prompt again for every chunk of a stream."""
     _, _, tallies, body_bytes = stream_prompt(b"x" * PIECE_BYTES)
     assert tallies.region_bytes == body_bytes + 2 * len(EVENT) + len(b"data: [DONE]\n\n")
+
+
+def test_stream_ends_at_its_deadline_and_is_not_resumed():
+    """Guards against late streams that take time on one engine after the other."""
+    responder = _FakeResponder()
+    headers = [(b"figwalk-deadline-ms", b"500")]
+    _, pool, tallies, _ = stream_prompt(
+        b"x", headers=headers, reply=_HangingReply(), responder=responder
+    )
+    assert len(pool.calls) == 1
+    assert tallies.refusals == {"deadline_exceeded": 1}
+    assert b"deadline_exceeded" in responder.sent
+    assert not responder.finished
+
+
+def test_interactive_stream_says_when_its_first_token_is_due():
+    """Guards against an agent that lets chat wait because it knows only the deadline."""
+    headers = [(b"figwalk-priority", b"interactive")]
+    _, pool, _, _ = stream_prompt(b"x", headers=headers)
+    assert 0 < pool.calls[0].first_token_ms <= 1700
+    _, pool, _, _ = stream_prompt(b"x")
+    assert pool.calls[0].first_token_ms == 0
