Count refused calls in the demand that the role policy sees

Cause: the policy saw only what engines processed and queued, so that the demand under overload had the shape of what the present roles could take.

--- a/figwalk/coordination/_role_policies.py
+++ b/figwalk/coordination/_role_policies.py
@@ -155,10 +155,13 @@
         return view.changed_s >= SETTLE_S and view.mix.observed_s >= SETTLE_S
 
     def _estimate_demand(self, view: ServiceView) -> tuple[CallClass, ...] | None:
-        """Return the work to expect over the horizon: what is processed, and what has queued up."""
+        """Return the work to expect over the horizon: processed, queued up and refused."""
         prompt = sum(engine.load.prompt_tokens for engine in view.serving) / self._horizon_s
         output = sum(engine.load.output_tokens for engine in view.serving) / self._horizon_s
-        rates = TokenRates(view.mix.fast.prompt_per_s + prompt, view.mix.fast.output_per_s + output)
+        rates = TokenRates(
+            view.mix.fast.prompt_per_s + view.refused.prompt_per_s + prompt,
+            view.mix.fast.output_per_s + view.refused.output_per_s + output,
+        )
         if rates.prompt_per_s + rates.output_per_s < MIN_TOKENS_PER_S:
             return None
         return scale_classes(view.call_classes, rates)
--- a/figwalk/coordination/_role_view.py
+++ b/figwalk/coordination/_role_view.py
@@ -10,7 +10,7 @@
 from figwalk.protocol.messages import NO_OFFSET, BackendState, Role
 from figwalk.state.demand import CallClass
 from figwalk.state.fleet import BackendView, Fleet, PredictedLoad, RoleChange
-from figwalk.state.mix import MixEstimate
+from figwalk.state.mix import MixEstimate, TokenRates
 
 
 @attrs.frozen
@@ -64,6 +64,7 @@
         mix: Averages of the tokens that its engines processed.
         call_classes: Profile of the calls that this entry sends to it.
         changes: Changes of role seen, oldest first.
+        refused: Tokens a second of calls that were refused.
     """
 
     service: str
@@ -71,6 +72,7 @@
     mix: MixEstimate = attrs.field(factory=MixEstimate)
     call_classes: tuple[CallClass, ...] = ()
     changes: tuple[RoleChange, ...] = ()
+    refused: TokenRates = attrs.field(factory=TokenRates)
 
     @property
     def serving(self) -> tuple[EngineView, ...]:
@@ -145,7 +147,12 @@
         for view in fleet.backends(service)
     ]
     return ServiceView(
-        service, tuple(engines), fleet.mix(service), fleet.call_classes(service), changes
+        service,
+        tuple(engines),
+        fleet.mix(service),
+        fleet.call_classes(service),
+        changes,
+        fleet.refused(service),
     )
 
 
--- a/figwalk/entry/backends.py
+++ b/figwalk/entry/backends.py
@@ -129,6 +129,10 @@
         ]
         return self._policy.choose(route, candidates, self._timer.now())
 
+    def note_refused(self, route: RouteRequest) -> None:
+        """Count a request that no backend server took, for the demand."""
+        self._fleet.note_refused(route.service, route.prompt_tokens, route.max_tokens)
+
     def target(self, choice: Choice, pieces: Sequence[int] = ()) -> Target:
         """Return how to reach a chosen backend server.
 
--- a/figwalk/entry/model_calls.py
+++ b/figwalk/entry/model_calls.py
@@ -107,6 +107,8 @@
             await (self._stream(call) if model.stream else self._answer_whole(call))
         except RefusalError as error:
             self._tallies.note_refused(error.code)
+            if error.outcome is CallOutcome.NOT_RUN and not responder.started:
+                self._backends.note_refused(call.plan.route)
             self._events.record(
                 Event.REQUEST_REFUSED,
                 request_id=request.request_id,
--- a/figwalk/state/demand.py
+++ b/figwalk/state/demand.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from figwalk.state.mix import TokenRates
+
 PROFILE_AVERAGE_S = 20.0
 RATIO_BOUNDS = (1.0, 4.0, 16.0, 64.0)  # Prompt tokens for each output token between classes.
 
@@ -58,6 +60,11 @@
         pairs = zip(self._prompt_per_s, self._output_per_s, strict=True)
         return tuple(CallClass(prompt, output) for prompt, output in pairs if prompt + output > 1)
 
+    def total(self, now: float) -> TokenRates:
+        """Return the tokens a second of all classes."""
+        self._decay(now)
+        return TokenRates(sum(self._prompt_per_s), sum(self._output_per_s))
+
     def _decay(self, now: float) -> None:
         elapsed_s = now - self._at
         if elapsed_s <= 0:
--- a/figwalk/state/fleet.py
+++ b/figwalk/state/fleet.py
@@ -8,7 +8,7 @@
 from figwalk.protocol.messages import BackendState, LoadReport
 from figwalk.state.backend_view import BackendView, PredictedLoad, RoleChange, SentCall
 from figwalk.state.demand import CallClass, DemandProfile
-from figwalk.state.mix import MixEstimate, MixEstimator
+from figwalk.state.mix import MixEstimate, MixEstimator, TokenRates
 from figwalk.state.prefixes import PrefixIndex
 from figwalk.state.settings import Address
 from figwalk.timer import Timer
@@ -37,6 +37,7 @@
         self._by_service: dict[str, dict[str, BackendView]] = {}
         self._mixes: dict[str, MixEstimator] = {}
         self._profiles: dict[str, DemandProfile] = {}
+        self._refused: dict[str, DemandProfile] = {}
         self._role_changes: dict[str, deque[RoleChange]] = {}
         self._withdrawn: frozenset[str] = frozenset()
         self._entry_count = 1
@@ -154,6 +155,11 @@
         profile.note_call(prompt_tokens, output_tokens, now)
         self._prefixes.note_stored(backend, pieces, now)
 
+    def note_refused(self, service: str, prompt_tokens: int, output_tokens: int) -> None:
+        """Count a call that no backend server took, which none of them reports as processed."""
+        profile = self._refused.setdefault(service, DemandProfile())
+        profile.note_call(prompt_tokens, output_tokens, self._timer.now())
+
     def note_finished(self, backend: str, call_id: int) -> None:
         """Stop counting a call, however it ended; an unknown call is ignored."""
         view = self._backends.get(backend)
@@ -223,6 +229,16 @@
         profile = self._profiles.get(service)
         return profile.classes(self._timer.now()) if profile else ()
 
+    def refused(self, service: str) -> TokenRates:
+        """Return the tokens a second of refused calls, as many at the other entries as here."""
+        profile = self._refused.get(service)
+        if profile is None:
+            return TokenRates()
+        here = profile.total(self._timer.now())
+        return TokenRates(
+            here.prompt_per_s * self._entry_count, here.output_per_s * self._entry_count
+        )
+
     def role_changes(self, service: str) -> tuple[RoleChange, ...]:
         """Return the changes of role seen in a service, oldest first."""
         return tuple(self._role_changes.get(service, ()))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -129,3 +129,13 @@
     assert mix.estimate(120.0).fast.prompt_per_s == pytest.approx(1000, rel=0.05)
     mix.observe(make_report("a", prompt_tokens_total=1000), 121.0)
     assert mix.estimate(121.0).fast.prompt_per_s == pytest.approx(1000, rel=0.05)
+
+
+def test_refused_calls_are_demand_of_the_whole_service(fleet, timer):
+    """Guards against an overload that the role policy can't see because it was refused."""
+    fleet.set_entry_count(2)
+    fleet.note_refused("llm", 4000, 100)
+    refused = fleet.refused("llm")
+    assert refused.prompt_per_s == pytest.approx(40 * refused.output_per_s)
+    assert refused.prompt_per_s == pytest.approx(2 * 4000 / 20)
+    assert fleet.refused("other").prompt_per_s == 0
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -334,3 +334,14 @@
     bench.lease.term = 12
     bench.wait_out_term()
     assert bench.control() == 2
+
+
+def test_refused_calls_count_as_demand():
+    """Guards against roles that stay as they are because the calls they are bad at are refused."""
+    view = make_view([Role.MIXED, Role.DECODE, Role.DECODE, Role.DECODE], [CHAT])
+    before = AdaptivePolicy(role_change_weight=0.01).decide(view, 0.0)
+    refused = attrs.evolve(view, refused=TokenRates(60_000.0, 100.0))
+    after = AdaptivePolicy(role_change_weight=0.01).decide(refused, 0.0)
+    assert before is None
+    assert after.role in (Role.MIXED, Role.PREFILL)
+    assert after.figures.prompt_per_s == pytest.approx(60_500)
