--- a/figwalk/coordination/admission.py
+++ b/figwalk/coordination/admission.py
@@ -17,6 +17,9 @@
 # Predicted waits count with this factor before they lead to a refusal, because the prediction
 # assumes that calls ahead use their whole estimate.
 WAIT_CONFIDENCE = 0.8
+# Steps of the engine that a first token takes besides its prompt: the rest of the step under way,
+# and the parts of other prompts in its own.
+FIRST_TOKEN_STEPS = 3
 # Seconds of service by which an organisation may be ahead of its share before others go first.
 SHARE_SLACK_S = 2.0
 MIN_RETRY_AFTER_MS = 100
@@ -153,10 +156,14 @@
         return work.max_tokens * ratio
 
     def prompt_s(self, work: Work) -> float:
-        """Return the predicted seconds from start to the first token."""
+        """Return the predicted seconds of the prompt without other work."""
         speed = self._prefill_tokens_per_s
         return work.prompt_tokens / speed if speed else 0.0
 
+    def first_token_s(self, work: Work, calls: int) -> float:
+        """Return the predicted seconds from start to the first token beside other calls."""
+        return self.prompt_s(work) + FIRST_TOKEN_STEPS * self._interval.at(calls)
+
     def service_s(self, work: Work, calls: int) -> float:
         """Return the predicted seconds from start to end as one of `calls` running calls."""
         if not work.prompt_tokens and not work.max_tokens:
@@ -229,7 +236,7 @@
         generated: Tokens generated so far.
         streamed: Whether the tokens arrive one by one, so that their speed can be measured.
         started_beside: Running calls when it started, with itself.
-        prompt_s: Predicted seconds from start to the first token.
+        first_token_s: Predicted seconds from start to the first token.
     """
 
     work: Work
@@ -241,14 +248,16 @@
     generated: int = 0
     streamed: bool = False
     started_beside: int = 0
-    prompt_s: float = 0.0
+    first_token_s: float = 0.0
     _decided: trio.Event | None = None
     _refusal: RefusalError | None = None
 
     @property
     def latest_start(self) -> float:
         """Time after which it can no longer begin and finish in time."""
-        return min(self.work.first_token_due - self.prompt_s, self.work.deadline - self.service_s)
+        return min(
+            self.work.first_token_due - self.first_token_s, self.work.deadline - self.service_s
+        )
 
 
 class AdmissionQueue:
@@ -337,7 +346,7 @@
             estimate.service_s(work, self._next_count()),
             estimate.output_tokens(work),
             now,
-            prompt_s=estimate.prompt_s(work),
+            first_token_s=estimate.first_token_s(work, self._next_count()),
         )
         backlog_s = 0.0
         if ticket.latest_start < math.inf:
@@ -377,7 +386,7 @@
         slots = self._free_times()
         for ticket in list(self._all_waiting()):
             ticket.service_s = self._estimate.service_s(ticket.work, self._next_count())
-            ticket.prompt_s = self._estimate.prompt_s(ticket.work)
+            ticket.first_token_s = self._estimate.first_token_s(ticket.work, self._next_count())
             wait = slots[0] - now
             if now + wait * WAIT_CONFIDENCE > ticket.latest_start:
                 self._refuse(ticket, self._deadline_refusal(ticket.work, wait))
@@ -563,8 +572,9 @@
         # The queue has to get shorter by what the call would be late.
         late = wait_s + self._estimate.service_s(work, self._next_count()) - left
         message = f"the call can't finish within the {_render_ms(left)} ms left"
-        if wait_s + self._estimate.prompt_s(work) - first_left > late:
-            late = wait_s + self._estimate.prompt_s(work) - first_left
+        first_late = wait_s + self._estimate.first_token_s(work, self._next_count()) - first_left
+        if first_late > late:
+            late = first_late
             message = f"the answer can't begin within the {_render_ms(first_left)} ms left"
         return _refusal("deadline", message, min(wait_s, late) if late > 0 else wait_s)
 
