--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -49,6 +49,7 @@
         self.reply = reply
         self.calls = []
         self.in_flight = []
+        self.refused = []
 
     async def start(self, call, scope):
         self.calls.append(call)
@@ -77,10 +78,20 @@
     def target(self, choice, pieces):
         return Target(choice, self.pool, 1, self.fleet, pieces)
 
+    def note_refused(self, route):
+        self.pool.refused.append((route.service, route.prompt_tokens, route.max_tokens))
+
     def next_call_id(self):
         return 1
 
 
+class _BusyBackends(_FakeBackends):
+    """No engine takes work."""
+
+    def choose(self, route, excluded):
+        return None
+
+
 @attrs.define
 class _FakeResponder:
     """Caller's side of an answer."""
@@ -95,11 +106,14 @@
     async def send_chunk(self, data):
         self.sent += data
 
+    async def send_json(self, status, body, headers):
+        self.finished = True
+
     async def finish(self):
         self.finished = True
 
 
-def stream_prompt(prompt, *, headers=(), reply=None, responder=None):
+def stream_prompt(prompt, *, headers=(), reply=None, responder=None, backends=_FakeBackends):
     """Answer a streamed call and return the fleet, the pool, the tallies and the body's size."""
     body = b'{"model": "m", "stream": true, "max_tokens": 2, "prompt": "%s"}' % prompt
 
@@ -110,8 +124,7 @@
         pool = _FakePool(fleet, reply or _FakeReply())
         tallies = Tallies(Metrics(None, prefix="entry", timer=timer), timer)
         events = EventLog("entry-1", timer)
-        backends = _FakeBackends(fleet, pool)
-        calls = ModelCalls(backends, RetryBudget(timer), tallies, events, timer)
+        calls = ModelCalls(backends(fleet, pool), RetryBudget(timer), tallies, events, timer)
         request = HttpRequest("POST", "/v1/completions", list(headers), body)
         await calls.serve(request, responder or _FakeResponder())
         return fleet, pool, tallies, len(body)
@@ -159,3 +172,11 @@
     assert 0 < pool.calls[0].first_token_ms <= 1700
     _, pool, _, _ = stream_prompt(b"x")
     assert pool.calls[0].first_token_ms == 0
+
+
+def test_request_that_no_engine_takes_is_demand():
+    """Guards against a role policy that sees only the calls that the present roles can take."""
+    _, pool, tallies, _ = stream_prompt(b"x" * 4000, backends=_BusyBackends)
+    assert not pool.calls
+    assert tallies.refusals == {"no_backend": 1}
+    assert pool.refused == [("llm", 1000, 2)]
