Count the tokens of resumed streams in the goodput measurement

Cause: the entry renders the events of a resumed stream again, with a space after the colon, so that three and four whole streams of engine_crash counted as cut.

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -15,6 +15,7 @@
 from figwalk.transport import HttpClient, HttpRequest, HttpResponse
 
 TARGET = "/v1/completions"
+TOKEN_MARK = b'"finish_reason":null'
 # Beyond the deadline a caller waits this part of it longer, to tell a late answer from none.
 PATIENCE = 1.25
 
@@ -139,7 +140,8 @@
             else:
                 outcome.first_s = now - sent_at
             previous = now
-            outcome.tokens += chunk.count(b'"finish_reason":null')
+            # An entry renders the events of a resumed stream again, with other spaces.
+            outcome.tokens += chunk.replace(b": ", b":").count(TOKEN_MARK)
             tail = (tail + chunk)[-64:]
         done = tail.rstrip().endswith(b"data: [DONE]")
         outcome.complete = done and outcome.tokens == outcome.arrival.kind.max_tokens
