--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -90,6 +90,7 @@
     def __init__(self, *scripts):
         self.scripts = {f"b{number}": script for number, script in enumerate(scripts)}
         self.calls = []
+        self.refused = []
 
     def services(self):
         return SERVICES
@@ -101,6 +102,9 @@
         left = [name for name in self.scripts if name not in excluded]
         return Choice(left[0], 0, 0, 0, False, "test") if left else None
 
+    def note_refused(self, route):
+        self.refused.append(route.service)
+
     def target(self, choice, pieces=()):
         return FakeTarget(choice, self.scripts[choice.backend], self.calls)
 
