--- a/figwalk/coordination/admission.py
+++ b/figwalk/coordination/admission.py
@@ -3,263 +3,30 @@
 from __future__ import annotations
 
 import heapq
-import itertools
 import math
 from collections.abc import Iterator
 
-import attrs
 import trio
 
+from figwalk.coordination._admission_ticket import Ticket, Work
+from figwalk.coordination._class_queue import ClassQueue
+from figwalk.coordination._service_estimate import ServiceEstimate
 from figwalk.errors import RefusalError
 from figwalk.protocol.messages import Priority
 from figwalk.timer import MS_PER_S, Timer
 
+__all__ = ["AdmissionQueue", "ServiceEstimate", "Ticket", "Work"]
+
 # Predicted waits count with this factor before they lead to a refusal, because the prediction
 # assumes that calls ahead use their whole estimate.
 WAIT_CONFIDENCE = 0.8
-# Steps of the engine that a first token takes besides its prompt: the rest of the step under way,
-# and the parts of other prompts in its own.
-FIRST_TOKEN_STEPS = 3
-# Seconds of service by which an organisation may be ahead of its share before others go first.
-SHARE_SLACK_S = 2.0
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 60_000
-# Expected share of `max_tokens` before any answer has been seen: on a cold agent, 0.75 let 24
-# calls start together that were all cut at their deadline.
-DEFAULT_OUTPUT_RATIO = 1.0
-RATIO_RISE = 0.3
-RATIO_FALL = 0.1
-# Share of the rest up to `max_tokens` expected of an answer that is already above its estimate.
-OVERRUN_RATIO = 0.1
 # Share of the time left that running calls may need before no further call starts beside them.
 DEADLINE_MARGIN = 0.9
-SPEED_CHANGE = 0.2
-MEASURED_DECAY = 0.95
-MIN_SPREAD = 0.5
-# Seconds per token of a lone call against one in a full batch, until streams have been measured.
-LONE_CALL_RATIO = 0.25
-MIN_MEASURED_TOKENS = 8
-_SMOOTHING = 0.2
-# A refusal while nothing runs teaches nothing about output lengths, so it moves the ratio towards
-# the explored one; otherwise a ratio that is too high would refuse such calls for ever.
-EXPLORED_OUTPUT_RATIO = 0.25
-_REFUSAL_DRIFT = 0.05
 _CLASSES = (Priority.INTERACTIVE, Priority.NORMAL, Priority.BATCH)
 
 
-@attrs.frozen
-class Work:
-    """What a call asks of the backend server.
-
-    Attributes:
-        priority: Priority class.
-        organisation: Organisation that it counts for.
-        deadline: Time by `Timer.now` at which the answer is worthless, or infinity.
-        prompt_tokens: Prompt length; 0 for plain services.
-        max_tokens: Largest answer length; 0 for plain services.
-        first_token_due: Time by `Timer.now` at which the answer must begin, or infinity.
-    """
-
-    priority: Priority = Priority.NORMAL
-    organisation: str = ""
-    deadline: float = math.inf
-    prompt_tokens: int = 0
-    max_tokens: int = 0
-    first_token_due: float = math.inf
-
-
-class TokenInterval:
-    """Predicts the seconds per token of one call from the number of running calls.
-
-    A step of an engine with continuous batching takes a fixed time and some time for each running
-    call, so the interval is a line, fitted to measured streams. Until there are enough of them, two
-    points from the engine's own figure at a full batch stand in.
-    """
-
-    def __init__(self) -> None:
-        self._full_calls = 1
-        self._full_s = 0.0
-        self._measured = (0.0, 0.0, 0.0, 0.0, 0.0)
-        self._base_s = 0.0
-        self._slope_s = 0.0
-
-    def at(self, calls: int) -> float:
-        """Return the seconds per token beside other calls, `calls` in all; 0 while unknown."""
-        return self._base_s + self._slope_s * calls
-
-    def set_engine_speed(self, tokens_per_s: float, calls: int) -> None:
-        """Take over the engine's generation speed over a full batch of calls."""
-        full_s = calls / tokens_per_s if tokens_per_s > 0 else 0.0
-        if abs(full_s - self._full_s) > SPEED_CHANGE * self._full_s:
-            # The engine has another role or model now; what was measured before does not hold.
-            self._measured = (0.0, 0.0, 0.0, 0.0, 0.0)
-        self._full_calls, self._full_s = calls, full_s
-        self._fit()
-
-    def learn(self, calls: float, interval_s: float) -> None:
-        """Add a measured stream."""
-        sample = (1.0, calls, interval_s, calls * calls, calls * interval_s)
-        self._measured = tuple(
-            MEASURED_DECAY * old + new for old, new in zip(self._measured, sample, strict=True)
-        )
-        self._fit()
-
-    def _fit(self) -> None:
-        weight, n, s, nn, ns = self._measured
-        points = ((1.0, self._full_calls, self._full_s), (0.2, 1, self._full_s * LONE_CALL_RATIO))
-        for point_weight, calls, interval_s in points if self._full_s else ():
-            weight += point_weight
-            n += point_weight * calls
-            s += point_weight * interval_s
-            nn += point_weight * calls * calls
-            ns += point_weight * calls * interval_s
-        if not weight:
-            return
-        spread = nn - n * n / weight
-        slope = (ns - n * s / weight) / spread if spread > MIN_SPREAD else 0.0
-        self._slope_s = max(0.0, slope)
-        self._base_s = max(0.0, (s - self._slope_s * n) / weight)
-
-
-class ServiceEstimate:
-    """Predicts how long calls take, from measured speeds and past calls."""
-
-    def __init__(self) -> None:
-        self._prefill_tokens_per_s = 0.0
-        self._interval = TokenInterval()
-        self._plain_s = 0.0
-        self._output_ratios: dict[int, float] = {}
-
-    @property
-    def prefill_tokens_per_s(self) -> float:
-        """Prompt processing speed of the engine, or 0 while unknown."""
-        return self._prefill_tokens_per_s
-
-    def set_engine_speeds(self, prefill: float, decode: float, calls: int) -> None:
-        """Take over the engine's own figures.
-
-        Args:
-            prefill: Prompt tokens per second.
-            decode: Generated tokens per second over all calls together.
-            calls: Calls that share this generation speed.
-        """
-        self._prefill_tokens_per_s = max(0.0, prefill)
-        self._interval.set_engine_speed(decode, max(1, calls))
-
-    def token_interval_s(self, calls: int) -> float:
-        """Return the seconds per token of one of `calls` running calls; 0 while unknown."""
-        return self._interval.at(calls)
-
-    def output_tokens(self, work: Work) -> float:
-        """Return the expected answer length."""
-        ratio = self._output_ratios.get(work.max_tokens.bit_length(), DEFAULT_OUTPUT_RATIO)
-        return work.max_tokens * ratio
-
-    def prompt_s(self, work: Work) -> float:
-        """Return the predicted seconds of the prompt without other work."""
-        speed = self._prefill_tokens_per_s
-        return work.prompt_tokens / speed if speed else 0.0
-
-    def first_token_s(self, work: Work, calls: int) -> float:
-        """Return the predicted seconds from start to the first token beside other calls."""
-        return self.prompt_s(work) + FIRST_TOKEN_STEPS * self._interval.at(calls)
-
-    def service_s(self, work: Work, calls: int) -> float:
-        """Return the predicted seconds from start to end as one of `calls` running calls."""
-        if not work.prompt_tokens and not work.max_tokens:
-            return self._plain_s
-        total = self.output_tokens(work) * self._interval.at(calls)
-        total += self.prompt_s(work)
-        return total
-
-    def output_left(self, ticket: Ticket, interval_s: float, now: float) -> float:
-        """Return the tokens that a running call is still expected to generate."""
-        done = ticket.generated
-        if not done and interval_s:
-            # An answer that comes whole shows no progress.
-            done = (now - ticket.started_at) / interval_s
-        rest = OVERRUN_RATIO * (ticket.work.max_tokens - done)
-        return max(0.0, ticket.output_tokens - done, rest)
-
-    def learn(self, ticket: Ticket, calls: int, now: float) -> None:
-        """Learn from a call that ran to its end beside others, `calls` in all."""
-        work = ticket.work
-        if not work.max_tokens:
-            self._plain_s = _smooth(self._plain_s, now - ticket.started_at)
-            return
-        if ticket.generated:
-            self._learn_length(work, ticket.generated)
-        decode_s = now - ticket.first_byte_at
-        if ticket.streamed and ticket.generated >= MIN_MEASURED_TOKENS and decode_s > 0:
-            beside = (ticket.started_beside + calls) / 2
-            self._interval.learn(beside, decode_s / (ticket.generated - 1))
-
-    def learn_late(self, ticket: Ticket, calls: int, now: float) -> None:
-        """Learn from a call that was cut at its deadline, halfway between progress and limit."""
-        interval_s = self._interval.at(calls)
-        done = ticket.generated or ((now - ticket.started_at) / interval_s if interval_s else 0.0)
-        limit = ticket.work.max_tokens
-        if limit and done:
-            self._learn_length(ticket.work, (min(done, limit) + limit) / 2)
-
-    def note_refusal(self, work: Work) -> None:
-        """Lower the output ratio of such calls a little."""
-        bucket = work.max_tokens.bit_length()
-        ratio = self._output_ratios.get(bucket, DEFAULT_OUTPUT_RATIO)
-        if ratio > EXPLORED_OUTPUT_RATIO:
-            self._output_ratios[bucket] = ratio + _REFUSAL_DRIFT * (EXPLORED_OUTPUT_RATIO - ratio)
-
-    def _learn_length(self, work: Work, tokens: float) -> None:
-        """Follow long answers fast and short ones slowly, so that most answers fit."""
-        bucket = work.max_tokens.bit_length()
-        seen = min(1.0, tokens / work.max_tokens)
-        ratio = self._output_ratios.get(bucket, seen)
-        speed = RATIO_RISE if seen > ratio else RATIO_FALL
-        self._output_ratios[bucket] = ratio + speed * (seen - ratio)
-
-
-def _smooth(old: float, new: float) -> float:
-    return old + _SMOOTHING * (new - old) if old else new
-
-
-@attrs.define(eq=False)
-class Ticket:
-    """A call that waits or runs.
-
-    Attributes:
-        work: What it asks.
-        service_s: Predicted seconds from start to end.
-        output_tokens: Expected answer length.
-        enqueued_at: When it asked for admission.
-        started_at: When it was admitted.
-        first_byte_at: When its answer began, or 0.
-        generated: Tokens generated so far.
-        streamed: Whether the tokens arrive one by one, so that their speed can be measured.
-        started_beside: Running calls when it started, with itself.
-        first_token_s: Predicted seconds from start to the first token.
-    """
-
-    work: Work
-    service_s: float
-    output_tokens: float
-    enqueued_at: float
-    started_at: float = 0.0
-    first_byte_at: float = 0.0
-    generated: int = 0
-    streamed: bool = False
-    started_beside: int = 0
-    first_token_s: float = 0.0
-    _decided: trio.Event | None = None
-    _refusal: RefusalError | None = None
-
-    @property
-    def latest_start(self) -> float:
-        """Time after which it can no longer begin and finish in time."""
-        return min(
-            self.work.first_token_due - self.first_token_s, self.work.deadline - self.service_s
-        )
-
-
 class AdmissionQueue:
     """Lets at most `capacity` calls run; the others wait, bounded by what can finish in time.
 
@@ -267,7 +34,7 @@
     that they miss their deadlines.
 
     The order is priority class, then share of the organisation, then deadline: organisations
-    within `SHARE_SLACK_S` of the least served one compete by deadline.
+    close to the least served one compete by deadline.
 
     Args:
         timer: Source of time.
@@ -282,7 +49,7 @@
         self._capacity = max_running
         self._estimate = ServiceEstimate()
         self._shares: dict[str, float] = {}
-        self._classes = {priority: _ClassQueue() for priority in _CLASSES}
+        self._classes = {priority: ClassQueue() for priority in _CLASSES}
         self._waiting = 0
         self._running: set[Ticket] = set()
         self._closed_code = ""
@@ -419,18 +186,18 @@
             self._make_room(ticket.work.priority, wait)
         if self._timer.now() + wait * WAIT_CONFIDENCE > ticket.latest_start:
             raise self._deadline_refusal(ticket.work, wait)
-        ticket._decided = trio.Event()
+        ticket.decided = trio.Event()
         self._classes[ticket.work.priority].add(ticket, self._timer.now())
         self._waiting += 1
         try:
             with trio.CancelScope(deadline=ticket.latest_start) as scope:
-                await ticket._decided.wait()
+                await ticket.decided.wait()
         except trio.Cancelled:
             self._forget(ticket)
             raise
-        if ticket._refusal is not None:
-            raise ticket._refusal
-        if scope.cancelled_caught and not ticket._decided.is_set():
+        if ticket.refusal is not None:
+            raise ticket.refusal
+        if scope.cancelled_caught and not ticket.decided.is_set():
             self._forget(ticket)
             raise self._deadline_refusal(ticket.work, self._predict_wait(ticket))
 
@@ -458,8 +225,8 @@
     def _refuse(self, ticket: Ticket, refusal: RefusalError) -> None:
         if self._classes[ticket.work.priority].remove(ticket):
             self._waiting -= 1
-            ticket._refusal = refusal
-            ticket._decided.set()
+            ticket.refusal = refusal
+            ticket.decided.set()
 
     def _start(self, ticket: Ticket) -> None:
         ticket.started_at = self._timer.now()
@@ -504,10 +271,10 @@
             ticket = self._classes[priority].pop(self._shares)
             self._waiting -= 1
             if self._timer.now() > ticket.latest_start:
-                ticket._refusal = self._deadline_refusal(ticket.work, self._predict_wait(ticket))
+                ticket.refusal = self._deadline_refusal(ticket.work, self._predict_wait(ticket))
             else:
                 self._start(ticket)
-            ticket._decided.set()
+            ticket.decided.set()
 
     def _all_waiting(self) -> Iterator[Ticket]:
         for priority in _CLASSES:
@@ -586,55 +353,3 @@
 def _refusal(code: str, message: str, retry_after_s: float) -> RefusalError:
     retry_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, math.ceil(retry_after_s * MS_PER_S)))
     return RefusalError(code, message, retry_after_ms=retry_ms)
-
-
-class _ClassQueue:
-    """Waiting calls of one priority class, by organisation."""
-
-    def __init__(self) -> None:
-        self._heaps: dict[str, list[tuple[float, int, Ticket]]] = {}
-        self._served: dict[str, float] = {}
-        self._order = itertools.count()
-
-    def __bool__(self) -> bool:
-        return bool(self._heaps)
-
-    def add(self, ticket: Ticket, now: float) -> None:
-        """Add a call; a returning organisation gets no credit for its idle time."""
-        name = ticket.work.organisation
-        if name not in self._heaps:
-            least = min((self._served[other] for other in self._heaps), default=0.0)
-            self._served = {other: self._served[other] for other in self._heaps} | {
-                name: max(least, self._served.get(name, 0.0))
-            }
-            self._heaps[name] = []
-        heapq.heappush(self._heaps[name], (ticket.work.deadline, next(self._order), ticket))
-
-    def pop(self, shares: dict[str, float]) -> Ticket:
-        """Take the next call and charge it to its organisation."""
-        bound = min(self._served[name] for name in self._heaps) + SHARE_SLACK_S
-        eligible = (name for name in self._heaps if self._served[name] <= bound)
-        name = min(eligible, key=lambda candidate: self._heaps[candidate][0])
-        heap = self._heaps[name]
-        ticket = heapq.heappop(heap)[2]
-        self._served[name] += max(ticket.service_s, 0.001) / max(shares.get(name, 1.0), 0.001)
-        if not heap:
-            del self._heaps[name]
-        return ticket
-
-    def remove(self, ticket: Ticket) -> bool:
-        """Take a call out of the queue; return whether it was there."""
-        heap = self._heaps.get(ticket.work.organisation, [])
-        for index, item in enumerate(heap):
-            if item[2] is ticket:
-                heap[index] = heap[-1]
-                heap.pop()
-                heapq.heapify(heap)
-                if not heap:
-                    del self._heaps[ticket.work.organisation]
-                return True
-        return False
-
-    def in_order(self) -> list[Ticket]:
-        """Return the calls by deadline."""
-        return [item[2] for item in sorted(itertools.chain(*self._heaps.values()))]
