--- a/figwalk/agent/call_server.py
+++ b/figwalk/agent/call_server.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-import math
 import re
 
-import attrs
 import h11
 import trio
 
+from figwalk.agent.attempt import Attempt, KeptAnswer
 from figwalk.agent.backend_client import BackendClient, check_echo, render_call_id
 from figwalk.agent.call_connection import CallConnection
+from figwalk.agent.call_session import CallSession
 from figwalk.agent.event_stream import EventStreamCutter
-from figwalk.agent.key_memory import MAX_KEPT_BODY_BYTES, KeyMemory
+from figwalk.agent.key_memory import KeyMemory
 from figwalk.agent.load_reporter import LoadReporter
 from figwalk.agent.metrics import Metrics
 from figwalk.agent.serving_state import ServingState
@@ -20,16 +20,13 @@
 from figwalk.errors import (
     CallOutcome,
     ConnectionLostError,
-    FrameTooLargeError,
     HttpError,
-    MalformedFrameError,
     RefusalError,
 )
 from figwalk.events import Event, EventLog
-from figwalk.protocol.messages import Answer, Call, Cancel, End, Hello, Message, Refusal
-from figwalk.protocol.peer_connection import AnswerData
+from figwalk.protocol.messages import Answer, Call, End, Hello, Refusal
 from figwalk.timer import MS_PER_S, Timer
-from figwalk.transport import Headers, HttpConnectError, HttpResponse, strip_hop_by_hop
+from figwalk.transport import HttpConnectError, HttpResponse, strip_hop_by_hop
 
 HTTP_SERVICE_UNAVAILABLE = 503
 EVENT_STREAM_TYPE = "text/event-stream"
@@ -40,52 +37,6 @@
 _COMPLETION_TOKENS = re.compile(rb'"completion_tokens"\s*:\s*(\d+)')
 
 
-@attrs.define(eq=False)
-class Attempt:
-    """A call on its way through the agent.
-
-    Attributes:
-        call: The call.
-        scope: Cancelling it ends the call.
-        deadline: Time at which the answer is worthless, or infinity.
-        first_token_due: Time at which the first token is due, or infinity.
-        sent: Whether the backend server may have received it.
-        answered: Whether `Answer` went to the entry.
-        detached: Whether the entry is gone and the call runs on for its kept answer.
-        byte_count: Body bytes sent to the entry.
-        complete: Whether the backend server's answer was whole.
-        cut_code: Why the call was cut, or an empty string.
-    """
-
-    call: Call
-    scope: trio.CancelScope
-    deadline: float = math.inf
-    first_token_due: float = math.inf
-    sent: bool = False
-    answered: bool = False
-    detached: bool = False
-    byte_count: int = 0
-    complete: bool = False
-    cut_code: str = ""
-
-    @property
-    def keyed(self) -> bool:
-        """Whether the call may not be repeated."""
-        return bool(self.call.claim_id)
-
-    def cancel(self) -> None:
-        """End the call for its entry; a keyed call that was sent runs on."""
-        if self.keyed and self.sent:
-            self.detached = True
-        else:
-            self.cut("cancelled")
-
-    def cut(self, code: str) -> None:
-        """End the call in any case."""
-        self.cut_code = self.cut_code or code
-        self.scope.cancel()
-
-
 class CallServer:
     """Runs the calls of all entries.
 
@@ -143,7 +94,7 @@
 
     async def serve(self, connection: CallConnection, entry: Hello) -> None:
         """Serve one call connection until it is lost."""
-        await _CallSession(self, connection, entry, self._events).run()
+        await CallSession(self, connection, entry, self._events).run()
 
     def open_attempt(self, call: Call) -> Attempt:
         """Note the arrival of a call."""
@@ -155,7 +106,7 @@
             attempt.first_token_due = self._timer.now() + call.first_token_ms / MS_PER_S
         return attempt
 
-    async def run_call(self, attempt: Attempt, session: _CallSession) -> None:
+    async def run_call(self, attempt: Attempt, session: CallSession) -> None:
         """Run one call and send its whole answer or refusal."""
         self._attempts.add(attempt)
         if len(self._attempts) == 1:
@@ -169,7 +120,7 @@
             if not self._attempts:
                 self._idle.set()
 
-    async def _run_to_end(self, attempt: Attempt, session: _CallSession) -> None:
+    async def _run_to_end(self, attempt: Attempt, session: CallSession) -> None:
         refusal: RefusalError | None = None
         with attempt.scope:
             try:
@@ -201,14 +152,14 @@
         with trio.CancelScope(shield=True, deadline=trio.current_time() + CANCEL_TIMEOUT_S):
             await self._backend.cancel(call.call_id)
 
-    async def _claim_and_run(self, attempt: Attempt, session: _CallSession) -> None:
+    async def _claim_and_run(self, attempt: Attempt, session: CallSession) -> None:
         """Run the call only if its claim, if any, allows it; note what became of the claim."""
         call = attempt.call
         if not attempt.keyed:
             await self._admit_and_forward(attempt, session, None)
             return
         self._keys.begin(call.claim_id, call.incarnation)
-        answer = _KeptAnswer()
+        answer = KeptAnswer()
         try:
             await self._admit_and_forward(attempt, session, answer)
         finally:
@@ -224,7 +175,7 @@
                 self._events.record(Event.KEY_UNKNOWN, request_id=call.request_id)
 
     async def _admit_and_forward(
-        self, attempt: Attempt, session: _CallSession, kept: _KeptAnswer | None
+        self, attempt: Attempt, session: CallSession, kept: KeptAnswer | None
     ) -> None:
         call = attempt.call
         code = self._serving.refusal_code
@@ -255,8 +206,8 @@
         self,
         attempt: Attempt,
         ticket: Ticket,
-        session: _CallSession,
-        kept: _KeptAnswer | None,
+        session: CallSession,
+        kept: KeptAnswer | None,
     ) -> None:
         """Send the call and pass its answer on."""
         call = attempt.call
@@ -314,8 +265,8 @@
         attempt: Attempt,
         ticket: Ticket,
         response: HttpResponse,
-        session: _CallSession,
-        kept: _KeptAnswer | None,
+        session: CallSession,
+        kept: KeptAnswer | None,
     ) -> None:
         call = attempt.call
         headers = [
@@ -343,7 +294,7 @@
             ticket.generated = int(usage[1]) if usage else 0
 
     async def _pass_on_events(
-        self, attempt: Attempt, ticket: Ticket, response: HttpResponse, session: _CallSession
+        self, attempt: Attempt, ticket: Ticket, response: HttpResponse, session: CallSession
     ) -> None:
         ticket.streamed = True
         cutter = EventStreamCutter()
@@ -358,7 +309,7 @@
         attempt.complete = response.complete and cutter.done
 
     async def _send_last(
-        self, attempt: Attempt, refusal: RefusalError | None, session: _CallSession
+        self, attempt: Attempt, refusal: RefusalError | None, session: CallSession
     ) -> None:
         call_id = attempt.call.call_id
         load = self._reporter.piggyback(session.entry.process)
@@ -392,130 +343,3 @@
 
 class _EngineBusyError(Exception):
     """The engine answered that it did not take the call."""
-
-
-class _KeptAnswer:
-    """Collects the answer of a keyed call."""
-
-    def __init__(self) -> None:
-        self.status = 0
-        self.headers: Headers = []
-        self._parts: list[bytes] = []
-        self._size = 0
-
-    @property
-    def whole(self) -> bool:
-        """Whether it is within the limit."""
-        return self._size <= MAX_KEPT_BODY_BYTES
-
-    @property
-    def body(self) -> bytes:
-        """The collected body."""
-        return b"".join(self._parts)
-
-    def add(self, data: bytes) -> None:
-        """Add body bytes; those above the limit are counted and dropped."""
-        self._size += len(data)
-        if self.whole:
-            self._parts.append(data)
-
-
-class _CallSession:
-    """One call connection."""
-
-    def __init__(
-        self, server: CallServer, connection: CallConnection, entry: Hello, events: EventLog
-    ) -> None:
-        self._server = server
-        self._connection = connection
-        self._events = events
-        self._nursery: trio.Nursery | None = None
-        self._send_attempt, self._receive_attempt = trio.open_memory_channel[Attempt](1)
-        self._attempt: Attempt | None = None
-        self._lost = False
-        self.entry = entry
-
-    @property
-    def lost(self) -> bool:
-        """Whether nothing more can be sent."""
-        return self._lost or self._connection.broken_off
-
-    def lose(self) -> None:
-        """Note that the entry is gone."""
-        self._lost = True
-
-    async def run(self) -> None:
-        """Serve calls until the connection is lost and the last call has ended."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            nursery.start_soon(self._receive_messages)
-            async for attempt in self._receive_attempt:
-                await self._server.run_call(attempt, self)
-                if self.lost:
-                    break
-            nursery.cancel_scope.cancel()
-
-    def start_soon(self, function: object, *arguments: object) -> None:
-        """Run a task that the end of the connection waits for."""
-        self._nursery.start_soon(function, *arguments)
-
-    async def send_last(self, message: End | Refusal) -> None:
-        """Send the last message of an answer; the entry may send its next call then."""
-        self._attempt = None
-        self._connection.collect(message)
-        await self._connection.flush()
-
-    def collect_answer(self, attempt: Attempt, answer: Answer) -> None:
-        """Send the head of an answer, together with what follows it."""
-        if not attempt.detached:
-            self._connection.collect(answer)
-            attempt.answered = True
-
-    async def send_data(self, attempt: Attempt, data: bytes, *, more: bool) -> None:
-        """Send body bytes of an answer, together with its end if nothing more comes."""
-        if attempt.detached:
-            return
-        try:
-            self._connection.collect_data(attempt.call.call_id, data)
-            attempt.byte_count += len(data)
-            if more:
-                await self._connection.flush()
-        except ConnectionLostError:
-            self.lose()
-            if not attempt.keyed:
-                raise
-            attempt.detached = True
-
-    async def _receive_messages(self) -> None:
-        try:
-            while True:
-                self._handle(await self._connection.receive())
-        except ConnectionLostError:
-            pass
-        except (MalformedFrameError, FrameTooLargeError) as error:
-            self._events.record(
-                Event.PEER_FRAME_REJECTED, peer=self.entry.process, error=error.message
-            )
-        finally:
-            self._end()
-        await self._connection.aclose()
-
-    def _handle(self, message: Message | AnswerData) -> None:
-        if isinstance(message, Call) and self._attempt is None:
-            self._attempt = self._server.open_attempt(message)
-            self._send_attempt.send_nowait(self._attempt)
-        elif isinstance(message, Cancel):
-            self._cancel(message.call_id)
-        else:
-            name = type(message).__name__
-            raise MalformedFrameError(f"{name} is out of place on a call connection")
-
-    def _end(self) -> None:
-        self.lose()
-        self._send_attempt.close()
-        if self._attempt is not None:
-            self._attempt.cancel()
-
-    def _cancel(self, call_id: int) -> None:
-        if self._attempt is not None and self._attempt.call.call_id == call_id:
-            self._attempt.cancel()
--- a/figwalk/entry/keyed_calls.py
+++ b/figwalk/entry/keyed_calls.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import base64
-import hashlib
-import re
 import uuid
 
 import attrs
@@ -16,7 +14,7 @@
 from figwalk.entry.attempt_target import Target
 from figwalk.entry.backends import Backends
 from figwalk.entry.call_pool import AgentRefusalError
-from figwalk.entry.caller_request import CallerRequest
+from figwalk.entry.keyed_call import KeyedAnswer, KeyedCall
 from figwalk.errors import (
     CallerError,
     CallOutcome,
@@ -31,10 +29,8 @@
 from figwalk.protocol.records import Claim, Outcome, Release
 from figwalk.state.claims import Claims, KeyRecord
 from figwalk.timer import MS_PER_S, Timer
-from figwalk.transport import Headers, HttpRequest, strip_hop_by_hop
+from figwalk.transport import Headers, strip_hop_by_hop
 
-KEY_HEADER = b"idempotency-key"
-MAX_KEY_LENGTH = 255
 # A claim of another entry is given this long to reach its agent before the agent is asked, since
 # asking voids a claim that has not arrived.
 CLAIM_SETTLE_S = 0.25
@@ -44,67 +40,6 @@
 UNKNOWN_RETRY_MS = 5000
 # Larger answers are replayed by the agent that has them, not from the log.
 MAX_RECORDED_BODY_BYTES = 64 * 1024
-_KEY = re.compile(r"[\x21-\x7e]{1,255}")
-_UUID7_VERSION = 7
-_UUID7_TIME_SHIFT_BITS = 80
-
-
-@attrs.frozen
-class KeyedCall:
-    """A caller's request that may not be repeated.
-
-    Attributes:
-        request: The caller's request.
-        service: Service that it is for.
-        target: Path and query at the backend server.
-        key: The idempotency key.
-        digest: Digest of method, target and body.
-    """
-
-    request: CallerRequest
-    service: str
-    target: str
-    key: str
-    digest: str
-
-    @classmethod
-    def from_request(cls, request: CallerRequest, *, service: str, target: str) -> KeyedCall:
-        """Check the key of a request.
-
-        Raises:
-            CallerError: There is no key, or it has no valid form.
-        """
-        key = request.http.header(KEY_HEADER)
-        if not key:
-            raise CallerError(
-                400,
-                "idempotency_key_required",
-                "this call may not be repeated; send an Idempotency-Key header",
-            )
-        if not _KEY.fullmatch(key):
-            raise CallerError(
-                400,
-                "invalid_idempotency_key",
-                f"Idempotency-Key must have 1 to {MAX_KEY_LENGTH} printable ASCII characters",
-            )
-        return cls(request, service, target, key, _digest(request.http, target))
-
-
-@attrs.frozen
-class KeyedAnswer:
-    """Answer to a keyed call.
-
-    Attributes:
-        status: HTTP status.
-        headers: End-to-end headers.
-        body: Body.
-        replayed: Whether it is the answer of an earlier request with the same key.
-    """
-
-    status: int
-    headers: Headers
-    body: bytes
-    replayed: bool
 
 
 class KeyedCalls:
@@ -170,7 +105,7 @@
         return record
 
     def _check_key_age(self, call: KeyedCall) -> None:
-        made_ms = _uuid7_time_ms(call.key)
+        made_ms = call.made_ms
         if made_ms is None:
             return
         memory_s = self._backends.limits().key_memory_s
@@ -416,25 +351,6 @@
     return [(name, value) for name, value in headers if name not in {b"x-request-id", b"date"}]
 
 
-def _digest(http: HttpRequest, target: str) -> str:
-    hasher = hashlib.blake2b(digest_size=16)
-    for part in (http.method.encode(), target.encode(), http.body):
-        hasher.update(len(part).to_bytes(8, "big"))
-        hasher.update(part)
-    return hasher.hexdigest()
-
-
-def _uuid7_time_ms(key: str) -> int | None:
-    """Return the creation time of a UUIDv7 key (RFC 9562), or None for other keys."""
-    try:
-        value = uuid.UUID(key)
-    except ValueError:
-        return None
-    if value.version != _UUID7_VERSION:
-        return None
-    return value.int >> _UUID7_TIME_SHIFT_BITS
-
-
 def _log_refusal(reason: str) -> RefusalError:
     return RefusalError(
         "log_unavailable",
--- a/figwalk/entry/service_calls.py
+++ b/figwalk/entry/service_calls.py
@@ -12,7 +12,8 @@
 from figwalk.entry.attempt_target import Target
 from figwalk.entry.backends import Backends
 from figwalk.entry.caller_request import CallerRequest
-from figwalk.entry.keyed_calls import KeyedCall, KeyedCalls
+from figwalk.entry.keyed_call import KeyedCall
+from figwalk.entry.keyed_calls import KeyedCalls
 from figwalk.entry.refusals import send_refusal
 from figwalk.entry.tallies import Tallies
 from figwalk.errors import CallerError, RefusalError, TransportError
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -9,7 +9,7 @@
 from figwalk.coordination.retry_budget import RetryBudget
 from figwalk.coordination.router import Choice
 from figwalk.entry.caller_api import CallerApi
-from figwalk.entry.keyed_calls import KeyedAnswer
+from figwalk.entry.keyed_call import KeyedAnswer
 from figwalk.entry.model_calls import ModelCalls
 from figwalk.entry.service_calls import ServiceCalls
 from figwalk.entry.tallies import Tallies
