Let nothing follow an answer that a deadline cut off in mid-write

Cause: the responder counted an answer as finished before it was written, so that a cancelled write left a connection that was used again, with the next answer in the middle of the cut one; and an error event followed a chunk that was cut. Found by reading. Ruled out: writes to a closed client, which already ended the connection. Both new tests failed before. A stream that was cut is also no longer called not_run in its event.

--- a/figwalk/entry/model_calls.py
+++ b/figwalk/entry/model_calls.py
@@ -204,7 +204,7 @@
             if not call.transcript.empty:
                 resumes += 1
                 if resumes > MAX_RESUMES:
-                    raise RefusalError("stream_cut", "the stream could not be resumed")
+                    raise _stream_cut("the stream could not be resumed")
                 call.plan.allow_resume()
                 self._events.record(
                     Event.STREAM_RESUMED,
@@ -253,7 +253,7 @@
 
     async def _pass_on_error(self, call: _ModelCall, answer: Answer, body: bytes) -> None:
         if call.responder.started:
-            raise RefusalError("stream_cut", f"the backend server answered {answer.status}")
+            raise _stream_cut(f"the backend server answered {answer.status}")
         await call.responder.send(answer.status, _answer_headers(answer, call, whole=True), body)
 
     def _build_call(self, call: _ModelCall, target: Target) -> Call:
@@ -319,6 +319,10 @@
         raise BackendFailedError(f"the backend server answered with status {answer.status}")
 
 
+def _stream_cut(message: str) -> RefusalError:
+    return RefusalError("stream_cut", message, outcome=CallOutcome.UNKNOWN)
+
+
 def _request_id_header(call: _ModelCall) -> tuple[bytes, bytes]:
     return (b"x-request-id", call.request.request_id.encode())
 
--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -52,6 +52,8 @@
         self._head_only = head_only
         self._started = False
         self._finished = False
+        # Set while a write is under way; stays set if a cancellation cuts it off.
+        self._cut = False
 
     @property
     def started(self) -> bool:
@@ -75,8 +77,8 @@
         data += self._render_body(body)
         data += self._connection.send(_END_OF_MESSAGE) or b""
         self._started = True
-        self._finished = True
         await self._write(data)
+        self._finished = True
 
     async def send_json(self, status: int, content: object, headers: Headers | None = None) -> None:
         """Send a whole answer with a JSON body."""
@@ -97,8 +99,8 @@
 
     async def finish(self) -> None:
         """End a streamed answer; the client sees from this that it was whole."""
-        self._finished = True
         await self._write(self._connection.send(_END_OF_MESSAGE) or b"")
+        self._finished = True
 
     def _render_body(self, data: bytes) -> bytes:
         # The answer to HEAD has no body, and h11 refuses to send one.
@@ -110,10 +112,14 @@
         return [CLOSE_HEADER] if self._closing() else []
 
     async def _write(self, data: bytes) -> None:
+        if self._cut:
+            raise ClientGoneError("an earlier write to the client was cut off")
+        self._cut = True
         try:
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ClientGoneError("the client closed its connection") from error
+        self._cut = False
 
 
 class ClientGoneError(ConnectionLostError):
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -3,6 +3,7 @@
 import socket
 from functools import partial
 
+import h11
 import pytest
 import trio
 import trio.testing
@@ -10,7 +11,7 @@
 from figwalk.errors import HttpError
 from figwalk.events import EventLog
 from figwalk.timer import Timer
-from figwalk.transport import HttpClient, HttpServer
+from figwalk.transport import ClientGoneError, HttpClient, HttpServer, Responder
 
 LOOPBACK = "127.0.0.1"
 
@@ -104,3 +105,51 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+class BlockedStream:
+    """A client that reads nothing after the first bytes."""
+
+    def __init__(self):
+        self.sent = b""
+
+    async def send_all(self, data):
+        """Send a part and wait."""
+        self.sent += data[:10]
+        await trio.sleep_forever()
+
+
+def responder_to(stream):
+    connection = h11.Connection(h11.SERVER)
+    connection.receive_data(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+    connection.next_event()
+    return Responder(connection, stream)
+
+
+def test_answer_that_is_cut_while_it_is_written_is_not_finished():
+    """Guards against a further answer on a connection after the middle of a cut one."""
+
+    async def main():
+        responder = responder_to(BlockedStream())
+        with trio.move_on_after(1):
+            await responder.send(200, [], b"body")
+        assert responder.started
+        assert not responder.finished
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_nothing_follows_a_chunk_that_was_cut():
+    """Guards against an error event in the middle of a chunk that a deadline cut off."""
+
+    async def main():
+        stream = BlockedStream()
+        responder = responder_to(stream)
+        with trio.move_on_after(1):
+            await responder.start(200, [])
+        sent = stream.sent
+        with trio.fail_after(1), pytest.raises(ClientGoneError):
+            await responder.send_chunk(b"more")
+        assert stream.sent == sent
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
