Use one notifier, one header filter and one read size

The order executor's desired role, the withdrawal and the log follower each made their own notifier beside figwalk.state.notifier; keyed and repeatable calls filtered a caller's headers by two copies of one rule; the request-id header and the read size stood in two and four places.

--- a/figwalk/agent/desired_role.py
+++ b/figwalk/agent/desired_role.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import trio
-
 from figwalk.protocol.messages import NO_OFFSET, Desired
+from figwalk.state.notifier import Notifier
 
 
 class DesiredRole:
@@ -18,7 +17,7 @@
         self._backend = backend
         self._order: Desired | None = None
         self._control_offset = NO_OFFSET
-        self._changed = trio.Event()
+        self._changed = Notifier()
 
     @property
     def order(self) -> Desired | None:
@@ -38,8 +37,7 @@
         known = self._order.order_offset if self._order else NO_OFFSET
         if desired.order_offset > known:
             self._order = desired
-            self._changed.set()
-            self._changed = trio.Event()
+            self._changed.notify()
 
     async def wait_changed(self) -> None:
         """Wait until there is a newer order."""
--- a/figwalk/agent/withdrawal.py
+++ b/figwalk/agent/withdrawal.py
@@ -8,6 +8,7 @@
 from figwalk.agent.control_server import ControlServer
 from figwalk.agent.serving_state import ServingState
 from figwalk.events import Event, EventLog
+from figwalk.state.notifier import Notifier
 from figwalk.state.published_values import WithdrawalMode
 
 
@@ -37,7 +38,7 @@
         self._events = events
         self._grace_s = grace_s
         self._mode: WithdrawalMode | None = None
-        self._changed = trio.Event()
+        self._changed = Notifier()
 
     def set_mode(self, mode: WithdrawalMode | None) -> None:
         """Follow the configuration; takes effect for new calls before this returns.
@@ -54,8 +55,7 @@
             self._control.take_back_leaving()
         elif not was_withdrawn:
             self._control.tell_leaving(self._grace_s)
-        self._changed.set()
-        self._changed = trio.Event()
+        self._changed.notify()
 
     async def run(self) -> None:
         """Cut what runs past the grace time of each withdrawal, until cancelled.
@@ -63,7 +63,7 @@
         A drained backend server keeps its running calls, however long they take.
         """
         while True:
-            changed = self._changed
+            changed = self._changed.next_change()
             if self._mode is WithdrawalMode.WITHDRAW:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._drain)
--- a/figwalk/coordination/log_follower.py
+++ b/figwalk/coordination/log_follower.py
@@ -12,6 +12,7 @@
 from figwalk.coordination.log_client import LogClient, LogPage, StoredRecord
 from figwalk.errors import LogError, LogTruncatedError, LogUnavailableError
 from figwalk.events import Event, EventLog
+from figwalk.state.notifier import Notifier
 from figwalk.timer import Timer
 
 # A log that went silent is noticed after this time and the client's timeout.
@@ -56,7 +57,7 @@
         self._offset = 0
         self._available = False
         self._unavailable_reported = False
-        self._changed = trio.Event()
+        self._changed = Notifier()
         self._head_lock = trio.Lock()
         self._sequence = itertools.count(1)
         self._newest_head_read = 0
@@ -175,8 +176,7 @@
         self._notify()
 
     def _notify(self) -> None:
-        self._changed.set()
-        self._changed = trio.Event()
+        self._changed.notify()
 
     def _set_available(self) -> None:
         if not self._available:
--- a/figwalk/entry/caller_request.py
+++ b/figwalk/entry/caller_request.py
@@ -10,12 +10,14 @@
 from figwalk.errors import CallerError
 from figwalk.protocol.messages import Priority
 from figwalk.timer import MS_PER_S, Timer
-from figwalk.transport import HttpRequest
+from figwalk.transport import Headers, HttpRequest, strip_hop_by_hop
 
 DEADLINE_HEADER = b"figwalk-deadline-ms"
 PRIORITY_HEADER = b"figwalk-priority"
 ORGANISATION_HEADER = b"figwalk-organisation"
 REQUEST_ID_HEADER = b"x-request-id"
+# Meant for figwalk or for one hop; the backend server gets its own.
+_DROPPED_HEADERS = frozenset({b"expect", REQUEST_ID_HEADER, b"accept-encoding"})
 REQUEST_ID_BYTES = 16
 MAX_DEADLINE_MS = 24 * 3600 * MS_PER_S
 _DIGITS = re.compile(r"[0-9]{1,9}")
@@ -69,6 +71,19 @@
             bool(deadline_ms),
         )
 
+    @property
+    def id_header(self) -> tuple[bytes, bytes]:
+        """Header of the answer that names the request."""
+        return (REQUEST_ID_HEADER, self.request_id.encode())
+
+    def forwarded_headers(self) -> Headers:
+        """Return the headers that a plain service gets."""
+        return [
+            (name, value)
+            for name, value in strip_hop_by_hop(self.http.headers)
+            if name not in _DROPPED_HEADERS and not name.startswith(b"figwalk-")
+        ]
+
     def remaining_ms(self, now: float) -> int:
         """Return the milliseconds left until the deadline, at least 1: to an agent 0 is none."""
         return max(1, int((self.deadline - now) * MS_PER_S))
--- a/figwalk/entry/keyed_calls.py
+++ b/figwalk/entry/keyed_calls.py
@@ -196,18 +196,12 @@
 
     def _build_call(self, call: KeyedCall, claim: Claim) -> Call:
         http = call.request.http
-        headers = [
-            (name, value)
-            for name, value in strip_hop_by_hop(http.headers)
-            if name not in {b"expect", b"accept-encoding", b"x-request-id"}
-            and not name.startswith(b"figwalk-")
-        ]
         return Call(
             call_id=self._backends.next_call_id(),
             request_id=call.request.request_id,
             method=http.method,
             target=call.target,
-            headers=headers,
+            headers=call.request.forwarded_headers(),
             body=http.body,
             deadline_ms=call.request.remaining_ms(self._timer.now()),
             priority=call.request.priority,
--- a/figwalk/entry/model_calls.py
+++ b/figwalk/entry/model_calls.py
@@ -307,7 +307,7 @@
 
     async def _refuse(self, call: _ModelCall, error: RefusalError) -> None:
         if not call.responder.started:
-            await send_refusal(call.responder, error, [_request_id_header(call)])
+            await send_refusal(call.responder, error, [call.request.id_header])
             return
         self._events.record(Event.STREAM_CUT, request_id=call.request.request_id, code=error.code)
         # The connection closes without the final chunk, which also tells the caller.
@@ -323,10 +323,6 @@
     return RefusalError("stream_cut", message, outcome=CallOutcome.UNKNOWN)
 
 
-def _request_id_header(call: _ModelCall) -> tuple[bytes, bytes]:
-    return (b"x-request-id", call.request.request_id.encode())
-
-
 def _answer_headers(answer: Answer, call: _ModelCall, *, whole: bool) -> Headers:
     kept = [
         (name, value)
@@ -335,4 +331,4 @@
     ]
     if not whole:
         kept = STREAM_HEADERS
-    return [*kept, _request_id_header(call)]
+    return [*kept, call.request.id_header]
--- a/figwalk/entry/service_calls.py
+++ b/figwalk/entry/service_calls.py
@@ -25,8 +25,6 @@
 
 SERVICES_PATH = "/services/"
 PLAIN_KIND = "plain"
-# Meant for figwalk or for one hop; the backend server gets its own.
-_DROPPED_HEADERS = frozenset({b"expect", b"x-request-id", b"accept-encoding"})
 
 
 class ServiceCalls:
@@ -80,7 +78,7 @@
                 code=error.code,
                 outcome=error.outcome,
             )
-            await send_refusal(responder, error, [_request_id_header(request)])
+            await send_refusal(responder, error, [request.id_header])
 
     def _plan(self, request: CallerRequest, service: str) -> AttemptPlan:
         route = RouteRequest(
@@ -107,7 +105,7 @@
     ) -> None:
         call = KeyedCall.from_request(request, service=name, target=target)
         answer = await self._keyed.run(call, plan)
-        headers = [*answer.headers, _request_id_header(request)]
+        headers = [*answer.headers, request.id_header]
         if answer.replayed:
             headers.append((b"idempotent-replayed", b"true"))
         await responder.send(answer.status, headers, answer.body)
@@ -134,7 +132,7 @@
             request_id=request.request_id,
             method=request.http.method,
             target=target,
-            headers=forwarded_headers(request.http),
+            headers=request.forwarded_headers(),
             body=request.http.body,
             deadline_ms=request.remaining_ms(self._timer.now()),
             priority=request.priority,
@@ -154,7 +152,7 @@
             return False
         if chosen.choice.crosses_region:
             self._tallies.note_region_bytes(len(body) + len(request.http.body))
-        headers = [*answer_headers(answer.headers), _request_id_header(request)]
+        headers = [*answer_headers(answer.headers), request.id_header]
         await responder.send(answer.status, headers, body)
         return True
 
@@ -177,19 +175,6 @@
     return any(service.needs_key(method.upper(), spelling) for spelling in (path, plain))
 
 
-def forwarded_headers(http: HttpRequest) -> Headers:
-    """Return the headers of a caller that its plain service gets."""
-    return [
-        (name, value)
-        for name, value in strip_hop_by_hop(http.headers)
-        if name not in _DROPPED_HEADERS and not name.startswith(b"figwalk-")
-    ]
-
-
 def answer_headers(headers: Headers) -> Headers:
     """Return the headers of a plain service's answer that the caller gets."""
     return [(name, value) for name, value in strip_hop_by_hop(headers) if name != b"x-request-id"]
-
-
-def _request_id_header(request: CallerRequest) -> tuple[bytes, bytes]:
-    return (b"x-request-id", request.request_id.encode())
--- a/figwalk/transport/frame_stream.py
+++ b/figwalk/transport/frame_stream.py
@@ -13,9 +13,9 @@
 import trio
 
 from figwalk.errors import ConnectionLostError, FrameTooLargeError, MalformedFrameError
+from figwalk.transport.byte_stream import RECEIVE_BYTES
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
-RECEIVE_BYTES = 65536
 _HEADER = struct.Struct("!IB")
 _LENGTH_BYTES = 4
 
--- a/figwalk/transport/http_client.py
+++ b/figwalk/transport/http_client.py
@@ -9,10 +9,9 @@
 import trio
 
 from figwalk.errors import HttpError
-from figwalk.transport.byte_stream import ByteStream
+from figwalk.transport.byte_stream import RECEIVE_BYTES, ByteStream
 from figwalk.transport.http_types import Headers, HttpRequest, find_header
 
-RECEIVE_BYTES = 65536
 CONNECT_TIMEOUT_S = 3.0
 MAX_IDLE_CONNECTIONS = 64
 _END_OF_MESSAGE = h11.EndOfMessage()
--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -11,11 +11,10 @@
 
 from figwalk.errors import CallerError, CallOutcome, ConnectionLostError
 from figwalk.events import Event, EventLog
-from figwalk.transport.byte_stream import ByteStream
+from figwalk.transport.byte_stream import RECEIVE_BYTES, ByteStream
 from figwalk.transport.http_types import Headers, HttpLimits, HttpRequest, find_header
 from figwalk.transport.listening import open_listeners
 
-RECEIVE_BYTES = 65536
 LISTEN_BACKLOG = 1024
 # At a drain an open connection may still bring a request that is under way, for which this leaves
 # well above the one-way latency of 12 ms between regions.
