--- a/figwalk/agent/call_server.py
+++ b/figwalk/agent/call_server.py
@@ -11,7 +11,6 @@
 from figwalk.agent.backend_client import BackendClient, check_echo, render_call_id
 from figwalk.agent.call_connection import CallConnection
 from figwalk.agent.call_session import CallSession
-from figwalk.agent.event_stream import EventStreamCutter
 from figwalk.agent.key_memory import KeyMemory
 from figwalk.agent.load_reporter import LoadReporter
 from figwalk.agent.metrics import Metrics
@@ -24,6 +23,7 @@
     RefusalError,
 )
 from figwalk.events import Event, EventLog
+from figwalk.protocol.event_stream import EventStreamCutter
 from figwalk.protocol.messages import Answer, Call, End, Hello, Refusal
 from figwalk.timer import MS_PER_S, Timer
 from figwalk.transport import HttpConnectError, HttpResponse, strip_hop_by_hop
--- /dev/null
+++ b/figwalk/coordination/prompt_placement.py
@@ -0,0 +1,301 @@
+"""Chooses engines for a prompt, and refuses what can't be answered in time.
+
+Answers for the load of long prompts that arrive in bursts above what all engines can read. Work
+that waits for longer than its target makes everything behind it late as well, so that a call is
+only sent where its first token is predicted in time; otherwise it is refused at once with the time
+at which the backlog will have shrunk.
+
+A prompt is read either by an engine with the role prefill, from which an engine with the role
+decode fetches the KV cache, or by an engine with the role decode itself, more slowly.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from hashlib import blake2b
+
+import attrs
+
+from figwalk.coordination.backend_tracker import BackendTracker
+from figwalk.coordination.plain_placement import Distance
+from figwalk.coordination.prefix_memory import PrefixMemory
+from figwalk.protocol.messages import Role
+from figwalk.state.routing import EngineSpec
+
+# Time from the end of a prefill to the first token at the caller: steps, a fetch, transit.
+FIRST_TOKEN_S = 0.02
+# The home of a prompt's shared part was most likely asked for it by other processes.
+HOME_HIT_SHARE = 0.5
+# A first part is shared by a large share of all prompts and kept everywhere.
+HEAD_PART = 1
+MEAN_WEIGHT = 0.05
+ASSUMED_UNCACHED_TOKENS = 4000.0
+RATE_WEIGHT = 0.1
+MIN_RATE_FACTOR = 0.1
+MAX_RATE_FACTOR = 2.0
+FAILURE_COST_S = 1.0
+MIN_RETRY_S = 0.05
+MAX_RETRY_S = 0.6
+BITS_PER_BYTE = 8
+BITS_PER_MEGABIT = 1_000_000
+# A fetch between availability zones takes twice, between regions ten times as long.
+CROSS_ZONE_FETCH = 2.0
+CROSS_REGION_FETCH = 10.0
+# Moved KV cache is billed; what a caller may wait longer so that none is moved.
+FETCH_BILL_S = 0.01
+
+
+@attrs.frozen
+class PlacementSettings:
+    """Figures of a deployment for placing prompts.
+
+    Attributes:
+        prefill_tokens_per_s: Prompt tokens that an engine with the role prefill reads a second.
+        decode_prefill_ratio: Speed of reading at an engine with the role decode against that.
+        gateways: Number of processes that place prompts; 1 if this one does alone.
+        short_prompt_tokens: Prompts up to this length are read by the engine that answers them.
+        admission_ratio: Part of the time to the target that a prediction may take.
+    """
+
+    prefill_tokens_per_s: float = 410_000.0
+    decode_prefill_ratio: float = 0.44
+    gateways: int = 6
+    short_prompt_tokens: int = 1500
+    admission_ratio: float = 0.9
+
+
+@attrs.frozen
+class PromptCall:
+    """What the decision needs to know of a call.
+
+    Attributes:
+        parts: Id and tokens of each part of the prompt.
+        target_s: Seconds left until its first token is late; may be negative.
+        left_s: Seconds left until the caller gives up.
+    """
+
+    parts: tuple[tuple[str, int], ...]
+    target_s: float
+    left_s: float
+
+    @property
+    def tokens(self) -> int:
+        """Length of the prompt."""
+        return sum(tokens for _, tokens in self.parts)
+
+    @property
+    def subject(self) -> tuple[str, ...]:
+        """The shared parts: all but the call's own last one."""
+        return tuple(part_id for part_id, _ in self.parts[:-1])
+
+
+@attrs.frozen
+class PromptPlan:
+    """Where a prompt is to be read and answered.
+
+    Attributes:
+        reader: Engine that reads the prompt.
+        runner: Engine that answers; the same if it reads the prompt itself.
+        uncached_tokens: Tokens that the reader is predicted to read.
+        predicted_s: Seconds until the first token.
+        backlog_s: Seconds of that which other work at the reader takes.
+    """
+
+    reader: EngineTracker
+    runner: EngineTracker
+    uncached_tokens: float
+    predicted_s: float
+    backlog_s: float
+
+
+class EngineTracker(BackendTracker):
+    """What one process knows of an engine: also prompts being read and parts kept."""
+
+    def __init__(self, *args: object, spec: EngineSpec) -> None:
+        super().__init__(*args)
+        self._reading: dict[object, float] = {}
+        self._memory = PrefixMemory(spec.kv_tokens)
+        self._rate_factor = 1.0
+        self._mean_uncached = ASSUMED_UNCACHED_TOKENS
+
+    @property
+    def memory(self) -> PrefixMemory:
+        """Parts of prompts that the engine likely keeps."""
+        return self._memory
+
+    @property
+    def rate_factor(self) -> float:
+        """Speed of reading against the deployment's figure."""
+        return self._rate_factor
+
+    @property
+    def own_backlog_tokens(self) -> float:
+        """Tokens of this process's prompts that the engine has not read to the end."""
+        return sum(self._reading.values())
+
+    def start_reading(self, call: object, tokens: float) -> None:
+        """Note that a prompt is being sent."""
+        self._reading[call] = tokens
+        self._mean_uncached += MEAN_WEIGHT * (tokens - self._mean_uncached)
+
+    def finish_reading(self, call: object) -> None:
+        """Note that a prompt was read or given up."""
+        self._reading.pop(call, None)
+
+    def note_read(
+        self, parts: Sequence[tuple[str, int]], predicted_s: float, took_s: float
+    ) -> None:
+        """Learn from a prompt that was read.
+
+        Args:
+            parts: Id and tokens of each of its parts.
+            predicted_s: Seconds that the reading was predicted to take.
+            took_s: Seconds that it took.
+        """
+        self._memory.note_read(parts)
+        if took_s > 0 and predicted_s > 0:
+            factor = self._rate_factor * predicted_s / took_s
+            factor = min(MAX_RATE_FACTOR, max(MIN_RATE_FACTOR, factor))
+            self._rate_factor += RATE_WEIGHT * (factor - self._rate_factor)
+
+    def backlog_tokens(self) -> float:
+        """Return the tokens waiting to be read, of all processes.
+
+        Prompts of other processes are counted by the load that the engine stated, at the mean
+        length of this process's own.
+        """
+        others = max(0, self.estimate_load() - self.in_flight)
+        return self.own_backlog_tokens + others * self._mean_uncached
+
+
+class PromptPlacement:
+    """Predicts the first token of a prompt at each engine, and chooses or refuses.
+
+    Args:
+        settings: Figures of the deployment.
+        distance: Where this process stands.
+        rng: Breaks ties; tests give a seeded one.
+    """
+
+    def __init__(self, settings: PlacementSettings, distance: Distance, rng: random.Random) -> None:
+        self._settings = settings
+        self._distance = distance
+        self._rng = rng
+
+    def plan(
+        self, call: PromptCall, engines: Sequence[EngineTracker], spec: EngineSpec
+    ) -> PromptPlan | None:
+        """Return the plan with the earliest first token, or None without any usable engine."""
+        usable = [engine for engine in engines if not engine.is_avoided()]
+        runners = [engine for engine in usable if engine.entry.role is not Role.PREFILL]
+        if not runners:
+            return None
+        home = find_home(call.subject, engines)
+        plans = [self._plan_alone(call, runner, home) for runner in runners]
+        if call.tokens > self._settings.short_prompt_tokens:
+            readers = [engine for engine in usable if engine.entry.role is Role.PREFILL]
+            plans += [self._plan_pair(call, reader, runners, home, spec) for reader in readers]
+        return min(plans, key=lambda plan: (self._cost_s(plan), self._rng.random()))
+
+    def admits(self, call: PromptCall, plan: PromptPlan) -> bool:
+        """Return whether a call is to be sent by its plan.
+
+        A call that is already late is still of use to its caller, but must not make others late:
+        it is sent only where nothing waits.
+        """
+        if plan.predicted_s <= call.target_s * self._settings.admission_ratio:
+            return True
+        if plan.predicted_s >= call.left_s:
+            return False
+        return plan.backlog_s <= plan.uncached_tokens / self._settings.prefill_tokens_per_s
+
+    def retry_after_s(self, call: PromptCall, plan: PromptPlan) -> float:
+        """Return the seconds after which the backlog leaves room for a call."""
+        wait_s = plan.predicted_s - max(0.0, call.target_s) * self._settings.admission_ratio
+        return min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
+
+    def _plan_alone(
+        self, call: PromptCall, runner: EngineTracker, home: EngineTracker | None
+    ) -> PromptPlan:
+        rate = self._rate(runner)
+        uncached = self._uncached(call, runner, home)
+        backlog_s = runner.backlog_tokens() / rate
+        predicted_s = (
+            self._distance.round_trip_s(runner.entry.zone)
+            + backlog_s
+            + uncached / rate
+            + FIRST_TOKEN_S
+        )
+        return PromptPlan(runner, runner, uncached, predicted_s, backlog_s)
+
+    def _plan_pair(
+        self,
+        call: PromptCall,
+        reader: EngineTracker,
+        runners: Sequence[EngineTracker],
+        home: EngineTracker | None,
+        spec: EngineSpec,
+    ) -> PromptPlan:
+        rate = self._rate(reader)
+        uncached = self._uncached(call, reader, home)
+        backlog_s = reader.backlog_tokens() / rate
+        second_s, runner = min(
+            ((self._runner_s(call, reader, runner, spec), runner) for runner in runners),
+            key=lambda pair: (pair[0], self._rng.random()),
+        )
+        predicted_s = (
+            self._distance.round_trip_s(reader.entry.zone)
+            + backlog_s
+            + uncached / rate
+            + second_s
+            + FIRST_TOKEN_S
+        )
+        return PromptPlan(reader, runner, uncached, predicted_s, backlog_s)
+
+    def _runner_s(
+        self, call: PromptCall, reader: EngineTracker, runner: EngineTracker, spec: EngineSpec
+    ) -> float:
+        """Return the seconds from the end of the prefill until the runner has the KV cache."""
+        bits = call.tokens * spec.kv_bytes_per_token * BITS_PER_BYTE
+        fetch_s = bits / max(1.0, spec.link_mbps * BITS_PER_MEGABIT)
+        if reader.entry.zone != runner.entry.zone:
+            regions = self._distance.regions
+            same_region = regions.get(reader.entry.zone) == regions.get(runner.entry.zone)
+            fetch_s *= CROSS_ZONE_FETCH if same_region else CROSS_REGION_FETCH
+        return self._distance.round_trip_s(runner.entry.zone) + fetch_s
+
+    def _rate(self, engine: EngineTracker) -> float:
+        rate = self._settings.prefill_tokens_per_s * engine.rate_factor
+        if engine.entry.role is not Role.PREFILL:
+            rate *= self._settings.decode_prefill_ratio
+        return rate
+
+    def _uncached(
+        self, call: PromptCall, engine: EngineTracker, home: EngineTracker | None
+    ) -> float:
+        known = engine.memory.cached_tokens(call.parts)
+        if engine is home and known < call.tokens and len(call.parts) > HEAD_PART:
+            shared = sum(tokens for _, tokens in call.parts[:-1])
+            known = max(known, known + HOME_HIT_SHARE * (shared - known))
+        return max(0.0, call.tokens - known)
+
+    def _cost_s(self, plan: PromptPlan) -> float:
+        failures = plan.reader.failure_share() + plan.runner.failure_share()
+        cost_s = plan.predicted_s + failures * FAILURE_COST_S
+        for engine in {plan.reader, plan.runner}:
+            zone = engine.entry.zone
+            cost_s += self._distance.cost_s(zone) - self._distance.round_trip_s(zone)
+        return cost_s + (FETCH_BILL_S if plan.reader is not plan.runner else 0.0)
+
+
+def find_home(subject: Sequence[str], engines: Sequence[EngineTracker]) -> EngineTracker | None:
+    """Return the engine that all processes prefer for a shared part, by rendezvous hashing."""
+    if not subject or not engines:
+        return None
+    key = "/".join(subject)
+    return max(engines, key=lambda engine: _rank(key, engine.entry.backend))
+
+
+def _rank(key: str, backend: str) -> bytes:
+    return blake2b(f"{key} {backend}".encode(), digest_size=8).digest()
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -68,6 +68,25 @@
     BACKEND_LEAVING = (408, "info", "The backend server takes no new work.")
     BACKEND_SERVING = (409, "info", "The backend server takes work again.")
 
+    BACKEND_REGISTERED = (410, "info", "A backend server appeared in the platform's list.")
+    BACKEND_REMOVED = (411, "info", "A backend server is gone from the platform's list.")
+    BACKEND_EXPIRING = (
+        412,
+        "info",
+        "A registration expired around an outage of the store; a renewal is awaited.",
+    )
+    BACKEND_ROLE_CHANGED = (413, "info", "An engine reports another role.")
+    BACKEND_RECORD_SKIPPED = (414, "warning", "A record of the list could not be read.")
+    BACKEND_AVOIDED = (415, "warning", "Calls to a backend server failed; it is avoided.")
+    BACKEND_USED_AGAIN = (416, "info", "A backend server that was avoided answers again.")
+    ATTEMPT_SENT = (420, "debug", "A call was sent to a backend server.")
+    ATTEMPT_FAILED = (421, "info", "An attempt at a backend server failed; the fields say how.")
+    CALL_ANSWERED = (422, "info", "A caller got its answer; the fields say from where.")
+    ANSWER_FOREIGN = (423, "warning", "A backend server's answer belonged to another request.")
+    PREFILL_DONE = (424, "debug", "An engine has read a prompt and holds its KV cache.")
+    PREFILL_WASTED = (425, "info", "The KV cache of a read prompt could not be used.")
+    READINESS_CHANGED = (426, "info", "The answer to readiness checks changed.")
+
     CONFIG_ADOPTED = (500, "info", "A configuration revision is in force in this process.")
     CONFIG_PUBLISHED = (501, "info", "A publication was accepted.")
     CONFIG_CONFLICT = (502, "warning", "A publication lost against another one.")
@@ -77,6 +96,10 @@
     LOG_AVAILABLE = (506, "info", "The platform's log answers again.")
     LOG_TRUNCATED = (507, "warning", "The log dropped records before they were read.")
 
+    SETTINGS_RELOADED = (508, "info", "The settings file was read again.")
+    SETTINGS_REJECTED = (509, "warning", "The changed settings file is not valid; the old stay.")
+    LOG_LINES_DROPPED = (510, "warning", "Log lines were dropped to keep the volume bounded.")
+
     LEASE_ACQUIRED = (600, "info", "This process holds the controller lease.")
     LEASE_LOST = (601, "warning", "This process no longer holds the controller lease.")
     ROLE_DECIDED = (602, "info", "The controller decided on a role; the fields give the reason.")
--- /dev/null
+++ b/figwalk/gateway/attempts.py
@@ -0,0 +1,260 @@
+"""Sends a call to one backend server and classifies what comes back."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from http import HTTPStatus
+
+import attrs
+import trio
+
+from figwalk.coordination.backend_tracker import AttemptOutcome, BackendTracker
+from figwalk.errors import FigwalkError, HttpError
+from figwalk.events import Event, EventLog
+from figwalk.gateway.backend_pool import BackendPool
+from figwalk.gateway.call import Call
+from figwalk.gateway.codecs import AnswerFacts, BackendCodec, CallStep, KvSource, SendPlan
+from figwalk.timer import Timer
+from figwalk.transport import (
+    Headers,
+    HttpConnectError,
+    HttpExchange,
+    HttpResponse,
+    strip_hop_by_hop,
+)
+
+MAX_WHOLE_ANSWER_BYTES = 4 * 1024 * 1024
+# A non-repeatable call must not meet a connection that the backend server is about to close, since
+# its outcome would then be unknown.
+FRESH_CONNECTION_S = 1.0
+# Freeing KV cache is a courtesy to the engine, which frees it by itself after seconds.
+RELEASE_TIMEOUT_S = 0.5
+
+
+class AttemptError(FigwalkError):
+    """An attempt gave no answer for the caller.
+
+    Args:
+        outcome: How it ended.
+        message: What was wrong.
+        not_run: Whether the call certainly was not run by this attempt.
+    """
+
+    def __init__(self, outcome: AttemptOutcome, message: str, *, not_run: bool) -> None:
+        self._outcome = outcome
+        self._not_run = not_run
+        super().__init__(message)
+
+    @property
+    def outcome(self) -> AttemptOutcome:
+        """How the attempt ended."""
+        return self._outcome
+
+    @property
+    def not_run(self) -> bool:
+        """Whether the call certainly was not run by this attempt."""
+        return self._not_run
+
+
+@attrs.define(eq=False)
+class Answer:
+    """The head of a backend server's answer to a call.
+
+    Attributes:
+        backend: Id of the backend server.
+        status: HTTP status.
+        headers: Headers for the caller.
+        facts: What it says beside its content.
+        response: The answer, whose body is still to be read.
+    """
+
+    backend: str
+    status: int
+    headers: Headers
+    facts: AnswerFacts
+    response: HttpResponse
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether the status says that the work was done."""
+        return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
+
+    async def read_whole(self) -> bytes:
+        """Return the whole body.
+
+        Raises:
+            HttpError: It broke off or is above the limit.
+        """
+        parts = []
+        size = 0
+        async for data in self.response.chunks():
+            parts.append(data)
+            size += len(data)
+            if size > MAX_WHOLE_ANSWER_BYTES:
+                raise HttpError(f"the answer is above {MAX_WHOLE_ANSWER_BYTES} bytes")
+        return b"".join(parts)
+
+
+class Attempts:
+    """Sends calls to backend servers.
+
+    Args:
+        pool: Connections to them.
+        codec: Their protocol.
+        events: Event log.
+        timer: Source of time.
+    """
+
+    def __init__(
+        self, pool: BackendPool, codec: BackendCodec, events: EventLog, timer: Timer
+    ) -> None:
+        self._pool = pool
+        self._codec = codec
+        self._events = events
+        self._timer = timer
+
+    @asynccontextmanager
+    async def send(
+        self, call: Call, tracker: BackendTracker, plan: SendPlan
+    ) -> AsyncIterator[Answer]:
+        """Send a call and give the head of its answer; the body is read inside the context.
+
+        Raises:
+            AttemptError: There is no answer, or it says that the call was not run.
+        """
+        is_run = plan.step is CallStep.RUN
+        if is_run:
+            call.sent_to.append(plan.backend.backend)
+        key = object()
+        tracker.start(key)
+        outcome = AttemptOutcome.CANCELLED
+        sent_at = self._timer.now()
+        self._events.record(
+            Event.ATTEMPT_SENT,
+            request_id=call.call_id,
+            backend=plan.backend.backend,
+            step=plan.step.value,
+            left_s=round(plan.left_s, 3),
+        )
+        was_unresolved = call.unresolved
+        call.unresolved = was_unresolved or is_run
+        try:
+            async with self._open(call, tracker, plan) as response:
+                answer = self._read_head(call, tracker, plan, response, key)
+                outcome = AttemptOutcome.ANSWERED
+                if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+                    outcome = AttemptOutcome.FAILED
+                yield answer
+        except HttpConnectError as error:
+            outcome = AttemptOutcome.UNREACHABLE
+            call.unresolved = was_unresolved
+            self._forget_attempt(call, plan)
+            raise AttemptError(outcome, str(error), not_run=True) from error
+        except AttemptError as error:
+            outcome = error.outcome
+            if error.not_run:
+                call.unresolved = was_unresolved
+            raise
+        except HttpError as error:
+            outcome = AttemptOutcome.BROKEN
+            raise AttemptError(outcome, str(error), not_run=not is_run) from error
+        except TimeoutError:
+            outcome = AttemptOutcome.SILENT
+            raise
+        finally:
+            tracker.finish(key, outcome)
+            if outcome is not AttemptOutcome.ANSWERED:
+                self._record_failure(call, plan, outcome, sent_at, tracker)
+
+    async def prefill(self, call: Call, tracker: BackendTracker, plan: SendPlan) -> KvSource:
+        """Have an engine read a prompt and return where its KV cache is.
+
+        Raises:
+            AttemptError: The engine did not read it; a prefill never runs a call.
+        """
+        async with self.send(call, tracker, plan) as answer:
+            body = await answer.read_whole()
+            if not answer.succeeded:
+                message = f"prefill was answered with HTTP status {answer.status}"
+                raise AttemptError(AttemptOutcome.FAILED, message, not_run=True)
+            return self._codec.decode_prefill(plan.backend, body)
+
+    async def release(self, call: Call, tracker: BackendTracker, source: KvSource) -> None:
+        """Free the KV cache of a prefilled prompt that won't be fetched."""
+        self._events.record(
+            Event.PREFILL_WASTED, request_id=call.call_id, backend=source.backend.backend
+        )
+        with trio.move_on_after(RELEASE_TIMEOUT_S, shield=True):
+            try:
+                request = self._codec.encode_release(source)
+                await self._pool.client(tracker).fetch(request.method, request.target)
+            except HttpError as error:
+                # The engine frees it by itself when its time is over.
+                self._events.record(
+                    Event.ATTEMPT_FAILED, request_id=call.call_id, step="release", detail=str(error)
+                )
+
+    def _open(self, call: Call, tracker: BackendTracker, plan: SendPlan) -> HttpExchange:
+        request = self._codec.encode(call.request, plan)
+        return self._pool.client(tracker).open(
+            request,
+            is_answer=lambda headers: self._check_echo(call, plan, headers),
+            idle_limit_s=None if call.route.repeatable else FRESH_CONNECTION_S,
+        )
+
+    def _check_echo(self, call: Call, plan: SendPlan, headers: Headers) -> bool:
+        if self._codec.is_answer(call.call_id, headers):
+            return True
+        self._events.record(
+            Event.ANSWER_FOREIGN, request_id=call.call_id, backend=plan.backend.backend
+        )
+        return False
+
+    def _read_head(
+        self,
+        call: Call,
+        tracker: BackendTracker,
+        plan: SendPlan,
+        response: HttpResponse,
+        key: object,
+    ) -> Answer:
+        facts = self._codec.decode_answer(response.status, response.headers)
+        tracker.note_answer(key, facts.load)
+        if facts.not_run:
+            message = f"not run, HTTP status {response.status}"
+            raise AttemptError(AttemptOutcome.REFUSED, message, not_run=True)
+        answer = Answer(
+            plan.backend.backend,
+            response.status,
+            strip_hop_by_hop(response.headers),
+            facts,
+            response,
+        )
+        if plan.step is CallStep.RUN and answer.succeeded and not facts.signed:
+            message = "the answer does not bear the backend server's signature"
+            raise AttemptError(AttemptOutcome.BROKEN, message, not_run=False)
+        return answer
+
+    @staticmethod
+    def _forget_attempt(call: Call, plan: SendPlan) -> None:
+        if plan.step is CallStep.RUN:
+            call.sent_to.remove(plan.backend.backend)
+
+    def _record_failure(
+        self,
+        call: Call,
+        plan: SendPlan,
+        outcome: AttemptOutcome,
+        sent_at: float,
+        tracker: BackendTracker,
+    ) -> None:
+        self._events.record(
+            Event.ATTEMPT_FAILED,
+            request_id=call.call_id,
+            backend=plan.backend.backend,
+            step=plan.step.value,
+            outcome=outcome.value,
+            took_s=round(self._timer.now() - sent_at, 3),
+            in_flight=tracker.in_flight,
+        )
--- /dev/null
+++ b/figwalk/gateway/backend_pool.py
@@ -0,0 +1,129 @@
+"""Connections to the registered backend servers, and what this process knows of each."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import attrs
+
+from figwalk.coordination.backend_tracker import BackendTracker
+from figwalk.coordination.prompt_placement import EngineTracker
+from figwalk.events import EventLog
+from figwalk.state.backend_directory import BackendDirectory, BackendEntry
+from figwalk.state.routing import RoutingConfig, ServiceSpec
+from figwalk.timer import Timer
+from figwalk.transport.http_client import ConnectionOptions, HttpClient
+
+# Far above the round trip of 24 ms between regions and the few milliseconds of accepting.
+CONNECT_TIMEOUT_S = 0.3
+# A peer that lost power acknowledges nothing; well above the time that a lossy link resends for.
+UNACKNOWLEDGED_TIMEOUT_S = 1.5
+# Backend servers close idle connections after seconds and then reset what is sent.
+IDLE_LIMIT_S = 4.0
+# Gateways that may be added while the fleet runs; they share a backend server's connections too.
+SPARE_GATEWAYS = 3
+MAX_CONNECTIONS_OF_UNKNOWN = 16
+
+
+@attrs.define(eq=False)
+class PooledBackend:
+    """A backend server with its connections.
+
+    Attributes:
+        tracker: What this process knows of it.
+        client: Connections to it.
+    """
+
+    tracker: BackendTracker
+    client: HttpClient
+
+
+class BackendPool:
+    """Keeps one client and tracker for each registered backend server.
+
+    Args:
+        directory: The registered backend servers.
+        events: Event log.
+        timer: Source of time.
+        gateways: Number of processes that share the backend servers' connections.
+    """
+
+    def __init__(
+        self, directory: BackendDirectory, events: EventLog, timer: Timer, *, gateways: int
+    ) -> None:
+        self._directory = directory
+        self._events = events
+        self._timer = timer
+        self._gateways = gateways + SPARE_GATEWAYS
+        self._routing: RoutingConfig | None = None
+        self._backends: dict[str, PooledBackend] = {}
+
+    def set_routing(self, routing: RoutingConfig) -> None:
+        """Take over the services of a configuration."""
+        self._routing = routing
+
+    def sync(self) -> None:
+        """Follow the directory: add what appeared, close what is gone, renew what restarted."""
+        entries = {entry.backend: entry for entry in self._directory.entries()}
+        for backend in [name for name in self._backends if name not in entries]:
+            self._drop(backend)
+        for backend, entry in entries.items():
+            pooled = self._backends.get(backend)
+            if pooled is None:
+                continue
+            known = pooled.tracker.entry
+            if (known.address, known.born_ms) == (entry.address, entry.born_ms):
+                pooled.tracker.update(entry)
+            else:
+                self._drop(backend)
+
+    def of_service(self, service: str) -> Iterator[PooledBackend]:
+        """Yield the backend servers of a service that take new work."""
+        for entry in self._directory.of_service(service):
+            pooled = self._backends.get(entry.backend)
+            if pooled is None:
+                pooled = self._backends[entry.backend] = self._add(entry)
+            yield pooled
+
+    def trackers(self, service: str) -> list[BackendTracker]:
+        """Return the trackers of a service's backend servers that take new work."""
+        return [pooled.tracker for pooled in self.of_service(service)]
+
+    def client(self, tracker: BackendTracker) -> HttpClient:
+        """Return the client of a tracked backend server."""
+        pooled = self._backends.get(tracker.entry.backend)
+        return pooled.client if pooled is not None else self._make_client(tracker.entry)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for backend in list(self._backends):
+            self._drop(backend)
+
+    def _add(self, entry: BackendEntry) -> PooledBackend:
+        service = self._find_service(entry.service)
+        if service is not None and service.engine is not None:
+            tracker: BackendTracker = EngineTracker(
+                entry, self._timer, self._events, spec=service.engine
+            )
+        else:
+            tracker = BackendTracker(entry, self._timer, self._events)
+        return PooledBackend(tracker, self._make_client(entry))
+
+    def _make_client(self, entry: BackendEntry) -> HttpClient:
+        service = self._find_service(entry.service)
+        share = MAX_CONNECTIONS_OF_UNKNOWN
+        if service is not None:
+            share = max(1, service.max_connections // self._gateways)
+        options = ConnectionOptions(
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            max_idle=share,
+            idle_limit_s=IDLE_LIMIT_S,
+            unacknowledged_timeout_s=UNACKNOWLEDGED_TIMEOUT_S,
+        )
+        return HttpClient(entry.address.host, entry.address.port, options=options)
+
+    def _find_service(self, name: str) -> ServiceSpec | None:
+        return self._routing.services.get(name) if self._routing is not None else None
+
+    def _drop(self, backend: str) -> None:
+        self._backends.pop(backend).client.close()
--- /dev/null
+++ b/figwalk/gateway/caller_api.py
@@ -0,0 +1,207 @@
+"""Takes callers' requests, and gives each its final answer in time."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from http import HTTPStatus
+
+import trio
+
+from figwalk.errors import CallerError, CallOutcome, RefusalError
+from figwalk.events import Event, EventLog
+from figwalk.gateway.call import Call
+from figwalk.gateway.codecs import CallerCodec, CallFacts
+from figwalk.gateway.gateway_metrics import GatewayMetrics
+from figwalk.gateway.plain_calls import PlainCalls
+from figwalk.gateway.prompt_calls import PromptCalls
+from figwalk.state.routing import RoutingConfig
+from figwalk.timer import MS_PER_S, Timer
+from figwalk.transport import ClientGoneError, HttpRequest, Responder, render_error
+
+NO_CONFIG_RETRY_MS = 500
+
+
+class CallerApi:
+    """Handles callers' requests.
+
+    Args:
+        codec: Reads requests.
+        routing: Returns the configuration in force, or None before the first one.
+        plain_calls: Answers calls of plain services.
+        prompt_calls: Answers calls of services with model engines.
+        metrics: Counters and latencies.
+        events: Event log.
+        timer: Source of time.
+        rng: Splits routes among services; tests give a seeded one.
+    """
+
+    def __init__(
+        self,
+        codec: CallerCodec,
+        routing: Callable[[], RoutingConfig | None],
+        plain_calls: PlainCalls,
+        prompt_calls: PromptCalls,
+        metrics: GatewayMetrics,
+        events: EventLog,
+        timer: Timer,
+        rng: random.Random,
+    ) -> None:
+        self._codec = codec
+        self._routing = routing
+        self._plain_calls = plain_calls
+        self._prompt_calls = prompt_calls
+        self._metrics = metrics
+        self._events = events
+        self._timer = timer
+        self._rng = rng
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answer one request."""
+        check_framing(request)
+        facts = self._codec.decode(request)
+        try:
+            call = self._accept(request, facts)
+        except RefusalError as error:
+            await self._send_refusal(facts.call_id, responder, error)
+            return
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch, call, responder, nursery.cancel_scope)
+            await self._answer(call, responder)
+            nursery.cancel_scope.cancel()
+
+    def _accept(self, request: HttpRequest, facts: CallFacts) -> Call:
+        routing = self._routing()
+        if routing is None:
+            raise RefusalError(
+                "no_configuration",
+                "this gateway has no configuration yet",
+                retry_after_ms=NO_CONFIG_RETRY_MS,
+            )
+        route = routing.match(request.header(b"host"), request.path)
+        if route is None:
+            self._events.record(
+                Event.REQUEST_REFUSED,
+                request_id=facts.call_id,
+                code="no_route",
+                version=routing.version,
+            )
+            self._metrics.note_refusal("no_route")
+            raise CallerError(404, "no_route", "no route has this host and path")
+        limit_s = route.timeout_s
+        if facts.patience_s is not None:
+            limit_s = min(limit_s, facts.patience_s)
+        return Call(
+            request=request,
+            facts=facts,
+            route=route,
+            service=route.pick_service(self._rng),
+            config_version=routing.version,
+            arrived_at=request.started_at,
+            deadline=request.started_at + limit_s,
+        )
+
+    async def _watch(self, call: Call, responder: Responder, scope: trio.CancelScope) -> None:
+        """Cancel a call whose caller has left."""
+        await responder.wait_client_gone()
+        self._record_gone(call)
+        scope.cancel()
+
+    async def _answer(self, call: Call, responder: Responder) -> None:
+        try:
+            with trio.CancelScope(deadline=call.deadline) as scope:
+                backend = await self._run(call, responder)
+            if scope.cancelled_caught:
+                raise self._refuse_late(call, responder)
+        except RefusalError as error:
+            await self._finish_refused(call, responder, error)
+        except ClientGoneError:
+            self._record_gone(call)
+        else:
+            self._record_answered(call, backend)
+
+    async def _run(self, call: Call, responder: Responder) -> str:
+        routing = self._routing()
+        service = routing.services.get(call.service) if routing is not None else None
+        if service is not None and service.engine is not None:
+            return await self._prompt_calls.run(call, responder, service.engine)
+        return await self._plain_calls.run(call, responder)
+
+    def _refuse_late(self, call: Call, responder: Responder) -> RefusalError:
+        if call.unresolved or responder.started:
+            return RefusalError(
+                "timeout",
+                "no whole answer within the time of the route or the caller",
+                status=HTTPStatus.GATEWAY_TIMEOUT,
+                outcome=CallOutcome.UNKNOWN,
+            )
+        return RefusalError("timeout", "the time ended before the call was sent", retry_after_ms=0)
+
+    async def _finish_refused(self, call: Call, responder: Responder, error: RefusalError) -> None:
+        took_s = self._timer.now() - call.arrived_at
+        self._events.record(
+            Event.REQUEST_REFUSED,
+            request_id=call.call_id,
+            route=call.route.name,
+            service=call.service,
+            version=call.config_version,
+            code=error.code,
+            status=error.status,
+            outcome=error.outcome.value,
+            detail=error.message,
+            retry_after_ms=error.retry_after_ms,
+            sent_to=" ".join(call.sent_to),
+            started=responder.started,
+            took_s=round(took_s, 4),
+        )
+        if not responder.startable:
+            return  # The server then closes the connection before the end of the answer.
+        try:
+            await self._send_refusal(call.call_id, responder, error)
+        except ClientGoneError:
+            self._record_gone(call)
+
+    async def _send_refusal(self, call_id: str, responder: Responder, error: RefusalError) -> None:
+        self._metrics.note_refusal(error.code)
+        body = render_error("server_error", error.code, error.message, outcome=error.outcome.value)
+        headers = self._codec.identify(call_id)
+        if error.outcome is CallOutcome.NOT_RUN:
+            seconds = error.retry_after_ms / MS_PER_S
+            headers.append((b"retry-after", f"{seconds:.3f}".encode()))
+        await responder.send_json(error.status, body, headers)
+
+    def _record_gone(self, call: Call) -> None:
+        self._metrics.note_refusal("caller_gone")
+        self._events.record(
+            Event.REQUEST_CANCELLED,
+            request_id=call.call_id,
+            route=call.route.name,
+            sent_to=" ".join(call.sent_to),
+            took_s=round(self._timer.now() - call.arrived_at, 4),
+        )
+
+    def _record_answered(self, call: Call, backend: str) -> None:
+        took_s = self._timer.now() - call.arrived_at
+        self._metrics.note_answer(call.service, took_s)
+        self._events.record(
+            Event.CALL_ANSWERED,
+            request_id=call.call_id,
+            route=call.route.name,
+            service=call.service,
+            version=call.config_version,
+            backend=backend,
+            attempts=len(call.sent_to),
+            predicted_s=round(call.predicted_s, 4) if call.predicted_s is not None else None,
+            took_s=round(took_s, 4),
+        )
+
+
+def check_framing(request: HttpRequest) -> None:
+    """Refuse a request whose length is given in two ways, since two servers may read it in two.
+
+    Raises:
+        CallerError: It has both a length and chunks, or several lengths.
+    """
+    names = [name for name, _ in request.headers]
+    if names.count(b"content-length") + names.count(b"transfer-encoding") > 1:
+        raise CallerError(400, "ambiguous_length", "give the length of the body in one way")
--- /dev/null
+++ b/figwalk/gateway/gateway_metrics.py
@@ -0,0 +1,65 @@
+"""Counters and latency histograms of a gateway, served as text."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
+
+from figwalk.transport import HttpRequest, Responder
+
+# Bounds in seconds: the targets of the users' sheets are 0.15 to 0.3 s, their timeouts 0.8 to 15 s.
+LATENCY_BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.5, 1.0, 2.0, 5.0, 15.0)
+
+
+class GatewayMetrics:
+    """What a gateway counts."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._answers = Histogram(
+            "figwalk_answer_seconds",
+            "Time from a request to the end of its answer.",
+            ["service"],
+            buckets=LATENCY_BOUNDS_S,
+            registry=self._registry,
+        )
+        self._refusals = Counter(
+            "figwalk_refusals",
+            "Requests that got no answer of a backend server, by reason.",
+            ["code"],
+            registry=self._registry,
+        )
+        self._config_version = Gauge(
+            "figwalk_config_version", "Version of the configuration.", registry=self._registry
+        )
+        self._backends = Gauge(
+            "figwalk_backends", "Registered backend servers.", registry=self._registry
+        )
+        self._dropped_lines = Gauge(
+            "figwalk_log_lines_dropped", "Log lines dropped so far.", registry=self._registry
+        )
+
+    def note_answer(self, service: str, took_s: float) -> None:
+        """Count a whole answer of a backend server."""
+        self._answers.labels(service).observe(took_s)
+
+    def note_refusal(self, code: str) -> None:
+        """Count a request without one."""
+        self._refusals.labels(code).inc()
+
+    def note_config(self, version: int) -> None:
+        """Note the version of the configuration in force."""
+        self._config_version.set(version)
+
+    def note_backends(self, count: int) -> None:
+        """Note how many backend servers are registered."""
+        self._backends.set(count)
+
+    def note_dropped_lines(self, count: int) -> None:
+        """Note how many log lines were dropped since the start."""
+        self._dropped_lines.set(count)
+
+    async def handle(self, _request: HttpRequest, responder: Responder) -> None:
+        """Answer a request for the metrics."""
+        content_type = (b"content-type", CONTENT_TYPE_LATEST.encode())
+        await responder.send(200, [content_type], generate_latest(self._registry))
--- /dev/null
+++ b/figwalk/gateway/plain_calls.py
@@ -0,0 +1,190 @@
+"""Calls of plain services: one whole answer, repeated only where that is allowed."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+import attrs
+import trio
+
+from figwalk.coordination.backend_tracker import AttemptOutcome, BackendTracker
+from figwalk.coordination.plain_placement import PlainPlacement
+from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
+from figwalk.errors import CallOutcome, RefusalError
+from figwalk.events import Event, EventLog
+from figwalk.gateway.attempts import Answer, AttemptError, Attempts
+from figwalk.gateway.backend_pool import BackendPool
+from figwalk.gateway.call import Call
+from figwalk.gateway.codecs import SendPlan
+from figwalk.timer import Timer
+from figwalk.transport import Headers, Responder
+
+# An attempt that has taken this part of the time left is given up where another one is allowed;
+# the second one then still has the larger part.
+PATIENCE_SHARE = 0.35
+# Below this an attempt would be given up while the backend server is merely busy.
+MIN_PATIENCE_S = 0.15
+# Statuses that promise to callers that their request has not run.
+NOT_RUN_STATUSES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
+NO_BACKEND_RETRY_MS = 300
+FULL_RETRY_MS = 100
+
+
+@attrs.frozen
+class WholeAnswer:
+    """An answer that has been read to its end.
+
+    Attributes:
+        backend: Backend server that gave it.
+        status: HTTP status.
+        headers: Headers for the caller.
+        body: Whole body.
+    """
+
+    backend: str
+    status: int
+    headers: Headers
+    body: bytes
+
+    @property
+    def failed(self) -> bool:
+        """Whether the work failed."""
+        return self.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+
+
+class PlainCalls:
+    """Answers calls of plain services.
+
+    Args:
+        pool: Backend servers.
+        attempts: Sends calls to them.
+        placement: Chooses among them.
+        budget: Bound of repeated attempts.
+        events: Event log.
+        timer: Source of time.
+    """
+
+    def __init__(
+        self,
+        pool: BackendPool,
+        attempts: Attempts,
+        placement: PlainPlacement,
+        budget: WindowedRetryBudget,
+        events: EventLog,
+        timer: Timer,
+    ) -> None:
+        self._pool = pool
+        self._attempts = attempts
+        self._placement = placement
+        self._budget = budget
+        self._events = events
+        self._timer = timer
+
+    async def run(self, call: Call, responder: Responder) -> str:
+        """Answer a call; return the id of the backend server that did the work.
+
+        Raises:
+            RefusalError: There is no answer of a backend server for the caller.
+        """
+        answer = await self._find_answer(call)
+        await responder.send(answer.status, answer.headers, answer.body)
+        return answer.backend
+
+    async def _find_answer(self, call: Call) -> WholeAnswer:
+        tried: list[str] = []
+        failed: WholeAnswer | None = None
+        error: AttemptError | None = None
+        while True:
+            tracker = self._placement.choose(self._pool.trackers(call.service), tried=tried)
+            if tracker is None or not self._may_send(call, bool(tried)):
+                break
+            tried.append(tracker.entry.backend)
+            try:
+                answer = await self._attempt(call, tracker)
+            except AttemptError as attempt_error:
+                error = attempt_error
+                if not (error.not_run or call.route.repeatable):
+                    break
+            else:
+                if not (answer.failed and call.route.repeatable):
+                    return self._check_promise(call, answer)
+                failed = answer
+        if failed is not None:
+            return failed
+        raise self._refuse(call, error)
+
+    async def _attempt(self, call: Call, tracker: BackendTracker) -> WholeAnswer:
+        left_s = call.deadline - self._timer.now()
+        plan = SendPlan(tracker.entry, left_s)
+        patience_s = max(MIN_PATIENCE_S, PATIENCE_SHARE * left_s)
+        if not self._may_be_repeated(call):
+            patience_s = left_s
+        try:
+            with trio.fail_after(patience_s):
+                async with self._attempts.send(call, tracker, plan) as answer:
+                    return await _read(answer)
+        except trio.TooSlowError as error:
+            message = f"no answer within {patience_s:.3f} s"
+            raise AttemptError(AttemptOutcome.SILENT, message, not_run=False) from error
+
+    def _may_be_repeated(self, call: Call) -> bool:
+        return (
+            call.route.repeatable
+            and len(call.sent_to) + 1 < call.route.max_backends
+            and self._budget.left >= 1
+        )
+
+    def _may_send(self, call: Call, is_repeat: bool) -> bool:
+        """Return whether one more attempt is allowed, and count it."""
+        if not is_repeat:
+            self._budget.note_first_attempt()
+            return True
+        if not call.may_go_elsewhere:
+            return False
+        if not call.sent_to:
+            return True  # Only unreachable backend servers so far, where nothing arrived.
+        if self._budget.try_retry():
+            self._events.record(
+                Event.REQUEST_RETRIED, request_id=call.call_id, budget=round(self._budget.left, 1)
+            )
+            return True
+        self._events.record(Event.RETRY_BUDGET_EMPTY, request_id=call.call_id)
+        return False
+
+    def _check_promise(self, call: Call, answer: WholeAnswer) -> WholeAnswer:
+        """Return the answer unless its status promises what the backend server did not state."""
+        if answer.status in NOT_RUN_STATUSES and not call.route.repeatable:
+            raise RefusalError(
+                "backend_failed",
+                f"the backend server answered with HTTP status {answer.status} after a start",
+                status=HTTPStatus.BAD_GATEWAY,
+                outcome=CallOutcome.UNKNOWN,
+            )
+        return answer
+
+    def _refuse(self, call: Call, error: AttemptError | None) -> RefusalError:
+        if call.unresolved:
+            return RefusalError(
+                "backend_lost",
+                f"the backend server gave no answer: {error}",
+                status=HTTPStatus.BAD_GATEWAY,
+                outcome=CallOutcome.UNKNOWN,
+            )
+        if error is not None and error.outcome is AttemptOutcome.REFUSED:
+            return RefusalError("backends_full", str(error), retry_after_ms=FULL_RETRY_MS)
+        return RefusalError(
+            "no_backend",
+            f"no backend server of {call.service!r} can be reached",
+            retry_after_ms=NO_BACKEND_RETRY_MS,
+        )
+
+
+async def _read(answer: Answer) -> WholeAnswer:
+    return WholeAnswer(answer.backend, answer.status, answer.headers, await answer.read_whole())
--- /dev/null
+++ b/figwalk/gateway/process.py
@@ -0,0 +1,225 @@
+"""Composition of the gateway process."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from figwalk.coordination.keyed_log import TopicFollower
+from figwalk.coordination.plain_placement import Distance, PlainPlacement
+from figwalk.coordination.prompt_placement import PlacementSettings, PromptPlacement
+from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
+from figwalk.events import Event, EventLog
+from figwalk.gateway.attempts import Attempts
+from figwalk.gateway.backend_pool import BackendPool
+from figwalk.gateway.caller_api import CallerApi
+from figwalk.gateway.gateway_metrics import GatewayMetrics
+from figwalk.gateway.gateway_readiness import GatewayReadiness
+from figwalk.gateway.plain_calls import PlainCalls
+from figwalk.gateway.prompt_calls import PromptCalls
+from figwalk.gateway.topic_readers import BackendReader, RoutingReader
+from figwalk.platform import (
+    BACKENDS_TOPIC,
+    CONFIG_KEY,
+    CONFIG_TOPIC,
+    PlatformBackendCodec,
+    PlatformCallerCodec,
+    PlatformStore,
+    decode_backend,
+    decode_routing,
+)
+from figwalk.state.backend_directory import BackendDirectory
+from figwalk.state.gateway_settings import GatewaySettings
+from figwalk.state.routing import RoutingConfig
+from figwalk.timer import Timer
+from figwalk.transport import HttpLimits, HttpRequest, HttpServer, Responder
+
+# A silent connection to the store is noticed after this wait and the timeout of a call; a
+# configuration has to be in force within 2.5 s on a machine whose store is well.
+CONFIG_WAIT_S = 1.0
+# Backend servers write about once a second each, so that waiting for a record would end at once.
+# With the timeout of a call it stays below the 2.5 s for a leaving backend server.
+BACKENDS_PERIOD_S = 0.7
+UPKEEP_PERIOD_S = 0.2
+# The balancer asks once a second and takes a machine out after two refusals.
+BALANCER_NOTICE_S = 2.5
+# The platform ends the process at the end of the grace time; what is left then is cut by this
+# process itself, with a log line.
+STOP_MARGIN_S = 0.5
+
+
+class GatewayProcess:
+    """All parts of one gateway.
+
+    Args:
+        settings: Settings of the process.
+        dropped_lines: Returns how many log lines were dropped.
+    """
+
+    def __init__(
+        self, settings: GatewaySettings, *, dropped_lines: Callable[[], int] = lambda: 0
+    ) -> None:
+        self._settings = settings
+        self._dropped_lines = dropped_lines
+        self._reported_drops = 0
+        self._timer = Timer()
+        self._events = EventLog(settings.process, self._timer)
+        self._metrics = GatewayMetrics()
+        self._directory = BackendDirectory(self._events, self._timer, on_change=self._note_backends)
+        self._pool = BackendPool(
+            self._directory, self._events, self._timer, gateways=settings.gateways
+        )
+        self._routing = RoutingReader(
+            CONFIG_KEY, decode_routing, self._events, on_adopted=self._adopt
+        )
+        self._readiness = GatewayReadiness(lambda: self._routing.current, self._directory)
+        self._was_ready: bool | None = None
+        self._callers = HttpServer(
+            self._make_caller_api().handle,
+            self._events,
+            limits=HttpLimits(max_connections=settings.max_connections),
+        )
+        self._health = HttpServer(self._answer_health, self._events)
+        self._metrics_server = HttpServer(self._metrics.handle, self._events)
+        self._stopped = trio.Event()
+
+    def update_settings(self, settings: GatewaySettings) -> None:
+        """Take over what may change while the process runs."""
+        self._settings = settings
+
+    async def run(self) -> None:
+        """Serve until `stop` has ended."""
+        settings = self._settings
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._timer.run)
+            for follower in self._make_followers():
+                nursery.start_soon(follower.run)
+            for server, address in (
+                (self._callers, settings.callers),
+                (self._health, settings.health),
+                (self._metrics_server, settings.metrics),
+            ):
+                await nursery.start(server.serve, address.host, address.port)
+            self._timer.subscribe("upkeep", UPKEEP_PERIOD_S, self._upkeep)
+            self._events.record(
+                Event.PROCESS_STARTED,
+                callers=str(settings.callers),
+                health=str(settings.health),
+                metrics=str(settings.metrics),
+                zone=settings.zone,
+            )
+            await self._stopped.wait()
+            nursery.cancel_scope.cancel()
+        self._pool.close()
+
+    async def stop(self) -> None:
+        """Leave the balancer's rotation, answer what has been asked, and end `run`."""
+        self._events.record(Event.PROCESS_STOPPING, active=self._callers.active_requests)
+        self._readiness.stop()
+        with trio.move_on_after(self._settings.grace_s - STOP_MARGIN_S) as scope:
+            await self._callers.drain(accept_s=BALANCER_NOTICE_S)
+        if scope.cancelled_caught:
+            self._events.record(Event.PROCESS_STOP_CUT, active=self._callers.active_requests)
+        else:
+            self._events.record(Event.PROCESS_STOPPED)
+        self._stopped.set()
+
+    def _make_caller_api(self) -> CallerApi:
+        settings, events, timer = self._settings, self._events, self._timer
+        rng = random.Random()
+        distance = Distance(settings.zone, settings.region, settings.regions)
+        placement = PlacementSettings(
+            prefill_tokens_per_s=settings.engines.prefill_tokens_per_s,
+            decode_prefill_ratio=settings.engines.decode_prefill_ratio,
+        )
+        budget = WindowedRetryBudget(
+            timer,
+            window_s=settings.retry.window_s,
+            ratio=settings.retry.ratio,
+            slack=settings.retry.slack,
+            processes=settings.gateways,
+        )
+        attempts = Attempts(self._pool, PlatformBackendCodec(), events, timer)
+        plain = PlainCalls(
+            self._pool, attempts, PlainPlacement(distance, rng), budget, events, timer
+        )
+        prompts = PromptCalls(
+            self._pool,
+            attempts,
+            PromptPlacement(placement, distance, rng),
+            budget,
+            events,
+            timer,
+            short_prompt_tokens=placement.short_prompt_tokens,
+        )
+        return CallerApi(
+            PlatformCallerCodec(),
+            lambda: self._routing.current,
+            plain,
+            prompts,
+            self._metrics,
+            events,
+            timer,
+            rng,
+        )
+
+    def _make_followers(self) -> list[TopicFollower]:
+        settings = self._settings
+        config = TopicFollower(
+            PlatformStore(settings.store, timeout_s=settings.store_timeout_s),
+            CONFIG_TOPIC,
+            self._routing,
+            self._events,
+            self._timer,
+            wait_s=CONFIG_WAIT_S,
+        )
+        backends = TopicFollower(
+            PlatformStore(settings.store, timeout_s=settings.store_timeout_s),
+            BACKENDS_TOPIC,
+            BackendReader(self._directory, decode_backend, self._events),
+            self._events,
+            self._timer,
+            period_s=BACKENDS_PERIOD_S,
+            on_progress=self._directory.expire,
+        )
+        return [config, backends]
+
+    def _adopt(self, routing: RoutingConfig) -> None:
+        limits = routing.limits
+        self._callers.set_limits(
+            HttpLimits(
+                max_header_bytes=limits.max_header_bytes,
+                max_body_bytes=limits.max_body_bytes,
+                max_connections=self._settings.max_connections,
+                receive_timeout_s=limits.receive_timeout_s,
+                idle_timeout_s=limits.idle_timeout_s,
+            )
+        )
+        self._pool.set_routing(routing)
+        self._metrics.note_config(routing.version)
+
+    def _note_backends(self) -> None:
+        self._pool.sync()
+        self._metrics.note_backends(len(self._directory.entries()))
+
+    async def _answer_health(self, request: HttpRequest, responder: Responder) -> None:
+        ready = self._readiness.is_ready()
+        if ready != self._was_ready:
+            self._was_ready = ready
+            routing = self._routing.current
+            self._events.record(
+                Event.READINESS_CHANGED,
+                ready=ready,
+                config_version=routing.version if routing else None,
+                backends=len(self._directory.entries()),
+            )
+        await responder.send_json(200 if ready else 503, {"ready": ready})
+
+    async def _upkeep(self) -> None:
+        dropped = self._dropped_lines()
+        if dropped > self._reported_drops:
+            self._events.record(Event.LOG_LINES_DROPPED, count=dropped - self._reported_drops)
+            self._reported_drops = dropped
+            self._metrics.note_dropped_lines(dropped)
--- /dev/null
+++ b/figwalk/gateway/prompt_calls.py
@@ -0,0 +1,304 @@
+"""Streams of model engines: placed by prediction, read and answered on one or two engines."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+import trio
+
+from figwalk.coordination.backend_tracker import AttemptOutcome
+from figwalk.coordination.prompt_placement import (
+    FIRST_TOKEN_S,
+    EngineTracker,
+    PromptCall,
+    PromptPlacement,
+    PromptPlan,
+)
+from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
+from figwalk.errors import CallOutcome, HttpError, RefusalError
+from figwalk.events import Event, EventLog
+from figwalk.gateway.attempts import Answer, AttemptError, Attempts
+from figwalk.gateway.backend_pool import BackendPool
+from figwalk.gateway.call import Call
+from figwalk.gateway.codecs import CallStep, KvSource, SendPlan
+from figwalk.gateway.plain_calls import NO_BACKEND_RETRY_MS, NOT_RUN_STATUSES
+from figwalk.gateway.stream_relay import StreamRelay
+from figwalk.state.routing import EngineSpec
+from figwalk.timer import MS_PER_S, Timer
+from figwalk.transport import Responder
+
+# Ranks at an engine, 0 to 9. Short prompts take almost nothing and go before long ones.
+SHORT_URGENCY = 2
+LONG_URGENCY = 5
+# A resumable stream without a first event within this many targets goes on elsewhere.
+FIRST_EVENT_TARGETS = 3.0
+
+
+class PromptCalls:
+    """Answers calls of services with model engines.
+
+    Args:
+        pool: Backend servers.
+        attempts: Sends calls to them.
+        placement: Chooses engines and refuses.
+        budget: Bound of repeated attempts.
+        events: Event log.
+        timer: Source of time.
+        short_prompt_tokens: Prompts up to this length are short.
+    """
+
+    def __init__(
+        self,
+        pool: BackendPool,
+        attempts: Attempts,
+        placement: PromptPlacement,
+        budget: WindowedRetryBudget,
+        events: EventLog,
+        timer: Timer,
+        *,
+        short_prompt_tokens: int,
+    ) -> None:
+        self._pool = pool
+        self._attempts = attempts
+        self._placement = placement
+        self._budget = budget
+        self._events = events
+        self._timer = timer
+        self._short_prompt_tokens = short_prompt_tokens
+
+    async def run(self, call: Call, responder: Responder, spec: EngineSpec) -> str:
+        """Answer a call; return the id of the engine that answered.
+
+        Raises:
+            RefusalError: There is no answer of an engine for the caller.
+        """
+        self._budget.note_first_attempt()
+        relay = StreamRelay(
+            responder, resumable=call.route.resumable, resume_after=call.facts.resume_after
+        )
+        plan = self._place(call, spec)
+        while True:
+            try:
+                return await self._follow(call, plan, relay)
+            except AttemptError as error:
+                plan = self._place_again(call, spec, relay, error)
+
+    def _place(self, call: Call, spec: EngineSpec) -> PromptPlan:
+        prompt = self._describe(call)
+        plan = self._find_plan(call, prompt, spec)
+        call.predicted_s = plan.predicted_s
+        admitted = self._placement.admits(prompt, plan)
+        self._events.record(
+            Event.REQUEST_ROUTED,
+            request_id=call.call_id,
+            reader=plan.reader.entry.backend,
+            runner=plan.runner.entry.backend,
+            tokens=prompt.tokens,
+            uncached=int(plan.uncached_tokens),
+            predicted_s=round(plan.predicted_s, 4),
+            backlog_s=round(plan.backlog_s, 4),
+            target_s=round(prompt.target_s, 4),
+            load_age_s=_round(plan.reader.load_age_s),
+            rate_factor=round(plan.reader.rate_factor, 2),
+            admitted=admitted,
+        )
+        if not admitted:
+            retry_after_s = self._placement.retry_after_s(prompt, plan)
+            raise RefusalError(
+                "overloaded",
+                f"the first token would take {plan.predicted_s:.3f} s",
+                retry_after_ms=int(retry_after_s * MS_PER_S),
+            )
+        return plan
+
+    def _find_plan(self, call: Call, prompt: PromptCall, spec: EngineSpec) -> PromptPlan:
+        engines = [t for t in self._pool.trackers(call.service) if isinstance(t, EngineTracker)]
+        left = [t for t in engines if t.entry.backend not in call.sent_to]
+        plan = self._placement.plan(prompt, left, spec)
+        if plan is None:
+            raise RefusalError(
+                "no_engine",
+                f"no engine of {call.service!r} can be reached",
+                retry_after_ms=NO_BACKEND_RETRY_MS,
+            )
+        return plan
+
+    def _place_again(
+        self, call: Call, spec: EngineSpec, relay: StreamRelay, error: AttemptError
+    ) -> PromptPlan:
+        """Return a plan for another attempt after one that failed.
+
+        Raises:
+            RefusalError: None is allowed or possible.
+        """
+        if not (error.not_run or call.route.repeatable):
+            raise self._refuse_unknown(error)
+        if call.sent_to and not call.may_go_elsewhere:
+            raise self._refuse(call, error)
+        if call.sent_to or error.outcome is not AttemptOutcome.UNREACHABLE:
+            if not self._budget.try_retry():
+                self._events.record(Event.RETRY_BUDGET_EMPTY, request_id=call.call_id)
+                raise self._refuse(call, error)
+            self._events.record(
+                Event.REQUEST_RETRIED, request_id=call.call_id, budget=round(self._budget.left, 1)
+            )
+        if relay.started:
+            self._events.record(
+                Event.STREAM_RESUMED, request_id=call.call_id, after=relay.last_event_id
+            )
+            return self._find_plan(call, self._describe(call), spec)
+        return self._place(call, spec)
+
+    async def _follow(self, call: Call, plan: PromptPlan, relay: StreamRelay) -> str:
+        """Read and answer a call by a plan."""
+        source = None
+        if plan.reader is not plan.runner:
+            source = await self._prefill(call, plan)
+        try:
+            return await self._run(call, plan, relay, source)
+        except BaseException as error:
+            # Only a fetch takes the KV cache; after any other end it would stay until its time.
+            if source is not None and not relay.started:
+                unused = not isinstance(error, AttemptError) or error.not_run
+                if unused:
+                    await self._attempts.release(call, plan.reader, source)
+            raise
+
+    async def _prefill(self, call: Call, plan: PromptPlan) -> KvSource:
+        key = object()
+        plan.reader.start_reading(key, plan.uncached_tokens)
+        started = self._timer.now()
+        try:
+            source = await self._attempts.prefill(
+                call, plan.reader, self._make_send_plan(call, plan.reader, CallStep.PREFILL)
+            )
+        finally:
+            plan.reader.finish_reading(key)
+        self._learn(call, plan, started)
+        self._events.record(
+            Event.PREFILL_DONE,
+            request_id=call.call_id,
+            backend=plan.reader.entry.backend,
+            took_s=round(self._timer.now() - started, 4),
+        )
+        return source
+
+    async def _run(
+        self, call: Call, plan: PromptPlan, relay: StreamRelay, source: KvSource | None
+    ) -> str:
+        send_plan = self._make_send_plan(call, plan.runner, CallStep.RUN, source, relay)
+        key = object()
+        if source is None:
+            plan.runner.start_reading(key, plan.uncached_tokens)
+        started = self._timer.now()
+        patience_s = self._first_event_patience_s(call)
+        try:
+            with trio.CancelScope(deadline=started + patience_s) as scope:
+                async with self._attempts.send(call, plan.runner, send_plan) as answer:
+                    scope.deadline = float("inf")
+                    plan.runner.finish_reading(key)
+                    self._check_status(call, relay, answer)
+                    if source is None:
+                        self._learn(call, plan, started)
+                    await self._relay(call, relay, answer)
+                    return answer.backend
+        finally:
+            plan.runner.finish_reading(key)
+        raise AttemptError(
+            AttemptOutcome.SILENT, f"no first event within {patience_s:.3f} s", not_run=False
+        )
+
+    async def _relay(self, call: Call, relay: StreamRelay, answer: Answer) -> None:
+        try:
+            await relay.relay(answer)
+        except HttpError as error:
+            self._events.record(
+                Event.STREAM_CUT,
+                request_id=call.call_id,
+                backend=answer.backend,
+                after=relay.last_event_id,
+                detail=str(error),
+            )
+            raise
+
+    @staticmethod
+    def _check_status(call: Call, relay: StreamRelay, answer: Answer) -> None:
+        """Refuse an answer that can't be passed on as it is.
+
+        Raises:
+            AttemptError: It is a failure in the middle of a stream, or one that may be repeated, or
+                it promises what the engine did not state.
+        """
+        if answer.succeeded:
+            return
+        is_false_promise = answer.status in NOT_RUN_STATUSES and not call.route.repeatable
+        may_repeat = (
+            answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+            and call.route.repeatable
+            and call.may_go_elsewhere
+        )
+        if relay.started or is_false_promise or may_repeat:
+            message = f"the engine answered with HTTP status {answer.status}"
+            raise AttemptError(AttemptOutcome.FAILED, message, not_run=False)
+
+    def _learn(self, call: Call, plan: PromptPlan, started: float) -> None:
+        """Compare the predicted time of a reading with what it took."""
+        predicted_s = plan.predicted_s
+        if plan.reader is not plan.runner:
+            predicted_s -= FIRST_TOKEN_S
+        parts = _parts(call)
+        plan.reader.note_read(parts, predicted_s, self._timer.now() - started)
+        if plan.runner is not plan.reader:
+            # The runner keeps what it fetches like what it has read itself.
+            plan.runner.memory.note_read(parts)
+
+    def _make_send_plan(
+        self,
+        call: Call,
+        engine: EngineTracker,
+        step: CallStep,
+        source: KvSource | None = None,
+        relay: StreamRelay | None = None,
+    ) -> SendPlan:
+        is_short = call.facts.prompt_tokens <= self._short_prompt_tokens
+        return SendPlan(
+            engine.entry,
+            call.deadline - self._timer.now(),
+            step,
+            source,
+            SHORT_URGENCY if is_short else LONG_URGENCY,
+            relay.last_event_id if relay is not None and relay.started else "",
+        )
+
+    def _describe(self, call: Call) -> PromptCall:
+        now = self._timer.now()
+        target_s = call.arrived_at + call.route.target_s - now
+        return PromptCall(_parts(call), target_s, call.deadline - now)
+
+    def _first_event_patience_s(self, call: Call) -> float:
+        left_s = call.deadline - self._timer.now()
+        if not call.route.repeatable or len(call.sent_to) + 1 >= call.route.max_backends:
+            return left_s
+        return min(left_s, FIRST_EVENT_TARGETS * call.route.target_s)
+
+    def _refuse(self, call: Call, error: AttemptError) -> RefusalError:
+        if call.unresolved or not error.not_run:
+            return self._refuse_unknown(error)
+        return RefusalError("engines_full", str(error), retry_after_ms=NO_BACKEND_RETRY_MS)
+
+    @staticmethod
+    def _refuse_unknown(error: AttemptError) -> RefusalError:
+        return RefusalError(
+            "engine_lost",
+            f"the engine gave no whole answer: {error}",
+            status=HTTPStatus.BAD_GATEWAY,
+            outcome=CallOutcome.UNKNOWN,
+        )
+
+
+def _parts(call: Call) -> tuple[tuple[str, int], ...]:
+    return tuple((part.part_id, part.tokens) for part in call.facts.prompt)
+
+
+def _round(value: float | None) -> float | None:
+    return round(value, 3) if value is not None else None
--- /dev/null
+++ b/figwalk/gateway/topic_readers.py
@@ -0,0 +1,111 @@
+"""Takes over what the platform's store says: the configuration and the backend servers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from figwalk.coordination.keyed_log import KeyedRecord, TopicReader
+from figwalk.errors import FigwalkError
+from figwalk.events import Event, EventLog
+from figwalk.state.backend_directory import BackendDirectory, BackendEntry
+from figwalk.state.routing import RoutingConfig
+
+
+class RoutingReader(TopicReader):
+    """Keeps the newest configuration; an older one never replaces it.
+
+    Args:
+        key: Key of the configuration record.
+        decode: Decodes its value.
+        events: Event log.
+        on_adopted: Called with each configuration taken over.
+    """
+
+    def __init__(
+        self,
+        key: str,
+        decode: Callable[[bytes], RoutingConfig],
+        events: EventLog,
+        *,
+        on_adopted: Callable[[RoutingConfig], None],
+    ) -> None:
+        self._key = key
+        self._decode = decode
+        self._events = events
+        self._on_adopted = on_adopted
+        self._current: RoutingConfig | None = None
+
+    @property
+    def current(self) -> RoutingConfig | None:
+        """The configuration in force, or None before the first one."""
+        return self._current
+
+    def apply(self, record: KeyedRecord) -> None:
+        """Take over a newer configuration."""
+        if record.key != self._key or record.value is None:
+            return
+        try:
+            routing = self._decode(record.value)
+        except FigwalkError as error:
+            self._events.record(Event.CONFIG_REJECTED, offset=record.offset, detail=str(error))
+            return
+        if self._current is not None and routing.version <= self._current.version:
+            return
+        self._current = routing
+        self._events.record(
+            Event.CONFIG_ADOPTED,
+            version=routing.version,
+            offset=record.offset,
+            routes=len(routing.routes),
+            services=len(routing.services),
+        )
+        self._on_adopted(routing)
+
+    def apply_complete(self, keys: frozenset[str]) -> None:
+        """Keep the configuration, whatever a reading shows: it is never taken back."""
+
+    def note_available(self, *, available: bool) -> None:
+        """Keep the configuration while the store is away."""
+
+
+class BackendReader(TopicReader):
+    """Passes registrations on to the directory.
+
+    Args:
+        directory: The registered backend servers.
+        decode: Decodes a registration from its key and value.
+        events: Event log.
+    """
+
+    def __init__(
+        self,
+        directory: BackendDirectory,
+        decode: Callable[[str, bytes], BackendEntry],
+        events: EventLog,
+    ) -> None:
+        self._directory = directory
+        self._decode = decode
+        self._events = events
+
+    def apply(self, record: KeyedRecord) -> None:
+        """Take over a registration or a removal."""
+        if record.value is None:
+            self._directory.remove(record.key)
+            return
+        try:
+            entry = self._decode(record.key, record.value)
+        except FigwalkError as error:
+            self._events.record(
+                Event.BACKEND_RECORD_SKIPPED, offset=record.offset, detail=str(error)
+            )
+            return
+        self._directory.apply(entry)
+
+    def apply_complete(self, keys: frozenset[str]) -> None:
+        """Remove what a complete reading does not show."""
+        self._directory.keep_only(set(keys))
+        self._directory.note_loaded()
+
+    def note_available(self, *, available: bool) -> None:
+        """Note whether the store answers."""
+        self._directory.note_store(available=available)
--- /dev/null
+++ b/figwalk/platform/__init__.py
@@ -0,0 +1,22 @@
+"""Adapter to the users' platform: the only package that knows the platform's names.
+
+It decodes what the platform, its operators, callers and backend servers send into figwalk's own
+types, and encodes what figwalk sends to them. It decides nothing and keeps no state.
+"""
+
+from figwalk.platform.backend_codec import PlatformBackendCodec
+from figwalk.platform.backend_records import decode_backend
+from figwalk.platform.caller_codec import PlatformCallerCodec
+from figwalk.platform.routing_records import decode_routing
+from figwalk.platform.store import BACKENDS_TOPIC, CONFIG_KEY, CONFIG_TOPIC, PlatformStore
+
+__all__ = [
+    "BACKENDS_TOPIC",
+    "CONFIG_KEY",
+    "CONFIG_TOPIC",
+    "PlatformBackendCodec",
+    "PlatformCallerCodec",
+    "PlatformStore",
+    "decode_backend",
+    "decode_routing",
+]
--- /dev/null
+++ b/figwalk/platform/backend_codec.py
@@ -0,0 +1,72 @@
+"""Writes requests to the platform's backend servers and reads their answers."""
+
+from __future__ import annotations
+
+from figwalk.coordination.backend_tracker import StatedLoad
+from figwalk.errors import HttpError
+from figwalk.gateway.codecs import AnswerFacts, BackendCodec, CallStep, KvSource, SendPlan
+from figwalk.platform import headers as names
+from figwalk.platform.json_fields import JsonFields, PlatformRecordError
+from figwalk.state.backend_directory import BackendEntry
+from figwalk.timer import MS_PER_S
+from figwalk.transport import Headers, HttpRequest, find_header, strip_hop_by_hop
+
+_LOAD_FIELDS = 3
+
+
+class PlatformBackendCodec(BackendCodec):
+    """Adds and reads the headers that concern the system."""
+
+    def encode(self, request: HttpRequest, plan: SendPlan) -> HttpRequest:
+        """Return the request to send for a caller's request; see `BackendCodec.encode`."""
+        headers = [
+            (name, value)
+            for name, value in strip_hop_by_hop(request.headers, keep_host=True)
+            if name not in names.SYSTEM_HEADERS
+            and not (plan.resume_after and name == names.LAST_EVENT_ID)
+        ]
+        left_ms = max(1, int(plan.left_s * MS_PER_S))
+        headers.append((names.DEADLINE_MS, str(left_ms).encode()))
+        headers.append((names.EXPECTED_BACKEND, plan.backend.backend.encode()))
+        if plan.resume_after:
+            headers.append((names.LAST_EVENT_ID, plan.resume_after.encode("latin-1")))
+        if plan.urgency is not None:
+            headers.append((names.URGENCY, str(plan.urgency).encode()))
+        if plan.step is CallStep.PREFILL:
+            headers.append((names.STEP, b"prefill"))
+        if plan.kv_source is not None:
+            source = f"{plan.kv_source.backend.address}/{plan.kv_source.handle}"
+            headers.append((names.KV_SOURCE, source.encode()))
+        return HttpRequest(request.method, request.target, headers, request.body)
+
+    def is_answer(self, call_id: str, headers: Headers) -> bool:
+        """Return whether an answer echoes a call's id."""
+        return find_header(headers, names.REQUEST_ID) == call_id
+
+    def decode_answer(self, status: int, headers: Headers) -> AnswerFacts:
+        """Return what an answer says; see `BackendCodec.decode_answer`."""
+        return AnswerFacts(
+            # 421 is the answer of another backend server at the address, which ran nothing.
+            not_run=status == 421 or bool(find_header(headers, names.NOT_RUN)),
+            signed=bool(find_header(headers, names.SIGNATURE)),
+            load=_read_load(find_header(headers, names.LOAD)),
+        )
+
+    def decode_prefill(self, backend: BackendEntry, body: bytes) -> KvSource:
+        """Return where the KV cache of a prefilled prompt is."""
+        try:
+            fields = JsonFields.parse(body, "answer to a prefill")
+            return KvSource(backend, fields.text("transfer-handle"), fields.integer("tokens"))
+        except PlatformRecordError as error:
+            raise HttpError(str(error)) from error
+
+    def encode_release(self, source: KvSource) -> HttpRequest:
+        """Return the request that frees the KV cache of a prefilled prompt."""
+        return HttpRequest("DELETE", f"/kv-handle/{source.handle}", [])
+
+
+def _read_load(text: str) -> StatedLoad | None:
+    numbers = text.split(",")
+    if len(numbers) != _LOAD_FIELDS or not all(n.isascii() and n.isdigit() for n in numbers):
+        return None
+    return StatedLoad(*map(int, numbers))
--- /dev/null
+++ b/figwalk/platform/backend_records.py
@@ -0,0 +1,39 @@
+"""Decodes what backend servers register of themselves."""
+
+from __future__ import annotations
+
+from figwalk.platform.json_fields import JsonFields, PlatformRecordError
+from figwalk.protocol.messages import Role
+from figwalk.state.backend_directory import BackendEntry
+from figwalk.timer import MS_PER_S
+
+_LEAVING = {"ready": False, "draining": True}
+_ROLES = {"prefill": Role.PREFILL, "decode": Role.DECODE}
+
+
+def decode_backend(key: str, data: bytes) -> BackendEntry:
+    """Decode one registration.
+
+    Raises:
+        PlatformRecordError: It names no backend server to use.
+    """
+    fields = JsonFields.parse(data, f"registration of {key!r}")
+    state = fields.text("state")
+    if state not in _LEAVING:
+        raise PlatformRecordError(f"registration of {key!r}: state {state!r} is not known")
+    stage = fields.text("stage", "")
+    if stage and stage not in _ROLES:
+        raise PlatformRecordError(f"registration of {key!r}: stage {stage!r} is not known")
+    return BackendEntry(
+        backend=key,
+        service=fields.text("service"),
+        address=fields.address("address"),
+        zone=fields.text("zone"),
+        slots=fields.integer("slots"),
+        leaving=_LEAVING[state],
+        # `sequence` counts the registrations since `born`, the start of the process.
+        born_ms=fields.integer("born", 0),
+        sequence=fields.integer("sequence"),
+        cold_s=fields.number("cold-remaining-ms", 0.0) / MS_PER_S,
+        role=_ROLES.get(stage, Role.MIXED),
+    )
--- /dev/null
+++ b/figwalk/platform/headers.py
@@ -0,0 +1,34 @@
+"""Headers of the platform's callers and backend servers, in lower case as h11 gives them."""
+
+from __future__ import annotations
+
+REQUEST_ID = b"request-id"
+# Milliseconds that the sender waits from now, not a point of time.
+DEADLINE_MS = b"deadline-ms"
+MODEL = b"model"
+# Parts of the prompt as ID:TOKENS; the last one belongs to the request or its session alone.
+PREFIX_PARTS = b"prefix-hash"
+LAST_EVENT_ID = b"last-event-id"
+SIGNATURE = b"server-stamp"
+NOT_RUN = b"not-executed"
+EXPECTED_BACKEND = b"expect-instance"
+# Running, waiting, slots.
+LOAD = b"server-load"
+URGENCY = b"request-priority"
+STEP = b"stage"
+KV_SOURCE = b"kv-source"
+
+# Only the system may say these to a backend server; what a caller says of them is dropped.
+SYSTEM_HEADERS = frozenset(
+    {
+        DEADLINE_MS,
+        EXPECTED_BACKEND,
+        URGENCY,
+        STEP,
+        KV_SOURCE,
+        b"kv-backup",
+        b"kv-fetch",
+        b"kv-hold",
+        b"pin-ms",
+    }
+)
--- /dev/null
+++ b/figwalk/platform/routing_records.py
@@ -0,0 +1,97 @@
+"""Decodes the operator's configuration record."""
+
+from __future__ import annotations
+
+from figwalk.platform.json_fields import JsonFields, PlatformRecordError
+from figwalk.state.routing import (
+    CallerLimits,
+    CallKind,
+    EngineSpec,
+    Route,
+    RoutingConfig,
+    ServiceSpec,
+    WeightedService,
+)
+from figwalk.timer import MS_PER_S
+
+_KINDS = {
+    "safe": CallKind.IDEMPOTENT,
+    "unsafe": CallKind.NON_REPEATABLE,
+    "streaming": CallKind.STREAM,
+}
+# Routes without a latency objective get one that every answer in time meets.
+_NO_TARGET_MS = 60_000.0
+_DEFAULT_HANDLE_TTL_S = 5.0
+
+
+def decode_routing(data: bytes) -> RoutingConfig:
+    """Decode the value of the configuration record.
+
+    Raises:
+        PlatformRecordError: It is not a configuration.
+    """
+    fields = JsonFields.parse(data, "configuration")
+    services = [_decode_service(item) for item in fields.objects("services")]
+    return RoutingConfig(
+        fields.integer("version"),
+        tuple(_decode_route(item) for item in fields.objects("routes")),
+        {service.name: service for service in services},
+        _decode_limits(fields.object("limits")),
+    )
+
+
+def _decode_route(fields: JsonFields) -> Route:
+    kind = fields.text("kind")
+    if kind not in _KINDS:
+        raise PlatformRecordError(f"route kind {kind!r} is not known")
+    return Route(
+        name=fields.text("name"),
+        host=fields.text("hostname").lower(),
+        path_prefix=fields.text("path-prefix"),
+        kind=_KINDS[kind],
+        services=_decode_shares(fields),
+        timeout_s=fields.number("timeout-ms") / MS_PER_S,
+        target_s=fields.number("target-latency-ms", _NO_TARGET_MS) / MS_PER_S,
+        max_backends=max(1, fields.integer("max-attempts", 1)),
+        priority=fields.integer("priority", 0),
+        # `sticky` marks routes whose requests name a model and the parts of their prompt.
+        is_model_call=fields.flag("sticky", default=False),
+        resumable=fields.flag("resumable", default=False),
+    )
+
+
+def _decode_shares(fields: JsonFields) -> tuple[WeightedService, ...]:
+    if not fields.has("traffic-split"):
+        return (WeightedService(fields.text("service"), 1.0),)
+    shares = tuple(
+        WeightedService(item.text("service"), item.number("weight"))
+        for item in fields.objects("traffic-split")
+    )
+    if not shares:
+        raise PlatformRecordError("a traffic split has no services")
+    return shares
+
+
+def _decode_service(fields: JsonFields) -> ServiceSpec:
+    engine = _decode_engine(fields.object("engine")) if fields.has("engine") else None
+    return ServiceSpec(fields.text("name"), fields.integer("max-connections"), engine)
+
+
+def _decode_engine(fields: JsonFields) -> EngineSpec:
+    return EngineSpec(
+        slots=fields.integer("slots"),
+        kv_tokens=fields.integer("kv-tokens"),
+        kv_bytes_per_token=fields.number("kv-bytes"),
+        link_mbps=fields.number("link-mbps"),
+        handle_ttl_s=fields.number("handle-ttl-s", _DEFAULT_HANDLE_TTL_S),
+    )
+
+
+def _decode_limits(fields: JsonFields) -> CallerLimits:
+    return CallerLimits(
+        fields.integer("max-header-bytes"),
+        fields.integer("max-body-bytes"),
+        # The platform bounds the time for the headers; figwalk, that for the whole request.
+        fields.number("header-timeout-ms") / MS_PER_S,
+        fields.number("idle-timeout-ms") / MS_PER_S,
+    )
--- /dev/null
+++ b/figwalk/platform/store.py
@@ -0,0 +1,123 @@
+"""Client of the platform's store."""
+
+from __future__ import annotations
+
+import base64
+import struct
+from http import HTTPStatus
+from urllib.parse import urlencode
+
+import trio
+
+from figwalk.coordination.keyed_log import KeyedLog, KeyedPage, KeyedRecord
+from figwalk.errors import HttpError, LogTruncatedError, LogUnavailableError
+from figwalk.platform.json_fields import JsonFields, PlatformRecordError
+from figwalk.state.settings import Address
+from figwalk.timer import MS_PER_S
+from figwalk.transport.http_client import ConnectionOptions, HttpClient
+
+CONFIG_TOPIC = "keyed.op"
+CONFIG_KEY = "config"
+BACKENDS_TOPIC = "keyed.servers"
+
+_PARTITION = 0
+_OFFSETS = struct.Struct("!QQ")
+_LENGTH = struct.Struct("!I")
+_MAX_PAGES = 1000  # At most 500 keys a page; ends a listing that would go on for ever.
+
+
+class PlatformStore(KeyedLog):
+    """Reads the keyed topics of the platform's store.
+
+    Args:
+        address: Address of the store.
+        timeout_s: Seconds after which a call has failed; a read may take its wait time longer.
+    """
+
+    def __init__(self, address: Address, *, timeout_s: float) -> None:
+        options = ConnectionOptions(connect_timeout_s=timeout_s, max_idle=2)
+        self._client = HttpClient(address.host, address.port, options=options)
+        self._timeout_s = timeout_s
+
+    async def newest(self, topic: str) -> KeyedPage:
+        """Return the newest record of each key; see `KeyedLog.newest`."""
+        records: list[KeyedRecord] = []
+        end: int | None = None
+        query: dict[str, object] = {"topic": topic, "part": _PARTITION}
+        for _ in range(_MAX_PAGES):
+            _status, body = await self._get("/log-newest", query, 0.0)
+            try:
+                fields = JsonFields.parse(body, f"newest records of {topic!r}")
+                records += [_decode_item(item) for item in fields.objects("items")]
+                # Pages are not a snapshot: what changes after the first one is read again.
+                end = fields.integer("end") if end is None else end
+                if not fields.flag("truncated", default=False) or not records:
+                    return KeyedPage(end, tuple(records))
+            except PlatformRecordError as error:
+                raise LogUnavailableError(str(error)) from error
+            query["after"] = records[-1].key
+        raise LogUnavailableError(f"listing {topic!r} did not end")
+
+    async def read(self, topic: str, offset: int, *, wait_s: float = 0.0) -> KeyedPage:
+        """Return the records from an offset; see `KeyedLog.read`."""
+        query: dict[str, object] = {"topic": topic, "part": _PARTITION, "from": offset}
+        if wait_s > 0:
+            query["wait-ms"] = int(wait_s * MS_PER_S)
+        status, body = await self._get("/log-read", query, wait_s)
+        if status == HTTPStatus.GONE:
+            raise LogTruncatedError(_decode_first(body))
+        return _decode_page(topic, offset, body)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._client.close()
+
+    async def _get(self, path: str, query: dict[str, object], wait_s: float) -> tuple[int, bytes]:
+        try:
+            with trio.fail_after(self._timeout_s + wait_s):
+                response, body = await self._client.fetch("GET", f"{path}?{urlencode(query)}")
+        except (HttpError, trio.TooSlowError) as error:
+            reason = "no answer in time" if isinstance(error, trio.TooSlowError) else error
+            raise LogUnavailableError(f"{path} failed: {reason}") from error
+        if response.status not in (HTTPStatus.OK, HTTPStatus.GONE):
+            raise LogUnavailableError(f"{path} was answered with HTTP status {response.status}")
+        return response.status, body
+
+
+def _decode_item(fields: JsonFields) -> KeyedRecord:
+    try:
+        value = base64.b64decode(fields.text("value"), validate=True)
+    except ValueError as error:
+        raise PlatformRecordError(f"a value is not base64: {error}") from error
+    return KeyedRecord(fields.integer("offset"), fields.text("key"), value)
+
+
+def _decode_first(body: bytes) -> int:
+    try:
+        return JsonFields.parse(body, "answer to a read").integer("first")
+    except PlatformRecordError:
+        return 0  # Only logged; the newest records are read anyway.
+
+
+def _decode_page(topic: str, offset: int, body: bytes) -> KeyedPage:
+    if len(body) < _OFFSETS.size:
+        raise LogUnavailableError(f"answer to a read of {topic!r} is {len(body)} bytes long")
+    records = []
+    position = _OFFSETS.size
+    while position + _LENGTH.size <= len(body):
+        (length,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        if position + length > len(body):
+            break
+        records.append(_decode_record(offset, body[position : position + length]))
+        position += length
+        offset += 1
+    return KeyedPage(offset, tuple(records))
+
+
+def _decode_record(offset: int, content: bytes) -> KeyedRecord:
+    """Split a record into its key and value; one that is not keyed has an empty key."""
+    if not content or len(content) < 1 + content[0]:
+        return KeyedRecord(offset, "", b"")
+    end = 1 + content[0]
+    return KeyedRecord(offset, content[1:end].decode("utf-8", "replace"), content[end:] or None)
--- a/figwalk/agent/event_stream.py
+++ b/figwalk/protocol/event_stream.py
@@ -23,6 +23,11 @@
         """Whether `[DONE]` was the last event given out."""
         return self._done
 
+    @property
+    def rest(self) -> bytes:
+        """Bytes received after the last whole event."""
+        return self._rest
+
     @property
     def event_count(self) -> int:
         """Events given out, without the end mark."""
--- /dev/null
+++ b/figwalk/state/gateway_settings.py
@@ -0,0 +1,84 @@
+"""Settings of `figwalk-gateway`, read from YAML by `settings_file`."""
+
+from __future__ import annotations
+
+import attrs
+
+from figwalk.state.settings import Address
+
+
+@attrs.frozen
+class RetrySettings:
+    """Bound of repeated attempts, over all gateways.
+
+    Attributes:
+        ratio: Repeated attempts for each request in a window.
+        window_s: Length of the window in seconds.
+        slack: Repeated attempts beyond the ratio in a window.
+    """
+
+    ratio: float = 0.1
+    window_s: float = 10.0
+    slack: float = 20.0
+
+
+@attrs.frozen
+class EngineSettings:
+    """Speeds of the deployment's engines, from the users' sheet.
+
+    Attributes:
+        prefill_tokens_per_s: Prompt tokens that an engine with the role prefill reads a second.
+        decode_prefill_ratio: Speed of reading at an engine with the role decode against that.
+    """
+
+    prefill_tokens_per_s: float = 410_000.0
+    decode_prefill_ratio: float = 0.44
+
+
+@attrs.frozen
+class GatewaySettings:
+    """Settings of `figwalk-gateway`.
+
+    Attributes:
+        process: Unique name of the process.
+        zone: Availability zone.
+        region: Region.
+        regions: Region of each availability zone of the deployment.
+        callers: Where callers' HTTP is served.
+        health: Where the balancer's readiness checks are served.
+        metrics: Where metrics are served as text.
+        store: The platform's store.
+        store_timeout_s: Seconds after which a call to the store has failed.
+        drain_ms: Milliseconds within which a leaving backend server must get no more calls.
+        grace_s: Seconds from SIGTERM until the platform ends the process.
+        max_connections: Open connections of callers.
+        gateways_per_zone: Processes in each availability zone, added ones included, that share
+            the retry budget's slack and the backend servers' connections.
+        retry: Bound of repeated attempts.
+        engines: Speeds of the engines.
+        log_lines_per_s: Log lines written a second at the most, with bursts of as many more.
+        log_format: `json` or `console`.
+    """
+
+    process: str
+    zone: str
+    region: str
+    regions: dict[str, str]
+    callers: Address
+    health: Address
+    metrics: Address
+    store: Address
+    store_timeout_s: float = 1.0
+    drain_ms: float = 2500.0
+    grace_s: float = 8.0
+    max_connections: int = 3000
+    gateways_per_zone: int = 4
+    retry: RetrySettings = attrs.field(factory=RetrySettings)
+    engines: EngineSettings = attrs.field(factory=EngineSettings)
+    log_lines_per_s: int = 400
+    log_format: str = "json"
+
+    @property
+    def gateways(self) -> int:
+        """Processes of the deployment, at the most."""
+        return self.gateways_per_zone * max(1, len(self.regions))
--- a/figwalk/state/settings_file.py
+++ b/figwalk/state/settings_file.py
@@ -1,6 +1,6 @@
 """Reads settings and published configuration from YAML files and lists every fault at once.
 
-A file names its kind with the top-level key `kind`: `entry`, `agent` or `published`.
+A file names its kind with the top-level key `kind`: `entry`, `agent`, `gateway` or `published`.
 """
 
 from __future__ import annotations
@@ -22,6 +22,7 @@
     structure,
     unstructure,
 )
+from figwalk.state.gateway_settings import GatewaySettings
 from figwalk.state.published import (
     LIMITS_PATH,
     ORGANISATIONS_PREFIX,
@@ -53,6 +54,7 @@
 
     ENTRY = "entry"
     AGENT = "agent"
+    GATEWAY = "gateway"
     PUBLISHED = "published"
 
 
@@ -82,6 +84,7 @@
 _KINDS: dict[type, FileKind] = {
     EntrySettings: FileKind.ENTRY,
     AgentSettings: FileKind.AGENT,
+    GatewaySettings: FileKind.GATEWAY,
 }
 
 
@@ -92,7 +95,7 @@
 
     Args:
         path: YAML file.
-        cls: `EntrySettings` or `AgentSettings`.
+        cls: `EntrySettings`, `AgentSettings` or `GatewaySettings`.
 
     Raises:
         SettingsError: The file can't be read or is not valid; the error names every fault.
@@ -103,7 +106,7 @@
     return _structure_file(path, content, cls, faults)
 
 
-def dump_settings(settings: EntrySettings | AgentSettings) -> str:
+def dump_settings(settings: EntrySettings | AgentSettings | GatewaySettings) -> str:
     """Return the YAML text that `load_settings` reads as these settings."""
     content = {KIND_KEY: _KINDS[type(settings)].value, **unstructure(settings)}
     return yaml.safe_dump(content, sort_keys=False)
@@ -141,7 +144,7 @@
     if kind == FileKind.PUBLISHED:
         load_published(path)
     else:
-        load_settings(path, EntrySettings if kind == FileKind.ENTRY else AgentSettings)
+        load_settings(path, next(cls for cls, name in _KINDS.items() if name == kind))
     return FileKind(kind)
 
 
--- a/figwalk/transport/__init__.py
+++ b/figwalk/transport/__init__.py
@@ -2,6 +2,7 @@
 
 from figwalk.transport.frame_stream import Frame, FrameStream, FrameType
 from figwalk.transport.http_client import (
+    ConnectionOptions,
     HttpClient,
     HttpConnectError,
     HttpExchange,
@@ -18,6 +19,7 @@
 
 __all__ = [
     "ClientGoneError",
+    "ConnectionOptions",
     "Frame",
     "FrameStream",
     "FrameType",
--- a/figwalk/transport/http_client.py
+++ b/figwalk/transport/http_client.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+import errno
+import socket
+from collections.abc import AsyncIterator, Callable
 from types import TracebackType
 
+import attrs
 import h11
 import trio
 
@@ -14,8 +17,34 @@
 
 CONNECT_TIMEOUT_S = 3.0
 MAX_IDLE_CONNECTIONS = 64
+# A server may answer before it has read a body above this, so that sending must not delay reading.
+INLINE_REQUEST_BYTES = 16 * 1024
+# A server that sends answers of other requests without end must not hold a call until its deadline.
+MAX_FOREIGN_ANSWERS = 4
 _END_OF_MESSAGE = h11.EndOfMessage()
 
+AnswerCheck = Callable[[Headers], bool]
+
+
+@attrs.frozen
+class ConnectionOptions:
+    """How connections to a server are opened and kept.
+
+    Attributes:
+        connect_timeout_s: Seconds until an attempt to connect has failed.
+        max_idle: Connections kept open without a request.
+        idle_limit_s: Seconds without a request after which a connection is not used again, or
+            None for no limit. A server that closes idle connections may do so just as the next
+            request is sent.
+        unacknowledged_timeout_s: Seconds after which a connection is broken if sent bytes are not
+            acknowledged, or None for the system's default of minutes.
+    """
+
+    connect_timeout_s: float = CONNECT_TIMEOUT_S
+    max_idle: int = MAX_IDLE_CONNECTIONS
+    idle_limit_s: float | None = None
+    unacknowledged_timeout_s: float | None = None
+
 
 class HttpResponse:
     """An answer whose body is read piece by piece."""
@@ -71,26 +100,46 @@
     Args:
         host: IP number of the server.
         port: TCP port of the server.
+        options: How connections are opened and kept.
     """
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(self, host: str, port: int, *, options: ConnectionOptions | None = None) -> None:
         self._host = host
         self._port = port
+        self._options = options or ConnectionOptions()
         self._idle: list[_Connection] = []
+        self._opened = 0
 
     @property
     def address(self) -> str:
         """Host and port as text."""
         return f"{self._host}:{self._port}"
 
-    def open(self, request: HttpRequest) -> HttpExchange:
+    @property
+    def opened(self) -> int:
+        """Connections opened so far."""
+        return self._opened
+
+    def open(
+        self,
+        request: HttpRequest,
+        *,
+        is_answer: AnswerCheck | None = None,
+        idle_limit_s: float | None = None,
+    ) -> HttpExchange:
         """Return an async context manager that sends a request and gives its answer.
 
         Leaving it before the end of the answer closes the connection. Entering raises:
             HttpError: The server could not be reached or broke the exchange.
                 `HttpConnectError` if no byte of the request left this process.
+
+        Args:
+            request: What to send; its header ``host``, if any, replaces the server's address.
+            is_answer: Says by its headers whether an answer belongs to the request. Others, such
+                as a late second answer to the request before, are read and dropped.
+            idle_limit_s: Lower limit than that of the options for this request.
         """
-        return HttpExchange(self, request)
+        return HttpExchange(self, request, is_answer, idle_limit_s)
 
     async def fetch(
         self, method: str, target: str, *, headers: Headers | None = None, body: bytes = b""
@@ -105,26 +154,44 @@
             connection.close()
         self._idle.clear()
 
-    async def checkout(self) -> _Connection:
+    async def checkout(self, idle_limit_s: float | None = None) -> _Connection:
         """Return an idle connection, or a new one."""
         while self._idle:
             connection = self._idle.pop()
-            if not connection.closed_by_server():
+            if connection.usable(self._idle_limit_s(idle_limit_s)):
                 return connection
             connection.close()
         try:
-            with trio.fail_after(CONNECT_TIMEOUT_S):
+            with trio.fail_after(self._options.connect_timeout_s):
                 stream = await trio.open_tcp_stream(self._host, self._port)
         except (OSError, trio.TooSlowError) as error:
-            raise HttpConnectError(f"cannot connect to {self.address}: {error}") from error
+            reason = "no answer in time" if isinstance(error, trio.TooSlowError) else error
+            raise HttpConnectError(f"cannot connect to {self.address}: {reason}") from error
+        self._opened += 1
+        self._limit_unacknowledged(stream)
         return _Connection(ByteStream(stream), self.address)
 
     def give_back(self, connection: _Connection) -> None:
         """Keep a connection whose answer was read to its end."""
         self._idle.append(connection)
-        if len(self._idle) > MAX_IDLE_CONNECTIONS:
+        if len(self._idle) > self._options.max_idle:
             self._idle.pop(0).close()
 
+    def _idle_limit_s(self, limit_s: float | None) -> float | None:
+        limits = [s for s in (limit_s, self._options.idle_limit_s) if s is not None]
+        return min(limits, default=None)
+
+    def _limit_unacknowledged(self, stream: trio.SocketStream) -> None:
+        timeout_s = self._options.unacknowledged_timeout_s
+        if timeout_s is None:
+            return
+        try:
+            stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(timeout_s * 1000))
+        except OSError as error:
+            # Only a platform without this option; calls then end by their own timeouts.
+            if error.errno != errno.ENOPROTOOPT:
+                raise HttpConnectError(f"cannot set up {self.address}: {error}") from error
+
 
 class HttpExchange:
     """A request and its answer, from the send to the end of the body.
@@ -133,15 +200,23 @@
     status line and headers.
     """
 
-    def __init__(self, client: HttpClient, request: HttpRequest) -> None:
+    def __init__(
+        self,
+        client: HttpClient,
+        request: HttpRequest,
+        is_answer: AnswerCheck | None = None,
+        idle_limit_s: float | None = None,
+    ) -> None:
         self._client = client
         self._request = request
+        self._is_answer = is_answer
+        self._idle_limit_s = idle_limit_s
 
     async def __aenter__(self) -> HttpResponse:
         """Send the request and receive the head of its answer."""
-        self._connection = await self._client.checkout()
+        self._connection = await self._client.checkout(self._idle_limit_s)
         try:
-            self._response = await self._connection.exchange(self._request)
+            self._response = await self._connection.exchange(self._request, self._is_answer)
         except BaseException:
             self._connection.close()
             raise
@@ -172,19 +247,84 @@
         self._address = address
         self._host_header = (b"host", address.encode())
         self._h11 = h11.Connection(h11.CLIENT)
+        self._idle_since = 0.0
+        self._request_cut = False
 
-    async def exchange(self, request: HttpRequest) -> HttpResponse:
+    async def exchange(
+        self, request: HttpRequest, is_answer: AnswerCheck | None = None
+    ) -> HttpResponse:
         """Send a request and receive the head of its answer."""
-        await self._send(request)
-        # Nothing of the answer can be there yet, so that parsing first would be for nothing.
-        await self._receive()
+        data = self._render(request)
+        if len(data) <= INLINE_REQUEST_BYTES:
+            await self._send(data)
+            # Nothing of the answer can be there yet, so that parsing first would be for nothing.
+            await self._receive()
+            head = await self._receive_head(request, is_answer)
+        else:
+            head = await self._send_and_receive_head(data, request, is_answer)
+        return HttpResponse(self, head)
+
+    async def _send_and_receive_head(
+        self, data: bytes, request: HttpRequest, is_answer: AnswerCheck | None
+    ) -> h11.Response:
+        """Receive while sending; an answer that overtakes the body ends the sending."""
+        self._request_cut = True
+        failure: HttpError | None = None
+
+        async def send() -> None:
+            nonlocal failure
+            try:
+                await self._send(data)
+            except HttpError as error:
+                # The answer may have arrived before the server closed its receiving side.
+                failure = error
+            else:
+                self._request_cut = False
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            try:
+                head = await self._receive_head(request, is_answer)
+            except HttpError as error:
+                nursery.cancel_scope.cancel()
+                raised = failure or error
+            else:
+                nursery.cancel_scope.cancel()
+                return head
+        raise raised
+
+    async def _receive_head(
+        self, request: HttpRequest, is_answer: AnswerCheck | None
+    ) -> h11.Response:
+        """Return the head of the request's own answer, past those of other requests."""
+        for _ in range(MAX_FOREIGN_ANSWERS):
+            head = await self._next_head()
+            if is_answer is None or is_answer(list(head.headers)):
+                return head
+            await self._skip_answer(request)
+        raise HttpError(f"{self._address} sent answers that belong to other requests")
+
+    async def _next_head(self) -> h11.Response:
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                return HttpResponse(self, event)
+                return event
             if not isinstance(event, h11.InformationalResponse):
                 raise HttpError(f"{self._address} closed the connection before its answer")
 
+    async def _skip_answer(self, request: HttpRequest) -> None:
+        """Read an answer to its end and expect another one to the same request."""
+        complete = False
+        while not complete:
+            _data, complete = await self.receive_body()
+        rest, closed = self._h11.trailing_data
+        if self._h11.their_state is not h11.DONE or closed:
+            raise HttpError(f"{self._address} answered another request and closed the connection")
+        self._h11 = h11.Connection(h11.CLIENT)
+        self._render(request)
+        if rest:
+            self._h11.receive_data(rest)
+
     async def receive_body(self) -> tuple[bytes, bool]:
         """Return the body bytes that are there, at least one or the end, and whether it ended."""
         event = await self._next_event()
@@ -198,36 +338,45 @@
 
     def reusable(self) -> bool:
         """Return whether the connection can carry another request, and prepare it."""
+        if self._request_cut or self._h11.trailing_data[0]:
+            return False
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
             return False
         self._h11.start_next_cycle()
+        self._idle_since = trio.current_time()
         return True
 
-    def closed_by_server(self) -> bool:
-        """Return whether an idle connection has been closed or has unexpected bytes."""
-        return self._stream.socket.is_readable()
+    def usable(self, idle_limit_s: float | None) -> bool:
+        """Return whether an idle connection is young enough, open and has no unexpected bytes."""
+        if idle_limit_s is not None and trio.current_time() - self._idle_since > idle_limit_s:
+            return False
+        return not self._stream.socket.is_readable()
 
     def close(self) -> None:
         """Close the socket at once."""
         self._stream.socket.close()
 
-    async def _send(self, request: HttpRequest) -> None:
-        headers = [
-            self._host_header,
-            (b"content-length", str(len(request.body)).encode()),
-            *request.headers,
-        ]
+    def _render(self, request: HttpRequest) -> bytes:
+        """Return the bytes of a request, and make the parser expect its answer."""
+        headers = [(b"content-length", str(len(request.body)).encode()), *request.headers]
+        if not any(name.lower() == b"host" for name, _ in request.headers):
+            headers.insert(0, self._host_header)
         try:
             head = h11.Request(method=request.method, target=request.target, headers=headers)
             data = self._h11.send(head) or b""
             if request.body:
                 data += self._h11.send(h11.Data(data=request.body)) or b""
-            data += self._h11.send(_END_OF_MESSAGE) or b""
+            return data + (self._h11.send(_END_OF_MESSAGE) or b"")
+        except h11.LocalProtocolError as error:
+            raise HttpConnectError(
+                f"request to {self._address} is not valid HTTP: {error}"
+            ) from error
+
+    async def _send(self, data: bytes) -> None:
+        try:
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise HttpError(f"{self._address} closed the connection") from error
-        except h11.LocalProtocolError as error:
-            raise HttpError(f"request to {self._address} is not valid HTTP: {error}") from error
 
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -16,6 +16,8 @@
 from figwalk.transport.listening import open_listeners
 
 LISTEN_BACKLOG = 1024
+# A client that sends on while it waits for an answer is read no further than this.
+MAX_PIPELINED_BYTES = 64 * 1024
 # At a drain an open connection may still bring a request that is under way, for which this leaves
 # well above the one-way latency of 12 ms between regions.
 DRAIN_IDLE_S = 0.2
@@ -101,6 +103,24 @@
         await self._write(self._connection.send(_END_OF_MESSAGE) or b"")
         self._finished = True
 
+    async def wait_client_gone(self) -> None:
+        """Return when the client has closed its connection before the end of its answer.
+
+        A request that it sends meanwhile is kept for later. To be cancelled when the answer has
+        been sent.
+        """
+        received = 0
+        while received < MAX_PIPELINED_BYTES:
+            try:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+            if not data:
+                return
+            received += len(data)
+            self._connection.receive_data(data)
+        await trio.sleep_forever()
+
     def _render_body(self, data: bytes) -> bytes:
         # The answer to HEAD has no body, and h11 refuses to send one.
         if not data or self._head_only:
@@ -193,6 +213,10 @@
                     raise
         served.set()
 
+    def set_limits(self, limits: HttpLimits) -> None:
+        """Take over other limits; the header size of open connections stays as it was."""
+        self._limits = limits
+
     async def drain(self, *, accept_s: float = 0.0) -> None:
         """Accept no new connection, answer every request, and return when all are closed.
 
@@ -301,7 +325,7 @@
         """Return the next request, or None when the connection is to be closed."""
         if not connection.trailing_data[0] and not await self._wait_for_request(connection, stream):
             return None
-        reader = _RequestReader(connection, self._limits.max_body_bytes)
+        reader = _RequestReader(connection, self._limits.max_body_bytes, trio.current_time())
         request = reader.parse()
         if request is not h11.NEED_DATA:
             # Most requests arrive in one piece and need no timeout, which costs a cancel scope.
@@ -399,9 +423,13 @@
     Args:
         connection: The client's connection.
         max_body_bytes: Limit of the body.
+        started_at: Time of trio's clock at which the first bytes were read.
     """
 
-    def __init__(self, connection: h11.Connection, max_body_bytes: int) -> None:
+    def __init__(
+        self, connection: h11.Connection, max_body_bytes: int, started_at: float = 0.0
+    ) -> None:
+        self._started_at = started_at
         self._connection = connection
         self._max_body_bytes = max_body_bytes
         self._head: h11.Request | None = None
@@ -452,6 +480,7 @@
             self._head.target.decode("latin-1"),
             self._headers,
             bytes(self._body),
+            self._started_at,
         )
 
 
--- a/figwalk/transport/http_types.py
+++ b/figwalk/transport/http_types.py
@@ -51,12 +51,14 @@
         target: Path with query.
         headers: Pairs with lower-case names.
         body: Whole body.
+        started_at: Time of trio's clock at which its first bytes were read.
     """
 
     method: str
     target: str
     headers: Headers
     body: bytes = b""
+    started_at: float = attrs.field(default=0.0, eq=False)
 
     @property
     def path(self) -> str:
@@ -81,6 +83,16 @@
     return default
 
 
-def strip_hop_by_hop(headers: Headers) -> Headers:
-    """Return the headers that may be forwarded to the next hop."""
-    return [(name, value) for name, value in headers if name not in HOP_BY_HOP_HEADERS]
+def strip_hop_by_hop(headers: Headers, *, keep_host: bool = False) -> Headers:
+    """Return the headers that may be forwarded, without those that `Connection` names."""
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+    return [
+        (name, value)
+        for name, value in headers
+        if (name not in HOP_BY_HOP_HEADERS or (keep_host and name == b"host")) and name not in named
+    ]
