--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -89,7 +89,7 @@
         call.predicted_s = plan.predicted_s
         admitted = self._placement.admits(prompt, plan)
         self._events.record(
-            Event.REQUEST_ROUTED,
+            Event.PROMPT_PLACED,
             request_id=call.call_id,
             reader=plan.reader.entry.backend,
             runner=plan.runner.entry.backend,
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,172 @@
+"""Stand-in for the store of the users' platform: topics that keep the newest record of each key.
+
+Calls:
+  GET /log-read?topic=&part=0&from=&wait-ms=   16 bytes with end and first offset, then records of
+                                               4 bytes length, 1 byte key length, key, value
+  GET /log-newest?topic=&part=0&after=         {"items": [{"key", "value", "offset"}], "truncated",
+                                               "end"}
+
+`put` and `remove` write, as operators and backend servers do. Faults (POST /faults):
+  refuse_status      status of every call instead of an answer, 0 for none
+  silent             true: no call gets an answer
+"""
+
+from __future__ import annotations
+
+import base64
+import struct
+
+import attrs
+import trio
+
+from figwalk.transport import HttpRequest, Responder
+from standins.base import (
+    Standin,
+    build_parser,
+    read_query_number,
+    refuse_unknown_path,
+    run_standin,
+)
+
+MS_PER_S = 1000
+PAGE_KEYS = 50
+_OFFSETS = struct.Struct("!QQ")
+_LENGTH = struct.Struct("!I")
+
+
+@attrs.frozen
+class PlatformStoreFaults:
+    """Faults of the store; the module documentation describes them."""
+
+    refuse_status: int = 0
+    silent: bool = False
+
+
+@attrs.define
+class Topic:
+    """One topic with a single partition.
+
+    Attributes:
+        records: Key and value of each record; None as value removes the key.
+        first: Offset of the oldest record that is still kept.
+    """
+
+    records: list[tuple[str, bytes | None]] = attrs.field(factory=list)
+    first: int = 0
+
+    def newest(self) -> dict[str, tuple[int, bytes]]:
+        """Return offset and value of each key."""
+        items: dict[str, tuple[int, bytes]] = {}
+        for offset, (key, value) in enumerate(self.records):
+            if value is None:
+                items.pop(key, None)
+            else:
+                items[key] = (offset, value)
+        return items
+
+
+class PlatformStore(Standin):
+    """The store."""
+
+    def __init__(self) -> None:
+        super().__init__(PlatformStoreFaults())
+        self._topics: dict[str, Topic] = {}
+        self._written = trio.Event()
+        self._calls = 0
+
+    @property
+    def calls(self) -> int:
+        """Calls answered or refused so far."""
+        return self._calls
+
+    def put(self, topic: str, key: str, value: bytes) -> int:
+        """Append a record and return its offset."""
+        return self._append(topic, key, value)
+
+    def remove(self, topic: str, key: str) -> int:
+        """Append the removal of a key and return its offset."""
+        return self._append(topic, key, None)
+
+    def forget(self, topic: str) -> None:
+        """Drop all records but the newest of each key."""
+        kept = self._topic(topic)
+        kept.first = len(kept.records)
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answer one call."""
+        self._calls += 1
+        if self.faults.silent:
+            await trio.sleep_forever()
+        if self.faults.refuse_status:
+            await responder.send(self.faults.refuse_status, [])
+        elif request.path == "/log-read":
+            await self._read(request, responder)
+        elif request.path == "/log-newest":
+            await self._list(request, responder)
+        else:
+            await refuse_unknown_path(request, responder)
+
+    def _append(self, topic: str, key: str, value: bytes | None) -> int:
+        records = self._topic(topic).records
+        records.append((key, value))
+        self._written.set()
+        self._written = trio.Event()
+        return len(records) - 1
+
+    def _topic(self, name: str) -> Topic:
+        return self._topics.setdefault(name, Topic())
+
+    async def _read(self, request: HttpRequest, responder: Responder) -> None:
+        topic = self._topic(_read_query(request, "topic"))
+        offset = int(read_query_number(request, "from", 0))
+        wait_s = read_query_number(request, "wait-ms", 0) / MS_PER_S
+        if offset < topic.first:
+            await responder.send_json(410, {"first": topic.first})
+            return
+        with trio.move_on_after(wait_s):
+            while offset >= len(topic.records):
+                await self._written.wait()
+        body = _OFFSETS.pack(len(topic.records), topic.first)
+        for key, value in topic.records[offset:]:
+            name = key.encode()
+            content = bytes([len(name)]) + name + (value or b"")
+            body += _LENGTH.pack(len(content)) + content
+        await responder.send(200, [], body)
+
+    async def _list(self, request: HttpRequest, responder: Responder) -> None:
+        topic = self._topic(_read_query(request, "topic"))
+        after = _read_query(request, "after")
+        names = sorted(name for name in topic.newest() if name > after)
+        newest = topic.newest()
+        items = [
+            {
+                "key": name,
+                "value": base64.b64encode(newest[name][1]).decode(),
+                "offset": newest[name][0],
+            }
+            for name in names[:PAGE_KEYS]
+        ]
+        content = {
+            "items": items,
+            "truncated": len(names) > PAGE_KEYS,
+            "end": len(topic.records),
+        }
+        await responder.send_json(200, content)
+
+
+def _read_query(request: HttpRequest, name: str) -> str:
+    for item in request.query.split("&"):
+        key, _, value = item.partition("=")
+        if key == name:
+            return value
+    return ""
+
+
+def main() -> None:
+    """Run the stand-in."""
+    options = build_parser("platform_store", __doc__).parse_args()
+    run_standin(PlatformStore(), options)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/support/platform_fakes.py
@@ -0,0 +1,328 @@
+"""A gateway between scripted backend servers and the stand-in of the platform's store."""
+
+import json
+import random
+import socket
+from contextlib import asynccontextmanager
+
+import attrs
+import h11
+import trio
+
+from figwalk.events import EventLog
+from figwalk.gateway.process import GatewayProcess
+from figwalk.platform import BACKENDS_TOPIC, CONFIG_KEY, CONFIG_TOPIC
+from figwalk.state.gateway_settings import GatewaySettings
+from figwalk.state.settings import Address
+from figwalk.timer import Timer
+from figwalk.transport import HttpServer
+from standins.platform_store import PlatformStore
+
+HOST = "127.0.0.1"
+CALLER_HOST = "calls.example"
+HEADERS = {"idempotent": "safe", "non_repeatable": "unsafe", "stream": "streaming"}
+
+
+def make_route(name, kind, service, **fields):
+    """Return a route of the operator's configuration."""
+    return {
+        "name": name,
+        "hostname": CALLER_HOST,
+        "path-prefix": f"/{name}/",
+        "kind": HEADERS[kind],
+        "timeout-ms": 2000,
+        "target-latency-ms": 250,
+        "priority": 0,
+        "service": service,
+        "max-attempts": 1,
+    } | fields
+
+
+def make_config(version=1, routes=None, **fields):
+    """Return the operator's configuration with a plain service and one with engines."""
+    if routes is None:
+        routes = [
+            make_route("check", "idempotent", "orders", **{"max-attempts": 2}),
+            make_route("order", "non_repeatable", "orders"),
+            make_route("chat", "stream", "lm", sticky=True),
+            make_route("long", "stream", "lm", sticky=True, resumable=True, **{"max-attempts": 2}),
+        ]
+    engine = {
+        "slots": 8,
+        "kv-tokens": 100_000,
+        "kv-bytes": 1000,
+        "link-mbps": 100_000.0,
+        "handle-ttl-s": 5.0,
+    }
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "orders", "health-path": "/healthz", "max-connections": 100},
+            {"name": "lm", "health-path": "/healthz", "max-connections": 100, "engine": engine},
+        ],
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 100_000,
+            "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15000,
+        },
+    } | fields
+
+
+@attrs.define
+class Received:
+    """A request as a backend server received it."""
+
+    method: str
+    target: str
+    headers: dict
+    body: bytes
+
+    @property
+    def call_id(self):
+        """The caller's id."""
+        return self.headers.get("request-id", "")
+
+
+class ScriptedBackend:
+    """A backend server that answers by a script, down to the bytes.
+
+    Args:
+        name: Its id.
+        script: Coroutine function called with this object, the stream and each request received;
+            it returns whether the connection goes on.
+    """
+
+    def __init__(self, name, script):
+        self.name = name
+        self.script = script
+        self.requests = []
+        self.arrived = trio.Event()
+        self.connections = 0
+        self.port = 0
+
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve until cancelled."""
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        self.port = listeners[0].socket.getsockname()[1]
+        await trio.serve_listeners(self._serve_connection, listeners, task_status=task_status)
+
+    def register(self, store, service, **fields):
+        """Write the registration that a backend server writes of itself."""
+        content = {
+            "service": service,
+            "address": f"{HOST}:{self.port}",
+            "zone": "a",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold-remaining-ms": 0,
+            "sequence": 1,
+            "born": 1000,
+        } | fields
+        store.put(BACKENDS_TOPIC, self.name, json.dumps(content).encode())
+
+    async def _serve_connection(self, stream):
+        self.connections += 1
+        connection = h11.Connection(h11.SERVER)
+        try:
+            while True:
+                request = await _receive(connection, stream)
+                if request is None:
+                    return
+                self.requests.append(request)
+                self.arrived.set()
+                self.arrived = trio.Event()
+                if not await self.script(self, stream, request):
+                    return
+                connection = h11.Connection(h11.SERVER)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+
+async def _receive(connection, stream):
+    head, body = None, b""
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await stream.receive_some(65536))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            headers = {name.decode(): value.decode() for name, value in head.headers}
+            return Received(head.method.decode(), head.target.decode(), headers, body)
+        else:
+            return None
+
+
+def render(request, body=b"done", *, status=200, signed=True, call_id=None, **headers):
+    """Return the bytes of an answer."""
+    lines = [f"HTTP/1.1 {status} X", f"Request-Id: {call_id or request.call_id}"]
+    if signed:
+        lines.append("Server-Stamp: 1.2.3")
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def answering(body=b"done", **options):
+    """Return a script that answers every request."""
+
+    async def script(_backend, stream, request):
+        await stream.send_all(render(request, body, **options))
+        return True
+
+    return script
+
+
+async def refusing(_backend, stream, request):
+    """Script that states that the request was not run."""
+    await stream.send_all(render(request, b"", status=503, signed=False, Not_Executed=1))
+    return True
+
+
+async def resetting(_backend, stream, _request):
+    """Script that closes the connection after it has read a request."""
+    await stream.aclose()
+    return False
+
+
+async def hanging(_backend, _stream, _request):
+    """Script that never answers."""
+    await trio.sleep_forever()
+
+
+class Fleet:
+    """A running gateway with its store and backend servers."""
+
+    def __init__(self, store, nursery):
+        self.store = store
+        self.nursery = nursery
+        self.process = None
+        self.callers = None
+        self.health = None
+        self.metrics = None
+
+    def publish(self, config):
+        """Write a configuration as an operator does."""
+        self.store.put(CONFIG_TOPIC, CONFIG_KEY, json.dumps(config).encode())
+
+    async def add_backend(self, name, script, service="orders", **fields):
+        """Start a backend server and register it."""
+        backend = ScriptedBackend(name, script)
+        await self.nursery.start(backend.serve)
+        backend.register(self.store, service, **fields)
+        return backend
+
+    async def start_gateway(self):
+        """Start the gateway and wait until it knows the configuration and the backend servers."""
+        ports = [_free_port() for _ in range(3)]
+        self.callers, self.health, self.metrics = (Address(HOST, port) for port in ports)
+        settings = GatewaySettings(
+            process="gateway-1",
+            zone="a",
+            region="r",
+            regions={"a": "r", "b": "r", "c": "s"},
+            callers=self.callers,
+            health=self.health,
+            metrics=self.metrics,
+            store=self.store_address,
+            store_timeout_s=0.5,
+        )
+        random.seed(1)
+        self.process = GatewayProcess(settings)
+        self.nursery.start_soon(self.process.run)
+        await self.wait_ready()
+
+    async def wait_ready(self, *, ready=True):
+        """Wait until the readiness check says so."""
+        while await self._ask_ready() != ready:
+            await trio.sleep(0.01)
+
+    async def _ask_ready(self):
+        try:
+            status, _, _ = await fetch(self.health, b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        except OSError:
+            return False
+        return status == 200
+
+    async def call(self, path, **options):
+        """Send a caller's request on a new connection; return status, headers and body."""
+        return await fetch(self.callers, make_request(path, **options))
+
+
+@asynccontextmanager
+async def running_fleet():
+    """Run a store, to which tests add backend servers and a gateway."""
+    async with trio.open_nursery() as nursery:
+        store = PlatformStore()
+        server = HttpServer(store.answer, EventLog("store", Timer()))
+        fleet = Fleet(store, nursery)
+        port = await nursery.start(server.serve, HOST, 0)
+        fleet.store_address = Address(HOST, port)
+        yield fleet
+        nursery.cancel_scope.cancel()
+
+
+def make_request(path, *, method="GET", body=b"", call_id="c1", deadline_ms=2000, headers=()):
+    """Return the bytes of a caller's request."""
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"Host: {CALLER_HOST}",
+        f"Request-Id: {call_id}",
+        f"Deadline-Ms: {deadline_ms}",
+        *headers,
+    ]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+async def fetch(address, data):
+    """Send bytes on a new connection and return status, headers and body of the answer.
+
+    The status is None if the connection ends without an answer; a body that breaks off raises
+    `h11.RemoteProtocolError`.
+    """
+    stream = await trio.open_tcp_stream(address.host, address.port)
+    async with stream:
+        await stream.send_all(data)
+        return await read_answer(stream)
+
+
+async def read_answer(stream):
+    """Read one answer from a connection."""
+    connection = h11.Connection(h11.CLIENT)
+    connection.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
+    connection.send(h11.EndOfMessage())
+    status, headers, body = None, {}, b""
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await stream.receive_some(65536))
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+            headers = {name.decode(): value.decode() for name, value in event.headers}
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+            return status, headers, body
+
+
+def _free_port():
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+def run_test(test):
+    """Run a coroutine function under trio with a limit on its time."""
+
+    async def main():
+        with trio.fail_after(20):
+            await test()
+
+    trio.run(main)
--- /dev/null
+++ b/tests/test_backend_directory.py
@@ -0,0 +1,89 @@
+"""Tests of the list of registered backend servers."""
+
+import attrs
+import pytest
+from support.fake_timer import FakeTimer
+
+from figwalk.events import EventLog
+from figwalk.state.backend_directory import RENEWAL_WAIT_S, BackendDirectory, BackendEntry
+from figwalk.state.settings import Address
+
+ENTRY = BackendEntry("b1", "orders", Address("10.0.0.1", 80), "a", 6, False, 1000, 5)
+
+
+@pytest.fixture
+def timer():
+    return FakeTimer()
+
+
+@pytest.fixture
+def directory(timer):
+    return BackendDirectory(EventLog("test", timer), timer)
+
+
+def names(directory):
+    return [entry.backend for entry in directory.of_service("orders")]
+
+
+def test_leaving_backend_gets_no_new_work(directory):
+    """Guards against calls to a backend server that has said that it leaves."""
+    directory.apply(ENTRY)
+    directory.apply(attrs.evolve(ENTRY, leaving=True, sequence=6))
+    assert names(directory) == []
+
+
+def test_late_registration_does_not_undo_leaving(directory):
+    """Guards against a registration of before that arrives after the newest one."""
+    directory.apply(attrs.evolve(ENTRY, leaving=True, sequence=6))
+    assert not directory.apply(ENTRY)
+    assert names(directory) == []
+
+
+def test_late_registration_does_not_undo_a_removal(directory):
+    """Guards against a backend server that is used after it is gone."""
+    directory.apply(ENTRY)
+    directory.remove("b1")
+    assert not directory.apply(ENTRY)
+    assert names(directory) == []
+
+
+def test_restart_under_the_same_id_is_taken_over(directory):
+    """Guards against a restarted backend server that is ignored because it counts anew."""
+    directory.apply(ENTRY)
+    directory.remove("b1")
+    assert directory.apply(attrs.evolve(ENTRY, born_ms=2000, sequence=1))
+    assert names(directory) == ["b1"]
+
+
+def test_removal_is_followed_at_once_while_the_store_is_well(directory):
+    """Guards against calls to a backend server that has left without a word."""
+    directory.note_store(available=True)
+    directory.apply(ENTRY)
+    directory.remove("b1")
+    assert names(directory) == []
+
+
+def test_registration_that_lapsed_in_an_outage_is_kept_until_its_renewal(directory, timer):
+    """Guards against a fleet that is given up because the store was away."""
+    directory.apply(ENTRY)
+    directory.note_store(available=False)
+    timer.advance(10)
+    directory.note_store(available=True)
+    directory.keep_only(set())
+    directory.expire()
+    assert names(directory) == ["b1"]
+    timer.advance(RENEWAL_WAIT_S)
+    directory.apply(attrs.evolve(ENTRY, sequence=9))
+    directory.expire()
+    assert names(directory) == ["b1"]
+
+
+def test_registration_that_is_not_renewed_after_an_outage_is_dropped(directory, timer):
+    """Guards against calls to a backend server that died while the store was away."""
+    directory.apply(ENTRY)
+    directory.note_store(available=False)
+    directory.note_store(available=True)
+    directory.remove("b1")
+    timer.advance(RENEWAL_WAIT_S)
+    directory.expire()
+    assert names(directory) == []
--- /dev/null
+++ b/tests/test_backend_tracker.py
@@ -0,0 +1,80 @@
+"""Tests of what a process learns of a backend server from its own calls."""
+
+from support.fake_timer import FakeTimer
+
+from figwalk.coordination.backend_tracker import (
+    FIRST_AVOIDANCE_S,
+    LOAD_MAX_AGE_S,
+    SILENCE_S,
+    AttemptOutcome,
+    BackendTracker,
+    StatedLoad,
+)
+from figwalk.events import EventLog
+from figwalk.state.backend_directory import BackendEntry
+from figwalk.state.settings import Address
+
+
+def make_tracker(timer, name="b1", zone="a", slots=6):
+    entry = BackendEntry(name, "orders", Address("10.0.0.1", 80), zone, slots, False, 1, 1)
+    return BackendTracker(entry, timer, EventLog("test", timer))
+
+
+def test_unreachable_backend_is_avoided_for_a_while_and_then_tried_by_one_call():
+    """Guards against every call waiting for the connection to a dead backend server."""
+    timer = FakeTimer()
+    tracker = make_tracker(timer)
+    tracker.start("c1")
+    tracker.finish("c1", AttemptOutcome.UNREACHABLE)
+    assert tracker.is_avoided()
+    timer.advance(FIRST_AVOIDANCE_S + 0.01)
+    assert not tracker.is_avoided()
+    tracker.start("c2")
+    assert tracker.is_avoided()
+    tracker.note_answer("c2", None)
+    tracker.finish("c2", AttemptOutcome.ANSWERED)
+    assert not tracker.is_avoided()
+
+
+def test_backend_that_answers_nothing_is_avoided():
+    """Guards against calls to a backend server that keeps connections open and is silent."""
+    timer = FakeTimer()
+    tracker = make_tracker(timer)
+    tracker.start("c1")
+    timer.advance(SILENCE_S + 0.01)
+    assert tracker.is_avoided()
+
+
+def test_slow_call_beside_answered_ones_is_no_silence():
+    """Guards against avoiding a backend server because of one long call."""
+    timer = FakeTimer()
+    tracker = make_tracker(timer)
+    tracker.start("long")
+    timer.advance(SILENCE_S)
+    tracker.start("c2")
+    tracker.note_answer("c2", None)
+    assert not tracker.is_avoided()
+
+
+def test_stated_load_is_corrected_by_calls_sent_since():
+    """Guards against every process choosing the backend server that was idle some time ago."""
+    timer = FakeTimer()
+    tracker = make_tracker(timer)
+    tracker.start("c1")
+    tracker.note_answer("c1", StatedLoad(5, 2, 6))
+    tracker.start("c2")
+    assert tracker.estimate_load() == 8
+    timer.advance(LOAD_MAX_AGE_S + 0.1)
+    assert tracker.estimate_load() == 2
+
+
+def test_failures_are_forgotten():
+    """Guards against a backend server that is avoided long after it has recovered."""
+    timer = FakeTimer()
+    tracker = make_tracker(timer)
+    for call in range(10):
+        tracker.start(call)
+        tracker.finish(call, AttemptOutcome.BROKEN)
+    assert tracker.failure_share() > 0.7
+    timer.advance(12)
+    assert tracker.failure_share() < 0.1
--- /dev/null
+++ b/tests/test_gateway_streams.py
@@ -0,0 +1,203 @@
+"""Tests of streams from model engines through a gateway."""
+
+import h11
+import pytest
+import trio
+from support.platform_fakes import (
+    answering,
+    hanging,
+    make_config,
+    make_request,
+    refusing,
+    render,
+    run_test,
+    running_fleet,
+)
+
+LONG = ["Prefix-Hash: a1:2000,b2:3000,c3:40000", "Token-Counts: 45000,20", "Model: m"]
+SHORT = ["Prefix-Hash: a1:50,c4:50", "Token-Counts: 100,20", "Model: m"]
+HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nServer-Stamp: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def event(number):
+    return b"id: %d\ndata: t%d\n\n" % (number, number)
+
+
+def streaming(count, *, break_after=None):
+    """Return a script that streams events, from after the last one that the caller has."""
+
+    async def script(_backend, stream, request):
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        await stream.send_all(HEAD.format(request.call_id).encode())
+        for number in range(first, count + 1):
+            if break_after is not None and number > break_after:
+                # Half an event: a resumed stream must not have it twice.
+                await stream.send_all(chunk(event(number)[:4]))
+                await stream.aclose()
+                return False
+            await stream.send_all(chunk(event(number)))
+        await stream.send_all(b"0\r\n\r\n")
+        return True
+
+    return script
+
+
+async def engine_pair(backend, stream, request):
+    """Script of an engine that prefills or runs, as it is asked."""
+    if request.headers.get("stage") == "prefill":
+        body = b'{"transfer-handle":"h1","tokens":6000,"version":1}'
+        await stream.send_all(render(request, body, signed=False))
+        return True
+    if request.method == "DELETE":
+        await stream.send_all(render(request, b""))
+        return True
+    return await streaming(2)(backend, stream, request)
+
+
+def run_with_engines(test, **engines):
+    async def main():
+        async with running_fleet() as fleet:
+            fleet.publish(make_config())
+            backends = {}
+            for name, (script, role) in engines.items():
+                backends[name] = await fleet.add_backend(name, script, "lm", stage=role)
+            await fleet.start_gateway()
+            await test(fleet, **backends)
+
+    run_test(main)
+
+
+def test_long_prompt_is_prefilled_and_then_run_with_its_cache():
+    """Guards against a prompt that is read by the engine that should only answer."""
+
+    async def test(fleet, reader, runner):
+        status, _, body = await fleet.call("/chat/x", method="POST", body=b"1", headers=LONG)
+        assert (status, body) == (200, event(1) + event(2))
+        (prefill,) = reader.requests
+        (run,) = runner.requests
+        assert prefill.headers["expect-instance"] == "reader"
+        assert run.headers["kv-source"] == f"127.0.0.1:{reader.port}/h1"
+        assert "stage" not in run.headers
+
+    run_with_engines(test, reader=(engine_pair, "prefill"), runner=(engine_pair, "decode"))
+
+
+def test_short_prompt_is_run_at_once():
+    """Guards against a short question that pays for a second step."""
+
+    async def test(fleet, reader, runner):
+        status, _, _ = await fleet.call("/chat/x", method="POST", body=b"1", headers=SHORT)
+        assert status == 200
+        assert not reader.requests
+        assert "kv-source" not in runner.requests[0].headers
+
+    run_with_engines(test, reader=(engine_pair, "prefill"), runner=(engine_pair, "decode"))
+
+
+def test_failed_prefill_is_truly_not_run():
+    """Guards against an outcome called unknown for a call that was only to be prefilled."""
+
+    async def broken(_backend, stream, _request):
+        await stream.aclose()
+        return False
+
+    async def test(fleet, reader, runner):
+        status, _, _ = await fleet.call("/chat/x", method="POST", body=b"1", headers=LONG)
+        # Another engine is tried; whatever it says, nothing has run before.
+        assert status in (200, 503)
+        assert len(reader.requests) == 1
+        assert len(runner.requests) <= 1
+
+    run_with_engines(test, reader=(broken, "prefill"), runner=(engine_pair, "decode"))
+
+
+def test_cache_that_is_not_fetched_is_freed():
+    """Guards against KV cache that stays until its time because nobody frees it."""
+
+    async def test(fleet, reader, runner):
+        arrived = reader.arrived
+        await fleet.call("/chat/x", method="POST", body=b"1", headers=LONG)
+        while not any(request.method == "DELETE" for request in reader.requests):
+            await arrived.wait()
+            arrived = reader.arrived
+        assert reader.requests[-1].target == "/kv-handle/h1"
+
+    run_with_engines(test, reader=(engine_pair, "prefill"), runner=(refusing, "decode"))
+
+
+def test_broken_resumable_stream_goes_on_elsewhere_without_gap_or_repeat():
+    """Guards against a stream whose pieces are missing, come twice, or never end."""
+
+    async def test(fleet, **engines):
+        status, _, body = await fleet.call("/long/x", method="POST", body=b"1", headers=SHORT)
+        assert status == 200
+        assert body == b"".join(event(number) for number in range(1, 6))
+        resumed = [r for engine in engines.values() for r in engine.requests][-1]
+        assert len(resumed.headers.get("last-event-id", "")) <= 1
+
+    breaking = streaming(5, break_after=2)
+    run_with_engines(test, one=(breaking, "decode"), two=(streaming(5), "decode"))
+
+
+def test_stream_that_may_not_be_resumed_is_cut():
+    """Guards against a second run of a stream that may run once."""
+
+    async def test(fleet, **engines):
+        with pytest.raises(h11.RemoteProtocolError):
+            await fleet.call("/chat/x", method="POST", body=b"1", headers=SHORT)
+        assert sum(len(engine.requests) for engine in engines.values()) == 1
+
+    breaking = streaming(5, break_after=2)
+    run_with_engines(test, one=(breaking, "decode"), two=(breaking, "decode"))
+
+
+def test_resumable_stream_without_a_first_event_goes_elsewhere():
+    """Guards against a question that waits at an engine that went silent."""
+
+    async def test(fleet, **engines):
+        for i in range(2):
+            status, _, _ = await fleet.call(
+                "/long/x", method="POST", body=b"1", headers=SHORT, call_id=f"c{i}"
+            )
+            assert status == 200
+
+    run_with_engines(test, one=(hanging, "decode"), two=(streaming(2), "decode"))
+
+
+def test_events_are_passed_on_as_they_arrive():
+    """Guards against a gateway that holds events until the stream ends."""
+    go_on = trio.Event()
+
+    async def script(_backend, stream, request):
+        await stream.send_all(HEAD.format(request.call_id).encode() + chunk(event(1)))
+        await go_on.wait()
+        await stream.send_all(chunk(event(2)) + b"0\r\n\r\n")
+        return True
+
+    async def test(fleet, one):
+        stream = await trio.open_tcp_stream(fleet.callers.host, fleet.callers.port)
+        async with stream:
+            await stream.send_all(make_request("/long/x", method="POST", body=b"1"))
+            data = b""
+            while event(1) not in data:
+                data += await stream.receive_some(4096)
+            go_on.set()
+            while event(2) not in data:
+                data += await stream.receive_some(4096)
+
+    run_with_engines(test, one=(script, "decode"))
+
+
+def test_failure_of_an_engine_is_passed_on_with_its_signature():
+    """Guards against a changed status under an engine's signature."""
+
+    async def test(fleet, one):
+        status, headers, _ = await fleet.call("/chat/x", method="POST", body=b"1", headers=SHORT)
+        assert status == 500
+        assert headers["server-stamp"] == "1.2.3"
+
+    run_with_engines(test, one=(answering(b"", status=500), "decode"))
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,263 @@
+"""Tests of the adapter to the users' platform."""
+
+import json
+import re
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+from support.platform_fakes import HOST, make_config, run_test
+
+from figwalk.coordination.keyed_log import TopicFollower
+from figwalk.errors import LogTruncatedError, LogUnavailableError
+from figwalk.events import EventLog
+from figwalk.gateway.topic_readers import BackendReader, RoutingReader
+from figwalk.platform import (
+    BACKENDS_TOPIC,
+    CONFIG_KEY,
+    CONFIG_TOPIC,
+    PlatformCallerCodec,
+    PlatformStore,
+    decode_backend,
+    decode_routing,
+)
+from figwalk.platform.json_fields import PlatformRecordError
+from figwalk.platform.store import _decode_page
+from figwalk.protocol.messages import Role
+from figwalk.state.backend_directory import BackendDirectory
+from figwalk.state.routing import CallKind
+from figwalk.state.settings import Address
+from figwalk.timer import Timer
+from figwalk.transport import HttpRequest, HttpServer
+from standins.platform_store import PlatformStore as StoreStandin
+from standins.platform_store import PlatformStoreFaults
+
+SOURCES = Path(__file__).parent.parent / "figwalk"
+PLATFORM_NAMES = re.compile(
+    r"server-stamp|not-executed|kv-source|token-counts|prefix-hash|kv-handle|log-append|log-read"
+    r"|log-newest|fencing-token|expect-instance|server-load|keyed\.(op|servers)|max-attempts"
+    r"|path-prefix|traffic-split|cold-remaining-ms",
+    re.IGNORECASE,
+)
+REGISTRATION = {
+    "service": "lm",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "slots": 8,
+    "state": "ready",
+    "stage": "prefill",
+    "cold-remaining-ms": 500,
+    "sequence": 3,
+    "born": 1000,
+}
+
+
+def test_platform_names_stay_in_the_adapter():
+    """Guards against the platform's names spreading through the product."""
+    found = [
+        str(path)
+        for path in SOURCES.rglob("*.py")
+        if "platform" not in path.relative_to(SOURCES).parts
+        and PLATFORM_NAMES.search(path.read_text())
+    ]
+    assert found == []
+
+
+def test_configuration_is_decoded():
+    """Guards against fields taken for others whose names mislead."""
+    routing = decode_routing(json.dumps(make_config(7)).encode())
+    route = routing.match("calls.example", "/long/x")
+    assert routing.version == 7
+    assert (route.kind, route.timeout_s, route.target_s) == (CallKind.STREAM, 2.0, 0.25)
+    assert (route.max_backends, route.resumable, route.is_model_call) == (2, True, True)
+    assert routing.services["lm"].engine.kv_tokens == 100_000
+    assert routing.services["orders"].engine is None
+    assert routing.limits.idle_timeout_s == 15.0
+
+
+def test_registration_is_decoded():
+    """Guards against a registration whose role or age is lost."""
+    entry = decode_backend("b1", json.dumps(REGISTRATION).encode())
+    assert (entry.role, entry.born_ms, entry.sequence) == (Role.PREFILL, 1000, 3)
+    assert entry.cold_s == 0.5
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": "10.0.0.1"},
+        {"address": 7},
+        {"state": "asleep"},
+        {"sequence": "3"},
+        {"sequence": True},
+        {"service": None},
+        {"born": 1.5},
+        {"stage": "other"},
+        {"slots": -1},
+    ],
+)
+def test_registration_of_another_writer_names_no_backend(change):
+    """Guards against calls to an address that no backend server wrote."""
+    with pytest.raises(PlatformRecordError):
+        decode_backend("b1", json.dumps(REGISTRATION | change).encode())
+
+
+@given(st.binary(max_size=200))
+def test_decoders_survive_any_bytes(data):
+    """Guards against a process that ends because of a record that it can't read."""
+    for decode in (decode_routing, lambda value: decode_backend("b", value)):
+        with suppress(PlatformRecordError):
+            decode(data)
+    with suppress(LogUnavailableError):
+        _decode_page("t", 0, data)
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(sorted(REGISTRATION)),
+        st.one_of(
+            st.none(), st.booleans(), st.integers(), st.floats(), st.text(), st.lists(st.none())
+        ),
+    )
+)
+def test_registrations_with_wrong_types_are_refused_or_complete(change):
+    """Guards against an entry with a field of another type."""
+    try:
+        entry = decode_backend("b", json.dumps(REGISTRATION | change).encode())
+    except PlatformRecordError:
+        return
+    assert isinstance(entry.address, Address)
+    assert isinstance(entry.sequence, int)
+
+
+@given(st.text(max_size=60))
+def test_prompt_parts_are_a_hint_only(text):
+    """Guards against a request refused, or a process ended, by a list that can't be read."""
+    headers = [(b"request-id", b"1"), (b"prefix-hash", text.encode("utf-8"))]
+    facts = PlatformCallerCodec().decode(HttpRequest("POST", "/", headers))
+    assert all(part.tokens >= 0 for part in facts.prompt)
+
+
+def with_store(test):
+    """Run a test with the stand-in of the store and a client of it."""
+
+    def run():
+        async def main():
+            store = StoreStandin()
+            server = HttpServer(store.answer, EventLog("store", Timer()))
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(server.serve, HOST, 0)
+                client = PlatformStore(Address(HOST, port), timeout_s=0.3)
+                await test(store, client, nursery)
+                nursery.cancel_scope.cancel()
+
+        run_test(main)
+
+    run.__name__ = test.__name__
+    run.__doc__ = test.__doc__
+    return run
+
+
+@with_store
+async def test_store_lists_all_pages(store, client, nursery):
+    """Guards against backend servers that are missing because the list has several pages."""
+    for number in range(120):
+        store.put("t", f"k{number:03}", b"%d" % number)
+    store.remove("t", "k007")
+    page = await client.newest("t")
+    assert len(page.records) == 119
+    assert page.next_offset == 121
+
+
+@with_store
+async def test_store_reads_records_and_removals(store, client, nursery):
+    """Guards against a removal that is taken for an empty registration."""
+    store.put("t", "k", b"v")
+    store.remove("t", "k")
+    page = await client.read("t", 0)
+    assert [(r.offset, r.key, r.value) for r in page.records] == [(0, "k", b"v"), (1, "k", None)]
+    assert page.next_offset == 2
+
+
+@with_store
+async def test_store_says_that_records_are_gone(store, client, nursery):
+    """Guards against a reader that misses records after the store dropped its history."""
+    store.put("t", "k", b"v")
+    store.forget("t")
+    with pytest.raises(LogTruncatedError):
+        await client.read("t", 0)
+
+
+@pytest.mark.parametrize(
+    "fault", [{"refuse_status": 503}, {"refuse_status": 429}, {"silent": True}]
+)
+def test_store_that_does_not_answer_is_unavailable(fault):
+    """Guards against a reader that hangs at a store that is away."""
+
+    @with_store
+    async def check(store, client, nursery):
+        store.set_faults(PlatformStoreFaults(**fault))
+        with pytest.raises(LogUnavailableError):
+            await client.read("t", 0)
+
+    check()
+
+
+@with_store
+async def test_follower_takes_over_changes_and_starts_anew_after_lost_history(
+    store, client, nursery
+):
+    """Guards against a configuration or a departure that is missed in the gap."""
+    timer = Timer()
+    events = EventLog("test", timer)
+    changed = trio.Event()
+    reader = RoutingReader(CONFIG_KEY, decode_routing, events, on_adopted=lambda _: changed.set())
+    store.put(CONFIG_TOPIC, CONFIG_KEY, json.dumps(make_config(1)).encode())
+    nursery.start_soon(TopicFollower(client, CONFIG_TOPIC, reader, events, timer, wait_s=0.1).run)
+    await changed.wait()
+    changed = trio.Event()
+    store.put(CONFIG_TOPIC, CONFIG_KEY, json.dumps(make_config(5)).encode())
+    store.forget(CONFIG_TOPIC)
+    await changed.wait()
+    assert reader.current.version == 5
+
+
+@with_store
+async def test_older_configuration_never_replaces_a_newer_one(store, client, nursery):
+    """Guards against a step back to rules that operators have withdrawn."""
+    timer = Timer()
+    events = EventLog("test", timer)
+    reader = RoutingReader(CONFIG_KEY, decode_routing, events, on_adopted=lambda _: None)
+    for version in (5, 3):
+        store.put(CONFIG_TOPIC, CONFIG_KEY, json.dumps(make_config(version)).encode())
+    for record in (await client.read(CONFIG_TOPIC, 0)).records:
+        reader.apply(record)
+    assert reader.current.version == 5
+
+
+@with_store
+async def test_departure_in_lost_history_is_noticed(store, client, nursery):
+    """Guards against calls to a backend server that left while the history was dropped."""
+    timer = Timer()
+    events = EventLog("test", timer)
+    gone = trio.Event()
+    directory = BackendDirectory(events, timer)
+    reader = BackendReader(directory, decode_backend, events)
+    store.put(BACKENDS_TOPIC, "b1", json.dumps(REGISTRATION).encode())
+
+    def check():
+        if directory.loaded and not directory.entries():
+            gone.set()
+
+    follower = TopicFollower(
+        client, BACKENDS_TOPIC, reader, events, timer, period_s=0.01, on_progress=check
+    )
+    nursery.start_soon(follower.run)
+    while not directory.entries():
+        await trio.sleep(0.01)
+    store.remove(BACKENDS_TOPIC, "b1")
+    store.forget(BACKENDS_TOPIC)
+    await gone.wait()
