--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -34,6 +34,10 @@
 RATE_WEIGHT = 0.1
 MIN_RATE_FACTOR = 0.1
 MAX_RATE_FACTOR = 2.0
+# A fetch waits for those before it on the links of both engines. What one waited says how long the
+# next will, but not for long: a queue of fetches builds up and drains within a second.
+LINK_WAIT_WEIGHT = 0.4
+LINK_WAIT_HALF_LIFE_S = 0.4
 FAILURE_COST_S = 1.0
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 0.6
@@ -100,6 +104,7 @@
         uncached_tokens: Tokens that the reader is predicted to read.
         predicted_s: Seconds until the first token.
         backlog_s: Seconds of that which other work at the reader takes.
+        fetch_s: Seconds that the runner's fetch takes by itself; 0 if it reads the prompt itself.
     """
 
     reader: EngineTracker
@@ -107,6 +112,7 @@
     uncached_tokens: float
     predicted_s: float
     backlog_s: float
+    fetch_s: float = 0.0
 
 
 class EngineTracker(BackendTracker):
@@ -117,6 +123,9 @@
         self._reading: dict[object, float] = {}
         self._memory = PrefixMemory(spec.kv_tokens)
         self._rate_factor = 1.0
+        self._fetching: dict[object, float] = {}
+        self._link_wait_s = 0.0
+        self._link_wait_at = 0.0
         self._mean_uncached = ASSUMED_UNCACHED_TOKENS
 
     @property
@@ -159,6 +168,28 @@
             factor = min(MAX_RATE_FACTOR, max(MIN_RATE_FACTOR, factor))
             self._rate_factor += RATE_WEIGHT * (factor - self._rate_factor)
 
+    def start_fetch(self, call: object, seconds: float) -> None:
+        """Note that a fetch over the engine's link begins, and how long it takes by itself."""
+        self._fetching[call] = seconds
+
+    def finish_fetch(self, call: object) -> None:
+        """Note that a fetch has ended or was given up."""
+        self._fetching.pop(call, None)
+
+    def note_link_wait(self, seconds: float) -> None:
+        """Learn from how long a fetch waited for others."""
+        wait_s = self._decayed_link_wait_s()
+        self._link_wait_s = wait_s + LINK_WAIT_WEIGHT * (max(0.0, seconds) - wait_s)
+        self._link_wait_at = self._timer.now()
+
+    def link_wait_s(self) -> float:
+        """Return the seconds that a fetch over the engine's link is predicted to wait."""
+        return max(self._decayed_link_wait_s(), sum(self._fetching.values()))
+
+    def _decayed_link_wait_s(self) -> float:
+        age_s = self._timer.now() - self._link_wait_at
+        return self._link_wait_s * 0.5 ** (age_s / LINK_WAIT_HALF_LIFE_S)
+
     def backlog_tokens(self) -> float:
         """Return the tokens waiting to be read, of all processes.
 
@@ -193,7 +224,7 @@
             return None
         home = find_home(call.subject, engines)
         plans = [self._plan_alone(call, runner, home) for runner in runners]
-        if call.tokens > self._settings.short_prompt_tokens:
+        if not self._is_short(call):
             readers = [engine for engine in usable if engine.entry.role is Role.PREFILL]
             plans += [self._plan_pair(call, reader, runners, home, spec) for reader in readers]
         return min(plans, key=lambda plan: (self._cost_s(plan), self._rng.random()))
@@ -201,10 +232,13 @@
     def admits(self, call: PromptCall, plan: PromptPlan) -> bool:
         """Return whether a call is to be sent by its plan.
 
-        A call that is already late is still of use to its caller, but must not make others late:
-        it is sent only where nothing waits.
+        A short prompt goes before long ones at an engine and delays them by next to nothing, so
+        that it is always sent. A long one that is already late is still of use to its caller, but
+        must not make others late: it is sent only where nothing waits.
         """
-        if plan.predicted_s <= call.target_s * self._settings.admission_ratio:
+        if self._is_short(call) or (
+            plan.predicted_s <= call.target_s * self._settings.admission_ratio
+        ):
             return True
         if plan.predicted_s >= call.left_s:
             return False
@@ -215,12 +249,16 @@
         wait_s = plan.predicted_s - max(0.0, call.target_s) * self._settings.admission_ratio
         return min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
 
+    def round_trip_s(self, engine: EngineTracker) -> float:
+        """Return the seconds that a call to an engine travels."""
+        return self._distance.round_trip_s(engine.entry.zone)
+
     def _plan_alone(
         self, call: PromptCall, runner: EngineTracker, home: EngineTracker | None
     ) -> PromptPlan:
         rate = self._rate(runner)
         uncached = self._uncached(call, runner, home)
-        backlog_s = runner.backlog_tokens() / rate
+        backlog_s = 0.0 if self._is_short(call) else runner.backlog_tokens() / rate
         predicted_s = (
             self._distance.round_trip_s(runner.entry.zone)
             + backlog_s
@@ -240,9 +278,13 @@
         rate = self._rate(reader)
         uncached = self._uncached(call, reader, home)
         backlog_s = reader.backlog_tokens() / rate
-        second_s, runner = min(
-            ((self._runner_s(call, reader, runner, spec), runner) for runner in runners),
-            key=lambda pair: (pair[0], self._rng.random()),
+        fetches = [(self._fetch_s(call, reader, runner, spec), runner) for runner in runners]
+        second_s, fetch_s, runner = min(
+            (
+                (self._second_s(reader, runner, fetch_s), fetch_s, runner)
+                for fetch_s, runner in fetches
+            ),
+            key=lambda choice: (choice[0], self._rng.random()),
         )
         predicted_s = (
             self._distance.round_trip_s(reader.entry.zone)
@@ -251,19 +293,27 @@
             + second_s
             + FIRST_TOKEN_S
         )
-        return PromptPlan(reader, runner, uncached, predicted_s, backlog_s)
+        return PromptPlan(reader, runner, uncached, predicted_s, backlog_s, fetch_s)
+
+    def _second_s(self, reader: EngineTracker, runner: EngineTracker, fetch_s: float) -> float:
+        """Return the seconds from the end of the prefill until the runner has the KV cache."""
+        wait_s = max(reader.link_wait_s(), runner.link_wait_s())
+        return self._distance.round_trip_s(runner.entry.zone) + fetch_s + wait_s
 
-    def _runner_s(
+    def _fetch_s(
         self, call: PromptCall, reader: EngineTracker, runner: EngineTracker, spec: EngineSpec
     ) -> float:
-        """Return the seconds from the end of the prefill until the runner has the KV cache."""
+        """Return the seconds that a fetch of a prompt's KV cache takes by itself."""
         bits = call.tokens * spec.kv_bytes_per_token * BITS_PER_BYTE
         fetch_s = bits / max(1.0, spec.link_mbps * BITS_PER_MEGABIT)
         if reader.entry.zone != runner.entry.zone:
             regions = self._distance.regions
             same_region = regions.get(reader.entry.zone) == regions.get(runner.entry.zone)
             fetch_s *= CROSS_ZONE_FETCH if same_region else CROSS_REGION_FETCH
-        return self._distance.round_trip_s(runner.entry.zone) + fetch_s
+        return fetch_s
+
+    def _is_short(self, call: PromptCall) -> bool:
+        return call.tokens <= self._settings.short_prompt_tokens
 
     def _rate(self, engine: EngineTracker) -> float:
         rate = self._settings.prefill_tokens_per_s * engine.rate_factor
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -190,24 +190,41 @@
         key = object()
         if source is None:
             plan.runner.start_reading(key, plan.uncached_tokens)
+        else:
+            for engine in (plan.reader, plan.runner):
+                engine.start_fetch(key, plan.fetch_s)
         started = self._timer.now()
         patience_s = self._first_event_patience_s(call)
         try:
             with trio.CancelScope(deadline=started + patience_s) as scope:
                 async with self._attempts.send(call, plan.runner, send_plan) as answer:
                     scope.deadline = float("inf")
-                    plan.runner.finish_reading(key)
+                    self._finish_first_event(key, plan)
                     self._check_status(call, relay, answer)
                     if source is None:
                         self._learn(call, plan, started)
+                    else:
+                        self._learn_fetch(plan, self._timer.now() - started)
                     await self._relay(call, relay, answer)
                     return answer.backend
         finally:
-            plan.runner.finish_reading(key)
+            self._finish_first_event(key, plan)
         raise AttemptError(
             AttemptOutcome.SILENT, f"no first event within {patience_s:.3f} s", not_run=False
         )
 
+    @staticmethod
+    def _finish_first_event(key: object, plan: PromptPlan) -> None:
+        plan.runner.finish_reading(key)
+        for engine in (plan.reader, plan.runner):
+            engine.finish_fetch(key)
+
+    def _learn_fetch(self, plan: PromptPlan, took_s: float) -> None:
+        """Take over how long a fetch waited on the links of both engines."""
+        own_s = self._placement.round_trip_s(plan.runner) + plan.fetch_s + FIRST_TOKEN_S
+        for engine in (plan.reader, plan.runner):
+            engine.note_link_wait(took_s - own_s)
+
     async def _relay(self, call: Call, relay: StreamRelay, answer: Answer) -> None:
         try:
             await relay.relay(answer)
