--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Sequence
 from hashlib import blake2b
@@ -38,6 +39,8 @@
 # next will, but not for long: a queue of fetches builds up and drains within a second.
 LINK_WAIT_WEIGHT = 0.4
 LINK_WAIT_HALF_LIFE_S = 0.4
+# Agents tell the state of their engines ten times a second.
+DIGEST_MAX_AGE_S = 0.4
 FAILURE_COST_S = 1.0
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 0.6
@@ -104,6 +107,7 @@
         uncached_tokens: Tokens that the reader is predicted to read.
         predicted_s: Seconds until the first token.
         backlog_s: Seconds of that which other work at the reader takes.
+        reading_s: Seconds of that which reading the prompt takes.
         fetch_s: Seconds that the runner's fetch takes by itself; 0 if it reads the prompt itself.
     """
 
@@ -112,8 +116,14 @@
     uncached_tokens: float
     predicted_s: float
     backlog_s: float
+    reading_s: float
     fetch_s: float = 0.0
 
+    @property
+    def after_s(self) -> float:
+        """Seconds of the prediction beside the reader's backlog and reading."""
+        return self.predicted_s - self.backlog_s - self.reading_s
+
 
 class EngineTracker(BackendTracker):
     """What one process knows of an engine: also prompts being read and parts kept."""
@@ -126,6 +136,10 @@
         self._fetching: dict[object, float] = {}
         self._link_wait_s = 0.0
         self._link_wait_at = 0.0
+        self._up = True
+        self._stated_rate: float | None = None
+        self._stated_backlog = 0.0
+        self._stated_at = -math.inf
         self._mean_uncached = ASSUMED_UNCACHED_TOKENS
 
     @property
@@ -168,6 +182,35 @@
             factor = min(MAX_RATE_FACTOR, max(MIN_RATE_FACTOR, factor))
             self._rate_factor += RATE_WEIGHT * (factor - self._rate_factor)
 
+    def note_digest(self, *, up: bool, backlog_tokens: float, tokens_per_s: float) -> None:
+        """Take over the state that the agent beside the engine tells."""
+        self._up = up
+        self._stated_rate = tokens_per_s
+        self.note_backlog(backlog_tokens)
+
+    def note_backlog(self, tokens: float) -> None:
+        """Take over the backlog that the agent beside the engine tells."""
+        self._stated_backlog = tokens
+        self._stated_at = self._timer.now()
+
+    @property
+    def digest_age_s(self) -> float:
+        """Seconds since the agent beside the engine told its state; infinite if it never did."""
+        return self._timer.now() - self._stated_at
+
+    @property
+    def stated_rate(self) -> float | None:
+        """Prompt tokens that the engine reads a second, if its agent told lately."""
+        return self._stated_rate if self._has_digest else None
+
+    @property
+    def _has_digest(self) -> bool:
+        return self._stated_rate is not None and self.digest_age_s <= DIGEST_MAX_AGE_S
+
+    def is_avoided(self) -> bool:
+        """Return whether no call should be sent there now; see `BackendTracker.is_avoided`."""
+        return (self._has_digest and not self._up) or super().is_avoided()
+
     def start_fetch(self, call: object, seconds: float) -> None:
         """Note that a fetch over the engine's link begins, and how long it takes by itself."""
         self._fetching[call] = seconds
@@ -193,9 +236,11 @@
     def backlog_tokens(self) -> float:
         """Return the tokens waiting to be read, of all processes.
 
-        Prompts of other processes are counted by the load that the engine stated, at the mean
-        length of this process's own.
+        The agent beside the engine knows them. Without it, prompts of other processes are counted
+        by the load that the engine stated, at the mean length of this process's own.
         """
+        if self._has_digest:
+            return self._stated_backlog
         others = max(0, self.estimate_load() - self.in_flight)
         return self.own_backlog_tokens + others * self._mean_uncached
 
@@ -214,20 +259,23 @@
         self._distance = distance
         self._rng = rng
 
-    def plan(
+    def rank(
         self, call: PromptCall, engines: Sequence[EngineTracker], spec: EngineSpec
-    ) -> PromptPlan | None:
-        """Return the plan with the earliest first token, or None without any usable engine."""
+    ) -> list[PromptPlan]:
+        """Return a plan for each engine that may read a prompt, the best first.
+
+        The list is empty without any usable engine.
+        """
         usable = [engine for engine in engines if not engine.is_avoided()]
         runners = [engine for engine in usable if engine.entry.role is not Role.PREFILL]
         if not runners:
-            return None
+            return []
         home = find_home(call.subject, engines)
         plans = [self._plan_alone(call, runner, home) for runner in runners]
-        if not self._is_short(call):
+        if not self.is_short(call):
             readers = [engine for engine in usable if engine.entry.role is Role.PREFILL]
             plans += [self._plan_pair(call, reader, runners, home, spec) for reader in readers]
-        return min(plans, key=lambda plan: (self._cost_s(plan), self._rng.random()))
+        return sorted(plans, key=lambda plan: (self._cost_s(plan), self._rng.random()))
 
     def admits(self, call: PromptCall, plan: PromptPlan) -> bool:
         """Return whether a call is to be sent by its plan.
@@ -236,7 +284,7 @@
         that it is always sent. A long one that is already late is still of use to its caller, but
         must not make others late: it is sent only where nothing waits.
         """
-        if self._is_short(call) or (
+        if self.is_short(call) or (
             plan.predicted_s <= call.target_s * self._settings.admission_ratio
         ):
             return True
@@ -258,14 +306,14 @@
     ) -> PromptPlan:
         rate = self._rate(runner)
         uncached = self._uncached(call, runner, home)
-        backlog_s = 0.0 if self._is_short(call) else runner.backlog_tokens() / rate
+        backlog_s = 0.0 if self.is_short(call) else runner.backlog_tokens() / rate
         predicted_s = (
             self._distance.round_trip_s(runner.entry.zone)
             + backlog_s
             + uncached / rate
             + FIRST_TOKEN_S
         )
-        return PromptPlan(runner, runner, uncached, predicted_s, backlog_s)
+        return PromptPlan(runner, runner, uncached, predicted_s, backlog_s, uncached / rate)
 
     def _plan_pair(
         self,
@@ -293,7 +341,9 @@
             + second_s
             + FIRST_TOKEN_S
         )
-        return PromptPlan(reader, runner, uncached, predicted_s, backlog_s, fetch_s)
+        return PromptPlan(
+            reader, runner, uncached, predicted_s, backlog_s, uncached / rate, fetch_s
+        )
 
     def _second_s(self, reader: EngineTracker, runner: EngineTracker, fetch_s: float) -> float:
         """Return the seconds from the end of the prefill until the runner has the KV cache."""
@@ -312,10 +362,13 @@
             fetch_s *= CROSS_ZONE_FETCH if same_region else CROSS_REGION_FETCH
         return fetch_s
 
-    def _is_short(self, call: PromptCall) -> bool:
+    def is_short(self, call: PromptCall) -> bool:
+        """Return whether a prompt takes next to nothing to read."""
         return call.tokens <= self._settings.short_prompt_tokens
 
     def _rate(self, engine: EngineTracker) -> float:
+        if engine.stated_rate is not None:
+            return max(1.0, engine.stated_rate)
         rate = self._settings.prefill_tokens_per_s * engine.rate_factor
         if engine.entry.role is not Role.PREFILL:
             rate *= self._settings.decode_prefill_ratio
--- /dev/null
+++ b/figwalk/coordination/reading_queue.py
@@ -0,0 +1,187 @@
+"""Admits prompts to one engine, for all gateways together.
+
+Answers for bursts of long prompts above what an engine can read. Gateways that judge by themselves
+all see the same idle engine and send too much at once; the queue that results makes every prompt
+behind it late. This queue knows each prompt that was granted and not yet read, and grants one only
+if its first token is predicted in time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import attrs
+
+from figwalk.coordination.prefix_memory import PrefixMemory
+from figwalk.timer import Timer
+
+# A grant whose end is never told, by a gateway that is gone or cut off, must not count for ever.
+# The longest prompts take a tenth of this.
+GRANT_LIFE_S = 1.5
+# With fewer prompts waiting, what is measured is the way to the engine and back, not its speed.
+MIN_MEASURED_DEPTH = 3
+MEASURE_S = 0.1
+RATE_WEIGHT = 0.2
+MIN_RATE_FACTOR = 0.1
+MAX_RATE_FACTOR = 1.5
+# Part of the time to the target that a prediction may take; the rest is for its errors.
+ADMISSION_RATIO = 0.9
+
+
+@attrs.frozen
+class Reading:
+    """A prompt that is offered.
+
+    Attributes:
+        parts: Id and tokens of each part of the prompt.
+        target_s: Seconds until its first token is late; may be negative.
+        left_s: Seconds until its caller gives up.
+        after_s: Seconds from the end of the reading to the first token at the caller.
+    """
+
+    parts: Sequence[tuple[str, int]]
+    target_s: float
+    left_s: float
+    after_s: float
+
+
+@attrs.frozen
+class ReadingDecision:
+    """Whether a prompt is granted, and why.
+
+    Attributes:
+        granted: Whether it may be sent.
+        uncached_tokens: Tokens that the engine is predicted to read.
+        wait_s: Seconds that it is predicted to wait for others.
+        finish_s: Seconds until it is predicted to have been read.
+    """
+
+    granted: bool
+    uncached_tokens: float
+    wait_s: float
+    finish_s: float
+
+
+@attrs.define
+class _Grant:
+    owner: object
+    tokens: float
+    granted_at: float
+
+
+class ReadingQueue:
+    """Prompts granted to one engine and not yet read.
+
+    Args:
+        timer: Source of time.
+        tokens_per_s: Prompt tokens that the engine reads a second, until its speed is measured.
+        capacity_tokens: Tokens that its KV cache holds.
+    """
+
+    def __init__(self, timer: Timer, *, tokens_per_s: float, capacity_tokens: int) -> None:
+        self._timer = timer
+        self._base_rate = tokens_per_s
+        self._factor = 1.0
+        self._memory = PrefixMemory(capacity_tokens)
+        self._grants: dict[object, _Grant] = {}
+        self._deep_since: float | None = None
+        self._deep_s = 0.0
+        self._deep_tokens = 0.0
+
+    @property
+    def tokens_per_s(self) -> float:
+        """Prompt tokens that the engine reads a second."""
+        return self._base_rate * self._factor
+
+    @property
+    def depth(self) -> int:
+        """Granted prompts that have not been read."""
+        return len(self._grants)
+
+    @property
+    def backlog_tokens(self) -> float:
+        """Granted tokens that have not been read."""
+        return sum(grant.tokens for grant in self._grants.values())
+
+    def set_engine(self, *, tokens_per_s: float, capacity_tokens: int) -> None:
+        """Start anew for an engine that restarted or has another role."""
+        self._base_rate = tokens_per_s
+        self._factor = 1.0
+        self._memory = PrefixMemory(capacity_tokens)
+        self._grants.clear()
+        self._reset_measure()
+
+    def offer(self, key: object, owner: object, reading: Reading) -> ReadingDecision:
+        """Decide on a prompt, and count it as waiting if it is granted.
+
+        Args:
+            key: Identifies the prompt.
+            owner: Who was granted it; see `drop`.
+            reading: The prompt.
+        """
+        self._expire()
+        total = sum(tokens for _, tokens in reading.parts)
+        uncached = max(0.0, total - self._memory.cached_tokens(reading.parts))
+        wait_s = self.backlog_tokens / self.tokens_per_s
+        own_s = uncached / self.tokens_per_s
+        finish_s = wait_s + own_s
+        granted = self._admits(reading, wait_s, own_s)
+        if granted:
+            self._grants[key] = _Grant(owner, uncached, self._timer.now())
+            # Prompts behind it will find its parts.
+            self._memory.note_read(reading.parts)
+            self._note_depth()
+        return ReadingDecision(granted, uncached, wait_s, finish_s)
+
+    def finish(self, key: object, *, read: bool) -> None:
+        """Note that a granted prompt was read or given up."""
+        grant = self._grants.pop(key, None)
+        if grant is None:
+            return
+        if read and self._deep_since is not None:
+            self._deep_tokens += grant.tokens
+        self._note_depth()
+
+    def drop(self, owner: object) -> None:
+        """Forget the grants of an owner that is gone."""
+        for key in [key for key, grant in self._grants.items() if grant.owner is owner]:
+            del self._grants[key]
+        self._note_depth()
+
+    @staticmethod
+    def _admits(reading: Reading, wait_s: float, own_s: float) -> bool:
+        """Return whether a prompt may be sent.
+
+        One that is already late is of use to its caller, but is sent only where nothing else waits
+        for longer than it takes itself.
+        """
+        first_token_s = wait_s + own_s + reading.after_s
+        if first_token_s <= reading.target_s * ADMISSION_RATIO:
+            return True
+        return first_token_s < reading.left_s and wait_s <= own_s
+
+    def _expire(self) -> None:
+        horizon = self._timer.now() - GRANT_LIFE_S
+        for key in [key for key, grant in self._grants.items() if grant.granted_at < horizon]:
+            del self._grants[key]
+
+    def _note_depth(self) -> None:
+        """Measure the speed while enough prompts wait that the engine is never idle."""
+        now = self._timer.now()
+        if self._deep_since is not None:
+            self._deep_s += now - self._deep_since
+            self._deep_since = now
+        if self.depth < MIN_MEASURED_DEPTH:
+            self._deep_since = None
+        elif self._deep_since is None:
+            self._deep_since = now
+        if self._deep_s >= MEASURE_S:
+            factor = self._deep_tokens / self._deep_s / self._base_rate
+            factor = min(MAX_RATE_FACTOR, max(MIN_RATE_FACTOR, factor))
+            self._factor += RATE_WEIGHT * (factor - self._factor)
+            self._reset_measure(self._deep_since)
+
+    def _reset_measure(self, deep_since: float | None = None) -> None:
+        self._deep_since = deep_since
+        self._deep_s = 0.0
+        self._deep_tokens = 0.0
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -86,6 +86,8 @@
     PREFILL_DONE = (424, "info", "An engine has read a prompt and holds its KV cache.")
     PREFILL_WASTED = (425, "info", "The KV cache of a read prompt could not be used.")
     PROMPT_PLACED = (427, "info", "Engines were chosen for a prompt, or it was refused.")
+    PROMPT_DECIDED = (428, "info", "The agent beside an engine decided on an offered prompt.")
+    ENGINE_STARTED_ANEW = (429, "info", "An engine restarted or has another role.")
     READINESS_CHANGED = (426, "info", "The answer to readiness checks changed.")
 
     CONFIG_ADOPTED = (500, "info", "A configuration revision is in force in this process.")
--- a/figwalk/gateway/backend_pool.py
+++ b/figwalk/gateway/backend_pool.py
@@ -89,6 +89,14 @@
         """Return the trackers of a service's backend servers that take new work."""
         return [pooled.tracker for pooled in self.of_service(service)]
 
+    def engines(self) -> list[EngineTracker]:
+        """Return the trackers of all engines that take new work."""
+        if self._routing is None:
+            return []
+        services = [name for name, spec in self._routing.services.items() if spec.engine]
+        trackers = [tracker for name in services for tracker in self.trackers(name)]
+        return [tracker for tracker in trackers if isinstance(tracker, EngineTracker)]
+
     def client(self, tracker: BackendTracker) -> HttpClient:
         """Return the client of a tracked backend server."""
         pooled = self._backends.get(tracker.entry.backend)
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -19,6 +19,7 @@
 from figwalk.gateway.gateway_readiness import GatewayReadiness
 from figwalk.gateway.plain_calls import PlainCalls
 from figwalk.gateway.prompt_calls import PromptCalls
+from figwalk.gateway.prompt_offers import PromptOffers
 from figwalk.gateway.topic_readers import BackendReader, RoutingReader
 from figwalk.platform import (
     BACKENDS_TOPIC,
@@ -30,6 +31,7 @@
     decode_backend,
     decode_routing,
 )
+from figwalk.process_runner import Process
 from figwalk.state.backend_directory import BackendDirectory
 from figwalk.state.gateway_settings import GatewaySettings
 from figwalk.state.routing import RoutingConfig
@@ -50,7 +52,7 @@
 STOP_MARGIN_S = 0.5
 
 
-class GatewayProcess:
+class GatewayProcess(Process[GatewaySettings]):
     """All parts of one gateway.
 
     Args:
@@ -71,6 +73,15 @@
         self._pool = BackendPool(
             self._directory, self._events, self._timer, gateways=settings.gateways
         )
+        self._offers = PromptOffers(
+            self._pool.engines,
+            settings.agents_port,
+            self._events,
+            self._timer,
+            process=settings.process,
+            zone=settings.zone,
+            region=settings.region,
+        )
         self._routing = RoutingReader(
             CONFIG_KEY, decode_routing, self._events, on_adopted=self._adopt
         )
@@ -94,6 +105,7 @@
         settings = self._settings
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._timer.run)
+            nursery.start_soon(self._offers.run)
             for follower in self._make_followers():
                 nursery.start_soon(follower.run)
             for server, address in (
@@ -149,6 +161,7 @@
             self._pool,
             attempts,
             PromptPlacement(placement, distance, rng),
+            self._offers,
             budget,
             events,
             timer,
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -4,6 +4,7 @@
 
 from http import HTTPStatus
 
+import attrs
 import trio
 
 from figwalk.coordination.backend_tracker import AttemptOutcome
@@ -22,6 +23,7 @@
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import CallStep, KvSource, SendPlan
 from figwalk.gateway.plain_calls import NO_BACKEND_RETRY_MS, NOT_RUN_STATUSES
+from figwalk.gateway.prompt_offers import Grant, PromptOffers
 from figwalk.gateway.stream_relay import StreamRelay
 from figwalk.state.routing import EngineSpec
 from figwalk.timer import MS_PER_S, Timer
@@ -32,6 +34,27 @@
 LONG_URGENCY = 5
 # A resumable stream without a first event within this many targets goes on elsewhere.
 FIRST_EVENT_TARGETS = 3.0
+# Each offer to an agent in another region takes a tenth of the time to the target.
+MAX_OFFERS = 3
+
+
+@attrs.define(eq=False)
+class Placed:
+    """A plan that is to be followed.
+
+    Attributes:
+        plan: The plan.
+        grant: What the agent beside the reader granted, until its end was told.
+    """
+
+    plan: PromptPlan
+    grant: Grant | None = None
+
+    def end(self, *, read: bool) -> None:
+        """Tell the agent that the prompt was read or given up, once."""
+        grant, self.grant = self.grant, None
+        if grant is not None:
+            grant.end(read=read)
 
 
 class PromptCalls:
@@ -41,6 +64,7 @@
         pool: Backend servers.
         attempts: Sends calls to them.
         placement: Chooses engines and refuses.
+        offers: Asks the agents beside engines.
         budget: Bound of repeated attempts.
         events: Event log.
         timer: Source of time.
@@ -52,6 +76,7 @@
         pool: BackendPool,
         attempts: Attempts,
         placement: PromptPlacement,
+        offers: PromptOffers,
         budget: WindowedRetryBudget,
         events: EventLog,
         timer: Timer,
@@ -61,6 +86,7 @@
         self._pool = pool
         self._attempts = attempts
         self._placement = placement
+        self._offers = offers
         self._budget = budget
         self._events = events
         self._timer = timer
@@ -76,18 +102,60 @@
         relay = StreamRelay(
             responder, resumable=call.route.resumable, resume_after=call.facts.resume_after
         )
-        plan = self._place(call, spec)
+        placed = await self._place(call, spec)
         while True:
             try:
-                return await self._follow(call, plan, relay)
+                return await self._follow(call, placed, relay)
             except AttemptError as error:
-                plan = self._place_again(call, spec, relay, error)
+                placed = await self._place_again(call, spec, relay, error)
+            finally:
+                placed.end(read=False)
+
+    async def _place(self, call: Call, spec: EngineSpec) -> Placed:
+        """Find engines that answer a call in time.
 
-    def _place(self, call: Call, spec: EngineSpec) -> PromptPlan:
-        prompt = self._describe(call)
-        plan = self._find_plan(call, prompt, spec)
-        call.predicted_s = plan.predicted_s
-        admitted = self._placement.admits(prompt, plan)
+        Raises:
+            RefusalError: There are none; the call has not been sent.
+        """
+        retry_after_s = None
+        for plan in self._find_plans(call, spec)[:MAX_OFFERS]:
+            prompt = self._describe(call)
+            placed, admitted = await self._offer(call, prompt, plan)
+            if admitted:
+                call.predicted_s = placed.plan.predicted_s
+                return placed
+            wait_s = self._placement.retry_after_s(prompt, placed.plan)
+            retry_after_s = wait_s if retry_after_s is None else min(wait_s, retry_after_s)
+        raise RefusalError(
+            "overloaded",
+            "no engine would give the first token in time",
+            retry_after_ms=int((retry_after_s or 0.0) * MS_PER_S),
+        )
+
+    async def _offer(self, call: Call, prompt: PromptCall, plan: PromptPlan) -> tuple[Placed, bool]:
+        """Return a plan with its grant, if any, and whether it is to be followed."""
+        answer = None
+        if not self._placement.is_short(prompt):
+            round_trip_s = self._placement.round_trip_s(plan.reader)
+            answer = await self._offers.offer(call.call_id, prompt, plan, round_trip_s)
+        if answer is None:
+            placed, admitted = Placed(plan), self._placement.admits(prompt, plan)
+        else:
+            plan = attrs.evolve(
+                plan,
+                uncached_tokens=answer.uncached_tokens,
+                predicted_s=plan.after_s + answer.finish_s,
+                backlog_s=answer.wait_s,
+                reading_s=answer.finish_s - answer.wait_s,
+            )
+            placed, admitted = Placed(plan, answer.grant), answer.grant is not None
+        self._record_placed(call, prompt, placed, asked=answer is not None, admitted=admitted)
+        return placed, admitted
+
+    def _record_placed(
+        self, call: Call, prompt: PromptCall, placed: Placed, *, asked: bool, admitted: bool
+    ) -> None:
+        plan = placed.plan
         self._events.record(
             Event.PROMPT_PLACED,
             request_id=call.call_id,
@@ -99,33 +167,25 @@
             backlog_s=round(plan.backlog_s, 4),
             target_s=round(prompt.target_s, 4),
             load_age_s=_round(plan.reader.load_age_s),
-            rate_factor=round(plan.reader.rate_factor, 2),
+            asked_agent=asked,
             admitted=admitted,
         )
-        if not admitted:
-            retry_after_s = self._placement.retry_after_s(prompt, plan)
-            raise RefusalError(
-                "overloaded",
-                f"the first token would take {plan.predicted_s:.3f} s",
-                retry_after_ms=int(retry_after_s * MS_PER_S),
-            )
-        return plan
 
-    def _find_plan(self, call: Call, prompt: PromptCall, spec: EngineSpec) -> PromptPlan:
+    def _find_plans(self, call: Call, spec: EngineSpec) -> list[PromptPlan]:
         engines = [t for t in self._pool.trackers(call.service) if isinstance(t, EngineTracker)]
         left = [t for t in engines if t.entry.backend not in call.sent_to]
-        plan = self._placement.plan(prompt, left, spec)
-        if plan is None:
+        plans = self._placement.rank(self._describe(call), left, spec)
+        if not plans:
             raise RefusalError(
                 "no_engine",
                 f"no engine of {call.service!r} can be reached",
                 retry_after_ms=NO_BACKEND_RETRY_MS,
             )
-        return plan
+        return plans
 
-    def _place_again(
+    async def _place_again(
         self, call: Call, spec: EngineSpec, relay: StreamRelay, error: AttemptError
-    ) -> PromptPlan:
+    ) -> Placed:
         """Return a plan for another attempt after one that failed.
 
         Raises:
@@ -146,16 +206,17 @@
             self._events.record(
                 Event.STREAM_RESUMED, request_id=call.call_id, after=relay.last_event_id
             )
-            return self._find_plan(call, self._describe(call), spec)
-        return self._place(call, spec)
+            return Placed(self._find_plans(call, spec)[0])
+        return await self._place(call, spec)
 
-    async def _follow(self, call: Call, plan: PromptPlan, relay: StreamRelay) -> str:
+    async def _follow(self, call: Call, placed: Placed, relay: StreamRelay) -> str:
         """Read and answer a call by a plan."""
+        plan = placed.plan
         source = None
         if plan.reader is not plan.runner:
-            source = await self._prefill(call, plan)
+            source = await self._prefill(call, placed)
         try:
-            return await self._run(call, plan, relay, source)
+            return await self._run(call, placed, relay, source)
         except BaseException as error:
             # Only a fetch takes the KV cache; after any other end it would stay until its time.
             if source is not None and not relay.started:
@@ -164,7 +225,8 @@
                     await self._attempts.release(call, plan.reader, source)
             raise
 
-    async def _prefill(self, call: Call, plan: PromptPlan) -> KvSource:
+    async def _prefill(self, call: Call, placed: Placed) -> KvSource:
+        plan = placed.plan
         key = object()
         plan.reader.start_reading(key, plan.uncached_tokens)
         started = self._timer.now()
@@ -174,6 +236,7 @@
             )
         finally:
             plan.reader.finish_reading(key)
+        placed.end(read=True)
         self._learn(call, plan, started)
         self._events.record(
             Event.PREFILL_DONE,
@@ -184,8 +247,9 @@
         return source
 
     async def _run(
-        self, call: Call, plan: PromptPlan, relay: StreamRelay, source: KvSource | None
+        self, call: Call, placed: Placed, relay: StreamRelay, source: KvSource | None
     ) -> str:
+        plan = placed.plan
         send_plan = self._make_send_plan(call, plan.runner, CallStep.RUN, source, relay)
         key = object()
         if source is None:
@@ -202,6 +266,7 @@
                     self._finish_first_event(key, plan)
                     self._check_status(call, relay, answer)
                     if source is None:
+                        placed.end(read=True)
                         self._learn(call, plan, started)
                     else:
                         self._learn_fetch(plan, self._timer.now() - started)
--- /dev/null
+++ b/figwalk/gateway/prompt_offers.py
@@ -0,0 +1,270 @@
+"""Connections to the agents beside engines: offers prompts, and takes over the engines' state."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections.abc import Callable, Iterable
+
+import attrs
+import trio
+
+from figwalk.coordination.backoff import Backoff
+from figwalk.coordination.prompt_placement import EngineTracker, PromptCall, PromptPlan
+from figwalk.errors import TransportError
+from figwalk.events import Event, EventLog
+from figwalk.protocol.messages import (
+    ConnectionKind,
+    EngineDigest,
+    Hello,
+    PromptDecision,
+    PromptEnded,
+    PromptOffer,
+)
+from figwalk.protocol.peer_connection import PeerConnection
+from figwalk.timer import MS_PER_S, Timer
+
+INCARNATION_BITS = 64
+# Beyond the round trip; an agent decides within a millisecond, and its VM may be busy.
+ANSWER_MARGIN_S = 0.03
+# After an offer without an answer, the gateway judges by itself for this long.
+SUSPICION_S = 0.5
+CONNECT_TIMEOUT_S = 0.5
+# Without a digest for this long, which is five of their periods, the connection is given up.
+SILENCE_S = 0.5
+RECONCILE_PERIOD_S = 0.2
+FIRST_RECONNECT_S = 0.1
+MAX_RECONNECT_S = 1.0
+
+
+@attrs.frozen
+class Grant:
+    """A prompt that an agent has granted.
+
+    Attributes:
+        link: Connection of the agent.
+        offer_id: Identifies the offer on it.
+    """
+
+    link: AgentLink
+    offer_id: int
+
+    def end(self, *, read: bool) -> None:
+        """Say that the prompt was read or given up."""
+        self.link.end_later(self.offer_id, read=read)
+
+
+@attrs.frozen
+class OfferAnswer:
+    """What an agent decided.
+
+    Attributes:
+        grant: The grant, or None if it was refused.
+        uncached_tokens: Tokens that the engine is predicted to read.
+        wait_s: Seconds that the prompt is predicted to wait for others.
+        finish_s: Seconds until it is predicted to have been read.
+    """
+
+    grant: Grant | None
+    uncached_tokens: int
+    wait_s: float
+    finish_s: float
+
+
+class AgentLink:
+    """The connection to the agent beside one engine.
+
+    Args:
+        tracker: The engine.
+        port: Port of the agent on the engine's VM.
+        hello: This gateway's greeting.
+        events: Event log.
+        timer: Source of time.
+    """
+
+    def __init__(
+        self, tracker: EngineTracker, port: int, hello: Hello, events: EventLog, timer: Timer
+    ) -> None:
+        self._tracker = tracker
+        self._port = port
+        self._hello = hello
+        self._events = events
+        self._timer = timer
+        self._connection: PeerConnection | None = None
+        self._waiting: dict[int, trio.MemorySendChannel[PromptDecision]] = {}
+        self._ids = itertools.count(1)
+        self._suspected_until = 0.0
+        self._ended_send, self._ended_receive = trio.open_memory_channel[PromptEnded](10_000)
+
+    async def run(self) -> None:
+        """Keep the connection until cancelled."""
+        backoff = Backoff(first_s=FIRST_RECONNECT_S, max_s=MAX_RECONNECT_S)
+        while True:
+            try:
+                await self._serve(backoff)
+            except (OSError, TransportError, trio.TooSlowError) as error:
+                self._note_lost(error)
+            await trio.sleep(backoff.next_delay())
+
+    async def offer(
+        self, call_id: str, prompt: PromptCall, plan: PromptPlan, round_trip_s: float
+    ) -> OfferAnswer | None:
+        """Offer a prompt; return the agent's decision, or None if there is none."""
+        connection = self._connection
+        if connection is None or self._timer.now() < self._suspected_until:
+            return None
+        offer_id = next(self._ids)
+        send, receive = trio.open_memory_channel[PromptDecision](1)
+        self._waiting[offer_id] = send
+        try:
+            with trio.move_on_after(round_trip_s + ANSWER_MARGIN_S):
+                await connection.send(_make_offer(offer_id, call_id, prompt, plan))
+                return self._read(await receive.receive())
+        except (TransportError, trio.EndOfChannel):
+            return None
+        finally:
+            self._waiting.pop(offer_id, None)
+        self._suspected_until = self._timer.now() + SUSPICION_S
+        return None
+
+    def end_later(self, offer_id: int, *, read: bool) -> None:
+        """Tell the agent the end of a granted prompt, without waiting for it."""
+        try:
+            self._ended_send.send_nowait(PromptEnded(offer_id, read))
+        except trio.WouldBlock:
+            # The agent forgets a grant by itself after its time.
+            self._events.record(Event.PEER_LOST, detail="too many ends of prompts wait to be told")
+
+    async def _serve(self, backoff: Backoff) -> None:
+        host = self._tracker.entry.address.host
+        with trio.fail_after(CONNECT_TIMEOUT_S):
+            connection, hello = await PeerConnection.connect(host, self._port, self._hello)
+        try:
+            self._events.record(Event.PEER_CONNECTED, peer=hello.process)
+            backoff.reset()
+            self._connection = connection
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._send_ends, connection)
+                await self._receive(connection)
+        except* (TransportError, trio.TooSlowError) as group:
+            raise TransportError(f"connection to the agent ended: {group.exceptions[0]}") from group
+        finally:
+            self._connection = None
+            for channel in self._waiting.values():
+                channel.close()
+            connection.close()
+
+    async def _receive(self, connection: PeerConnection) -> None:
+        while True:
+            with trio.fail_after(SILENCE_S):
+                message = await connection.receive()
+            if isinstance(message, EngineDigest):
+                self._tracker.note_digest(
+                    up=message.up,
+                    backlog_tokens=message.backlog_tokens,
+                    tokens_per_s=message.tokens_per_s,
+                )
+            elif isinstance(message, PromptDecision):
+                self._take_decision(message)
+
+    def _take_decision(self, decision: PromptDecision) -> None:
+        self._tracker.note_backlog(decision.backlog_tokens)
+        channel = self._waiting.pop(decision.call_id, None)
+        if channel is not None:
+            channel.send_nowait(decision)
+        elif decision.granted:
+            # The offer has been given up meanwhile.
+            self.end_later(decision.call_id, read=False)
+
+    def _read(self, decision: PromptDecision) -> OfferAnswer:
+        return OfferAnswer(
+            Grant(self, decision.call_id) if decision.granted else None,
+            decision.uncached_tokens,
+            decision.wait_ms / MS_PER_S,
+            decision.finish_ms / MS_PER_S,
+        )
+
+    async def _send_ends(self, connection: PeerConnection) -> None:
+        while True:
+            await connection.send(await self._ended_receive.receive())
+
+    def _note_lost(self, error: BaseException) -> None:
+        self._events.record(
+            Event.PEER_LOST, backend=self._tracker.entry.backend, detail=str(error) or repr(error)
+        )
+
+
+class PromptOffers:
+    """Keeps a connection to the agent beside each engine.
+
+    Args:
+        engines: Returns the engines to connect to.
+        port: Port of the agents on the engines' VMs.
+        process: Name of this gateway.
+        zone: Its availability zone.
+        region: Its region.
+        events: Event log.
+        timer: Source of time.
+    """
+
+    def __init__(
+        self,
+        engines: Callable[[], Iterable[EngineTracker]],
+        port: int,
+        events: EventLog,
+        timer: Timer,
+        *,
+        process: str,
+        zone: str,
+        region: str,
+    ) -> None:
+        self._engines = engines
+        self._port = port
+        self._hello = Hello(
+            ConnectionKind.PROMPT, process, random.getrandbits(INCARNATION_BITS), zone, region
+        )
+        self._events = events
+        self._timer = timer
+        self._links: dict[EngineTracker, tuple[AgentLink, trio.CancelScope]] = {}
+
+    async def run(self) -> None:
+        """Follow the engines until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                engines = set(self._engines())
+                for engine in [known for known in self._links if known not in engines]:
+                    self._links.pop(engine)[1].cancel()
+                for engine in engines - set(self._links):
+                    self._start(engine, nursery)
+                await trio.sleep(RECONCILE_PERIOD_S)
+
+    async def offer(
+        self, call_id: str, prompt: PromptCall, plan: PromptPlan, round_trip_s: float
+    ) -> OfferAnswer | None:
+        """Offer a prompt to the agent of a plan's reader; see `AgentLink.offer`."""
+        if plan.reader not in self._links:
+            return None
+        return await self._links[plan.reader][0].offer(call_id, prompt, plan, round_trip_s)
+
+    def _start(self, engine: EngineTracker, nursery: trio.Nursery) -> None:
+        link = AgentLink(engine, self._port, self._hello, self._events, self._timer)
+        scope = trio.CancelScope()
+        self._links[engine] = (link, scope)
+
+        async def run() -> None:
+            with scope:
+                await link.run()
+
+        nursery.start_soon(run)
+
+
+def _make_offer(offer_id: int, call_id: str, prompt: PromptCall, plan: PromptPlan) -> PromptOffer:
+    return PromptOffer(
+        offer_id,
+        call_id,
+        ",".join(part_id for part_id, _ in prompt.parts),
+        [tokens for _, tokens in prompt.parts],
+        int(prompt.target_s * MS_PER_S),
+        int(prompt.left_s * MS_PER_S),
+        max(0, int(plan.after_s * MS_PER_S)),
+    )
--- /dev/null
+++ b/figwalk/platform/engine_report.py
@@ -0,0 +1,34 @@
+"""Asks the platform's engines for their report and reads it."""
+
+from __future__ import annotations
+
+from figwalk.errors import HttpError
+from figwalk.platform.json_fields import JsonFields, PlatformRecordError
+from figwalk.prompt_agent.engine_watcher import EngineReport, EngineReportCodec
+from figwalk.protocol.messages import Role
+from figwalk.transport import HttpRequest
+
+_ROLES = {"prefill": Role.PREFILL, "decode": Role.DECODE}
+
+
+class PlatformEngineReportCodec(EngineReportCodec):
+    """Reads the report of an engine."""
+
+    def encode_report_request(self) -> HttpRequest:
+        """Return the request for a report."""
+        return HttpRequest("GET", "/report", [])
+
+    def decode_report(self, body: bytes) -> EngineReport:
+        """Return what a report says; see `EngineReportCodec.decode_report`."""
+        try:
+            fields = JsonFields.parse(body, "report of an engine")
+            return EngineReport(
+                role=_ROLES.get(fields.text("stage"), Role.MIXED),
+                changing=fields.flag("busy"),
+                born_ms=fields.integer("born", 0),
+                running=fields.integer("running"),
+                waiting=fields.integer("waiting"),
+                kv_tokens=fields.integer("kv-total"),
+            )
+        except PlatformRecordError as error:
+            raise HttpError(str(error)) from error
--- /dev/null
+++ b/figwalk/process_runner.py
@@ -0,0 +1,157 @@
+"""Runs a process of the platform's deployments: settings, log output, signals, graceful stop."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from pathlib import Path
+from typing import Generic, Protocol, TypeVar
+
+import trio
+import typer
+
+from figwalk.errors import SettingsError
+from figwalk.events import Event, EventLog
+from figwalk.log_output import BoundedOutput, configure_logging
+from figwalk.state.settings_file import load_settings
+from figwalk.timer import Timer
+from figwalk.transport.listening import find_listen_error
+
+SETTINGS_FILE_VARIABLE = "FIGWALK_NODE_FILE"
+SETTINGS_EXIT_CODE = 2
+LISTEN_EXIT_CODE = 1
+# The settings file may change without a signal.
+SETTINGS_CHECK_PERIOD_S = 2.0
+
+
+class ProcessSettings(Protocol):
+    """What the settings of every such process have."""
+
+    process: str
+    log_lines_per_s: int
+    log_format: str
+
+
+S = TypeVar("S", bound=ProcessSettings)
+
+
+class Process(ABC, Generic[S]):
+    """A process that runs until it has been stopped."""
+
+    @abstractmethod
+    async def run(self) -> None:
+        """Serve until `stop` has ended."""
+
+    @abstractmethod
+    async def stop(self) -> None:
+        """Stop gracefully."""
+
+    @abstractmethod
+    def update_settings(self, settings: S) -> None:
+        """Take over what may change while the process runs."""
+
+
+class SettingsWatcher(Generic[S]):
+    """Reads the settings file again when it has changed.
+
+    Args:
+        path: The settings file.
+        cls: Class of the settings.
+        process: Takes over the new settings.
+        events: Event log.
+    """
+
+    def __init__(self, path: Path, cls: type[S], process: Process[S], events: EventLog) -> None:
+        self._path = path
+        self._cls = cls
+        self._process = process
+        self._events = events
+        self._content = path.read_bytes()
+
+    async def check(self) -> None:
+        """Take over the file's content if it differs from the last one."""
+        try:
+            content = self._path.read_bytes()
+        except OSError as error:
+            self._events.record(Event.SETTINGS_REJECTED, detail=str(error))
+            return
+        if content == self._content:
+            return
+        self._content = content
+        try:
+            settings = load_settings(self._path, self._cls)
+        except SettingsError as error:
+            self._events.record(Event.SETTINGS_REJECTED, detail=str(error))
+            return
+        self._process.update_settings(settings)
+        self._events.record(Event.SETTINGS_RELOADED)
+
+    async def run(self) -> None:
+        """Check now and then, until cancelled."""
+        while True:
+            await trio.sleep(SETTINGS_CHECK_PERIOD_S)
+            await self.check()
+
+
+def run_process(
+    path: Path | None, cls: type[S], make_process: Callable[[S, Callable[[], int]], Process[S]]
+) -> None:
+    """Run a process until SIGTERM or SIGINT, as a command does.
+
+    Args:
+        path: Settings file, or None if none was given.
+        cls: Class of the settings.
+        make_process: Makes the process from its settings and a function that returns how many
+            log lines were dropped.
+
+    Raises:
+        typer.Exit: The settings are not valid, or an address can't be listened on.
+    """
+    if path is None:
+        typer.echo(f"give a settings file, or set {SETTINGS_FILE_VARIABLE}", err=True)
+        raise typer.Exit(SETTINGS_EXIT_CODE)
+    try:
+        settings = load_settings(path, cls)
+        output = BoundedOutput(sys.stdout.fileno(), lines_per_s=settings.log_lines_per_s)
+        configure_logging(settings.log_format, output)
+    except SettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(SETTINGS_EXIT_CODE) from error
+    process = make_process(settings, lambda: output.dropped)
+    watcher = SettingsWatcher(path, cls, process, EventLog(settings.process, Timer()))
+    try:
+        trio.run(_run, process, watcher)
+    except BaseExceptionGroup as group:
+        error = find_listen_error(group)
+        if error is None:
+            raise
+        typer.echo(str(error), err=True)
+        raise typer.Exit(LISTEN_EXIT_CODE) from error
+
+
+async def _run(process: Process[S], watcher: SettingsWatcher[S]) -> None:
+    async with trio.open_nursery() as nursery:
+        await nursery.start(_handle_signals, process, watcher, nursery)
+        nursery.start_soon(watcher.run)
+        await process.run()
+        nursery.cancel_scope.cancel()
+
+
+async def _handle_signals(
+    process: Process[S],
+    watcher: SettingsWatcher[S],
+    nursery: trio.Nursery,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    stopping = False
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        task_status.started()
+        async for number in signals:
+            if number == signal.SIGHUP:
+                await watcher.check()
+            elif not stopping:
+                stopping = True
+                nursery.start_soon(process.stop)
--- /dev/null
+++ b/figwalk/prompt_agent/engine_watcher.py
@@ -0,0 +1,148 @@
+"""Asks the engine beside the agent for its state."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+
+import attrs
+import trio
+
+from figwalk.coordination.reading_queue import ReadingQueue
+from figwalk.errors import HttpError
+from figwalk.events import Event, EventLog
+from figwalk.protocol.messages import Role
+from figwalk.state.gateway_settings import EngineSettings
+from figwalk.timer import Timer
+from figwalk.transport import HttpClient, HttpRequest
+
+# An engine on the same VM answers within a few milliseconds; a report costs this VM about one.
+REPORT_PERIOD_S = 0.1
+REPORT_TIMEOUT_S = 0.4
+# One lost report may be an accident; the next one comes after the period.
+MISSED_REPORTS_DOWN = 2
+
+
+@attrs.frozen
+class EngineReport:
+    """What an engine says of itself.
+
+    Attributes:
+        role: Its role.
+        changing: Whether an order is being carried out.
+        born_ms: Wall-clock milliseconds of its start.
+        running: Calls being worked on.
+        waiting: Calls in its queue.
+        kv_tokens: Tokens that its KV cache holds.
+    """
+
+    role: Role
+    changing: bool
+    born_ms: int
+    running: int
+    waiting: int
+    kv_tokens: int
+
+
+class EngineReportCodec(ABC):
+    """Asks for an engine's report and reads it."""
+
+    @abstractmethod
+    def encode_report_request(self) -> HttpRequest:
+        """Return the request for a report."""
+
+    @abstractmethod
+    def decode_report(self, body: bytes) -> EngineReport:
+        """Return what a report says.
+
+        Raises:
+            HttpError: The report can't be read.
+        """
+
+
+class EngineWatcher:
+    """Keeps the queue fitting to the engine beside the agent.
+
+    Args:
+        client: The engine.
+        codec: Its protocol.
+        queue: Prompts granted to it.
+        settings: Speeds of the deployment's engines.
+        events: Event log.
+        timer: Source of time.
+    """
+
+    def __init__(
+        self,
+        client: HttpClient,
+        codec: EngineReportCodec,
+        queue: ReadingQueue,
+        settings: EngineSettings,
+        events: EventLog,
+        timer: Timer,
+    ) -> None:
+        self._client = client
+        self._codec = codec
+        self._queue = queue
+        self._settings = settings
+        self._events = events
+        self._timer = timer
+        self._report: EngineReport | None = None
+        self._reported_at: float | None = None
+        self._missed = 0
+        self._up = False
+
+    @property
+    def up(self) -> bool:
+        """Whether the engine answers and takes work."""
+        return self._up and self._report is not None and not self._report.changing
+
+    @property
+    def report(self) -> EngineReport | None:
+        """The newest report, or None before the first one."""
+        return self._report
+
+    @property
+    def report_age_s(self) -> float:
+        """Seconds since the newest report; infinite before the first one."""
+        if self._reported_at is None:
+            return float("inf")
+        return self._timer.now() - self._reported_at
+
+    async def watch(self) -> None:
+        """Ask once, as a callback of the timer service."""
+        request = self._codec.encode_report_request()
+        try:
+            with trio.fail_after(REPORT_TIMEOUT_S):
+                _, body = await self._client.fetch(request.method, request.target)
+                report = self._codec.decode_report(body)
+        except (HttpError, trio.TooSlowError) as error:
+            self._note_missed(repr(error))
+            return
+        self._missed = 0
+        self._take_over(report)
+
+    def _take_over(self, report: EngineReport) -> None:
+        known, self._report = self._report, report
+        self._reported_at = self._timer.now()
+        if known is None or (known.born_ms, known.role) != (report.born_ms, report.role):
+            self._queue.set_engine(
+                tokens_per_s=self._settings.prefill_rate(report.role),
+                capacity_tokens=report.kv_tokens,
+            )
+            self._events.record(
+                Event.ENGINE_STARTED_ANEW,
+                role=report.role.value,
+                born_ms=report.born_ms,
+                kv_tokens=report.kv_tokens,
+            )
+        if not self._up:
+            self._up = True
+            self._events.record(Event.BACKEND_UP, running=report.running, waiting=report.waiting)
+
+    def _note_missed(self, detail: str) -> None:
+        self._missed += 1
+        if self._up and self._missed >= MISSED_REPORTS_DOWN:
+            self._up = False
+            self._events.record(
+                Event.BACKEND_DOWN, age_s=round(self.report_age_s, 3), detail=detail
+            )
--- /dev/null
+++ b/figwalk/prompt_agent/main.py
@@ -0,0 +1,35 @@
+"""`figwalk-prompt-agent`: the process beside a model engine that admits prompts to it."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from figwalk.process_runner import SETTINGS_FILE_VARIABLE, run_process
+from figwalk.prompt_agent.process import PromptAgentProcess
+from figwalk.state.gateway_settings import PromptAgentSettings
+
+
+def run(
+    settings_file: Annotated[
+        Path | None,
+        typer.Argument(envvar=SETTINGS_FILE_VARIABLE, help="YAML file of kind prompt_agent"),
+    ] = None,
+) -> None:
+    """Admit prompts to the engine on this VM for all gateways."""
+    run_process(
+        settings_file,
+        PromptAgentSettings,
+        lambda settings, dropped: PromptAgentProcess(settings, dropped_lines=dropped),
+    )
+
+
+def main() -> None:
+    """Run the command line."""
+    typer.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/figwalk/prompt_agent/process.py
@@ -0,0 +1,94 @@
+"""Composition of the prompt agent."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from figwalk.coordination.reading_queue import ReadingQueue
+from figwalk.events import Event, EventLog
+from figwalk.platform import PlatformEngineReportCodec
+from figwalk.process_runner import Process
+from figwalk.prompt_agent.engine_watcher import REPORT_PERIOD_S, REPORT_TIMEOUT_S, EngineWatcher
+from figwalk.prompt_agent.prompt_server import PromptServer
+from figwalk.protocol.messages import ConnectionKind, Hello, Role
+from figwalk.state.gateway_settings import PromptAgentSettings
+from figwalk.timer import Timer
+from figwalk.transport import ConnectionOptions, HttpClient
+from figwalk.transport.listening import open_listeners
+
+LISTEN_BACKLOG = 256
+INCARNATION_BITS = 64
+ASSUMED_KV_TOKENS = 1_000_000  # Until the engine's first report.
+
+
+class PromptAgentProcess(Process[PromptAgentSettings]):
+    """All parts of one prompt agent.
+
+    Args:
+        settings: Settings of the process.
+        dropped_lines: Returns how many log lines were dropped.
+    """
+
+    def __init__(
+        self, settings: PromptAgentSettings, *, dropped_lines: Callable[[], int] = lambda: 0
+    ) -> None:
+        self._settings = settings
+        self._dropped_lines = dropped_lines
+        self._timer = Timer()
+        self._events = EventLog(settings.process, self._timer)
+        self._incarnation = random.getrandbits(INCARNATION_BITS)
+        queue = ReadingQueue(
+            self._timer,
+            tokens_per_s=settings.engines.prefill_rate(Role.PREFILL),
+            capacity_tokens=ASSUMED_KV_TOKENS,
+        )
+        options = ConnectionOptions(connect_timeout_s=REPORT_TIMEOUT_S, max_idle=1)
+        self._client = HttpClient(settings.engine.host, settings.engine.port, options=options)
+        self._watcher = EngineWatcher(
+            self._client,
+            PlatformEngineReportCodec(),
+            queue,
+            settings.engines,
+            self._events,
+            self._timer,
+        )
+        self._server = PromptServer(
+            queue, self._watcher, self._events, self._timer, make_hello=self._make_hello
+        )
+        self._stopped = trio.Event()
+
+    def update_settings(self, settings: PromptAgentSettings) -> None:
+        """Take over what may change while the process runs: nothing of its settings may."""
+
+    async def run(self) -> None:
+        """Serve until `stop`."""
+        address = self._settings.peers
+        listeners = await open_listeners(address.host, address.port, backlog=LISTEN_BACKLOG)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._timer.run)
+            nursery.start_soon(trio.serve_listeners, self._server.serve_connection, listeners)
+            self._timer.subscribe("engine-report", REPORT_PERIOD_S, self._watcher.watch)
+            self._events.record(
+                Event.PROCESS_STARTED, peers=str(address), engine=str(self._settings.engine)
+            )
+            await self._stopped.wait()
+            nursery.cancel_scope.cancel()
+        self._client.close()
+
+    async def stop(self) -> None:
+        """End at once: gateways then judge by themselves, and no call passes through here."""
+        self._events.record(Event.PROCESS_STOPPING)
+        self._events.record(Event.PROCESS_STOPPED, dropped_lines=self._dropped_lines())
+        self._stopped.set()
+
+    def _make_hello(self) -> Hello:
+        return Hello(
+            ConnectionKind.PROMPT,
+            self._settings.process,
+            self._incarnation,
+            zone=self._settings.zone,
+            region=self._settings.region,
+        )
--- /dev/null
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -0,0 +1,148 @@
+"""Serves gateways: decides on the prompts that they offer, and tells them the engine's state."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+import trio
+
+from figwalk.coordination.reading_queue import Reading, ReadingQueue
+from figwalk.errors import TransportError
+from figwalk.events import Event, EventLog
+from figwalk.prompt_agent.engine_watcher import EngineWatcher
+from figwalk.protocol.messages import (
+    EngineDigest,
+    Hello,
+    PromptDecision,
+    PromptEnded,
+    PromptOffer,
+)
+from figwalk.protocol.peer_connection import PeerConnection
+from figwalk.timer import MS_PER_S, Timer
+from figwalk.transport.byte_stream import ByteStream
+
+HELLO_TIMEOUT_S = 2.0
+# A gateway judges by its own knowledge while the state is older than a few of these periods.
+DIGEST_PERIOD_S = 0.1
+UNACKNOWLEDGED_LIMIT_MS = 1500
+MAX_UINT32 = 2**32 - 1
+
+
+class PromptServer:
+    """Serves the connections of gateways.
+
+    Args:
+        queue: Prompts granted to the engine.
+        watcher: The engine's state.
+        make_hello: Returns the agent's own greeting.
+        events: Event log.
+        timer: Source of time.
+    """
+
+    def __init__(
+        self,
+        queue: ReadingQueue,
+        watcher: EngineWatcher,
+        events: EventLog,
+        timer: Timer,
+        *,
+        make_hello: Callable[[], Hello],
+    ) -> None:
+        self._queue = queue
+        self._watcher = watcher
+        self._events = events
+        self._timer = timer
+        self._make_hello = make_hello
+
+    async def serve_connection(self, stream: trio.SocketStream) -> None:
+        """Serve one gateway until it is gone."""
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
+        connection = PeerConnection(ByteStream(stream))
+        gateway = ""
+        try:
+            with trio.fail_after(HELLO_TIMEOUT_S):
+                gateway = (await connection.receive_hello()).process
+                await connection.send(self._make_hello())
+            self._events.record(Event.PEER_CONNECTED, peer=gateway)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._send_digests, connection, nursery.cancel_scope)
+                await self._receive(connection)
+                nursery.cancel_scope.cancel()
+        except (TransportError, trio.TooSlowError) as error:
+            self._events.record(Event.PEER_LOST, peer=gateway, detail=str(error))
+        finally:
+            self._queue.drop(connection)
+            connection.close()
+
+    async def _receive(self, connection: PeerConnection) -> None:
+        while True:
+            try:
+                message = await connection.receive()
+            except TransportError as error:
+                self._events.record(Event.PEER_LOST, detail=str(error))
+                return
+            if isinstance(message, PromptOffer):
+                await connection.send(self._decide(connection, message))
+            elif isinstance(message, PromptEnded):
+                self._queue.finish((connection, message.call_id), read=message.read)
+
+    def _decide(self, connection: PeerConnection, offer: PromptOffer) -> PromptDecision:
+        reading = Reading(
+            parts=_read_parts(offer),
+            target_s=offer.target_ms / MS_PER_S,
+            left_s=offer.left_ms / MS_PER_S,
+            after_s=offer.after_ms / MS_PER_S,
+        )
+        decision = self._queue.offer((connection, offer.call_id), connection, reading)
+        granted = decision.granted and self._watcher.up
+        if decision.granted and not granted:
+            self._queue.finish((connection, offer.call_id), read=False)
+        self._events.record(
+            Event.PROMPT_DECIDED,
+            request_id=offer.request_id,
+            granted=granted,
+            up=self._watcher.up,
+            report_age_s=round(self._watcher.report_age_s, 3),
+            target_ms=offer.target_ms,
+            after_ms=offer.after_ms,
+            uncached=int(decision.uncached_tokens),
+            wait_s=round(decision.wait_s, 4),
+            finish_s=round(decision.finish_s, 4),
+            depth=self._queue.depth,
+            tokens_per_s=int(self._queue.tokens_per_s),
+        )
+        return PromptDecision(
+            offer.call_id,
+            granted,
+            int(decision.uncached_tokens),
+            _to_ms(decision.wait_s),
+            _to_ms(decision.finish_s),
+            min(MAX_UINT32, int(self._queue.backlog_tokens)),
+        )
+
+    async def _send_digests(self, connection: PeerConnection, scope: trio.CancelScope) -> None:
+        try:
+            while True:
+                await connection.send(self._make_digest())
+                await trio.sleep(DIGEST_PERIOD_S)
+        except TransportError as error:
+            self._events.record(Event.PEER_LOST, detail=str(error))
+            scope.cancel()
+
+    def _make_digest(self) -> EngineDigest:
+        return EngineDigest(
+            self._watcher.up,
+            min(MAX_UINT32, int(self._queue.backlog_tokens)),
+            self._queue.tokens_per_s,
+            _to_ms(self._watcher.report_age_s),
+        )
+
+
+def _read_parts(offer: PromptOffer) -> tuple[tuple[str, int], ...]:
+    ids = offer.part_ids.split(",") if offer.part_ids else []
+    return tuple(zip(ids, offer.part_tokens, strict=False))
+
+
+def _to_ms(seconds: float) -> int:
+    return int(min(seconds * MS_PER_S, MAX_UINT32))
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -18,6 +18,7 @@
     CONTROL = "control"
     CALL = "call"
     PEER = "peer"
+    PROMPT = "prompt"
 
 
 class Role(StrEnum):
@@ -354,6 +355,80 @@
     events: bytes
 
 
+@attrs.frozen
+class PromptOffer:
+    """Asks the agent beside an engine whether it may read a prompt in time.
+
+    Attributes:
+        call_id: Identifies the offer on its connection.
+        request_id: The caller's id, for logs.
+        part_ids: Ids of the parts of the prompt, separated by commas.
+        part_tokens: Length of each part in tokens.
+        target_ms: Milliseconds until the first token is late; may be negative.
+        left_ms: Milliseconds until the caller gives up.
+        after_ms: Milliseconds from the end of the reading to the first token at the caller.
+    """
+
+    call_id: int
+    request_id: str
+    part_ids: str
+    part_tokens: list[int]
+    target_ms: int
+    left_ms: int
+    after_ms: int
+
+
+@attrs.frozen
+class PromptDecision:
+    """Answer to a `PromptOffer`.
+
+    Attributes:
+        call_id: Of the offer.
+        granted: Whether the prompt may be sent; it then counts as waiting until `PromptEnded`.
+        uncached_tokens: Tokens that the engine is predicted to read.
+        wait_ms: Milliseconds that the prompt is predicted to wait for others.
+        finish_ms: Milliseconds until it is predicted to have been read.
+        backlog_tokens: Tokens that wait to be read, this prompt included if granted.
+    """
+
+    call_id: int
+    granted: bool
+    uncached_tokens: int
+    wait_ms: int
+    finish_ms: int
+    backlog_tokens: int
+
+
+@attrs.frozen
+class PromptEnded:
+    """Says that a granted prompt was read or given up.
+
+    Attributes:
+        call_id: Of the offer.
+        read: Whether the engine read it to its end.
+    """
+
+    call_id: int
+    read: bool
+
+
+@attrs.frozen
+class EngineDigest:
+    """State of an engine as the agent beside it sees it; also the connection's heartbeat.
+
+    Attributes:
+        up: Whether the engine answers the agent.
+        backlog_tokens: Granted tokens that wait to be read.
+        tokens_per_s: Tokens that the engine reads a second.
+        report_age_ms: Milliseconds since the engine last answered.
+    """
+
+    up: bool
+    backlog_tokens: int
+    tokens_per_s: float
+    report_age_ms: int
+
+
 Message = (
     Hello
     | Call
@@ -372,4 +447,8 @@
     | KeyStatus
     | EventsQuery
     | EventsReply
+    | PromptOffer
+    | PromptDecision
+    | PromptEnded
+    | EngineDigest
 )
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -146,6 +146,37 @@
   events @0 :Data;
 }
 
+struct PromptOffer {
+  callId @0 :UInt64;
+  requestId @1 :Text;
+  partIds @2 :Text;
+  partTokens @3 :List(UInt32);
+  targetMs @4 :Int32;
+  leftMs @5 :Int32;
+  afterMs @6 :UInt32;
+}
+
+struct PromptDecision {
+  callId @0 :UInt64;
+  granted @1 :Bool;
+  uncachedTokens @2 :UInt32;
+  waitMs @3 :UInt32;
+  finishMs @4 :UInt32;
+  backlogTokens @5 :UInt32;
+}
+
+struct PromptEnded {
+  callId @0 :UInt64;
+  read @1 :Bool;
+}
+
+struct EngineDigest {
+  up @0 :Bool;
+  backlogTokens @1 :UInt32;
+  tokensPerS @2 :Float64;
+  reportAgeMs @3 :UInt32;
+}
+
 struct Message {
   union {
     hello @0 :Hello;
@@ -165,5 +196,9 @@
     keyStatus @14 :KeyStatus;
     eventsQuery @15 :EventsQuery;
     eventsReply @16 :EventsReply;
+    promptOffer @17 :PromptOffer;
+    promptDecision @18 :PromptDecision;
+    promptEnded @19 :PromptEnded;
+    engineDigest @20 :EngineDigest;
   }
 }
--- a/figwalk/state/gateway_settings.py
+++ b/figwalk/state/gateway_settings.py
@@ -1,9 +1,10 @@
-"""Settings of `figwalk-gateway`, read from YAML by `settings_file`."""
+"""Settings of `figwalk-gateway` and `figwalk-prompt-agent`, read by `settings_file`."""
 
 from __future__ import annotations
 
 import attrs
 
+from figwalk.protocol.messages import Role
 from figwalk.state.settings import Address
 
 
@@ -34,6 +35,12 @@
     prefill_tokens_per_s: float = 410_000.0
     decode_prefill_ratio: float = 0.44
 
+    def prefill_rate(self, role: Role) -> float:
+        """Return the prompt tokens that an engine of a role reads a second."""
+        if role is Role.PREFILL:
+            return self.prefill_tokens_per_s
+        return self.prefill_tokens_per_s * self.decode_prefill_ratio
+
 
 @attrs.frozen
 class GatewaySettings:
@@ -47,6 +54,7 @@
         callers: Where callers' HTTP is served.
         health: Where the balancer's readiness checks are served.
         metrics: Where metrics are served as text.
+        agents_port: Port at which the agents beside engines serve gateways, on the engines' VMs.
         store: The platform's store.
         store_timeout_s: Seconds after which a call to the store has failed.
         drain_ms: Milliseconds within which a leaving backend server must get no more calls.
@@ -67,6 +75,7 @@
     callers: Address
     health: Address
     metrics: Address
+    agents_port: int
     store: Address
     store_timeout_s: float = 1.0
     drain_ms: float = 2500.0
@@ -82,3 +91,28 @@
     def gateways(self) -> int:
         """Processes of the deployment, at the most."""
         return self.gateways_per_zone * max(1, len(self.regions))
+
+
+@attrs.frozen
+class PromptAgentSettings:
+    """Settings of `figwalk-prompt-agent`.
+
+    Attributes:
+        process: Unique name of the process.
+        zone: Availability zone.
+        region: Region.
+        peers: Where gateways connect.
+        engine: Where the engine beside the agent serves HTTP.
+        engines: Speeds of the engines.
+        log_lines_per_s: Log lines written a second at the most, with bursts of as many more.
+        log_format: `json` or `console`.
+    """
+
+    process: str
+    zone: str
+    region: str
+    peers: Address
+    engine: Address
+    engines: EngineSettings = attrs.field(factory=EngineSettings)
+    log_lines_per_s: int = 400
+    log_format: str = "json"
--- a/figwalk/state/settings_file.py
+++ b/figwalk/state/settings_file.py
@@ -1,6 +1,7 @@
 """Reads settings and published configuration from YAML files and lists every fault at once.
 
-A file names its kind with the top-level key `kind`: `entry`, `agent`, `gateway` or `published`.
+A file names its kind with the top-level key `kind`: `entry`, `agent`, `gateway`,
+`prompt_agent` or `published`.
 """
 
 from __future__ import annotations
@@ -22,7 +23,7 @@
     structure,
     unstructure,
 )
-from figwalk.state.gateway_settings import GatewaySettings
+from figwalk.state.gateway_settings import GatewaySettings, PromptAgentSettings
 from figwalk.state.published import (
     LIMITS_PATH,
     ORGANISATIONS_PREFIX,
@@ -55,6 +56,7 @@
     ENTRY = "entry"
     AGENT = "agent"
     GATEWAY = "gateway"
+    PROMPT_AGENT = "prompt_agent"
     PUBLISHED = "published"
 
 
@@ -85,6 +87,7 @@
     EntrySettings: FileKind.ENTRY,
     AgentSettings: FileKind.AGENT,
     GatewaySettings: FileKind.GATEWAY,
+    PromptAgentSettings: FileKind.PROMPT_AGENT,
 }
 
 
@@ -95,7 +98,7 @@
 
     Args:
         path: YAML file.
-        cls: `EntrySettings`, `AgentSettings` or `GatewaySettings`.
+        cls: Class of a process's settings, for example `EntrySettings`.
 
     Raises:
         SettingsError: The file can't be read or is not valid; the error names every fault.
@@ -106,7 +109,9 @@
     return _structure_file(path, content, cls, faults)
 
 
-def dump_settings(settings: EntrySettings | AgentSettings | GatewaySettings) -> str:
+def dump_settings(
+    settings: EntrySettings | AgentSettings | GatewaySettings | PromptAgentSettings,
+) -> str:
     """Return the YAML text that `load_settings` reads as these settings."""
     content = {KIND_KEY: _KINDS[type(settings)].value, **unstructure(settings)}
     return yaml.safe_dump(content, sort_keys=False)
--- a/tests/support/platform_fakes.py
+++ b/tests/support/platform_fakes.py
@@ -229,6 +229,7 @@
             callers=self.callers,
             health=self.health,
             metrics=self.metrics,
+            agents_port=1,
             store=self.store_address,
             store_timeout_s=0.5,
         )
