--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -24,8 +24,18 @@
 from figwalk.protocol.messages import Role
 from figwalk.state.routing import EngineSpec
 
-# Time from the end of a prefill to the first token at the caller: steps, a fetch, transit.
-FIRST_TOKEN_S = 0.02
+# An event holds several tokens, so that the first one takes that many steps of the engine. This is
+# the time at an engine that does nothing else; each engine's own is learned.
+FIRST_EVENT_S = 0.05
+MIN_FIRST_EVENT_S = 0.01
+MAX_FIRST_EVENT_S = 0.15
+FIRST_EVENT_WEIGHT = 0.05
+# Between the chunks of prompts an engine generates tokens at a third of its speed.
+READING_SLOWS_FACTOR = 2.8
+READING_SLOWS_SHARE = 1 - 1 / READING_SLOWS_FACTOR
+# Part of an engine's slots up to which streams are gathered at it. The others then read prompts at
+# full speed, which would slow streams down to a third.
+GATHERED_SHARE = 0.35
 # The home of a prompt's shared part was most likely asked for it by other processes.
 HOME_HIT_SHARE = 0.5
 # A first part is shared by a large share of all prompts and kept everywhere.
@@ -105,24 +115,33 @@
         reader: Engine that reads the prompt.
         runner: Engine that answers; the same if it reads the prompt itself.
         uncached_tokens: Tokens that the reader is predicted to read.
-        predicted_s: Seconds until the first token.
-        backlog_s: Seconds of that which other work at the reader takes.
-        reading_s: Seconds of that which reading the prompt takes.
-        fetch_s: Seconds that the runner's fetch takes by itself; 0 if it reads the prompt itself.
+        backlog_s: Seconds that other prompts at the reader take before.
+        reading_s: Seconds that reading the prompt takes.
+        travel_s: Seconds that requests and answers travel.
+        link_wait_s: Seconds that the fetch of the KV cache waits for others.
+        fetch_s: Seconds that it takes by itself; 0 if the runner reads the prompt itself.
+        first_event_s: Seconds from then to the first event.
     """
 
     reader: EngineTracker
     runner: EngineTracker
     uncached_tokens: float
-    predicted_s: float
     backlog_s: float
     reading_s: float
-    fetch_s: float = 0.0
+    travel_s: float
+    link_wait_s: float
+    fetch_s: float
+    first_event_s: float
 
     @property
     def after_s(self) -> float:
         """Seconds of the prediction beside the reader's backlog and reading."""
-        return self.predicted_s - self.backlog_s - self.reading_s
+        return self.travel_s + self.link_wait_s + self.fetch_s + self.first_event_s
+
+    @property
+    def predicted_s(self) -> float:
+        """Seconds until the first event is at the gateway."""
+        return self.backlog_s + self.reading_s + self.after_s
 
 
 class EngineTracker(BackendTracker):
@@ -137,6 +156,8 @@
         self._link_wait_s = 0.0
         self._link_wait_at = 0.0
         self._up = True
+        self._decoding = 0
+        self._first_event_s = FIRST_EVENT_S
         self._stated_rate: float | None = None
         self._stated_backlog = 0.0
         self._stated_at = -math.inf
@@ -182,9 +203,12 @@
             factor = min(MAX_RATE_FACTOR, max(MIN_RATE_FACTOR, factor))
             self._rate_factor += RATE_WEIGHT * (factor - self._rate_factor)
 
-    def note_digest(self, *, up: bool, backlog_tokens: float, tokens_per_s: float) -> None:
+    def note_digest(
+        self, *, up: bool, backlog_tokens: float, tokens_per_s: float, decoding: int
+    ) -> None:
         """Take over the state that the agent beside the engine tells."""
         self._up = up
+        self._decoding = decoding
         self._stated_rate = tokens_per_s
         self.note_backlog(backlog_tokens)
 
@@ -193,6 +217,28 @@
         self._stated_backlog = tokens
         self._stated_at = self._timer.now()
 
+    @property
+    def decoding(self) -> int:
+        """Calls that the engine generates tokens for: told by its agent, else this process's."""
+        return self._decoding if self._has_digest else self.in_flight
+
+    def first_event_s(self, reading_s: float) -> float:
+        """Return the seconds from the end of the reading, or the fetch, to the first event.
+
+        Args:
+            reading_s: Seconds that the engine goes on reading prompts, which slows its tokens.
+        """
+        slowed_s = self._first_event_s + READING_SLOWS_SHARE * reading_s
+        return min(self._first_event_s * READING_SLOWS_FACTOR, slowed_s)
+
+    def note_first_event(self, predicted_s: float, took_s: float) -> None:
+        """Learn how long the first event took after the prompt was read or fetched."""
+        if predicted_s <= 0:
+            return
+        seconds = self._first_event_s * max(0.0, took_s) / predicted_s
+        seconds = min(MAX_FIRST_EVENT_S, max(MIN_FIRST_EVENT_S, seconds))
+        self._first_event_s += FIRST_EVENT_WEIGHT * (seconds - self._first_event_s)
+
     @property
     def digest_age_s(self) -> float:
         """Seconds since the agent beside the engine told its state; infinite if it never did."""
@@ -270,12 +316,39 @@
         runners = [engine for engine in usable if engine.entry.role is not Role.PREFILL]
         if not runners:
             return []
+        if self.is_short(call):
+            return self._rank_for_stream(call, runners, engines, spec)
         home = find_home(call.subject, engines)
-        plans = [self._plan_alone(call, runner, home) for runner in runners]
-        if not self.is_short(call):
-            readers = [engine for engine in usable if engine.entry.role is Role.PREFILL]
-            plans += [self._plan_pair(call, reader, runners, home, spec) for reader in readers]
-        return sorted(plans, key=lambda plan: (self._cost_s(plan), self._rng.random()))
+        plans = [self._build_plan(call, runner, runner, home, spec) for runner in runners]
+        for reader in usable:
+            if reader.entry.role is Role.PREFILL:
+                pairs = [self._build_plan(call, reader, r, home, spec) for r in runners]
+                plans.append(min(pairs, key=self._rank_key))
+        return sorted(plans, key=self._rank_key)
+
+    def _rank_for_stream(
+        self,
+        call: PromptCall,
+        runners: Sequence[EngineTracker],
+        engines: Sequence[EngineTracker],
+        spec: EngineSpec,
+    ) -> list[PromptPlan]:
+        """Return a plan for each engine that may answer a short prompt, the best first.
+
+        All processes gather streams at the same engines, up to a share of their slots: first at
+        those without a reader in their availability zone, whose prompts would be fetched from afar.
+        """
+        reader_zones = {e.entry.zone for e in engines if e.entry.role is Role.PREFILL}
+        limit = max(1.0, GATHERED_SHARE * spec.slots)
+
+        def key(runner: EngineTracker) -> tuple[bool, float, bool, bytes]:
+            is_full = runner.decoding >= limit
+            load = runner.decoding if is_full else 0.0
+            failing = round(runner.failure_share(), 1)
+            near_reader = runner.entry.zone in reader_zones
+            return (is_full, load + failing, near_reader, _rank("streams", runner.entry.backend))
+
+        return [self._build_plan(call, r, r, None, spec) for r in sorted(runners, key=key)]
 
     def admits(self, call: PromptCall, plan: PromptPlan) -> bool:
         """Return whether a call is to be sent by its plan.
@@ -301,54 +374,43 @@
         """Return the seconds that a call to an engine travels."""
         return self._distance.round_trip_s(engine.entry.zone)
 
-    def _plan_alone(
-        self, call: PromptCall, runner: EngineTracker, home: EngineTracker | None
-    ) -> PromptPlan:
-        rate = self._rate(runner)
-        uncached = self._uncached(call, runner, home)
-        backlog_s = 0.0 if self.is_short(call) else runner.backlog_tokens() / rate
-        predicted_s = (
-            self._distance.round_trip_s(runner.entry.zone)
-            + backlog_s
-            + uncached / rate
-            + FIRST_TOKEN_S
-        )
-        return PromptPlan(runner, runner, uncached, predicted_s, backlog_s, uncached / rate)
-
-    def _plan_pair(
+    def _build_plan(
         self,
         call: PromptCall,
         reader: EngineTracker,
-        runners: Sequence[EngineTracker],
+        runner: EngineTracker,
         home: EngineTracker | None,
         spec: EngineSpec,
     ) -> PromptPlan:
         rate = self._rate(reader)
         uncached = self._uncached(call, reader, home)
-        backlog_s = reader.backlog_tokens() / rate
-        fetches = [(self._fetch_s(call, reader, runner, spec), runner) for runner in runners]
-        second_s, fetch_s, runner = min(
-            (
-                (self._second_s(reader, runner, fetch_s), fetch_s, runner)
-                for fetch_s, runner in fetches
-            ),
-            key=lambda choice: (choice[0], self._rng.random()),
-        )
-        predicted_s = (
-            self._distance.round_trip_s(reader.entry.zone)
-            + backlog_s
-            + uncached / rate
-            + second_s
-            + FIRST_TOKEN_S
-        )
+        is_pair = reader is not runner
+        travel_s = self.round_trip_s(runner) + (self.round_trip_s(reader) if is_pair else 0.0)
         return PromptPlan(
-            reader, runner, uncached, predicted_s, backlog_s, uncached / rate, fetch_s
+            reader=reader,
+            runner=runner,
+            uncached_tokens=uncached,
+            # A short prompt overtakes the long ones.
+            backlog_s=0.0 if self.is_short(call) else reader.backlog_tokens() / rate,
+            reading_s=uncached / rate,
+            travel_s=travel_s,
+            link_wait_s=max(reader.link_wait_s(), runner.link_wait_s()) if is_pair else 0.0,
+            fetch_s=self._fetch_s(call, reader, runner, spec) if is_pair else 0.0,
+            first_event_s=runner.first_event_s(self._slowed_s(call, runner, uncached, is_pair)),
         )
 
-    def _second_s(self, reader: EngineTracker, runner: EngineTracker, fetch_s: float) -> float:
-        """Return the seconds from the end of the prefill until the runner has the KV cache."""
-        wait_s = max(reader.link_wait_s(), runner.link_wait_s())
-        return self._distance.round_trip_s(runner.entry.zone) + fetch_s + wait_s
+    def _slowed_s(
+        self, call: PromptCall, runner: EngineTracker, uncached: float, is_pair: bool
+    ) -> float:
+        """Return the seconds that a runner reads prompts while it makes the first event.
+
+        A runner that reads the prompt itself has most likely been given others behind it by then,
+        as many as it has now.
+        """
+        tokens = runner.backlog_tokens()
+        if not (is_pair or self.is_short(call)):
+            tokens += uncached
+        return tokens / self._rate(runner)
 
     def _fetch_s(
         self, call: PromptCall, reader: EngineTracker, runner: EngineTracker, spec: EngineSpec
@@ -383,6 +445,9 @@
             known = max(known, known + HOME_HIT_SHARE * (shared - known))
         return max(0.0, call.tokens - known)
 
+    def _rank_key(self, plan: PromptPlan) -> tuple[float, float]:
+        return (self._cost_s(plan), self._rng.random())
+
     def _cost_s(self, plan: PromptPlan) -> float:
         failures = plan.reader.failure_share() + plan.runner.failure_share()
         cost_s = plan.predicted_s + failures * FAILURE_COST_S
--- a/figwalk/coordination/reading_queue.py
+++ b/figwalk/coordination/reading_queue.py
@@ -26,6 +26,8 @@
 MAX_RATE_FACTOR = 1.5
 # Part of the time to the target that a prediction may take; the rest is for its errors.
 ADMISSION_RATIO = 0.9
+# Reading that may be done at once before the duty makes prompts wait.
+PACING_BURST_S = 0.1
 
 
 @attrs.frozen
@@ -82,6 +84,8 @@
         self._timer = timer
         self._base_rate = tokens_per_s
         self._factor = 1.0
+        self._duty = 1.0
+        self._paced_until = 0.0
         self._memory = PrefixMemory(capacity_tokens)
         self._grants: dict[object, _Grant] = {}
         self._deep_since: float | None = None
@@ -93,6 +97,15 @@
         """Prompt tokens that the engine reads a second."""
         return self._base_rate * self._factor
 
+    @property
+    def duty(self) -> float:
+        """Share of the time in which the engine may read, above 0 and up to 1."""
+        return self._duty
+
+    def set_duty(self, duty: float) -> None:
+        """Set the share of the time in which the engine may read."""
+        self._duty = duty
+
     @property
     def depth(self) -> int:
         """Granted prompts that have not been read."""
@@ -122,12 +135,14 @@
         self._expire()
         total = sum(tokens for _, tokens in reading.parts)
         uncached = max(0.0, total - self._memory.cached_tokens(reading.parts))
-        wait_s = self.backlog_tokens / self.tokens_per_s
+        wait_s = max(self.backlog_tokens / self.tokens_per_s, self._pause_s())
         own_s = uncached / self.tokens_per_s
         finish_s = wait_s + own_s
-        granted = self._admits(reading, wait_s, own_s)
+        granted = self._pause_s() == 0.0 and self._admits(reading, wait_s, own_s)
         if granted:
-            self._grants[key] = _Grant(owner, uncached, self._timer.now())
+            now = self._timer.now()
+            self._grants[key] = _Grant(owner, uncached, now)
+            self._paced_until = max(now, self._paced_until) + own_s / self._duty
             # Prompts behind it will find its parts.
             self._memory.note_read(reading.parts)
             self._note_depth()
@@ -148,6 +163,12 @@
             del self._grants[key]
         self._note_depth()
 
+    def _pause_s(self) -> float:
+        """Return the seconds that the engine must not read, so that it keeps to its duty."""
+        if self._duty >= 1.0:
+            return 0.0
+        return max(0.0, self._paced_until - self._timer.now() - PACING_BURST_S)
+
     @staticmethod
     def _admits(reading: Reading, wait_s: float, own_s: float) -> bool:
         """Return whether a prompt may be sent.
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from http import HTTPStatus
 
 import attrs
@@ -116,10 +116,21 @@
 
     @asynccontextmanager
     async def send(
-        self, call: Call, tracker: BackendTracker, plan: SendPlan
+        self,
+        call: Call,
+        tracker: BackendTracker,
+        plan: SendPlan,
+        *,
+        patience_s: float | None = None,
     ) -> AsyncIterator[Answer]:
         """Send a call and give the head of its answer; the body is read inside the context.
 
+        Args:
+            call: The call.
+            tracker: The backend server.
+            plan: How to send it.
+            patience_s: Seconds to wait for the head, or None to wait until the call ends.
+
         Raises:
             AttemptError: There is no answer, or it says that the call was not run.
         """
@@ -140,7 +151,9 @@
         was_unresolved = call.unresolved
         call.unresolved = was_unresolved or is_run
         try:
-            async with self._open(call, tracker, plan) as response:
+            async with AsyncExitStack() as stack:
+                exchange = self._open(call, tracker, plan)
+                response = await _enter_in_time(stack, exchange, patience_s)
                 answer = self._read_head(call, tracker, plan, response, key)
                 outcome = AttemptOutcome.ANSWERED
                 if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
@@ -159,9 +172,6 @@
         except HttpError as error:
             outcome = AttemptOutcome.BROKEN
             raise AttemptError(outcome, str(error), not_run=not is_run) from error
-        except TimeoutError:
-            outcome = AttemptOutcome.SILENT
-            raise
         finally:
             tracker.finish(key, outcome)
             if outcome is not AttemptOutcome.ANSWERED:
@@ -258,3 +268,12 @@
             took_s=round(self._timer.now() - sent_at, 3),
             in_flight=tracker.in_flight,
         )
+
+
+async def _enter_in_time(
+    stack: AsyncExitStack, exchange: HttpExchange, patience_s: float | None
+) -> HttpResponse:
+    with trio.move_on_after(float("inf") if patience_s is None else patience_s):
+        return await stack.enter_async_context(exchange)
+    message = f"no answer within {patience_s:.3f} s"
+    raise AttemptError(AttemptOutcome.SILENT, message, not_run=False)
--- a/figwalk/gateway/plain_calls.py
+++ b/figwalk/gateway/plain_calls.py
@@ -5,7 +5,6 @@
 from http import HTTPStatus
 
 import attrs
-import trio
 
 from figwalk.coordination.backend_tracker import AttemptOutcome, BackendTracker
 from figwalk.coordination.plain_placement import PlainPlacement
@@ -123,16 +122,11 @@
     async def _attempt(self, call: Call, tracker: BackendTracker) -> WholeAnswer:
         left_s = call.deadline - self._timer.now()
         plan = SendPlan(tracker.entry, left_s)
-        patience_s = max(MIN_PATIENCE_S, PATIENCE_SHARE * left_s)
-        if not self._may_be_repeated(call):
-            patience_s = left_s
-        try:
-            with trio.fail_after(patience_s):
-                async with self._attempts.send(call, tracker, plan) as answer:
-                    return await _read(answer)
-        except trio.TooSlowError as error:
-            message = f"no answer within {patience_s:.3f} s"
-            raise AttemptError(AttemptOutcome.SILENT, message, not_run=False) from error
+        patience_s = None
+        if self._may_be_repeated(call):
+            patience_s = max(MIN_PATIENCE_S, PATIENCE_SHARE * left_s)
+        async with self._attempts.send(call, tracker, plan, patience_s=patience_s) as answer:
+            return await _read(answer)
 
     def _may_be_repeated(self, call: Call) -> bool:
         return (
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -5,11 +5,9 @@
 from http import HTTPStatus
 
 import attrs
-import trio
 
 from figwalk.coordination.backend_tracker import AttemptOutcome
 from figwalk.coordination.prompt_placement import (
-    FIRST_TOKEN_S,
     EngineTracker,
     PromptCall,
     PromptPlacement,
@@ -144,7 +142,6 @@
             plan = attrs.evolve(
                 plan,
                 uncached_tokens=answer.uncached_tokens,
-                predicted_s=plan.after_s + answer.finish_s,
                 backlog_s=answer.wait_s,
                 reading_s=answer.finish_s - answer.wait_s,
             )
@@ -237,7 +234,7 @@
         finally:
             plan.reader.finish_reading(key)
         placed.end(read=True)
-        self._learn(call, plan, started)
+        self._learn(call, plan, self._timer.now() - started)
         self._events.record(
             Event.PREFILL_DONE,
             request_id=call.call_id,
@@ -260,23 +257,20 @@
         started = self._timer.now()
         patience_s = self._first_event_patience_s(call)
         try:
-            with trio.CancelScope(deadline=started + patience_s) as scope:
-                async with self._attempts.send(call, plan.runner, send_plan) as answer:
-                    scope.deadline = float("inf")
-                    self._finish_first_event(key, plan)
-                    self._check_status(call, relay, answer)
-                    if source is None:
-                        placed.end(read=True)
-                        self._learn(call, plan, started)
-                    else:
-                        self._learn_fetch(plan, self._timer.now() - started)
-                    await self._relay(call, relay, answer)
-                    return answer.backend
+            async with self._attempts.send(
+                call, plan.runner, send_plan, patience_s=patience_s
+            ) as answer:
+                self._finish_first_event(key, plan)
+                self._check_status(call, relay, answer)
+                if source is None:
+                    placed.end(read=True)
+                    self._learn(call, plan, self._timer.now() - started)
+                else:
+                    self._learn_fetch(plan, self._timer.now() - started)
+                await self._relay(call, relay, answer)
+                return answer.backend
         finally:
             self._finish_first_event(key, plan)
-        raise AttemptError(
-            AttemptOutcome.SILENT, f"no first event within {patience_s:.3f} s", not_run=False
-        )
 
     @staticmethod
     def _finish_first_event(key: object, plan: PromptPlan) -> None:
@@ -286,7 +280,8 @@
 
     def _learn_fetch(self, plan: PromptPlan, took_s: float) -> None:
         """Take over how long a fetch waited on the links of both engines."""
-        own_s = self._placement.round_trip_s(plan.runner) + plan.fetch_s + FIRST_TOKEN_S
+        own_s = self._placement.round_trip_s(plan.runner) + plan.fetch_s
+        own_s += plan.first_event_s
         for engine in (plan.reader, plan.runner):
             engine.note_link_wait(took_s - own_s)
 
@@ -323,16 +318,19 @@
             message = f"the engine answered with HTTP status {answer.status}"
             raise AttemptError(AttemptOutcome.FAILED, message, not_run=False)
 
-    def _learn(self, call: Call, plan: PromptPlan, started: float) -> None:
+    def _learn(self, call: Call, plan: PromptPlan, took_s: float) -> None:
         """Compare the predicted time of a reading with what it took."""
-        predicted_s = plan.predicted_s
-        if plan.reader is not plan.runner:
-            predicted_s -= FIRST_TOKEN_S
         parts = _parts(call)
-        plan.reader.note_read(parts, predicted_s, self._timer.now() - started)
-        if plan.runner is not plan.reader:
+        predicted_s = plan.backlog_s + plan.reading_s
+        travel_s = self._placement.round_trip_s(plan.reader)
+        if plan.reader is plan.runner:
+            first_event_s = took_s - travel_s - predicted_s
+            plan.runner.note_first_event(plan.first_event_s, first_event_s)
+            travel_s += plan.first_event_s
+        else:
             # The runner keeps what it fetches like what it has read itself.
             plan.runner.memory.note_read(parts)
+        plan.reader.note_read(parts, predicted_s, took_s - travel_s)
 
     def _make_send_plan(
         self,
@@ -357,11 +355,11 @@
         target_s = call.arrived_at + call.route.target_s - now
         return PromptCall(_parts(call), target_s, call.deadline - now)
 
-    def _first_event_patience_s(self, call: Call) -> float:
-        left_s = call.deadline - self._timer.now()
+    @staticmethod
+    def _first_event_patience_s(call: Call) -> float | None:
         if not call.route.repeatable or len(call.sent_to) + 1 >= call.route.max_backends:
-            return left_s
-        return min(left_s, FIRST_EVENT_TARGETS * call.route.target_s)
+            return None
+        return FIRST_EVENT_TARGETS * call.route.target_s
 
     def _refuse(self, call: Call, error: AttemptError) -> RefusalError:
         if call.unresolved or not error.not_run:
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -163,6 +163,7 @@
                     up=message.up,
                     backlog_tokens=message.backlog_tokens,
                     tokens_per_s=message.tokens_per_s,
+                    decoding=message.decoding,
                 )
             elif isinstance(message, PromptDecision):
                 self._take_decision(message)
--- a/figwalk/prompt_agent/engine_watcher.py
+++ b/figwalk/prompt_agent/engine_watcher.py
@@ -20,6 +20,11 @@
 REPORT_TIMEOUT_S = 0.4
 # One lost report may be an accident; the next one comes after the period.
 MISSED_REPORTS_DOWN = 2
+# Reading prompts between the tokens of streams makes each token take about three times as long.
+# With this share of the time, the longest answers still end within their callers' 15 s.
+STREAMING_DUTY = 0.3
+# Fewer calls are the first tokens of prompts that were read elsewhere.
+MIN_STREAMS = 4
 
 
 @attrs.frozen
@@ -96,6 +101,13 @@
         """Whether the engine answers and takes work."""
         return self._up and self._report is not None and not self._report.changing
 
+    @property
+    def decoding(self) -> int:
+        """Calls that the engine is generating tokens for."""
+        if self._report is None or self._report.role is Role.PREFILL:
+            return 0
+        return max(0, self._report.running - self._queue.depth)
+
     @property
     def report(self) -> EngineReport | None:
         """The newest report, or None before the first one."""
@@ -135,6 +147,8 @@
                 born_ms=report.born_ms,
                 kv_tokens=report.kv_tokens,
             )
+        is_streaming = self.decoding >= MIN_STREAMS
+        self._queue.set_duty(STREAMING_DUTY if is_streaming else 1.0)
         if not self._up:
             self._up = True
             self._events.record(Event.BACKEND_UP, running=report.running, waiting=report.waiting)
--- a/figwalk/prompt_agent/prompt_server.py
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -136,6 +136,7 @@
             min(MAX_UINT32, int(self._queue.backlog_tokens)),
             self._queue.tokens_per_s,
             _to_ms(self._watcher.report_age_s),
+            self._watcher.decoding,
         )
 
 
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -421,12 +421,14 @@
         backlog_tokens: Granted tokens that wait to be read.
         tokens_per_s: Tokens that the engine reads a second.
         report_age_ms: Milliseconds since the engine last answered.
+        decoding: Calls that the engine is generating tokens for.
     """
 
     up: bool
     backlog_tokens: int
     tokens_per_s: float
     report_age_ms: int
+    decoding: int
 
 
 Message = (
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -175,6 +175,7 @@
   backlogTokens @1 :UInt32;
   tokensPerS @2 :Float64;
   reportAgeMs @3 :UInt32;
+  decoding @4 :UInt32;
 }
 
 struct Message {
--- /dev/null
+++ b/tests/test_prompt_placement.py
@@ -0,0 +1,157 @@
+"""Tests of how engines are chosen for prompts."""
+
+import random
+
+import pytest
+from support.fake_timer import FakeTimer
+
+from figwalk.coordination.backend_tracker import AttemptOutcome
+from figwalk.coordination.plain_placement import Distance
+from figwalk.coordination.prompt_placement import (
+    EngineTracker,
+    PlacementSettings,
+    PromptCall,
+    PromptPlacement,
+)
+from figwalk.events import EventLog
+from figwalk.protocol.messages import Role
+from figwalk.state.backend_directory import BackendEntry
+from figwalk.state.routing import EngineSpec
+from figwalk.state.settings import Address
+
+SPEC = EngineSpec(128, 1_800_000, 96_256.0, 4_500_000.0, 5.0)
+REGIONS = {"a": "r1", "b": "r2", "c": "r3"}
+LONG = (("head", 2500), ("subject", 4000), ("own", 3000))
+SHORT = (("chat", 50), ("own", 100))
+
+
+class Engines:
+    """Engines as one gateway knows them."""
+
+    def __init__(self, **zones):
+        self.timer = FakeTimer()
+        self.placement = PromptPlacement(
+            PlacementSettings(), Distance("a", "r1", REGIONS), random.Random(1)
+        )
+        self.trackers = {
+            name: EngineTracker(
+                BackendEntry(
+                    name, "lm", Address("10.0.0.1", 80), zone, 128, False, 1, 1, role=role
+                ),
+                self.timer,
+                EventLog("test", self.timer),
+                spec=SPEC,
+            )
+            for name, (zone, role) in zones.items()
+        }
+        for name in zones:
+            self.tell(name)
+
+    def tell(self, name, **state):
+        """Tell a gateway what the agent beside an engine says."""
+        tracker = self.trackers[name]
+        rate = 400_000.0 if tracker.entry.role is Role.PREFILL else 180_000.0
+        values = {"up": True, "backlog_tokens": 0, "tokens_per_s": rate, "decoding": 0}
+        tracker.note_digest(**values | state)
+
+    def best(self, parts=LONG, target_s=0.25):
+        """Return the best plan as names of reader and runner."""
+        plans = self.placement.rank(
+            PromptCall(parts, target_s, 2.0), list(self.trackers.values()), SPEC
+        )
+        return (plans[0].reader.entry.backend, plans[0].runner.entry.backend) if plans else None
+
+
+def test_prompt_is_read_and_run_in_one_zone():
+    """Guards against KV cache moved between regions while there is a pair in one zone."""
+    engines = Engines(
+        p1=("a", Role.PREFILL), d1=("a", Role.DECODE), p2=("b", Role.PREFILL), d2=("c", Role.DECODE)
+    )
+    assert engines.best() == ("p1", "d1")
+
+
+def test_backlog_moves_prompts_to_another_reader():
+    """Guards against a queue at one engine while another one is idle."""
+    engines = Engines(p1=("a", Role.PREFILL), d1=("a", Role.DECODE), d2=("b", Role.DECODE))
+    engines.tell("p1", backlog_tokens=100_000)
+    assert engines.best()[0] != "p1"
+
+
+def test_wait_on_a_link_moves_prompts_elsewhere():
+    """Guards against fetches that queue for a second on the link of one engine."""
+    engines = Engines(p1=("a", Role.PREFILL), d1=("a", Role.DECODE), d2=("b", Role.DECODE))
+    for _ in range(5):
+        engines.trackers["d1"].note_link_wait(0.5)
+    assert engines.best() != ("p1", "d1")
+
+
+def test_engine_that_its_agent_calls_down_is_not_used():
+    """Guards against prompts sent to an engine that crashed a moment ago."""
+    engines = Engines(d1=("a", Role.DECODE), d2=("b", Role.DECODE))
+    engines.tell("d1", up=False)
+    assert engines.best() == ("d2", "d2")
+    engines.tell("d2", up=False)
+    assert engines.best() is None
+
+
+def test_old_state_of_an_agent_is_not_trusted():
+    """Guards against an engine avoided, or filled, for ever by the last word of a dead agent."""
+    engines = Engines(d1=("a", Role.DECODE))
+    engines.tell("d1", up=False, backlog_tokens=10**6)
+    engines.timer.advance(1.0)
+    assert engines.best() == ("d1", "d1")
+    assert engines.trackers["d1"].backlog_tokens() == 0
+
+
+def test_streams_gather_at_engines_whose_zone_has_no_reader():
+    """Guards against streams at every engine, which slows the reading of prompts at all of them."""
+    engines = Engines(
+        p1=("a", Role.PREFILL), d1=("a", Role.DECODE), d2=("b", Role.DECODE), d3=("c", Role.DECODE)
+    )
+    first = engines.best(SHORT)
+    assert first[0] in {"d2", "d3"}
+    engines.tell(first[0], decoding=20)
+    assert engines.best(SHORT) == first
+    engines.tell(first[0], decoding=60)
+    assert engines.best(SHORT) != first
+
+
+def test_short_prompt_is_admitted_behind_any_backlog():
+    """Guards against short questions refused because of long prompts that they overtake."""
+    engines = Engines(d1=("a", Role.DECODE))
+    engines.tell("d1", backlog_tokens=10**6)
+    call = PromptCall(SHORT, 0.2, 15.0)
+    plan = engines.placement.rank(call, list(engines.trackers.values()), SPEC)[0]
+    assert engines.placement.admits(call, plan)
+
+
+@pytest.mark.parametrize(("backlog", "admitted"), [(0, True), (200_000, False)])
+def test_gateway_without_agents_judges_by_itself(backlog, admitted):
+    """Guards against a fleet that is useless, or flooded, while the agents are away."""
+    engines = Engines(d1=("a", Role.DECODE))
+    engines.timer.advance(1.0)
+    tracker = engines.trackers["d1"]
+    tracker.start_reading("others", backlog)
+    call = PromptCall(LONG, 0.25, 2.0)
+    plan = engines.placement.rank(call, [tracker], SPEC)[0]
+    assert engines.placement.admits(call, plan) == admitted
+    assert 0 < engines.placement.retry_after_s(call, plan) <= 0.6
+
+
+def test_prompts_of_one_subject_go_to_one_engine():
+    """Guards against shared parts that are read at every engine anew."""
+    engines = Engines(d1=("b", Role.DECODE), d2=("c", Role.DECODE))
+    homes = set()
+    for number in range(20):
+        parts = (("head", 2500), ("subject", 4000), (f"own-{number}", 3000))
+        homes.add(engines.best(parts)[0])
+    assert len(homes) == 1
+
+
+def test_failing_engine_gives_way():
+    """Guards against an engine that fails its calls while its agent calls it up."""
+    engines = Engines(d1=("a", Role.DECODE), d2=("b", Role.DECODE))
+    for call in range(10):
+        engines.trackers["d1"].start(call)
+        engines.trackers["d1"].finish(call, AttemptOutcome.FAILED)
+    assert engines.best()[0] == "d2"
