Refuse requests late in a stop instead of beginning calls that the stop cuts

Cause: a stream that began before SIGTERM has not told its caller to close, and a request that follows it on the connection late in the stop was passed on and cut at the end of the grace time.

--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -5,7 +5,7 @@
 import attrs
 
 from figwalk.gateway.codecs import CallFacts
-from figwalk.state.routing import Route
+from figwalk.state.routing import EngineSpec, Route
 from figwalk.transport import HttpRequest
 
 
@@ -18,6 +18,7 @@
         facts: What it says beside its content.
         route: Route that it matched.
         service: Service chosen for it.
+        engine: What the engines of that service have in common, or None for a plain service.
         config_version: Version of the configuration that decided this.
         arrived_at: Timer time at which it arrived.
         deadline: Timer time at which the caller must have its final answer.
@@ -30,6 +31,7 @@
     facts: CallFacts
     route: Route
     service: str
+    engine: EngineSpec | None
     config_version: int
     arrived_at: float
     deadline: float
--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -27,7 +27,8 @@
 
     Args:
         codec: Reads requests.
-        routing: Returns the configuration in force, or None before the first one.
+        routing: Returns the configuration for a new call, or None before the first one; raises
+            `RefusalError` if no call is to be begun.
         plain_calls: Answers calls of plain services.
         prompt_calls: Answers calls of services with model engines.
         metrics: Counters and latencies.
@@ -91,11 +92,14 @@
         limit_s = route.timeout_s
         if facts.patience_s is not None:
             limit_s = min(limit_s, facts.patience_s)
+        service = route.pick_service(self._rng)
+        spec = routing.services.get(service)
         return Call(
             request=request,
             facts=facts,
             route=route,
-            service=route.pick_service(self._rng),
+            service=service,
+            engine=spec.engine if spec is not None else None,
             config_version=routing.version,
             arrived_at=request.started_at,
             deadline=request.started_at + limit_s,
@@ -121,10 +125,8 @@
             self._record_answered(call, backend)
 
     async def _run(self, call: Call, responder: Responder) -> str:
-        routing = self._routing()
-        service = routing.services.get(call.service) if routing is not None else None
-        if service is not None and service.engine is not None:
-            return await self._prompt_calls.run(call, responder, service.engine)
+        if call.engine is not None:
+            return await self._prompt_calls.run(call, responder, call.engine)
         return await self._plain_calls.run(call, responder)
 
     def _refuse_late(self, call: Call, responder: Responder) -> RefusalError:
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -11,6 +11,7 @@
 from figwalk.coordination.plain_placement import Distance, PlainPlacement
 from figwalk.coordination.prompt_placement import PlacementSettings, PromptPlacement
 from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
+from figwalk.errors import RefusalError
 from figwalk.events import Event, EventLog
 from figwalk.gateway.attempts import Attempts
 from figwalk.gateway.backend_pool import BackendPool
@@ -47,6 +48,10 @@
 UPKEEP_PERIOD_S = 0.2
 # The balancer asks once a second and takes a machine out after two refusals.
 BALANCER_NOTICE_S = 2.5
+# A request taken later than this after SIGTERM has too little of the grace time left, so that it is
+# refused as not run. Connections whose answer ends late still bring such requests.
+LAST_REQUEST_S = 2.9
+STOPPING_RETRY_MS = 20  # Another gateway answers at once.
 # The platform ends the process at the end of the grace time; what is left then is cut by this
 # process itself, with a log line.
 STOP_MARGIN_S = 0.5
@@ -95,6 +100,7 @@
         self._health = HttpServer(self._answer_health, self._events)
         self._metrics_server = HttpServer(self._metrics.handle, self._events)
         self._stopped = trio.Event()
+        self._accept_until = float("inf")
 
     def update_settings(self, settings: GatewaySettings) -> None:
         """Take over what may change while the process runs."""
@@ -130,6 +136,7 @@
         """Leave the balancer's rotation, answer what has been asked, and end `run`."""
         self._events.record(Event.PROCESS_STOPPING, active=self._callers.active_requests)
         self._readiness.stop()
+        self._accept_until = self._timer.now() + LAST_REQUEST_S
         with trio.move_on_after(self._settings.grace_s - STOP_MARGIN_S) as scope:
             await self._callers.drain(accept_s=BALANCER_NOTICE_S)
         if scope.cancelled_caught:
@@ -169,7 +176,7 @@
         )
         return CallerApi(
             PlatformCallerCodec(),
-            lambda: self._routing.current,
+            self._find_routing,
             plain,
             prompts,
             self._metrics,
@@ -178,6 +185,18 @@
             rng,
         )
 
+    def _find_routing(self) -> RoutingConfig | None:
+        """Return the configuration for a new call.
+
+        Raises:
+            RefusalError: The process stops too soon to begin a call.
+        """
+        if self._timer.now() > self._accept_until:
+            raise RefusalError(
+                "stopping", "this gateway is stopping", retry_after_ms=STOPPING_RETRY_MS
+            )
+        return self._routing.current
+
     def _make_followers(self) -> list[TopicFollower]:
         settings = self._settings
         config = TopicFollower(
--- /dev/null
+++ b/tests/test_gateway_stop.py
@@ -0,0 +1,110 @@
+"""Tests of a gateway's planned stop."""
+
+import trio
+from support.platform_fakes import (
+    answering,
+    fetch,
+    make_config,
+    make_request,
+    render,
+    run_test,
+    running_fleet,
+)
+
+from figwalk.gateway import process as gateway_process
+
+
+def run_stopping(test, monkeypatch, script):
+    """Run a test with a gateway whose phases of a stop are short."""
+    monkeypatch.setattr(gateway_process, "BALANCER_NOTICE_S", 0.2)
+    monkeypatch.setattr(gateway_process, "LAST_REQUEST_S", 0.4)
+
+    async def main():
+        async with running_fleet() as fleet:
+            fleet.publish(make_config())
+            backend = await fleet.add_backend("b1", script)
+            await fleet.start_gateway()
+            await test(fleet, backend)
+
+    run_test(main)
+
+
+def test_stopping_gateway_answers_what_it_has_taken(monkeypatch):
+    """Guards against an order cut by a planned stop."""
+    go_on = trio.Event()
+
+    async def script(_backend, stream, request):
+        await go_on.wait()
+        await stream.send_all(render(request, b"ok"))
+        return True
+
+    async def test(fleet, backend):
+        answers = []
+
+        async def call():
+            answers.append(await fleet.call("/order/x", method="POST", body=b"1"))
+
+        async with trio.open_nursery() as nursery:
+            arrived = backend.arrived
+            nursery.start_soon(call)
+            await arrived.wait()
+            nursery.start_soon(fleet.process.stop)
+            await fleet.wait_ready(ready=False)
+            go_on.set()
+        assert answers[0][0] == 200
+
+    run_stopping(test, monkeypatch, script)
+
+
+def test_request_late_in_a_stop_is_refused_and_not_passed_on(monkeypatch):
+    """Guards against a call begun so late that the end of the process cuts it.
+
+    A stream that began before the stop has not told its caller to close the connection, which
+    brings a further request when the stream ends late in the stop.
+    """
+    go_on = trio.Event()
+
+    async def script(_backend, stream, request):
+        head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request.call_id}\r\nServer-Stamp: 1\r\n"
+        await stream.send_all(head.encode() + b"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n")
+        await go_on.wait()
+        await stream.send_all(b"0\r\n\r\n")
+        return True
+
+    async def test(fleet, _backend):
+        engine = await fleet.add_backend("e1", script, "lm", stage="decode")
+        while "e1" not in {entry.backend for entry in fleet.process._directory.entries()}:
+            await trio.sleep(0.01)
+        stream = await trio.open_tcp_stream(fleet.callers.host, fleet.callers.port)
+        async with stream:
+            await stream.send_all(make_request("/chat/x", method="POST", body=b"1", call_id="c1"))
+            data = b""
+            while b"\r\n\r\n1\r\na" not in data:
+                data += await stream.receive_some(4096)
+            stop_at = trio.current_time()
+            fleet.nursery.start_soon(fleet.process.stop)
+            await stream.send_all(make_request("/chat/x", method="POST", body=b"1", call_id="c2"))
+            await trio.sleep_until(stop_at + gateway_process.LAST_REQUEST_S + 0.1)
+            go_on.set()
+            while b"0\r\n\r\n" not in data:
+                data += await stream.receive_some(4096)
+            rest = data.partition(b"0\r\n\r\n")[2]
+            while more := await stream.receive_some(4096):
+                rest += more
+        assert [request.call_id for request in engine.requests] == ["c1"]
+        assert rest.startswith(b"HTTP/1.1 503") or not rest
+
+    run_stopping(test, monkeypatch, answering())
+
+
+def test_stopping_gateway_still_serves_callers_that_have_not_noticed(monkeypatch):
+    """Guards against connections refused before the balancer has taken the gateway out."""
+
+    async def test(fleet, _backend):
+        fleet.nursery.start_soon(fleet.process.stop)
+        await fleet.wait_ready(ready=False)
+        status, headers, _ = await fetch(fleet.callers, make_request("/check/x"))
+        assert status == 200
+        assert headers["connection"] == "close"
+
+    run_stopping(test, monkeypatch, answering())
