Accept waiting connections together, count the gateway's lag, ask no agent in vain, log less

The engine's speed is now measured between ends with prompts waiting. Silent prefills are given up after 0.4 s.

--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -41,6 +41,7 @@
 # A first part is shared by a large share of all prompts and kept everywhere.
 HEAD_PART = 1
 MEAN_WEIGHT = 0.05
+MAX_HOMES = 20_000  # About 2 MB; a day of the users has some 1,500 subjects.
 ASSUMED_UNCACHED_TOKENS = 4000.0
 RATE_WEIGHT = 0.1
 MIN_RATE_FACTOR = 0.1
@@ -52,6 +53,8 @@
 # Agents tell the state of their engines ten times a second.
 DIGEST_MAX_AGE_S = 0.4
 FAILURE_COST_S = 1.0
+# The backlog that an agent stated is up to a tenth of a second old.
+HOPELESS_RATIO = 0.8
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 0.6
 BITS_PER_BYTE = 8
@@ -304,6 +307,8 @@
         self._settings = settings
         self._distance = distance
         self._rng = rng
+        self._homes: dict[tuple[str, ...], str] = {}
+        self._home_engines: tuple[str, ...] = ()
 
     def rank(
         self, call: PromptCall, engines: Sequence[EngineTracker], spec: EngineSpec
@@ -318,7 +323,7 @@
             return []
         if self.is_short(call):
             return self._rank_for_stream(call, runners, engines, spec)
-        home = find_home(call.subject, engines)
+        home = self._find_home(call.subject, engines)
         plans = [self._build_plan(call, runner, runner, home, spec) for runner in runners]
         for reader in usable:
             if reader.entry.role is Role.PREFILL:
@@ -326,6 +331,20 @@
                 plans.append(min(pairs, key=self._rank_key))
         return sorted(plans, key=self._rank_key)
 
+    def _find_home(
+        self, subject: tuple[str, ...], engines: Sequence[EngineTracker]
+    ) -> EngineTracker | None:
+        """Return `find_home`, remembered as long as the engines are the same."""
+        names = tuple(engine.entry.backend for engine in engines)
+        if names != self._home_engines or len(self._homes) > MAX_HOMES:
+            self._homes.clear()
+            self._home_engines = names
+        if subject not in self._homes:
+            home = find_home(subject, engines)
+            self._homes[subject] = home.entry.backend if home is not None else ""
+        name = self._homes[subject]
+        return next((engine for engine in engines if engine.entry.backend == name), None)
+
     def _rank_for_stream(
         self,
         call: PromptCall,
@@ -365,6 +384,12 @@
             return False
         return plan.backlog_s <= plan.uncached_tokens / self._settings.prefill_tokens_per_s
 
+    def is_hopeless(self, call: PromptCall, plan: PromptPlan) -> bool:
+        """Return whether an agent would surely refuse a plan, so that asking it is for nothing."""
+        if self.is_short(call) or plan.reader.stated_rate is None:
+            return False
+        return plan.backlog_s > HOPELESS_RATIO * max(call.target_s, MIN_RETRY_S)
+
     def retry_after_s(self, call: PromptCall, plan: PromptPlan) -> float:
         """Return the seconds after which the backlog leaves room for a call."""
         wait_s = plan.predicted_s - max(0.0, call.target_s) * self._settings.admission_ratio
--- a/figwalk/coordination/reading_queue.py
+++ b/figwalk/coordination/reading_queue.py
@@ -18,14 +18,15 @@
 # A grant whose end is never told, by a gateway that is gone or cut off, must not count for ever.
 # The longest prompts take a tenth of this.
 GRANT_LIFE_S = 1.5
-# With fewer prompts waiting, what is measured is the way to the engine and back, not its speed.
-MIN_MEASURED_DEPTH = 3
+# With fewer prompts left, the engine may wait for the next one, which is on its way from another
+# region for longer than the engine reads one.
+MIN_MEASURED_DEPTH = 2
 MEASURE_S = 0.1
-RATE_WEIGHT = 0.2
+RATE_WEIGHT = 0.3
 MIN_RATE_FACTOR = 0.1
 MAX_RATE_FACTOR = 1.5
 # Part of the time to the target that a prediction may take; the rest is for its errors.
-ADMISSION_RATIO = 0.9
+ADMISSION_RATIO = 0.95
 # Reading that may be done at once before the duty makes prompts wait.
 PACING_BURST_S = 0.1
 
@@ -88,9 +89,9 @@
         self._paced_until = 0.0
         self._memory = PrefixMemory(capacity_tokens)
         self._grants: dict[object, _Grant] = {}
-        self._deep_since: float | None = None
-        self._deep_s = 0.0
-        self._deep_tokens = 0.0
+        self._busy_since: float | None = None
+        self._busy_s = 0.0
+        self._busy_tokens = 0.0
 
     @property
     def tokens_per_s(self) -> float:
@@ -145,7 +146,6 @@
             self._paced_until = max(now, self._paced_until) + own_s / self._duty
             # Prompts behind it will find its parts.
             self._memory.note_read(reading.parts)
-            self._note_depth()
         return ReadingDecision(granted, uncached, wait_s, finish_s)
 
     def finish(self, key: object, *, read: bool) -> None:
@@ -153,15 +153,16 @@
         grant = self._grants.pop(key, None)
         if grant is None:
             return
-        if read and self._deep_since is not None:
-            self._deep_tokens += grant.tokens
-        self._note_depth()
+        if read:
+            self._measure(grant.tokens)
+        if self.depth < MIN_MEASURED_DEPTH:
+            self._busy_since = None
 
     def drop(self, owner: object) -> None:
         """Forget the grants of an owner that is gone."""
         for key in [key for key, grant in self._grants.items() if grant.owner is owner]:
             del self._grants[key]
-        self._note_depth()
+        self._busy_since = None
 
     def _pause_s(self) -> float:
         """Return the seconds that the engine must not read, so that it keeps to its duty."""
@@ -186,23 +187,25 @@
         for key in [key for key, grant in self._grants.items() if grant.granted_at < horizon]:
             del self._grants[key]
 
-    def _note_depth(self) -> None:
-        """Measure the speed while enough prompts wait that the engine is never idle."""
+    def _measure(self, tokens: float) -> None:
+        """Learn the speed from the time between two ends with enough prompts waiting in between.
+
+        The engine was then never idle. The time from a grant to its end would also have the way to
+        the engine and back.
+        """
         now = self._timer.now()
-        if self._deep_since is not None:
-            self._deep_s += now - self._deep_since
-            self._deep_since = now
-        if self.depth < MIN_MEASURED_DEPTH:
-            self._deep_since = None
-        elif self._deep_since is None:
-            self._deep_since = now
-        if self._deep_s >= MEASURE_S:
-            factor = self._deep_tokens / self._deep_s / self._base_rate
+        if self._busy_since is not None:
+            self._busy_s += now - self._busy_since
+            self._busy_tokens += tokens
+        self._busy_since = now
+        if self._busy_s >= MEASURE_S:
+            factor = self._busy_tokens / self._busy_s / self._base_rate
             factor = min(MAX_RATE_FACTOR, max(MIN_RATE_FACTOR, factor))
             self._factor += RATE_WEIGHT * (factor - self._factor)
-            self._reset_measure(self._deep_since)
+            self._busy_s = 0.0
+            self._busy_tokens = 0.0
 
-    def _reset_measure(self, deep_since: float | None = None) -> None:
-        self._deep_since = deep_since
-        self._deep_s = 0.0
-        self._deep_tokens = 0.0
+    def _reset_measure(self) -> None:
+        self._busy_since = None
+        self._busy_s = 0.0
+        self._busy_tokens = 0.0
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -83,7 +83,7 @@
     ATTEMPT_FAILED = (421, "info", "An attempt at a backend server failed; the fields say how.")
     CALL_ANSWERED = (422, "info", "A caller got its answer; the fields say from where.")
     ANSWER_FOREIGN = (423, "warning", "A backend server's answer belonged to another request.")
-    PREFILL_DONE = (424, "info", "An engine has read a prompt and holds its KV cache.")
+    PREFILL_DONE = (424, "debug", "An engine has read a prompt and holds its KV cache.")
     PREFILL_WASTED = (425, "info", "The KV cache of a read prompt could not be used.")
     PROMPT_PLACED = (427, "info", "Engines were chosen for a prompt, or it was refused.")
     PROMPT_DECIDED = (428, "info", "The agent beside an engine decided on an offered prompt.")
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -141,19 +141,22 @@
         tracker.start(key)
         outcome = AttemptOutcome.CANCELLED
         sent_at = self._timer.now()
-        self._events.record(
-            Event.ATTEMPT_SENT,
-            request_id=call.call_id,
-            backend=plan.backend.backend,
-            step=plan.step.value,
-            left_s=round(plan.left_s, 3),
-        )
+        # The event of a placement, or of the answer, names the backend server of other calls.
+        if not call.route.repeatable and not call.route.is_model_call:
+            self._events.record(
+                Event.ATTEMPT_SENT,
+                request_id=call.call_id,
+                backend=plan.backend.backend,
+                left_s=round(plan.left_s, 3),
+                in_flight=tracker.in_flight,
+                load_age_s=tracker.load_age_s,
+            )
         was_unresolved = call.unresolved
         call.unresolved = was_unresolved or is_run
         try:
             async with AsyncExitStack() as stack:
                 exchange = self._open(call, tracker, plan)
-                response = await _enter_in_time(stack, exchange, patience_s)
+                response = await _enter_in_time(stack, exchange, patience_s, not_run=not is_run)
                 answer = self._read_head(call, tracker, plan, response, key)
                 outcome = AttemptOutcome.ANSWERED
                 if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
@@ -177,13 +180,21 @@
             if outcome is not AttemptOutcome.ANSWERED:
                 self._record_failure(call, plan, outcome, sent_at, tracker)
 
-    async def prefill(self, call: Call, tracker: BackendTracker, plan: SendPlan) -> KvSource:
+    async def prefill(
+        self, call: Call, tracker: BackendTracker, plan: SendPlan, *, patience_s: float
+    ) -> KvSource:
         """Have an engine read a prompt and return where its KV cache is.
 
+        Args:
+            call: The call.
+            tracker: The engine.
+            plan: How to send it.
+            patience_s: Seconds to wait for the engine.
+
         Raises:
             AttemptError: The engine did not read it; a prefill never runs a call.
         """
-        async with self.send(call, tracker, plan) as answer:
+        async with self.send(call, tracker, plan, patience_s=patience_s) as answer:
             body = await answer.read_whole()
             if not answer.succeeded:
                 message = f"prefill was answered with HTTP status {answer.status}"
@@ -271,9 +282,9 @@
 
 
 async def _enter_in_time(
-    stack: AsyncExitStack, exchange: HttpExchange, patience_s: float | None
+    stack: AsyncExitStack, exchange: HttpExchange, patience_s: float | None, *, not_run: bool
 ) -> HttpResponse:
     with trio.move_on_after(float("inf") if patience_s is None else patience_s):
         return await stack.enter_async_context(exchange)
     message = f"no answer within {patience_s:.3f} s"
-    raise AttemptError(AttemptOutcome.SILENT, message, not_run=False)
+    raise AttemptError(AttemptOutcome.SILENT, message, not_run=not_run)
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -8,6 +8,7 @@
 import trio
 
 from figwalk.coordination.keyed_log import TopicFollower
+from figwalk.coordination.loop_lag import LoopLag
 from figwalk.coordination.plain_placement import Distance, PlainPlacement
 from figwalk.coordination.prompt_placement import PlacementSettings, PromptPlacement
 from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
@@ -87,6 +88,7 @@
             zone=settings.zone,
             region=settings.region,
         )
+        self._lag = LoopLag()
         self._routing = RoutingReader(
             CONFIG_KEY, decode_routing, self._events, on_adopted=self._adopt
         )
@@ -112,6 +114,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._timer.run)
             nursery.start_soon(self._offers.run)
+            nursery.start_soon(self._lag.run)
             for follower in self._make_followers():
                 nursery.start_soon(follower.run)
             for server, address in (
@@ -169,6 +172,7 @@
             attempts,
             PromptPlacement(placement, distance, rng),
             self._offers,
+            self._lag,
             budget,
             events,
             timer,
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from http import HTTPStatus
 
 import attrs
 
 from figwalk.coordination.backend_tracker import AttemptOutcome
+from figwalk.coordination.loop_lag import LoopLag
 from figwalk.coordination.prompt_placement import (
+    MAX_RETRY_S,
     EngineTracker,
     PromptCall,
     PromptPlacement,
@@ -34,19 +37,34 @@
 FIRST_EVENT_TARGETS = 3.0
 # Each offer to an agent in another region takes a tenth of the time to the target.
 MAX_OFFERS = 3
+# A prefill runs nothing, so that one at a silent engine can be given up and done elsewhere.
+MIN_PREFILL_PATIENCE_S = 0.4
+PREFILL_PATIENCE = 3.0
+
+
+class Judge(Enum):
+    """Who decided whether a prompt is sent by a plan."""
+
+    AGENT = "agent"  # The agent beside the reader.
+    BACKLOG = "backlog"  # The backlog that it stated, which leaves no hope.
+    GATEWAY = "gateway"  # This process, without the agent or for a short prompt.
 
 
 @attrs.define(eq=False)
 class Placed:
-    """A plan that is to be followed.
+    """A plan and the decision on it.
 
     Attributes:
         plan: The plan.
+        judge: Who decided.
+        admitted: Whether it is to be followed.
         grant: What the agent beside the reader granted, until its end was told.
     """
 
     plan: PromptPlan
-    grant: Grant | None = None
+    judge: Judge
+    admitted: bool = attrs.field(kw_only=True)
+    grant: Grant | None = attrs.field(default=None, kw_only=True)
 
     def end(self, *, read: bool) -> None:
         """Tell the agent that the prompt was read or given up, once."""
@@ -54,6 +72,11 @@
         if grant is not None:
             grant.end(read=read)
 
+    def describe(self) -> str:
+        """Return reader, judge and prediction in short, for logs."""
+        plan = self.plan
+        return f"{plan.reader.entry.backend}:{self.judge.value}:{plan.predicted_s:.3f}"
+
 
 class PromptCalls:
     """Answers calls of services with model engines.
@@ -63,6 +86,7 @@
         attempts: Sends calls to them.
         placement: Chooses engines and refuses.
         offers: Asks the agents beside engines.
+        lag: How late this process looks at requests.
         budget: Bound of repeated attempts.
         events: Event log.
         timer: Source of time.
@@ -75,6 +99,7 @@
         attempts: Attempts,
         placement: PromptPlacement,
         offers: PromptOffers,
+        lag: LoopLag,
         budget: WindowedRetryBudget,
         events: EventLog,
         timer: Timer,
@@ -85,6 +110,7 @@
         self._attempts = attempts
         self._placement = placement
         self._offers = offers
+        self._lag = lag
         self._budget = budget
         self._events = events
         self._timer = timer
@@ -115,57 +141,61 @@
         Raises:
             RefusalError: There are none; the call has not been sent.
         """
-        retry_after_s = None
+        retry_after_s = MAX_RETRY_S
+        tries: list[Placed] = []
         for plan in self._find_plans(call, spec)[:MAX_OFFERS]:
             prompt = self._describe(call)
-            placed, admitted = await self._offer(call, prompt, plan)
-            if admitted:
+            placed = await self._offer(call, prompt, plan)
+            tries.append(placed)
+            if placed.admitted:
                 call.predicted_s = placed.plan.predicted_s
-                return placed
-            wait_s = self._placement.retry_after_s(prompt, placed.plan)
-            retry_after_s = wait_s if retry_after_s is None else min(wait_s, retry_after_s)
+                break
+            retry_after_s = min(retry_after_s, self._placement.retry_after_s(prompt, placed.plan))
+        self._record_placed(call, prompt, tries)
+        if placed.admitted:
+            return placed
         raise RefusalError(
             "overloaded",
             "no engine would give the first token in time",
-            retry_after_ms=int((retry_after_s or 0.0) * MS_PER_S),
+            retry_after_ms=int(retry_after_s * MS_PER_S),
         )
 
-    async def _offer(self, call: Call, prompt: PromptCall, plan: PromptPlan) -> tuple[Placed, bool]:
-        """Return a plan with its grant, if any, and whether it is to be followed."""
+    async def _offer(self, call: Call, prompt: PromptCall, plan: PromptPlan) -> Placed:
+        """Return a plan with what the agent beside its reader decided on it."""
+        if self._placement.is_hopeless(prompt, plan):
+            return Placed(plan, Judge.BACKLOG, admitted=False)
         answer = None
         if not self._placement.is_short(prompt):
             round_trip_s = self._placement.round_trip_s(plan.reader)
             answer = await self._offers.offer(call.call_id, prompt, plan, round_trip_s)
         if answer is None:
-            placed, admitted = Placed(plan), self._placement.admits(prompt, plan)
-        else:
-            plan = attrs.evolve(
-                plan,
-                uncached_tokens=answer.uncached_tokens,
-                backlog_s=answer.wait_s,
-                reading_s=answer.finish_s - answer.wait_s,
-            )
-            placed, admitted = Placed(plan, answer.grant), answer.grant is not None
-        self._record_placed(call, prompt, placed, asked=answer is not None, admitted=admitted)
-        return placed, admitted
+            return Placed(plan, Judge.GATEWAY, admitted=self._placement.admits(prompt, plan))
+        plan = attrs.evolve(
+            plan,
+            uncached_tokens=answer.uncached_tokens,
+            backlog_s=answer.wait_s,
+            reading_s=answer.finish_s - answer.wait_s,
+        )
+        return Placed(plan, Judge.AGENT, admitted=answer.grant is not None, grant=answer.grant)
 
-    def _record_placed(
-        self, call: Call, prompt: PromptCall, placed: Placed, *, asked: bool, admitted: bool
-    ) -> None:
-        plan = placed.plan
+    def _record_placed(self, call: Call, prompt: PromptCall, tries: list[Placed]) -> None:
+        last = tries[-1]
         self._events.record(
             Event.PROMPT_PLACED,
             request_id=call.call_id,
-            reader=plan.reader.entry.backend,
-            runner=plan.runner.entry.backend,
+            reader=last.plan.reader.entry.backend,
+            runner=last.plan.runner.entry.backend,
+            admitted=last.admitted,
             tokens=prompt.tokens,
-            uncached=int(plan.uncached_tokens),
-            predicted_s=round(plan.predicted_s, 4),
-            backlog_s=round(plan.backlog_s, 4),
+            uncached=int(last.plan.uncached_tokens),
+            backlog_s=round(last.plan.backlog_s, 4),
+            predicted_s=round(last.plan.predicted_s, 4),
             target_s=round(prompt.target_s, 4),
-            load_age_s=_round(plan.reader.load_age_s),
-            asked_agent=asked,
-            admitted=admitted,
+            judge=last.judge.value,
+            digest_age_s=_round(last.plan.reader.digest_age_s),
+            load_age_s=_round(last.plan.reader.load_age_s),
+            lag_s=round(self._lag.lag_s, 4),
+            refused_by=" ".join(placed.describe() for placed in tries[:-1]),
         )
 
     def _find_plans(self, call: Call, spec: EngineSpec) -> list[PromptPlan]:
@@ -203,7 +233,8 @@
             self._events.record(
                 Event.STREAM_RESUMED, request_id=call.call_id, after=relay.last_event_id
             )
-            return Placed(self._find_plans(call, spec)[0])
+            plan = self._find_plans(call, spec)[0]
+            return Placed(plan, Judge.GATEWAY, admitted=True)
         return await self._place(call, spec)
 
     async def _follow(self, call: Call, placed: Placed, relay: StreamRelay) -> str:
@@ -227,9 +258,11 @@
         key = object()
         plan.reader.start_reading(key, plan.uncached_tokens)
         started = self._timer.now()
+        patience_s = max(MIN_PREFILL_PATIENCE_S, PREFILL_PATIENCE * plan.predicted_s)
+        send_plan = self._make_send_plan(call, plan.reader, CallStep.PREFILL)
         try:
             source = await self._attempts.prefill(
-                call, plan.reader, self._make_send_plan(call, plan.reader, CallStep.PREFILL)
+                call, plan.reader, send_plan, patience_s=patience_s
             )
         finally:
             plan.reader.finish_reading(key)
@@ -352,7 +385,8 @@
 
     def _describe(self, call: Call) -> PromptCall:
         now = self._timer.now()
-        target_s = call.arrived_at + call.route.target_s - now
+        # A request may have waited in the socket's buffer for as long as this process lags.
+        target_s = call.arrived_at + call.route.target_s - now - self._lag.lag_s
         return PromptCall(_parts(call), target_s, call.deadline - now)
 
     @staticmethod
--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -13,7 +13,7 @@
 from figwalk.events import Event, EventLog
 from figwalk.transport.byte_stream import RECEIVE_BYTES, ByteStream
 from figwalk.transport.http_types import Headers, HttpLimits, HttpRequest, find_header
-from figwalk.transport.listening import open_listeners
+from figwalk.transport.listening import accept_connections, open_listeners
 
 LISTEN_BACKLOG = 1024
 # A client that sends on while it waits for an answer is read no further than this.
@@ -202,12 +202,12 @@
         # The accepting task ends at a drain; the connections then still have requests to answer.
         async with trio.open_nursery() as connections:
             try:
-                await trio.serve_listeners(
-                    self._serve_connection,
-                    listeners,
-                    handler_nursery=connections,
-                    task_status=_PortStatus(task_status, bound_port),
-                )
+                async with trio.open_nursery() as accepting:
+                    for listener in listeners:
+                        accepting.start_soon(
+                            accept_connections, self._serve_connection, listener, connections
+                        )
+                    task_status.started(bound_port)
             except* trio.ClosedResourceError:
                 if not self._draining:
                     raise
@@ -484,17 +484,6 @@
         )
 
 
-class _PortStatus:
-    """Adapts `trio.serve_listeners` to report the bound port."""
-
-    def __init__(self, task_status: trio.TaskStatus[int], port: int) -> None:
-        self._task_status = task_status
-        self._port = port
-
-    def started(self, _listeners: object) -> None:
-        self._task_status.started(self._port)
-
-
 def render_error(kind: str, code: str, message: str, **fields: object) -> dict[str, object]:
     """Return an error body in the shape that OpenAI clients read."""
     return {"error": {"type": kind, "code": code, "message": message, **fields}}
--- a/figwalk/transport/listening.py
+++ b/figwalk/transport/listening.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import errno
 import os
+import socket
+from collections.abc import Awaitable, Callable
 
 import trio
 
 from figwalk.errors import ListenError
 
+# Connections accepted before other tasks get a turn.
+MAX_ACCEPTED_AT_ONCE = 64
+# Without a free file descriptor, others must close theirs first.
+NO_DESCRIPTOR_PAUSE_S = 0.1
+_NO_DESCRIPTOR_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+
 
 async def open_listeners(host: str, port: int, *, backlog: int) -> list[trio.SocketListener]:
     """Listen on one address.
@@ -25,6 +34,45 @@
         ) from error
 
 
+async def accept_connections(
+    handler: Callable[[trio.SocketStream], Awaitable[None]],
+    listener: trio.SocketListener,
+    nursery: trio.Nursery,
+) -> None:
+    """Accept connections until the listener is closed, and handle each in a task.
+
+    `trio.serve_listeners` accepts one connection in each pass of the scheduler. In a busy process
+    a pass takes tens of milliseconds, and connections then wait for longer than their clients do.
+
+    Args:
+        handler: Handles a connection and closes it.
+        listener: Listening socket.
+        nursery: Where handlers run.
+
+    Raises:
+        ClosedResourceError: The listener was closed.
+    """
+    accepting = socket.socket(fileno=listener.socket.fileno())
+    try:
+        while True:
+            await trio.lowlevel.wait_readable(listener.socket)
+            for _ in range(MAX_ACCEPTED_AT_ONCE):
+                try:
+                    client, _address = accepting.accept()
+                except BlockingIOError:
+                    break
+                except OSError as error:
+                    if error.errno in _NO_DESCRIPTOR_ERRORS:
+                        await trio.sleep(NO_DESCRIPTOR_PAUSE_S)
+                        break
+                    continue  # The client has given up meanwhile.
+                client.setblocking(False)
+                stream = trio.SocketStream(trio.socket.from_stdlib_socket(client))
+                nursery.start_soon(handler, stream)
+    finally:
+        accepting.detach()
+
+
 def find_listen_error(group: BaseExceptionGroup) -> ListenError | None:
     """Return the `ListenError` that ended a process, if it was one."""
     found = group.subgroup(ListenError)
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -3,6 +3,7 @@
 import sys
 
 import pytest
+import trio
 from agent_fakes import HOST
 
 from figwalk.state.settings import (
@@ -13,6 +14,7 @@
     PlatformSettings,
 )
 from figwalk.state.settings_file import dump_settings
+from figwalk.transport.listening import accept_connections, open_listeners
 
 FREE, CLOSED = Address(HOST, 0), Address(HOST, 1)
 
@@ -42,3 +44,43 @@
     lines = [line for line in ended.stderr.splitlines() if not line.startswith("{")]
     assert len(lines) == 1
     assert f"can't listen on {taken}" in lines[0]
+
+
+class PassCounter(trio.abc.Instrument):
+    """Counts the passes of the scheduler."""
+
+    def __init__(self):
+        self.passes = 0
+
+    def before_io_wait(self, timeout):
+        """Count a pass."""
+        self.passes += 1
+
+
+def test_waiting_connections_are_accepted_together():
+    """Guards against connections that wait for one pass of a busy scheduler each."""
+    waiting = 40
+
+    async def main():
+        counter = PassCounter()
+        accepted = []
+        done = trio.Event()
+
+        async def handle(stream):
+            accepted.append(stream)
+            if len(accepted) == waiting:
+                done.set()
+
+        listener = (await open_listeners("127.0.0.1", 0, backlog=64))[0]
+        address = listener.socket.getsockname()
+        clients = [socket.create_connection(address) for _ in range(waiting)]
+        async with trio.open_nursery() as nursery:
+            trio.lowlevel.add_instrument(counter)
+            nursery.start_soon(accept_connections, handle, listener, nursery)
+            await done.wait()
+            nursery.cancel_scope.cancel()
+        assert counter.passes < waiting / 4
+        for client in [*clients, *accepted]:
+            await client.aclose() if isinstance(client, trio.SocketStream) else client.close()
+
+    trio.run(main)
--- a/tests/test_reading_queue.py
+++ b/tests/test_reading_queue.py
@@ -44,12 +44,15 @@
             timer.time = end
             queue.finish(key, read=True)
         timer.time = at
-        if not queue.offer(number, "gateway", make_reading(number)).granted:
+        if not queue.offer(number, "gateway", make_reading(f"{seed}-{number}")).granted:
             refused += 1
             continue
         free_at = max(free_at, at) + 6000 / engine_rate
         finished.append((free_at, number))
         took.append(free_at - at + AFTER_S)
+    for end, key in finished:
+        timer.time = end
+        queue.finish(key, read=True)
     return took, refused, len(arrivals)
 
 
