--- /dev/null
+++ b/tests/test_prompt_agent.py
@@ -0,0 +1,207 @@
+"""Tests of the agent beside an engine and of gateways' connections to it."""
+
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+from support.platform_fakes import HOST, run_test
+
+from figwalk.coordination.plain_placement import Distance
+from figwalk.coordination.prompt_placement import (
+    EngineTracker,
+    PlacementSettings,
+    PromptCall,
+    PromptPlacement,
+)
+from figwalk.coordination.reading_queue import ReadingQueue
+from figwalk.errors import HttpError
+from figwalk.events import EventLog
+from figwalk.gateway.prompt_offers import PromptOffers
+from figwalk.platform import PlatformEngineReportCodec
+from figwalk.prompt_agent.engine_watcher import EngineWatcher
+from figwalk.prompt_agent.prompt_server import PromptServer
+from figwalk.protocol.messages import ConnectionKind, Hello, Role
+from figwalk.state.backend_directory import BackendEntry
+from figwalk.state.gateway_settings import EngineSettings
+from figwalk.state.routing import EngineSpec
+from figwalk.state.settings import Address
+from figwalk.timer import Timer
+from figwalk.transport import HttpClient, HttpServer
+
+SPEC = EngineSpec(8, 1_000_000, 1000.0, 100_000.0, 5.0)
+PROMPT = PromptCall((("own", 6000),), 0.25, 2.0)
+REPORT = {
+    "stage": "prefill",
+    "busy": False,
+    "born": 1000,
+    "running": 0,
+    "waiting": 0,
+    "kv-total": 1_000_000,
+}
+
+
+class Engine:
+    """An engine that only reports."""
+
+    def __init__(self):
+        self.report = dict(REPORT)
+        self.silent = False
+
+    async def answer(self, _request, responder):
+        """Answer with the report, or never."""
+        if self.silent:
+            await trio.sleep_forever()
+        await responder.send_json(200, self.report)
+
+
+class Pair:
+    """An agent and a gateway's connection to it."""
+
+    def __init__(self, engine, queue, watcher, tracker, offers, agent_scope):
+        self.engine = engine
+        self.queue = queue
+        self.watcher = watcher
+        self.tracker = tracker
+        self.offers = offers
+        self.agent_scope = agent_scope
+
+    async def offer(self):
+        """Offer the prompt."""
+        placement = PromptPlacement(PlacementSettings(), Distance("a", "r", {"a": "r"}), None)
+        plan = placement._build_plan(PROMPT, self.tracker, self.tracker, None, SPEC)
+        return await self.offers.offer("c1", PROMPT, plan, 0.5)
+
+    async def wait_connected(self):
+        """Wait for the first state that the agent tells."""
+        while self.tracker.stated_rate is None:
+            await trio.sleep(0.01)
+
+
+@asynccontextmanager
+async def running_pair():
+    """Run an engine, its agent, and a gateway's connection."""
+    timer = Timer()
+    events = EventLog("test", timer)
+    async with trio.open_nursery() as nursery:
+        engine = Engine()
+        server = HttpServer(engine.answer, events)
+        engine_port = await nursery.start(server.serve, HOST, 0)
+        queue = ReadingQueue(timer, tokens_per_s=1.0, capacity_tokens=1)
+        watcher = EngineWatcher(
+            HttpClient(HOST, engine_port),
+            PlatformEngineReportCodec(),
+            queue,
+            EngineSettings(),
+            events,
+            timer,
+        )
+        await watcher.watch()
+        agent = PromptServer(
+            queue, watcher, events, timer, make_hello=lambda: Hello(ConnectionKind.PROMPT, "a", 1)
+        )
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        agent_port = listeners[0].socket.getsockname()[1]
+        agent_scope = trio.CancelScope()
+
+        async def serve_agent():
+            with agent_scope:
+                await trio.serve_listeners(agent.serve_connection, listeners)
+
+        nursery.start_soon(serve_agent)
+        address = Address(HOST, engine_port)
+        entry = BackendEntry("e1", "lm", address, "a", 8, False, 1, 1, role=Role.PREFILL)
+        tracker = EngineTracker(entry, timer, events, spec=SPEC)
+        offers = PromptOffers(
+            lambda: [tracker], agent_port, events, timer, process="g", zone="a", region="r"
+        )
+        nursery.start_soon(offers.run)
+        pair = Pair(engine, queue, watcher, tracker, offers, agent_scope)
+        await pair.wait_connected()
+        yield pair
+        nursery.cancel_scope.cancel()
+
+
+def with_pair(test):
+    """Run a test with an agent and a gateway's connection to it."""
+
+    def run():
+        async def main():
+            async with running_pair() as pair:
+                await test(pair)
+
+        run_test(main)
+
+    run.__name__ = test.__name__
+    run.__doc__ = test.__doc__
+    return run
+
+
+@with_pair
+async def test_granted_prompt_waits_until_its_end_is_told(pair):
+    """Guards against an engine that looks idle while prompts wait there."""
+    answer = await pair.offer()
+    assert answer.grant is not None
+    assert pair.queue.depth == 1
+    answer.grant.end(read=True)
+    while pair.queue.depth:
+        await trio.sleep(0.01)
+
+
+@with_pair
+async def test_full_engine_refuses_with_its_backlog(pair):
+    """Guards against prompts sent behind a queue in which they would be late."""
+    pair.queue.set_engine(tokens_per_s=10_000.0, capacity_tokens=1_000_000)
+    assert (await pair.offer()).grant is not None
+    answer = await pair.offer()
+    assert answer.grant is None
+    assert answer.wait_s == 0.6
+
+
+@with_pair
+async def test_grants_of_a_gateway_that_left_are_forgotten(pair):
+    """Guards against an engine that looks full for a gateway that is gone."""
+    await pair.offer()
+    assert pair.queue.depth == 1
+    pair.offers._links[pair.tracker][1].cancel()
+    while pair.queue.depth:
+        await trio.sleep(0.01)
+
+
+@with_pair
+async def test_lost_agent_gives_no_answer_at_once(pair):
+    """Guards against prompts that wait for an agent that is gone."""
+    pair.agent_scope.cancel()
+    link = pair.offers._links[pair.tracker][0]
+    while link._connection is not None:
+        await trio.sleep(0.01)
+    with trio.fail_after(0.5):
+        assert await pair.offer() is None
+
+
+@with_pair
+async def test_engine_that_stopped_answering_is_told_as_down(pair):
+    """Guards against prompts granted for an engine that has just crashed."""
+    pair.engine.silent = True
+    for _ in range(2):
+        await pair.watcher.watch()
+    assert not pair.watcher.up
+    assert (await pair.offer()).grant is None
+    while not pair.tracker.is_avoided():
+        await trio.sleep(0.01)
+
+
+@with_pair
+async def test_restarted_engine_is_taken_as_empty(pair):
+    """Guards against prompts counted as cached at an engine that lost its memory."""
+    await pair.offer()
+    pair.engine.report["born"] = 2000
+    await pair.watcher.watch()
+    assert pair.queue.depth == 0
+    assert (await pair.offer()).uncached_tokens == 6000
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b'{"stage":1}', b'{"stage":"prefill"}'])
+def test_unreadable_report_is_an_error(body):
+    """Guards against an agent that ends, or believes in, a report that it can't read."""
+    with pytest.raises(HttpError):
+        PlatformEngineReportCodec().decode_report(body)
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -133,7 +133,10 @@
     (empty,) = faults_of(check_file, write(""))
     assert "no keys" in empty
     (unknown,) = faults_of(check_file, write("a: 1\n"))
-    assert "kind: missing key; give 'kind: entry | agent | gateway | prompt_agent | published'" in unknown
+    assert (
+        "kind: missing key; give 'kind: entry | agent | gateway | prompt_agent | published'"
+        in unknown
+    )
 
 
 def test_published_file_yields_paths_and_values(write):
