End a grant where its prompt was read; pass streams of plain services on as they arrive

Cause 1: the grant of a second attempt was ended as given up before the prompt was sent, so that the agent counted its engine as idle. Cause 2: a streamed route that is split to a plain service was answered only when the stream had ended.

--- a/figwalk/gateway/plain_calls.py
+++ b/figwalk/gateway/plain_calls.py
@@ -15,6 +15,8 @@
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import SendPlan
+from figwalk.gateway.stream_relay import StreamRelay
+from figwalk.state.routing import CallKind
 from figwalk.timer import Timer
 from figwalk.transport import Headers, Responder
 
@@ -92,10 +94,34 @@
         Raises:
             RefusalError: There is no answer of a backend server for the caller.
         """
+        if call.route.kind is CallKind.STREAM:
+            return await self._run_stream(call, responder)
         answer = await self._find_answer(call)
         await responder.send(answer.status, answer.headers, answer.body)
         return answer.backend
 
+    async def _run_stream(self, call: Call, responder: Responder) -> str:
+        """Pass a stream of a plain service on as it arrives.
+
+        It goes to another backend server only if the first one certainly did not run it.
+        """
+        tried: list[str] = []
+        error: AttemptError | None = None
+        while error is None or error.not_run:
+            tracker = self._placement.choose(self._pool.trackers(call.service), tried=tried)
+            if tracker is None or not self._may_send(call, bool(tried)):
+                break
+            tried.append(tracker.entry.backend)
+            plan = SendPlan(tracker.entry, call.deadline - self._timer.now())
+            try:
+                async with self._attempts.send(call, tracker, plan) as answer:
+                    self._check_promise(call, answer.status)
+                    await StreamRelay(responder, resumable=False).relay(answer)
+                    return answer.backend
+            except AttemptError as attempt_error:
+                error = attempt_error
+        raise self._refuse(call, error)
+
     async def _find_answer(self, call: Call) -> WholeAnswer:
         tried: list[str] = []
         failed: WholeAnswer | None = None
@@ -113,7 +139,8 @@
                     break
             else:
                 if not (answer.failed and call.route.repeatable):
-                    return self._check_promise(call, answer)
+                    self._check_promise(call, answer.status)
+                    return answer
                 failed = answer
         if failed is not None:
             return failed
@@ -152,16 +179,20 @@
         self._events.record(Event.RETRY_BUDGET_EMPTY, request_id=call.call_id)
         return False
 
-    def _check_promise(self, call: Call, answer: WholeAnswer) -> WholeAnswer:
-        """Return the answer unless its status promises what the backend server did not state."""
-        if answer.status in NOT_RUN_STATUSES and not call.route.repeatable:
+    @staticmethod
+    def _check_promise(call: Call, status: int) -> None:
+        """Refuse a status that promises what the backend server did not state.
+
+        Raises:
+            RefusalError: The caller would take the call as not run.
+        """
+        if status in NOT_RUN_STATUSES and not call.route.repeatable:
             raise RefusalError(
                 "backend_failed",
-                f"the backend server answered with HTTP status {answer.status} after a start",
+                f"the backend server answered with HTTP status {status} after a start",
                 status=HTTPStatus.BAD_GATEWAY,
                 outcome=CallOutcome.UNKNOWN,
             )
-        return answer
 
     def _refuse(self, call: Call, error: AttemptError | None) -> RefusalError:
         if call.unresolved:
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -131,9 +131,10 @@
             try:
                 return await self._follow(call, placed, relay)
             except AttemptError as error:
-                placed = await self._place_again(call, spec, relay, error)
+                failure = error
             finally:
                 placed.end(read=False)
+            placed = await self._place_again(call, spec, relay, failure)
 
     async def _place(self, call: Call, spec: EngineSpec) -> Placed:
         """Find engines that answer a call in time.
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -8,12 +8,15 @@
     hanging,
     make_config,
     make_request,
+    make_route,
     refusing,
     render,
     run_test,
     running_fleet,
 )
 
+from figwalk.gateway.prompt_offers import Grant, OfferAnswer
+
 LONG = ["Prefix-Hash: a1:2000,b2:3000,c3:40000", "Token-Counts: 45000,20", "Model: m"]
 SHORT = ["Prefix-Hash: a1:50,c4:50", "Token-Counts: 100,20", "Model: m"]
 HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nServer-Stamp: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -201,3 +204,59 @@
         assert headers["server-stamp"] == "1.2.3"
 
     run_with_engines(test, one=(answering(b"", status=500), "decode"))
+
+
+def test_stream_of_a_plain_service_is_passed_on_as_it_arrives():
+    """Guards against a route split to a plain service whose events are held until its end."""
+    go_on = trio.Event()
+
+    async def script(_backend, stream, request):
+        await stream.send_all(HEAD.format(request.call_id).encode() + chunk(event(1)))
+        await go_on.wait()
+        await stream.send_all(chunk(event(2)) + b"0\r\n\r\n")
+        return True
+
+    async def main():
+        async with running_fleet() as fleet:
+            fleet.publish(make_config(routes=[make_route("feed", "stream", "orders")]))
+            await fleet.add_backend("b1", script)
+            await fleet.start_gateway()
+            stream = await trio.open_tcp_stream(fleet.callers.host, fleet.callers.port)
+            async with stream:
+                await stream.send_all(make_request("/feed/x"))
+                data = b""
+                while event(1) not in data:
+                    data += await stream.receive_some(4096)
+                go_on.set()
+                while event(2) not in data:
+                    data += await stream.receive_some(4096)
+
+    run_test(main)
+
+
+def test_grant_of_a_second_attempt_is_ended_when_its_prompt_was_read():
+    """Guards against an engine that looks idle to others while it reads a prompt sent again."""
+    ends = []
+
+    class Link:
+        def end_later(self, offer_id, *, read):
+            ends.append((offer_id, read))
+
+    async def offer(_call_id, _prompt, _plan, _round_trip_s):
+        offer.count += 1
+        return OfferAnswer(Grant(Link(), offer.count), 1000, 0.0, 0.01)
+
+    offer.count = 0
+
+    async def test(fleet, **_engines):
+        fleet.process._offers.offer = offer
+        for i in range(8):
+            ends.clear()
+            offer.count = 0
+            await fleet.call("/long/x", method="POST", body=b"1", headers=LONG, call_id=f"c{i}")
+            if offer.count == 2:
+                assert ends == [(1, False), (2, True)]
+                return
+        pytest.fail("no prompt was sent again")
+
+    run_with_engines(test, one=(refusing, "decode"), two=(streaming(2), "decode"))
