--- a/figwalk/gateway/backend_pool.py
+++ b/figwalk/gateway/backend_pool.py
@@ -7,7 +7,7 @@
 import attrs
 
 from figwalk.coordination.backend_tracker import BackendTracker
-from figwalk.coordination.prompt_placement import EngineTracker
+from figwalk.coordination.engine_tracker import EngineTracker
 from figwalk.events import EventLog
 from figwalk.state.backend_directory import BackendDirectory, BackendEntry
 from figwalk.state.routing import RoutingConfig, ServiceSpec
--- /dev/null
+++ b/figwalk/gateway/placed_prompt.py
@@ -0,0 +1,46 @@
+"""A plan for a prompt, and who decided on it."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import attrs
+
+from figwalk.coordination.prompt_placement import PromptPlan
+from figwalk.gateway.prompt_offers import Grant
+
+
+class Judge(Enum):
+    """Who decided whether a prompt is sent by a plan."""
+
+    AGENT = "agent"  # The agent beside the reader.
+    BACKLOG = "backlog"  # The backlog that it stated, which leaves no hope.
+    GATEWAY = "gateway"  # This process, without the agent or for a short prompt.
+
+
+@attrs.define(eq=False)
+class Placed:
+    """A plan and the decision on it.
+
+    Attributes:
+        plan: The plan.
+        judge: Who decided.
+        admitted: Whether it is to be followed.
+        grant: What the agent beside the reader granted, until its end was told.
+    """
+
+    plan: PromptPlan
+    judge: Judge
+    admitted: bool = attrs.field(kw_only=True)
+    grant: Grant | None = attrs.field(default=None, kw_only=True)
+
+    def end(self, *, read: bool) -> None:
+        """Tell the agent that the prompt was read or given up, once."""
+        grant, self.grant = self.grant, None
+        if grant is not None:
+            grant.end(read=read)
+
+    def describe(self) -> str:
+        """Return reader, judge and prediction in short, for logs."""
+        plan = self.plan
+        return f"{plan.reader.entry.backend}:{self.judge.value}:{plan.predicted_s:.3f}"
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from http import HTTPStatus
 
 import attrs
 
 from figwalk.coordination.backend_tracker import AttemptOutcome
+from figwalk.coordination.engine_tracker import EngineTracker
 from figwalk.coordination.loop_lag import LoopLag
 from figwalk.coordination.prompt_placement import (
     MAX_RETRY_S,
-    EngineTracker,
     PromptCall,
     PromptPlacement,
     PromptPlan,
@@ -23,8 +22,9 @@
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import CallStep, KvSource, SendPlan
+from figwalk.gateway.placed_prompt import Judge, Placed
 from figwalk.gateway.plain_calls import NO_BACKEND_RETRY_MS, NOT_RUN_STATUSES
-from figwalk.gateway.prompt_offers import Grant, PromptOffers
+from figwalk.gateway.prompt_offers import PromptOffers
 from figwalk.gateway.stream_relay import StreamRelay
 from figwalk.state.routing import EngineSpec
 from figwalk.timer import MS_PER_S, Timer
@@ -42,42 +42,6 @@
 PREFILL_PATIENCE = 3.0
 
 
-class Judge(Enum):
-    """Who decided whether a prompt is sent by a plan."""
-
-    AGENT = "agent"  # The agent beside the reader.
-    BACKLOG = "backlog"  # The backlog that it stated, which leaves no hope.
-    GATEWAY = "gateway"  # This process, without the agent or for a short prompt.
-
-
-@attrs.define(eq=False)
-class Placed:
-    """A plan and the decision on it.
-
-    Attributes:
-        plan: The plan.
-        judge: Who decided.
-        admitted: Whether it is to be followed.
-        grant: What the agent beside the reader granted, until its end was told.
-    """
-
-    plan: PromptPlan
-    judge: Judge
-    admitted: bool = attrs.field(kw_only=True)
-    grant: Grant | None = attrs.field(default=None, kw_only=True)
-
-    def end(self, *, read: bool) -> None:
-        """Tell the agent that the prompt was read or given up, once."""
-        grant, self.grant = self.grant, None
-        if grant is not None:
-            grant.end(read=read)
-
-    def describe(self) -> str:
-        """Return reader, judge and prediction in short, for logs."""
-        plan = self.plan
-        return f"{plan.reader.entry.backend}:{self.judge.value}:{plan.predicted_s:.3f}"
-
-
 class PromptCalls:
     """Answers calls of services with model engines.
 
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -10,7 +10,8 @@
 import trio
 
 from figwalk.coordination.backoff import Backoff
-from figwalk.coordination.prompt_placement import EngineTracker, PromptCall, PromptPlan
+from figwalk.coordination.engine_tracker import EngineTracker
+from figwalk.coordination.prompt_placement import PromptCall, PromptPlan
 from figwalk.errors import TransportError
 from figwalk.events import Event, EventLog
 from figwalk.protocol.messages import (
