Never say not run of a call that may have run in an earlier attempt

Cause: an engine ran a resumable call and its answer was lost; admission then refused the second attempt with 503.

--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -118,7 +118,7 @@
             if scope.cancelled_caught:
                 raise self._refuse_late(call, responder)
         except RefusalError as error:
-            await self._finish_refused(call, responder, error)
+            await self._finish_refused(call, responder, _tell_truly(call, error))
         except ClientGoneError:
             self._record_gone(call)
         else:
@@ -198,6 +198,18 @@
         )
 
 
+def _tell_truly(call: Call, error: RefusalError) -> RefusalError:
+    """Return a refusal that does not say "not run" of a call that may have run before."""
+    if error.outcome is CallOutcome.UNKNOWN or not call.unresolved:
+        return error
+    return RefusalError(
+        error.code,
+        f"an earlier attempt may have run; {error.message}",
+        status=HTTPStatus.BAD_GATEWAY,
+        outcome=CallOutcome.UNKNOWN,
+    )
+
+
 def check_framing(request: HttpRequest) -> None:
     """Refuse a request whose length is given in two ways, since two servers may read it in two.
 
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -11,6 +11,7 @@
     make_route,
     refusing,
     render,
+    resetting,
     run_test,
     running_fleet,
 )
@@ -260,3 +261,27 @@
         pytest.fail("no prompt was sent again")
 
     run_with_engines(test, one=(refusing, "decode"), two=(streaming(2), "decode"))
+
+
+def test_refusal_after_a_run_whose_answer_was_lost_does_not_say_not_run():
+    """Guards against "not run" said of a prompt that an engine ran in an earlier attempt."""
+
+    async def offer(_call_id, _prompt, _plan, _round_trip_s):
+        offer.count += 1
+        grant = Grant(NoLink(), 1) if offer.count == 1 else None
+        return OfferAnswer(grant, 1000, 0.0, 0.01)
+
+    class NoLink:
+        def end_later(self, offer_id, *, read):
+            pass
+
+    offer.count = 0
+
+    async def test(fleet, **_engines):
+        fleet.process._offers.offer = offer
+        status, headers, _ = await fleet.call("/long/x", method="POST", body=b"1", headers=LONG)
+        assert offer.count > 1
+        assert status == 502
+        assert "retry-after" not in headers
+
+    run_with_engines(test, one=(resetting, "decode"), two=(resetting, "decode"))
