Remove settings that nothing read and the second copy of engines' speeds

Seen in a read-through: drain_ms and the number of gateways in PlacementSettings had no effect, TopicFollower.read_at no user, and the speed by role was computed in two places.

--- a/figwalk/coordination/keyed_log.py
+++ b/figwalk/coordination/keyed_log.py
@@ -129,11 +129,6 @@
         """Offset of the next record, or None before the first answer."""
         return self._offset
 
-    @property
-    def read_at(self) -> float:
-        """Timer time of the last answered read."""
-        return self._read_at
-
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         while True:
--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -20,6 +20,7 @@
 from figwalk.coordination.engine_tracker import EngineTracker
 from figwalk.coordination.plain_placement import Distance
 from figwalk.protocol.messages import Role
+from figwalk.state.gateway_settings import EngineSettings
 from figwalk.state.routing import EngineSpec
 
 # Part of an engine's slots up to which streams are gathered at it. The others then read prompts at
@@ -51,16 +52,12 @@
     """Figures of a deployment for placing prompts.
 
     Attributes:
-        prefill_tokens_per_s: Prompt tokens that an engine with the role prefill reads a second.
-        decode_prefill_ratio: Speed of reading at an engine with the role decode against that.
-        gateways: Number of processes that place prompts; 1 if this one does alone.
+        engines: Speeds of the engines.
         short_prompt_tokens: Prompts up to this length are read by the engine that answers them.
         admission_ratio: Part of the time to the target that a prediction may take.
     """
 
-    prefill_tokens_per_s: float = 410_000.0
-    decode_prefill_ratio: float = 0.44
-    gateways: int = 6
+    engines: EngineSettings = attrs.field(factory=EngineSettings)
     short_prompt_tokens: int = 1500
     admission_ratio: float = 0.9
 
@@ -215,7 +212,7 @@
             return True
         if plan.predicted_s >= call.left_s:
             return False
-        return plan.backlog_s <= plan.uncached_tokens / self._settings.prefill_tokens_per_s
+        return plan.backlog_s <= plan.uncached_tokens / self._settings.engines.prefill_tokens_per_s
 
     def is_hopeless(self, call: PromptCall, plan: PromptPlan) -> bool:
         """Return whether an agent would surely refuse a plan, so that asking it is for nothing."""
@@ -289,10 +286,7 @@
     def _rate(self, engine: EngineTracker) -> float:
         if engine.stated_rate is not None:
             return max(1.0, engine.stated_rate)
-        rate = self._settings.prefill_tokens_per_s * engine.rate_factor
-        if engine.entry.role is not Role.PREFILL:
-            rate *= self._settings.decode_prefill_ratio
-        return rate
+        return self._settings.engines.prefill_rate(engine.entry.role) * engine.rate_factor
 
     def _uncached(
         self, call: PromptCall, engine: EngineTracker, home: EngineTracker | None
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -152,10 +152,7 @@
         settings, events, timer = self._settings, self._events, self._timer
         rng = random.Random()
         distance = Distance(settings.zone, settings.region, settings.regions)
-        placement = PlacementSettings(
-            prefill_tokens_per_s=settings.engines.prefill_tokens_per_s,
-            decode_prefill_ratio=settings.engines.decode_prefill_ratio,
-        )
+        placement = PlacementSettings(engines=settings.engines)
         budget = WindowedRetryBudget(
             timer,
             window_s=settings.retry.window_s,
--- a/figwalk/state/gateway_settings.py
+++ b/figwalk/state/gateway_settings.py
@@ -57,7 +57,6 @@
         agents_port: Port at which the agents beside engines serve gateways, on the engines' VMs.
         store: The platform's store.
         store_timeout_s: Seconds after which a call to the store has failed.
-        drain_ms: Milliseconds within which a leaving backend server must get no more calls.
         grace_s: Seconds from SIGTERM until the platform ends the process.
         max_connections: Open connections of callers.
         gateways_per_zone: Processes in each availability zone, added ones included, that share
@@ -78,7 +77,6 @@
     agents_port: int
     store: Address
     store_timeout_s: float = 1.0
-    drain_ms: float = 2500.0
     grace_s: float = 8.0
     max_connections: int = 3000
     gateways_per_zone: int = 4
