Run the platform's backend servers as stand-in processes

The backend servers of the users' platform were scripts inside tests. standins/platform_backend is now a process of its own (plain service or engine) that registers itself and notes arrivals and runs in a file; standins/platform_deployment runs gateways and agents against it. New tests with real processes cover calls end to end, SIGHUP, settings changed without a signal, SIGTERM with open calls, a store outage and an engine that restarts under another id. The store's stand-in takes writes over HTTP and lets registrations lapse.

--- a/standins/base.py
+++ b/standins/base.py
@@ -23,7 +23,15 @@
 from figwalk.errors import CallerError
 from figwalk.events import Event, EventLog
 from figwalk.timer import Timer
-from figwalk.transport import Headers, HttpLimits, HttpRequest, HttpServer, Responder, render_error
+from figwalk.transport import (
+    Headers,
+    HttpClient,
+    HttpLimits,
+    HttpRequest,
+    HttpServer,
+    Responder,
+    render_error,
+)
 
 LOOPBACK = "127.0.0.1"
 DEFAULT_GRACE_S = 5.0
@@ -92,6 +100,10 @@
         """Do background work until cancelled."""
         await trio.sleep_forever()
 
+    async def leave(self) -> None:
+        """Serve on after SIGTERM until new requests may be refused; by default no longer."""
+        await trio.lowlevel.checkpoint()
+
     def set_faults(self, faults: Any) -> None:
         """Put the faults of a `POST /faults` in force."""
         self._switch.replace(faults)
@@ -191,6 +203,12 @@
     return int(values[0])
 
 
+def make_client(address: str) -> HttpClient:
+    """Return a client of the server at HOST:PORT."""
+    host, _, port = address.rpartition(":")
+    return HttpClient(host, int(port))
+
+
 def echo_headers(request: HttpRequest) -> Headers:
     """Return the header that names the request an answer belongs to, if the client sent one."""
     request_id = request.header(REQUEST_ID_HEADER)
@@ -259,6 +277,7 @@
             await anext(signals)
             events.record(Event.PROCESS_STOPPING)
             standin.stopping.set()
+            await standin.leave()
             with trio.move_on_after(options.grace_s) as grace:
                 await server.drain()
             stopped = Event.PROCESS_STOP_CUT if grace.cancelled_caught else Event.PROCESS_STOPPED
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -56,6 +56,7 @@
     Standin,
     build_parser,
     echo_headers,
+    make_client,
     read_json_object,
     read_query_number,
     refuse_unknown_path,
@@ -224,8 +225,7 @@
     async def _download_weights(self, after: Loaded) -> None:
         if not self._options.weights:
             return
-        host, _, port = self._options.weights.rpartition(":")
-        client = HttpClient(host, int(port))
+        client = make_client(self._options.weights)
         target = f"/weights/{after.model}/{after.version or 'latest'}"
         while not await _download(client, target):
             await trio.sleep(DOWNLOAD_RETRY_S)
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -12,6 +12,7 @@
 
 import os
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import Collection
@@ -22,6 +23,7 @@
 
 from figwalk.errors import FigwalkError
 from figwalk.state.settings import Address
+from standins.base import LOOPBACK
 
 ROOT = Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 30.0
@@ -34,6 +36,13 @@
 STANDIN_PREFIX = "standins."
 
 
+def choose_port(host: str = LOOPBACK) -> int:
+    """Return a TCP port that is free at the moment."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return int(probe.getsockname()[1])
+
+
 class LaunchError(FigwalkError):
     """A process ended or stayed silent before it listened."""
 
@@ -96,6 +105,10 @@
         """Send SIGTERM."""
         self._process.send_signal(signal.SIGTERM)
 
+    def hang_up(self) -> None:
+        """Send SIGHUP."""
+        self._process.send_signal(signal.SIGHUP)
+
     async def wait(self) -> int:
         """Wait for the end of the process and return its exit status, negative for a signal."""
         return await self._process.wait()
--- /dev/null
+++ b/standins/platform_deployment.py
@@ -0,0 +1,281 @@
+"""Runs gateways and prompt agents on loopback against stand-ins of the users' platform."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import attrs
+import trio
+
+from figwalk.errors import FigwalkError, HttpError
+from figwalk.state.gateway_settings import GatewaySettings, PromptAgentSettings
+from figwalk.state.settings import Address
+from figwalk.state.settings_file import dump_settings
+from figwalk.transport import HttpClient
+from standins.launcher import Launcher, ProcessHandle, choose_port
+from standins.platform_config import make_config
+
+REGIONS = {"a": "r", "b": "r", "c": "s"}
+READY_TIMEOUT_S = 30.0
+POLL_S = 0.05
+ASK_TIMEOUT_S = 1.0
+
+Route = Callable[[str, Address], Awaitable[Address]]
+
+
+class PlatformDeploymentError(FigwalkError):
+    """The deployment did not become ready."""
+
+
+@attrs.frozen
+class BackendPlan:
+    """A backend server to run.
+
+    Attributes:
+        name: Its name; the id that it registers has a number appended for each start.
+        service: Service that it belongs to.
+        zone: Availability zone.
+        host: Loopback IP of its VM, where its prompt agent listens, too.
+        stage: Stage of an engine, or empty.
+    """
+
+    name: str
+    service: str
+    zone: str
+    host: str
+    stage: str = ""
+
+
+@attrs.frozen
+class PlatformPlan:
+    """What to run.
+
+    Attributes:
+        gateways: Name and zone of each gateway.
+        backends: The backend servers.
+    """
+
+    gateways: dict[str, str]
+    backends: tuple[BackendPlan, ...]
+
+
+def make_plan(*, gateways: int = 2, services: int = 2, engines: int = 3) -> PlatformPlan:
+    """Return a plan spread over the zones, in which the first engine prefills."""
+    zones = list(REGIONS)
+    backends = [
+        BackendPlan(f"orders-{i}", "orders", zones[i % len(zones)], f"127.0.3.{i + 1}")
+        for i in range(services)
+    ]
+    backends += [
+        BackendPlan(
+            f"lm-{i}", "lm", zones[i % len(zones)], f"127.0.4.{i + 1}", "decode" if i else "prefill"
+        )
+        for i in range(engines)
+    ]
+    names = {f"gateway-{i}": zones[i % len(zones)] for i in range(gateways)}
+    return PlatformPlan(names, tuple(backends))
+
+
+class PlatformDeployment:
+    """The processes of one plan.
+
+    Args:
+        plan: What to run.
+        launcher: Starts the processes and ends them.
+        directory: For settings files and the backend servers' run logs.
+        route: Given the name of a link and the address of its server, returns the address that
+            clients are to use, on the same host: `GATEWAY-store`, the name of a backend server.
+    """
+
+    def __init__(
+        self, plan: PlatformPlan, launcher: Launcher, directory: Path, *, route: Route | None = None
+    ) -> None:
+        self._plan = plan
+        self._launcher = launcher
+        self._directory = directory
+        self._route = route or _keep_address
+        self._store_address = Address("", 0)
+        self._agents_port = choose_port()
+        self._ports = {backend.name: choose_port(backend.host) for backend in plan.backends}
+        self._settings: dict[str, GatewaySettings] = {}
+        self._processes: dict[str, ProcessHandle] = {}
+        self._starts: Counter[str] = Counter()
+
+    @property
+    def plan(self) -> PlatformPlan:
+        """What is run."""
+        return self._plan
+
+    @property
+    def store(self) -> Address:
+        """Address of the store, without the links' routes."""
+        return self._store_address
+
+    @property
+    def processes(self) -> dict[str, ProcessHandle]:
+        """Newest process of each gateway, backend server and agent (`NAME-agent`)."""
+        return self._processes
+
+    def gateway(self, name: str) -> GatewaySettings:
+        """Return the settings of a gateway."""
+        return self._settings[name]
+
+    def backend_address(self, name: str) -> Address:
+        """Return the address of a backend server, without its link's route."""
+        return Address(self._find_plan(name).host, self._ports[name])
+
+    async def start(self) -> None:
+        """Start everything, publish the first configuration and wait until gateways are ready."""
+        store = await self._launcher.start("store", "standins.platform_store")
+        self._store_address = store.addresses["http"]
+        await self.publish(make_config(1))
+        for backend in self._plan.backends:
+            await self.start_backend(backend.name)
+            if backend.stage:
+                await self.start_agent(f"{backend.name}-agent")
+        for name in self._plan.gateways:
+            await self.start_gateway(name)
+        for name in self._plan.gateways:
+            await self.wait_ready(name)
+
+    async def publish(self, config: dict[str, object]) -> None:
+        """Write a configuration to the store as the operator does.
+
+        Raises:
+            PlatformDeploymentError: The store did not take it.
+        """
+        record = {"topic": "keyed.op", "key": "config", "value": config}
+        client = HttpClient(self._store_address.host, self._store_address.port)
+        try:
+            response, _ = await client.fetch("POST", "/records", body=json.dumps(record).encode())
+        finally:
+            client.close()
+        if response.status != 200:
+            raise PlatformDeploymentError(f"the store answered {response.status} to a publication")
+
+    async def start_backend(self, name: str) -> None:
+        """Start a backend server under a new id."""
+        backend = self._find_plan(name)
+        self._starts[name] += 1
+        address = await self._route(name, self.backend_address(name))
+        arguments = {
+            "--id": f"{name}.{self._starts[name]}",
+            "--service": backend.service,
+            "--zone": backend.zone,
+            "--host": backend.host,
+            "--port": str(self._ports[name]),
+            "--store": str(self._store_address),
+            "--advertise": str(address),
+            "--run-log": str(self.run_log(name)),
+        }
+        if backend.stage:
+            arguments["--stage"] = backend.stage
+        words = [word for pair in arguments.items() for word in pair]
+        self._processes[name] = await self._launcher.start(
+            name, "standins.platform_backend", *words
+        )
+
+    async def start_agent(self, name: str) -> None:
+        """Start the prompt agent `NAME-agent` beside an engine."""
+        engine = name.removesuffix("-agent")
+        address = self.backend_address(engine)
+        settings = PromptAgentSettings(
+            process=name,
+            zone=self._find_plan(engine).zone,
+            region="r",
+            peers=Address(address.host, self._agents_port),
+            engine=address,
+        )
+        path = self._directory / f"{name}.yaml"
+        path.write_text(dump_settings(settings))
+        self._processes[name] = await self._launcher.spawn(
+            name, "figwalk.prompt_agent.main", str(path)
+        )
+
+    async def start_gateway(self, name: str) -> None:
+        """Start a gateway; see `wait_ready`."""
+        if name not in self._settings:
+            zone = self._plan.gateways[name]
+            callers, health, metrics = (Address("127.0.0.1", choose_port()) for _ in range(3))
+            self._settings[name] = GatewaySettings(
+                process=name,
+                zone=zone,
+                region=REGIONS[zone],
+                regions=REGIONS,
+                callers=callers,
+                health=health,
+                metrics=metrics,
+                agents_port=self._agents_port,
+                store=await self._route(f"{name}-store", self._store_address),
+            )
+            self.write_settings(self._settings[name])
+        self._processes[name] = await self._launcher.spawn(
+            name, "figwalk.gateway.main", str(self.settings_path(name))
+        )
+
+    def write_settings(self, settings: GatewaySettings) -> None:
+        """Write the settings file of a gateway, whole at once."""
+        path = self.settings_path(settings.process)
+        new = path.with_suffix(".new")
+        new.write_text(dump_settings(settings))
+        new.replace(path)
+        self._settings[settings.process] = settings
+
+    def settings_path(self, name: str) -> Path:
+        """Return the settings file of a gateway."""
+        return self._directory / f"{name}.yaml"
+
+    def run_log(self, name: str) -> Path:
+        """Return the file in which a backend server notes arrivals and runs."""
+        return self._directory / f"{name}.runs"
+
+    async def is_ready(self, name: str) -> bool:
+        """Return whether a gateway says that it is ready, as the balancer asks."""
+        address = self._settings[name].health
+        client = HttpClient(address.host, address.port)
+        try:
+            with trio.fail_after(ASK_TIMEOUT_S):
+                response, _ = await client.fetch("GET", "/ready")
+        except (HttpError, trio.TooSlowError):
+            return False
+        finally:
+            client.close()
+        return response.status == 200
+
+    async def wait_ready(self, name: str) -> None:
+        """Wait until a gateway is ready.
+
+        Raises:
+            PlatformDeploymentError: It was not within 30 seconds.
+        """
+        with trio.move_on_after(READY_TIMEOUT_S):
+            while not await self.is_ready(name):
+                await trio.sleep(POLL_S)
+            return
+        raise PlatformDeploymentError(
+            f"{name} was not ready within {READY_TIMEOUT_S:g} s",
+            remedy=f"read {self._processes[name].log_path}",
+        )
+
+    async def set_faults(self, address: Address, **faults: object) -> None:
+        """Put faults of a stand-in in force.
+
+        Raises:
+            HttpError: The stand-in does not answer.
+        """
+        client = HttpClient(address.host, address.port)
+        try:
+            with trio.move_on_after(ASK_TIMEOUT_S):
+                await client.fetch("POST", "/faults", body=json.dumps(faults).encode())
+        finally:
+            client.close()
+
+    def _find_plan(self, name: str) -> BackendPlan:
+        return next(backend for backend in self._plan.backends if backend.name == name)
+
+
+async def _keep_address(_link: str, address: Address) -> Address:
+    return address
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -5,8 +5,11 @@
                                                4 bytes length, 1 byte key length, key, value
   GET /log-newest?topic=&part=0&after=         {"items": [{"key", "value", "offset"}], "truncated",
                                                "end"}
+  POST /records   {"topic", "key", "value", "ttl_s"}: writes a record as operators and backend
+                  servers do; a value of null removes the key, and a record with a time to live
+                  lapses unless it is written again
 
-`put` and `remove` write, as operators and backend servers do. Faults (POST /faults):
+`put` and `remove` write from the same process. Faults (POST /faults):
   refuse_status      status of every call instead of an answer, 0 for none
   silent             true: no call gets an answer
 """
@@ -14,7 +17,9 @@
 from __future__ import annotations
 
 import base64
+import json
 import struct
+from typing import Any
 
 import attrs
 import trio
@@ -23,13 +28,16 @@
 from standins.base import (
     Standin,
     build_parser,
+    read_json_object,
     read_query_number,
     refuse_unknown_path,
     run_standin,
+    structure,
 )
 
 MS_PER_S = 1000
 PAGE_KEYS = 50
+LAPSE_CHECK_S = 0.2
 _OFFSETS = struct.Struct("!QQ")
 _LENGTH = struct.Struct("!I")
 
@@ -42,6 +50,23 @@
     silent: bool = False
 
 
+@attrs.frozen
+class RecordWrite:
+    """Body of `POST /records`.
+
+    Attributes:
+        topic: Topic to append to.
+        key: Key of the record.
+        value: JSON value, or None to remove the key.
+        ttl_s: Seconds after which the key is removed unless it is written again; 0 keeps it.
+    """
+
+    topic: str
+    key: str
+    value: Any = None
+    ttl_s: float = 0.0
+
+
 @attrs.define
 class Topic:
     """One topic with a single partition.
@@ -73,6 +98,7 @@
         self._topics: dict[str, Topic] = {}
         self._written = trio.Event()
         self._calls = 0
+        self._lapse_at: dict[tuple[str, str], float] = {}
 
     @property
     def calls(self) -> int:
@@ -92,9 +118,24 @@
         kept = self._topic(topic)
         kept.first = len(kept.records)
 
+    async def run(self) -> None:
+        """Remove the records whose time to live is over, also while calls get no answer."""
+        while True:
+            await trio.sleep(LAPSE_CHECK_S)
+            now = trio.current_time()
+            for (topic, key), lapse_at in list(self._lapse_at.items()):
+                if lapse_at <= now:
+                    del self._lapse_at[topic, key]
+                    self._append(topic, key, None)
+
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one call."""
         self._calls += 1
+        if request.path == "/records" and request.method == "POST":
+            record = structure(read_json_object(request.body), RecordWrite)
+            if not record.ttl_s:  # Outages don't reach operators.
+                await self._write(record, responder)
+                return
         if self.faults.silent:
             await trio.sleep_forever()
         if self.faults.refuse_status:
@@ -103,9 +144,22 @@
             await self._read(request, responder)
         elif request.path == "/log-newest":
             await self._list(request, responder)
+        elif request.path == "/records" and request.method == "POST":
+            await self._write(record, responder)
         else:
             await refuse_unknown_path(request, responder)
 
+    async def _write(self, record: RecordWrite, responder: Responder) -> None:
+        place = (record.topic, record.key)
+        self._lapse_at.pop(place, None)
+        if record.ttl_s > 0 and record.value is not None:
+            self._lapse_at[place] = trio.current_time() + record.ttl_s
+        value = None if record.value is None else json.dumps(record.value).encode()
+        newest = self._topic(record.topic).newest().get(record.key)
+        if newest is None or newest[1] != value:
+            self._append(record.topic, record.key, value)
+        await responder.send_json(200, {})
+
     def _append(self, topic: str, key: str, value: bytes | None) -> int:
         records = self._topic(topic).records
         records.append((key, value))
--- a/tests/support/forwarder.py
+++ b/tests/support/forwarder.py
@@ -12,7 +12,6 @@
 
 from figwalk.state.settings import Address
 
-LOOPBACK = "127.0.0.1"
 RECEIVE_BYTES = 65536
 QUEUED_PARTS = 1024
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -51,7 +50,7 @@
 
 
 class Forwarder:
-    """Forwards connections to one server.
+    """Forwards connections to one server and listens on the server's host.
 
     Run it with `address = await nursery.start(forwarder.run)`. The settings of a direction apply
     to the connections that are open and to later ones.
@@ -76,7 +75,7 @@
         self, *, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Listen and forward until cancelled; reports the address when started."""
-        listeners = await trio.open_tcp_listeners(0, host=LOOPBACK)
+        listeners = await trio.open_tcp_listeners(0, host=self._target.host)
         task_status.started(Address(*listeners[0].socket.getsockname()[:2]))
         await trio.serve_listeners(self._serve, listeners)
 
--- a/tests/support/platform_fakes.py
+++ b/tests/support/platform_fakes.py
@@ -2,7 +2,6 @@
 
 import json
 import random
-import socket
 from contextlib import asynccontextmanager
 
 import attrs
@@ -16,58 +15,11 @@
 from figwalk.state.settings import Address
 from figwalk.timer import Timer
 from figwalk.transport import HttpServer
+from standins.launcher import choose_port
+from standins.platform_config import CALLER_HOST
 from standins.platform_store import PlatformStore
 
 HOST = "127.0.0.1"
-CALLER_HOST = "calls.example"
-HEADERS = {"idempotent": "safe", "non_repeatable": "unsafe", "stream": "streaming"}
-
-
-def make_route(name, kind, service, **fields):
-    """Return a route of the operator's configuration."""
-    return {
-        "name": name,
-        "hostname": CALLER_HOST,
-        "path-prefix": f"/{name}/",
-        "kind": HEADERS[kind],
-        "timeout-ms": 2000,
-        "target-latency-ms": 250,
-        "priority": 0,
-        "service": service,
-        "max-attempts": 1,
-    } | fields
-
-
-def make_config(version=1, routes=None, **fields):
-    """Return the operator's configuration with a plain service and one with engines."""
-    if routes is None:
-        routes = [
-            make_route("check", "idempotent", "orders", **{"max-attempts": 2}),
-            make_route("order", "non_repeatable", "orders"),
-            make_route("chat", "stream", "lm", sticky=True),
-            make_route("long", "stream", "lm", sticky=True, resumable=True, **{"max-attempts": 2}),
-        ]
-    engine = {
-        "slots": 8,
-        "kv-tokens": 100_000,
-        "kv-bytes": 1000,
-        "link-mbps": 100_000.0,
-        "handle-ttl-s": 5.0,
-    }
-    return {
-        "version": version,
-        "routes": routes,
-        "services": [
-            {"name": "orders", "health-path": "/healthz", "max-connections": 100},
-            {"name": "lm", "health-path": "/healthz", "max-connections": 100, "engine": engine},
-        ],
-        "limits": {
-            "max-header-bytes": 16384,
-            "max-body-bytes": 100_000,
-            "header-timeout-ms": 3000,
-            "idle-timeout-ms": 15000,
-        },
-    } | fields
 
 
 @attrs.define
@@ -219,7 +171,7 @@
 
     async def start_gateway(self):
         """Start the gateway and wait until it knows the configuration and the backend servers."""
-        ports = [_free_port() for _ in range(3)]
+        ports = [choose_port() for _ in range(3)]
         self.callers, self.health, self.metrics = (Address(HOST, port) for port in ports)
         settings = GatewaySettings(
             process="gateway-1",
@@ -313,12 +265,6 @@
             return status, headers, body
 
 
-def _free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
-
-
 def run_test(test):
     """Run a coroutine function under trio with a limit on its time."""
 
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -10,9 +10,7 @@
     answering,
     fetch,
     hanging,
-    make_config,
     make_request,
-    make_route,
     read_answer,
     refusing,
     render,
@@ -21,6 +19,8 @@
     running_fleet,
 )
 
+from standins.platform_config import make_config, make_route
+
 
 def with_fleet(**config):
     """Run a test function with a fleet whose configuration is published."""
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -4,7 +4,6 @@
 from support.platform_fakes import (
     answering,
     fetch,
-    make_config,
     make_request,
     render,
     run_test,
@@ -12,6 +11,7 @@
 )
 
 from figwalk.gateway import process as gateway_process
+from standins.platform_config import make_config
 
 
 def run_stopping(test, monkeypatch, script):
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -6,9 +6,7 @@
 from support.platform_fakes import (
     answering,
     hanging,
-    make_config,
     make_request,
-    make_route,
     refusing,
     render,
     resetting,
@@ -17,6 +15,7 @@
 )
 
 from figwalk.gateway.prompt_offers import Grant, OfferAnswer
+from standins.platform_config import make_config, make_route
 
 LONG = ["Prefix-Hash: a1:2000,b2:3000,c3:40000", "Token-Counts: 45000,20", "Model: m"]
 SHORT = ["Prefix-Hash: a1:50,c4:50", "Token-Counts: 100,20", "Model: m"]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -9,7 +9,7 @@
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
-from support.platform_fakes import HOST, make_config, run_test
+from support.platform_fakes import HOST, run_test
 
 from figwalk.coordination.keyed_log import TopicFollower
 from figwalk.errors import LogTruncatedError, LogUnavailableError
@@ -32,6 +32,7 @@
 from figwalk.state.settings import Address
 from figwalk.timer import Timer
 from figwalk.transport import HttpRequest, HttpServer
+from standins.platform_config import make_config
 from standins.platform_store import PlatformStore as StoreStandin
 from standins.platform_store import PlatformStoreFaults
 
@@ -42,6 +43,7 @@
     r"|path-prefix|traffic-split|cold-remaining-ms",
     re.IGNORECASE,
 )
+
 REGISTRATION = {
     "service": "lm",
     "address": "10.0.0.1:80",
--- /dev/null
+++ b/tests/test_platform_processes.py
@@ -0,0 +1,193 @@
+"""Tests of real gateway and agent processes against the stand-ins of the platform."""
+
+import json
+import tempfile
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import attrs
+import pytest
+import trio
+from support.platform_fakes import fetch, make_request
+
+from figwalk.state.settings import Address
+from figwalk.transport import HttpClient
+from standins.launcher import Launcher
+from standins.platform_backend import expected_body, expected_event
+from standins.platform_config import make_config, make_route
+from standins.platform_deployment import PlatformDeployment, make_plan
+
+PROMPT = "aa:600,bb:300"
+SETTLE_TIMEOUT_S = 20.0  # Ends a test whose condition never comes true.
+
+
+@asynccontextmanager
+async def running_deployment():
+    """Run a gateway, a plain service and three engines as processes."""
+    with tempfile.TemporaryDirectory() as name, trio.fail_after(90):
+        async with Launcher(Path(name)) as launcher:
+            plan = make_plan(gateways=1, services=2, engines=3)
+            deployment = PlatformDeployment(plan, launcher, Path(name))
+            await deployment.start()
+            yield deployment
+
+
+def run_deployed(test):
+    """Return a test that runs a coroutine function with a deployment."""
+
+    def run():
+        async def main():
+            async with running_deployment() as deployment:
+                await test(deployment)
+
+        trio.run(main)
+
+    run.__name__ = test.__name__
+    run.__doc__ = test.__doc__
+    return run
+
+
+async def call(deployment, path, **options):
+    """Send a caller's request to the gateway."""
+    address = deployment.gateway("gateway-0").callers
+    return await fetch(address, make_request(path, **options))
+
+
+def read_events(deployment, event):
+    """Return the gateway's log lines of an event."""
+    text = deployment.processes["gateway-0"].log_path.read_text()
+    lines = [json.loads(line) for line in text.splitlines() if line.startswith("{")]
+    return [line for line in lines if line["event"] == event]
+
+
+async def wait_event(deployment, event, count=1):
+    """Wait until the gateway has logged an event so often."""
+    with trio.fail_after(SETTLE_TIMEOUT_S):
+        while len(read_events(deployment, event)) < count:
+            await trio.sleep(0.05)
+
+
+async def wait_status(deployment, path, status):
+    """Wait until a path is answered with a status."""
+    with trio.fail_after(SETTLE_TIMEOUT_S):
+        while (await call(deployment, path))[0] != status:
+            await trio.sleep(0.05)
+
+
+@run_deployed
+async def test_plain_and_prompt_calls_are_served_end_to_end(deployment):
+    """Guards against a path of processes that only works with scripted backend servers."""
+    status, headers, body = await call(deployment, "/order/1", method="POST", call_id="o1")
+    assert (status, body) == (200, expected_body("o1", "/order/1"))
+    assert headers["request-id"] == "o1"
+    for path in ("/long/1", "/chat/1"):
+        prompt = (f"Prefix-Hash: {PROMPT}", "Token-Counts: 900,4", "Model: m")
+        status, headers, body = await call(deployment, path, method="POST", headers=prompt)
+        assert status == 200
+        assert body == b"".join(expected_event(PROMPT, number) for number in range(1, 5))
+
+
+@run_deployed
+async def test_settings_are_read_again_after_sighup_and_without_a_signal(deployment):
+    """Guards against settings that change and are ignored, or that end the process."""
+    settings = attrs.evolve(deployment.gateway("gateway-0"), grace_s=7.0)
+    deployment.write_settings(settings)
+    deployment.processes["gateway-0"].hang_up()
+    await wait_event(deployment, "SETTINGS_RELOADED")
+    deployment.write_settings(attrs.evolve(settings, grace_s=6.0))
+    await wait_event(deployment, "SETTINGS_RELOADED", 2)
+    deployment.settings_path("gateway-0").write_text("kind: gateway\nprocess: 7\n")
+    deployment.processes["gateway-0"].hang_up()
+    await wait_event(deployment, "SETTINGS_REJECTED")
+    status, _, _ = await call(deployment, "/check/1")
+    assert status == 200
+
+
+@run_deployed
+async def test_sigterm_answers_open_calls_and_exits_in_time(deployment):
+    """Guards against calls that are lost, or a process that stays, in a planned stop."""
+    for name in ("orders-0", "orders-1"):
+        await deployment.set_faults(deployment.backend_address(name), delay_ms=700)
+    results = []
+
+    async def order():
+        results.append(await call(deployment, "/order/1", method="POST", call_id="o2"))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(order)
+        with trio.fail_after(SETTLE_TIMEOUT_S):
+            while '"o2"' not in "".join(_read_runs(deployment)):
+                await trio.sleep(0.02)
+        deployment.processes["gateway-0"].terminate()
+        with trio.fail_after(deployment.gateway("gateway-0").grace_s):
+            assert await deployment.processes["gateway-0"].wait() == 0
+    assert results[0][0] == 200
+
+
+@run_deployed
+async def test_new_configuration_is_in_force_after_a_store_outage(deployment):
+    """Guards against a gateway that misses what was published while the store was away."""
+    await deployment.set_faults(deployment.store, refuse_status=503)
+    # A read that waits since before the outage would still bring the publication.
+    with trio.fail_after(SETTLE_TIMEOUT_S):
+        while not any(
+            line["topic"] == "keyed.op" for line in read_events(deployment, "LOG_UNAVAILABLE")
+        ):
+            await trio.sleep(0.05)
+    routes = [make_route("new", "idempotent", "orders")]
+    await deployment.publish(make_config(2, routes))
+    assert (await call(deployment, "/check/1"))[0] == 200
+    await deployment.set_faults(deployment.store, refuse_status=0)
+    await wait_status(deployment, "/new/1", 200)
+    assert (await call(deployment, "/check/1"))[0] == 404
+
+
+@run_deployed
+async def test_engine_that_restarts_under_another_id_is_used_again(deployment):
+    """Guards against prompts that pass by their prefill engine for good after it crashed."""
+    deployment.processes["lm-0"].kill()
+    await deployment.processes["lm-0"].wait()
+    await deployment.start_backend("lm-0")
+    with trio.fail_after(SETTLE_TIMEOUT_S):
+        number = 0
+        while not any('"lm-0.2"' in line for line in _read_runs(deployment)):
+            number += 1
+            prompt = (f"Prefix-Hash: {number:x}:6000", "Token-Counts: 6000,4", "Model: m")
+            await call(deployment, "/long/1", method="POST", headers=prompt)
+            await trio.sleep(0.05)
+
+
+@pytest.mark.parametrize("fault", ["refuse_status", "silent"])
+def test_registration_lapses_and_returns_with_its_backend_server(fault):
+    """Guards against a stand-in whose store keeps registrations that the platform would drop."""
+
+    async def main():
+        async with running_deployment() as deployment:
+            value = 503 if fault == "refuse_status" else True
+            await deployment.set_faults(deployment.store, **{fault: value})
+            await trio.sleep(4.0)
+            await deployment.set_faults(deployment.store, refuse_status=0, silent=False)
+            await wait_status(deployment, "/check/1", 200)
+            assert await _count_registrations(deployment.store) == 5
+
+    trio.run(main)
+
+
+async def _count_registrations(store: Address):
+    client = HttpClient(store.host, store.port)
+    with trio.fail_after(SETTLE_TIMEOUT_S):
+        while True:
+            _, body = await client.fetch("GET", "/log-newest?topic=keyed.servers&part=0&after=")
+            count = len(json.loads(body)["items"])
+            if count == 5:
+                client.close()
+                return count
+            await trio.sleep(0.1)
+
+
+def _read_runs(deployment):
+    lines = []
+    for backend in deployment.plan.backends:
+        path = deployment.run_log(backend.name)
+        lines += path.read_text().splitlines() if path.exists() else []
+    return lines
