Keep the prompt agent alive when a gateway leaves amid its offers

Cause: the agent sent decisions outside the block that handles a lost connection, and a failed send came out of the nursery as an exception group, which no handler caught; the process ended. Ruled out: the digests' task, which handled its own lost connection. An unexpected error that ends a process is now one structured log line instead of a drawn traceback.

The soak runs gateways, agents and stand-ins as processes under overlapping faults and checks runs, true refusals, answers, ends, planned stops, the retry bound and recovery.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 
 soak: venv
 	$(BIN)/python -m histories.soak --seed $(SEED) --seconds $(SECONDS)
+	$(BIN)/python -m histories.platform_soak --seed $(SEED) --seconds $(SECONDS)
 
 bench: venv
 	$(BIN)/python -m bench.cost
--- a/figwalk/process_runner.py
+++ b/figwalk/process_runner.py
@@ -7,6 +7,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from pathlib import Path
+from traceback import format_exception
 from typing import Generic, Protocol, TypeVar
 
 import trio
@@ -22,6 +23,7 @@
 SETTINGS_FILE_VARIABLE = "FIGWALK_NODE_FILE"
 SETTINGS_EXIT_CODE = 2
 LISTEN_EXIT_CODE = 1
+FAILURE_EXIT_CODE = 70  # EX_SOFTWARE of sysexits.h.
 # The settings file may change without a signal.
 SETTINGS_CHECK_PERIOD_S = 2.0
 
@@ -120,13 +122,17 @@
         typer.echo(str(error), err=True)
         raise typer.Exit(SETTINGS_EXIT_CODE) from error
     process = make_process(settings, lambda: output.dropped)
-    watcher = SettingsWatcher(path, cls, process, EventLog(settings.process, Timer()))
+    events = EventLog(settings.process, Timer())
+    watcher = SettingsWatcher(path, cls, process, events)
     try:
         trio.run(_run, process, watcher)
     except BaseExceptionGroup as group:
         error = find_listen_error(group)
         if error is None:
-            raise
+            # One line in the log, where the operators look; the traceback of the command line
+            # would be spread over many lines of another format.
+            events.record(Event.TASK_FAILED, task="process", error="".join(format_exception(group)))
+            raise typer.Exit(FAILURE_EXIT_CODE) from group
         typer.echo(str(error), err=True)
         raise typer.Exit(LISTEN_EXIT_CODE) from error
 
--- a/figwalk/prompt_agent/prompt_server.py
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -66,22 +66,21 @@
                 await connection.send(self._make_hello())
             self._events.record(Event.PEER_CONNECTED, peer=gateway)
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._send_digests, connection, nursery.cancel_scope)
+                nursery.start_soon(self._send_digests, connection)
                 await self._receive(connection)
-                nursery.cancel_scope.cancel()
-        except (TransportError, trio.TooSlowError) as error:
-            self._events.record(Event.PEER_LOST, peer=gateway, detail=str(error))
+        except* (TransportError, trio.TooSlowError) as group:
+            error = group.exceptions[0]
+            self._events.record(Event.PEER_LOST, peer=gateway, detail=str(error) or repr(error))
+        except* Exception as group:
+            error = group.exceptions[0]
+            self._events.record(Event.TASK_FAILED, task="peer connection", error=repr(error))
         finally:
             self._queue.drop(connection)
             connection.close()
 
     async def _receive(self, connection: PeerConnection) -> None:
         while True:
-            try:
-                message = await connection.receive()
-            except TransportError as error:
-                self._events.record(Event.PEER_LOST, detail=str(error))
-                return
+            message = await connection.receive()
             if isinstance(message, PromptOffer):
                 await connection.send(self._decide(connection, message))
             elif isinstance(message, PromptEnded):
@@ -121,14 +120,10 @@
             min(MAX_UINT32, int(self._queue.backlog_tokens)),
         )
 
-    async def _send_digests(self, connection: PeerConnection, scope: trio.CancelScope) -> None:
-        try:
-            while True:
-                await connection.send(self._make_digest())
-                await trio.sleep(DIGEST_PERIOD_S)
-        except TransportError as error:
-            self._events.record(Event.PEER_LOST, detail=str(error))
-            scope.cancel()
+    async def _send_digests(self, connection: PeerConnection) -> None:
+        while True:
+            await connection.send(self._make_digest())
+            await trio.sleep(DIGEST_PERIOD_S)
 
     def _make_digest(self) -> EngineDigest:
         return EngineDigest(
--- /dev/null
+++ b/histories/platform_history.py
@@ -0,0 +1,313 @@
+"""What a soak on the platform's protocol saw, and the rules that it must not break."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from enum import Enum
+
+import attrs
+
+from histories.checker import Violation
+from standins.platform_backend import expected_body, expected_event
+
+# Each of these says that the call has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# The users' sheet: an answer is this late at most, and a process is gone this long after SIGTERM.
+TRANSIT_S = 0.3
+GRACE_S = 8.0
+# The users' sheet: service is whole again this long after the last fault.
+RECOVER_S = 15.0
+# Scheduling on a shared machine, on top of the sheet's bounds.
+CLOCK_SLACK_S = 1.0
+
+
+class CallKind(Enum):
+    """Kind of a call and the route that carries it.
+
+    Values: name of the route.
+    """
+
+    CHECK = "check"
+    ORDER = "order"
+    CHAT = "chat"
+    LONG = "long"
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is a stream of events."""
+        return self in {CallKind.CHAT, CallKind.LONG}
+
+    @property
+    def max_runs(self) -> int:
+        """Runs that the route allows for one call."""
+        return 2 if self in {CallKind.CHECK, CallKind.LONG} else 1
+
+
+@attrs.define
+class PlatformCall:
+    """One call of a caller and what came of it.
+
+    Attributes:
+        call_id: Its id.
+        kind: Its kind.
+        target: Path.
+        gateway: Where it was sent.
+        sent_at: Unix seconds.
+        patience_s: Seconds that the caller said it would wait.
+        prompt: Prefix parts of a stream.
+        events: Events that a stream should have.
+        status: Status of the answer, or None.
+        echoed_id: Id that the answer bears.
+        signed: Whether it bears a backend server's signature.
+        body: Its body, as far as it came.
+        whole: Whether the body came whole.
+        ended_at: Unix seconds, 0 while it is open.
+        abandoned: Whether the caller left before the end.
+        calm: Whether no fault was in force since `RECOVER_S` before.
+    """
+
+    call_id: str
+    kind: CallKind
+    target: str
+    gateway: str
+    sent_at: float
+    patience_s: float
+    prompt: str = ""
+    events: int = 0
+    status: int | None = None
+    echoed_id: str = ""
+    signed: bool = False
+    body: bytes = b""
+    whole: bool = False
+    ended_at: float = 0.0
+    abandoned: bool = False
+    calm: bool = False
+
+
+@attrs.frozen
+class BackendNote:
+    """A line of a backend server's run log."""
+
+    event: str
+    call_id: str
+    at: float
+    backend: str
+
+
+@attrs.frozen
+class PlannedStop:
+    """A gateway's end after SIGTERM.
+
+    Attributes:
+        gateway: The gateway.
+        took_s: Seconds until it had ended.
+        status: Exit status.
+        disturbed: Whether it was paused meanwhile.
+    """
+
+    gateway: str
+    took_s: float
+    status: int
+    disturbed: bool = False
+
+
+@attrs.frozen
+class RetryBound:
+    """Attempts beyond the first that all gateways may send in a window.
+
+    Attributes:
+        ratio: For each call.
+        window_s: Length of a window.
+        slack: On top.
+    """
+
+    ratio: float
+    window_s: float
+    slack: float
+
+
+@attrs.define
+class PlatformHistory:
+    """Everything that was seen.
+
+    Attributes:
+        bound: Bound of repeated attempts.
+        calls: All calls by id.
+        notes: Arrivals and runs at the backend servers.
+        stops: Planned stops of gateways.
+        disturbances: Name, target, start and end of each fault.
+        failures: Unexpected errors in the processes' logs.
+    """
+
+    bound: RetryBound
+    calls: dict[str, PlatformCall] = attrs.field(factory=dict)
+    notes: list[BackendNote] = attrs.field(factory=list)
+    stops: list[PlannedStop] = attrs.field(factory=list)
+    disturbances: list[tuple[str, str, float, float]] = attrs.field(factory=list)
+    failures: list[str] = attrs.field(factory=list)
+
+    def read_run_log(self, lines: Iterable[str]) -> None:
+        """Take the lines of a backend server's run log; a last line may be cut off."""
+        for line in lines:
+            if line.endswith("}"):
+                fields = json.loads(line)
+                self.notes.append(
+                    BackendNote(fields["event"], fields["id"], fields["at"], fields["backend"])
+                )
+
+
+def check_platform_history(history: PlatformHistory) -> list[Violation]:
+    """Return all violations of the rules."""
+    return [violation for rule in _RULES for violation in rule(history)]
+
+
+def check_run_counts(history: PlatformHistory) -> list[Violation]:
+    """No call runs more often than its route allows."""
+    runs = _group(history, "run")
+    return [
+        Violation("runs", f"{call_id} ran {len(runs[call_id])} times", (call, *runs[call_id]))
+        for call_id, call in history.calls.items()
+        if len(runs[call_id]) > call.kind.max_runs
+    ]
+
+
+def check_refusals(history: PlatformHistory) -> list[Violation]:
+    """A call that was refused as not run has not run, and does not run later."""
+    runs = _group(history, "run")
+    return [
+        Violation(
+            "not_run", f"{call.call_id} was told {call.status} and ran", (call, *runs[call.call_id])
+        )
+        for call in history.calls.values()
+        if call.status in NOT_RUN_STATUSES and runs[call.call_id]
+    ]
+
+
+def check_answers(history: PlatformHistory) -> list[Violation]:
+    """An answer is that of its own call, signed and whole."""
+    violations = []
+    for call in history.calls.values():
+        fault = _find_fault(call)
+        if fault:
+            violations.append(Violation("own_answer", f"{call.call_id}: {fault}", (call,)))
+    return violations
+
+
+def check_ends(history: PlatformHistory) -> list[Violation]:
+    """Each call has ended, at the latest when its caller no longer waits."""
+    paused = [
+        (target, start, end)
+        for name, target, start, end in history.disturbances
+        if name.startswith("pause")
+    ]
+    violations = []
+    for call in history.calls.values():
+        limit = call.patience_s + TRANSIT_S + CLOCK_SLACK_S
+        frozen = sum(
+            end - start
+            for target, start, end in paused
+            if target == call.gateway and start < call.sent_at + limit and end > call.sent_at
+        )
+        if call.kind.is_stream or call.abandoned:
+            continue
+        if not call.ended_at or call.ended_at - call.sent_at > limit + frozen:
+            message = f"{call.call_id} had no end {limit:.1f} s after it was sent"
+            violations.append(Violation("ends", message, (call,)))
+    return violations
+
+
+def check_stops(history: PlatformHistory) -> list[Violation]:
+    """A gateway ends by itself within the grace period after SIGTERM."""
+    return [
+        Violation("planned_stop", f"{stop.gateway} took {stop.took_s:.1f} s", (stop,))
+        for stop in history.stops
+        if not stop.disturbed and (stop.status != 0 or stop.took_s > GRACE_S)
+    ]
+
+
+def check_retry_bound(history: PlatformHistory) -> list[Violation]:
+    """Repeated attempts stay within the bound in every window."""
+    bound = history.bound
+    arrivals = sorted(history.notes, key=lambda note: note.at)
+    seen: set[str] = set()
+    firsts, repeats = [], []
+    for note in arrivals:
+        if note.event != "received":
+            continue
+        (repeats if note.call_id in seen else firsts).append(note.at)
+        seen.add(note.call_id)
+    violations = []
+    for start in repeats:
+        end = start + bound.window_s
+        calls = sum(start <= at < end for at in firsts)
+        extra = sum(start <= at < end for at in repeats)
+        # A prefill call and the run that follows are two arrivals of one attempt.
+        if extra > bound.slack + bound.ratio * calls + _count_prefills(history, start, end):
+            message = f"{extra} repeats for {calls} calls in the {bound.window_s:g} s from {start}"
+            violations.append(Violation("retry_bound", message, ()))
+            break
+    return violations
+
+
+def check_calm_calls(history: PlatformHistory) -> list[Violation]:
+    """Calls are served again `RECOVER_S` after the last fault."""
+    return [
+        Violation("recovery", f"{call.call_id} was not served after the faults", (call,))
+        for call in history.calls.values()
+        if call.calm and not (call.status == 200 and call.whole)
+    ]
+
+
+def check_failures(history: PlatformHistory) -> list[Violation]:
+    """No process logs an error of its own."""
+    return [Violation("failure", line, ()) for line in history.failures]
+
+
+_RULES = (
+    check_run_counts,
+    check_refusals,
+    check_answers,
+    check_ends,
+    check_stops,
+    check_retry_bound,
+    check_calm_calls,
+    check_failures,
+)
+
+
+def _group(history: PlatformHistory, event: str) -> defaultdict[str, list[BackendNote]]:
+    groups: defaultdict[str, list[BackendNote]] = defaultdict(list)
+    for note in history.notes:
+        if note.event == event:
+            groups[note.call_id].append(note)
+    return groups
+
+
+def _count_prefills(history: PlatformHistory, start: float, end: float) -> int:
+    per_call = Counter(
+        note.call_id for note in history.notes if note.event == "prefill" and start <= note.at < end
+    )
+    return len(per_call)
+
+
+def _find_fault(call: PlatformCall) -> str:
+    if call.status is None:
+        return ""
+    if call.echoed_id not in {call.call_id, ""}:
+        return f"the answer is that of {call.echoed_id!r}"
+    if call.status != 200:
+        return ""
+    if not call.signed:
+        return "a 200 without a signature"
+    if not call.kind.is_stream:
+        if call.whole and call.body != expected_body(call.call_id, call.target):
+            return "the body is that of another call"
+        return ""
+    expected = b"".join(expected_event(call.prompt, n) for n in range(1, call.events + 1))
+    if call.whole and call.body != expected:
+        return f"the stream is not whole: {len(call.body)} of {len(expected)} bytes"
+    if not expected.startswith(call.body):
+        return "the stream has other events than it should"
+    return ""
--- /dev/null
+++ b/histories/platform_soak.py
@@ -0,0 +1,502 @@
+"""Soak on the platform's protocol: gateways and agents against its stand-ins under faults.
+
+    python -m histories.platform_soak --seed 7 --seconds 60
+
+The seed fixes the choices of callers and faults; timing differs from run to run. Faults overlap.
+They end after the given seconds, and calls have to be served again within the time that the
+users' sheet allows. Exits with 1 if a rule is broken; settings and logs are then kept.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import shutil
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import attrs
+import h11
+import trio
+
+from figwalk.errors import HttpError
+from figwalk.state.settings import Address
+from histories.checker import Violation
+from histories.platform_history import (
+    GRACE_S,
+    RECOVER_S,
+    CallKind,
+    PlannedStop,
+    PlatformCall,
+    PlatformHistory,
+    RetryBound,
+    check_platform_history,
+)
+from standins.launcher import Launcher, ProcessHandle
+from standins.platform_config import CALLER_HOST, make_config, make_route
+from standins.platform_deployment import PlatformDeployment, make_plan
+from tests.support.forwarder import Direction, Forwarder
+
+CALLERS = 24
+MEAN_PAUSE_S = 0.08
+REUSE_RATIO = 0.5
+ABANDON_RATIO = 0.03
+CONNECT_TIMEOUT_S = 1.0
+SHORT_PATIENCE_S = 2.0
+LONG_PATIENCE_S = 10.0
+FAULT_TASKS = 3  # Faults in force at the same time.
+SHORTEST_S, LONGEST_S = 0.2, 5.0
+CALM_CALLS_S = 3.0
+LAST_CALLS_S = LONG_PATIENCE_S + 5.0
+SHOWN_VIOLATIONS = 10
+FAILURE_EVENTS = frozenset({"TASK_FAILED"})
+
+
+@attrs.frozen
+class SoakOptions:
+    """What to run.
+
+    Attributes:
+        seed: Seed of all choices.
+        seconds: Seconds during which faults are injected.
+        gateways: Gateways to run.
+        engines: Engines, each with its agent.
+        only: Names of the faults to use; all if empty.
+    """
+
+    seed: int
+    seconds: float
+    gateways: int = 3
+    engines: int = 4
+    only: frozenset[str] = frozenset()
+
+
+class PlatformSoak:
+    """One run.
+
+    Args:
+        options: What to run.
+        directory: For settings and log files.
+    """
+
+    def __init__(self, options: SoakOptions, directory: Path) -> None:
+        self._options = options
+        self._directory = directory
+        self._rng = random.Random(options.seed)
+        self._forwarders: dict[str, Forwarder] = {}
+        self._taken: set[str] = set()
+        self._stopping = False
+        self._calm = False
+        self._numbers = 0
+        self._version = 1
+        self.history = PlatformHistory(RetryBound(0.0, 1.0, 0.0))
+        self.deployment: PlatformDeployment
+
+    async def run(self) -> list[Violation]:
+        """Run and return the violations."""
+        options = self._options
+        async with trio.open_nursery() as forwarding, Launcher(self._directory) as launcher:
+
+            async def route(link: str, address: Address) -> Address:
+                if link not in self._forwarders:
+                    self._forwarders[link] = Forwarder(address)
+                    self._addresses[link] = await forwarding.start(self._forwarders[link].run)
+                return self._addresses[link]
+
+            self._addresses: dict[str, Address] = {}
+            plan = make_plan(gateways=options.gateways, services=3, engines=options.engines)
+            self.deployment = PlatformDeployment(plan, launcher, self._directory, route=route)
+            await self.deployment.start()
+            retry = self.deployment.gateway("gateway-0").retry
+            self.history.bound = RetryBound(retry.ratio, retry.window_s, retry.slack)
+            await self._play()
+            forwarding.cancel_scope.cancel()
+        for backend in plan.backends:
+            path = self.deployment.run_log(backend.name)
+            if path.exists():
+                self.history.read_run_log(path.read_text().splitlines())
+        self.history.failures = _read_failures(self._directory)
+        return check_platform_history(self.history)
+
+    async def _play(self) -> None:
+        async with trio.open_nursery() as nursery:
+            for number in range(CALLERS):
+                nursery.start_soon(
+                    self._run_caller, random.Random(f"{self._options.seed}/{number}")
+                )
+            async with trio.open_nursery() as faults:
+                for number in range(FAULT_TASKS):
+                    rng = random.Random(f"{self._options.seed}/fault/{number}")
+                    faults.start_soon(self._run_faults, rng, time.time() + self._options.seconds)
+            await trio.sleep(RECOVER_S)
+            self._calm = True
+            await trio.sleep(CALM_CALLS_S)
+            self._stopping = True
+            nursery.cancel_scope.deadline = trio.current_time() + LAST_CALLS_S
+
+    async def _run_faults(self, rng: random.Random, until: float) -> None:
+        while time.time() < until:
+            await trio.sleep(rng.uniform(0.0, 1.5))
+            kinds = [k for k in FAULTS if not self._options.only or k[0] in self._options.only]
+            name, group, action = rng.choice(kinds)
+            targets = [t for t in self._find_targets(group) if t not in self._taken]
+            if not targets:
+                continue
+            target = rng.choice(targets)
+            self._taken.add(target)
+            started = time.time()
+            try:
+                await action(self, target, rng)
+            finally:
+                self._taken.discard(target)
+                self.history.disturbances.append((name, target, started, time.time()))
+
+    def _find_targets(self, group: str) -> list[str]:
+        plan = self.deployment.plan
+        engines = [backend.name for backend in plan.backends if backend.stage]
+        return {
+            "gateway": list(plan.gateways),
+            "backend": [backend.name for backend in plan.backends],
+            "engine": engines,
+            "agent": [f"{name}-agent" for name in engines],
+            "store_link": [f"{name}-store" for name in plan.gateways],
+            "store": ["store"],
+            "config": ["config"],
+        }[group]
+
+    async def _run_caller(self, rng: random.Random) -> None:
+        connections: dict[str, _Connection] = {}
+        while not self._stopping:
+            await trio.sleep(rng.expovariate(1 / MEAN_PAUSE_S) * 2)
+            gateway = rng.choice(list(self.deployment.plan.gateways))
+            call = self._make_call(rng, gateway)
+            leave_s = rng.uniform(0.0, 0.3) if rng.random() < ABANDON_RATIO else None
+            if not await self.deployment.is_ready(gateway):
+                continue
+            connection = connections.pop(gateway, None)
+            if connection is None or rng.random() > REUSE_RATIO:
+                connection = await _Connection.open(self.deployment.gateway(gateway).callers)
+            if connection is None:
+                continue
+            call.sent_at = time.time()
+            call.calm = self._calm and leave_s is None
+            self.history.calls[call.call_id] = call
+            with trio.move_on_after(leave_s if leave_s is not None else float("inf")) as scope:
+                await connection.exchange(call)
+            call.abandoned = scope.cancelled_caught
+            call.ended_at = time.time()
+            if connection.reusable and not call.abandoned:
+                connections[gateway] = connection
+
+    def _make_call(self, rng: random.Random, gateway: str) -> PlatformCall:
+        self._numbers += 1
+        kind = rng.choice(list(CallKind))
+        patience_s = LONG_PATIENCE_S if kind is CallKind.CHAT else SHORT_PATIENCE_S
+        call_id = f"{self._numbers:x}-{rng.getrandbits(32):x}"
+        call = PlatformCall(
+            call_id, kind, f"/{kind.value}/{self._numbers}", gateway, 0.0, patience_s
+        )
+        if kind.is_stream:
+            shared = f"{rng.randint(1, 5):x}:2000" if kind is CallKind.LONG else "c:60"
+            own = rng.randint(500, 4000) if kind is CallKind.LONG else rng.randint(20, 200)
+            call.prompt = f"{shared},{rng.getrandbits(40):x}:{own}"
+            call.events = rng.randint(1, 4) if kind is CallKind.LONG else rng.randint(5, 60)
+        return call
+
+    async def publish(self, rng: random.Random) -> None:
+        """Publish another version of the configuration, in which some routes come and go."""
+        self._version += 1
+        config = make_config(self._version)
+        extra = [
+            make_route(f"extra-{n}", "idempotent", "orders") for n in range(rng.randint(0, 60))
+        ]
+        await self.deployment.publish(config | {"routes": [*config["routes"], *extra]})
+
+    def link(self, name: str) -> Forwarder:
+        """Return the forwarder of a link."""
+        return self._forwarders[name]
+
+
+class _Connection:
+    """A caller's connection to a gateway."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._stream = stream
+        self._connection = h11.Connection(h11.CLIENT)
+        self.reusable = False
+
+    @classmethod
+    async def open(cls, address: Address) -> _Connection | None:
+        """Connect, or return None if that does not succeed within a second."""
+        with trio.move_on_after(CONNECT_TIMEOUT_S):
+            try:
+                return cls(await trio.open_tcp_stream(address.host, address.port))
+            except OSError:
+                return None
+        return None
+
+    async def exchange(self, call: PlatformCall) -> None:
+        """Send a call and note its answer."""
+        self.reusable = False
+        headers = [
+            ("host", CALLER_HOST),
+            ("request-id", call.call_id),
+            ("deadline-ms", str(int(call.patience_s * 1000))),
+        ]
+        if call.kind.is_stream:
+            tokens = sum(int(part.partition(":")[2]) for part in call.prompt.split(","))
+            headers += [("prefix-hash", call.prompt), ("token-counts", f"{tokens},{call.events}")]
+        method = "GET" if call.kind is CallKind.CHECK else "POST"
+        if method == "POST":
+            headers.append(("content-length", "0"))
+        request = h11.Request(method=method, target=call.target, headers=headers)
+        try:
+            if self._connection.our_state is h11.DONE:
+                self._connection.start_next_cycle()
+            await self._stream.send_all(self._connection.send(request))
+            self._connection.send(h11.EndOfMessage())
+            await self._receive(call)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
+            return  # The call keeps what has arrived; it is not whole.
+
+    async def _receive(self, call: PlatformCall) -> None:
+        while True:
+            event = self._connection.next_event()
+            if event is h11.NEED_DATA:
+                self._connection.receive_data(await self._stream.receive_some(65536))
+            elif isinstance(event, h11.Response):
+                call.status = event.status_code
+                headers = dict(event.headers)
+                call.echoed_id = headers.get(b"request-id", b"").decode()
+                call.signed = b"server-stamp" in headers
+            elif isinstance(event, h11.Data):
+                call.body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                call.whole = True
+                self.reusable = self._connection.their_state is h11.DONE
+                return
+            else:
+                return
+
+
+Action = Callable[[PlatformSoak, str, random.Random], Awaitable[None]]
+
+
+def _duration(rng: random.Random) -> float:
+    return rng.uniform(SHORTEST_S, LONGEST_S)
+
+
+async def _start(soak: PlatformSoak, target: str) -> None:
+    if target in soak.deployment.plan.gateways:
+        await soak.deployment.start_gateway(target)
+        await soak.deployment.wait_ready(target)
+    elif target.endswith("-agent"):
+        await soak.deployment.start_agent(target)
+    else:
+        await soak.deployment.start_backend(target)
+
+
+async def _kill(soak: PlatformSoak, target: str, rng: random.Random) -> None:
+    handle = soak.deployment.processes[target]
+    handle.kill()
+    await handle.wait()
+    await trio.sleep(rng.choice([0.0, _duration(rng)]))
+    await _start(soak, target)
+
+
+async def _stop(soak: PlatformSoak, target: str, rng: random.Random) -> None:
+    handle = soak.deployment.processes[target]
+    since = time.time()
+    handle.terminate()
+    if rng.random() < 0.3:
+        await trio.sleep(0.5)
+        handle.hang_up()
+    with trio.move_on_after(GRACE_S + 2.0):
+        await handle.wait()
+    if target in soak.deployment.plan.gateways:
+        status = handle.returncode if handle.returncode is not None else -1
+        soak.history.stops.append(PlannedStop(target, time.time() - since, status))
+    if handle.returncode is None:
+        handle.kill()
+        await handle.wait()
+    await _start(soak, target)
+
+
+async def _pause(soak: PlatformSoak, target: str, rng: random.Random) -> None:
+    handle = soak.deployment.processes[target]
+    handle.pause()
+    await trio.sleep(_duration(rng))
+    handle.resume()
+
+
+async def _kill_while_paused(soak: PlatformSoak, target: str, rng: random.Random) -> None:
+    soak.deployment.processes[target].pause()
+    await trio.sleep(_duration(rng))
+    await _kill(soak, target, rng)
+
+
+async def _change_settings(soak: PlatformSoak, target: str, rng: random.Random) -> None:
+    handle: ProcessHandle = soak.deployment.processes[target]
+    for _ in range(rng.randint(1, 4)):
+        settings = soak.deployment.gateway(target)
+        if rng.random() < 0.3:
+            soak.deployment.settings_path(target).write_text("kind: gateway\n")
+        else:
+            lines = rng.randint(300, 500)
+            soak.deployment.write_settings(attrs.evolve(settings, log_lines_per_s=lines))
+        if rng.random() < 0.7:
+            handle.hang_up()
+        await trio.sleep(rng.uniform(0.0, 0.5))
+    soak.deployment.write_settings(soak.deployment.gateway(target))
+
+
+def _disturb_link(disturb: Callable[[Forwarder, random.Random], None]) -> Action:
+    async def act(soak: PlatformSoak, target: str, rng: random.Random) -> None:
+        forwarder = soak.link(target)
+        disturb(forwarder, rng)
+        await trio.sleep(_duration(rng))
+        forwarder.delay(0.0)
+        forwarder.forward()
+
+    return act
+
+
+def _cut(forwarder: Forwarder, rng: random.Random) -> None:
+    forwarder.cut(refuse=rng.random() < 0.5)
+
+
+def _hold(forwarder: Forwarder, rng: random.Random) -> None:
+    forwarder.hold(*rng.choice([(), (Direction.TO_SERVER,), (Direction.TO_CLIENT,)]))
+
+
+def _delay(forwarder: Forwarder, rng: random.Random) -> None:
+    forwarder.delay(rng.uniform(0.02, 0.6))
+
+
+def _standin_fault(**faults: tuple[Callable[[random.Random], object], object]) -> Action:
+    """Return an action that holds faults of a stand-in: for each its value and the one without."""
+
+    async def act(soak: PlatformSoak, target: str, rng: random.Random) -> None:
+        deployment = soak.deployment
+        address = deployment.store if target == "store" else deployment.backend_address(target)
+        try:
+            await deployment.set_faults(
+                address, **{name: choose(rng) for name, (choose, _) in faults.items()}
+            )
+            await trio.sleep(_duration(rng))
+            await deployment.set_faults(address, **{name: off for name, (_, off) in faults.items()})
+        except HttpError:
+            return  # The process has been stopped by another fault.
+
+    return act
+
+
+async def _publish(soak: PlatformSoak, _target: str, rng: random.Random) -> None:
+    for _ in range(rng.choice([1, 1, 12])):
+        await soak.publish(rng)
+        await trio.sleep(0.2)
+
+
+def _few(rng: random.Random) -> int:
+    return rng.randint(1, 6)
+
+
+FAULTS: tuple[tuple[str, str, Action], ...] = (
+    ("kill_gateway", "gateway", _kill),
+    ("stop_gateway", "gateway", _stop),
+    ("pause_gateway", "gateway", _pause),
+    ("change_settings", "gateway", _change_settings),
+    ("kill_agent", "agent", _kill),
+    ("stop_agent", "agent", _stop),
+    ("pause_agent", "agent", _pause),
+    ("kill_backend", "backend", _kill),
+    ("stop_backend", "backend", _stop),
+    ("pause_backend", "backend", _pause),
+    ("kill_paused_backend", "backend", _kill_while_paused),
+    ("cut_backend_link", "backend", _disturb_link(_cut)),
+    ("hold_backend_link", "backend", _disturb_link(_hold)),
+    ("slow_backend_link", "backend", _disturb_link(_delay)),
+    ("cut_store_link", "store_link", _disturb_link(_cut)),
+    ("hold_store_link", "store_link", _disturb_link(_hold)),
+    ("slow_store_link", "store_link", _disturb_link(_delay)),
+    ("store_refuses", "store", _standin_fault(refuse_status=(lambda _: 503, 0))),
+    ("store_silent", "store", _standin_fault(silent=(lambda _: True, False))),
+    ("refusing_backend", "backend", _standin_fault(refuse=(_few, 0))),
+    ("lost_answers", "backend", _standin_fault(lose_answers=(_few, 0))),
+    ("wrong_answers", "backend", _standin_fault(wrong_answers=(_few, 0))),
+    ("errors", "backend", _standin_fault(errors=(_few, 0))),
+    ("slow_backend", "backend", _standin_fault(delay_ms=(lambda r: r.uniform(50, 2500), 0.0))),
+    ("cut_streams", "engine", _standin_fault(cut_after=(_few, None))),
+    ("lost_handles", "engine", _standin_fault(drop_handles=(_few, 0))),
+    ("publish", "config", _publish),
+)
+
+
+def _read_failures(directory: Path) -> list[str]:
+    """Return log lines of the product's processes that tell of an error in its code."""
+    failures = []
+    for path in sorted(directory.glob("*.log")):
+        if not path.name.startswith("gateway") and "-agent" not in path.name:
+            continue
+        for line in path.read_text(errors="replace").splitlines():
+            is_event = line.startswith("{")
+            if not is_event or json.loads(line).get("event") in FAILURE_EVENTS:
+                failures.append(f"{path.name}: {line}")
+    return failures
+
+
+def print_report(soak: PlatformSoak, violations: list[Violation]) -> None:
+    """Print what was run and what was found."""
+    history = soak.history
+    results: dict[str, Counter[str]] = {}
+    for call in history.calls.values():
+        whole = "" if call.whole else " cut" if call.status else ""
+        result = "abandoned" if call.abandoned else f"{call.status or 'no answer'}{whole}"
+        results.setdefault(call.kind.value, Counter())[result] += 1
+    print(f"{len(history.calls)} calls, {sum(call.calm for call in history.calls.values())} calm")
+    for kind, counts in sorted(results.items()):
+        print(f"  {kind}: {', '.join(f'{name}: {n}' for name, n in counts.most_common())}")
+    faults = Counter(name for name, *_ in history.disturbances)
+    print(f"faults: {dict(faults.most_common())}")
+    rules = Counter(violation.rule for violation in violations)
+    print(f"violations: {dict(rules) or 'none'}")
+    for violation in violations[:SHOWN_VIOLATIONS]:
+        print(f"\n[{violation.rule}] {violation.message}")
+        for record in violation.records:
+            print(f"    {record}")
+
+
+def main() -> None:
+    """Run the soak from the command line."""
+    parser = argparse.ArgumentParser(
+        prog="python -m histories.platform_soak",
+        description=__doc__,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=30.0, help="seconds with faults")
+    parser.add_argument("--gateways", type=int, default=3)
+    parser.add_argument("--engines", type=int, default=4)
+    parser.add_argument("--only", default="", help="names of the faults to use, with commas")
+    arguments = parser.parse_args()
+    only = frozenset(filter(None, arguments.only.split(",")))
+    options = SoakOptions(
+        arguments.seed, arguments.seconds, arguments.gateways, arguments.engines, only
+    )
+    directory = Path(tempfile.mkdtemp(prefix="figwalk-soak-"))
+    soak = PlatformSoak(options, directory)
+    violations = trio.run(soak.run)
+    print_report(soak, violations)
+    if violations:
+        print(f"settings and logs: {directory}")
+        sys.exit(1)
+    shutil.rmtree(directory)
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -6,8 +6,8 @@
 A call is answered in one of --slots places; --queue more calls wait. Answers echo Request-Id and
 bear Server-Stamp, their content depends only on the call (`expected_body`, `expected_event`).
 Calls that are not run get 503, 421 or 400 with Not-Executed; one whose Deadline-Ms is over while
-it runs gets 504. Each call that begins to run is a line of the file --run-log, written before
-anything is answered; each call that arrives is one, too.
+it runs gets 504. The file --run-log gets a line for each call that arrives (`received`), that is
+prefilled (`prefill`) and that begins to run (`run`), written before anything is answered.
 
 An engine reads a prompt first (Prefix-Hash: ID:TOKENS parts; parts read before cost nothing) and
 then streams as many events as the second number of Token-Counts, from the one after Last-Event-Id.
@@ -203,6 +203,7 @@
             body = expected_body(shown_id, request.target)
             await responder.send(status, self._sign(shown_id), body)
         elif request.header(b"stage") == "prefill":
+            self._note("prefill", call_id)
             await self._read_prompt(request)
             handle = uuid.uuid4().hex
             self._handles[handle] = trio.current_time() + HANDLE_TTL_S
--- a/tests/test_prompt_agent.py
+++ b/tests/test_prompt_agent.py
@@ -16,7 +16,8 @@
 from figwalk.platform import PlatformEngineReportCodec
 from figwalk.prompt_agent.engine_watcher import EngineWatcher
 from figwalk.prompt_agent.prompt_server import PromptServer
-from figwalk.protocol.messages import ConnectionKind, Hello, Role
+from figwalk.protocol.messages import ConnectionKind, EngineDigest, Hello, PromptOffer, Role
+from figwalk.protocol.peer_connection import PeerConnection
 from figwalk.state.backend_directory import BackendEntry
 from figwalk.state.gateway_settings import EngineSettings
 from figwalk.state.routing import EngineSpec
@@ -163,6 +164,23 @@
         await trio.sleep(0.01)
 
 
+@with_pair
+async def test_agent_outlives_a_gateway_that_leaves_amid_its_offers(pair):
+    """Guards against an agent that ends because it can't send a decision."""
+    port = pair.offers._links[pair.tracker][0]._port
+    for _ in range(3):
+        hello = Hello(ConnectionKind.PROMPT, "leaving", 2)
+        connection, _ = await PeerConnection.connect(HOST, port, hello)
+        assert isinstance(await connection.receive(), EngineDigest)
+        offers = [PromptOffer(n, f"c{n}", "own", [10], 250, 2000, 0) for n in range(1, 300)]
+        await connection.send_rendered(b"".join(map(connection.render, offers)))
+        connection.close()
+        await trio.sleep(0.1)
+    assert await pair.offer() is not None
+    while pair.queue.depth != 1:
+        await trio.sleep(0.01)
+
+
 @with_pair
 async def test_lost_agent_gives_no_answer_at_once(pair):
     """Guards against prompts that wait for an agent that is gone."""
