Bound numbers, addresses and ids that come from outside

Cause: a number beyond floats in a store record raised OverflowError instead of the decoder's error and would have ended the process that reads it; int() refuses thousands of digits, so that a long Deadline-Ms or Server-Load became a 500; a prompt part above 32 bits could not be encoded into an offer; ids and handles with spaces or line ends would have broken the headers of later calls. Ruled out: peer frames, which already end in an error of their own.

--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -26,6 +26,7 @@
 from figwalk.timer import MS_PER_S, Timer
 
 INCARNATION_BITS = 64
+MAX_INT32 = 2**31 - 1
 # Beyond the round trip; an agent decides within a millisecond, and its VM may be busy.
 ANSWER_MARGIN_S = 0.03
 # After an offer without an answer, the gateway judges by itself for this long.
@@ -266,7 +267,12 @@
         call_id,
         ",".join(part_id for part_id, _ in prompt.parts),
         [tokens for _, tokens in prompt.parts],
-        int(prompt.target_s * MS_PER_S),
-        int(prompt.left_s * MS_PER_S),
-        max(0, int(plan.after_s * MS_PER_S)),
+        _to_ms(prompt.target_s),
+        _to_ms(prompt.left_s),
+        max(0, _to_ms(plan.after_s)),
     )
+
+
+def _to_ms(seconds: float) -> int:
+    """Return milliseconds as a message can carry them."""
+    return int(max(-MAX_INT32, min(seconds * MS_PER_S, MAX_INT32)))
--- a/figwalk/platform/backend_codec.py
+++ b/figwalk/platform/backend_codec.py
@@ -6,7 +6,7 @@
 from figwalk.errors import HttpError
 from figwalk.gateway.codecs import AnswerFacts, BackendCodec, CallStep, KvSource, SendPlan
 from figwalk.platform import headers as names
-from figwalk.platform.json_fields import JsonFields, PlatformRecordError
+from figwalk.platform.json_fields import JsonFields, PlatformRecordError, is_count
 from figwalk.state.backend_directory import BackendEntry
 from figwalk.timer import MS_PER_S
 from figwalk.transport import Headers, HttpRequest, find_header, strip_hop_by_hop
@@ -56,7 +56,7 @@
         """Return where the KV cache of a prefilled prompt is."""
         try:
             fields = JsonFields.parse(body, "answer to a prefill")
-            return KvSource(backend, fields.text("transfer-handle"), fields.integer("tokens"))
+            return KvSource(backend, fields.token("transfer-handle"), fields.integer("tokens"))
         except PlatformRecordError as error:
             raise HttpError(str(error)) from error
 
@@ -67,6 +67,6 @@
 
 def _read_load(text: str) -> StatedLoad | None:
     numbers = text.split(",")
-    if len(numbers) != _LOAD_FIELDS or not all(n.isascii() and n.isdigit() for n in numbers):
+    if len(numbers) != _LOAD_FIELDS or not all(map(is_count, numbers)):
         return None
     return StatedLoad(*map(int, numbers))
--- a/figwalk/platform/backend_records.py
+++ b/figwalk/platform/backend_records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from figwalk.platform.json_fields import JsonFields, PlatformRecordError
+from figwalk.platform.json_fields import JsonFields, PlatformRecordError, is_token
 from figwalk.protocol.messages import Role
 from figwalk.state.backend_directory import BackendEntry
 from figwalk.timer import MS_PER_S
@@ -17,6 +17,8 @@
     Raises:
         PlatformRecordError: It names no backend server to use.
     """
+    if not is_token(key):
+        raise PlatformRecordError(f"registration of {key!r}: the id is not visible ASCII")
     fields = JsonFields.parse(data, f"registration of {key!r}")
     state = fields.text("state")
     if state not in _LEAVING:
--- a/figwalk/platform/caller_codec.py
+++ b/figwalk/platform/caller_codec.py
@@ -5,6 +5,7 @@
 from figwalk.errors import CallerError
 from figwalk.gateway.codecs import CallerCodec, CallFacts, PromptPart
 from figwalk.platform import headers as names
+from figwalk.platform.json_fields import is_count
 from figwalk.timer import MS_PER_S
 from figwalk.transport import Headers, HttpRequest
 
@@ -42,7 +43,7 @@
         return None
     if not (text.isascii() and text.isdigit()):
         raise CallerError(400, "invalid_deadline", "the deadline must be whole milliseconds")
-    return int(text) / MS_PER_S
+    return float(text) / MS_PER_S  # int() refuses numbers of thousands of digits.
 
 
 def _read_prompt(text: str) -> tuple[PromptPart, ...]:
@@ -50,7 +51,7 @@
     parts = []
     for item in text.split(",", MAX_PROMPT_PARTS)[:MAX_PROMPT_PARTS]:
         part_id, separator, tokens = item.strip().partition(":")
-        if not (separator and part_id and tokens.isascii() and tokens.isdigit()):
+        if not (separator and part_id and is_count(tokens)):
             return ()
         parts.append(PromptPart(part_id, int(tokens)))
     return tuple(parts)
--- a/figwalk/platform/json_fields.py
+++ b/figwalk/platform/json_fields.py
@@ -2,20 +2,34 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
-import math
 from typing import Any
 
 from figwalk.errors import FigwalkError
 from figwalk.state.settings import Address
 
 MAX_PORT = 65535
+# Larger whole numbers are not exact in JSON, and still larger ones can't be converted to floats.
+MAX_NUMBER = 2**53
+# Counts of tokens and requests in headers; as many fit into the 32 bits of a peer message.
+MAX_COUNT_DIGITS = 9
 
 
 class PlatformRecordError(FigwalkError):
     """A record of the platform does not have the content that its page describes."""
 
 
+def is_token(text: str) -> bool:
+    """Return whether text is visible ASCII without a slash, as ids in headers and paths are."""
+    return text.isascii() and text.isprintable() and not set(text) & {" ", "/"} and text != ""
+
+
+def is_count(text: str) -> bool:
+    """Return whether text is a whole number of at most `MAX_COUNT_DIGITS` digits."""
+    return text.isascii() and text.isdigit() and len(text) <= MAX_COUNT_DIGITS
+
+
 class JsonFields:
     """The fields of one JSON object.
 
@@ -62,12 +76,12 @@
         return int(value)
 
     def number(self, name: str, default: float | None = None) -> float:
-        """Return a field with a finite number, not negative."""
+        """Return a field with a number from 0 to `MAX_NUMBER`."""
         value = self._content.get(name, default)
         if isinstance(value, bool) or not isinstance(value, (int, float)):
             raise PlatformRecordError(f"{self._where}: {name!r} is not a number")
-        if not math.isfinite(value) or value < 0:
-            raise PlatformRecordError(f"{self._where}: {name!r} is {value}")
+        if not 0 <= value <= MAX_NUMBER:
+            raise PlatformRecordError(f"{self._where}: {name!r} is not from 0 to {MAX_NUMBER}")
         return value
 
     def objects(self, name: str) -> list[JsonFields]:
@@ -82,9 +96,21 @@
     def address(self, name: str) -> Address:
         """Return a field with an IP number and a port."""
         host, separator, port = self.text(name).rpartition(":")
-        if not (separator and host and port.isdigit() and 0 < int(port) <= MAX_PORT):
+        try:
+            ipaddress.ip_address(host)
+            number = int(port) if port.isascii() and port.isdigit() else 0
+        except ValueError:
+            number = 0
+        if not (separator and 0 < number <= MAX_PORT):
             raise PlatformRecordError(f"{self._where}: {name!r} is not IP:PORT")
-        return Address(host, int(port))
+        return Address(host, number)
+
+    def token(self, name: str) -> str:
+        """Return a field with text that a header can carry: visible ASCII without a slash."""
+        text = self.text(name)
+        if not is_token(text):
+            raise PlatformRecordError(f"{self._where}: {name!r} is not visible ASCII")
+        return text
 
     def _read(self, name: str, kind: type, default: object) -> Any:
         value = self._content.get(name, default)
--- a/figwalk/prompt_agent/prompt_server.py
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -114,10 +114,10 @@
         return PromptDecision(
             offer.call_id,
             granted,
-            int(decision.uncached_tokens),
-            _to_ms(decision.wait_s),
-            _to_ms(decision.finish_s),
-            min(MAX_UINT32, int(self._queue.backlog_tokens)),
+            _to_uint32(decision.uncached_tokens),
+            _to_uint32(decision.wait_s * MS_PER_S),
+            _to_uint32(decision.finish_s * MS_PER_S),
+            _to_uint32(self._queue.backlog_tokens),
         )
 
     async def _send_digests(self, connection: PeerConnection) -> None:
@@ -128,10 +128,10 @@
     def _make_digest(self) -> EngineDigest:
         return EngineDigest(
             self._watcher.up,
-            min(MAX_UINT32, int(self._queue.backlog_tokens)),
+            _to_uint32(self._queue.backlog_tokens),
             self._queue.tokens_per_s,
-            _to_ms(self._watcher.report_age_s),
-            self._watcher.decoding,
+            _to_uint32(self._watcher.report_age_s * MS_PER_S),
+            _to_uint32(self._watcher.decoding),
         )
 
 
@@ -140,5 +140,6 @@
     return tuple(zip(ids, offer.part_tokens, strict=False))
 
 
-def _to_ms(seconds: float) -> int:
-    return int(min(seconds * MS_PER_S, MAX_UINT32))
+def _to_uint32(number: float) -> int:
+    """Return a number as a message can carry it."""
+    return int(max(0, min(number, MAX_UINT32)))
--- /dev/null
+++ b/tests/test_decoder_bounds.py
@@ -0,0 +1,168 @@
+"""Tests of decoders with bytes and values that no honest peer sends."""
+
+import json
+import math
+from contextlib import suppress
+
+import attrs
+import pytest
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+from support.platform_fakes import fetch, make_request, run_test, running_fleet
+
+from figwalk.coordination.prompt_placement import PromptCall
+from figwalk.errors import HttpError, MalformedFrameError
+from figwalk.gateway.prompt_offers import _make_offer
+from figwalk.platform import (
+    PlatformBackendCodec,
+    PlatformCallerCodec,
+    PlatformEngineReportCodec,
+    decode_backend,
+    decode_routing,
+)
+from figwalk.platform.json_fields import PlatformRecordError
+from figwalk.protocol.codec import decode_message, encode_message
+from figwalk.protocol.messages import PromptOffer
+from figwalk.transport import HttpRequest
+from standins.platform_config import make_config
+
+HUGE = 10**400
+REPORT = {"stage": "prefill", "busy": False, "running": 0, "waiting": 0, "kv-total": 1}
+REGISTRATION = {
+    "service": "orders",
+    "address": "127.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold-remaining-ms": 0,
+    "sequence": 1,
+    "born": 1000,
+}
+VALUES = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(),
+    st.just(HUGE),
+    st.floats(),
+    st.text(),
+    st.lists(st.none()),
+)
+
+
+@pytest.mark.parametrize("field", ["slots", "cold-remaining-ms", "sequence", "born"])
+def test_registration_with_a_number_beyond_floats_is_refused(field):
+    """Guards against a process that ends at a number that can't be converted."""
+    with pytest.raises(PlatformRecordError):
+        decode_backend("b", json.dumps(REGISTRATION | {field: HUGE}).encode())
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1:\u00b2", "\ud800:80", "localhost:80", "a b:80"])
+def test_registration_with_an_address_that_is_no_ip_is_refused(address):
+    """Guards against a call that ends in an error when the address is used."""
+    with pytest.raises(PlatformRecordError):
+        decode_backend("b", json.dumps(REGISTRATION | {"address": address}).encode())
+
+
+@pytest.mark.parametrize("key", ["", "a b", "a\r\nx: y", "\u00e4"])
+def test_registration_under_a_key_that_no_header_can_carry_is_refused(key):
+    """Guards against an id that breaks, or adds to, the headers of each call."""
+    with pytest.raises(PlatformRecordError):
+        decode_backend(key, json.dumps(REGISTRATION).encode())
+
+
+@pytest.mark.parametrize("field", sorted(make_config()["routes"][0]))
+@given(value=VALUES)
+def test_configuration_with_any_value_is_refused_or_complete(field, value):
+    """Guards against a gateway that ends because of one field of the configuration."""
+    config = make_config()
+    config["routes"][0][field] = value
+    with suppress(PlatformRecordError):
+        decode_routing(json.dumps(config).encode())
+
+
+@given(st.dictionaries(st.sampled_from(sorted(REPORT)), VALUES))
+def test_report_with_any_value_is_refused_or_complete(change):
+    """Guards against an agent that ends because of its engine's report."""
+    with suppress(HttpError):
+        report = PlatformEngineReportCodec().decode_report(json.dumps(REPORT | change).encode())
+        assert report.kv_tokens >= 0
+
+
+@pytest.mark.parametrize("handle", ["", "a b", "a\r\nx: y", "a/b", "\u00e4"])
+def test_prefill_handle_that_no_header_can_carry_is_refused(handle):
+    """Guards against an engine's answer that adds headers to another engine's request."""
+    body = json.dumps({"transfer-handle": handle, "tokens": 5}).encode()
+    entry = decode_backend("b", json.dumps(REGISTRATION).encode())
+    with pytest.raises(HttpError):
+        PlatformBackendCodec().decode_prefill(entry, body)
+
+
+@given(st.text(max_size=40))
+def test_stated_load_is_a_hint_only(text):
+    """Guards against an answer that is lost for a header that can't be read."""
+    headers = [(b"server-load", text.encode())]
+    PlatformBackendCodec().decode_answer(200, headers)
+    PlatformBackendCodec().decode_answer(200, [(b"server-load", b"1," + b"9" * 5000 + b",8")])
+
+
+def test_numbers_of_any_length_are_read_from_a_caller():
+    """Guards against a request answered with 500 for digits that int() refuses."""
+    codec = PlatformCallerCodec()
+    headers = [(b"request-id", b"1"), (b"deadline-ms", b"9" * 5000)]
+    assert codec.decode(HttpRequest("GET", "/", headers)).patience_s == math.inf
+    for digits in (b"9" * 5000, b"9" * 10):
+        headers = [(b"request-id", b"1"), (b"prefix-hash", b"a:" + digits)]
+        assert codec.decode(HttpRequest("POST", "/", headers)).prompt == ()
+
+
+def test_offer_of_any_prompt_fits_into_its_message():
+    """Guards against a prompt that is answered with 500 because its offer can't be encoded."""
+    plan = attrs.make_class("Plan", {"after_s": attrs.field(default=1e9)})()
+    prompt = PromptCall((("a", 999_999_999),) * 64, 1e9, 1e9)
+    offer = decode_message(encode_message(_make_offer(1, "c", prompt, plan)))
+    assert isinstance(offer, PromptOffer)
+
+
+@given(st.binary(max_size=300))
+def test_any_peer_bytes_are_a_message_or_an_error(data):
+    """Guards against an agent or gateway that ends because of a frame."""
+    with suppress(MalformedFrameError):
+        decode_message(data)
+
+
+@given(st.data())
+def test_damaged_peer_messages_are_a_message_or_an_error(data):
+    """Guards against an agent or gateway that ends because of a damaged frame."""
+    frame = bytearray(encode_message(PromptOffer(1, "c1", "a,b", [10, 20], 250, 2000, 0)))
+    for _ in range(data.draw(st.integers(1, 6))):
+        frame[data.draw(st.integers(0, len(frame) - 1))] = data.draw(st.integers(0, 255))
+    with suppress(MalformedFrameError):
+        decode_message(bytes(frame))
+
+
+def test_callers_bytes_of_any_kind_leave_the_gateway_serving():
+    """Guards against a gateway that ends, or answers 500, because of what a caller sends."""
+    heads = [
+        b"\x00\xff\r\n\r\n",
+        b"GET / HTTP/9.9\r\n\r\n",
+        b"GET /check/1 HTTP/1.1\r\nHost: \xff\r\nRequest-Id: 1\r\n\r\n",
+        make_request("/check/1", headers=["Deadline-Ms: 5", "Content-Length: 99999999999999"]),
+        make_request("/check/1", headers=["Transfer-Encoding: gzip"]),
+        make_request("/long/1", headers=["Prefix-Hash: a:99999999999", "Last-Event-Id: \x7f"]),
+        make_request("/long/1", headers=["Prefix-Hash: " + "a:1," * 3000]),
+        make_request("/check/1", deadline_ms="9" * 5000),
+    ]
+
+    async def main():
+        async with running_fleet() as fleet:
+            fleet.publish(make_config())
+            await fleet.start_gateway()
+            for head in heads:
+                with trio.move_on_after(2), suppress(OSError, trio.BrokenResourceError):
+                    status, _, _ = await fetch(fleet.callers, head)
+                    assert status != 500, head[:80]
+            assert (await fleet.call("/nowhere/"))[0] == 404
+
+    run_test(main)
