--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -10,6 +10,7 @@
 import trio
 
 from figwalk.coordination.backend_tracker import AttemptOutcome, BackendTracker
+from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
 from figwalk.errors import FigwalkError, HttpError
 from figwalk.events import Event, EventLog
 from figwalk.gateway.backend_pool import BackendPool
@@ -57,6 +58,15 @@
         return self._not_run
 
 
+def take_retry(call: Call, budget: WindowedRetryBudget, events: EventLog) -> bool:
+    """Take another attempt of a call out of the budget; return whether it is allowed."""
+    if budget.try_retry():
+        events.record(Event.REQUEST_RETRIED, request_id=call.call_id, budget=round(budget.left, 1))
+        return True
+    events.record(Event.RETRY_BUDGET_EMPTY, request_id=call.call_id)
+    return False
+
+
 @attrs.define(eq=False)
 class Answer:
     """The head of a backend server's answer to a call.
--- a/figwalk/gateway/plain_calls.py
+++ b/figwalk/gateway/plain_calls.py
@@ -10,8 +10,8 @@
 from figwalk.coordination.plain_placement import PlainPlacement
 from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
 from figwalk.errors import CallOutcome, RefusalError
-from figwalk.events import Event, EventLog
-from figwalk.gateway.attempts import Answer, AttemptError, Attempts
+from figwalk.events import EventLog
+from figwalk.gateway.attempts import Answer, AttemptError, Attempts, take_retry
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import SendPlan
@@ -171,13 +171,7 @@
             return False
         if not call.sent_to:
             return True  # Only unreachable backend servers so far, where nothing arrived.
-        if self._budget.try_retry():
-            self._events.record(
-                Event.REQUEST_RETRIED, request_id=call.call_id, budget=round(self._budget.left, 1)
-            )
-            return True
-        self._events.record(Event.RETRY_BUDGET_EMPTY, request_id=call.call_id)
-        return False
+        return take_retry(call, self._budget, self._events)
 
     @staticmethod
     def _check_promise(call: Call, status: int) -> None:
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -18,7 +18,7 @@
 from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
 from figwalk.errors import CallOutcome, HttpError, RefusalError
 from figwalk.events import Event, EventLog
-from figwalk.gateway.attempts import Answer, AttemptError, Attempts
+from figwalk.gateway.attempts import Answer, AttemptError, Attempts, take_retry
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import CallStep, KvSource, SendPlan
@@ -188,12 +188,8 @@
         if call.sent_to and not call.may_go_elsewhere:
             raise self._refuse(call, error)
         if call.sent_to or error.outcome is not AttemptOutcome.UNREACHABLE:
-            if not self._budget.try_retry():
-                self._events.record(Event.RETRY_BUDGET_EMPTY, request_id=call.call_id)
+            if not take_retry(call, self._budget, self._events):
                 raise self._refuse(call, error)
-            self._events.record(
-                Event.REQUEST_RETRIED, request_id=call.call_id, budget=round(self._budget.left, 1)
-            )
         if relay.started:
             self._events.record(
                 Event.STREAM_RESUMED, request_id=call.call_id, after=relay.last_event_id
