--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -187,9 +187,9 @@
             raise self._refuse_unknown(error)
         if call.sent_to and not call.may_go_elsewhere:
             raise self._refuse(call, error)
-        if call.sent_to or error.outcome is not AttemptOutcome.UNREACHABLE:
-            if not take_retry(call, self._budget, self._events):
-                raise self._refuse(call, error)
+        reached = call.sent_to or error.outcome is not AttemptOutcome.UNREACHABLE
+        if reached and not take_retry(call, self._budget, self._events):
+            raise self._refuse(call, error)
         if relay.started:
             self._events.record(
                 Event.STREAM_RESUMED, request_id=call.call_id, after=relay.last_event_id
