--- a/histories/platform_soak.py
+++ b/histories/platform_soak.py
@@ -37,6 +37,7 @@
     RetryBound,
     check_platform_history,
 )
+from histories.platform_page import draw_page
 from standins.launcher import Launcher, ProcessHandle
 from standins.platform_config import CALLER_HOST, make_config, make_route
 from standins.platform_deployment import PlatformDeployment, make_plan
@@ -52,6 +53,8 @@
 FAULT_TASKS = 5  # Faults in force at the same time.
 SHORTEST_S, LONGEST_S = 0.2, 5.0
 CALM_CALLS_S = 3.0
+TICK_S = 0.05
+STALL_S = 0.5  # A tick this late is beyond what a busy machine of ours shows.
 LAST_CALLS_S = LONG_PATIENCE_S + 5.0
 SHOWN_VIOLATIONS = 10
 FAILURE_EVENTS = frozenset({"TASK_FAILED"})
@@ -67,6 +70,7 @@
         gateways: Gateways to run.
         engines: Engines, each with its agent.
         only: Names of the faults to use; all if empty.
+        awaits_recovery: Whether calls go on until service has to be whole again.
     """
 
     seed: int
@@ -74,6 +78,7 @@
     gateways: int = 3
     engines: int = 4
     only: frozenset[str] = frozenset()
+    awaits_recovery: bool = True
 
 
 class PlatformSoak:
@@ -125,6 +130,7 @@
 
     async def _play(self) -> None:
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_stalls)
             for number in range(CALLERS):
                 nursery.start_soon(
                     self._run_caller, random.Random(f"{self._options.seed}/{number}")
@@ -133,12 +139,23 @@
                 for number in range(FAULT_TASKS):
                     rng = random.Random(f"{self._options.seed}/fault/{number}")
                     faults.start_soon(self._run_faults, rng, time.time() + self._options.seconds)
-            await trio.sleep(RECOVER_S)
-            self._calm = True
-            await trio.sleep(CALM_CALLS_S)
+            if self._options.awaits_recovery:
+                await trio.sleep(RECOVER_S)
+                self._calm = True
+                await trio.sleep(CALM_CALLS_S)
             self._stopping = True
             nursery.cancel_scope.deadline = trio.current_time() + LAST_CALLS_S
 
+    async def _watch_stalls(self) -> None:
+        """Note when this process did not run, from ticks that are late."""
+        last = time.time()
+        while not self._stopping:
+            await trio.sleep(TICK_S)
+            now = time.time()
+            if now - last > STALL_S:
+                self.history.stalls.append((last, now))
+            last = now
+
     async def _run_faults(self, rng: random.Random, until: float) -> None:
         while time.time() < until:
             await trio.sleep(rng.uniform(0.0, 1.5))
@@ -320,7 +337,7 @@
         await handle.wait()
     if target in soak.deployment.plan.gateways:
         status = handle.returncode if handle.returncode is not None else -1
-        soak.history.stops.append(PlannedStop(target, time.time() - since, status))
+        soak.history.stops.append(PlannedStop(target, since, time.time() - since, status))
     if handle.returncode is None:
         handle.kill()
         await handle.wait()
@@ -464,6 +481,9 @@
     faults = Counter(name for name, *_ in history.disturbances)
     print(f"faults: {dict(faults.most_common())}")
     rules = Counter(violation.rule for violation in violations)
+    if history.stalls:
+        total = sum(end - start for start, end in history.stalls)
+        print(f"callers did not run {len(history.stalls)} times, {total:.1f} s in all")
     print(f"violations: {dict(rules) or 'none'}")
     for violation in violations[:SHOWN_VIOLATIONS]:
         print(f"\n[{violation.rule}] {violation.message}")
@@ -483,6 +503,7 @@
     parser.add_argument("--gateways", type=int, default=3)
     parser.add_argument("--engines", type=int, default=4)
     parser.add_argument("--only", default="", help="names of the faults to use, with commas")
+    parser.add_argument("--page", type=Path, help="HTML file to draw the run into")
     arguments = parser.parse_args()
     only = frozenset(filter(None, arguments.only.split(",")))
     options = SoakOptions(
@@ -492,6 +513,8 @@
     soak = PlatformSoak(options, directory)
     violations = trio.run(soak.run)
     print_report(soak, violations)
+    if arguments.page:
+        arguments.page.write_text(draw_page(soak.history, violations))
     if violations:
         print(f"settings and logs: {directory}")
         sys.exit(1)
