Show a deployment on the platform with figwalk fleet

The command reads the newest configuration and the registered backend servers from the platform's store, and versions, answers and refusals from the gateways' metrics. The soak ends its processes at SIGTERM.

--- /dev/null
+++ b/figwalk/cli/fleet_view.py
@@ -0,0 +1,219 @@
+"""View of a deployment whose configuration and backend servers are in the platform's store."""
+
+from __future__ import annotations
+
+import attrs
+import trio
+from prometheus_client.parser import text_string_to_metric_families
+
+from figwalk.cli.errors import UsageError
+from figwalk.cli.output import Output
+from figwalk.errors import FigwalkError, HttpError
+from figwalk.platform import (
+    BACKENDS_TOPIC,
+    CONFIG_KEY,
+    CONFIG_TOPIC,
+    PlatformStore,
+    decode_backend,
+    decode_routing,
+)
+from figwalk.state.settings import Address
+from figwalk.transport import HttpClient
+
+STORE_TIMEOUT_S = 5.0  # The store answers in milliseconds, and a command has no other source.
+METRICS_TIMEOUT_S = 2.0
+
+
+@attrs.frozen
+class BackendView:
+    """A registered backend server.
+
+    Attributes:
+        backend: Its id.
+        service: Service that it belongs to.
+        zone: Availability zone.
+        address: HOST:PORT.
+        role: Role of an engine; `mixed` for a plain service.
+        leaving: Whether it takes no new work.
+        slots: Calls that it runs at once.
+    """
+
+    backend: str
+    service: str
+    zone: str
+    address: str
+    role: str
+    leaving: bool
+    slots: int
+
+
+@attrs.frozen
+class GatewayView:
+    """What a gateway says in its metrics.
+
+    Attributes:
+        metrics: Address that was asked.
+        fault: Why there is no answer, or empty.
+        config_version: Version in force there, or None.
+        backends: Backend servers that it knows, or None.
+        answers: Answers of backend servers so far.
+        refusals: Requests without one, by reason.
+    """
+
+    metrics: str
+    fault: str = ""
+    config_version: int | None = None
+    backends: int | None = None
+    answers: int = 0
+    refusals: dict[str, int] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class FleetView:
+    """The newest configuration, the backend servers and the gateways.
+
+    Attributes:
+        config_version: Version of the newest configuration, or None without one.
+        routes: Number of its routes.
+        services: Names of its services.
+        backends: Registered backend servers.
+        unreadable: Records that name no backend server, with the reason.
+        gateways: The gateways that were asked.
+    """
+
+    config_version: int | None
+    routes: int
+    services: list[str]
+    backends: list[BackendView]
+    unreadable: list[str]
+    gateways: list[GatewayView]
+
+
+def parse_address(text: str) -> Address:
+    """Return the address of HOST:PORT.
+
+    Raises:
+        UsageError: It is none.
+    """
+    host, separator, port = text.rpartition(":")
+    if not (separator and host and port.isascii() and port.isdigit()):
+        raise UsageError(f"{text!r} is not HOST:PORT", remedy="write it as 10.0.0.1:8080")
+    return Address(host.strip("[]"), int(port))
+
+
+async def fetch_fleet(store: Address, gateways: list[Address]) -> FleetView:
+    """Read the store and ask the gateways for their metrics.
+
+    Raises:
+        LogUnavailableError: The store does not answer.
+        PlatformRecordError: The newest configuration can't be read.
+    """
+    client = PlatformStore(store, timeout_s=STORE_TIMEOUT_S)
+    try:
+        config = await client.newest(CONFIG_TOPIC)
+        registered = await client.newest(BACKENDS_TOPIC)
+    finally:
+        client.close()
+    values = [record.value for record in config.records if record.key == CONFIG_KEY]
+    routing = decode_routing(values[-1]) if values and values[-1] is not None else None
+    backends, unreadable = [], []
+    for record in registered.records:
+        try:
+            entry = decode_backend(record.key, record.value or b"")
+        except FigwalkError as error:
+            unreadable.append(str(error))
+            continue
+        backends.append(
+            BackendView(
+                entry.backend,
+                entry.service,
+                entry.zone,
+                str(entry.address),
+                entry.role.value,
+                entry.leaving,
+                entry.slots,
+            )
+        )
+    views: dict[int, GatewayView] = {}
+    async with trio.open_nursery() as nursery:
+        for index, address in enumerate(gateways):
+            nursery.start_soon(_ask_gateway, address, index, views)
+    return FleetView(
+        routing.version if routing else None,
+        len(routing.routes) if routing else 0,
+        sorted(routing.services) if routing else [],
+        sorted(backends, key=lambda view: (view.service, view.backend)),
+        unreadable,
+        [views[index] for index in sorted(views)],
+    )
+
+
+def write_fleet(output: Output, view: FleetView) -> None:
+    """Write the view as tables, or as JSON."""
+    if output.as_json:
+        output.write_json(view)
+        return
+    version = "none" if view.config_version is None else view.config_version
+    services = ", ".join(view.services) or "none"
+    output.write_line(f"configuration: {version}, {view.routes} routes, services: {services}")
+    rows = [
+        (b.service, b.backend, b.zone, b.address, b.role, "leaving" if b.leaving else "live")
+        for b in view.backends
+    ]
+    columns = ("service", "backend", "zone", "address", "role", "state")
+    output.write_table("Backend servers", columns, rows)
+    for reason in view.unreadable:
+        output.write_line(f"unreadable: {reason}")
+    if view.gateways:
+        output.write_table(
+            "Gateways",
+            ("metrics", "configuration", "backends", "answers", "refusals", "fault"),
+            [
+                (
+                    gateway.metrics,
+                    gateway.config_version,
+                    gateway.backends,
+                    gateway.answers,
+                    " ".join(f"{code}={n}" for code, n in sorted(gateway.refusals.items())),
+                    gateway.fault or None,
+                )
+                for gateway in view.gateways
+            ],
+        )
+
+
+async def _ask_gateway(address: Address, index: int, views: dict[int, GatewayView]) -> None:
+    client = HttpClient(address.host, address.port)
+    try:
+        with trio.fail_after(METRICS_TIMEOUT_S):
+            _, body = await client.fetch("GET", "/metrics")
+        views[index] = _read_metrics(str(address), body.decode("utf-8", "replace"))
+    except trio.TooSlowError:
+        views[index] = GatewayView(str(address), "no answer in time")
+    except (HttpError, ValueError) as error:
+        views[index] = GatewayView(str(address), str(error))
+    finally:
+        client.close()
+
+
+def _read_metrics(address: str, text: str) -> GatewayView:
+    values: dict[str, float] = {}
+    refusals: dict[str, int] = {}
+    answers = 0
+    for family in text_string_to_metric_families(text):
+        for sample in family.samples:
+            if sample.name == "figwalk_refusals_total":
+                refusals[sample.labels["code"]] = int(sample.value)
+            elif sample.name == "figwalk_answer_seconds_count":
+                answers += int(sample.value)
+            else:
+                values[sample.name] = sample.value
+    if "figwalk_config_version" not in values or "figwalk_backends" not in values:
+        raise ValueError("the answer has no metrics of a gateway")
+    return GatewayView(
+        address,
+        config_version=int(values["figwalk_config_version"]),
+        backends=int(values["figwalk_backends"]),
+        answers=answers,
+        refusals=refusals,
+    )
--- a/figwalk/cli/main.py
+++ b/figwalk/cli/main.py
@@ -18,6 +18,7 @@
 
 from figwalk.cli.admin_client import AdminClient
 from figwalk.cli.errors import UsageError
+from figwalk.cli.fleet_view import fetch_fleet, parse_address, write_fleet
 from figwalk.cli.operator_commands import (
     Publication,
     publish_file,
@@ -188,6 +189,24 @@
         write_timeline(output, events)
 
 
+@app.command("fleet")
+def fleet(
+    store: Annotated[
+        str,
+        typer.Option("--store", envvar="FIGWALK_STORE", help="The platform's store, HOST:PORT."),
+    ],
+    gateways: Annotated[
+        list[str] | None,
+        typer.Option("--gateway", help="Metrics address of a gateway, HOST:PORT; repeatable."),
+    ] = None,
+    as_json: AsJson = False,
+) -> None:
+    """Show configuration, backend servers with roles, and what gateways answered and refused."""
+    with _reporting(as_json) as output:
+        addresses = [parse_address(text) for text in gateways or []]
+        write_fleet(output, trio.run(fetch_fleet, parse_address(store), addresses))
+
+
 def main() -> None:
     """Run the command line."""
     app()
--- a/histories/platform_soak.py
+++ b/histories/platform_soak.py
@@ -13,6 +13,7 @@
 import json
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -38,6 +39,7 @@
     check_platform_history,
 )
 from histories.platform_page import draw_page
+from histories.soak import cancel_on_signal
 from standins.launcher import Launcher, ProcessHandle
 from standins.platform_config import CALLER_HOST, make_config, make_route
 from standins.platform_deployment import PlatformDeployment, make_plan
@@ -94,6 +96,7 @@
         self._directory = directory
         self._rng = random.Random(options.seed)
         self._forwarders: dict[str, Forwarder] = {}
+        self._addresses: dict[str, Address] = {}
         self._taken: set[str] = set()
         self._stopping = False
         self._calm = False
@@ -103,7 +106,22 @@
         self.deployment: PlatformDeployment
 
     async def run(self) -> list[Violation]:
-        """Run and return the violations."""
+        """Run and return the violations; SIGTERM and SIGINT end the processes and then this one.
+
+        Raises:
+            KeyboardInterrupt: A signal ended the run.
+        """
+        violations: list[Violation] | None = None
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(cancel_on_signal, signals, nursery.cancel_scope)
+                violations = await self._run()
+                nursery.cancel_scope.cancel()
+        if violations is None:
+            raise KeyboardInterrupt
+        return violations
+
+    async def _run(self) -> list[Violation]:
         options = self._options
         async with trio.open_nursery() as forwarding, Launcher(self._directory) as launcher:
 
@@ -113,7 +131,6 @@
                     self._addresses[link] = await forwarding.start(self._forwarders[link].run)
                 return self._addresses[link]
 
-            self._addresses: dict[str, Address] = {}
             plan = make_plan(gateways=options.gateways, services=3, engines=options.engines)
             self.deployment = PlatformDeployment(plan, launcher, self._directory, route=route)
             await self.deployment.start()
--- a/histories/soak.py
+++ b/histories/soak.py
@@ -105,7 +105,7 @@
         violations: list[Violation] | None = None
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(_cancel_on_signal, signals, nursery.cancel_scope)
+                nursery.start_soon(cancel_on_signal, signals, nursery.cancel_scope)
                 violations = await self._run()
                 nursery.cancel_scope.cancel()
         if violations is None:
@@ -191,7 +191,8 @@
         await trio.testing.wait_all_tasks_blocked(0.05)
 
 
-async def _cancel_on_signal(signals: AsyncIterator[int], scope: trio.CancelScope) -> None:
+async def cancel_on_signal(signals: AsyncIterator[int], scope: trio.CancelScope) -> None:
+    """Cancel a scope at the first signal."""
     async for _ in signals:
         scope.cancel()
         return
