--- a/histories/platform_soak.py
+++ b/histories/platform_soak.py
@@ -94,7 +94,6 @@
     def __init__(self, options: SoakOptions, directory: Path) -> None:
         self._options = options
         self._directory = directory
-        self._rng = random.Random(options.seed)
         self._forwarders: dict[str, Forwarder] = {}
         self._addresses: dict[str, Address] = {}
         self._taken: set[str] = set()
@@ -102,8 +101,19 @@
         self._calm = False
         self._numbers = 0
         self._version = 1
-        self.history = PlatformHistory(RetryBound(0.0, 1.0, 0.0))
-        self.deployment: PlatformDeployment
+        self._history = PlatformHistory(RetryBound(0.0, 1.0, 0.0))
+        self._deployment: PlatformDeployment | None = None
+
+    @property
+    def history(self) -> PlatformHistory:
+        """What was seen."""
+        return self._history
+
+    @property
+    def deployment(self) -> PlatformDeployment:
+        """The processes; valid while `run` goes on."""
+        assert self._deployment is not None, "run the soak first"
+        return self._deployment
 
     async def run(self) -> list[Violation]:
         """Run and return the violations; SIGTERM and SIGINT end the processes and then this one.
@@ -132,18 +142,18 @@
                 return self._addresses[link]
 
             plan = make_plan(gateways=options.gateways, services=3, engines=options.engines)
-            self.deployment = PlatformDeployment(plan, launcher, self._directory, route=route)
+            self._deployment = PlatformDeployment(plan, launcher, self._directory, route=route)
             await self.deployment.start()
             retry = self.deployment.gateway("gateway-0").retry
-            self.history.bound = RetryBound(retry.ratio, retry.window_s, retry.slack)
+            self._history.bound = RetryBound(retry.ratio, retry.window_s, retry.slack)
             await self._play()
             forwarding.cancel_scope.cancel()
         for backend in plan.backends:
             path = self.deployment.run_log(backend.name)
             if path.exists():
-                self.history.read_run_log(path.read_text().splitlines())
-        self.history.failures = _read_failures(self._directory)
-        return check_platform_history(self.history)
+                self._history.read_run_log(path.read_text().splitlines())
+        self._history.failures = _read_failures(self._directory)
+        return check_platform_history(self._history)
 
     async def _play(self) -> None:
         async with trio.open_nursery() as nursery:
@@ -170,7 +180,7 @@
             await trio.sleep(TICK_S)
             now = time.time()
             if now - last > STALL_S:
-                self.history.stalls.append((last, now))
+                self._history.stalls.append((last, now))
             last = now
 
     async def _run_faults(self, rng: random.Random, until: float) -> None:
@@ -188,7 +198,7 @@
                 await action(self, target, rng)
             finally:
                 self._taken.discard(target)
-                self.history.disturbances.append((name, target, started, time.time()))
+                self._history.disturbances.append((name, target, started, time.time()))
 
     def _find_targets(self, group: str) -> list[str]:
         plan = self.deployment.plan
@@ -219,7 +229,7 @@
                 continue
             call.sent_at = time.time()
             call.calm = self._calm and leave_s is None
-            self.history.calls[call.call_id] = call
+            self._history.calls[call.call_id] = call
             with trio.move_on_after(leave_s if leave_s is not None else float("inf")) as scope:
                 await connection.exchange(call)
             call.abandoned = scope.cancelled_caught
