--- a/histories/platform_soak.py
+++ b/histories/platform_soak.py
@@ -18,21 +18,18 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import attrs
-import h11
 import trio
 
-from figwalk.errors import HttpError
 from figwalk.state.settings import Address
 from histories.checker import Violation
+from histories.platform_caller import CallerConnection
+from histories.platform_faults import FAULTS, FaultTarget
 from histories.platform_history import (
-    GRACE_S,
     RECOVER_S,
     CallKind,
-    PlannedStop,
     PlatformCall,
     PlatformHistory,
     RetryBound,
@@ -40,20 +37,18 @@
 )
 from histories.platform_page import draw_page
 from histories.soak import cancel_on_signal
-from standins.launcher import Launcher, ProcessHandle
-from standins.platform_config import CALLER_HOST, make_config, make_route
+from standins.launcher import Launcher
+from standins.platform_config import make_config, make_route
 from standins.platform_deployment import PlatformDeployment, make_plan
-from tests.support.forwarder import Direction, Forwarder
+from tests.support.forwarder import Forwarder
 
 CALLERS = 24
-MEAN_PAUSE_S = 0.08
+MEAN_PAUSE_S = 0.16  # About a hundred calls a second from all callers.
 REUSE_RATIO = 0.5
 ABANDON_RATIO = 0.03
-CONNECT_TIMEOUT_S = 1.0
 SHORT_PATIENCE_S = 2.0
 LONG_PATIENCE_S = 10.0
 FAULT_TASKS = 5  # Faults in force at the same time.
-SHORTEST_S, LONGEST_S = 0.2, 5.0
 CALM_CALLS_S = 3.0
 TICK_S = 0.05
 STALL_S = 0.5  # A tick this late is beyond what a busy machine of ours shows.
@@ -83,7 +78,7 @@
     awaits_recovery: bool = True
 
 
-class PlatformSoak:
+class PlatformSoak(FaultTarget):
     """One run.
 
     Args:
@@ -214,9 +209,9 @@
         }[group]
 
     async def _run_caller(self, rng: random.Random) -> None:
-        connections: dict[str, _Connection] = {}
+        connections: dict[str, CallerConnection] = {}
         while not self._stopping:
-            await trio.sleep(rng.expovariate(1 / MEAN_PAUSE_S) * 2)
+            await trio.sleep(rng.expovariate(1 / MEAN_PAUSE_S))
             gateway = rng.choice(list(self.deployment.plan.gateways))
             call = self._make_call(rng, gateway)
             leave_s = rng.uniform(0.0, 0.3) if rng.random() < ABANDON_RATIO else None
@@ -224,7 +219,7 @@
                 continue
             connection = connections.pop(gateway, None)
             if connection is None or rng.random() > REUSE_RATIO:
-                connection = await _Connection.open(self.deployment.gateway(gateway).callers)
+                connection = await CallerConnection.open(self.deployment.gateway(gateway).callers)
             if connection is None:
                 continue
             call.sent_at = time.time()
@@ -266,221 +261,6 @@
         return self._forwarders[name]
 
 
-class _Connection:
-    """A caller's connection to a gateway."""
-
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self._stream = stream
-        self._connection = h11.Connection(h11.CLIENT)
-        self.reusable = False
-
-    @classmethod
-    async def open(cls, address: Address) -> _Connection | None:
-        """Connect, or return None if that does not succeed within a second."""
-        with trio.move_on_after(CONNECT_TIMEOUT_S):
-            try:
-                return cls(await trio.open_tcp_stream(address.host, address.port))
-            except OSError:
-                return None
-        return None
-
-    async def exchange(self, call: PlatformCall) -> None:
-        """Send a call and note its answer."""
-        self.reusable = False
-        headers = [
-            ("host", CALLER_HOST),
-            ("request-id", call.call_id),
-            ("deadline-ms", str(int(call.patience_s * 1000))),
-        ]
-        if call.kind.is_stream:
-            tokens = sum(int(part.partition(":")[2]) for part in call.prompt.split(","))
-            headers += [("prefix-hash", call.prompt), ("token-counts", f"{tokens},{call.events}")]
-        method = "GET" if call.kind is CallKind.CHECK else "POST"
-        if method == "POST":
-            headers.append(("content-length", "0"))
-        request = h11.Request(method=method, target=call.target, headers=headers)
-        try:
-            if self._connection.our_state is h11.DONE:
-                self._connection.start_next_cycle()
-            await self._stream.send_all(self._connection.send(request))
-            self._connection.send(h11.EndOfMessage())
-            await self._receive(call)
-        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
-            return  # The call keeps what has arrived; it is not whole.
-
-    async def _receive(self, call: PlatformCall) -> None:
-        while True:
-            event = self._connection.next_event()
-            if event is h11.NEED_DATA:
-                self._connection.receive_data(await self._stream.receive_some(65536))
-            elif isinstance(event, h11.Response):
-                call.status = event.status_code
-                headers = dict(event.headers)
-                call.echoed_id = headers.get(b"request-id", b"").decode()
-                call.signed = b"server-stamp" in headers
-            elif isinstance(event, h11.Data):
-                call.body += event.data
-            elif isinstance(event, h11.EndOfMessage):
-                call.whole = True
-                self.reusable = self._connection.their_state is h11.DONE
-                return
-            else:
-                return
-
-
-Action = Callable[[PlatformSoak, str, random.Random], Awaitable[None]]
-
-
-def _duration(rng: random.Random) -> float:
-    return rng.uniform(SHORTEST_S, LONGEST_S)
-
-
-async def _start(soak: PlatformSoak, target: str) -> None:
-    if target in soak.deployment.plan.gateways:
-        await soak.deployment.start_gateway(target)
-        await soak.deployment.wait_ready(target)
-    elif target.endswith("-agent"):
-        await soak.deployment.start_agent(target)
-    else:
-        await soak.deployment.start_backend(target)
-
-
-async def _kill(soak: PlatformSoak, target: str, rng: random.Random) -> None:
-    handle = soak.deployment.processes[target]
-    handle.kill()
-    await handle.wait()
-    await trio.sleep(rng.choice([0.0, _duration(rng)]))
-    await _start(soak, target)
-
-
-async def _stop(soak: PlatformSoak, target: str, rng: random.Random) -> None:
-    handle = soak.deployment.processes[target]
-    since = time.time()
-    handle.terminate()
-    if rng.random() < 0.3:
-        await trio.sleep(0.5)
-        handle.hang_up()
-    with trio.move_on_after(GRACE_S + 2.0):
-        await handle.wait()
-    if target in soak.deployment.plan.gateways:
-        status = handle.returncode if handle.returncode is not None else -1
-        soak.history.stops.append(PlannedStop(target, since, time.time() - since, status))
-    if handle.returncode is None:
-        handle.kill()
-        await handle.wait()
-    await _start(soak, target)
-
-
-async def _pause(soak: PlatformSoak, target: str, rng: random.Random) -> None:
-    handle = soak.deployment.processes[target]
-    handle.pause()
-    await trio.sleep(_duration(rng))
-    handle.resume()
-
-
-async def _kill_while_paused(soak: PlatformSoak, target: str, rng: random.Random) -> None:
-    soak.deployment.processes[target].pause()
-    await trio.sleep(_duration(rng))
-    await _kill(soak, target, rng)
-
-
-async def _change_settings(soak: PlatformSoak, target: str, rng: random.Random) -> None:
-    handle: ProcessHandle = soak.deployment.processes[target]
-    for _ in range(rng.randint(1, 4)):
-        settings = soak.deployment.gateway(target)
-        if rng.random() < 0.3:
-            soak.deployment.settings_path(target).write_text("kind: gateway\n")
-        else:
-            lines = rng.randint(300, 500)
-            soak.deployment.write_settings(attrs.evolve(settings, log_lines_per_s=lines))
-        if rng.random() < 0.7:
-            handle.hang_up()
-        await trio.sleep(rng.uniform(0.0, 0.5))
-    soak.deployment.write_settings(soak.deployment.gateway(target))
-
-
-def _disturb_link(disturb: Callable[[Forwarder, random.Random], None]) -> Action:
-    async def act(soak: PlatformSoak, target: str, rng: random.Random) -> None:
-        forwarder = soak.link(target)
-        disturb(forwarder, rng)
-        await trio.sleep(_duration(rng))
-        forwarder.delay(0.0)
-        forwarder.forward()
-
-    return act
-
-
-def _cut(forwarder: Forwarder, rng: random.Random) -> None:
-    forwarder.cut(refuse=rng.random() < 0.5)
-
-
-def _hold(forwarder: Forwarder, rng: random.Random) -> None:
-    forwarder.hold(*rng.choice([(), (Direction.TO_SERVER,), (Direction.TO_CLIENT,)]))
-
-
-def _delay(forwarder: Forwarder, rng: random.Random) -> None:
-    forwarder.delay(rng.uniform(0.02, 0.6))
-
-
-def _standin_fault(**faults: tuple[Callable[[random.Random], object], object]) -> Action:
-    """Return an action that holds faults of a stand-in: for each its value and the one without."""
-
-    async def act(soak: PlatformSoak, target: str, rng: random.Random) -> None:
-        deployment = soak.deployment
-        address = deployment.store if target == "store" else deployment.backend_address(target)
-        try:
-            await deployment.set_faults(
-                address, **{name: choose(rng) for name, (choose, _) in faults.items()}
-            )
-            await trio.sleep(_duration(rng))
-            await deployment.set_faults(address, **{name: off for name, (_, off) in faults.items()})
-        except HttpError:
-            return  # The process has been stopped by another fault.
-
-    return act
-
-
-async def _publish(soak: PlatformSoak, _target: str, rng: random.Random) -> None:
-    for _ in range(rng.choice([1, 1, 12])):
-        await soak.publish(rng)
-        await trio.sleep(0.2)
-
-
-def _few(rng: random.Random) -> int:
-    return rng.randint(1, 6)
-
-
-FAULTS: tuple[tuple[str, str, Action], ...] = (
-    ("kill_gateway", "gateway", _kill),
-    ("stop_gateway", "gateway", _stop),
-    ("pause_gateway", "gateway", _pause),
-    ("change_settings", "gateway", _change_settings),
-    ("kill_agent", "agent", _kill),
-    ("stop_agent", "agent", _stop),
-    ("pause_agent", "agent", _pause),
-    ("kill_backend", "backend", _kill),
-    ("stop_backend", "backend", _stop),
-    ("pause_backend", "backend", _pause),
-    ("kill_paused_backend", "backend", _kill_while_paused),
-    ("cut_backend_link", "backend", _disturb_link(_cut)),
-    ("hold_backend_link", "backend", _disturb_link(_hold)),
-    ("slow_backend_link", "backend", _disturb_link(_delay)),
-    ("cut_store_link", "store_link", _disturb_link(_cut)),
-    ("hold_store_link", "store_link", _disturb_link(_hold)),
-    ("slow_store_link", "store_link", _disturb_link(_delay)),
-    ("store_refuses", "store", _standin_fault(refuse_status=(lambda _: 503, 0))),
-    ("store_silent", "store", _standin_fault(silent=(lambda _: True, False))),
-    ("refusing_backend", "backend", _standin_fault(refuse=(_few, 0))),
-    ("lost_answers", "backend", _standin_fault(lose_answers=(_few, 0))),
-    ("wrong_answers", "backend", _standin_fault(wrong_answers=(_few, 0))),
-    ("errors", "backend", _standin_fault(errors=(_few, 0))),
-    ("slow_backend", "backend", _standin_fault(delay_ms=(lambda r: r.uniform(50, 2500), 0.0))),
-    ("cut_streams", "engine", _standin_fault(cut_after=(_few, None))),
-    ("lost_handles", "engine", _standin_fault(drop_handles=(_few, 0))),
-    ("publish", "config", _publish),
-)
-
-
 def _read_failures(directory: Path) -> list[str]:
     """Return log lines of the product's processes that tell of an error in its code."""
     failures = []
