Keep the gateway alive when agents are silent and dropped in the same moment

Cause: the link to an agent raised an error inside an except* block. When its task was cancelled at the same time, because the engine's registration had lapsed, that error came out as a group, which the caller does not catch, and the process ended. Ruled out: single losses of agents, which came out as a plain error and were logged. Before: the new test fails; after: it passes.

--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -149,7 +149,8 @@
                 nursery.start_soon(self._send_ends, connection)
                 await self._receive(connection)
         except* (TransportError, trio.TooSlowError) as group:
-            raise TransportError(f"connection to the agent ended: {group.exceptions[0]}") from group
+            # An error raised here would become part of a group when the task is cancelled as well.
+            self._note_lost(group.exceptions[0])
         finally:
             self._connection = None
             for channel in self._waiting.values():
--- a/tests/test_prompt_agent.py
+++ b/tests/test_prompt_agent.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+from support.forwarder import Forwarder
 from support.platform_fakes import HOST, run_test
 
 from figwalk.coordination.engine_tracker import EngineTracker
@@ -12,7 +13,7 @@
 from figwalk.coordination.reading_queue import ReadingQueue
 from figwalk.errors import HttpError
 from figwalk.events import EventLog
-from figwalk.gateway.prompt_offers import PromptOffers
+from figwalk.gateway.prompt_offers import AgentLink, PromptOffers
 from figwalk.platform import PlatformEngineReportCodec
 from figwalk.prompt_agent.engine_watcher import EngineWatcher
 from figwalk.prompt_agent.prompt_server import PromptServer
@@ -62,11 +63,11 @@
         self.offers = offers
         self.agent_scope = agent_scope
 
-    async def offer(self):
-        """Offer the prompt."""
+    async def offer(self, round_trip_s=0.5):
+        """Offer the prompt, as a gateway at this distance."""
         placement = PromptPlacement(PlacementSettings(), Distance("a", "r", {"a": "r"}), None)
         plan = placement._build_plan(PROMPT, self.tracker, self.tracker, None, SPEC)
-        return await self.offers.offer("c1", PROMPT, plan, 0.5)
+        return await self.offers.offer("c1", PROMPT, plan, round_trip_s)
 
     async def wait_connected(self):
         """Wait for the first state that the agent tells."""
@@ -75,8 +76,8 @@
 
 
 @asynccontextmanager
-async def running_pair():
-    """Run an engine, its agent, and a gateway's connection."""
+async def running_pair(delay_s=0.0):
+    """Run an engine, its agent, and a gateway's connection with a delay in each direction."""
     timer = Timer()
     events = EventLog("test", timer)
     async with trio.open_nursery() as nursery:
@@ -105,6 +106,10 @@
                 await trio.serve_listeners(agent.serve_connection, listeners)
 
         nursery.start_soon(serve_agent)
+        if delay_s:
+            forwarder = Forwarder(Address(HOST, agent_port))
+            forwarder.delay(delay_s)
+            agent_port = (await nursery.start(forwarder.run)).port
         address = Address(HOST, engine_port)
         entry = BackendEntry("e1", "lm", address, "a", 8, False, 1, 1, role=Role.PREFILL)
         tracker = EngineTracker(entry, timer, events, spec=SPEC)
@@ -181,6 +186,36 @@
         await trio.sleep(0.01)
 
 
+@with_pair
+async def test_link_that_is_lost_and_dropped_at_once_ends_quietly(pair):
+    """Guards against a gateway that ends after a freeze.
+
+    The agents' silence is noticed then in the same moment in which the engines' registrations
+    turn out to have lapsed.
+    """
+    scope = trio.CancelScope()
+    known = pair.offers._links[pair.tracker][0]
+    link = AgentLink(pair.tracker, known._port, known._hello, pair.offers._events, Timer())
+
+    async def lose_when_cancelled(_connection):
+        try:
+            await trio.sleep_forever()
+        finally:
+            raise trio.TooSlowError
+
+    link._receive = lose_when_cancelled
+    async with trio.open_nursery() as nursery:
+
+        async def run():
+            with scope:
+                await link.run()
+
+        nursery.start_soon(run)
+        while link._connection is None:
+            await trio.sleep(0.01)
+        scope.cancel()
+
+
 @with_pair
 async def test_lost_agent_gives_no_answer_at_once(pair):
     """Guards against prompts that wait for an agent that is gone."""
