Share the signal handling of the two soaks

Both soaks now run through run_until_signal. The check of ends skips calls before it sums up pauses, prefills are counted as a set, and two faults of the backend servers' stand-in are described as what they are, faults of plain services. No rule or bound changes.

--- a/histories/platform_history.py
+++ b/histories/platform_history.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections import Counter, defaultdict
+from collections import defaultdict
 from collections.abc import Iterable
 from enum import Enum
 
@@ -217,16 +217,16 @@
     ]
     violations = []
     for call in history.calls.values():
+        if call.kind.is_stream or call.abandoned:
+            continue
         limit = call.patience_s + TRANSIT_S + CLOCK_SLACK_S
+        if not history.is_measured(call.sent_at, call.ended_at or call.sent_at + limit):
+            continue
         frozen = sum(
             end - start
             for target, start, end in paused
             if target == call.gateway and start < call.sent_at + limit and end > call.sent_at
         )
-        if call.kind.is_stream or call.abandoned:
-            continue
-        if not history.is_measured(call.sent_at, call.ended_at or call.sent_at + limit):
-            continue
         if not call.ended_at or call.ended_at - call.sent_at > limit + frozen:
             message = f"{call.call_id} had no end {limit:.1f} s after it was sent"
             violations.append(Violation("ends", message, (call,)))
@@ -297,10 +297,8 @@
 
 
 def _count_prefills(history: PlatformHistory, start: float, end: float) -> int:
-    per_call = Counter(
-        note.call_id for note in history.notes if note.event == "prefill" and start <= note.at < end
-    )
-    return len(per_call)
+    """Return the number of calls that were prefilled in a window."""
+    return len({n.call_id for n in history.notes if n.event == "prefill" and start <= n.at < end})
 
 
 def _find_fault(call: PlatformCall) -> str:
--- a/histories/platform_soak.py
+++ b/histories/platform_soak.py
@@ -13,7 +13,6 @@
 import json
 import random
 import shutil
-import signal
 import sys
 import tempfile
 import time
@@ -36,7 +35,7 @@
     check_platform_history,
 )
 from histories.platform_page import draw_page
-from histories.soak import cancel_on_signal
+from histories.soak import run_until_signal
 from standins.launcher import Launcher
 from standins.platform_config import make_config, make_route
 from standins.platform_deployment import PlatformDeployment, make_plan
@@ -116,15 +115,7 @@
         Raises:
             KeyboardInterrupt: A signal ended the run.
         """
-        violations: list[Violation] | None = None
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(cancel_on_signal, signals, nursery.cancel_scope)
-                violations = await self._run()
-                nursery.cancel_scope.cancel()
-        if violations is None:
-            raise KeyboardInterrupt
-        return violations
+        return await run_until_signal(self._run)
 
     async def _run(self) -> list[Violation]:
         options = self._options
--- a/histories/soak.py
+++ b/histories/soak.py
@@ -14,8 +14,9 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
+from typing import TypeVar
 
 import attrs
 import trio
@@ -44,6 +45,8 @@
 CHANGING_PRESETS = frozenset({"presets/ordinary", "presets/peak"})
 ENGINE_ARGUMENTS = ("--time-scale", "0.4")
 
+T = TypeVar("T")
+
 
 @attrs.frozen
 class SoakOptions:
@@ -102,15 +105,7 @@
         Raises:
             KeyboardInterrupt: A signal ended the run.
         """
-        violations: list[Violation] | None = None
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(cancel_on_signal, signals, nursery.cancel_scope)
-                violations = await self._run()
-                nursery.cancel_scope.cancel()
-        if violations is None:
-            raise KeyboardInterrupt
-        return violations
+        return await run_until_signal(self._run)
 
     async def _run(self) -> list[Violation]:
         async with trio.open_nursery() as forwarding:
@@ -191,8 +186,24 @@
         await trio.testing.wait_all_tasks_blocked(0.05)
 
 
-async def cancel_on_signal(signals: AsyncIterator[int], scope: trio.CancelScope) -> None:
-    """Cancel a scope at the first signal."""
+async def run_until_signal(run: Callable[[], Awaitable[T]]) -> T:
+    """Run a coroutine function and return its result; SIGTERM and SIGINT cancel it.
+
+    Raises:
+        KeyboardInterrupt: A signal ended the run.
+    """
+    results: list[T] = []
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_on_signal, signals, nursery.cancel_scope)
+            results.append(await run())
+            nursery.cancel_scope.cancel()
+    if not results:
+        raise KeyboardInterrupt
+    return results[0]
+
+
+async def _cancel_on_signal(signals: AsyncIterator[int], scope: trio.CancelScope) -> None:
     async for _ in signals:
         scope.cancel()
         return
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -18,8 +18,8 @@
   delay_ms        every call runs this much longer
   refuse          the next N calls are not run
   lose_answers    the next N calls run, then their connection is closed
-  wrong_answers   the next N calls are answered with the id of another call
-  errors          the next N calls run and get 500
+  wrong_answers   the next N calls of a plain service are answered with the id of another call
+  errors          the next N calls of a plain service run and get 500
   cut_after       N: streams are closed in the middle of the event after the Nth
   drop_handles    the next N handles are gone when they are asked for
 """
