Follow what backend servers state in their answers: leaving, and closed for a time

A backend server that leaves says so in all its answers, earlier than the store's list, and a 503 with Retry-After asks this machine to stay away for so long. Both were ignored: a leaving server got calls until the list was read, a closed one at once again. The directory now keeps both for each life of a backend server; calls, prefills, resumed streams and releases leave it alone, and a call that finds all servers closed is refused with the time at which the first one opens. The agent beside an engine reads the same headers in reports. What a 421 says is said by another server at the address and is not taken over.

--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -79,6 +79,7 @@
     BACKEND_RECORD_SKIPPED = (414, "warning", "A record of the list could not be read.")
     BACKEND_AVOIDED = (415, "warning", "Calls to a backend server failed; it is avoided.")
     BACKEND_USED_AGAIN = (416, "info", "A backend server that was avoided answers again.")
+    BACKEND_CLOSED = (417, "info", "A backend server wants no calls of this process for a time.")
     ATTEMPT_SENT = (420, "info", "A call was sent to a backend server.")
     ATTEMPT_FAILED = (421, "info", "An attempt at a backend server failed; the fields say how.")
     CALL_ANSWERED = (422, "info", "A caller got its answer; the fields say from where.")
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -212,7 +212,12 @@
             return self._codec.decode_prefill(plan.backend, body)
 
     async def release(self, call: Call, tracker: BackendTracker, source: KvSource) -> None:
-        """Free the KV cache of a prefilled prompt that won't be fetched."""
+        """Free the KV cache of a prefilled prompt that won't be fetched.
+
+        An engine that wants no calls now frees it by itself when its time is over.
+        """
+        if not self._pool.is_open(source.backend):
+            return
         self._events.record(
             Event.PREFILL_WASTED, request_id=call.call_id, backend=source.backend.backend
         )
@@ -252,6 +257,10 @@
     ) -> Answer:
         facts = self._codec.decode_answer(response.status, response.headers)
         tracker.note_answer(key, facts.load)
+        if facts.leaving:
+            self._pool.note_leaving(plan.backend)
+        if facts.closed_s > 0:
+            self._pool.note_closed(plan.backend, facts.closed_s)
         if facts.not_run:
             message = f"not run, HTTP status {response.status}"
             raise AttemptError(AttemptOutcome.REFUSED, message, not_run=True)
--- a/figwalk/gateway/backend_pool.py
+++ b/figwalk/gateway/backend_pool.py
@@ -78,7 +78,7 @@
                 self._drop(backend)
 
     def of_service(self, service: str) -> Iterator[PooledBackend]:
-        """Yield the backend servers of a service that take new work."""
+        """Yield the backend servers of a service that don't leave, also those closed for now."""
         for entry in self._directory.of_service(service):
             pooled = self._backends.get(entry.backend)
             if pooled is None:
@@ -86,15 +86,36 @@
             yield pooled
 
     def trackers(self, service: str) -> list[BackendTracker]:
-        """Return the trackers of a service's backend servers that take new work."""
-        return [pooled.tracker for pooled in self.of_service(service)]
+        """Return the trackers of a service's backend servers that take new work now."""
+        trackers = [pooled.tracker for pooled in self.of_service(service)]
+        return [tracker for tracker in trackers if self.is_open(tracker.entry)]
+
+    def is_open(self, entry: BackendEntry) -> bool:
+        """Return whether a backend server takes calls of this process now."""
+        return self._directory.opens_in_s(entry) <= 0
+
+    def opens_in_s(self, service: str) -> float | None:
+        """Return the seconds until the first closed backend server of a service opens.
+
+        None if none is closed.
+        """
+        waits = [self._directory.opens_in_s(entry) for entry in self._directory.of_service(service)]
+        return min((wait_s for wait_s in waits if wait_s > 0), default=None)
+
+    def note_leaving(self, entry: BackendEntry) -> None:
+        """Take over that a backend server says that it leaves."""
+        self._directory.note_leaving(entry)
+
+    def note_closed(self, entry: BackendEntry, seconds: float) -> None:
+        """Take over that a backend server wants no calls of this process for some seconds."""
+        self._directory.note_closed(entry, seconds)
 
     def engines(self) -> list[EngineTracker]:
-        """Return the trackers of all engines that take new work."""
+        """Return the trackers of all engines that don't leave, also of those closed for now."""
         if self._routing is None:
             return []
         services = [name for name, spec in self._routing.services.items() if spec.engine]
-        trackers = [tracker for name in services for tracker in self.trackers(name)]
+        trackers = [pooled.tracker for name in services for pooled in self.of_service(name)]
         return [tracker for tracker in trackers if isinstance(tracker, EngineTracker)]
 
     def client(self, tracker: BackendTracker) -> HttpClient:
--- a/figwalk/gateway/codecs.py
+++ b/figwalk/gateway/codecs.py
@@ -114,11 +114,15 @@
         not_run: It states that the call was not run.
         signed: It bears the backend server's signature.
         load: Load that it states, or None.
+        leaving: It states that the backend server is about to leave.
+        closed_s: Seconds for which the backend server wants no calls of this process.
     """
 
     not_run: bool
     signed: bool
     load: StatedLoad | None
+    leaving: bool = False
+    closed_s: float = 0.0
 
 
 class BackendCodec(ABC):
--- a/figwalk/gateway/plain_calls.py
+++ b/figwalk/gateway/plain_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from http import HTTPStatus
 
 import attrs
@@ -17,7 +18,7 @@
 from figwalk.gateway.codecs import SendPlan
 from figwalk.gateway.stream_relay import StreamRelay
 from figwalk.state.routing import CallKind
-from figwalk.timer import Timer
+from figwalk.timer import MS_PER_S, Timer
 from figwalk.transport import Headers, Responder
 
 # An attempt that has taken this part of the time left is given up where another one is allowed;
@@ -196,13 +197,26 @@
                 status=HTTPStatus.BAD_GATEWAY,
                 outcome=CallOutcome.UNKNOWN,
             )
-        if error is not None and error.outcome is AttemptOutcome.REFUSED:
+        is_refused = error is not None and error.outcome is AttemptOutcome.REFUSED
+        if is_refused and self._pool.trackers(call.service):
             return RefusalError("backends_full", str(error), retry_after_ms=FULL_RETRY_MS)
+        return refuse_without_backend(self._pool, call.service)
+
+
+def refuse_without_backend(pool: BackendPool, service: str) -> RefusalError:
+    """Return the refusal of a call that no backend server takes now, with when to come back."""
+    opens_in_s = pool.opens_in_s(service)
+    if opens_in_s is not None:
         return RefusalError(
-            "no_backend",
-            f"no backend server of {call.service!r} can be reached",
-            retry_after_ms=NO_BACKEND_RETRY_MS,
+            "backends_closed",
+            f"the backend servers of {service!r} take no calls now",
+            retry_after_ms=math.ceil(opens_in_s * MS_PER_S),
         )
+    return RefusalError(
+        "no_backend",
+        f"no backend server of {service!r} can be reached",
+        retry_after_ms=NO_BACKEND_RETRY_MS,
+    )
 
 
 async def _read(answer: Answer) -> WholeAnswer:
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -23,7 +23,11 @@
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import CallStep, KvSource, SendPlan
 from figwalk.gateway.placed_prompt import Judge, Placed
-from figwalk.gateway.plain_calls import NO_BACKEND_RETRY_MS, NOT_RUN_STATUSES
+from figwalk.gateway.plain_calls import (
+    NO_BACKEND_RETRY_MS,
+    NOT_RUN_STATUSES,
+    refuse_without_backend,
+)
 from figwalk.gateway.prompt_offers import PromptOffers
 from figwalk.gateway.stream_relay import StreamRelay
 from figwalk.state.routing import EngineSpec
@@ -168,11 +172,7 @@
         left = [t for t in engines if t.entry.backend not in call.sent_to]
         plans = self._placement.rank(self._describe(call), left, spec)
         if not plans:
-            raise RefusalError(
-                "no_engine",
-                f"no engine of {call.service!r} can be reached",
-                retry_after_ms=NO_BACKEND_RETRY_MS,
-            )
+            raise refuse_without_backend(self._pool, call.service)
         return plans
 
     async def _place_again(
--- a/figwalk/platform/backend_codec.py
+++ b/figwalk/platform/backend_codec.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import re
+from http import HTTPStatus
+
 from figwalk.coordination.backend_tracker import StatedLoad
 from figwalk.errors import HttpError
 from figwalk.gateway.codecs import AnswerFacts, BackendCodec, CallStep, KvSource, SendPlan
@@ -12,6 +15,8 @@
 from figwalk.transport import Headers, HttpRequest, find_header, strip_hop_by_hop
 
 _LOAD_FIELDS = 3
+# Seconds with an optional fraction. Dates, signs and numbers too long for a float are no answer.
+_SECONDS = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 
 
 class PlatformBackendCodec(BackendCodec):
@@ -45,11 +50,14 @@
 
     def decode_answer(self, status: int, headers: Headers) -> AnswerFacts:
         """Return what an answer says; see `BackendCodec.decode_answer`."""
+        # Another backend server at the address answers this; it ran nothing and speaks of itself.
+        is_other = status == HTTPStatus.MISDIRECTED_REQUEST
         return AnswerFacts(
-            # 421 is the answer of another backend server at the address, which ran nothing.
-            not_run=status == 421 or bool(find_header(headers, names.NOT_RUN)),
+            not_run=is_other or bool(find_header(headers, names.NOT_RUN)),
             signed=bool(find_header(headers, names.SIGNATURE)),
-            load=_read_load(find_header(headers, names.LOAD)),
+            load=None if is_other else _read_load(find_header(headers, names.LOAD)),
+            leaving=not is_other and is_leaving(headers),
+            closed_s=read_closed_s(status, headers),
         )
 
     def decode_prefill(self, backend: BackendEntry, body: bytes) -> KvSource:
@@ -65,6 +73,19 @@
         return HttpRequest("DELETE", f"/kv-handle/{source.handle}", [])
 
 
+def is_leaving(headers: Headers) -> bool:
+    """Return whether an answer states that its backend server is about to leave."""
+    return find_header(headers, names.LEAVING).strip() == "1"
+
+
+def read_closed_s(status: int, headers: Headers) -> float:
+    """Return the seconds for which a backend server wants no calls; 0 if it does not say."""
+    text = find_header(headers, names.RETRY_AFTER).strip()
+    if status != HTTPStatus.SERVICE_UNAVAILABLE or not _SECONDS.fullmatch(text):
+        return 0.0
+    return float(text)
+
+
 def _read_load(text: str) -> StatedLoad | None:
     numbers = text.split(",")
     if len(numbers) != _LOAD_FIELDS or not all(map(is_count, numbers)):
--- a/figwalk/platform/engine_report.py
+++ b/figwalk/platform/engine_report.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from figwalk.errors import HttpError
+from figwalk.platform.backend_codec import is_leaving, read_closed_s
 from figwalk.platform.json_fields import JsonFields, PlatformRecordError
 from figwalk.prompt_agent.engine_watcher import EngineReport, EngineReportCodec
 from figwalk.protocol.messages import Role
-from figwalk.transport import HttpRequest
+from figwalk.transport import Headers, HttpRequest
 
 _ROLES = {"prefill": Role.PREFILL, "decode": Role.DECODE}
 
@@ -18,7 +19,11 @@
         """Return the request for a report."""
         return HttpRequest("GET", "/report", [])
 
-    def decode_report(self, body: bytes) -> EngineReport:
+    def read_closed_s(self, status: int, headers: Headers) -> float:
+        """Return for how long the engine wants no calls; see `EngineReportCodec.read_closed_s`."""
+        return read_closed_s(status, headers)
+
+    def decode_report(self, headers: Headers, body: bytes) -> EngineReport:
         """Return what a report says; see `EngineReportCodec.decode_report`."""
         try:
             fields = JsonFields.parse(body, "report of an engine")
@@ -29,6 +34,7 @@
                 running=fields.integer("running"),
                 waiting=fields.integer("waiting"),
                 kv_tokens=fields.integer("kv-total"),
+                leaving=is_leaving(headers),
             )
         except PlatformRecordError as error:
             raise HttpError(str(error)) from error
--- a/figwalk/platform/headers.py
+++ b/figwalk/platform/headers.py
@@ -11,6 +11,10 @@
 LAST_EVENT_ID = b"last-event-id"
 SIGNATURE = b"server-stamp"
 NOT_RUN = b"not-executed"
+# "1" in all answers of a backend server that is about to leave.
+LEAVING = b"server-leaving"
+# Seconds, also fractions; in a 503, how long the backend server wants nothing from this machine.
+RETRY_AFTER = b"retry-after"
 EXPECTED_BACKEND = b"expect-instance"
 # Running, waiting, slots.
 LOAD = b"server-load"
--- a/figwalk/prompt_agent/engine_watcher.py
+++ b/figwalk/prompt_agent/engine_watcher.py
@@ -11,9 +11,10 @@
 from figwalk.errors import HttpError
 from figwalk.events import Event, EventLog
 from figwalk.protocol.messages import Role
+from figwalk.state.backend_statements import MAX_CLOSED_S
 from figwalk.state.gateway_settings import EngineSettings
 from figwalk.timer import Timer
-from figwalk.transport import HttpClient, HttpRequest
+from figwalk.transport import Headers, HttpClient, HttpRequest
 
 # An engine on the same VM answers within a few milliseconds; a report costs this VM about one.
 REPORT_PERIOD_S = 0.1
@@ -38,6 +39,7 @@
         running: Calls being worked on.
         waiting: Calls in its queue.
         kv_tokens: Tokens that its KV cache holds.
+        leaving: Whether it is about to leave.
     """
 
     role: Role
@@ -46,6 +48,7 @@
     running: int
     waiting: int
     kv_tokens: int
+    leaving: bool = False
 
 
 class EngineReportCodec(ABC):
@@ -56,7 +59,11 @@
         """Return the request for a report."""
 
     @abstractmethod
-    def decode_report(self, body: bytes) -> EngineReport:
+    def read_closed_s(self, status: int, headers: Headers) -> float:
+        """Return the seconds for which the engine wants no calls; 0 if it does not say."""
+
+    @abstractmethod
+    def decode_report(self, headers: Headers, body: bytes) -> EngineReport:
         """Return what a report says.
 
         Raises:
@@ -94,12 +101,14 @@
         self._report: EngineReport | None = None
         self._reported_at: float | None = None
         self._missed = 0
+        self._closed_until = 0.0
         self._up = False
 
     @property
     def up(self) -> bool:
         """Whether the engine answers and takes work."""
-        return self._up and self._report is not None and not self._report.changing
+        report = self._report
+        return self._up and report is not None and not (report.changing or report.leaving)
 
     @property
     def decoding(self) -> int:
@@ -122,17 +131,24 @@
 
     async def watch(self) -> None:
         """Ask once, as a callback of the timer service."""
+        if self._timer.now() < self._closed_until:
+            return
         request = self._codec.encode_report_request()
         try:
             with trio.fail_after(REPORT_TIMEOUT_S):
-                _, body = await self._client.fetch(request.method, request.target)
-                report = self._codec.decode_report(body)
+                response, body = await self._client.fetch(request.method, request.target)
+                self._note_closed(self._codec.read_closed_s(response.status, response.headers))
+                report = self._codec.decode_report(response.headers, body)
         except (HttpError, trio.TooSlowError) as error:
             self._note_missed(repr(error))
             return
         self._missed = 0
         self._take_over(report)
 
+    def _note_closed(self, seconds: float) -> None:
+        if seconds > 0:
+            self._closed_until = self._timer.now() + min(seconds, MAX_CLOSED_S)
+
     def _take_over(self, report: EngineReport) -> None:
         known, self._report = self._report, report
         self._reported_at = self._timer.now()
--- a/figwalk/state/backend_directory.py
+++ b/figwalk/state/backend_directory.py
@@ -8,6 +8,7 @@
 
 from figwalk.events import Event, EventLog
 from figwalk.protocol.messages import Role
+from figwalk.state.backend_statements import BackendStatements
 from figwalk.state.settings import Address
 from figwalk.timer import Timer
 
@@ -73,6 +74,7 @@
         self._store_returned_at: float | None = None
         self._store_away = False
         self._loaded = False
+        self._statements = BackendStatements(timer)
 
     @property
     def loaded(self) -> bool:
@@ -86,13 +88,41 @@
     def of_service(self, service: str) -> Iterator[BackendEntry]:
         """Yield the backend servers of a service that take new work."""
         for entry in self._entries.values():
-            if entry.service == service and not entry.leaving:
+            if entry.service == service and not self._is_leaving(entry):
                 yield entry
 
     def entries(self) -> list[BackendEntry]:
         """Return all registered backend servers."""
         return list(self._entries.values())
 
+    def opens_in_s(self, entry: BackendEntry) -> float:
+        """Return the seconds until a backend server takes calls of this process; 0 if now."""
+        return self._statements.opens_in_s(entry.backend, entry.born_ms)
+
+    def note_leaving(self, entry: BackendEntry) -> None:
+        """Take over that a backend server has said in an answer that it leaves.
+
+        It gets no new work, whatever the list goes on saying of this life of it.
+
+        Args:
+            entry: The registration by which it was called.
+        """
+        if self._statements.note_leaving(entry.backend, entry.born_ms):
+            self._record(Event.BACKEND_LEAVING, entry)
+            self._on_change()
+
+    def note_closed(self, entry: BackendEntry, seconds: float) -> None:
+        """Take over that a backend server wants no calls of this process for some seconds.
+
+        Args:
+            entry: The registration by which it was called.
+            seconds: How long; longer times than `MAX_CLOSED_S` are cut.
+        """
+        if self._statements.note_closed(entry.backend, entry.born_ms, seconds):
+            self._events.record(
+                Event.BACKEND_CLOSED, backend=entry.backend, service=entry.service, seconds=seconds
+            )
+
     def note_loaded(self) -> None:
         """Note that the whole list has been applied."""
         self._loaded = True
@@ -145,12 +175,16 @@
         old = [name for name, (_, at) in self._removed.items() if now - at > REMOVAL_MEMORY_S]
         for backend in old:
             del self._removed[backend]
+        self._statements.forget_old(self._entries.__contains__)
 
     def keep_only(self, backends: set[str]) -> None:
         """Remove all that a complete reading of the list does not show."""
         for backend in [name for name in self._entries if name not in backends]:
             self.remove(backend)
 
+    def _is_leaving(self, entry: BackendEntry) -> bool:
+        return entry.leaving or self._statements.is_leaving(entry.backend, entry.born_ms)
+
     def _recently_away(self) -> bool:
         if self._store_away:
             return True
--- /dev/null
+++ b/tests/test_backend_statements.py
@@ -0,0 +1,206 @@
+"""Tests of what backend servers say of themselves in their answers."""
+
+import attrs
+import pytest
+from support.fake_timer import FakeTimer
+from support.platform_fakes import answering, refusing, render, run_test, running_fleet
+
+from figwalk.events import EventLog
+from figwalk.platform import PlatformBackendCodec
+from figwalk.state.backend_directory import BackendDirectory, BackendEntry
+from figwalk.state.backend_statements import MAX_CLOSED_S, STATEMENT_MEMORY_S
+from figwalk.state.settings import Address
+from standins.platform_config import make_config
+
+ENTRY = BackendEntry("b1", "orders", Address("10.0.0.1", 80), "a", 6, False, 1000, 5)
+NEXT_LIFE = attrs.evolve(ENTRY, born_ms=2000, sequence=1)
+
+
+@pytest.fixture
+def timer():
+    return FakeTimer()
+
+
+@pytest.fixture
+def directory(timer):
+    directory = BackendDirectory(EventLog("test", timer), timer)
+    directory.apply(ENTRY)
+    return directory
+
+
+def names(directory):
+    return [entry.backend for entry in directory.of_service("orders")]
+
+
+def test_backend_that_says_that_it_leaves_gets_no_new_work(directory):
+    """Guards against calls to a leaving backend server until the store's list shows it."""
+    directory.note_leaving(ENTRY)
+    assert names(directory) == []
+
+
+def test_later_registration_of_the_same_life_does_not_undo_leaving(directory, timer):
+    """Guards against a registration, on its way for long, that puts a leaving server in use."""
+    directory.note_leaving(ENTRY)
+    directory.apply(attrs.evolve(ENTRY, sequence=6))
+    assert names(directory) == []
+    directory.note_store(available=True)
+    directory.remove("b1")
+    timer.advance(STATEMENT_MEMORY_S / 2)
+    directory.expire()
+    directory.apply(attrs.evolve(ENTRY, sequence=7))
+    assert names(directory) == []
+
+
+def test_next_life_at_the_same_id_starts_afresh(directory):
+    """Guards against a restarted backend server that is never used again."""
+    directory.note_leaving(ENTRY)
+    directory.note_closed(ENTRY, 5.0)
+    directory.apply(NEXT_LIFE)
+    assert names(directory) == ["b1"]
+    assert directory.opens_in_s(NEXT_LIFE) == 0
+
+
+def test_late_answer_of_an_earlier_life_says_nothing_of_the_next_one(directory):
+    """Guards against an old answer that takes a restarted backend server out of use."""
+    directory.apply(NEXT_LIFE)
+    directory.note_leaving(NEXT_LIFE)
+    directory.note_leaving(ENTRY)
+    directory.note_closed(ENTRY, 5.0)
+    assert directory.opens_in_s(NEXT_LIFE) == 0
+    assert names(directory) == []
+
+
+def test_closed_backend_opens_when_its_time_is_over(directory, timer):
+    """Guards against a backend server that is asked too early, or stays out of use."""
+    directory.note_closed(ENTRY, 2.0)
+    directory.note_closed(ENTRY, 0.5)
+    timer.advance(1.9)
+    assert directory.opens_in_s(ENTRY) == pytest.approx(0.1)
+    timer.advance(0.2)
+    assert directory.opens_in_s(ENTRY) == 0
+
+
+def test_closing_is_bounded(directory, timer):
+    """Guards against a wrong value that takes a backend server out of use for good."""
+    directory.note_closed(ENTRY, 1e9)
+    assert directory.opens_in_s(ENTRY) == MAX_CLOSED_S
+
+
+def test_statements_of_backends_long_gone_are_forgotten(directory, timer):
+    """Guards against memory that grows with each backend server that ever left."""
+    directory.note_leaving(ENTRY)
+    directory.note_store(available=True)
+    directory.remove("b1")
+    timer.advance(STATEMENT_MEMORY_S + 1)
+    directory.expire()
+    assert not directory._statements._statements
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [
+        (b"2", 2.0),
+        (b"0.25", 0.25),
+        (b" 1 ", 1.0),
+        (b"0", 0.0),
+        (b"-1", 0.0),
+        (b"nan", 0.0),
+        (b"inf", 0.0),
+        (b"1e3", 0.0),
+        (b"", 0.0),
+        (b"1,5", 0.0),
+        (b"\xb2", 0.0),
+        (b"9" * 400, 0.0),
+        (b"999999999999", 999999999999.0),
+        (b"Fri, 04 Dec 2026 09:00:00 GMT", 0.0),
+    ],
+)
+def test_odd_times_to_stay_away(text, seconds):
+    """Guards against a value that can't be read and raises, or closes a server by accident."""
+    facts = PlatformBackendCodec().decode_answer(503, [(b"retry-after", text)])
+    assert facts.closed_s == seconds
+
+
+@pytest.mark.parametrize("status", [200, 429, 421, 502])
+def test_only_a_503_closes_a_backend(status):
+    """Guards against a backend server left alone for a header that means something else."""
+    facts = PlatformBackendCodec().decode_answer(status, [(b"retry-after", b"3")])
+    assert facts.closed_s == 0
+
+
+def test_another_backend_at_the_address_speaks_of_itself():
+    """Guards against the successor's departure taken for that of the server that was meant."""
+    headers = [(b"server-leaving", b"1"), (b"server-load", b"1,0,6")]
+    facts = PlatformBackendCodec().decode_answer(421, headers)
+    assert (facts.leaving, facts.load) == (False, None)
+
+
+def run_with_orders(test, *scripts):
+    async def main():
+        async with running_fleet() as fleet:
+            fleet.publish(make_config())
+            backends = [await fleet.add_backend(f"b{i}", s) for i, s in enumerate(scripts)]
+            await fleet.start_gateway()
+            await test(fleet, *backends)
+
+    run_test(main)
+
+
+def test_call_after_an_answer_with_leaving_goes_elsewhere():
+    """Guards against a request that reaches a backend server which said that it leaves."""
+
+    async def test(fleet, leaving, staying):
+        for i in range(12):
+            status, _, _ = await fleet.call("/check/x", call_id=f"c{i}")
+            assert status == 200
+        assert len(leaving.requests) <= 1
+        assert len(staying.requests) >= 11
+
+    run_with_orders(test, answering(Server_Leaving=1), answering())
+
+
+def closing(seconds):
+    """Return a script that states that it did not run a call, and when to come back."""
+
+    async def script(_backend, stream, request):
+        headers = {"Not_Executed": 1, "Retry_After": seconds}
+        await stream.send_all(render(request, b"", status=503, signed=False, **headers))
+        return True
+
+    return script
+
+
+def test_closed_backend_gets_no_calls_and_callers_learn_when_it_opens():
+    """Guards against calls that a backend server asked to be spared."""
+
+    async def test(fleet, backend):
+        for i in range(4):
+            status, headers, _ = await fleet.call("/order/x", method="POST", call_id=f"c{i}")
+            assert status == 503
+            assert 0 < float(headers["retry-after"]) <= 7
+        assert float(headers["retry-after"]) > 5
+        assert len(backend.requests) == 1
+
+    run_with_orders(test, closing(7))
+
+
+def test_calls_go_on_at_a_backend_that_is_open():
+    """Guards against a service given up because one of its backend servers is closed."""
+
+    async def test(fleet, closed, _open):
+        answers = [await fleet.call("/check/x", call_id=f"c{i}") for i in range(8)]
+        assert {status for status, _, _ in answers} == {200}
+        assert len(closed.requests) <= 1
+
+    run_with_orders(test, closing(7), answering())
+
+
+def test_refusal_without_a_time_does_not_close_a_backend():
+    """Guards against a backend server left alone that merely was full for a moment."""
+
+    async def test(fleet, backend):
+        for i in range(3):
+            await fleet.call("/order/x", method="POST", call_id=f"c{i}")
+        assert len(backend.requests) == 3
+
+    run_with_orders(test, refusing)
--- a/tests/test_decoder_bounds.py
+++ b/tests/test_decoder_bounds.py
@@ -86,7 +86,7 @@
 def test_report_with_any_value_is_refused_or_complete(change):
     """Guards against an agent that ends because of its engine's report."""
     with suppress(HttpError):
-        report = PlatformEngineReportCodec().decode_report(json.dumps(REPORT | change).encode())
+        report = PlatformEngineReportCodec().decode_report([], json.dumps(REPORT | change).encode())
         assert report.kv_tokens >= 0
 
 
--- a/tests/test_prompt_agent.py
+++ b/tests/test_prompt_agent.py
@@ -272,4 +272,4 @@
 def test_unreadable_report_is_an_error(body):
     """Guards against an agent that ends, or believes in, a report that it can't read."""
     with pytest.raises(HttpError):
-        PlatformEngineReportCodec().decode_report(body)
+        PlatformEngineReportCodec().decode_report([], body)
