Tell gateways an engine's state when it changes, at a bounded rate

A gateway that reads too slowly misses a digest and holds up nobody. What a gateway was told is drained at the stated speed until the next digest.

--- a/figwalk/coordination/engine_tracker.py
+++ b/figwalk/coordination/engine_tracker.py
@@ -31,8 +31,8 @@
 # next will, but not for long: a queue of fetches builds up and drains within a second.
 LINK_WAIT_WEIGHT = 0.4
 LINK_WAIT_HALF_LIFE_S = 0.4
-# Agents tell the state of their engines ten times a second.
-DIGEST_MAX_AGE_S = 0.4
+# Agents tell the state of their engines when it changes, and each 0.4 s at the least.
+DIGEST_MAX_AGE_S = 0.95
 
 
 class EngineTracker(BackendTracker):
@@ -177,6 +177,7 @@
         by the load that the engine stated, at the mean length of this process's own.
         """
         if self._has_digest:
-            return self._stated_backlog
+            # What was stated is read meanwhile; what others sent since, their agent knows.
+            return max(0.0, self._stated_backlog - self._stated_rate * self.digest_age_s)
         others = max(0, self.estimate_load() - self.in_flight)
         return self.own_backlog_tokens + others * self._mean_uncached
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -38,8 +38,9 @@
 SUSPICION_S = 0.5
 MAX_UNANSWERED = 1000
 CONNECT_TIMEOUT_S = 0.5
-# Without a digest for this long, which is five of their periods, the connection is given up.
-SILENCE_S = 0.5
+# Without a digest for this long, which is more than two heartbeats of an agent, the connection is
+# given up. Offers that get no answer are noticed much earlier.
+SILENCE_S = 0.95
 RECONCILE_PERIOD_S = 0.2
 FIRST_RECONNECT_S = 0.1
 MAX_RECONNECT_S = 1.0
--- a/figwalk/prompt_agent/process.py
+++ b/figwalk/prompt_agent/process.py
@@ -11,6 +11,7 @@
 from figwalk.events import Event, EventLog
 from figwalk.platform import PlatformEngineReportCodec
 from figwalk.process_runner import Process
+from figwalk.prompt_agent.digest_sender import DIGEST_PERIOD_S
 from figwalk.prompt_agent.engine_watcher import REPORT_PERIOD_S, REPORT_TIMEOUT_S, EngineWatcher
 from figwalk.prompt_agent.prompt_server import PromptServer
 from figwalk.protocol.messages import ConnectionKind, Hello, Role
@@ -71,6 +72,7 @@
             nursery.start_soon(self._timer.run)
             nursery.start_soon(trio.serve_listeners, self._server.serve_connection, listeners)
             self._timer.subscribe("engine-report", REPORT_PERIOD_S, self._watcher.watch)
+            self._timer.subscribe("digests", DIGEST_PERIOD_S, self._server.digests.tell)
             self._events.record(
                 Event.PROCESS_STARTED, peers=str(address), engine=str(self._settings.engine)
             )
--- a/figwalk/prompt_agent/prompt_server.py
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -10,6 +10,7 @@
 from figwalk.coordination.reading_queue import Reading, ReadingQueue
 from figwalk.errors import TransportError
 from figwalk.events import Event, EventLog
+from figwalk.prompt_agent.digest_sender import DigestSender
 from figwalk.prompt_agent.engine_watcher import EngineWatcher
 from figwalk.protocol.messages import (
     EngineDigest,
@@ -23,8 +24,6 @@
 from figwalk.transport.byte_stream import ByteStream
 
 HELLO_TIMEOUT_S = 2.0
-# A gateway judges by its own knowledge while the state is older than a few of these periods.
-DIGEST_PERIOD_S = 0.1
 UNACKNOWLEDGED_LIMIT_MS = 1500
 MAX_UINT32 = 2**32 - 1
 
@@ -54,6 +53,12 @@
         self._events = events
         self._timer = timer
         self._make_hello = make_hello
+        self._digests = DigestSender(self._make_digest, timer)
+
+    @property
+    def digests(self) -> DigestSender:
+        """Tells gateways the engine's state; its `tell` is to be called periodically."""
+        return self._digests
 
     async def serve_connection(self, stream: trio.SocketStream) -> None:
         """Serve one gateway until it is gone."""
@@ -65,16 +70,14 @@
                 gateway = (await connection.receive_hello()).process
                 await connection.send(self._make_hello())
             self._events.record(Event.PEER_CONNECTED, peer=gateway)
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._send_digests, connection)
-                await self._receive(connection)
-        except* (TransportError, trio.TooSlowError) as group:
-            error = group.exceptions[0]
+            self._digests.add(connection)
+            await self._receive(connection)
+        except (TransportError, trio.TooSlowError) as error:
             self._events.record(Event.PEER_LOST, peer=gateway, detail=str(error) or repr(error))
-        except* Exception as group:
-            error = group.exceptions[0]
+        except Exception as error:
             self._events.record(Event.TASK_FAILED, task="peer connection", error=repr(error))
         finally:
+            self._digests.remove(connection)
             self._queue.drop(connection)
             connection.close()
 
@@ -120,11 +123,6 @@
             _to_uint32(self._queue.backlog_tokens),
         )
 
-    async def _send_digests(self, connection: PeerConnection) -> None:
-        while True:
-            await connection.send(self._make_digest())
-            await trio.sleep(DIGEST_PERIOD_S)
-
     def _make_digest(self) -> EngineDigest:
         return EngineDigest(
             self._watcher.up,
--- a/figwalk/protocol/peer_connection.py
+++ b/figwalk/protocol/peer_connection.py
@@ -87,6 +87,14 @@
         """Send frames from `render` and `render_data`."""
         await self._frames.send_rendered(frames)
 
+    def send_now(self, frames: bytes) -> bool:
+        """Send frames from `render` if they need not wait; return whether they were sent.
+
+        Raises:
+            ConnectionLostError: The connection is gone, or took a part of the frames only.
+        """
+        return self._frames.send_now(self._stream, frames)
+
     async def receive(self) -> Message | AnswerData:
         """Receive the next message or piece of answer data.
 
--- a/figwalk/transport/byte_stream.py
+++ b/figwalk/transport/byte_stream.py
@@ -35,17 +35,25 @@
     async def send_all(self, data: bytes) -> None:
         """Send all bytes.
 
+        Raises:
+            BrokenResourceError: The connection is gone.
+        """
+        sent = self.send_now(data)
+        if sent < len(data):
+            await self._stream.send_all(memoryview(data)[sent:])
+
+    def send_now(self, data: bytes) -> int:
+        """Send what the kernel takes at once; return how many bytes that were.
+
         Raises:
             BrokenResourceError: The connection is gone.
         """
         try:
-            sent = os.write(self.socket.fileno(), data)
+            return os.write(self.socket.fileno(), data)
         except BlockingIOError:
-            sent = 0
+            return 0
         except OSError as error:
             raise trio.BrokenResourceError from error
-        if sent < len(data):
-            await self._stream.send_all(memoryview(data)[sent:])
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Receive the bytes that are there, at least one, or none at the end of the stream.
--- a/figwalk/transport/frame_stream.py
+++ b/figwalk/transport/frame_stream.py
@@ -13,7 +13,7 @@
 import trio
 
 from figwalk.errors import ConnectionLostError, FrameTooLargeError, MalformedFrameError
-from figwalk.transport.byte_stream import RECEIVE_BYTES
+from figwalk.transport.byte_stream import RECEIVE_BYTES, ByteStream
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 _HEADER = struct.Struct("!IB")
@@ -94,6 +94,22 @@
             self._sending = False
             self._senders.unpark()
 
+    def send_now(self, stream: ByteStream, frames: bytes) -> bool:
+        """Send rendered frames if they need not wait; return whether they were sent.
+
+        Raises:
+            ConnectionLostError: The connection is gone, or took a part of the frames only.
+        """
+        if self._sending:
+            return False
+        try:
+            sent = stream.send_now(frames)
+        except trio.BrokenResourceError as error:
+            raise ConnectionLostError("peer connection lost while sending") from error
+        if 0 < sent < len(frames):
+            raise ConnectionLostError("the peer does not read what it is sent")
+        return sent > 0
+
     async def receive(self) -> Frame:
         """Receive one frame.
 
--- a/tests/test_prompt_agent.py
+++ b/tests/test_prompt_agent.py
@@ -15,6 +15,7 @@
 from figwalk.events import EventLog
 from figwalk.gateway.prompt_offers import AgentLink, PromptOffers
 from figwalk.platform import PlatformEngineReportCodec
+from figwalk.prompt_agent.digest_sender import DIGEST_PERIOD_S
 from figwalk.prompt_agent.engine_watcher import EngineWatcher
 from figwalk.prompt_agent.prompt_server import PromptServer
 from figwalk.protocol.messages import ConnectionKind, EngineDigest, Hello, PromptOffer, Role
@@ -105,7 +106,13 @@
             with agent_scope:
                 await trio.serve_listeners(agent.serve_connection, listeners)
 
+        async def tell_digests():
+            while True:
+                await agent.digests.tell()
+                await trio.sleep(DIGEST_PERIOD_S)
+
         nursery.start_soon(serve_agent)
+        nursery.start_soon(tell_digests)
         if delay_s:
             forwarder = Forwarder(Address(HOST, agent_port))
             forwarder.delay(delay_s)
