Learn engines' speeds from the first sample, and tell gateways what engines keep

Late prompts were admitted for callers that had left, since callers of streams wait 2 to 3.2 s for the first event and not for their time budget. 1.8 of 4.4 million tokens read were shared parts read again: with 57 subjects and 5 gateways each one sees a subject every 30 s.

The first reading of a prompt that waits for nobody now sets an engine's speed, which survives restarts of the engine. Patience for the first event comes from the route. Digests carry the subjects that an engine begins and ceases to keep.

--- a/figwalk/coordination/engine_tracker.py
+++ b/figwalk/coordination/engine_tracker.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from figwalk.coordination.backend_tracker import BackendTracker
 from figwalk.coordination.prefix_memory import PrefixMemory
@@ -31,6 +31,8 @@
 # next will, but not for long: a queue of fetches builds up and drains within a second.
 LINK_WAIT_WEIGHT = 0.4
 LINK_WAIT_HALF_LIFE_S = 0.4
+# More subjects than any engine keeps; an agent that never tells what yielded must not fill memory.
+MAX_KEPT = 20_000
 # Agents tell the state of their engines when it changes, and each 0.4 s at the least.
 DIGEST_MAX_AGE_S = 0.95
 
@@ -52,6 +54,7 @@
         self._stated_rate: float | None = None
         self._stated_backlog = 0.0
         self._stated_at = -math.inf
+        self._kept: set[int] = set()
         self._mean_uncached = ASSUMED_UNCACHED_TOKENS
 
     @property
@@ -103,6 +106,21 @@
         self._stated_rate = tokens_per_s
         self.note_backlog(backlog_tokens)
 
+    def note_kept(self, kept: Iterable[int], yielded: Iterable[int]) -> None:
+        """Take over which shared parts of prompts the engine keeps; see `hash_chain`."""
+        self._kept.update(kept)
+        self._kept.difference_update(yielded)
+        if len(self._kept) > MAX_KEPT:
+            self._kept.clear()
+
+    def forget_kept(self) -> None:
+        """Forget what the agent beside the engine told, which tells all of it again."""
+        self._kept.clear()
+
+    def keeps(self, subject: int) -> bool:
+        """Return whether the agent beside the engine told that it keeps a subject."""
+        return subject in self._kept
+
     def note_backlog(self, tokens: float) -> None:
         """Take over the backlog that the agent beside the engine tells."""
         self._stated_backlog = tokens
@@ -140,6 +158,11 @@
         """Prompt tokens that the engine reads a second, if its agent told lately."""
         return self._stated_rate if self._has_digest else None
 
+    @property
+    def last_stated_rate(self) -> float | None:
+        """Prompt tokens that the engine reads a second, as its agent told last, if it ever did."""
+        return self._stated_rate
+
     @property
     def _has_digest(self) -> bool:
         return self._stated_rate is not None and self.digest_age_s <= DIGEST_MAX_AGE_S
--- a/figwalk/coordination/prefix_memory.py
+++ b/figwalk/coordination/prefix_memory.py
@@ -4,6 +4,7 @@
 
 from collections import OrderedDict
 from collections.abc import Sequence
+from hashlib import blake2b
 
 # Running calls share the memory with kept parts.
 KEPT_SHARE = 0.8
@@ -41,8 +42,11 @@
             cached += tokens
         return cached
 
-    def note_read(self, parts: Sequence[tuple[str, int]]) -> None:
-        """Note that the engine read these parts of a prompt."""
+    def note_read(self, parts: Sequence[tuple[str, int]]) -> list[tuple[str, ...]]:
+        """Note that the engine read these parts of a prompt.
+
+        Returns the chains of ids, from the start of a prompt, that had to yield.
+        """
         for end in range(len(parts), 0, -1):
             chain = _chain(parts, end)
             if chain not in self._parts:
@@ -50,9 +54,12 @@
                 self._tokens += parts[end - 1][1]
             # A part is kept no shorter than those that follow it.
             self._parts.move_to_end(chain)
+        yielded = []
         while self._tokens > self._capacity:
-            _, tokens = self._parts.popitem(last=False)
+            chain, tokens = self._parts.popitem(last=False)
             self._tokens -= tokens
+            yielded.append(chain)
+        return yielded
 
     def clear(self) -> None:
         """Forget all, after a restart of the engine."""
@@ -60,5 +67,10 @@
         self._tokens = 0
 
 
+def hash_chain(chain: Sequence[str]) -> int:
+    """Return 32 bits that stand for the ids of a prompt's first parts in messages."""
+    return int.from_bytes(blake2b("/".join(chain).encode(), digest_size=4).digest())
+
+
 def _chain(parts: Sequence[tuple[str, int]], end: int) -> tuple[str, ...]:
     return tuple(part_id for part_id, _ in parts[:end])
--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -13,12 +13,14 @@
 
 import random
 from collections.abc import Sequence
+from functools import cached_property
 from hashlib import blake2b
 
 import attrs
 
 from figwalk.coordination.engine_tracker import EngineTracker
 from figwalk.coordination.plain_placement import Distance
+from figwalk.coordination.prefix_memory import hash_chain
 from figwalk.protocol.messages import Role
 from figwalk.state.gateway_settings import EngineSettings
 from figwalk.state.routing import EngineSpec
@@ -62,7 +64,7 @@
     admission_ratio: float = 0.9
 
 
-@attrs.frozen
+@attrs.frozen(slots=False)
 class PromptCall:
     """What the decision needs to know of a call.
 
@@ -76,12 +78,22 @@
     target_s: float
     left_s: float
 
-    @property
+    @cached_property
     def tokens(self) -> int:
         """Length of the prompt."""
         return sum(tokens for _, tokens in self.parts)
 
-    @property
+    @cached_property
+    def shared_tokens(self) -> int:
+        """Length of the shared parts: all but the call's own last one."""
+        return sum(tokens for _, tokens in self.parts[:-1])
+
+    @cached_property
+    def subject_hash(self) -> int:
+        """Stands for the shared parts in what agents tell; see `hash_chain`."""
+        return hash_chain(self.subject)
+
+    @cached_property
     def subject(self) -> tuple[str, ...]:
         """The shared parts: all but the call's own last one."""
         return tuple(part_id for part_id, _ in self.parts[:-1])
@@ -212,7 +224,7 @@
             return True
         if plan.predicted_s >= call.left_s:
             return False
-        return plan.backlog_s <= plan.uncached_tokens / self._settings.engines.prefill_tokens_per_s
+        return plan.backlog_s <= plan.reading_s
 
     def is_hopeless(self, call: PromptCall, plan: PromptPlan) -> bool:
         """Return whether an agent would surely refuse a plan, so that asking it is for nothing."""
@@ -284,17 +296,19 @@
         return call.tokens <= self._settings.short_prompt_tokens
 
     def _rate(self, engine: EngineTracker) -> float:
-        if engine.stated_rate is not None:
-            return max(1.0, engine.stated_rate)
+        # The last word of an agent that is gone is nearer than the deployment's figure.
+        if engine.last_stated_rate is not None:
+            return max(1.0, engine.last_stated_rate)
         return self._settings.engines.prefill_rate(engine.entry.role) * engine.rate_factor
 
     def _uncached(
         self, call: PromptCall, engine: EngineTracker, home: EngineTracker | None
     ) -> float:
         known = engine.memory.cached_tokens(call.parts)
-        if engine is home and known < call.tokens and len(call.parts) > HEAD_PART:
-            shared = sum(tokens for _, tokens in call.parts[:-1])
-            known = max(known, known + HOME_HIT_SHARE * (shared - known))
+        if engine.keeps(call.subject_hash):
+            known = max(known, call.shared_tokens)
+        elif engine is home and known < call.shared_tokens and len(call.parts) > HEAD_PART:
+            known += HOME_HIT_SHARE * (call.shared_tokens - known)
         return max(0.0, call.tokens - known)
 
     def _rank_key(self, plan: PromptPlan) -> tuple[float, float]:
--- a/figwalk/coordination/reading_queue.py
+++ b/figwalk/coordination/reading_queue.py
@@ -12,19 +12,19 @@
 
 import attrs
 
+from figwalk.coordination.kept_subjects import KeptSubjects
 from figwalk.coordination.prefix_memory import PrefixMemory
+from figwalk.coordination.reading_speed import ReadingSpeed
 from figwalk.timer import Timer
 
 # A grant whose end is never told, by a gateway that is gone or cut off, must not count for ever.
-# The longest prompts take a tenth of this.
+# Prompts of slow engines get a multiple of what they are predicted to take.
 GRANT_LIFE_S = 1.5
+GRANT_LIFE_PREDICTIONS = 3.0
 # With fewer prompts left, the engine may wait for the next one, which is on its way from another
 # region for longer than the engine reads one.
 MIN_MEASURED_DEPTH = 2
 MEASURE_S = 0.1
-RATE_WEIGHT = 0.3
-MIN_RATE_FACTOR = 0.1
-MAX_RATE_FACTOR = 1.5
 # Part of the time to the target that a prediction may take; the rest is for its errors.
 ADMISSION_RATIO = 0.95
 # Reading that may be done at once before the duty makes prompts wait.
@@ -69,7 +69,8 @@
 class _Grant:
     owner: object
     tokens: float
-    granted_at: float
+    expires_at: float
+    alone: bool
 
 
 class ReadingQueue:
@@ -83,11 +84,12 @@
 
     def __init__(self, timer: Timer, *, tokens_per_s: float, capacity_tokens: int) -> None:
         self._timer = timer
-        self._base_rate = tokens_per_s
-        self._factor = 1.0
+        self._assumed_rate = tokens_per_s
+        self._speed = ReadingSpeed(tokens_per_s)
         self._duty = 1.0
         self._paced_until = 0.0
         self._memory = PrefixMemory(capacity_tokens)
+        self._subjects = KeptSubjects()
         self._grants: dict[object, _Grant] = {}
         self._busy_since: float | None = None
         self._busy_s = 0.0
@@ -96,7 +98,7 @@
     @property
     def tokens_per_s(self) -> float:
         """Prompt tokens that the engine reads a second."""
-        return self._base_rate * self._factor
+        return self._speed.tokens_per_s
 
     @property
     def duty(self) -> float:
@@ -117,11 +119,24 @@
         """Granted tokens that have not been read."""
         return sum(grant.tokens for grant in self._grants.values())
 
+    @property
+    def subjects(self) -> KeptSubjects:
+        """Shared parts of prompts that the engine likely keeps."""
+        return self._subjects
+
     def set_engine(self, *, tokens_per_s: float, capacity_tokens: int) -> None:
-        """Start anew for an engine that restarted or has another role."""
-        self._base_rate = tokens_per_s
-        self._factor = 1.0
+        """Start anew for an engine that restarted or has another role.
+
+        Args:
+            tokens_per_s: Assumed speed; a measured one is kept while the assumption is the same,
+                as an engine of the same role reads as before.
+            capacity_tokens: Tokens that its KV cache holds.
+        """
+        if tokens_per_s != self._assumed_rate:
+            self._assumed_rate = tokens_per_s
+            self._speed = ReadingSpeed(tokens_per_s)
         self._memory = PrefixMemory(capacity_tokens)
+        self._subjects.clear()
         self._grants.clear()
         self._reset_measure()
 
@@ -142,18 +157,29 @@
         granted = self._pause_s() == 0.0 and self._admits(reading, wait_s, own_s)
         if granted:
             now = self._timer.now()
-            self._grants[key] = _Grant(owner, uncached, now)
+            life_s = max(GRANT_LIFE_S, GRANT_LIFE_PREDICTIONS * finish_s)
+            self._grants[key] = _Grant(owner, uncached, now + life_s, alone=not self._grants)
             self._paced_until = max(now, self._paced_until) + own_s / self._duty
             # Prompts behind it will find its parts.
-            self._memory.note_read(reading.parts)
+            yielded = self._memory.note_read(reading.parts)
+            self._subjects.note_read(reading.parts, yielded)
         return ReadingDecision(granted, uncached, wait_s, finish_s)
 
-    def finish(self, key: object, *, read: bool) -> None:
-        """Note that a granted prompt was read or given up."""
+    def finish(self, key: object, *, read: bool, took_s: float = 0.0) -> None:
+        """Note that a granted prompt was read or given up.
+
+        Args:
+            key: Identifies the prompt.
+            read: Whether the engine read it to its end.
+            took_s: Seconds that it took at the engine, or 0 if that is not known.
+        """
         grant = self._grants.pop(key, None)
         if grant is None:
             return
         if read:
+            # One that did not wait for others tells the speed by itself.
+            if grant.alone and self._busy_since is None:
+                self._speed.note(grant.tokens, took_s)
             self._measure(grant.tokens)
         if self.depth < MIN_MEASURED_DEPTH:
             self._busy_since = None
@@ -183,8 +209,8 @@
         return first_token_s < reading.left_s and wait_s <= own_s
 
     def _expire(self) -> None:
-        horizon = self._timer.now() - GRANT_LIFE_S
-        for key in [key for key, grant in self._grants.items() if grant.granted_at < horizon]:
+        now = self._timer.now()
+        for key in [key for key, grant in self._grants.items() if grant.expires_at < now]:
             del self._grants[key]
 
     def _measure(self, tokens: float) -> None:
@@ -199,9 +225,7 @@
             self._busy_tokens += tokens
         self._busy_since = now
         if self._busy_s >= MEASURE_S:
-            factor = self._busy_tokens / self._busy_s / self._base_rate
-            factor = min(MAX_RATE_FACTOR, max(MIN_RATE_FACTOR, factor))
-            self._factor += RATE_WEIGHT * (factor - self._factor)
+            self._speed.note(self._busy_tokens, self._busy_s)
             self._busy_s = 0.0
             self._busy_tokens = 0.0
 
--- a/figwalk/gateway/placed_prompt.py
+++ b/figwalk/gateway/placed_prompt.py
@@ -34,11 +34,16 @@
     admitted: bool = attrs.field(kw_only=True)
     grant: Grant | None = attrs.field(default=None, kw_only=True)
 
-    def end(self, *, read: bool) -> None:
-        """Tell the agent that the prompt was read or given up, once."""
+    def end(self, *, read: bool, took_s: float = 0.0) -> None:
+        """Tell the agent that the prompt was read or given up, once.
+
+        Args:
+            read: Whether the reader read it to its end.
+            took_s: Seconds that it took there, or 0 if that is not known.
+        """
         grant, self.grant = self.grant, None
         if grant is not None:
-            grant.end(read=read)
+            grant.end(read=read, took_s=took_s)
 
     def describe(self) -> str:
         """Return reader, judge and prediction in short, for logs."""
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -227,8 +227,7 @@
             )
         finally:
             plan.reader.finish_reading(key)
-        placed.end(read=True)
-        self._learn(call, plan, self._timer.now() - started)
+        self._learn(call, placed, self._timer.now() - started)
         self._events.record(
             Event.PREFILL_DONE,
             request_id=call.call_id,
@@ -257,8 +256,7 @@
                 self._finish_first_event(key, plan)
                 self._check_status(call, relay, answer)
                 if source is None:
-                    placed.end(read=True)
-                    self._learn(call, plan, self._timer.now() - started)
+                    self._learn(call, placed, self._timer.now() - started)
                 else:
                     self._learn_fetch(plan, self._timer.now() - started)
                 await self._relay(call, relay, answer)
@@ -312,8 +310,9 @@
             message = f"the engine answered with HTTP status {answer.status}"
             raise AttemptError(AttemptOutcome.FAILED, message, not_run=False)
 
-    def _learn(self, call: Call, plan: PromptPlan, took_s: float) -> None:
-        """Compare the predicted time of a reading with what it took."""
+    def _learn(self, call: Call, placed: Placed, took_s: float) -> None:
+        """Compare the predicted time of a reading with what it took, and tell the agent."""
+        plan = placed.plan
         parts = _parts(call)
         predicted_s = plan.backlog_s + plan.reading_s
         travel_s = self._placement.round_trip_s(plan.reader)
@@ -324,6 +323,7 @@
         else:
             # The runner keeps what it fetches like what it has read itself.
             plan.runner.memory.note_read(parts)
+        placed.end(read=True, took_s=took_s - travel_s)
         plan.reader.note_read(parts, predicted_s, took_s - travel_s)
 
     def _make_send_plan(
@@ -348,7 +348,8 @@
         now = self._timer.now()
         # A request may have waited in the socket's buffer for as long as this process lags.
         target_s = call.arrived_at + call.route.target_s - now - self._lag.lag_s
-        return PromptCall(_parts(call), target_s, call.deadline - now)
+        leaves_at = min(call.deadline, call.arrived_at + call.route.first_event_patience_s)
+        return PromptCall(_parts(call), target_s, leaves_at - now - self._lag.lag_s)
 
     @staticmethod
     def _first_event_patience_s(call: Call) -> float | None:
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -58,9 +58,9 @@
     link: AgentLink
     offer_id: int
 
-    def end(self, *, read: bool) -> None:
-        """Say that the prompt was read or given up."""
-        self.link.end_later(self.offer_id, read=read)
+    def end(self, *, read: bool, took_s: float = 0.0) -> None:
+        """Say that the prompt was read or given up, and the seconds that it took if known."""
+        self.link.end_later(self.offer_id, read=read, took_s=took_s)
 
 
 @attrs.frozen
@@ -140,10 +140,10 @@
         self._suspected_until = self._timer.now() + SUSPICION_S
         return None
 
-    def end_later(self, offer_id: int, *, read: bool) -> None:
+    def end_later(self, offer_id: int, *, read: bool, took_s: float = 0.0) -> None:
         """Tell the agent the end of a granted prompt, without waiting for it."""
         try:
-            self._ended_send.send_nowait(PromptEnded(offer_id, read))
+            self._ended_send.send_nowait(PromptEnded(offer_id, read, max(0, _to_ms(took_s))))
         except trio.WouldBlock:
             # The agent forgets a grant by itself after its time.
             self._events.record(Event.PEER_LOST, detail="too many ends of prompts wait to be told")
@@ -156,6 +156,7 @@
             self._events.record(Event.PEER_CONNECTED, peer=hello.process)
             backoff.reset()
             self._connection = connection
+            self._tracker.forget_kept()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._send_ends, connection)
                 await self._receive(connection)
@@ -180,6 +181,7 @@
                     tokens_per_s=message.tokens_per_s,
                     decoding=message.decoding,
                 )
+                self._tracker.note_kept(message.kept, message.yielded)
             elif isinstance(message, PromptDecision):
                 self._take_decision(message)
 
--- a/figwalk/platform/routing_records.py
+++ b/figwalk/platform/routing_records.py
@@ -22,6 +22,11 @@
 # Routes without a latency objective get one that every answer in time meets.
 _NO_TARGET_MS = 60_000.0
 _DEFAULT_HANDLE_TTL_S = 5.0
+# Callers give up a stream after a gap, also before its first event, of two seconds, four times the
+# latency objective or eight times the longest pause, whichever is longest.
+_MIN_PATIENCE_S = 2.0
+_PATIENCE_TARGETS = 4.0
+_PATIENCE_GAPS = 8.0
 
 
 def decode_routing(data: bytes) -> RoutingConfig:
@@ -44,6 +49,8 @@
     kind = fields.text("kind")
     if kind not in _KINDS:
         raise PlatformRecordError(f"route kind {kind!r} is not known")
+    target_s = fields.number("target-latency-ms", _NO_TARGET_MS) / MS_PER_S
+    gap_s = fields.number("gap-aim-ms", 0.0) / MS_PER_S
     return Route(
         name=fields.text("name"),
         host=fields.text("hostname").lower(),
@@ -51,12 +58,15 @@
         kind=_KINDS[kind],
         services=_decode_shares(fields),
         timeout_s=fields.number("timeout-ms") / MS_PER_S,
-        target_s=fields.number("target-latency-ms", _NO_TARGET_MS) / MS_PER_S,
+        target_s=target_s,
         max_backends=max(1, fields.integer("max-attempts", 1)),
         priority=fields.integer("priority", 0),
         # `sticky` marks routes whose requests name a model and the parts of their prompt.
         is_model_call=fields.flag("sticky", default=False),
         resumable=fields.flag("resumable", default=False),
+        first_event_patience_s=max(
+            _MIN_PATIENCE_S, _PATIENCE_TARGETS * target_s, _PATIENCE_GAPS * gap_s
+        ),
     )
 
 
--- a/figwalk/prompt_agent/digest_sender.py
+++ b/figwalk/prompt_agent/digest_sender.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Callable
 
+from figwalk.coordination.kept_subjects import KeptSubjects, SubjectChanges
 from figwalk.errors import ConnectionLostError
 from figwalk.protocol.messages import EngineDigest
 from figwalk.protocol.peer_connection import PeerConnection
@@ -30,12 +31,19 @@
     so that an agent's cost is bounded whatever the size of the fleet.
 
     Args:
-        make_digest: Returns the engine's state now.
+        make_digest: Returns the engine's state now, with changes of the kept subjects.
+        subjects: Shared parts of prompts that the engine keeps.
         timer: Source of time.
     """
 
-    def __init__(self, make_digest: Callable[[], EngineDigest], timer: Timer) -> None:
+    def __init__(
+        self,
+        make_digest: Callable[[SubjectChanges], EngineDigest],
+        subjects: KeptSubjects,
+        timer: Timer,
+    ) -> None:
         self._make_digest = make_digest
+        self._subjects = subjects
         self._timer = timer
         self._connections: set[PeerConnection] = set()
         self._told: EngineDigest | None = None
@@ -53,7 +61,8 @@
             ConnectionLostError: The connection is gone.
         """
         self._connections.add(connection)
-        connection.send_now(connection.render(self._make_digest()))
+        changes = SubjectChanges(kept=self._subjects.all)
+        connection.send_now(connection.render(self._make_digest(changes)))
 
     def remove(self, connection: PeerConnection) -> None:
         """Tell a gateway no more."""
@@ -61,11 +70,12 @@
 
     async def tell(self) -> None:
         """Send a digest to all gateways if one is due, as a callback of the timer service."""
-        digest = self._make_digest()
+        digest = self._make_digest(SubjectChanges())
         age_s = self._timer.now() - self._told_at
         if not self._connections or not self.is_due(digest, age_s):
             return
         self._told, self._told_at = digest, self._timer.now()
+        digest = self._make_digest(self._subjects.take_changes())
         frame = next(iter(self._connections)).render(digest)
         for connection in list(self._connections):
             try:
@@ -86,7 +96,7 @@
         told = self._told
         if told is None or age_s >= HEARTBEAT_S:
             return True
-        return age_s >= self.period_s and _differs(told, digest)
+        return age_s >= self.period_s and (self._subjects.changed or _differs(told, digest))
 
 
 def _differs(told: EngineDigest, now: EngineDigest) -> bool:
--- a/figwalk/prompt_agent/prompt_server.py
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from figwalk.coordination.kept_subjects import SubjectChanges
 from figwalk.coordination.reading_queue import Reading, ReadingQueue
 from figwalk.errors import TransportError
 from figwalk.events import Event, EventLog
@@ -53,7 +54,7 @@
         self._events = events
         self._timer = timer
         self._make_hello = make_hello
-        self._digests = DigestSender(self._make_digest, timer)
+        self._digests = DigestSender(self._make_digest, queue.subjects, timer)
 
     @property
     def digests(self) -> DigestSender:
@@ -87,7 +88,11 @@
             if isinstance(message, PromptOffer):
                 await connection.send(self._decide(connection, message))
             elif isinstance(message, PromptEnded):
-                self._queue.finish((connection, message.call_id), read=message.read)
+                self._queue.finish(
+                    (connection, message.call_id),
+                    read=message.read,
+                    took_s=message.took_ms / MS_PER_S,
+                )
 
     def _decide(self, connection: PeerConnection, offer: PromptOffer) -> PromptDecision:
         reading = Reading(
@@ -123,13 +128,15 @@
             _to_uint32(self._queue.backlog_tokens),
         )
 
-    def _make_digest(self) -> EngineDigest:
+    def _make_digest(self, changes: SubjectChanges) -> EngineDigest:
         return EngineDigest(
             self._watcher.up,
             _to_uint32(self._queue.backlog_tokens),
             self._queue.tokens_per_s,
             _to_uint32(self._watcher.report_age_s * MS_PER_S),
             _to_uint32(self._watcher.decoding),
+            list(changes.kept),
+            list(changes.yielded),
         )
 
 
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -406,10 +406,12 @@
     Attributes:
         call_id: Of the offer.
         read: Whether the engine read it to its end.
+        took_ms: Milliseconds that it took at the engine, or 0 if that is not known.
     """
 
     call_id: int
     read: bool
+    took_ms: int = 0
 
 
 @attrs.frozen
@@ -422,6 +424,9 @@
         tokens_per_s: Tokens that the engine reads a second.
         report_age_ms: Milliseconds since the engine last answered.
         decoding: Calls that the engine is generating tokens for.
+        kept: Hashes of shared parts of prompts that the engine has begun to keep since the last
+            digest; all that it keeps in the first digest of a connection.
+        yielded: Hashes of those that it no longer keeps.
     """
 
     up: bool
@@ -429,6 +434,8 @@
     tokens_per_s: float
     report_age_ms: int
     decoding: int
+    kept: list[int] = attrs.field(factory=list)
+    yielded: list[int] = attrs.field(factory=list)
 
 
 Message = (
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -168,6 +168,7 @@
 struct PromptEnded {
   callId @0 :UInt64;
   read @1 :Bool;
+  tookMs @2 :UInt32;
 }
 
 struct EngineDigest {
@@ -176,6 +177,8 @@
   tokensPerS @2 :Float64;
   reportAgeMs @3 :UInt32;
   decoding @4 :UInt32;
+  kept @5 :List(UInt32);
+  yielded @6 :List(UInt32);
 }
 
 struct Message {
--- a/figwalk/state/routing.py
+++ b/figwalk/state/routing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Mapping
 from enum import StrEnum
@@ -46,6 +47,7 @@
         priority: Rank of the calls; 0 is the highest.
         is_model_call: Whether calls name a model and the parts of their prompt.
         resumable: Whether a broken stream may go on at another backend server.
+        first_event_patience_s: Seconds after which callers give up a stream without any event.
     """
 
     name: str
@@ -59,6 +61,7 @@
     priority: int = 0
     is_model_call: bool = False
     resumable: bool = False
+    first_event_patience_s: float = math.inf
 
     @property
     def repeatable(self) -> bool:
--- a/tests/test_digest_sender.py
+++ b/tests/test_digest_sender.py
@@ -5,6 +5,8 @@
 import trio
 from support.fake_timer import FakeTimer
 
+from figwalk.coordination.kept_subjects import KeptSubjects
+from figwalk.coordination.prefix_memory import hash_chain
 from figwalk.errors import ConnectionLostError
 from figwalk.prompt_agent.digest_sender import DIGESTS_PER_S, HEARTBEAT_S, DigestSender
 from figwalk.protocol.messages import EngineDigest
@@ -45,12 +47,18 @@
     def __init__(self, gateways):
         self.state = STATE
         self.timer = FakeTimer()
-        self.sender = DigestSender(lambda: self.state, self.timer)
+        self.subjects = KeptSubjects()
+        self.sender = DigestSender(self.make_digest, self.subjects, self.timer)
         self.gateways = [Gateway() for _ in range(gateways)]
         for gateway in self.gateways:
             self.sender.add(gateway)
             gateway.received.clear()
 
+    def make_digest(self, changes):
+        """Return the state with the changes of the kept subjects."""
+        kept, yielded = list(changes.kept), list(changes.yielded)
+        return attrs.evolve(self.state, kept=kept, yielded=yielded)
+
     def tick(self, **state):
         """Let the time to the next call of the timer service pass, with a changed state."""
         self.state = attrs.evolve(self.state, **state)
@@ -111,3 +119,30 @@
     assert agent.gateways[0].received[-1].up
     assert not slow.closed
     assert gone.closed
+
+
+PARTS = (("head", 2500), ("subject", 4000), ("own", 1000))
+
+
+def test_kept_subjects_are_told_once_and_all_to_a_new_gateway():
+    """Guards against gateways that don't know where a prompt's shared parts are kept."""
+    agent = Agent(1)
+    agent.subjects.note_read(PARTS, [])
+    agent.tick()
+    agent.tick(up=False)
+    subject = hash_chain(["head", "subject"])
+    assert [digest.kept for digest in agent.gateways[0].received] == [[subject], []]
+    late = Gateway()
+    agent.sender.add(late)
+    assert late.received[0].kept == [subject]
+
+
+def test_yielded_subject_is_told():
+    """Guards against prompts sent to an engine for parts that it no longer keeps."""
+    agent = Agent(1)
+    agent.subjects.note_read(PARTS, [])
+    agent.tick()
+    agent.subjects.note_read((("x", 1),), [("head", "subject"), ("head", "subject", "own")])
+    agent.tick()
+    assert agent.gateways[0].received[-1].yielded == [hash_chain(["head", "subject"])]
+    assert agent.subjects.all == ()
