Tell the fixed time of a reading from the time of its tokens

One number for both made engines look slow (10,000 to 30,000 tokens a second where two or more waiting prompts show 40,000 to 50,000), so that what waits behind other prompts was predicted twice too late.

Two parts are now fitted to single readings; prompts wait for the tokens of those before them only.

--- a/figwalk/coordination/engine_tracker.py
+++ b/figwalk/coordination/engine_tracker.py
@@ -54,6 +54,7 @@
         self._stated_rate: float | None = None
         self._stated_backlog = 0.0
         self._stated_at = -math.inf
+        self._fixed_s = 0.0
         self._kept: set[int] = set()
         self._mean_uncached = ASSUMED_UNCACHED_TOKENS
 
@@ -98,9 +99,16 @@
             self._rate_factor += RATE_WEIGHT * (factor - self._rate_factor)
 
     def note_digest(
-        self, *, up: bool, backlog_tokens: float, tokens_per_s: float, decoding: int
+        self,
+        *,
+        up: bool,
+        backlog_tokens: float,
+        tokens_per_s: float,
+        decoding: int,
+        fixed_s: float = 0.0,
     ) -> None:
         """Take over the state that the agent beside the engine tells."""
+        self._fixed_s = fixed_s
         self._up = up
         self._decoding = decoding
         self._stated_rate = tokens_per_s
@@ -158,6 +166,11 @@
         """Prompt tokens that the engine reads a second, if its agent told lately."""
         return self._stated_rate if self._has_digest else None
 
+    @property
+    def fixed_s(self) -> float:
+        """Seconds that a reading takes beside the prompt's tokens, as the agent told last."""
+        return self._fixed_s
+
     @property
     def last_stated_rate(self) -> float | None:
         """Prompt tokens that the engine reads a second, as its agent told last, if it ever did."""
--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -259,7 +259,7 @@
             uncached_tokens=uncached,
             # A short prompt overtakes the long ones.
             backlog_s=0.0 if self.is_short(call) else reader.backlog_tokens() / rate,
-            reading_s=uncached / rate,
+            reading_s=uncached / rate + reader.fixed_s,
             travel_s=travel_s,
             link_wait_s=max(reader.link_wait_s(), runner.link_wait_s()) if is_pair else 0.0,
             fetch_s=self._fetch_s(call, reader, runner, spec) if is_pair else 0.0,
--- a/figwalk/coordination/reading_queue.py
+++ b/figwalk/coordination/reading_queue.py
@@ -100,6 +100,11 @@
         """Prompt tokens that the engine reads a second."""
         return self._speed.tokens_per_s
 
+    @property
+    def fixed_s(self) -> float:
+        """Seconds that the reading of a prompt takes beside its tokens."""
+        return self._speed.fixed_s
+
     @property
     def duty(self) -> float:
         """Share of the time in which the engine may read, above 0 and up to 1."""
@@ -153,8 +158,8 @@
         uncached = max(0.0, total - self._memory.cached_tokens(reading.parts))
         wait_s = max(self.backlog_tokens / self.tokens_per_s, self._pause_s())
         own_s = uncached / self.tokens_per_s
-        finish_s = wait_s + own_s
-        granted = self._pause_s() == 0.0 and self._admits(reading, wait_s, own_s)
+        finish_s = wait_s + own_s + self.fixed_s
+        granted = self._pause_s() == 0.0 and self._admits(reading, wait_s, finish_s)
         if granted:
             now = self._timer.now()
             life_s = max(GRANT_LIFE_S, GRANT_LIFE_PREDICTIONS * finish_s)
@@ -179,7 +184,7 @@
         if read:
             # One that did not wait for others tells the speed by itself.
             if grant.alone and self._busy_since is None:
-                self._speed.note(grant.tokens, took_s)
+                self._speed.note_single(grant.tokens, took_s)
             self._measure(grant.tokens)
         if self.depth < MIN_MEASURED_DEPTH:
             self._busy_since = None
@@ -197,16 +202,16 @@
         return max(0.0, self._paced_until - self._timer.now() - PACING_BURST_S)
 
     @staticmethod
-    def _admits(reading: Reading, wait_s: float, own_s: float) -> bool:
+    def _admits(reading: Reading, wait_s: float, finish_s: float) -> bool:
         """Return whether a prompt may be sent.
 
         One that is already late is of use to its caller, but is sent only where nothing else waits
         for longer than it takes itself.
         """
-        first_token_s = wait_s + own_s + reading.after_s
+        first_token_s = finish_s + reading.after_s
         if first_token_s <= reading.target_s * ADMISSION_RATIO:
             return True
-        return first_token_s < reading.left_s and wait_s <= own_s
+        return first_token_s < reading.left_s and wait_s <= finish_s - wait_s
 
     def _expire(self) -> None:
         now = self._timer.now()
@@ -225,7 +230,7 @@
             self._busy_tokens += tokens
         self._busy_since = now
         if self._busy_s >= MEASURE_S:
-            self._speed.note(self._busy_tokens, self._busy_s)
+            self._speed.note_throughput(self._busy_tokens, self._busy_s)
             self._busy_s = 0.0
             self._busy_tokens = 0.0
 
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -180,6 +180,7 @@
                     backlog_tokens=message.backlog_tokens,
                     tokens_per_s=message.tokens_per_s,
                     decoding=message.decoding,
+                    fixed_s=message.fixed_ms / MS_PER_S,
                 )
                 self._tracker.note_kept(message.kept, message.yielded)
             elif isinstance(message, PromptDecision):
--- a/figwalk/prompt_agent/prompt_server.py
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -118,6 +118,7 @@
             finish_s=round(decision.finish_s, 4),
             depth=self._queue.depth,
             tokens_per_s=int(self._queue.tokens_per_s),
+            fixed_s=round(self._queue.fixed_s, 4),
         )
         return PromptDecision(
             offer.call_id,
@@ -137,6 +138,7 @@
             _to_uint32(self._watcher.decoding),
             list(changes.kept),
             list(changes.yielded),
+            _to_uint32(self._queue.fixed_s * MS_PER_S),
         )
 
 
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -427,6 +427,7 @@
         kept: Hashes of shared parts of prompts that the engine has begun to keep since the last
             digest; all that it keeps in the first digest of a connection.
         yielded: Hashes of those that it no longer keeps.
+        fixed_ms: Milliseconds that the reading of a prompt takes beside its tokens.
     """
 
     up: bool
@@ -436,6 +437,7 @@
     decoding: int
     kept: list[int] = attrs.field(factory=list)
     yielded: list[int] = attrs.field(factory=list)
+    fixed_ms: int = 0
 
 
 Message = (
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -179,6 +179,7 @@
   decoding @4 :UInt32;
   kept @5 :List(UInt32);
   yielded @6 :List(UInt32);
+  fixedMs @7 :UInt32;
 }
 
 struct Message {
