--- a/figwalk/coordination/reading_speed.py
+++ b/figwalk/coordination/reading_speed.py
@@ -13,8 +13,8 @@
 MIN_TOKENS_PER_S = 1e3
 MAX_TOKENS_PER_S = 1e8
 MAX_FIXED_S = 0.5
-# Shorter readings say little: the times of connections and steps weigh as much.
-MIN_SAMPLE_S = 0.05
+# Shorter readings say little: the errors of what requests travel weigh as much.
+MIN_SAMPLE_S = 0.01
 # Older readings count by this factor less with each new one, some ten in all.
 FORGETTING = 0.9
 MIN_READINGS = 3.0
