Bound answers without end, and send no call whose time is over

The client read without a bound: informational answers one after another, whole bodies (chunked, until close, of a huge length) and bodies of answers to other calls. Each is now bounded in number, bytes or time, the connection is closed, and the call is answered by whether it may have run. The seven forms of twelve that had no bound, a stalled answer to another call and a gateway's call fail without the change; server pieces are counted in bytes.

A wait computed from a passed deadline was negative and gave the caller of an entry a 500; such waits come from Timer.left_s now.

--- a/figwalk/coordination/keyed_log.py
+++ b/figwalk/coordination/keyed_log.py
@@ -148,7 +148,7 @@
                 self._backoff.reset()
                 self._read_at = self._timer.now()
                 self._on_progress()
-                await trio.sleep(max(0.0, started + self._period_s - self._timer.now()))
+                await trio.sleep(self._timer.left_s(started + self._period_s))
 
     async def _step(self) -> None:
         if self._offset is None:
--- a/figwalk/coordination/lease.py
+++ b/figwalk/coordination/lease.py
@@ -124,7 +124,7 @@
         return offset
 
     async def _append_order(self, order: RoleOrder) -> int:
-        with trio.move_on_after(self._held_until - self._timer.now()) as scope:
+        with trio.move_on_after(self._timer.left_s(self._held_until)) as scope:
             return await self._appender.append(order)
         assert scope.cancelled_caught
         raise LogAnswerLostError(
@@ -190,7 +190,7 @@
 
     async def _append_until(self, record: LeaseClaim | LeaseRenewal, deadline: float) -> int | None:
         """Append a record and return its offset, or None if that failed or took too long."""
-        with trio.move_on_after(deadline - self._timer.now()):
+        with trio.move_on_after(self._timer.left_s(deadline)):
             try:
                 return await self._appender.append(record)
             except LogError:
--- a/figwalk/coordination/reading_queue.py
+++ b/figwalk/coordination/reading_queue.py
@@ -199,7 +199,7 @@
         """Return the seconds that the engine must not read, so that it keeps to its duty."""
         if self._duty >= 1.0:
             return 0.0
-        return max(0.0, self._paced_until - self._timer.now() - PACING_BURST_S)
+        return self._timer.left_s(self._paced_until - PACING_BURST_S)
 
     @staticmethod
     def _admits(reading: Reading, wait_s: float, finish_s: float) -> bool:
--- a/figwalk/entry/model_calls.py
+++ b/figwalk/entry/model_calls.py
@@ -153,8 +153,7 @@
         return _ModelCall(request, model, plan, responder)
 
     async def _answer_whole(self, call: _ModelCall) -> None:
-        timeout_s = call.request.deadline - self._timer.now()
-        with trio.move_on_after(timeout_s) as scope:
+        with trio.move_on_after(self._timer.left_s(call.request.deadline)) as scope:
             while not await self._try_whole(call, call.plan.next_target()):
                 pass
         if scope.cancelled_caught and not call.responder.started:
@@ -188,7 +187,7 @@
     async def _stream(self, call: _ModelCall) -> None:
         # Past its deadline a stream would only take time from others, on each engine that it is
         # resumed on.
-        with trio.move_on_after(call.request.deadline - self._timer.now()) as scope:
+        with trio.move_on_after(self._timer.left_s(call.request.deadline)) as scope:
             await self._send_stream(call)
         if scope.cancelled_caught and not call.responder.finished:
             raise RefusalError(
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -11,7 +11,7 @@
 
 from figwalk.coordination.backend_tracker import AttemptOutcome, BackendTracker
 from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
-from figwalk.errors import FigwalkError, HttpError
+from figwalk.errors import FigwalkError, HttpError, RefusalError
 from figwalk.events import Event, EventLog
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.call import Call
@@ -26,6 +26,8 @@
 )
 
 MAX_WHOLE_ANSWER_BYTES = 4 * 1024 * 1024
+# Handles of KV cache and confirmations are a few dozen bytes long.
+MAX_HANDLE_BYTES = 16 * 1024
 # A non-repeatable call must not meet a connection that the backend server is about to close, since
 # its outcome would then be unknown.
 FRESH_CONNECTION_S = 1.0
@@ -90,20 +92,13 @@
         """Whether the status says that the work was done."""
         return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
 
-    async def read_whole(self) -> bytes:
+    async def read_whole(self, max_bytes: int = MAX_WHOLE_ANSWER_BYTES) -> bytes:
         """Return the whole body.
 
         Raises:
             HttpError: It broke off or is above the limit.
         """
-        parts = []
-        size = 0
-        async for data in self.response.chunks():
-            parts.append(data)
-            size += len(data)
-            if size > MAX_WHOLE_ANSWER_BYTES:
-                raise HttpError(f"the answer is above {MAX_WHOLE_ANSWER_BYTES} bytes")
-        return b"".join(parts)
+        return await self.response.read(max_bytes)
 
 
 class Attempts:
@@ -143,7 +138,11 @@
 
         Raises:
             AttemptError: There is no answer, or it says that the call was not run.
+            RefusalError: The time for the call is over; it is not sent. After a pause of this
+                process, a cancellation would come only when the request has left.
         """
+        if self._timer.left_s(call.deadline) <= 0:
+            raise RefusalError("timeout", "the time ended before the call was sent")
         is_run = plan.step is CallStep.RUN
         if is_run:
             call.sent_to.append(plan.backend.backend)
@@ -205,7 +204,7 @@
             AttemptError: The engine did not read it; a prefill never runs a call.
         """
         async with self.send(call, tracker, plan, patience_s=patience_s) as answer:
-            body = await answer.read_whole()
+            body = await answer.read_whole(MAX_HANDLE_BYTES)
             if not answer.succeeded:
                 message = f"prefill was answered with HTTP status {answer.status}"
                 raise AttemptError(AttemptOutcome.FAILED, message, not_run=True)
@@ -224,7 +223,9 @@
         with trio.move_on_after(RELEASE_TIMEOUT_S, shield=True):
             try:
                 request = self._codec.encode_release(source)
-                await self._pool.client(tracker).fetch(request.method, request.target)
+                await self._pool.client(tracker).fetch(
+                    request.method, request.target, max_bytes=MAX_HANDLE_BYTES
+                )
             except HttpError as error:
                 # The engine frees it by itself when its time is over.
                 self._events.record(
--- a/figwalk/prompt_agent/engine_watcher.py
+++ b/figwalk/prompt_agent/engine_watcher.py
@@ -19,6 +19,8 @@
 # An engine on the same VM answers within a few milliseconds; a report costs this VM about one.
 REPORT_PERIOD_S = 0.1
 REPORT_TIMEOUT_S = 0.4
+# A report lists the engine's calls, some 40 bytes each.
+MAX_REPORT_BYTES = 256 * 1024
 # One lost report may be an accident; the next one comes after the period.
 MISSED_REPORTS_DOWN = 2
 # Reading prompts between the tokens of streams makes each token take about three times as long.
@@ -136,7 +138,9 @@
         request = self._codec.encode_report_request()
         try:
             with trio.fail_after(REPORT_TIMEOUT_S):
-                response, body = await self._client.fetch(request.method, request.target)
+                response, body = await self._client.fetch(
+                    request.method, request.target, max_bytes=MAX_REPORT_BYTES
+                )
                 self._note_closed(self._codec.read_closed_s(response.status, response.headers))
                 report = self._codec.decode_report(response.headers, body)
         except (HttpError, trio.TooSlowError) as error:
--- a/figwalk/state/backend_statements.py
+++ b/figwalk/state/backend_statements.py
@@ -78,7 +78,7 @@
         statement = self._find(backend, born_ms)
         if statement is None:
             return 0.0
-        return max(0.0, statement.closed_until - self._timer.now())
+        return self._timer.left_s(statement.closed_until)
 
     def forget_old(self, is_registered: Callable[[str], bool]) -> None:
         """Forget the statements of backend servers that have been gone for long."""
--- a/figwalk/timer.py
+++ b/figwalk/timer.py
@@ -44,6 +44,13 @@
         # `trio.current_time` looks the clock up anew, which takes more than half of its time.
         return self._clock.current_time() if self._clock else trio.current_time()
 
+    def left_s(self, deadline: float) -> float:
+        """Return the seconds left until a monotonic time, 0 if it has passed.
+
+        A wait computed by a subtraction is negative after a pause, which trio's timeouts refuse.
+        """
+        return max(0.0, deadline - self.now())
+
     def wall_ms(self) -> int:
         """Return wall-clock time in milliseconds since 1970; for display and key ages only."""
         return time.time_ns() // 1_000_000
--- a/figwalk/transport/http_client.py
+++ b/figwalk/transport/http_client.py
@@ -21,6 +21,13 @@
 INLINE_REQUEST_BYTES = 16 * 1024
 # A server that sends answers of other requests without end must not hold a call until its deadline.
 MAX_FOREIGN_ANSWERS = 4
+# An answer to another request that is above these is not worth reading on: the connection ends.
+MAX_SKIPPED_BYTES = 256 * 1024
+SKIP_TIMEOUT_S = 1.0
+# Servers send at most a few, such as 100 and 103.
+MAX_INFORMATIONAL_ANSWERS = 8
+# Above the largest page and configuration of the platform's store, about 1 MiB in base64 and JSON.
+MAX_WHOLE_BYTES = 4 * 1024 * 1024
 _END_OF_MESSAGE = h11.EndOfMessage()
 
 AnswerCheck = Callable[[Headers], bool]
@@ -85,12 +92,22 @@
             if data:
                 yield data
 
-    async def read(self) -> bytes:
-        """Return the rest of the body."""
+    async def read(self, max_bytes: int = MAX_WHOLE_BYTES) -> bytes:
+        """Return the rest of the body.
+
+        Args:
+            max_bytes: Limit of its size.
+
+        Raises:
+            HttpError: The connection ended before the end of the body, or it is above the limit.
+        """
         parts = []
-        while not self._complete:
-            data, self._complete = await self._connection.receive_body()
+        size = 0
+        async for data in self.chunks():
             parts.append(data)
+            size += len(data)
+            if size > max_bytes:
+                raise HttpError(f"the answer is above {max_bytes} bytes")
         return b"".join(parts)
 
 
@@ -142,11 +159,21 @@
         return HttpExchange(self, request, is_answer, idle_limit_s)
 
     async def fetch(
-        self, method: str, target: str, *, headers: Headers | None = None, body: bytes = b""
+        self,
+        method: str,
+        target: str,
+        *,
+        headers: Headers | None = None,
+        body: bytes = b"",
+        max_bytes: int = MAX_WHOLE_BYTES,
     ) -> tuple[HttpResponse, bytes]:
-        """Send a request and return the answer with its whole body."""
+        """Send a request and return the answer with its whole body.
+
+        Raises:
+            HttpError: As `open`, or the body is above `max_bytes`.
+        """
         async with self.open(HttpRequest(method, target, headers or [], body)) as response:
-            return response, await response.read()
+            return response, await response.read(max_bytes)
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -305,18 +332,24 @@
         raise HttpError(f"{self._address} sent answers that belong to other requests")
 
     async def _next_head(self) -> h11.Response:
-        while True:
+        for _ in range(MAX_INFORMATIONAL_ANSWERS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise HttpError(f"{self._address} closed the connection before its answer")
+        raise HttpError(f"{self._address} sent informational answers without end")
 
     async def _skip_answer(self, request: HttpRequest) -> None:
         """Read an answer to its end and expect another one to the same request."""
         complete = False
-        while not complete:
-            _data, complete = await self.receive_body()
+        size = 0
+        with trio.move_on_after(SKIP_TIMEOUT_S):
+            while not complete and size <= MAX_SKIPPED_BYTES:
+                data, complete = await self.receive_body()
+                size += len(data)
+        if not complete:
+            raise HttpError(f"{self._address} sent an answer to another request without end")
         rest, closed = self._h11.trailing_data
         if self._h11.their_state is not h11.DONE or closed:
             raise HttpError(f"{self._address} answered another request and closed the connection")
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,183 @@
+"""Tests of answers without end: what a client takes of each is bounded.
+
+The bounds are counted in bytes that the server could send before the client ended the connection.
+"""
+
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+from support.platform_fakes import HOST, answering, run_test, running_fleet
+
+from figwalk.errors import HttpError
+from figwalk.transport import HttpClient, HttpRequest
+from figwalk.transport.http_client import MAX_SKIPPED_BYTES, MAX_WHOLE_BYTES
+from standins.platform_config import make_config
+
+OK = b"HTTP/1.1 200 OK\r\nRequest-Id: c1\r\nServer-Stamp: 1\r\n"
+OTHER = b"HTTP/1.1 200 OK\r\nRequest-Id: c0\r\nServer-Stamp: 1\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+HUGE = b"Content-Length: 99999999999\r\n\r\n"
+UNTIL_CLOSE = b"Connection: close\r\n\r\n"
+PIECE = b"x" * 65536
+CHUNK = b"10000\r\n" + PIECE + b"\r\n"
+# What lies in the buffers of two sockets on loopback beside what the client reads.
+BUFFERED_BYTES = 16 * 1024 * 1024
+# Sent at the most, so that a client without a bound ends a test and not the machine's memory.
+MOST_BYTES = 96 * 1024 * 1024
+
+FORMS = {
+    "informational": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 2000),
+    "line": (b"", PIECE),
+    "header": (b"HTTP/1.1 200 OK\r\nX: ", PIECE),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"X: 1\r\n" * 10000),
+    "chunk extension": (OK + CHUNKED + b"1;", PIECE),
+    "trailer": (OK + CHUNKED + b"0\r\nX: ", PIECE),
+    "chunked body": (OK + CHUNKED, CHUNK),
+    "body until close": (OK + UNTIL_CLOSE, PIECE),
+    "body of a huge length": (OK + HUGE, PIECE),
+    "chunked answer to another call": (OTHER + CHUNKED, CHUNK),
+    "answer to another call until close": (OTHER + UNTIL_CLOSE, PIECE),
+    "answer to another call of a huge length": (OTHER + HUGE, PIECE),
+}
+
+
+class EndlessServer:
+    """Sends a form of answer again and again until the client closes, and counts the bytes."""
+
+    def __init__(self, head, piece):
+        self.head = head
+        self.piece = piece
+        self.sent = 0
+        self.ended = trio.Event()
+
+    async def serve(self, stream):
+        """Answer the first request on a connection."""
+        await stream.receive_some(65536)
+        try:
+            await stream.send_all(self.head)
+            while self.sent < MOST_BYTES:
+                await stream.send_all(self.piece)
+                self.sent += len(self.piece)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            await trio.aclose_forcefully(stream)
+            self.ended.set()
+
+
+@asynccontextmanager
+async def running_server(form):
+    server = EndlessServer(*FORMS[form])
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, server.serve, 0)
+        yield server, listeners[0].socket.getsockname()[1]
+        nursery.cancel_scope.cancel()
+
+
+def is_own(headers):
+    return dict(headers).get(b"request-id") == b"c1"
+
+
+@pytest.mark.parametrize("form", FORMS)
+def test_client_ends_an_answer_without_end(form):
+    """Guards against a process that fills its memory with what a server in trouble sends."""
+
+    async def test():
+        async with running_server(form) as (server, port):
+            client = HttpClient(HOST, port)
+            with pytest.raises(HttpError):
+                async with client.open(HttpRequest("GET", "/", []), is_answer=is_own) as response:
+                    await response.read()
+            await server.ended.wait()
+            bound = MAX_SKIPPED_BYTES if "another" in form else MAX_WHOLE_BYTES
+            assert server.sent <= bound + BUFFERED_BYTES
+
+    run_test(test)
+
+
+def test_answer_to_another_call_that_stalls_is_given_up():
+    """Guards against a call held until its deadline by an answer that is not its own."""
+
+    async def test():
+        async def serve(stream):
+            await stream.receive_some(65536)
+            await stream.send_all(OTHER + HUGE)
+            await trio.sleep_forever()
+
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, serve, 0)
+            client = HttpClient(HOST, listeners[0].socket.getsockname()[1])
+            with pytest.raises(HttpError):
+                async with client.open(HttpRequest("GET", "/", []), is_answer=is_own):
+                    pass
+            nursery.cancel_scope.cancel()
+
+    run_test(test)
+
+
+def endless(head, piece):
+    """Return a script of a backend server that sends without end."""
+
+    async def script(backend, stream, request):
+        backend.sent = 0
+        await stream.send_all(head.replace(b"c1", request.call_id.encode()))
+        while backend.sent < MOST_BYTES:
+            await stream.send_all(piece)
+            backend.sent += len(piece)
+        return False
+
+    return script
+
+
+@pytest.mark.parametrize("form", ["informational", "chunked body", "body of a huge length"])
+def test_gateway_does_not_say_that_a_call_with_an_endless_answer_has_not_run(form):
+    """Guards against an order repeated because its answer could not be read."""
+
+    async def main():
+        async with running_fleet() as fleet:
+            fleet.publish(make_config())
+            backend = await fleet.add_backend("b1", endless(*FORMS[form]))
+            await fleet.start_gateway()
+            status, _, _ = await fleet.call("/order/x", method="POST", body=b"1")
+            assert status == 502
+            assert len(backend.requests) == 1
+
+    run_test(main)
+
+
+def test_stock_check_goes_on_after_an_endless_answer():
+    """Guards against a service given up because one backend server sends without end."""
+
+    async def main():
+        async with running_fleet() as fleet:
+            fleet.publish(make_config())
+            await fleet.add_backend("b1", endless(*FORMS["chunked body"]))
+            await fleet.add_backend("b2", answering(b"ok"))
+            await fleet.start_gateway()
+            for i in range(4):
+                status, _, body = await fleet.call("/check/x", call_id=f"c{i}")
+                assert (status, body) == (200, b"ok")
+
+    run_test(main)
+
+
+def test_whole_answer_below_the_limit_is_read():
+    """Guards against a bound that cuts a configuration or a page of the store."""
+
+    async def test():
+        body = b"x" * (MAX_WHOLE_BYTES - 1)
+
+        async def serve(stream):
+            await stream.receive_some(65536)
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+            await stream.send_all(head + body)
+
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, serve, 0)
+            client = HttpClient(HOST, listeners[0].socket.getsockname()[1])
+            _, read = await client.fetch("GET", "/")
+            assert read == body
+            nursery.cancel_scope.cancel()
+
+    run_test(test)
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -371,3 +371,26 @@
     await fleet.start_gateway()
     with pytest.raises(h11.RemoteProtocolError):
         await fleet.call("/chat/x", method="POST", body=b"1")
+
+
+@with_fleet()
+async def test_call_whose_time_ended_in_a_pause_of_the_gateway_is_not_sent(fleet):
+    """Guards against an order that runs after its caller has given up, answered as unknown.
+
+    After a pause, a cancellation at the deadline comes only when the request has left.
+    """
+    backend = await fleet.add_backend("b1", answering())
+    await fleet.start_gateway()
+    api = fleet.process._callers._handler.__self__
+    placement = api._plain_calls._placement
+    choose = placement.choose
+
+    def pause_and_choose(candidates, *, tried):
+        api._timer.now = lambda: trio.current_time() + 10.0
+        return choose(candidates, tried=tried)
+
+    placement.choose = pause_and_choose
+    status, headers, _ = await fleet.call("/order/x", method="POST", body=b"1", deadline_ms=800)
+    assert status == 503
+    assert "retry-after" in headers
+    assert not backend.requests
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -92,6 +92,24 @@
         return None
 
 
+class _PausingTimer(Timer):
+    """A timer of a process that was without the processor for some seconds."""
+
+    paused_s = 0.0
+
+    def now(self):
+        return super().now() + self.paused_s
+
+
+class _PausedBackends(_FakeBackends):
+    """The process pauses when it has read a call, for longer than the caller's deadline."""
+
+    @property
+    def zone(self):
+        self.fleet._timer.paused_s = 10.0
+        return "here"
+
+
 @attrs.define
 class _FakeResponder:
     """Caller's side of an answer."""
@@ -118,7 +136,7 @@
     body = b'{"model": "m", "stream": true, "max_tokens": 2, "prompt": "%s"}' % prompt
 
     async def main():
-        timer = Timer()
+        timer = _PausingTimer()
         fleet = Fleet(timer)
         fleet.register("llm-1", "llm")
         pool = _FakePool(fleet, reply or _FakeReply())
@@ -165,6 +183,20 @@
     assert not responder.finished
 
 
+def test_call_whose_deadline_has_passed_is_refused_and_no_internal_error():
+    """Guards against a 500 for a wait that is negative after a pause of the process."""
+    responder = _FakeResponder()
+    headers = [(b"figwalk-deadline-ms", b"500")]
+    _, _, tallies, _ = stream_prompt(
+        b"x",
+        headers=headers,
+        reply=_HangingReply(),
+        responder=responder,
+        backends=_PausedBackends,
+    )
+    assert tallies.refusals == {"deadline_exceeded": 1}
+
+
 def test_interactive_stream_says_when_its_first_token_is_due():
     """Guards against an agent that lets chat wait because it knows only the deadline."""
     headers = [(b"figwalk-priority", b"interactive")]
