Send prompts where their shared parts are kept, and drain the backlog while an engine reads

Homes now follow the engines' roles, parts kept elsewhere are read again only where little waits, the backlog falls at the measured speed, and a late prompt is sent only behind half of its own time. A prompt's answering engine is looked for in two regions only, which halves the plans of a decision.

--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Sequence
 from functools import cached_property
@@ -30,6 +31,11 @@
 GATHERED_SHARE = 0.35
 # The home of a prompt's shared part was most likely asked for it by other processes.
 HOME_HIT_SHARE = 0.5
+# An engine with the role decode reads more slowly, and only in a part of its time while it streams.
+DECODE_HOME_WEIGHT = 0.3
+# Reading parts again that another engine keeps takes capacity from prompts that could be served.
+# This part of its time counts as a wait of the caller, so that it is done where little waits.
+REREAD_SHARE = 0.5
 # A first part is shared by a large share of all prompts and kept everywhere.
 HEAD_PART = 1
 MAX_HOMES = 20_000  # About 2 MB; a day of the users has some 1,500 subjects.
@@ -41,6 +47,7 @@
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 0.6
 BITS_PER_BYTE = 8
+HASH_BITS = 64
 BITS_PER_MEGABIT = 1_000_000
 # A fetch between availability zones takes twice, between regions ten times as long.
 CROSS_ZONE_FETCH = 2.0
@@ -113,6 +120,7 @@
         link_wait_s: Seconds that the fetch of the KV cache waits for others.
         fetch_s: Seconds that it takes by itself; 0 if the runner reads the prompt itself.
         first_event_s: Seconds from then to the first event.
+        reread_s: Seconds of the reading that are for parts which another engine keeps.
     """
 
     reader: EngineTracker
@@ -124,6 +132,12 @@
     link_wait_s: float
     fetch_s: float
     first_event_s: float
+    reread_s: float = 0.0
+
+    @property
+    def reserve_s(self) -> float:
+        """Seconds that have to be left before the target."""
+        return REREAD_SHARE * self.reread_s
 
     @property
     def after_s(self) -> float:
@@ -169,10 +183,30 @@
         plans = [self._build_plan(call, runner, runner, home, spec) for runner in runners]
         for reader in usable:
             if reader.entry.role is Role.PREFILL:
-                pairs = [self._build_plan(call, reader, r, home, spec) for r in runners]
+                near = self._find_runners(reader, runners)
+                pairs = [self._build_plan(call, reader, r, home, spec) for r in near]
                 plans.append(min(pairs, key=self._rank_key))
+        if any(engine.keeps(call.subject_hash) for engine in usable):
+            plans = [self._note_reread(call, plan) for plan in plans]
         return sorted(plans, key=self._rank_key)
 
+    def _find_runners(
+        self, reader: EngineTracker, runners: Sequence[EngineTracker]
+    ) -> Sequence[EngineTracker]:
+        """Return the engines to answer a prompt that a reader reads.
+
+        A fetch between regions takes ten times as long, so that others than those in the reader's
+        and in this process's own region are looked at only if there are none.
+        """
+        regions = {self._distance.region, self._distance.regions.get(reader.entry.zone)}
+        near = [r for r in runners if self._distance.regions.get(r.entry.zone) in regions]
+        return near or runners
+
+    def _note_reread(self, call: PromptCall, plan: PromptPlan) -> PromptPlan:
+        own_tokens = call.tokens - call.shared_tokens
+        again = max(0.0, plan.uncached_tokens - own_tokens)
+        return attrs.evolve(plan, reread_s=again / self._rate(plan.reader))
+
     def _find_home(
         self, subject: tuple[str, ...], engines: Sequence[EngineTracker]
     ) -> EngineTracker | None:
@@ -219,7 +253,7 @@
         must not make others late: it is sent only where nothing waits.
         """
         if self.is_short(call) or (
-            plan.predicted_s <= call.target_s * self._settings.admission_ratio
+            plan.predicted_s + plan.reserve_s <= call.target_s * self._settings.admission_ratio
         ):
             return True
         if plan.predicted_s >= call.left_s:
@@ -316,7 +350,7 @@
 
     def _cost_s(self, plan: PromptPlan) -> float:
         failures = plan.reader.failure_share() + plan.runner.failure_share()
-        cost_s = plan.predicted_s + failures * FAILURE_COST_S
+        cost_s = plan.predicted_s + plan.reserve_s + failures * FAILURE_COST_S
         for engine in {plan.reader, plan.runner}:
             zone = engine.entry.zone
             cost_s += self._distance.cost_s(zone) - self._distance.round_trip_s(zone)
@@ -328,8 +362,15 @@
     if not subject or not engines:
         return None
     key = "/".join(subject)
-    return max(engines, key=lambda engine: _rank(key, engine.entry.backend))
+    return max(engines, key=lambda engine: _weigh(key, engine))
+
+
+def _weigh(key: str, engine: EngineTracker) -> float:
+    """Return a rank by which engines win keys in proportion to their weights."""
+    weight = 1.0 if engine.entry.role is Role.PREFILL else DECODE_HOME_WEIGHT
+    hashed = int.from_bytes(_rank(key, engine.entry.backend))
+    return weight / -math.log((hashed + 1) / (2**HASH_BITS + 1))
 
 
 def _rank(key: str, backend: str) -> bytes:
-    return blake2b(f"{key} {backend}".encode(), digest_size=8).digest()
+    return blake2b(f"{key} {backend}".encode(), digest_size=HASH_BITS // BITS_PER_BYTE).digest()
--- a/figwalk/coordination/reading_queue.py
+++ b/figwalk/coordination/reading_queue.py
@@ -25,8 +25,14 @@
 # region for longer than the engine reads one.
 MIN_MEASURED_DEPTH = 2
 MEASURE_S = 0.1
+# From a grant to the arrival of its prompt at the engine, and from the end of a reading to that of
+# the message that tells it: a round trip between regions, half of it for each.
+START_S = 0.012
+TELLING_S = 0.025
 # Part of the time to the target that a prediction may take; the rest is for its errors.
 ADMISSION_RATIO = 0.95
+# Longest wait of a prompt that will be late, against its own reading.
+LATE_WAIT_SHARE = 0.5
 # Reading that may be done at once before the duty makes prompts wait.
 PACING_BURST_S = 0.1
 
@@ -91,6 +97,8 @@
         self._memory = PrefixMemory(capacity_tokens)
         self._subjects = KeptSubjects()
         self._grants: dict[object, _Grant] = {}
+        self._work = 0.0
+        self._work_at = 0.0
         self._busy_since: float | None = None
         self._busy_s = 0.0
         self._busy_tokens = 0.0
@@ -121,8 +129,18 @@
 
     @property
     def backlog_tokens(self) -> float:
-        """Granted tokens that have not been read."""
-        return sum(grant.tokens for grant in self._grants.values())
+        """Granted tokens that have not been read.
+
+        An engine reads at its speed from each grant on. It has not read more than the prompt whose
+        end is told next, and those whose ends are on their way.
+        """
+        if not self._grants:
+            return 0.0
+        granted = sum(grant.tokens for grant in self._grants.values())
+        first = next(iter(self._grants.values()))
+        untold = self.tokens_per_s * (self.fixed_s + TELLING_S)
+        at_least = max(0.0, granted - first.tokens - untold)
+        return min(granted, max(at_least, self._work_left()))
 
     @property
     def subjects(self) -> KeptSubjects:
@@ -162,6 +180,7 @@
         granted = self._pause_s() == 0.0 and self._admits(reading, wait_s, finish_s)
         if granted:
             now = self._timer.now()
+            self._work, self._work_at = self._work_left() + uncached, now
             life_s = max(GRANT_LIFE_S, GRANT_LIFE_PREDICTIONS * finish_s)
             self._grants[key] = _Grant(owner, uncached, now + life_s, alone=not self._grants)
             self._paced_until = max(now, self._paced_until) + own_s / self._duty
@@ -195,6 +214,11 @@
             del self._grants[key]
         self._busy_since = None
 
+    def _work_left(self) -> float:
+        """Return the granted tokens that an engine of the measured speed has not read by now."""
+        elapsed_s = max(0.0, self._timer.now() - self._work_at - START_S)
+        return max(0.0, self._work - self.tokens_per_s * elapsed_s)
+
     def _pause_s(self) -> float:
         """Return the seconds that the engine must not read, so that it keeps to its duty."""
         if self._duty >= 1.0:
@@ -205,13 +229,13 @@
     def _admits(reading: Reading, wait_s: float, finish_s: float) -> bool:
         """Return whether a prompt may be sent.
 
-        One that is already late is of use to its caller, but is sent only where nothing else waits
-        for longer than it takes itself.
+        One that will be late is of use to its caller, but takes an engine's time from prompts that
+        would be in time, so that it is sent only where little waits, against what it takes itself.
         """
         first_token_s = finish_s + reading.after_s
         if first_token_s <= reading.target_s * ADMISSION_RATIO:
             return True
-        return first_token_s < reading.left_s and wait_s <= finish_s - wait_s
+        return first_token_s < reading.left_s and wait_s <= LATE_WAIT_SHARE * (finish_s - wait_s)
 
     def _expire(self) -> None:
         now = self._timer.now()
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -292,7 +292,7 @@
         call_id,
         ",".join(part_id for part_id, _ in prompt.parts),
         [tokens for _, tokens in prompt.parts],
-        _to_ms(prompt.target_s),
+        _to_ms(prompt.target_s - plan.reserve_s),
         _to_ms(prompt.left_s),
         max(0, _to_ms(plan.after_s)),
     )
--- a/tests/test_prompt_placement.py
+++ b/tests/test_prompt_placement.py
@@ -8,10 +8,12 @@
 from figwalk.coordination.backend_tracker import AttemptOutcome
 from figwalk.coordination.plain_placement import Distance
 from figwalk.coordination.prompt_placement import (
+    DECODE_HOME_WEIGHT,
     EngineTracker,
     PlacementSettings,
     PromptCall,
     PromptPlacement,
+    find_home,
 )
 from figwalk.events import EventLog
 from figwalk.protocol.messages import Role
@@ -155,3 +157,45 @@
         engines.trackers["d1"].start(call)
         engines.trackers["d1"].finish(call, AttemptOutcome.FAILED)
     assert engines.best()[0] == "d2"
+
+
+def test_prompt_goes_where_its_shared_parts_are_kept():
+    """Guards against shared parts read again, since each gateway sees a subject too seldom."""
+    engines = Engines(p1=("a", Role.PREFILL), p2=("a", Role.PREFILL), d1=("a", Role.DECODE))
+    for subject in range(8):
+        parts = (("head", 2500), (f"subject-{subject}", 30_000), ("own", 3000))
+        call = PromptCall(parts, 0.25, 2.0)
+        engines.trackers["p2"].note_kept([call.subject_hash], [])
+        assert engines.best(parts)[0] == "p2"
+        engines.trackers["p2"].note_kept([], [call.subject_hash])
+        engines.trackers["p1"].note_kept([call.subject_hash], [])
+        assert engines.best(parts)[0] == "p1"
+
+
+def test_parts_kept_elsewhere_are_read_again_only_where_little_waits():
+    """Guards against an overload in which prompts that were kept elsewhere take the capacity.
+
+    Without any engine that keeps them, the same prompt is admitted.
+    """
+    engines = Engines(p1=("a", Role.PREFILL), d1=("a", Role.DECODE))
+    call = PromptCall((("head", 2500), ("subject", 40_000), ("own", 3000)), 0.25, 2.0)
+
+    def find_plan():
+        plans = engines.placement.rank(call, list(engines.trackers.values()), SPEC)
+        return next(plan for plan in plans if plan.reader.entry.backend == "p1")
+
+    assert engines.placement.admits(call, find_plan())
+    engines.trackers["d1"].note_kept([call.subject_hash], [])
+    assert find_plan().reserve_s > 0
+    engines.tell("p1", backlog_tokens=35_000)
+    assert not engines.placement.admits(call, find_plan())
+
+
+def test_engines_that_read_faster_are_home_to_more_subjects():
+    """Guards against most subjects kept by engines that read a tenth of what others do."""
+    engines = Engines(p1=("a", Role.PREFILL), **{f"d{n}": ("a", Role.DECODE) for n in range(1, 4)})
+    homes = [
+        find_home([f"subject-{n}"], list(engines.trackers.values())).entry.backend
+        for n in range(2000)
+    ]
+    assert homes.count("p1") / 2000 == pytest.approx(1 / (1 + 3 * DECODE_HOME_WEIGHT), abs=0.05)
