Ask the store by the deployment's deadlines; let late callers come back after the burst

A refused caller was sent back within 0.6 s, whatever time it had. One that can't be in time any more now comes back at a random time up to 0.3 of what it has left, up to 2.7 s, instead of into the burst in which it was refused.

--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -43,9 +43,15 @@
 FAILURE_COST_S = 1.0
 # The backlog that an agent stated is up to a tenth of a second old.
 HOPELESS_RATIO = 0.8
-# A backlog shrinks by this time at the least; callers wait for a third of their 2 s at the most.
+# A backlog shrinks by this time at the least.
 MIN_RETRY_S = 0.05
-MAX_RETRY_S = 0.6
+# Callers come back after a third of the time that they have left at the most; the answer travels.
+MAX_RETRY_SHARE = 0.3
+# The load of bursts goes down within seconds.
+MAX_RETRY_DEADLINE_S = 9.0
+# A caller that would come back too late for its target is spread over this part of that time, so
+# that it does not meet the burst, or the others that were refused in it, again.
+MIN_LATE_RETRY_SHARE = 0.6
 BITS_PER_BYTE = 8
 HASH_BITS = 64
 BITS_PER_MEGABIT = 1_000_000
@@ -78,12 +84,16 @@
     Attributes:
         parts: Id and tokens of each part of the prompt.
         target_s: Seconds left until its first token is late; may be negative.
-        left_s: Seconds left until the caller gives up.
+        left_s: Seconds left until the caller gives up if there is no first token.
+        deadline_s: Seconds left until the caller gives up in any case; as `left_s` if not given.
     """
 
     parts: tuple[tuple[str, int], ...]
     target_s: float
     left_s: float
+    deadline_s: float = attrs.field(
+        default=attrs.Factory(lambda call: call.left_s, takes_self=True)
+    )
 
     @cached_property
     def tokens(self) -> int:
@@ -267,9 +277,16 @@
         return plan.backlog_s > HOPELESS_RATIO * max(call.target_s, MIN_RETRY_S)
 
     def retry_after_s(self, call: PromptCall, plan: PromptPlan) -> float:
-        """Return the seconds after which the backlog leaves room for a call."""
+        """Return the seconds after which a refused caller is to come back.
+
+        That is when the backlog leaves room for the call. If its target has passed by then, it is
+        late whenever it comes back, so that it comes when the load has most likely gone down.
+        """
+        longest_s = min(call.deadline_s, MAX_RETRY_DEADLINE_S) * MAX_RETRY_SHARE
         wait_s = plan.predicted_s - max(0.0, call.target_s) * self._settings.admission_ratio
-        return min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
+        if wait_s + plan.reading_s + plan.after_s > call.target_s:
+            return longest_s * self._rng.uniform(MIN_LATE_RETRY_SHARE, 1.0)
+        return min(longest_s, max(MIN_RETRY_S, wait_s))
 
     def round_trip_s(self, engine: EngineTracker) -> float:
         """Return the seconds that a call to an engine travels."""
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -40,12 +40,6 @@
 from figwalk.timer import Timer
 from figwalk.transport import HttpLimits, HttpRequest, HttpServer, Responder
 
-# A silent connection to the store is noticed after this wait and the timeout of a call; a
-# configuration has to be in force within 2.5 s on a machine whose store is well.
-CONFIG_WAIT_S = 1.0
-# Backend servers write about once a second each, so that waiting for a record would end at once.
-# With the timeout of a call it stays below the 2.5 s for a leaving backend server.
-BACKENDS_PERIOD_S = 0.7
 UPKEEP_PERIOD_S = 0.2
 # The balancer asks once a second and takes a machine out after two refusals.
 BALANCER_NOTICE_S = 2.5
@@ -206,7 +200,7 @@
             self._routing,
             self._events,
             self._timer,
-            wait_s=CONFIG_WAIT_S,
+            wait_s=settings.config_wait_s,
         )
         backends = TopicFollower(
             PlatformStore(settings.store, timeout_s=settings.store_timeout_s),
@@ -214,7 +208,7 @@
             BackendReader(self._directory, decode_backend, self._events),
             self._events,
             self._timer,
-            period_s=BACKENDS_PERIOD_S,
+            period_s=settings.backends_period_s,
             on_progress=self._directory.expire,
         )
         return [config, backends]
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from http import HTTPStatus
 
 import attrs
@@ -10,7 +11,6 @@
 from figwalk.coordination.engine_tracker import EngineTracker
 from figwalk.coordination.loop_lag import LoopLag
 from figwalk.coordination.prompt_placement import (
-    MAX_RETRY_S,
     PromptCall,
     PromptPlacement,
     PromptPlan,
@@ -110,7 +110,7 @@
         Raises:
             RefusalError: There are none; the call has not been sent.
         """
-        retry_after_s = MAX_RETRY_S
+        retry_after_s = math.inf
         tries: list[Placed] = []
         for plan in self._find_plans(call, spec)[:MAX_OFFERS]:
             prompt = self._describe(call)
@@ -126,7 +126,7 @@
         raise RefusalError(
             "overloaded",
             "no engine would give the first token in time",
-            retry_after_ms=int(retry_after_s * MS_PER_S),
+            retry_after_ms=max(0, int(retry_after_s * MS_PER_S)),
         )
 
     async def _offer(self, call: Call, prompt: PromptCall, plan: PromptPlan) -> Placed:
@@ -349,7 +349,8 @@
         # A request may have waited in the socket's buffer for as long as this process lags.
         target_s = call.arrived_at + call.route.target_s - now - self._lag.lag_s
         leaves_at = min(call.deadline, call.arrived_at + call.route.first_event_patience_s)
-        return PromptCall(_parts(call), target_s, leaves_at - now - self._lag.lag_s)
+        left_s = leaves_at - now - self._lag.lag_s
+        return PromptCall(_parts(call), target_s, left_s, call.deadline - now)
 
     @staticmethod
     def _first_event_patience_s(call: Call) -> float | None:
--- a/figwalk/state/_structuring.py
+++ b/figwalk/state/_structuring.py
@@ -56,6 +56,8 @@
 # Zero would make these numbers mean "never" or a busy loop.
 POSITIVE_FIELDS = frozenset(
     {
+        "config_deadline_ms",
+        "departure_deadline_ms",
         "first_token_s",
         "idle_timeout_s",
         "key_memory_limit",
--- a/figwalk/state/gateway_settings.py
+++ b/figwalk/state/gateway_settings.py
@@ -6,6 +6,12 @@
 
 from figwalk.protocol.messages import Role
 from figwalk.state.settings import Address
+from figwalk.timer import MS_PER_S
+
+# Parts of a deadline after which the store is asked again; calls to the store are billed, while a
+# read that fails has to be repeated once within the deadline.
+CONFIG_WAIT_SHARE = 0.4
+BACKENDS_PERIOD_SHARE = 0.28
 
 
 @attrs.frozen
@@ -57,6 +63,9 @@
         agents_port: Port at which the agents beside engines serve gateways, on the engines' VMs.
         store: The platform's store.
         store_timeout_s: Seconds after which a call to the store has failed.
+        config_deadline_ms: Milliseconds within which a configuration has to be in force.
+        departure_deadline_ms: Milliseconds within which a departure from the list of backend
+            servers has to be followed.
         grace_s: Seconds from SIGTERM until the platform ends the process.
         max_connections: Open connections of callers.
         gateways_per_zone: Processes in each availability zone, added ones included, that share
@@ -77,6 +86,8 @@
     agents_port: int
     store: Address
     store_timeout_s: float = 1.0
+    config_deadline_ms: float = 2500.0
+    departure_deadline_ms: float = 2500.0
     grace_s: float = 8.0
     max_connections: int = 3000
     gateways_per_zone: int = 4
@@ -85,6 +96,23 @@
     log_lines_per_s: int = 400
     log_format: str = "json"
 
+    @property
+    def config_wait_s(self) -> float:
+        """Seconds that a read of the configuration waits for a record.
+
+        A connection that went silent is noticed after this and the timeout of a call.
+        """
+        return CONFIG_WAIT_SHARE * self.config_deadline_ms / MS_PER_S
+
+    @property
+    def backends_period_s(self) -> float:
+        """Seconds between two reads of the list of backend servers.
+
+        With the timeout of a call this stays below the deadline. Backend servers write about once a
+        second each, so that waiting for a record would end at once.
+        """
+        return BACKENDS_PERIOD_SHARE * self.departure_deadline_ms / MS_PER_S
+
     @property
     def gateways(self) -> int:
         """Processes of the deployment, at the most."""
--- a/tests/test_prompt_placement.py
+++ b/tests/test_prompt_placement.py
@@ -199,3 +199,25 @@
         for n in range(2000)
     ]
     assert homes.count("p1") / 2000 == pytest.approx(1 / (1 + 3 * DECODE_HOME_WEIGHT), abs=0.05)
+
+
+def test_refused_caller_comes_back_when_the_burst_is_over():
+    """Guards against callers that all come back into the burst in which they were refused."""
+    engines = Engines(d1=("a", Role.DECODE))
+    engines.tell("d1", backlog_tokens=2_000_000)
+    call = PromptCall(LONG, 0.25, 2.0, 8.0)
+    plan = engines.placement.rank(call, list(engines.trackers.values()), SPEC)[0]
+    waits = [engines.placement.retry_after_s(call, plan) for _ in range(100)]
+    assert max(waits) <= 8.0 / 3
+    assert min(waits) >= 1.0
+    assert max(waits) - min(waits) >= 0.5
+
+
+def test_refused_caller_that_can_still_be_in_time_comes_back_at_once():
+    """Guards against a caller made late by the time at which it is to come back."""
+    engines = Engines(d1=("a", Role.DECODE))
+    engines.tell("d1", backlog_tokens=80_000)
+    call = PromptCall(LONG, 0.55, 2.0, 8.0)
+    plan = engines.placement.rank(call, list(engines.trackers.values()), SPEC)[0]
+    in_time_s = call.target_s - plan.reading_s - plan.after_s
+    assert engines.placement.retry_after_s(call, plan) <= in_time_s
