--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -29,6 +29,9 @@
 # Part of an engine's slots up to which streams are gathered at it. The others then read prompts at
 # full speed, which would slow streams down to a third.
 GATHERED_SHARE = 0.35
+# A short prompt waits for the long one that an engine is reading. Above this part of its target, it
+# goes to another engine.
+READING_SHARE = 0.25
 # The home of a prompt's shared part was most likely asked for it by other processes.
 HOME_HIT_SHARE = 0.5
 # An engine with the role decode reads more slowly, and only in a part of its time while it streams.
@@ -246,12 +249,20 @@
         reader_zones = {e.entry.zone for e in engines if e.entry.role is Role.PREFILL}
         limit = max(1.0, GATHERED_SHARE * spec.slots)
 
-        def key(runner: EngineTracker) -> tuple[bool, float, bool, bytes]:
+        def key(runner: EngineTracker) -> tuple[bool, bool, float, bool, bytes]:
             is_full = runner.decoding >= limit
+            reading_s = runner.backlog_tokens() / self._rate(runner)
+            is_reading = reading_s > READING_SHARE * max(call.target_s, MIN_RETRY_S)
             load = runner.decoding if is_full else 0.0
             failing = round(runner.failure_share(), 1)
             near_reader = runner.entry.zone in reader_zones
-            return (is_full, load + failing, near_reader, _rank("streams", runner.entry.backend))
+            return (
+                is_reading,
+                is_full,
+                load + failing,
+                near_reader,
+                _rank("streams", runner.entry.backend),
+            )
 
         return [self._build_plan(call, r, r, None, spec) for r in sorted(runners, key=key)]
 
@@ -371,6 +382,8 @@
         for engine in {plan.reader, plan.runner}:
             zone = engine.entry.zone
             cost_s += self._distance.cost_s(zone) - self._distance.round_trip_s(zone)
+        # Other fetches wait for this one on the links of both engines.
+        cost_s += plan.fetch_s
         return cost_s + (FETCH_BILL_S if plan.reader is not plan.runner else 0.0)
 
 
--- a/tests/test_prompt_placement.py
+++ b/tests/test_prompt_placement.py
@@ -221,3 +221,24 @@
     plan = engines.placement.rank(call, list(engines.trackers.values()), SPEC)[0]
     in_time_s = call.target_s - plan.reading_s - plan.after_s
     assert engines.placement.retry_after_s(call, plan) <= in_time_s
+
+
+def test_short_prompt_leaves_an_engine_that_reads_a_long_one():
+    """Guards against a short question that waits for a long prompt while an engine is free."""
+    engines = Engines(d1=("a", Role.DECODE), d2=("a", Role.DECODE))
+    gathering, _ = engines.best(SHORT)
+    other = next(name for name in engines.trackers if name != gathering)
+    engines.tell(gathering, backlog_tokens=20_000)
+    assert engines.best(SHORT) == (other, other)
+    engines.tell(other, backlog_tokens=20_000)
+    assert engines.best(SHORT) == (gathering, gathering)
+
+
+def test_fetch_between_regions_gives_way_to_one_that_holds_up_no_links():
+    """Guards against links of two engines taken for ten times as long to save one round trip."""
+    engines = Engines(p1=("b", Role.PREFILL), d1=("a", Role.DECODE), d2=("b", Role.DECODE))
+    call = PromptCall((("subject", 40_000), ("own", 1000)), 0.8, 2.0)
+    engines.trackers["p1"].note_kept([call.subject_hash], [])
+    for name in ("d1", "d2"):
+        engines.tell(name, backlog_tokens=500_000)
+    assert engines.best(call.parts, 0.8) == ("p1", "d2")
