--- a/figwalk/coordination/engine_tracker.py
+++ b/figwalk/coordination/engine_tracker.py
@@ -55,6 +55,7 @@
         self._stated_backlog = 0.0
         self._stated_at = -math.inf
         self._fixed_s = 0.0
+        self._measured = False
         self._kept: set[int] = set()
         self._mean_uncached = ASSUMED_UNCACHED_TOKENS
 
@@ -106,9 +107,11 @@
         tokens_per_s: float,
         decoding: int,
         fixed_s: float = 0.0,
+        measured: bool = True,
     ) -> None:
         """Take over the state that the agent beside the engine tells."""
         self._fixed_s = fixed_s
+        self._measured = measured
         self._up = up
         self._decoding = decoding
         self._stated_rate = tokens_per_s
@@ -171,6 +174,11 @@
         """Seconds that a reading takes beside the prompt's tokens, as the agent told last."""
         return self._fixed_s
 
+    @property
+    def measured_rate(self) -> float | None:
+        """Prompt tokens that the engine reads a second, if its agent has measured them."""
+        return self._stated_rate if self._measured else None
+
     @property
     def last_stated_rate(self) -> float | None:
         """Prompt tokens that the engine reads a second, as its agent told last, if it ever did."""
--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -13,6 +13,7 @@
 
 import math
 import random
+import statistics
 from collections.abc import Sequence
 from functools import cached_property
 from hashlib import blake2b
@@ -176,6 +177,7 @@
         self._settings = settings
         self._distance = distance
         self._rng = rng
+        self._rates: dict[Role, float] = {}
         self._homes: dict[tuple[str, ...], str] = {}
         self._home_engines: tuple[str, ...] = ()
 
@@ -187,6 +189,7 @@
         The list is empty without any usable engine.
         """
         usable = [engine for engine in engines if not engine.is_avoided()]
+        self._learn_rates(usable)
         runners = [engine for engine in usable if engine.entry.role is not Role.PREFILL]
         if not runners:
             return []
@@ -359,10 +362,30 @@
 
     def _rate(self, engine: EngineTracker) -> float:
         # The last word of an agent that is gone is nearer than the deployment's figure.
+        if engine.measured_rate is not None:
+            return max(1.0, engine.measured_rate)
+        if engine.entry.role in self._rates:
+            return self._rates[engine.entry.role]
         if engine.last_stated_rate is not None:
             return max(1.0, engine.last_stated_rate)
         return self._settings.engines.prefill_rate(engine.entry.role) * engine.rate_factor
 
+    def _learn_rates(self, engines: Sequence[EngineTracker]) -> None:
+        """Take the speed of engines that nobody has measured from those that were.
+
+        By the deployment's low assumption, an engine with the role decode would never be asked and
+        so never be measured.
+        """
+        assumed = self._settings.engines
+        scales = [
+            engine.measured_rate / assumed.prefill_rate(engine.entry.role)
+            for engine in engines
+            if engine.measured_rate is not None
+        ]
+        if scales:
+            scale = statistics.median(scales)
+            self._rates = {role: scale * assumed.prefill_rate(role) for role in Role}
+
     def _uncached(
         self, call: PromptCall, engine: EngineTracker, home: EngineTracker | None
     ) -> float:
--- a/figwalk/coordination/reading_queue.py
+++ b/figwalk/coordination/reading_queue.py
@@ -108,6 +108,11 @@
         """Prompt tokens that the engine reads a second."""
         return self._speed.tokens_per_s
 
+    @property
+    def measured(self) -> bool:
+        """Whether the speed is measured, and not assumed."""
+        return self._speed.measured
+
     @property
     def fixed_s(self) -> float:
         """Seconds that the reading of a prompt takes beside its tokens."""
--- a/figwalk/coordination/reading_speed.py
+++ b/figwalk/coordination/reading_speed.py
@@ -51,6 +51,11 @@
         """Prompt tokens that the engine reads a second, one prompt after the other."""
         return self._tokens_per_s
 
+    @property
+    def measured(self) -> bool:
+        """Whether the speed comes from a sample."""
+        return self._measured
+
     @property
     def fixed_s(self) -> float:
         """Seconds that the reading of a prompt takes beside its tokens."""
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -181,6 +181,7 @@
                     tokens_per_s=message.tokens_per_s,
                     decoding=message.decoding,
                     fixed_s=message.fixed_ms / MS_PER_S,
+                    measured=message.measured,
                 )
                 self._tracker.note_kept(message.kept, message.yielded)
             elif isinstance(message, PromptDecision):
--- a/figwalk/prompt_agent/prompt_server.py
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -139,6 +139,7 @@
             list(changes.kept),
             list(changes.yielded),
             _to_uint32(self._queue.fixed_s * MS_PER_S),
+            self._queue.measured,
         )
 
 
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -428,6 +428,7 @@
             digest; all that it keeps in the first digest of a connection.
         yielded: Hashes of those that it no longer keeps.
         fixed_ms: Milliseconds that the reading of a prompt takes beside its tokens.
+        measured: Whether the speed is measured, and not assumed.
     """
 
     up: bool
@@ -438,6 +439,7 @@
     kept: list[int] = attrs.field(factory=list)
     yielded: list[int] = attrs.field(factory=list)
     fixed_ms: int = 0
+    measured: bool = False
 
 
 Message = (
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -180,6 +180,7 @@
   kept @5 :List(UInt32);
   yielded @6 :List(UInt32);
   fixedMs @7 :UInt32;
+  measured @8 :Bool;
 }
 
 struct Message {
--- a/tests/test_prompt_placement.py
+++ b/tests/test_prompt_placement.py
@@ -242,3 +242,16 @@
     for name in ("d1", "d2"):
         engines.tell(name, backlog_tokens=500_000)
     assert engines.best(call.parts, 0.8) == ("p1", "d2")
+
+
+def test_engine_that_was_never_measured_is_tried():
+    """Guards against engines that stay idle because they are assumed to be slow.
+
+    Load: prefill engines that were measured at ten times the assumption, and one with a backlog.
+    """
+    engines = Engines(p1=("a", Role.PREFILL), d1=("a", Role.DECODE), d2=("a", Role.DECODE))
+    for name in ("d1", "d2"):
+        engines.tell(name, tokens_per_s=20_000.0, measured=False)
+    engines.tell("p1", backlog_tokens=80_000)
+    reader, _ = engines.best()
+    assert reader in ("d1", "d2")
