--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -11,18 +11,17 @@
 
 from __future__ import annotations
 
-import math
 import random
 import statistics
 from collections.abc import Sequence
 from functools import cached_property
-from hashlib import blake2b
 
 import attrs
 
 from figwalk.coordination.engine_tracker import EngineTracker
 from figwalk.coordination.plain_placement import Distance
 from figwalk.coordination.prefix_memory import hash_chain
+from figwalk.coordination.subject_homes import find_home, hash_pair
 from figwalk.protocol.messages import Role
 from figwalk.state.gateway_settings import EngineSettings
 from figwalk.state.routing import EngineSpec
@@ -35,8 +34,6 @@
 READING_SHARE = 0.25
 # The home of a prompt's shared part was most likely asked for it by other processes.
 HOME_HIT_SHARE = 0.5
-# An engine with the role decode reads more slowly, and only in a part of its time while it streams.
-DECODE_HOME_WEIGHT = 0.3
 # Reading parts again that another engine keeps takes capacity from prompts that could be served.
 # This part of its time counts as a wait of the caller, so that it is done where little waits.
 REREAD_SHARE = 0.5
@@ -45,7 +42,7 @@
 MAX_HOMES = 20_000  # About 2 MB; a day of the users has some 1,500 subjects.
 # An engine that fails every call is worse than any wait.
 FAILURE_COST_S = 1.0
-# The backlog that an agent stated is up to a tenth of a second old.
+# The backlog that an agent stated is up to a heartbeat of 0.4 s old.
 HOPELESS_RATIO = 0.8
 # A backlog shrinks by this time at the least.
 MIN_RETRY_S = 0.05
@@ -57,7 +54,6 @@
 # that it does not meet the burst, or the others that were refused in it, again.
 MIN_LATE_RETRY_SHARE = 0.6
 BITS_PER_BYTE = 8
-HASH_BITS = 64
 BITS_PER_MEGABIT = 1_000_000
 # A fetch between availability zones takes twice, between regions ten times as long.
 CROSS_ZONE_FETCH = 2.0
@@ -264,7 +260,7 @@
                 is_full,
                 load + failing,
                 near_reader,
-                _rank("streams", runner.entry.backend),
+                hash_pair("streams", runner.entry.backend),
             )
 
         return [self._build_plan(call, r, r, None, spec) for r in sorted(runners, key=key)]
@@ -408,22 +404,3 @@
         # Other fetches wait for this one on the links of both engines.
         cost_s += plan.fetch_s
         return cost_s + (FETCH_BILL_S if plan.reader is not plan.runner else 0.0)
-
-
-def find_home(subject: Sequence[str], engines: Sequence[EngineTracker]) -> EngineTracker | None:
-    """Return the engine that all processes prefer for a shared part, by rendezvous hashing."""
-    if not subject or not engines:
-        return None
-    key = "/".join(subject)
-    return max(engines, key=lambda engine: _weigh(key, engine))
-
-
-def _weigh(key: str, engine: EngineTracker) -> float:
-    """Return a rank by which engines win keys in proportion to their weights."""
-    weight = 1.0 if engine.entry.role is Role.PREFILL else DECODE_HOME_WEIGHT
-    hashed = int.from_bytes(_rank(key, engine.entry.backend))
-    return weight / -math.log((hashed + 1) / (2**HASH_BITS + 1))
-
-
-def _rank(key: str, backend: str) -> bytes:
-    return blake2b(f"{key} {backend}".encode(), digest_size=HASH_BITS // BITS_PER_BYTE).digest()
--- a/tests/test_prompt_placement.py
+++ b/tests/test_prompt_placement.py
@@ -8,13 +8,12 @@
 from figwalk.coordination.backend_tracker import AttemptOutcome
 from figwalk.coordination.plain_placement import Distance
 from figwalk.coordination.prompt_placement import (
-    DECODE_HOME_WEIGHT,
     EngineTracker,
     PlacementSettings,
     PromptCall,
     PromptPlacement,
-    find_home,
 )
+from figwalk.coordination.subject_homes import DECODE_HOME_WEIGHT, find_home
 from figwalk.events import EventLog
 from figwalk.protocol.messages import Role
 from figwalk.state.backend_directory import BackendEntry
