--- a/figwalk/coordination/kept_subjects.py
+++ b/figwalk/coordination/kept_subjects.py
@@ -26,7 +26,7 @@
     """Subjects, the shared parts of prompts, that an engine keeps, and their changes.
 
     Answers for subjects that each gateway sees too seldom to know where they are kept: with some
-    sixty of them and thirty gateways, a gateway sees the same one every few minutes.
+    sixty of them and five gateways at ten prompts a second, each sees the same one every 30 s.
     """
 
     def __init__(self) -> None:
