--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -24,8 +24,8 @@
     HttpResponse,
     strip_hop_by_hop,
 )
+from figwalk.transport.http_client import MAX_WHOLE_BYTES
 
-MAX_WHOLE_ANSWER_BYTES = 4 * 1024 * 1024
 # Handles of KV cache and confirmations are a few dozen bytes long.
 MAX_HANDLE_BYTES = 16 * 1024
 # A non-repeatable call must not meet a connection that the backend server is about to close, since
@@ -92,7 +92,7 @@
         """Whether the status says that the work was done."""
         return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
 
-    async def read_whole(self, max_bytes: int = MAX_WHOLE_ANSWER_BYTES) -> bytes:
+    async def read_whole(self, max_bytes: int = MAX_WHOLE_BYTES) -> bytes:
         """Return the whole body.
 
         Raises:
