Log when the events of a stream and its reading came

No line told when the first event of a stream reached its caller, so that the error of a prediction could not be seen. CALL_ANSWERED and REQUEST_REFUSED now have the time of the first event, the longest gap and the pieces, PROMPT_PLACED the parts of the prediction.

--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -5,6 +5,7 @@
 import attrs
 
 from figwalk.gateway.codecs import CallFacts
+from figwalk.gateway.stream_timing import StreamTiming
 from figwalk.state.routing import EngineSpec, Route
 from figwalk.transport import HttpRequest
 
@@ -24,7 +25,10 @@
         deadline: Timer time at which the caller must have its final answer.
         sent_to: Ids of the backend servers that it was sent to, without prefills.
         unresolved: Whether it was sent and neither answered nor refused as not run.
-        predicted_s: Predicted seconds until its first token, if it was predicted.
+        predicted_s: Predicted seconds until its first token, from when it was placed, if it was.
+        placed_at: Timer time at which that was predicted.
+        read_s: Seconds that its prefill took, or None without one.
+        timing: Times of the events of its stream.
     """
 
     request: HttpRequest
@@ -38,6 +42,9 @@
     sent_to: list[str] = attrs.field(factory=list)
     unresolved: bool = False
     predicted_s: float | None = None
+    placed_at: float = 0.0
+    read_s: float | None = None
+    timing: StreamTiming = attrs.field(factory=StreamTiming)
 
     @property
     def call_id(self) -> str:
--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -154,6 +154,9 @@
             retry_after_ms=error.retry_after_ms,
             sent_to=" ".join(call.sent_to),
             started=responder.started,
+            first_event_s=_since(call.arrived_at, call.timing.first_at),
+            longest_gap_s=round(call.timing.longest_gap_s, 4),
+            pieces=call.timing.pieces,
             took_s=round(took_s, 4),
         )
         if not responder.startable:
@@ -194,10 +197,23 @@
             backend=backend,
             attempts=len(call.sent_to),
             predicted_s=round(call.predicted_s, 4) if call.predicted_s is not None else None,
+            first_event_s=_since(call.arrived_at, call.timing.first_at),
+            placed_s=_since(call.arrived_at, call.placed_at) if call.predicted_s else None,
+            read_s=_round(call.read_s),
+            longest_gap_s=round(call.timing.longest_gap_s, 4),
+            pieces=call.timing.pieces,
             took_s=round(took_s, 4),
         )
 
 
+def _since(start: float, end: float | None) -> float | None:
+    return _round(end - start) if end is not None else None
+
+
+def _round(seconds: float | None) -> float | None:
+    return round(seconds, 4) if seconds is not None else None
+
+
 def _tell_truly(call: Call, error: RefusalError) -> RefusalError:
     """Return a refusal that does not say "not run" of a call that may have run before."""
     if error.outcome is CallOutcome.UNKNOWN or not call.unresolved:
--- a/figwalk/gateway/plain_calls.py
+++ b/figwalk/gateway/plain_calls.py
@@ -117,7 +117,8 @@
             try:
                 async with self._attempts.send(call, tracker, plan) as answer:
                     self._check_promise(call, answer.status)
-                    await StreamRelay(responder, resumable=False).relay(answer)
+                    relay = StreamRelay(responder, call.timing, self._timer, resumable=False)
+                    await relay.relay(answer)
                     return answer.backend
             except AttemptError as attempt_error:
                 error = attempt_error
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -34,7 +34,9 @@
 from figwalk.timer import MS_PER_S, Timer
 from figwalk.transport import Responder
 
-# Ranks at an engine, 0 to 9. Short prompts take almost nothing and go before long ones.
+# Ranks at an engine, 0 to 9. A prompt whose KV cache is fetched has nothing left to read, and short
+# prompts take almost nothing: behind the long ones that an engine reads, they wait for seconds.
+FETCHED_URGENCY = 1
 SHORT_URGENCY = 2
 LONG_URGENCY = 5
 # A resumable stream without a first event within this many targets goes on elsewhere.
@@ -92,7 +94,11 @@
         """
         self._budget.note_first_attempt()
         relay = StreamRelay(
-            responder, resumable=call.route.resumable, resume_after=call.facts.resume_after
+            responder,
+            call.timing,
+            self._timer,
+            resumable=call.route.resumable,
+            resume_after=call.facts.resume_after,
         )
         placed = await self._place(call, spec)
         while True:
@@ -118,6 +124,7 @@
             tries.append(placed)
             if placed.admitted:
                 call.predicted_s = placed.plan.predicted_s
+                call.placed_at = self._timer.now()
                 break
             retry_after_s = min(retry_after_s, self._placement.retry_after_s(prompt, placed.plan))
         self._record_placed(call, prompt, tries)
@@ -158,8 +165,13 @@
             tokens=prompt.tokens,
             uncached=int(last.plan.uncached_tokens),
             backlog_s=round(last.plan.backlog_s, 4),
+            reading_s=round(last.plan.reading_s, 4),
+            after_s=round(last.plan.after_s, 4),
             predicted_s=round(last.plan.predicted_s, 4),
             target_s=round(prompt.target_s, 4),
+            deadline_s=round(prompt.deadline_s, 3),
+            route=call.route.name,
+            donor=last.plan.donor.entry.backend if last.plan.donor else None,
             judge=last.judge.value,
             digest_age_s=_round(last.plan.reader.digest_age_s),
             load_age_s=_round(last.plan.reader.load_age_s),
@@ -220,7 +232,7 @@
         plan.reader.start_reading(key, plan.uncached_tokens)
         started = self._timer.now()
         patience_s = max(MIN_PREFILL_PATIENCE_S, PREFILL_PATIENCE * plan.predicted_s)
-        send_plan = self._make_send_plan(call, plan.reader, CallStep.PREFILL)
+        send_plan = self._make_send_plan(call, plan.reader, CallStep.PREFILL, donor=plan.donor)
         try:
             prefilled = await self._attempts.prefill(
                 call, plan.reader, send_plan, patience_s=patience_s
@@ -228,11 +240,12 @@
         finally:
             plan.reader.finish_reading(key)
         self._learn(call, placed, prefilled.took_s)
+        call.read_s = self._timer.now() - started
         self._events.record(
             Event.PREFILL_DONE,
             request_id=call.call_id,
             backend=plan.reader.entry.backend,
-            took_s=round(self._timer.now() - started, 4),
+            took_s=round(call.read_s, 4),
         )
         return prefilled.source
 
@@ -240,7 +253,10 @@
         self, call: Call, placed: Placed, relay: StreamRelay, source: KvSource | None
     ) -> str:
         plan = placed.plan
-        send_plan = self._make_send_plan(call, plan.runner, CallStep.RUN, source, relay)
+        donor = plan.donor if source is None else None
+        send_plan = self._make_send_plan(
+            call, plan.runner, CallStep.RUN, source, relay, donor=donor
+        )
         key = object()
         if source is None:
             plan.runner.start_reading(key, plan.uncached_tokens)
@@ -332,15 +348,23 @@
         step: CallStep,
         source: KvSource | None = None,
         relay: StreamRelay | None = None,
+        *,
+        donor: EngineTracker | None = None,
     ) -> SendPlan:
-        is_short = call.facts.prompt_tokens <= self._short_prompt_tokens
+        if source is not None:
+            urgency = FETCHED_URGENCY
+        elif call.facts.prompt_tokens <= self._short_prompt_tokens:
+            urgency = SHORT_URGENCY
+        else:
+            urgency = LONG_URGENCY
         return SendPlan(
             engine.entry,
             call.deadline - self._timer.now(),
             step,
             source,
-            SHORT_URGENCY if is_short else LONG_URGENCY,
+            urgency,
             relay.last_event_id if relay is not None and relay.started else "",
+            donor.entry if donor is not None else None,
         )
 
     def _describe(self, call: Call) -> PromptCall:
--- a/figwalk/gateway/stream_relay.py
+++ b/figwalk/gateway/stream_relay.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from figwalk.gateway.attempts import Answer
+from figwalk.gateway.stream_timing import StreamTiming
 from figwalk.protocol.event_stream import EventStreamCutter
+from figwalk.timer import Timer
 from figwalk.transport import Responder
 
 _ID_FIELD = b"id:"
@@ -17,12 +19,24 @@
 
     Args:
         responder: The caller.
+        timing: Takes the times of what is passed on.
+        timer: Source of time.
         resumable: Whether the stream may be resumed.
         resume_after: Id of the last event that the caller had before, or empty.
     """
 
-    def __init__(self, responder: Responder, *, resumable: bool, resume_after: str = "") -> None:
+    def __init__(
+        self,
+        responder: Responder,
+        timing: StreamTiming,
+        timer: Timer,
+        *,
+        resumable: bool,
+        resume_after: str = "",
+    ) -> None:
         self._responder = responder
+        self._timing = timing
+        self._timer = timer
         self._resumable = resumable
         self._last_event_id = resume_after
 
@@ -60,6 +74,7 @@
             await self._responder.start(answer.status, answer.headers)
         if self._resumable:
             self._last_event_id = find_last_event_id(data) or self._last_event_id
+        self._timing.note_piece(self._timer.now())
         await self._responder.send_chunk(data)
 
 
