--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -37,6 +37,10 @@
 # Reading parts again that another engine keeps takes capacity from prompts that could be served.
 # This part of its time counts as a wait of the caller, so that it is done where little waits.
 REREAD_SHARE = 0.5
+# Mean length of streams, by which the number under way tells how many calls arrive a second.
+STREAM_S = 1.5
+# Shorter parts are read as fast as their fetch is set up.
+MIN_DONATED_TOKENS = 1000
 # A first part is shared by a large share of all prompts and kept everywhere.
 HEAD_PART = 1
 MAX_HOMES = 20_000  # About 2 MB; a day of the users has some 1,500 subjects.
@@ -128,9 +132,15 @@
         reading_s: Seconds that reading the prompt takes.
         travel_s: Seconds that requests and answers travel.
         link_wait_s: Seconds that the fetch of the KV cache waits for others.
+        runner_wait_s: Seconds that the runner still reads prompts; nothing else begins meanwhile.
         fetch_s: Seconds that it takes by itself; 0 if the runner reads the prompt itself.
         first_event_s: Seconds from then to the first event.
         reread_s: Seconds of the reading that are for parts which another engine keeps.
+        blocked_s: Seconds that other calls at the reader are expected to wait for this reading, all
+            together.
+        donor: Engine from which the reader fetches the shared parts before it reads the rest, or
+            None.
+        donation_s: Seconds that this fetch takes.
     """
 
     reader: EngineTracker
@@ -140,19 +150,24 @@
     reading_s: float
     travel_s: float
     link_wait_s: float
+    runner_wait_s: float
     fetch_s: float
     first_event_s: float
     reread_s: float = 0.0
+    blocked_s: float = 0.0
+    donor: EngineTracker | None = None
+    donation_s: float = 0.0
 
     @property
     def reserve_s(self) -> float:
         """Seconds that have to be left before the target."""
-        return REREAD_SHARE * self.reread_s
+        return REREAD_SHARE * self.reread_s + self.blocked_s
 
     @property
     def after_s(self) -> float:
         """Seconds of the prediction beside the reader's backlog and reading."""
-        return self.travel_s + self.link_wait_s + self.fetch_s + self.first_event_s
+        waits_s = self.link_wait_s + self.runner_wait_s
+        return self.travel_s + waits_s + self.donation_s + self.fetch_s + self.first_event_s
 
     @property
     def predicted_s(self) -> float:
@@ -176,6 +191,7 @@
         self._rates: dict[Role, float] = {}
         self._homes: dict[tuple[str, ...], str] = {}
         self._home_engines: tuple[str, ...] = ()
+        self._donors: list[EngineTracker] = []
 
     def rank(
         self, call: PromptCall, engines: Sequence[EngineTracker], spec: EngineSpec
@@ -189,6 +205,7 @@
         runners = [engine for engine in usable if engine.entry.role is not Role.PREFILL]
         if not runners:
             return []
+        self._donors = [engine for engine in usable if self._keeps_shared(call, engine)]
         if self.is_short(call):
             return self._rank_for_stream(call, runners, engines, spec)
         home = self._find_home(call.subject, engines)
@@ -312,21 +329,38 @@
     ) -> PromptPlan:
         rate = self._rate(reader)
         uncached = self._uncached(call, reader, home)
+        donor, donation_s = self._find_donor(call, reader, uncached / rate, spec)
+        if donor is not None:
+            uncached = call.tokens - call.shared_tokens
         is_pair = reader is not runner
+        reading_s = uncached / rate + reader.fixed_s
         travel_s = self.round_trip_s(runner) + (self.round_trip_s(reader) if is_pair else 0.0)
         return PromptPlan(
             reader=reader,
             runner=runner,
             uncached_tokens=uncached,
-            # A short prompt overtakes the long ones.
-            backlog_s=0.0 if self.is_short(call) else reader.backlog_tokens() / rate,
-            reading_s=uncached / rate + reader.fixed_s,
+            backlog_s=reader.backlog_tokens() / rate,
+            reading_s=reading_s,
             travel_s=travel_s,
             link_wait_s=max(reader.link_wait_s(), runner.link_wait_s()) if is_pair else 0.0,
-            fetch_s=self._fetch_s(call, reader, runner, spec) if is_pair else 0.0,
+            runner_wait_s=runner.backlog_tokens() / self._rate(runner) if is_pair else 0.0,
+            fetch_s=self._fetch_s(call.tokens, reader, runner, spec) if is_pair else 0.0,
             first_event_s=runner.first_event_s(self._slowed_s(call, runner, uncached, is_pair)),
+            blocked_s=0.0 if is_pair else self._blocked_s(runner, uncached / rate),
+            donor=donor,
+            donation_s=donation_s,
         )
 
+    @staticmethod
+    def _blocked_s(runner: EngineTracker, reading_s: float) -> float:
+        """Return the seconds that other calls wait for a prompt which a runner reads, together.
+
+        An engine begins no other call before it has read a prompt to its end, not even one whose KV
+        cache it fetches. Calls arrive as often as streams end, and wait for half of the reading.
+        """
+        arrivals_per_s = runner.decoding / STREAM_S
+        return arrivals_per_s * reading_s * reading_s / 2
+
     def _slowed_s(
         self, call: PromptCall, runner: EngineTracker, uncached: float, is_pair: bool
     ) -> float:
@@ -340,15 +374,42 @@
             tokens += uncached
         return tokens / self._rate(runner)
 
+    def _find_donor(
+        self, call: PromptCall, reader: EngineTracker, reading_s: float, spec: EngineSpec
+    ) -> tuple[EngineTracker | None, float]:
+        """Return the engine from which a reader gets the shared parts soonest, and the seconds.
+
+        None if it keeps them itself or reads them faster.
+        """
+        if call.shared_tokens < MIN_DONATED_TOKENS or self._keeps_shared(call, reader):
+            return None, 0.0
+        own_s = (call.tokens - call.shared_tokens) / self._rate(reader)
+        best, best_s = None, reading_s - own_s
+        for donor in self._donors:
+            if donor is reader:
+                continue
+            wait_s = max(donor.link_wait_s(), reader.link_wait_s())
+            seconds = wait_s + self._fetch_s(call.shared_tokens, donor, reader, spec)
+            seconds += donor.failure_share() * FAILURE_COST_S
+            if seconds < best_s:
+                best, best_s = donor, seconds
+        return (best, best_s) if best is not None else (None, 0.0)
+
+    @staticmethod
+    def _keeps_shared(call: PromptCall, engine: EngineTracker) -> bool:
+        if engine.keeps(call.subject_hash):
+            return True
+        return engine.memory.cached_tokens(call.parts[:-1]) >= call.shared_tokens
+
     def _fetch_s(
-        self, call: PromptCall, reader: EngineTracker, runner: EngineTracker, spec: EngineSpec
+        self, tokens: int, source: EngineTracker, target: EngineTracker, spec: EngineSpec
     ) -> float:
-        """Return the seconds that a fetch of a prompt's KV cache takes by itself."""
-        bits = call.tokens * spec.kv_bytes_per_token * BITS_PER_BYTE
+        """Return the seconds that a fetch of KV cache takes by itself."""
+        bits = tokens * spec.kv_bytes_per_token * BITS_PER_BYTE
         fetch_s = bits / max(1.0, spec.link_mbps * BITS_PER_MEGABIT)
-        if reader.entry.zone != runner.entry.zone:
+        if source.entry.zone != target.entry.zone:
             regions = self._distance.regions
-            same_region = regions.get(reader.entry.zone) == regions.get(runner.entry.zone)
+            same_region = regions.get(source.entry.zone) == regions.get(target.entry.zone)
             fetch_s *= CROSS_ZONE_FETCH if same_region else CROSS_REGION_FETCH
         return fetch_s
 
@@ -402,5 +463,6 @@
             zone = engine.entry.zone
             cost_s += self._distance.cost_s(zone) - self._distance.round_trip_s(zone)
         # Other fetches wait for this one on the links of both engines.
-        cost_s += plan.fetch_s
-        return cost_s + (FETCH_BILL_S if plan.reader is not plan.runner else 0.0)
+        cost_s += plan.fetch_s + plan.donation_s
+        moves = (plan.reader is not plan.runner) + (plan.donor is not None)
+        return cost_s + moves * FETCH_BILL_S
--- a/figwalk/coordination/reading_queue.py
+++ b/figwalk/coordination/reading_queue.py
@@ -46,12 +46,14 @@
         target_s: Seconds until its first token is late; may be negative.
         left_s: Seconds until its caller gives up.
         after_s: Seconds from the end of the reading to the first token at the caller.
+        fetched_tokens: Tokens from the start of the prompt whose KV cache the engine fetches.
     """
 
     parts: Sequence[tuple[str, int]]
     target_s: float
     left_s: float
     after_s: float
+    fetched_tokens: int = 0
 
 
 @attrs.frozen
@@ -178,7 +180,8 @@
         """
         self._expire()
         total = sum(tokens for _, tokens in reading.parts)
-        uncached = max(0.0, total - self._memory.cached_tokens(reading.parts))
+        kept = max(reading.fetched_tokens, self._memory.cached_tokens(reading.parts))
+        uncached = max(0.0, total - kept)
         wait_s = max(self.backlog_tokens / self.tokens_per_s, self._pause_s())
         own_s = uncached / self.tokens_per_s
         finish_s = wait_s + own_s + self.fixed_s
--- a/figwalk/gateway/codecs.py
+++ b/figwalk/gateway/codecs.py
@@ -93,7 +93,8 @@
         backend: Where to.
         left_s: Seconds that the backend server may take.
         step: What it is asked to do.
-        kv_source: KV cache to fetch first, or None.
+        kv_source: KV cache of the prefilled prompt to fetch first, or None.
+        donor: Engine from which to fetch what it keeps of the prompt, or None.
         urgency: Rank among an engine's calls, 0 to 9 with 0 first, or None.
         resume_after: Id of the event after which a stream goes on, or empty.
     """
@@ -104,6 +105,7 @@
     kv_source: KvSource | None = None
     urgency: int | None = None
     resume_after: str = ""
+    donor: BackendEntry | None = None
 
 
 @attrs.frozen
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -296,6 +296,7 @@
         _to_ms(prompt.target_s - plan.reserve_s),
         _to_ms(prompt.left_s),
         max(0, _to_ms(plan.after_s)),
+        prompt.shared_tokens if plan.donor is not None else 0,
     )
 
 
--- a/figwalk/platform/backend_codec.py
+++ b/figwalk/platform/backend_codec.py
@@ -42,6 +42,8 @@
         if plan.kv_source is not None:
             source = f"{plan.kv_source.backend.address}/{plan.kv_source.handle}"
             headers.append((names.KV_SOURCE, source.encode()))
+        if plan.donor is not None:
+            headers.append((names.KV_FETCH, str(plan.donor.address).encode()))
         return HttpRequest(request.method, request.target, headers, request.body)
 
     def is_answer(self, call_id: str, headers: Headers) -> bool:
--- a/figwalk/platform/headers.py
+++ b/figwalk/platform/headers.py
@@ -21,6 +21,8 @@
 URGENCY = b"request-priority"
 STEP = b"stage"
 KV_SOURCE = b"kv-source"
+# Address of an engine from which to take what it keeps of the prompt before reading the rest.
+KV_FETCH = b"kv-fetch"
 
 # Only the system may say these to a backend server; what a caller says of them is dropped.
 SYSTEM_HEADERS = frozenset(
@@ -30,8 +32,8 @@
         URGENCY,
         STEP,
         KV_SOURCE,
+        KV_FETCH,
         b"kv-backup",
-        b"kv-fetch",
         b"kv-hold",
         b"pin-ms",
     }
--- a/figwalk/prompt_agent/prompt_server.py
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -100,6 +100,7 @@
             target_s=offer.target_ms / MS_PER_S,
             left_s=offer.left_ms / MS_PER_S,
             after_s=offer.after_ms / MS_PER_S,
+            fetched_tokens=offer.fetched_tokens,
         )
         decision = self._queue.offer((connection, offer.call_id), connection, reading)
         granted = decision.granted and self._watcher.up
@@ -113,6 +114,7 @@
             report_age_s=round(self._watcher.report_age_s, 3),
             target_ms=offer.target_ms,
             after_ms=offer.after_ms,
+            fetched=offer.fetched_tokens,
             uncached=int(decision.uncached_tokens),
             wait_s=round(decision.wait_s, 4),
             finish_s=round(decision.finish_s, 4),
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -367,6 +367,7 @@
         target_ms: Milliseconds until the first token is late; may be negative.
         left_ms: Milliseconds until the caller gives up.
         after_ms: Milliseconds from the end of the reading to the first token at the caller.
+        fetched_tokens: Tokens from the start of the prompt whose KV cache the engine fetches.
     """
 
     call_id: int
@@ -376,6 +377,7 @@
     target_ms: int
     left_ms: int
     after_ms: int
+    fetched_tokens: int = 0
 
 
 @attrs.frozen
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -154,6 +154,7 @@
   targetMs @4 :Int32;
   leftMs @5 :Int32;
   afterMs @6 :UInt32;
+  fetchedTokens @7 :UInt32;
 }
 
 struct PromptDecision {
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -89,6 +89,35 @@
     run_with_engines(test, reader=(engine_pair, "prefill"), runner=(engine_pair, "decode"))
 
 
+def test_shared_parts_are_fetched_from_an_engine_that_keeps_them():
+    """Guards against a prompt whose shared parts every engine reads anew."""
+    broken = set()
+
+    async def read_or_break(backend, stream, request):
+        if backend.name in broken:
+            await stream.aclose()
+            return False
+        return await engine_pair(backend, stream, request)
+
+    async def test(fleet, first, second, runner):
+        for number in range(2):
+            headers = [f"Prefix-Hash: a1:2000,b2:30000,c{number}:40000", *LONG[1:]]
+            status, _, _ = await fleet.call("/chat/x", method="POST", body=b"1", headers=headers)
+            assert status == 200
+            broken.add("first" if first.requests else "second")
+        keeper, other = (first, second) if "first" in broken else (second, first)
+        assert "kv-fetch" not in keeper.requests[0].headers
+        # The runner keeps the parts as well, since it has fetched them from the first reader.
+        assert other.requests[-1].headers["kv-fetch"] == f"127.0.0.1:{runner.port}"
+
+    run_with_engines(
+        test,
+        first=(read_or_break, "prefill"),
+        second=(read_or_break, "prefill"),
+        runner=(engine_pair, "decode"),
+    )
+
+
 def test_short_prompt_is_run_at_once():
     """Guards against a short question that pays for a second step."""
 
