Follow what engines say they keep of prompts

Cause: the agent beside an engine guessed what it keeps from the prompts that it granted. It did not know what a runner had fetched, nor anything after its own restart, so that parts were read again or fetched from engines that had dropped them.

Change: the agent lists what its engine keeps when it starts and follows its changes; gateways are told parts instead of chains of parts, and all of them again when they missed a digest on a slow link.

--- a/figwalk/coordination/engine_tracker.py
+++ b/figwalk/coordination/engine_tracker.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Sequence
 
 from figwalk.coordination.backend_tracker import BackendTracker
+from figwalk.coordination.kept_parts import hash_part
 from figwalk.coordination.prefix_memory import PrefixMemory
 from figwalk.state.routing import EngineSpec
 
@@ -31,7 +32,7 @@
 # next will, but not for long: a queue of fetches builds up and drains within a second.
 LINK_WAIT_WEIGHT = 0.4
 LINK_WAIT_HALF_LIFE_S = 0.4
-# More subjects than any engine keeps; an agent that never tells what yielded must not fill memory.
+# More parts than any engine keeps; an agent that never tells what yielded must not fill memory.
 MAX_KEPT = 20_000
 # Agents tell the state of their engines when it changes, and each 0.4 s at the least.
 DIGEST_MAX_AGE_S = 0.95
@@ -57,12 +58,12 @@
         self._fixed_s = 0.0
         self._measured = False
         self._kept: set[int] = set()
+        self._is_told = False
         self._mean_uncached = ASSUMED_UNCACHED_TOKENS
 
-    @property
-    def memory(self) -> PrefixMemory:
-        """Parts of prompts that the engine likely keeps."""
-        return self._memory
+    def note_fetched(self, parts: Sequence[tuple[str, int]]) -> None:
+        """Note that the engine fetched the KV cache of a prompt."""
+        self._memory.note_read(parts)
 
     @property
     def rate_factor(self) -> float:
@@ -117,8 +118,19 @@
         self._stated_rate = tokens_per_s
         self.note_backlog(backlog_tokens)
 
-    def note_kept(self, kept: Iterable[int], yielded: Iterable[int]) -> None:
-        """Take over which shared parts of prompts the engine keeps; see `hash_chain`."""
+    def note_kept(
+        self, kept: Iterable[int], yielded: Iterable[int], *, complete: bool = False
+    ) -> None:
+        """Take over which parts of prompts the engine keeps; see `hash_part`.
+
+        Args:
+            kept: Parts that it has begun to keep.
+            yielded: Parts that it no longer keeps.
+            complete: Whether it keeps nothing else.
+        """
+        self._is_told = True
+        if complete:
+            self._kept.clear()
         self._kept.update(kept)
         self._kept.difference_update(yielded)
         if len(self._kept) > MAX_KEPT:
@@ -127,10 +139,25 @@
     def forget_kept(self) -> None:
         """Forget what the agent beside the engine told, which tells all of it again."""
         self._kept.clear()
+        self._is_told = False
+
+    def cached_tokens(self, parts: Sequence[tuple[str, int]]) -> int:
+        """Return how many tokens of a prompt, from its start, the engine keeps.
+
+        Its agent told which parts those are. Without the agent, they are guessed by what this
+        process had it read.
 
-    def keeps(self, subject: int) -> bool:
-        """Return whether the agent beside the engine told that it keeps a subject."""
-        return subject in self._kept
+        Args:
+            parts: Id and tokens of each part, in order.
+        """
+        if not self._is_told:
+            return self._memory.cached_tokens(parts)
+        cached = 0
+        for part_id, tokens in parts:
+            if hash_part(part_id) not in self._kept:
+                break
+            cached += tokens
+        return cached
 
     def note_backlog(self, tokens: float) -> None:
         """Take over the backlog that the agent beside the engine tells."""
--- a/figwalk/coordination/prefix_memory.py
+++ b/figwalk/coordination/prefix_memory.py
@@ -4,7 +4,6 @@
 
 from collections import OrderedDict
 from collections.abc import Sequence
-from hashlib import blake2b
 
 # Running calls share the memory with kept parts.
 KEPT_SHARE = 0.8
@@ -67,10 +66,5 @@
         self._tokens = 0
 
 
-def hash_chain(chain: Sequence[str]) -> int:
-    """Return 32 bits that stand for the ids of a prompt's first parts in messages."""
-    return int.from_bytes(blake2b("/".join(chain).encode(), digest_size=4).digest())
-
-
 def _chain(parts: Sequence[tuple[str, int]], end: int) -> tuple[str, ...]:
     return tuple(part_id for part_id, _ in parts[:end])
--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -20,7 +20,6 @@
 
 from figwalk.coordination.engine_tracker import EngineTracker
 from figwalk.coordination.plain_placement import Distance
-from figwalk.coordination.prefix_memory import hash_chain
 from figwalk.coordination.subject_homes import find_home, hash_pair
 from figwalk.protocol.messages import Role
 from figwalk.state.gateway_settings import EngineSettings
@@ -109,11 +108,6 @@
         """Length of the shared parts: all but the call's own last one."""
         return sum(tokens for _, tokens in self.parts[:-1])
 
-    @cached_property
-    def subject_hash(self) -> int:
-        """Stands for the shared parts in what agents tell; see `hash_chain`."""
-        return hash_chain(self.subject)
-
     @cached_property
     def subject(self) -> tuple[str, ...]:
         """The shared parts: all but the call's own last one."""
@@ -215,7 +209,7 @@
                 near = self._find_runners(reader, runners)
                 pairs = [self._build_plan(call, reader, r, home, spec) for r in near]
                 plans.append(min(pairs, key=self._rank_key))
-        if any(engine.keeps(call.subject_hash) for engine in usable):
+        if self._donors:
             plans = [self._note_reread(call, plan) for plan in plans]
         return sorted(plans, key=self._rank_key)
 
@@ -397,9 +391,7 @@
 
     @staticmethod
     def _keeps_shared(call: PromptCall, engine: EngineTracker) -> bool:
-        if engine.keeps(call.subject_hash):
-            return True
-        return engine.memory.cached_tokens(call.parts[:-1]) >= call.shared_tokens
+        return engine.cached_tokens(call.parts[:-1]) >= call.shared_tokens > 0
 
     def _fetch_s(
         self, tokens: int, source: EngineTracker, target: EngineTracker, spec: EngineSpec
@@ -446,10 +438,8 @@
     def _uncached(
         self, call: PromptCall, engine: EngineTracker, home: EngineTracker | None
     ) -> float:
-        known = engine.memory.cached_tokens(call.parts)
-        if engine.keeps(call.subject_hash):
-            known = max(known, call.shared_tokens)
-        elif engine is home and known < call.shared_tokens and len(call.parts) > HEAD_PART:
+        known = engine.cached_tokens(call.parts)
+        if engine is home and known < call.shared_tokens and len(call.parts) > HEAD_PART:
             known += HOME_HIT_SHARE * (call.shared_tokens - known)
         return max(0.0, call.tokens - known)
 
--- a/figwalk/coordination/reading_queue.py
+++ b/figwalk/coordination/reading_queue.py
@@ -12,8 +12,7 @@
 
 import attrs
 
-from figwalk.coordination.kept_subjects import KeptSubjects
-from figwalk.coordination.prefix_memory import PrefixMemory
+from figwalk.coordination.kept_parts import KeptParts
 from figwalk.coordination.reading_speed import ReadingSpeed
 from figwalk.timer import Timer
 
@@ -87,17 +86,15 @@
     Args:
         timer: Source of time.
         tokens_per_s: Prompt tokens that the engine reads a second, until its speed is measured.
-        capacity_tokens: Tokens that its KV cache holds.
     """
 
-    def __init__(self, timer: Timer, *, tokens_per_s: float, capacity_tokens: int) -> None:
+    def __init__(self, timer: Timer, *, tokens_per_s: float) -> None:
         self._timer = timer
         self._assumed_rate = tokens_per_s
         self._speed = ReadingSpeed(tokens_per_s)
         self._duty = 1.0
         self._paced_until = 0.0
-        self._memory = PrefixMemory(capacity_tokens)
-        self._subjects = KeptSubjects()
+        self._parts = KeptParts(timer)
         self._grants: dict[object, _Grant] = {}
         self._work = 0.0
         self._work_at = 0.0
@@ -150,23 +147,21 @@
         return min(granted, max(at_least, self._work_left()))
 
     @property
-    def subjects(self) -> KeptSubjects:
-        """Shared parts of prompts that the engine likely keeps."""
-        return self._subjects
+    def parts(self) -> KeptParts:
+        """Parts of prompts that the engine keeps."""
+        return self._parts
 
-    def set_engine(self, *, tokens_per_s: float, capacity_tokens: int) -> None:
+    def set_engine(self, *, tokens_per_s: float) -> None:
         """Start anew for an engine that restarted or has another role.
 
         Args:
             tokens_per_s: Assumed speed; a measured one is kept while the assumption is the same,
                 as an engine of the same role reads as before.
-            capacity_tokens: Tokens that its KV cache holds.
         """
         if tokens_per_s != self._assumed_rate:
             self._assumed_rate = tokens_per_s
             self._speed = ReadingSpeed(tokens_per_s)
-        self._memory = PrefixMemory(capacity_tokens)
-        self._subjects.clear()
+        self._parts.clear()
         self._grants.clear()
         self._reset_measure()
 
@@ -180,7 +175,7 @@
         """
         self._expire()
         total = sum(tokens for _, tokens in reading.parts)
-        kept = max(reading.fetched_tokens, self._memory.cached_tokens(reading.parts))
+        kept = max(reading.fetched_tokens, self._parts.cached_tokens(reading.parts))
         uncached = max(0.0, total - kept)
         wait_s = max(self.backlog_tokens / self.tokens_per_s, self._pause_s())
         own_s = uncached / self.tokens_per_s
@@ -193,8 +188,7 @@
             self._grants[key] = _Grant(owner, uncached, now + life_s, alone=not self._grants)
             self._paced_until = max(now, self._paced_until) + own_s / self._duty
             # Prompts behind it will find its parts.
-            yielded = self._memory.note_read(reading.parts)
-            self._subjects.note_read(reading.parts, yielded)
+            self._parts.expect(reading.parts[:-1])
         return ReadingDecision(granted, uncached, wait_s, finish_s)
 
     def finish(self, key: object, *, read: bool, took_s: float = 0.0) -> None:
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -89,6 +89,8 @@
     PROMPT_PLACED = (427, "info", "Engines were chosen for a prompt, or it was refused.")
     PROMPT_DECIDED = (428, "info", "The agent beside an engine decided on an offered prompt.")
     ENGINE_STARTED_ANEW = (429, "info", "An engine restarted or has another role.")
+    CACHE_FOLLOWED = (430, "info", "An engine says which parts of prompts it keeps.")
+    CACHE_UNKNOWN = (431, "warning", "An engine no longer says which parts of prompts it keeps.")
     READINESS_CHANGED = (426, "info", "The answer to readiness checks changed.")
 
     CONFIG_ADOPTED = (500, "info", "A configuration revision is in force in this process.")
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -337,7 +337,7 @@
             travel_s += plan.first_event_s
         else:
             # The runner keeps what it fetches like what it has read itself.
-            plan.runner.memory.note_read(parts)
+            plan.runner.note_fetched(parts)
         placed.end(read=True, took_s=took_s - travel_s)
         plan.reader.note_read(parts, predicted_s, took_s - travel_s)
 
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -183,7 +183,9 @@
                     fixed_s=message.fixed_ms / MS_PER_S,
                     measured=message.measured,
                 )
-                self._tracker.note_kept(message.kept, message.yielded)
+                self._tracker.note_kept(
+                    message.kept, message.yielded, complete=message.kept_complete
+                )
             elif isinstance(message, PromptDecision):
                 self._take_decision(message)
 
--- a/figwalk/platform/__init__.py
+++ b/figwalk/platform/__init__.py
@@ -7,6 +7,7 @@
 from figwalk.platform.backend_codec import PlatformBackendCodec
 from figwalk.platform.backend_records import decode_backend
 from figwalk.platform.caller_codec import PlatformCallerCodec
+from figwalk.platform.engine_cache import PlatformEngineCacheCodec
 from figwalk.platform.engine_report import PlatformEngineReportCodec
 from figwalk.platform.routing_records import decode_routing
 from figwalk.platform.store import BACKENDS_TOPIC, CONFIG_KEY, CONFIG_TOPIC, PlatformStore
@@ -17,6 +18,7 @@
     "CONFIG_TOPIC",
     "PlatformBackendCodec",
     "PlatformCallerCodec",
+    "PlatformEngineCacheCodec",
     "PlatformEngineReportCodec",
     "PlatformStore",
     "decode_backend",
--- a/figwalk/platform/headers.py
+++ b/figwalk/platform/headers.py
@@ -20,6 +20,8 @@
 LOAD = b"server-load"
 URGENCY = b"request-priority"
 STEP = b"stage"
+# Milliseconds for which a question about the cache may be kept waiting.
+WAIT_MS = b"wait-ms"
 KV_SOURCE = b"kv-source"
 # Address of an engine from which to take what it keeps of the prompt before reading the rest.
 KV_FETCH = b"kv-fetch"
--- a/figwalk/platform/json_fields.py
+++ b/figwalk/platform/json_fields.py
@@ -89,6 +89,14 @@
         items = self._read(name, list, [])
         return [JsonFields(item, f"{self._where}: {name}[{i}]") for i, item in enumerate(items)]
 
+    def rows(self, name: str, length: int) -> list[list[object]]:
+        """Return a field with a list of rows of at least a number of columns."""
+        rows = self._read(name, list, None)
+        for i, row in enumerate(rows):
+            if not isinstance(row, list) or len(row) < length:
+                raise PlatformRecordError(f"{self._where}: {name}[{i}] has not {length} columns")
+        return rows
+
     def object(self, name: str) -> JsonFields:
         """Return a field with an object."""
         return JsonFields(self._content.get(name), f"{self._where}: {name}")
--- a/figwalk/prompt_agent/digest_sender.py
+++ b/figwalk/prompt_agent/digest_sender.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Callable
 
-from figwalk.coordination.kept_subjects import KeptSubjects, SubjectChanges
+from figwalk.coordination.kept_parts import KeptParts, PartChanges
 from figwalk.errors import ConnectionLostError
 from figwalk.protocol.messages import EngineDigest
 from figwalk.protocol.peer_connection import PeerConnection
@@ -28,25 +28,28 @@
     """Sends digests to all connected gateways.
 
     Answers for many gateways on many engines: a digest goes out only if the state has changed
-    enough to matter or a heartbeat is due, and the rate to each gateway falls with their number,
-    so that an agent's cost is bounded whatever the size of the fleet.
+    enough to matter or a heartbeat is due, and the rate to each gateway falls with their number, so
+    that an agent's cost is bounded whatever the size of the fleet. Changes of the kept parts go
+    along with either.
 
     Args:
-        make_digest: Returns the engine's state now, with changes of the kept subjects.
-        subjects: Shared parts of prompts that the engine keeps.
+        make_digest: Returns the engine's state now, with changes of the kept parts.
+        parts: Parts of prompts that the engine keeps.
         timer: Source of time.
     """
 
     def __init__(
         self,
-        make_digest: Callable[[SubjectChanges], EngineDigest],
-        subjects: KeptSubjects,
+        make_digest: Callable[[PartChanges], EngineDigest],
+        parts: KeptParts,
         timer: Timer,
     ) -> None:
         self._make_digest = make_digest
-        self._subjects = subjects
+        self._parts = parts
         self._timer = timer
         self._connections: set[PeerConnection] = set()
+        # Gateways that have missed changes of the kept parts.
+        self._behind: set[PeerConnection] = set()
         self._told: EngineDigest | None = None
         self._told_at = -math.inf
 
@@ -62,31 +65,41 @@
             ConnectionLostError: The connection is gone.
         """
         self._connections.add(connection)
-        changes = SubjectChanges(kept=self._subjects.all)
-        connection.send_now(connection.render(self._make_digest(changes)))
+        self._tell_all_parts(connection)
 
     def remove(self, connection: PeerConnection) -> None:
         """Tell a gateway no more."""
         self._connections.discard(connection)
+        self._behind.discard(connection)
 
     async def tell(self) -> None:
         """Send a digest to all gateways if one is due, as a callback of the timer service."""
-        digest = self._make_digest(SubjectChanges())
+        digest = self._make_digest(PartChanges())
         age_s = self._timer.now() - self._told_at
         if not self._connections or not self.is_due(digest, age_s):
             return
         self._told, self._told_at = digest, self._timer.now()
-        digest = self._make_digest(self._subjects.take_changes())
+        digest = self._make_digest(self._parts.take_changes())
         frame = next(iter(self._connections)).render(digest)
         for connection in list(self._connections):
             try:
-                # A gateway that reads too slowly misses this digest and gets the next one.
-                connection.send_now(frame)
+                if connection in self._behind:
+                    self._tell_all_parts(connection)
+                elif not connection.send_now(frame):
+                    # A gateway that reads too slowly misses this digest and its changes.
+                    self._behind.add(connection)
             except ConnectionLostError:
                 # The task that receives from the connection notes the loss.
                 connection.close()
                 self.remove(connection)
 
+    def _tell_all_parts(self, connection: PeerConnection) -> None:
+        frame = connection.render(self._make_digest(self._parts.all))
+        if connection.send_now(frame):
+            self._behind.discard(connection)
+        else:
+            self._behind.add(connection)
+
     def is_due(self, digest: EngineDigest, age_s: float) -> bool:
         """Return whether to send a digest.
 
@@ -97,7 +110,7 @@
         told = self._told
         if told is None or age_s >= HEARTBEAT_S:
             return True
-        return age_s >= self.period_s and (self._subjects.changed or _differs(told, digest))
+        return age_s >= self.period_s and _differs(told, digest)
 
 
 def _differs(told: EngineDigest, now: EngineDigest) -> bool:
--- a/figwalk/prompt_agent/engine_watcher.py
+++ b/figwalk/prompt_agent/engine_watcher.py
@@ -157,10 +157,7 @@
         known, self._report = self._report, report
         self._reported_at = self._timer.now()
         if known is None or (known.born_ms, known.role) != (report.born_ms, report.role):
-            self._queue.set_engine(
-                tokens_per_s=self._settings.prefill_rate(report.role),
-                capacity_tokens=report.kv_tokens,
-            )
+            self._queue.set_engine(tokens_per_s=self._settings.prefill_rate(report.role))
             self._events.record(
                 Event.ENGINE_STARTED_ANEW,
                 role=report.role.value,
--- a/figwalk/prompt_agent/process.py
+++ b/figwalk/prompt_agent/process.py
@@ -9,8 +9,9 @@
 
 from figwalk.coordination.reading_queue import ReadingQueue
 from figwalk.events import Event, EventLog
-from figwalk.platform import PlatformEngineReportCodec
+from figwalk.platform import PlatformEngineCacheCodec, PlatformEngineReportCodec
 from figwalk.process_runner import Process
+from figwalk.prompt_agent.cache_follower import CacheFollower
 from figwalk.prompt_agent.digest_sender import DIGEST_PERIOD_S
 from figwalk.prompt_agent.engine_watcher import REPORT_PERIOD_S, REPORT_TIMEOUT_S, EngineWatcher
 from figwalk.prompt_agent.prompt_server import PromptServer
@@ -22,7 +23,6 @@
 
 LISTEN_BACKLOG = 256
 INCARNATION_BITS = 64
-ASSUMED_KV_TOKENS = 1_000_000  # Until the engine's first report.
 
 
 class PromptAgentProcess(Process[PromptAgentSettings]):
@@ -44,7 +44,6 @@
         queue = ReadingQueue(
             self._timer,
             tokens_per_s=settings.engines.prefill_rate(Role.PREFILL),
-            capacity_tokens=ASSUMED_KV_TOKENS,
         )
         options = ConnectionOptions(connect_timeout_s=REPORT_TIMEOUT_S, max_idle=1)
         self._client = HttpClient(settings.engine.host, settings.engine.port, options=options)
@@ -56,6 +55,10 @@
             self._events,
             self._timer,
         )
+        self._cache_client = HttpClient(settings.engine.host, settings.engine.port, options=options)
+        self._cache = CacheFollower(
+            self._cache_client, PlatformEngineCacheCodec(), queue.parts, self._events, self._timer
+        )
         self._server = PromptServer(
             queue, self._watcher, self._events, self._timer, make_hello=self._make_hello
         )
@@ -70,6 +73,7 @@
         listeners = await open_listeners(address.host, address.port, backlog=LISTEN_BACKLOG)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._timer.run)
+            nursery.start_soon(self._cache.run)
             nursery.start_soon(trio.serve_listeners, self._server.serve_connection, listeners)
             self._timer.subscribe("engine-report", REPORT_PERIOD_S, self._watcher.watch)
             self._timer.subscribe("digests", DIGEST_PERIOD_S, self._server.digests.tell)
@@ -79,6 +83,7 @@
             await self._stopped.wait()
             nursery.cancel_scope.cancel()
         self._client.close()
+        self._cache_client.close()
 
     async def stop(self) -> None:
         """End at once: gateways then judge by themselves, and no call passes through here."""
--- a/figwalk/prompt_agent/prompt_server.py
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from figwalk.coordination.kept_subjects import SubjectChanges
+from figwalk.coordination.kept_parts import PartChanges
 from figwalk.coordination.reading_queue import Reading, ReadingQueue
 from figwalk.errors import TransportError
 from figwalk.events import Event, EventLog
@@ -54,7 +54,7 @@
         self._events = events
         self._timer = timer
         self._make_hello = make_hello
-        self._digests = DigestSender(self._make_digest, queue.subjects, timer)
+        self._digests = DigestSender(self._make_digest, queue.parts, timer)
 
     @property
     def digests(self) -> DigestSender:
@@ -131,7 +131,7 @@
             _to_uint32(self._queue.backlog_tokens),
         )
 
-    def _make_digest(self, changes: SubjectChanges) -> EngineDigest:
+    def _make_digest(self, changes: PartChanges) -> EngineDigest:
         return EngineDigest(
             self._watcher.up,
             _to_uint32(self._queue.backlog_tokens),
@@ -142,6 +142,7 @@
             list(changes.yielded),
             _to_uint32(self._queue.fixed_s * MS_PER_S),
             self._queue.measured,
+            changes.complete,
         )
 
 
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -426,11 +426,11 @@
         tokens_per_s: Tokens that the engine reads a second.
         report_age_ms: Milliseconds since the engine last answered.
         decoding: Calls that the engine is generating tokens for.
-        kept: Hashes of shared parts of prompts that the engine has begun to keep since the last
-            digest; all that it keeps in the first digest of a connection.
+        kept: Hashes of parts of prompts that the engine has begun to keep since the last digest.
         yielded: Hashes of those that it no longer keeps.
         fixed_ms: Milliseconds that the reading of a prompt takes beside its tokens.
         measured: Whether the speed is measured, and not assumed.
+        kept_complete: Whether `kept` has all that the engine keeps, and not only what is new.
     """
 
     up: bool
@@ -442,6 +442,7 @@
     yielded: list[int] = attrs.field(factory=list)
     fixed_ms: int = 0
     measured: bool = False
+    kept_complete: bool = False
 
 
 Message = (
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -182,6 +182,7 @@
   yielded @6 :List(UInt32);
   fixedMs @7 :UInt32;
   measured @8 :Bool;
+  keptComplete @9 :Bool;
 }
 
 struct Message {
--- a/tests/test_decoder_bounds.py
+++ b/tests/test_decoder_bounds.py
@@ -120,7 +120,8 @@
 def test_offer_of_any_prompt_fits_into_its_message():
     """Guards against a prompt that is answered with 500 because its offer can't be encoded."""
     huge = attrs.field(default=1e9)
-    plan = attrs.make_class("Plan", {"after_s": huge, "reserve_s": attrs.field(default=0.0)})()
+    fields = {"after_s": huge, "reserve_s": attrs.field(default=0.0), "donor": huge}
+    plan = attrs.make_class("Plan", fields)()
     prompt = PromptCall((("a", 999_999_999),) * 64, 1e9, 1e9)
     offer = decode_message(encode_message(_make_offer(1, "c", prompt, plan)))
     assert isinstance(offer, PromptOffer)
--- a/tests/test_digest_sender.py
+++ b/tests/test_digest_sender.py
@@ -5,8 +5,7 @@
 import trio
 from support.fake_timer import FakeTimer
 
-from figwalk.coordination.kept_subjects import KeptSubjects
-from figwalk.coordination.prefix_memory import hash_chain
+from figwalk.coordination.kept_parts import CachedPart, KeptParts, hash_part
 from figwalk.errors import ConnectionLostError
 from figwalk.prompt_agent.digest_sender import DIGESTS_PER_S, HEARTBEAT_S, DigestSender
 from figwalk.protocol.messages import EngineDigest
@@ -47,17 +46,21 @@
     def __init__(self, gateways):
         self.state = STATE
         self.timer = FakeTimer()
-        self.subjects = KeptSubjects()
-        self.sender = DigestSender(self.make_digest, self.subjects, self.timer)
+        self.parts = KeptParts(self.timer)
+        self.sender = DigestSender(self.make_digest, self.parts, self.timer)
         self.gateways = [Gateway() for _ in range(gateways)]
         for gateway in self.gateways:
             self.sender.add(gateway)
             gateway.received.clear()
 
     def make_digest(self, changes):
-        """Return the state with the changes of the kept subjects."""
-        kept, yielded = list(changes.kept), list(changes.yielded)
-        return attrs.evolve(self.state, kept=kept, yielded=yielded)
+        """Return the state with the changes of the kept parts."""
+        return attrs.evolve(
+            self.state,
+            kept=list(changes.kept),
+            yielded=list(changes.yielded),
+            kept_complete=changes.complete,
+        )
 
     def tick(self, **state):
         """Let the time to the next call of the timer service pass, with a changed state."""
@@ -71,7 +74,7 @@
     agent = Agent(0)
     gateway = Gateway()
     agent.sender.add(gateway)
-    assert gateway.received == [STATE]
+    assert gateway.received == [attrs.evolve(STATE, kept_complete=True)]
 
 
 def test_idle_engine_costs_heartbeats_only():
@@ -121,28 +124,44 @@
     assert gone.closed
 
 
-PARTS = (("head", 2500), ("subject", 4000), ("own", 1000))
-
-
-def test_kept_subjects_are_told_once_and_all_to_a_new_gateway():
+def test_kept_parts_are_told_once_and_all_to_a_new_gateway():
     """Guards against gateways that don't know where a prompt's shared parts are kept."""
     agent = Agent(1)
-    agent.subjects.note_read(PARTS, [])
+    agent.parts.confirm(CachedPart("subject", 4000))
     agent.tick()
     agent.tick(up=False)
-    subject = hash_chain(["head", "subject"])
+    subject = hash_part("subject")
     assert [digest.kept for digest in agent.gateways[0].received] == [[subject], []]
     late = Gateway()
     agent.sender.add(late)
     assert late.received[0].kept == [subject]
+    assert late.received[0].kept_complete
 
 
-def test_yielded_subject_is_told():
+def test_yielded_part_is_told():
     """Guards against prompts sent to an engine for parts that it no longer keeps."""
     agent = Agent(1)
-    agent.subjects.note_read(PARTS, [])
+    agent.parts.confirm(CachedPart("subject", 4000))
     agent.tick()
-    agent.subjects.note_read((("x", 1),), [("head", "subject"), ("head", "subject", "own")])
+    agent.parts.confirm(CachedPart("subject", 0))
+    agent.tick(up=False)
+    assert agent.gateways[0].received[-1].yielded == [hash_part("subject")]
+    assert agent.parts.all.kept == ()
+
+
+def test_gateway_that_missed_a_digest_is_told_all_parts():
+    """Guards against a gateway that believes for ever what changed while its link was choked."""
+    agent = Agent(1)
+    gateway = agent.gateways[0]
+    agent.parts.confirm(CachedPart("a", 4000))
     agent.tick()
-    assert agent.gateways[0].received[-1].yielded == [hash_chain(["head", "subject"])]
-    assert agent.subjects.all == ()
+    gateway.slow = True
+    agent.parts.confirm(CachedPart("a", 0))
+    agent.parts.confirm(CachedPart("b", 4000))
+    agent.tick(up=False)
+    gateway.slow = False
+    agent.tick(up=True)
+    assert gateway.received[-1].kept_complete
+    assert gateway.received[-1].kept == [hash_part("b")]
+    agent.tick(up=False)
+    assert not gateway.received[-1].kept_complete
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -100,12 +100,15 @@
         return await engine_pair(backend, stream, request)
 
     async def test(fleet, first, second, runner):
-        for number in range(2):
-            headers = [f"Prefix-Hash: a1:2000,b2:30000,c{number}:40000", *LONG[1:]]
+        async def ask(own_part):
+            headers = [f"Prefix-Hash: a1:2000,b2:30000,{own_part}:40000", *LONG[1:]]
             status, _, _ = await fleet.call("/chat/x", method="POST", body=b"1", headers=headers)
             assert status == 200
-            broken.add("first" if first.requests else "second")
-        keeper, other = (first, second) if "first" in broken else (second, first)
+
+        await ask("c1")
+        keeper, other = (first, second) if first.requests else (second, first)
+        broken.add(keeper.name)
+        await ask("c2")
         assert "kv-fetch" not in keeper.requests[0].headers
         # The runner keeps the parts as well, since it has fetched them from the first reader.
         assert other.requests[-1].headers["kv-fetch"] == f"127.0.0.1:{runner.port}"
--- a/tests/test_prompt_agent.py
+++ b/tests/test_prompt_agent.py
@@ -85,7 +85,7 @@
         engine = Engine()
         server = HttpServer(engine.answer, events)
         engine_port = await nursery.start(server.serve, HOST, 0)
-        queue = ReadingQueue(timer, tokens_per_s=1.0, capacity_tokens=1)
+        queue = ReadingQueue(timer, tokens_per_s=1.0)
         watcher = EngineWatcher(
             HttpClient(HOST, engine_port),
             PlatformEngineReportCodec(),
@@ -159,7 +159,7 @@
 @with_pair
 async def test_full_engine_refuses_with_its_backlog(pair):
     """Guards against prompts sent behind a queue in which they would be late."""
-    pair.queue.set_engine(tokens_per_s=10_000.0, capacity_tokens=1_000_000)
+    pair.queue.set_engine(tokens_per_s=10_000.0)
     assert (await pair.offer()).grant is not None
     answer = await pair.offer()
     assert answer.grant is None
--- a/tests/test_prompt_placement.py
+++ b/tests/test_prompt_placement.py
@@ -7,6 +7,7 @@
 from support.fake_timer import FakeTimer
 
 from figwalk.coordination.backend_tracker import AttemptOutcome
+from figwalk.coordination.kept_parts import hash_part
 from figwalk.coordination.plain_placement import Distance
 from figwalk.coordination.prompt_placement import (
     EngineTracker,
@@ -29,6 +30,11 @@
 SHORT = (("chat", 50), ("own", 100))
 
 
+def hashes(call):
+    """Return what an agent tells of a call's shared parts."""
+    return [hash_part(part_id) for part_id in call.subject]
+
+
 class Engines:
     """Engines as one gateway knows them."""
 
@@ -167,10 +173,10 @@
     for subject in range(8):
         parts = (("head", 2500), (f"subject-{subject}", 30_000), ("own", 3000))
         call = PromptCall(parts, 0.25, 2.0)
-        engines.trackers["p2"].note_kept([call.subject_hash], [])
+        engines.trackers["p2"].note_kept(hashes(call), [])
         assert engines.best(parts)[0] == "p2"
-        engines.trackers["p2"].note_kept([], [call.subject_hash])
-        engines.trackers["p1"].note_kept([call.subject_hash], [])
+        engines.trackers["p2"].note_kept([], hashes(call))
+        engines.trackers["p1"].note_kept(hashes(call), [])
         assert engines.best(parts)[0] == "p1"
 
 
@@ -190,7 +196,7 @@
         return attrs.evolve(plan, fetch_s=0.0)
 
     assert engines.placement.admits(call, find_plan())
-    engines.trackers["d1"].note_kept([call.subject_hash], [])
+    engines.trackers["d1"].note_kept(hashes(call), [])
     assert find_plan().donor is None
     assert find_plan().reserve_s > 0
     engines.tell("p1", backlog_tokens=36_000)
@@ -208,12 +214,12 @@
 
     assert find_plan().donor is None
     for donor in ("d2", "d1"):  # The nearer one gives them.
-        engines.trackers[donor].note_kept([call.subject_hash], [])
+        engines.trackers[donor].note_kept(hashes(call), [])
         plan = find_plan()
         assert plan.donor is engines.trackers[donor]
         assert plan.uncached_tokens == 3000
         assert plan.donation_s > 0
-    engines.trackers["p1"].note_kept([call.subject_hash], [])
+    engines.trackers["p1"].note_kept(hashes(call), [])
     assert find_plan().donor is None
 
 
@@ -221,7 +227,7 @@
     """Guards against a reading that waits for an engine which crashed."""
     engines = Engines(p1=("a", Role.PREFILL), d1=("a", Role.DECODE), d2=("a", Role.DECODE))
     call = PromptCall((("subject", 40_000), ("own", 3000)), 0.25, 2.0)
-    engines.trackers["d1"].note_kept([call.subject_hash], [])
+    engines.trackers["d1"].note_kept(hashes(call), [])
     engines.tell("d1", up=False)
     plans = engines.placement.rank(call, list(engines.trackers.values()), SPEC)
     assert all(plan.donor is None for plan in plans)
@@ -299,7 +305,7 @@
     """Guards against links of two engines taken for ten times as long to save one round trip."""
     engines = Engines(p1=("b", Role.PREFILL), d1=("a", Role.DECODE), d2=("b", Role.DECODE))
     call = PromptCall((("subject", 20_000), ("own", 1000)), 0.8, 2.0)
-    engines.trackers["p1"].note_kept([call.subject_hash], [])
+    engines.trackers["p1"].note_kept(hashes(call), [])
     for name in ("d1", "d2"):
         engines.tell(name, backlog_tokens=500_000)
     reader, runner = engines.best(call.parts, 0.8)
--- a/tests/test_reading_queue.py
+++ b/tests/test_reading_queue.py
@@ -13,7 +13,7 @@
 
 
 def make_queue(timer, rate=RATE):
-    return ReadingQueue(timer, tokens_per_s=rate, capacity_tokens=1_000_000)
+    return ReadingQueue(timer, tokens_per_s=rate)
 
 
 def make_reading(number, tokens=6000, *, target_s=TARGET_S, left_s=2.0, after_s=AFTER_S):
@@ -145,6 +145,6 @@
     queue = make_queue(FakeTimer())
     reading = make_reading(1)
     queue.offer(1, "g", reading)
-    queue.set_engine(tokens_per_s=RATE, capacity_tokens=1_000_000)
+    queue.set_engine(tokens_per_s=RATE)
     assert queue.depth == 0
     assert queue.offer(2, "g", reading).uncached_tokens == 6000
--- a/tests/test_reading_speed.py
+++ b/tests/test_reading_speed.py
@@ -70,7 +70,7 @@
     assumed for another deployment.
     """
     timer = FakeTimer()
-    queue = ReadingQueue(timer, tokens_per_s=ASSUMED, capacity_tokens=10**6)
+    queue = ReadingQueue(timer, tokens_per_s=ASSUMED)
     rng = random.Random(3)
     free_at = 0.0
     running, in_time, granted = [], 0, 0
--- a/tests/test_subject_affinity.py
+++ b/tests/test_subject_affinity.py
@@ -6,6 +6,7 @@
 from support.fake_timer import FakeTimer
 
 from figwalk.coordination.engine_tracker import EngineTracker
+from figwalk.coordination.kept_parts import CachedPart
 from figwalk.coordination.plain_placement import Distance
 from figwalk.coordination.prompt_placement import PlacementSettings, PromptCall, PromptPlacement
 from figwalk.coordination.reading_queue import Reading, ReadingQueue
@@ -30,7 +31,7 @@
     def __init__(self, name, timer):
         self.name = name
         self.rate = RATES[name]
-        self.queue = ReadingQueue(timer, tokens_per_s=self.rate, capacity_tokens=SPEC.kv_tokens)
+        self.queue = ReadingQueue(timer, tokens_per_s=self.rate)
         self.free_at = timer.now()
         self.reading = []
 
@@ -79,7 +80,7 @@
         if at - told_at >= DIGEST_S:
             told_at = at
             for engine in engines.values():
-                changes = engine.queue.subjects.take_changes()
+                changes = engine.queue.parts.take_changes()
                 for gateway in gateways:
                     tracker = gateway.trackers[engine.name]
                     tracker.note_digest(
@@ -103,13 +104,15 @@
     call = PromptCall(parts, TARGET_S, 3.2)
     for plan in gateway.placement.rank(call, list(gateway.trackers.values()), SPEC)[:MAX_OFFERS]:
         engine = engines[plan.reader.entry.backend]
-        reading = Reading(parts, TARGET_S - plan.reserve_s, 3.2, plan.after_s)
+        fetched_tokens = call.shared_tokens if plan.donor is not None else 0
+        reading = Reading(parts, TARGET_S - plan.reserve_s, 3.2, plan.after_s, fetched_tokens)
         decision = engine.queue.offer(number, "gateway", reading)
         if decision.granted:
             begin = max(now, engine.free_at)
             engine.free_at = begin + decision.uncached_tokens / engine.rate
             took_s = engine.free_at - now
             engine.reading.append((engine.free_at, number, took_s))
+            engine.queue.parts.confirm(CachedPart(*parts[0]))
             return "in time" if took_s + plan.after_s <= TARGET_S else "late"
     return "refused"
 
