Leave long readings to engines that answer no calls

Cause: a prompt predicted late was sent to any engine where nothing waited.

Change: where engines with the role prefill are usable, others read a prompt only if that takes up to half of the time to its target.

--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import statistics
 from collections.abc import Sequence
@@ -36,6 +37,9 @@
 # Reading parts again that another engine keeps takes capacity from prompts that could be served.
 # This part of its time counts as a wait of the caller, so that it is done where little waits.
 REREAD_SHARE = 0.5
+# An engine that answers calls begins none while it reads a prompt, so that longer readings, against
+# the time to the target, are left to those that only read.
+MAX_OWN_READING_SHARE = 0.5
 # Mean length of streams, by which the number under way tells how many calls arrive a second.
 STREAM_S = 1.5
 # Shorter parts are read as fast as their fetch is set up.
@@ -203,12 +207,15 @@
         if self.is_short(call):
             return self._rank_for_stream(call, runners, engines, spec)
         home = self._find_home(call.subject, engines)
-        plans = [self._build_plan(call, runner, runner, home, spec) for runner in runners]
+        plans = []
         for reader in usable:
             if reader.entry.role is Role.PREFILL:
                 near = self._find_runners(reader, runners)
                 pairs = [self._build_plan(call, reader, r, home, spec) for r in near]
                 plans.append(min(pairs, key=self._rank_key))
+        longest_s = MAX_OWN_READING_SHARE * call.target_s if plans else math.inf
+        alone = [self._build_plan(call, runner, runner, home, spec) for runner in runners]
+        plans += [plan for plan in alone if plan.reading_s <= longest_s]
         if self._donors:
             plans = [self._note_reread(call, plan) for plan in plans]
         return sorted(plans, key=self._rank_key)
