Fetch no parts that are still being read; ask no reader twice that failed

Cause: a granted prompt's parts counted as kept at once.

Change: parts that are being read are told apart; prompts behind them at the same engine count on them, other engines do not. A reader that failed a prompt is left out of its next plan.

--- a/figwalk/coordination/engine_tracker.py
+++ b/figwalk/coordination/engine_tracker.py
@@ -58,6 +58,7 @@
         self._fixed_s = 0.0
         self._measured = False
         self._kept: set[int] = set()
+        self._reading_parts: frozenset[int] = frozenset()
         self._is_told = False
         self._mean_uncached = ASSUMED_UNCACHED_TOKENS
 
@@ -119,16 +120,23 @@
         self.note_backlog(backlog_tokens)
 
     def note_kept(
-        self, kept: Iterable[int], yielded: Iterable[int], *, complete: bool = False
+        self,
+        kept: Iterable[int],
+        yielded: Iterable[int],
+        *,
+        reading: Iterable[int] = (),
+        complete: bool = False,
     ) -> None:
         """Take over which parts of prompts the engine keeps; see `hash_part`.
 
         Args:
             kept: Parts that it has begun to keep.
             yielded: Parts that it no longer keeps.
+            reading: All parts that it is reading.
             complete: Whether it keeps nothing else.
         """
         self._is_told = True
+        self._reading_parts = frozenset(reading)
         if complete:
             self._kept.clear()
         self._kept.update(kept)
@@ -139,10 +147,11 @@
     def forget_kept(self) -> None:
         """Forget what the agent beside the engine told, which tells all of it again."""
         self._kept.clear()
+        self._reading_parts = frozenset()
         self._is_told = False
 
     def cached_tokens(self, parts: Sequence[tuple[str, int]]) -> int:
-        """Return how many tokens of a prompt, from its start, the engine keeps.
+        """Return how many tokens of a prompt, from its start, the engine keeps or is reading.
 
         Its agent told which parts those are. Without the agent, they are guessed by what this
         process had it read.
@@ -154,11 +163,18 @@
             return self._memory.cached_tokens(parts)
         cached = 0
         for part_id, tokens in parts:
-            if hash_part(part_id) not in self._kept:
+            part = hash_part(part_id)
+            if part not in self._kept and part not in self._reading_parts:
                 break
             cached += tokens
         return cached
 
+    def keeps_all(self, parts: Sequence[tuple[str, int]]) -> bool:
+        """Return whether the engine keeps all these parts, so that others can fetch them."""
+        if not self._is_told:
+            return self._memory.cached_tokens(parts) >= sum(tokens for _, tokens in parts)
+        return all(hash_part(part_id) in self._kept for part_id, _ in parts)
+
     def note_backlog(self, tokens: float) -> None:
         """Take over the backlog that the agent beside the engine tells."""
         self._stated_backlog = tokens
--- a/figwalk/coordination/kept_parts.py
+++ b/figwalk/coordination/kept_parts.py
@@ -9,8 +9,8 @@
 
 from figwalk.timer import Timer
 
-# A part that is about to be read counts as kept, so that prompts behind it are predicted rightly.
-# The engine says so itself within a second of the reading.
+# A part that is being read counts as kept for the prompts behind it. The engine says so itself
+# within a second of the reading.
 EXPECTATION_S = 3.0
 # The memory of an engine is cut in blocks, so that the end of a part may be missing.
 WHOLE_SHARE = 0.9
@@ -65,8 +65,14 @@
 
     @property
     def all(self) -> PartChanges:
-        """All parts that are kept or about to be."""
-        return PartChanges(kept=tuple(self._all()), complete=True)
+        """All kept parts."""
+        return PartChanges(kept=tuple(self._confirmed), complete=True)
+
+    @property
+    def expected(self) -> tuple[int, ...]:
+        """Parts that are being read. Another engine can't fetch them yet."""
+        self._expire()
+        return tuple(self._expected)
 
     def cached_tokens(self, parts: Sequence[tuple[str, int]]) -> int:
         """Return how many tokens of a prompt, from its start, are kept.
@@ -83,12 +89,10 @@
         return cached
 
     def expect(self, parts: Sequence[tuple[str, int]]) -> None:
-        """Note that the engine is about to read the parts of a prompt."""
+        """Note that the engine is to read the parts of a prompt."""
         until = self._timer.now() + EXPECTATION_S
         for part_id, _ in parts:
             part = hash_part(part_id)
-            if not self._keeps(part):
-                self._note_kept(part)
             if part not in self._confirmed:
                 self._expected[part] = until
 
@@ -102,10 +106,11 @@
         if part.tokens < WHOLE_SHARE * longest:
             self._drop(key)
             return
-        if not self._keeps(key):
-            self._note_kept(key)
-        self._confirmed.add(key)
         self._expected.pop(key, None)
+        if key not in self._confirmed:
+            self._confirmed.add(key)
+            self._kept.add(key)
+            self._yielded.discard(key)
 
     def replace(self, parts: Iterable[CachedPart]) -> None:
         """Take over all that the engine keeps; what it does not name is gone."""
@@ -117,15 +122,14 @@
 
     def clear(self) -> None:
         """Note that the engine keeps nothing any more."""
-        for key in self._all():
-            self._note_yielded(key)
+        self._kept.clear()
+        self._yielded |= self._confirmed
         self._confirmed.clear()
         self._longest.clear()
         self._expected.clear()
 
     def take_changes(self) -> PartChanges:
         """Return the changes since the last time."""
-        self._expire()
         changes = PartChanges(tuple(self._kept), tuple(self._yielded))
         self._kept.clear()
         self._yielded.clear()
@@ -138,10 +142,8 @@
     def _drop(self, part: int) -> None:
         if part in self._confirmed:
             self._confirmed.discard(part)
-            self._note_yielded(part)
-
-    def _all(self) -> set[int]:
-        return self._confirmed | self._expected.keys()
+            self._kept.discard(part)
+            self._yielded.add(part)
 
     def _keeps(self, part: int) -> bool:
         return part in self._confirmed or part in self._expected
@@ -150,15 +152,6 @@
         now = self._timer.now()
         for part in [part for part, until in self._expected.items() if until < now]:
             del self._expected[part]
-            self._note_yielded(part)
-
-    def _note_kept(self, part: int) -> None:
-        self._kept.add(part)
-        self._yielded.discard(part)
-
-    def _note_yielded(self, part: int) -> None:
-        self._kept.discard(part)
-        self._yielded.add(part)
 
 
 def hash_part(part_id: str) -> int:
--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -203,7 +203,8 @@
         runners = [engine for engine in usable if engine.entry.role is not Role.PREFILL]
         if not runners:
             return []
-        self._donors = [engine for engine in usable if self._keeps_shared(call, engine)]
+        shared = call.parts[:-1]
+        self._donors = [e for e in usable if shared and e.keeps_all(shared)]
         if self.is_short(call):
             return self._rank_for_stream(call, runners, engines, spec)
         home = self._find_home(call.subject, engines)
@@ -382,7 +383,9 @@
 
         None if it keeps them itself or reads them faster.
         """
-        if call.shared_tokens < MIN_DONATED_TOKENS or self._keeps_shared(call, reader):
+        if call.shared_tokens < MIN_DONATED_TOKENS:
+            return None, 0.0
+        if reader.cached_tokens(call.parts[:-1]) >= call.shared_tokens:
             return None, 0.0
         own_s = (call.tokens - call.shared_tokens) / self._rate(reader)
         best, best_s = None, reading_s - own_s
@@ -396,10 +399,6 @@
                 best, best_s = donor, seconds
         return (best, best_s) if best is not None else (None, 0.0)
 
-    @staticmethod
-    def _keeps_shared(call: PromptCall, engine: EngineTracker) -> bool:
-        return engine.cached_tokens(call.parts[:-1]) >= call.shared_tokens > 0
-
     def _fetch_s(
         self, tokens: int, source: EngineTracker, target: EngineTracker, spec: EngineSpec
     ) -> float:
--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -24,6 +24,7 @@
         arrived_at: Timer time at which it arrived.
         deadline: Timer time at which the caller must have its final answer.
         sent_to: Ids of the backend servers that it was sent to, without prefills.
+        failed_readers: Ids of the engines that failed to prefill it.
         unresolved: Whether it was sent and neither answered nor refused as not run.
         predicted_s: Predicted seconds until its first token, from when it was placed, if it was.
         placed_at: Timer time at which that was predicted.
@@ -40,6 +41,7 @@
     arrived_at: float
     deadline: float
     sent_to: list[str] = attrs.field(factory=list)
+    failed_readers: list[str] = attrs.field(factory=list)
     unresolved: bool = False
     predicted_s: float | None = None
     placed_at: float = 0.0
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -181,7 +181,8 @@
 
     def _find_plans(self, call: Call, spec: EngineSpec) -> list[PromptPlan]:
         engines = [t for t in self._pool.trackers(call.service) if isinstance(t, EngineTracker)]
-        left = [t for t in engines if t.entry.backend not in call.sent_to]
+        tried = {*call.sent_to, *call.failed_readers}
+        left = [t for t in engines if t.entry.backend not in tried]
         plans = self._placement.rank(self._describe(call), left, spec)
         if not plans:
             raise refuse_without_backend(self._pool, call.service)
@@ -237,6 +238,9 @@
             prefilled = await self._attempts.prefill(
                 call, plan.reader, send_plan, patience_s=patience_s
             )
+        except AttemptError:
+            call.failed_readers.append(plan.reader.entry.backend)
+            raise
         finally:
             plan.reader.finish_reading(key)
         self._learn(call, placed, prefilled.took_s)
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -185,7 +185,10 @@
                     measured=message.measured,
                 )
                 self._tracker.note_kept(
-                    message.kept, message.yielded, complete=message.kept_complete
+                    message.kept,
+                    message.yielded,
+                    reading=message.reading,
+                    complete=message.kept_complete,
                 )
             elif isinstance(message, PromptDecision):
                 self._take_decision(message)
--- a/figwalk/prompt_agent/prompt_server.py
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -143,6 +143,7 @@
             _to_uint32(self._queue.fixed_s * MS_PER_S),
             self._queue.measured,
             changes.complete,
+            list(self._queue.parts.expected),
         )
 
 
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -431,6 +431,7 @@
         fixed_ms: Milliseconds that the reading of a prompt takes beside its tokens.
         measured: Whether the speed is measured, and not assumed.
         kept_complete: Whether `kept` has all that the engine keeps, and not only what is new.
+        reading: Hashes of all shared parts that the engine is reading.
     """
 
     up: bool
@@ -443,6 +444,7 @@
     fixed_ms: int = 0
     measured: bool = False
     kept_complete: bool = False
+    reading: list[int] = attrs.field(factory=list)
 
 
 Message = (
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -183,6 +183,7 @@
   fixedMs @7 :UInt32;
   measured @8 :Bool;
   keptComplete @9 :Bool;
+  reading @10 :List(UInt32);
 }
 
 struct Message {
--- a/tests/test_prompt_placement.py
+++ b/tests/test_prompt_placement.py
@@ -223,6 +223,18 @@
     assert find_plan().donor is None
 
 
+def test_parts_that_are_being_read_are_not_fetched():
+    """Guards against a fetch that finds nothing, so that the prompt is read anew in full."""
+    engines = Engines(p1=("a", Role.PREFILL), p2=("a", Role.PREFILL), d1=("a", Role.DECODE))
+    call = PromptCall((("subject", 40_000), ("own", 3000)), 0.25, 2.0)
+    engines.trackers["p2"].note_kept([], [], reading=hashes(call))
+    plans = engines.placement.rank(call, list(engines.trackers.values()), SPEC)
+    assert all(plan.donor is None for plan in plans)
+    # Prompts behind it at the same engine find them.
+    assert plans[0].reader is engines.trackers["p2"]
+    assert plans[0].uncached_tokens == 3000
+
+
 def test_engine_that_is_down_gives_no_parts():
     """Guards against a reading that waits for an engine which crashed."""
     engines = Engines(p1=("a", Role.PREFILL), d1=("a", Role.DECODE), d2=("a", Role.DECODE))
