Count the wait at a reading runner once; hash parts once a call

Cause: the time that a fetch waited for its runner's reading was learned as a wait on links as well, and the first event counted as slowed by a reading that is over by then.

--- a/figwalk/coordination/engine_tracker.py
+++ b/figwalk/coordination/engine_tracker.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterable, Sequence
 
 from figwalk.coordination.backend_tracker import BackendTracker
-from figwalk.coordination.kept_parts import hash_part
 from figwalk.coordination.prefix_memory import PrefixMemory
 from figwalk.state.routing import EngineSpec
 
@@ -150,30 +149,35 @@
         self._reading_parts = frozenset()
         self._is_told = False
 
-    def cached_tokens(self, parts: Sequence[tuple[str, int]]) -> int:
-        """Return how many tokens of a prompt, from its start, the engine keeps or is reading.
+    @property
+    def is_told(self) -> bool:
+        """Whether the agent beside the engine tells which parts it keeps."""
+        return self._is_told
 
-        Its agent told which parts those are. Without the agent, they are guessed by what this
-        process had it read.
+    def told_tokens(self, parts: Sequence[tuple[int, int]]) -> int:
+        """Return how many tokens of a prompt the engine keeps or is reading, as its agent told.
 
         Args:
-            parts: Id and tokens of each part, in order.
+            parts: Hash and tokens of each part, in order; see `hash_part`.
         """
-        if not self._is_told:
-            return self._memory.cached_tokens(parts)
         cached = 0
-        for part_id, tokens in parts:
-            part = hash_part(part_id)
+        for part, tokens in parts:
             if part not in self._kept and part not in self._reading_parts:
                 break
             cached += tokens
         return cached
 
-    def keeps_all(self, parts: Sequence[tuple[str, int]]) -> bool:
+    def guessed_tokens(self, parts: Sequence[tuple[str, int]]) -> int:
+        """Return how many tokens of a prompt the engine keeps by what this process had it read.
+
+        Args:
+            parts: Id and tokens of each part, in order.
+        """
+        return self._memory.cached_tokens(parts)
+
+    def keeps_all(self, parts: Sequence[tuple[int, int]]) -> bool:
         """Return whether the engine keeps all these parts, so that others can fetch them."""
-        if not self._is_told:
-            return self._memory.cached_tokens(parts) >= sum(tokens for _, tokens in parts)
-        return all(hash_part(part_id) in self._kept for part_id, _ in parts)
+        return all(part in self._kept for part, _ in parts)
 
     def note_backlog(self, tokens: float) -> None:
         """Take over the backlog that the agent beside the engine tells."""
--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -20,6 +20,7 @@
 import attrs
 
 from figwalk.coordination.engine_tracker import EngineTracker
+from figwalk.coordination.kept_parts import hash_part
 from figwalk.coordination.plain_placement import Distance
 from figwalk.coordination.subject_homes import find_home, hash_pair
 from figwalk.protocol.messages import Role
@@ -102,6 +103,11 @@
         default=attrs.Factory(lambda call: call.left_s, takes_self=True)
     )
 
+    @cached_property
+    def hashed_parts(self) -> tuple[tuple[int, int], ...]:
+        """Hash and tokens of each part, as agents tell parts; see `hash_part`."""
+        return tuple((hash_part(part_id), tokens) for part_id, tokens in self.parts)
+
     @cached_property
     def tokens(self) -> int:
         """Length of the prompt."""
@@ -203,8 +209,7 @@
         runners = [engine for engine in usable if engine.entry.role is not Role.PREFILL]
         if not runners:
             return []
-        shared = call.parts[:-1]
-        self._donors = [e for e in usable if shared and e.keeps_all(shared)]
+        self._donors = [engine for engine in usable if self._keeps_shared(call, engine)]
         if self.is_short(call):
             return self._rank_for_stream(call, runners, engines, spec)
         home = self._find_home(call.subject, engines)
@@ -347,7 +352,9 @@
             link_wait_s=max(reader.link_wait_s(), runner.link_wait_s()) if is_pair else 0.0,
             runner_wait_s=runner.backlog_tokens() / self._rate(runner) if is_pair else 0.0,
             fetch_s=self._fetch_s(call.tokens, reader, runner, spec) if is_pair else 0.0,
-            first_event_s=runner.first_event_s(self._slowed_s(call, runner, uncached, is_pair)),
+            first_event_s=runner.first_event_s(
+                0.0 if is_pair else self._slowed_s(call, runner, uncached)
+            ),
             blocked_s=0.0 if is_pair else self._blocked_s(runner, uncached / rate),
             donor=donor,
             donation_s=donation_s,
@@ -363,16 +370,13 @@
         arrivals_per_s = runner.decoding / STREAM_S
         return arrivals_per_s * reading_s * reading_s / 2
 
-    def _slowed_s(
-        self, call: PromptCall, runner: EngineTracker, uncached: float, is_pair: bool
-    ) -> float:
-        """Return the seconds that a runner reads prompts while it makes the first event.
+    def _slowed_s(self, call: PromptCall, runner: EngineTracker, uncached: float) -> float:
+        """Return the seconds that a runner reads others while it makes the first event.
 
-        A runner that reads the prompt itself has most likely been given others behind it by then,
-        as many as it has now.
+        Most likely it has been given others behind the prompt by then, as many as it has now.
         """
         tokens = runner.backlog_tokens()
-        if not (is_pair or self.is_short(call)):
+        if not self.is_short(call):
             tokens += uncached
         return tokens / self._rate(runner)
 
@@ -385,7 +389,7 @@
         """
         if call.shared_tokens < MIN_DONATED_TOKENS:
             return None, 0.0
-        if reader.cached_tokens(call.parts[:-1]) >= call.shared_tokens:
+        if self._cached_tokens(call, reader) >= call.shared_tokens:
             return None, 0.0
         own_s = (call.tokens - call.shared_tokens) / self._rate(reader)
         best, best_s = None, reading_s - own_s
@@ -399,6 +403,20 @@
                 best, best_s = donor, seconds
         return (best, best_s) if best is not None else (None, 0.0)
 
+    @staticmethod
+    def _cached_tokens(call: PromptCall, engine: EngineTracker) -> int:
+        if engine.is_told:
+            return engine.told_tokens(call.hashed_parts)
+        return engine.guessed_tokens(call.parts)
+
+    @staticmethod
+    def _keeps_shared(call: PromptCall, engine: EngineTracker) -> bool:
+        if not call.shared_tokens:
+            return False
+        if engine.is_told:
+            return engine.keeps_all(call.hashed_parts[:-1])
+        return engine.guessed_tokens(call.parts) >= call.shared_tokens
+
     def _fetch_s(
         self, tokens: int, source: EngineTracker, target: EngineTracker, spec: EngineSpec
     ) -> float:
@@ -444,7 +462,7 @@
     def _uncached(
         self, call: PromptCall, engine: EngineTracker, home: EngineTracker | None
     ) -> float:
-        known = engine.cached_tokens(call.parts)
+        known = self._cached_tokens(call, engine)
         if engine is home and known < call.shared_tokens and len(call.parts) > HEAD_PART:
             known += HOME_HIT_SHARE * (call.shared_tokens - known)
         return max(0.0, call.tokens - known)
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -291,8 +291,8 @@
 
     def _learn_fetch(self, plan: PromptPlan, took_s: float) -> None:
         """Take over how long a fetch waited on the links of both engines."""
-        own_s = self._placement.round_trip_s(plan.runner) + plan.fetch_s
-        own_s += plan.first_event_s
+        own_s = self._placement.round_trip_s(plan.runner) + plan.runner_wait_s
+        own_s += plan.fetch_s + plan.first_event_s
         for engine in (plan.reader, plan.runner):
             engine.note_link_wait(took_s - own_s)
 
