Read the whole topic again when the store comes back from an older copy

Cause: in a drill the store may lose what it acknowledged and give its offsets out again. A follower went on at its old offset and never saw the records written below it.

Change: the era that the store states in its answers goes with each page. A higher one drops the page and starts a listing; a lower one is a late answer and is dropped; one that is missing or can't be read changes nothing; pages of two eras are never joined. Registrations that the copy lacks stay until their time for a renewal is over, departures and newer configurations stay in force.

Two of the new tests fail without the comparison of eras; the third, on configurations, guards a rule that already held. A process that starts after the drill takes what the copy has: it can't know better.

--- a/figwalk/coordination/keyed_log.py
+++ b/figwalk/coordination/keyed_log.py
@@ -9,7 +9,7 @@
 import trio
 
 from figwalk.coordination.backoff import Backoff
-from figwalk.errors import LogError, LogTruncatedError
+from figwalk.errors import LogError, LogTruncatedError, LogUnavailableError
 from figwalk.events import Event, EventLog
 from figwalk.timer import Timer
 
@@ -41,10 +41,12 @@
     Attributes:
         next_offset: Where the next read starts.
         records: Records in order.
+        era: Rises when the log comes back from an older copy, or None if the log does not say.
     """
 
     next_offset: int
     records: tuple[KeyedRecord, ...]
+    era: int | None = None
 
 
 class KeyedLog(ABC):
@@ -83,6 +85,10 @@
     def note_available(self, *, available: bool) -> None:
         """Note whether the log answers."""
 
+    @abstractmethod
+    def note_restored(self) -> None:
+        """Note that the log came back from an older copy, before that is read as a whole."""
+
 
 class TopicFollower:
     """Keeps a reader up to date with a topic.
@@ -120,6 +126,7 @@
         self._period_s = period_s
         self._on_progress = on_progress
         self._offset: int | None = None
+        self._era: int | None = None
         self._available: bool | None = None
         self._read_at = timer.now()
         self._backoff = Backoff(first_s=FIRST_RETRY_S, max_s=MAX_RETRY_S)
@@ -155,15 +162,44 @@
             page = await self._log.newest(self._topic)
             # Before the records are applied: what they remove was lost while the log was away.
             self._note_available(available=True)
+            self._note_era(page)
             self._apply(page)
             self._reader.apply_complete(frozenset(record.key for record in page.records))
         else:
             wait_s = self._wait_s if self._available else 0.0
             page = await self._log.read(self._topic, self._offset, wait_s=wait_s)
             self._note_available(available=True)
+            if self._note_era(page):
+                # Offsets were given out again, so that these records may be others than those
+                # that follow what was read.
+                self._offset = None
+                return
             self._apply(page)
         self._offset = page.next_offset
 
+    def _note_era(self, page: KeyedPage) -> bool:
+        """Return whether the log came back from an older copy since the last page.
+
+        Raises:
+            LogUnavailableError: The page is a late one of before that.
+        """
+        if page.era is None or page.era == self._era:
+            return False
+        known, self._era = self._era, max(page.era, self._era or 0)
+        if known is None:
+            return False
+        if page.era < known:
+            raise LogUnavailableError(f"an answer of era {page.era} came after one of era {known}")
+        self._events.record(
+            Event.LOG_RESTORED,
+            topic=self._topic,
+            era=page.era,
+            known_era=known,
+            offset=self._offset,
+        )
+        self._reader.note_restored()
+        return True
+
     def _apply(self, page: KeyedPage) -> None:
         for record in page.records:
             self._reader.apply(record)
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -102,6 +102,7 @@
     LOG_AVAILABLE = (506, "info", "The platform's log answers again.")
     LOG_TRUNCATED = (507, "warning", "The log dropped records before they were read.")
 
+    LOG_RESTORED = (513, "warning", "The log came back from an older copy; it is read as a whole.")
     SETTINGS_RELOADED = (508, "info", "The settings file was read again.")
     SETTINGS_REJECTED = (509, "warning", "The changed settings file is not valid; the old stay.")
     LOG_LINES_DROPPED = (510, "warning", "Log lines were dropped to keep the volume bounded.")
--- a/figwalk/gateway/topic_readers.py
+++ b/figwalk/gateway/topic_readers.py
@@ -67,6 +67,9 @@
     def note_available(self, *, available: bool) -> None:
         """Keep the configuration while the store is away."""
 
+    def note_restored(self) -> None:
+        """Keep the configuration, which the store's older copy may lack."""
+
 
 class BackendReader(TopicReader):
     """Passes registrations on to the directory.
@@ -109,3 +112,7 @@
     def note_available(self, *, available: bool) -> None:
         """Note whether the store answers."""
         self._directory.note_store(available=available)
+
+    def note_restored(self) -> None:
+        """Note that registrations may be missing until they are renewed."""
+        self._directory.note_restored()
--- a/figwalk/platform/headers.py
+++ b/figwalk/platform/headers.py
@@ -9,6 +9,8 @@
 # Parts of the prompt as ID:TOKENS; the last one belongs to the request or its session alone.
 PREFIX_PARTS = b"prefix-hash"
 LAST_EVENT_ID = b"last-event-id"
+# In all answers of the store; rises when the store comes back from an older copy of its content.
+STORE_ERA = b"store-era"
 SIGNATURE = b"server-stamp"
 NOT_RUN = b"not-executed"
 # "1" in all answers of a backend server that is about to leave.
--- a/figwalk/platform/store.py
+++ b/figwalk/platform/store.py
@@ -11,9 +11,11 @@
 
 from figwalk.coordination.keyed_log import KeyedLog, KeyedPage, KeyedRecord
 from figwalk.errors import HttpError, LogTruncatedError, LogUnavailableError
-from figwalk.platform.json_fields import JsonFields, PlatformRecordError
+from figwalk.platform import headers as names
+from figwalk.platform.json_fields import JsonFields, PlatformRecordError, is_count
 from figwalk.state.settings import Address
 from figwalk.timer import MS_PER_S
+from figwalk.transport import Headers, find_header
 from figwalk.transport.http_client import ConnectionOptions, HttpClient
 
 CONFIG_TOPIC = "keyed.op"
@@ -43,16 +45,20 @@
         """Return the newest record of each key; see `KeyedLog.newest`."""
         records: list[KeyedRecord] = []
         end: int | None = None
+        era: int | None = None
         query: dict[str, object] = {"topic": topic, "part": _PARTITION}
         for _ in range(_MAX_PAGES):
-            _status, body = await self._get("/log-newest", query, 0.0)
+            _status, page_era, body = await self._get("/log-newest", query, 0.0)
+            if records and page_era != era:
+                raise LogUnavailableError(f"the store was restored while {topic!r} was listed")
+            era = page_era
             try:
                 fields = JsonFields.parse(body, f"newest records of {topic!r}")
                 records += [_decode_item(item) for item in fields.objects("items")]
                 # Pages are not a snapshot: what changes after the first one is read again.
                 end = fields.integer("end") if end is None else end
                 if not fields.flag("truncated", default=False) or not records:
-                    return KeyedPage(end, tuple(records))
+                    return KeyedPage(end, tuple(records), era)
             except PlatformRecordError as error:
                 raise LogUnavailableError(str(error)) from error
             query["after"] = records[-1].key
@@ -63,16 +69,19 @@
         query: dict[str, object] = {"topic": topic, "part": _PARTITION, "from": offset}
         if wait_s > 0:
             query["wait-ms"] = int(wait_s * MS_PER_S)
-        status, body = await self._get("/log-read", query, wait_s)
+        status, era, body = await self._get("/log-read", query, wait_s)
         if status == HTTPStatus.GONE:
             raise LogTruncatedError(_decode_first(body))
-        return _decode_page(topic, offset, body)
+        return _decode_page(topic, offset, body, era)
 
     def close(self) -> None:
         """Close idle connections."""
         self._client.close()
 
-    async def _get(self, path: str, query: dict[str, object], wait_s: float) -> tuple[int, bytes]:
+    async def _get(
+        self, path: str, query: dict[str, object], wait_s: float
+    ) -> tuple[int, int | None, bytes]:
+        """Return status, era and body of an answer."""
         try:
             with trio.fail_after(self._timeout_s + wait_s):
                 response, body = await self._client.fetch("GET", f"{path}?{urlencode(query)}")
@@ -81,7 +90,13 @@
             raise LogUnavailableError(f"{path} failed: {reason}") from error
         if response.status not in (HTTPStatus.OK, HTTPStatus.GONE):
             raise LogUnavailableError(f"{path} was answered with HTTP status {response.status}")
-        return response.status, body
+        return response.status, _read_era(response.headers), body
+
+
+def _read_era(headers: Headers) -> int | None:
+    """Return the era that an answer states, or None if it states none that can be read."""
+    text = find_header(headers, names.STORE_ERA).strip()
+    return int(text) if is_count(text) else None
 
 
 def _decode_item(fields: JsonFields) -> KeyedRecord:
@@ -99,7 +114,7 @@
         return 0  # Only logged; the newest records are read anyway.
 
 
-def _decode_page(topic: str, offset: int, body: bytes) -> KeyedPage:
+def _decode_page(topic: str, offset: int, body: bytes, era: int | None) -> KeyedPage:
     if len(body) < _OFFSETS.size:
         raise LogUnavailableError(f"answer to a read of {topic!r} is {len(body)} bytes long")
     records = []
@@ -112,7 +127,7 @@
         records.append(_decode_record(offset, body[position : position + length]))
         position += length
         offset += 1
-    return KeyedPage(offset, tuple(records))
+    return KeyedPage(offset, tuple(records), era)
 
 
 def _decode_record(offset: int, content: bytes) -> KeyedRecord:
--- a/figwalk/state/backend_directory.py
+++ b/figwalk/state/backend_directory.py
@@ -133,6 +133,14 @@
             self._store_returned_at = self._timer.now()
         self._store_away = not available
 
+    def note_restored(self) -> None:
+        """Note that the store came back from an older copy, which lacks the newest registrations.
+
+        They are renewed as after an outage. What was removed meanwhile stays removed, although the
+        copy may still have it.
+        """
+        self._store_returned_at = self._timer.now()
+
     def apply(self, entry: BackendEntry) -> bool:
         """Take over a registration; return whether it was newer than what is known.
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -9,7 +9,8 @@
                   servers do; a value of null removes the key, and a record with a time to live
                   lapses unless it is written again
 
-`put` and `remove` write from the same process. Faults (POST /faults):
+Each answer states the era of the content in `Store-Era`. `put`, `remove` and `restore`, which goes
+back to an older copy, work from the same process. Faults (POST /faults):
   refuse_status      status of every call instead of an answer, 0 for none
   silent             true: no call gets an answer
 """
@@ -24,7 +25,7 @@
 import attrs
 import trio
 
-from figwalk.transport import HttpRequest, Responder
+from figwalk.transport import Headers, HttpRequest, Responder
 from standins.base import (
     Standin,
     build_parser,
@@ -98,6 +99,7 @@
         self._topics: dict[str, Topic] = {}
         self._written = trio.Event()
         self._calls = 0
+        self._era = 1
         self._lapse_at: dict[tuple[str, str], float] = {}
 
     @property
@@ -118,6 +120,17 @@
         kept = self._topic(topic)
         kept.first = len(kept.records)
 
+    def restore(self, lost: int) -> None:
+        """Come back from an older copy, which lacks the newest records of each topic.
+
+        Args:
+            lost: Number of records that each topic loses.
+        """
+        self._era += 1
+        for topic in self._topics.values():
+            del topic.records[max(0, len(topic.records) - lost) :]
+            topic.first = min(topic.first, len(topic.records))
+
     async def run(self) -> None:
         """Remove the records whose time to live is over, also while calls get no answer."""
         while True:
@@ -174,8 +187,8 @@
         topic = self._topic(_read_query(request, "topic"))
         offset = int(read_query_number(request, "from", 0))
         wait_s = read_query_number(request, "wait-ms", 0) / MS_PER_S
-        if offset < topic.first:
-            await responder.send_json(410, {"first": topic.first})
+        if not topic.first <= offset <= len(topic.records):
+            await responder.send_json(410, {"first": topic.first}, self._era_header())
             return
         with trio.move_on_after(wait_s):
             while offset >= len(topic.records):
@@ -185,7 +198,7 @@
             name = key.encode()
             content = bytes([len(name)]) + name + (value or b"")
             body += _LENGTH.pack(len(content)) + content
-        await responder.send(200, [], body)
+        await responder.send(200, self._era_header(), body)
 
     async def _list(self, request: HttpRequest, responder: Responder) -> None:
         topic = self._topic(_read_query(request, "topic"))
@@ -205,7 +218,10 @@
             "truncated": len(names) > PAGE_KEYS,
             "end": len(topic.records),
         }
-        await responder.send_json(200, content)
+        await responder.send_json(200, content, self._era_header())
+
+    def _era_header(self) -> Headers:
+        return [(b"store-era", str(self._era).encode())]
 
 
 def _read_query(request: HttpRequest, name: str) -> str:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 from support.platform_fakes import HOST, run_test
 
-from figwalk.coordination.keyed_log import TopicFollower
+from figwalk.coordination.keyed_log import KeyedLog, KeyedPage, KeyedRecord, TopicFollower
 from figwalk.errors import LogTruncatedError, LogUnavailableError
 from figwalk.events import EventLog
 from figwalk.gateway.topic_readers import BackendReader, RoutingReader
@@ -114,7 +114,7 @@
         with suppress(PlatformRecordError):
             decode(data)
     with suppress(LogUnavailableError):
-        _decode_page("t", 0, data)
+        _decode_page("t", 0, data, None)
 
 
 @given(
@@ -263,3 +263,104 @@
     store.remove(BACKENDS_TOPIC, "b1")
     store.forget(BACKENDS_TOPIC)
     await gone.wait()
+
+
+@with_store
+async def test_restored_store_is_read_as_a_whole(store, client, nursery):
+    """Guards against records that are never seen since their offsets were given out twice.
+
+    The store loses a departure and gives its offset to another registration, past which the
+    follower had read.
+    """
+    timer = Timer()
+    directory = BackendDirectory(EventLog("test", timer), timer)
+    reader = BackendReader(directory, decode_backend, EventLog("test", timer))
+    follower = TopicFollower(
+        client, BACKENDS_TOPIC, reader, EventLog("test", timer), timer, period_s=0.01
+    )
+    for name in ("b1", "b2", "b3"):
+        store.put(BACKENDS_TOPIC, name, json.dumps(REGISTRATION).encode())
+    nursery.start_soon(follower.run)
+    while len(directory.entries()) < 3:
+        await trio.sleep(0.01)
+    store.remove(BACKENDS_TOPIC, "b1")
+    while follower.offset != 4:
+        await trio.sleep(0.01)
+    store.restore(2)
+    for name in ("b4", "b5", "b6"):
+        store.put(BACKENDS_TOPIC, name, json.dumps(REGISTRATION).encode())
+    while follower.offset != 5 or len(directory.entries()) < 5:
+        await trio.sleep(0.01)
+    # b3 is missing in the copy until it registers again; b1 is gone, although the copy has it.
+    assert {entry.backend for entry in directory.entries()} == {"b2", "b3", "b4", "b5", "b6"}
+
+
+@with_store
+async def test_configuration_of_an_older_copy_is_not_taken_back(store, client, nursery):
+    """Guards against a step back to rules that operators have withdrawn, by a restored store."""
+    timer = Timer()
+    events = EventLog("test", timer)
+    reader = RoutingReader(CONFIG_KEY, decode_routing, events, on_adopted=lambda _: None)
+    for version in (3, 5):
+        store.put(CONFIG_TOPIC, CONFIG_KEY, json.dumps(make_config(version)).encode())
+    follower = TopicFollower(client, CONFIG_TOPIC, reader, events, timer, wait_s=0.1)
+    nursery.start_soon(follower.run)
+    while reader.current is None:
+        await trio.sleep(0.01)
+    store.restore(1)
+    while follower.offset != 1:
+        await trio.sleep(0.01)
+    assert reader.current.version == 5
+    store.put(CONFIG_TOPIC, CONFIG_KEY, json.dumps(make_config(6)).encode())
+    while reader.current.version != 6:
+        await trio.sleep(0.01)
+
+
+class PagedLog(KeyedLog):
+    """A log whose answers a test sets."""
+
+    def __init__(self, pages):
+        self.pages = list(pages)
+        self.newest_calls = 0
+
+    async def newest(self, topic):
+        """Return the next page."""
+        self.newest_calls += 1
+        return await self.read(topic, 0)
+
+    async def read(self, _topic, _offset, *, wait_s=0.0):
+        """Return the next page."""
+        if not self.pages:
+            await trio.sleep_forever()
+        return self.pages.pop(0)
+
+
+def test_late_answer_of_an_earlier_era_is_dropped():
+    """Guards against a record of before the restore that arrives on another connection."""
+
+    async def main():
+        timer = Timer()
+        events = EventLog("test", timer)
+        reader = RoutingReader(CONFIG_KEY, decode_routing, events, on_adopted=lambda _: None)
+
+        def page(version, era):
+            value = json.dumps(make_config(version)).encode()
+            return KeyedPage(version, (KeyedRecord(0, CONFIG_KEY, value),), era)
+
+        log = PagedLog([page(1, 2), page(9, 1), page(2, 2), page(3, None), page(4, 3), page(5, 3)])
+        follower = TopicFollower(log, CONFIG_TOPIC, reader, events, timer)
+        versions = []
+        with trio.move_on_after(5):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(follower.run)
+                while not versions or versions[-1] != 5:
+                    version = reader.current.version if reader.current else 0
+                    versions += [version] if versions[-1:] != [version] else []
+                    await trio.sleep(0)
+                nursery.cancel_scope.cancel()
+        # 9 is of an earlier era; 4 of a new one, after which the whole topic is read.
+        assert 9 not in versions
+        assert versions[-1] == 5
+        assert log.newest_calls == 2
+
+    trio.run(main)
