--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -12,7 +12,9 @@
 An engine reads a prompt first (Prefix-Hash: ID:TOKENS parts; parts read before cost nothing) and
 then streams as many events as the second number of Token-Counts, from the one after Last-Event-Id.
 A call with `Stage: prefill` is answered with the handle of the prompt's KV data, and one with
-`Kv-Source: HOST:PORT/HANDLE` takes it from there. `GET /report` tells its load.
+`Kv-Source: HOST:PORT/HANDLE` takes it from there; `Kv-Fetch: HOST:PORT` first takes the parts that
+the engine there keeps. `GET /report` tells its load, `GET /kv-list` and `GET /kv-events?since=N`
+what it keeps.
 
 Faults (POST /faults):
   delay_ms        every call runs this much longer
@@ -48,6 +50,7 @@
 BACKENDS_TOPIC = "keyed.servers"
 HANDLE_TTL_S = 5.0
 CACHED_PARTS = 1000
+CACHE_POLL_S = 0.02
 DEFAULT_PATIENCE_MS = 30_000
 
 
@@ -104,7 +107,8 @@
         self._waiting = 0
         self._running = 0
         self._reader = trio.Lock()
-        self._cached: OrderedDict[str, None] = OrderedDict()
+        self._cached: OrderedDict[str, int] = OrderedDict()
+        self._cache_events: list[list[object]] = []
         self._handles: dict[str, float] = {}
         self._born_ms = int(time.time() * MS_PER_S)
         self._sequence = 0
@@ -128,6 +132,12 @@
         if request.path == "/report":
             await responder.send_json(200, self._render_report())
             return
+        if request.path == "/kv-list":
+            await responder.send_json(200, self._render_cache())
+            return
+        if request.path == "/kv-events":
+            await responder.send_json(200, await self._wait_cache_events(request))
+            return
         if request.method == "DELETE" and request.path.startswith("/kv-handle/"):
             taken = self._take_handle(request.path.removeprefix("/kv-handle/"))
             await responder.send_json(200 if taken else 404, {})
@@ -215,13 +225,11 @@
             await self._stream(request, responder)
 
     async def _read_prompt(self, request: HttpRequest) -> None:
+        await self._fetch_parts(request)
         tokens = 0
         for part, size in _prompt_parts(request):
             tokens += 0 if part in self._cached else size
-            self._cached[part] = None
-            self._cached.move_to_end(part)
-        while len(self._cached) > CACHED_PARTS:
-            self._cached.popitem(last=False)
+            self._keep(part, size)
         async with self._reader:
             await trio.sleep(tokens / self._options.prefill_tokens_per_s)
 
@@ -281,6 +289,57 @@
         except (HttpError, trio.TooSlowError):
             return  # The next one follows in a second.
 
+    def _keep(self, part: str, size: int) -> None:
+        if part not in self._cached:
+            self._note_cache("+", part, size)
+        self._cached[part] = size
+        self._cached.move_to_end(part)
+        while len(self._cached) > CACHED_PARTS:
+            dropped, _ = self._cached.popitem(last=False)
+            self._note_cache("-", dropped, 0)
+
+    def _note_cache(self, sign: str, part: str, size: int) -> None:
+        self._cache_events.append([len(self._cache_events) + 1, sign, "", part, size, "m"])
+
+    def _render_cache(self) -> dict[str, object]:
+        return {
+            "epoch": self._born_ms,
+            "next": len(self._cache_events),
+            "held": [["", part, size, "m"] for part, size in self._cached.items()],
+        }
+
+    async def _wait_cache_events(self, request: HttpRequest) -> dict[str, object]:
+        since = int(request.query.removeprefix("since="))
+        with trio.move_on_after(float(request.header(b"wait-ms") or 0) / MS_PER_S):
+            while len(self._cache_events) <= since:
+                await trio.sleep(CACHE_POLL_S)
+        events = self._cache_events[since:]
+        return {
+            "epoch": self._born_ms,
+            "next": since + len(events),
+            "lost": False,
+            "events": events,
+        }
+
+    async def _fetch_parts(self, request: HttpRequest) -> None:
+        """Take the parts of a prompt that another engine keeps, as far as it can be reached."""
+        donor = request.header(b"kv-fetch")
+        if not donor:
+            return
+        client = make_client(donor)
+        try:
+            with trio.fail_after(STORE_TIMEOUT_S):
+                _, body = await client.fetch("GET", "/kv-list")
+        except (HttpError, trio.TooSlowError):
+            return  # The prompt is then read.
+        finally:
+            client.close()
+        kept = {part for _, part, _, _ in json.loads(body)["held"]}
+        for part, size in _prompt_parts(request):
+            if part not in kept:
+                break
+            self._keep(part, size)
+
     def _render_report(self) -> dict[str, object]:
         return {
             "stage": self._options.stage,
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -53,9 +53,9 @@
     return await fetch(address, make_request(path, **options))
 
 
-def read_events(deployment, event):
-    """Return the gateway's log lines of an event."""
-    text = deployment.processes["gateway-0"].log_path.read_text()
+def read_events(deployment, event, process="gateway-0"):
+    """Return a process's log lines of an event."""
+    text = deployment.processes[process].log_path.read_text()
     lines = [json.loads(line) for line in text.splitlines() if line.startswith("{")]
     return [line for line in lines if line["event"] == event]
 
