--- a/figwalk/gateway/placed_prompt.py
+++ b/figwalk/gateway/placed_prompt.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from figwalk.coordination.prompt_placement import PromptPlan
+from figwalk.coordination.prompt_plan import PromptPlan
 from figwalk.gateway.prompt_offers import Grant
 
 
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -10,11 +10,8 @@
 from figwalk.coordination.backend_tracker import AttemptOutcome
 from figwalk.coordination.engine_tracker import EngineTracker
 from figwalk.coordination.loop_lag import LoopLag
-from figwalk.coordination.prompt_placement import (
-    PromptCall,
-    PromptPlacement,
-    PromptPlan,
-)
+from figwalk.coordination.prompt_placement import PromptPlacement
+from figwalk.coordination.prompt_plan import PromptCall, PromptPlan
 from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
 from figwalk.errors import CallOutcome, HttpError, RefusalError
 from figwalk.events import Event, EventLog
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -12,7 +12,7 @@
 from figwalk.coordination.answer_wait import AnswerWait
 from figwalk.coordination.backoff import Backoff
 from figwalk.coordination.engine_tracker import EngineTracker
-from figwalk.coordination.prompt_placement import PromptCall, PromptPlan
+from figwalk.coordination.prompt_plan import PromptCall, PromptPlan
 from figwalk.errors import TransportError
 from figwalk.events import Event, EventLog
 from figwalk.protocol.messages import (
--- a/tests/test_decoder_bounds.py
+++ b/tests/test_decoder_bounds.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 from support.platform_fakes import fetch, make_request, run_test, running_fleet
 
-from figwalk.coordination.prompt_placement import PromptCall
+from figwalk.coordination.prompt_plan import PromptCall
 from figwalk.errors import HttpError, MalformedFrameError
 from figwalk.gateway.prompt_offers import _make_offer
 from figwalk.platform import (
--- a/tests/test_prompt_agent.py
+++ b/tests/test_prompt_agent.py
@@ -9,7 +9,8 @@
 
 from figwalk.coordination.engine_tracker import EngineTracker
 from figwalk.coordination.plain_placement import Distance
-from figwalk.coordination.prompt_placement import PlacementSettings, PromptCall, PromptPlacement
+from figwalk.coordination.prompt_placement import PlacementSettings, PromptPlacement
+from figwalk.coordination.prompt_plan import PromptCall
 from figwalk.coordination.reading_queue import ReadingQueue
 from figwalk.errors import HttpError
 from figwalk.events import EventLog
--- a/tests/test_prompt_placement.py
+++ b/tests/test_prompt_placement.py
@@ -9,12 +9,8 @@
 from figwalk.coordination.backend_tracker import AttemptOutcome
 from figwalk.coordination.kept_parts import hash_part
 from figwalk.coordination.plain_placement import Distance
-from figwalk.coordination.prompt_placement import (
-    EngineTracker,
-    PlacementSettings,
-    PromptCall,
-    PromptPlacement,
-)
+from figwalk.coordination.prompt_placement import EngineTracker, PlacementSettings, PromptPlacement
+from figwalk.coordination.prompt_plan import PromptCall
 from figwalk.coordination.subject_homes import DECODE_HOME_WEIGHT, find_home
 from figwalk.events import EventLog
 from figwalk.protocol.messages import Role
--- a/tests/test_subject_affinity.py
+++ b/tests/test_subject_affinity.py
@@ -8,7 +8,8 @@
 from figwalk.coordination.engine_tracker import EngineTracker
 from figwalk.coordination.kept_parts import CachedPart
 from figwalk.coordination.plain_placement import Distance
-from figwalk.coordination.prompt_placement import PlacementSettings, PromptCall, PromptPlacement
+from figwalk.coordination.prompt_placement import PlacementSettings, PromptPlacement
+from figwalk.coordination.prompt_plan import PromptCall
 from figwalk.coordination.reading_queue import Reading, ReadingQueue
 from figwalk.events import EventLog
 from figwalk.protocol.messages import Role
