--- a/figwalk/coordination/engine_tracker.py
+++ b/figwalk/coordination/engine_tracker.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Sequence
 
 from figwalk.coordination.backend_tracker import BackendTracker
+from figwalk.coordination.kept_parts import count_leading_tokens
 from figwalk.coordination.prefix_memory import PrefixMemory
 from figwalk.state.routing import EngineSpec
 
@@ -160,12 +161,9 @@
         Args:
             parts: Hash and tokens of each part, in order; see `hash_part`.
         """
-        cached = 0
-        for part, tokens in parts:
-            if part not in self._kept and part not in self._reading_parts:
-                break
-            cached += tokens
-        return cached
+        return count_leading_tokens(
+            parts, lambda part: part in self._kept or part in self._reading_parts
+        )
 
     def guessed_tokens(self, parts: Sequence[tuple[str, int]]) -> int:
         """Return how many tokens of a prompt the engine keeps by what this process had it read.
--- a/figwalk/coordination/kept_parts.py
+++ b/figwalk/coordination/kept_parts.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+import itertools
+from collections.abc import Callable, Iterable, Sequence
 from hashlib import blake2b
 
 import attrs
@@ -81,12 +82,8 @@
             parts: Id and tokens of each part, in order.
         """
         self._expire()
-        cached = 0
-        for part_id, tokens in parts:
-            if not self._keeps(hash_part(part_id)):
-                break
-            cached += tokens
-        return cached
+        hashed = ((hash_part(part_id), tokens) for part_id, tokens in parts)
+        return count_leading_tokens(hashed, self._keeps)
 
     def expect(self, parts: Sequence[tuple[str, int]]) -> None:
         """Note that the engine is to read the parts of a prompt."""
@@ -154,6 +151,18 @@
             del self._expected[part]
 
 
+def count_leading_tokens(parts: Iterable[tuple[int, int]], keeps: Callable[[int], bool]) -> int:
+    """Return how many tokens of a prompt, from its start, are kept.
+
+    An engine needs all parts before a kept one as well.
+
+    Args:
+        parts: Hash and tokens of each part, in order.
+        keeps: Returns whether a part is kept.
+    """
+    return sum(tokens for _, tokens in itertools.takewhile(lambda part: keeps(part[0]), parts))
+
+
 def hash_part(part_id: str) -> int:
     """Return 32 bits that stand for the id of a prompt's part in messages."""
     return int.from_bytes(blake2b(part_id.encode(), digest_size=4).digest())
--- a/figwalk/coordination/keyed_log.py
+++ b/figwalk/coordination/keyed_log.py
@@ -183,13 +183,14 @@
         Raises:
             LogUnavailableError: The page is a late one of before that.
         """
-        if page.era is None or page.era == self._era:
+        known = self._era
+        if page.era is None or page.era == known:
             return False
-        known, self._era = self._era, max(page.era, self._era or 0)
+        if known is not None and page.era < known:
+            raise LogUnavailableError(f"an answer of era {page.era} came after one of era {known}")
+        self._era = page.era
         if known is None:
             return False
-        if page.era < known:
-            raise LogUnavailableError(f"an answer of era {page.era} came after one of era {known}")
         self._events.record(
             Event.LOG_RESTORED,
             topic=self._topic,
--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -141,8 +141,7 @@
         return near or runners
 
     def _note_reread(self, call: PromptCall, plan: PromptPlan) -> PromptPlan:
-        own_tokens = call.tokens - call.shared_tokens
-        again = max(0.0, plan.uncached_tokens - own_tokens)
+        again = max(0.0, plan.uncached_tokens - call.own_tokens)
         return attrs.evolve(plan, reread_s=again / self._rate(plan.reader))
 
     def _find_home(
@@ -240,7 +239,7 @@
         uncached = self._uncached(call, reader, home)
         donor, donation_s = self._find_donor(call, reader, uncached / rate, spec)
         if donor is not None:
-            uncached = call.tokens - call.shared_tokens
+            uncached = call.own_tokens
         is_pair = reader is not runner
         reading_s = uncached / rate + reader.fixed_s
         travel_s = self.round_trip_s(runner) + (self.round_trip_s(reader) if is_pair else 0.0)
@@ -293,7 +292,7 @@
             return None, 0.0
         if self._cached_tokens(call, reader) >= call.shared_tokens:
             return None, 0.0
-        own_s = (call.tokens - call.shared_tokens) / self._rate(reader)
+        own_s = call.own_tokens / self._rate(reader)
         best, best_s = None, reading_s - own_s
         for donor in self._donors:
             if donor is reader:
--- a/figwalk/coordination/prompt_plan.py
+++ b/figwalk/coordination/prompt_plan.py
@@ -47,6 +47,11 @@
         """Length of the shared parts: all but the call's own last one."""
         return sum(tokens for _, tokens in self.parts[:-1])
 
+    @cached_property
+    def own_tokens(self) -> int:
+        """Length of the call's own last part."""
+        return self.tokens - self.shared_tokens
+
     @cached_property
     def subject(self) -> tuple[str, ...]:
         """The shared parts: all but the call's own last one."""
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -15,6 +15,7 @@
 from figwalk.coordination.prompt_plan import PromptCall, PromptPlan
 from figwalk.errors import TransportError
 from figwalk.events import Event, EventLog
+from figwalk.protocol.codec import to_uint32
 from figwalk.protocol.messages import (
     ConnectionKind,
     EngineDigest,
@@ -28,7 +29,6 @@
 
 INCARNATION_BITS = 64
 MAX_INT32 = 2**31 - 1
-MAX_UINT32 = 2**32 - 1
 # Beyond the round trip; an agent decides within a millisecond, and its VM may be busy.
 ANSWER_MARGIN_S = 0.03
 # On a link of 10 Mbit/s an answer waits behind prompts of 9 KB, 7 ms each. Half of the users'
@@ -302,7 +302,7 @@
         _to_ms(prompt.target_s - plan.reserve_s),
         _to_ms(prompt.left_s),
         max(0, _to_ms(plan.after_s)),
-        min(prompt.shared_tokens, MAX_UINT32) if plan.donor is not None else 0,
+        to_uint32(prompt.shared_tokens) if plan.donor is not None else 0,
     )
 
 
--- a/figwalk/prompt_agent/cache_follower.py
+++ b/figwalk/prompt_agent/cache_follower.py
@@ -35,7 +35,7 @@
 
     Attributes:
         epoch: Changes when the engine starts anew.
-        next_number: Number of the first change after it.
+        next_number: What to ask for the changes after it with.
         parts: Kept parts.
     """
 
@@ -50,7 +50,7 @@
 
     Attributes:
         epoch: Changes when the engine starts anew.
-        next_number: Number of the first change after them.
+        next_number: What to ask for the changes after them with.
         complete: Whether no change before them is missing.
         parts: Changed parts, with the tokens that are kept now, in order.
     """
@@ -157,8 +157,13 @@
         self._list_at = self._timer.now() + LIST_PERIOD_S
 
     async def _fetch(self, request: HttpRequest) -> tuple[int, bytes]:
-        async with self._client.open(request) as response:
-            return response.status, await response.read(MAX_ANSWER_BYTES)
+        response, body = await self._client.fetch(
+            request.method,
+            request.target,
+            headers=request.headers,
+            max_bytes=MAX_ANSWER_BYTES,
+        )
+        return response.status, body
 
     def _note_known(self, *, known: bool, detail: str = "") -> None:
         if known != self._known:
--- a/figwalk/prompt_agent/prompt_server.py
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -13,6 +13,7 @@
 from figwalk.events import Event, EventLog
 from figwalk.prompt_agent.digest_sender import DigestSender
 from figwalk.prompt_agent.engine_watcher import EngineWatcher
+from figwalk.protocol.codec import to_uint32
 from figwalk.protocol.messages import (
     EngineDigest,
     Hello,
@@ -26,7 +27,6 @@
 
 HELLO_TIMEOUT_S = 2.0
 UNACKNOWLEDGED_LIMIT_MS = 1500
-MAX_UINT32 = 2**32 - 1
 
 
 class PromptServer:
@@ -125,22 +125,22 @@
         return PromptDecision(
             offer.call_id,
             granted,
-            _to_uint32(decision.uncached_tokens),
-            _to_uint32(decision.wait_s * MS_PER_S),
-            _to_uint32(decision.finish_s * MS_PER_S),
-            _to_uint32(self._queue.backlog_tokens),
+            to_uint32(decision.uncached_tokens),
+            to_uint32(decision.wait_s * MS_PER_S),
+            to_uint32(decision.finish_s * MS_PER_S),
+            to_uint32(self._queue.backlog_tokens),
         )
 
     def _make_digest(self, changes: PartChanges) -> EngineDigest:
         return EngineDigest(
             self._watcher.up,
-            _to_uint32(self._queue.backlog_tokens),
+            to_uint32(self._queue.backlog_tokens),
             self._queue.tokens_per_s,
-            _to_uint32(self._watcher.report_age_s * MS_PER_S),
-            _to_uint32(self._watcher.decoding),
+            to_uint32(self._watcher.report_age_s * MS_PER_S),
+            to_uint32(self._watcher.decoding),
             list(changes.kept),
             list(changes.yielded),
-            _to_uint32(self._queue.fixed_s * MS_PER_S),
+            to_uint32(self._queue.fixed_s * MS_PER_S),
             self._queue.measured,
             changes.complete,
             list(self._queue.parts.expected),
@@ -150,8 +150,3 @@
 def _read_parts(offer: PromptOffer) -> tuple[tuple[str, int], ...]:
     ids = offer.part_ids.split(",") if offer.part_ids else []
     return tuple(zip(ids, offer.part_tokens, strict=False))
-
-
-def _to_uint32(number: float) -> int:
-    """Return a number as a message can carry it."""
-    return int(max(0, min(number, MAX_UINT32)))
--- a/figwalk/protocol/codec.py
+++ b/figwalk/protocol/codec.py
@@ -21,6 +21,7 @@
 
 # Words of 8 bytes; a frame's 4 MiB limit is 524,288 words, and nested reads count twice.
 TRAVERSAL_LIMIT_WORDS = 2 * 1024 * 1024
+MAX_UINT32 = 2**32 - 1
 
 
 def _to_camel(name: str) -> str:
@@ -166,3 +167,8 @@
 if __name__ == "__main__":
     sample = messages.Cancel(call_id=7)
     print(decode_message(encode_message(sample)))
+
+
+def to_uint32(number: float) -> int:
+    """Return a count as a message can carry it; the nearest one if it can't."""
+    return int(max(0, min(number, MAX_UINT32)))
