Log when a call was sent and when its connection opened

Three hypotheses fit the lines that a gateway wrote: the request was read late, with the close behind it (H1); it was read in time and its placement or a late event loop held it back (H2); it was sent in time and waited for the connection to the engine (H3).

PROMPT_PLACED gets age_s (since the read), ATTEMPT_FAILED connect_s, REQUEST_CANCELLED sent_s. The counter figwalk_cancelled_total and the gauge figwalk_loop_lag_seconds hold what dropped lines lose. No decision changes.

--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -24,7 +24,7 @@
     HttpResponse,
     strip_hop_by_hop,
 )
-from figwalk.transport.http_client import MAX_RESPONSE_BYTES
+from figwalk.transport.http_client import MAX_RESPONSE_BYTES, SendHook
 
 # KV cache handles and confirmations are a few dozen bytes long.
 MAX_HANDLE_BYTES = 16 * 1024
@@ -164,7 +164,7 @@
         key = object()
         tracker.start(key)
         outcome = AttemptOutcome.CANCELLED
-        sent_at = self._timer.now()
+        started_at = self._timer.now()
         # For other calls, the event of the placement or of the answer names the backend server.
         if not call.route.repeatable and not call.route.is_model_call:
             self._events.record(
@@ -175,11 +175,17 @@
                 in_flight=tracker.in_flight,
                 load_age_s=tracker.load_age_s,
             )
+        connected_at: float | None = None
+
+        def before_send() -> None:
+            nonlocal connected_at
+            connected_at = call.sent_at = self._timer.now()
+
         was_unresolved = call.unresolved
         call.unresolved = was_unresolved or is_run
         try:
             async with AsyncExitStack() as stack:
-                exchange = self._open(call, tracker, plan)
+                exchange = self._open(call, tracker, plan, before_send)
                 response = await _wait_for_head(stack, exchange, head_timeout_s, not_run=not is_run)
                 answer = self._read_head(call, tracker, plan, response, key)
                 outcome = AttemptOutcome.ANSWERED
@@ -202,7 +208,8 @@
         finally:
             tracker.finish(key, outcome)
             if outcome is not AttemptOutcome.ANSWERED:
-                self._record_failure(call, plan, outcome, sent_at, tracker)
+                connect_s = connected_at - started_at if connected_at is not None else None
+                self._record_failure(call, plan, outcome, started_at, tracker, connect_s=connect_s)
 
     async def prefill(
         self, call: Call, tracker: BackendTracker, plan: SendPlan, *, head_timeout_s: float
@@ -248,12 +255,15 @@
                     Event.ATTEMPT_FAILED, request_id=call.call_id, step="release", detail=str(error)
                 )
 
-    def _open(self, call: Call, tracker: BackendTracker, plan: SendPlan) -> HttpExchange:
+    def _open(
+        self, call: Call, tracker: BackendTracker, plan: SendPlan, before_send: SendHook
+    ) -> HttpExchange:
         request = self._codec.encode(call.request, plan)
         return self._pool.client(tracker).open(
             request,
             is_own_response=lambda headers: self._check_echo(call, plan, headers),
             idle_limit_s=None if call.route.repeatable else MAX_IDLE_NON_REPEATABLE_S,
+            before_send=before_send,
         )
 
     def _check_echo(self, call: Call, plan: SendPlan, headers: Headers) -> bool:
@@ -303,8 +313,10 @@
         call: Call,
         plan: SendPlan,
         outcome: AttemptOutcome,
-        sent_at: float,
+        started_at: float,
         tracker: BackendTracker,
+        *,
+        connect_s: float | None,
     ) -> None:
         self._events.record(
             Event.ATTEMPT_FAILED,
@@ -312,7 +324,8 @@
             backend=plan.backend.backend,
             step=plan.step.value,
             outcome=outcome.value,
-            took_s=round(self._timer.now() - sent_at, 3),
+            took_s=round(self._timer.now() - started_at, 3),
+            connect_s=round(connect_s, 3) if connect_s is not None else None,
             in_flight=tracker.in_flight,
         )
 
--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -29,6 +29,8 @@
             nor refused as not run.
         predicted_s: Predicted seconds from placement to the first token, or None before placement.
         placed_at: Timer time of that prediction.
+        sent_at: Timer time at which the call or its prefill was last sent on an open connection, or
+            None.
         read_s: Seconds that a separate prefill took, or None if there was none.
         timing: Times at which the events of the stream were relayed.
     """
@@ -46,6 +48,7 @@
     unresolved: bool = False
     predicted_s: float | None = None
     placed_at: float = 0.0
+    sent_at: float | None = None
     read_s: float | None = None
     timing: StreamTiming = attrs.field(factory=StreamTiming)
 
--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -181,11 +181,13 @@
 
     def _record_cancelled(self, call: Call) -> None:
         self._metrics.record_refusal("caller_gone")
+        self._metrics.record_cancelled(sent=call.sent_at is not None)
         self._events.record(
             Event.REQUEST_CANCELLED,
             request_id=call.call_id,
             route=call.route.name,
             sent_to=" ".join(call.sent_to),
+            sent_s=_since(call.arrived_at, call.sent_at),
             took_s=round(self._timer.now() - call.arrived_at, 4),
         )
 
--- a/figwalk/gateway/gateway_metrics.py
+++ b/figwalk/gateway/gateway_metrics.py
@@ -29,6 +29,17 @@
             ["code"],
             registry=self._registry,
         )
+        self._cancelled = Counter(
+            "figwalk_cancelled",
+            "Calls whose caller left, by whether they had been sent to a backend server.",
+            ["sent"],
+            registry=self._registry,
+        )
+        self._loop_lag = Gauge(
+            "figwalk_loop_lag_seconds",
+            "Time that a runnable task waits until it runs.",
+            registry=self._registry,
+        )
         self._config_version = Gauge(
             "figwalk_config_version", "Version of the configuration.", registry=self._registry
         )
@@ -47,6 +58,14 @@
         """Count a request without an answer of a backend server."""
         self._refusals.labels(code).inc()
 
+    def record_cancelled(self, *, sent: bool) -> None:
+        """Count a call whose caller left, and whether it had been sent to a backend server."""
+        self._cancelled.labels("yes" if sent else "no").inc()
+
+    def record_loop_lag(self, lag_s: float) -> None:
+        """Set the seconds that a runnable task waits until it runs."""
+        self._loop_lag.set(lag_s)
+
     def record_config_version(self, version: int) -> None:
         """Set the version of the configuration in force."""
         self._config_version.set(version)
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -247,6 +247,7 @@
         await responder.send_json(200 if ready else 503, {"ready": ready})
 
     async def _upkeep(self) -> None:
+        self._metrics.record_loop_lag(self._lag.lag_s)
         dropped = self._dropped_lines()
         if dropped > self._reported_drops:
             self._events.record(Event.LOG_LINES_DROPPED, count=dropped - self._reported_drops)
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -170,6 +170,7 @@
             reader=last.plan.reader.entry.backend,
             runner=last.plan.runner.entry.backend,
             admitted=last.admitted,
+            age_s=round(self._timer.now() - call.arrived_at, 4),
             tokens=prompt.tokens,
             uncached=int(last.plan.uncached_tokens),
             backlog_s=round(last.plan.backlog_s, 4),
--- a/figwalk/transport/http_client.py
+++ b/figwalk/transport/http_client.py
@@ -33,6 +33,7 @@
 _END_OF_MESSAGE = h11.EndOfMessage()
 
 ResponseCheck = Callable[[Headers], bool]
+SendHook = Callable[[], None]
 
 
 @attrs.frozen
@@ -152,6 +153,7 @@
         *,
         is_own_response: ResponseCheck | None = None,
         idle_limit_s: float | None = None,
+        before_send: SendHook | None = None,
     ) -> HttpExchange:
         """Return an async context manager that sends a request and returns its response.
 
@@ -166,8 +168,9 @@
                 discarded.
             idle_limit_s: Idle limit for this request; the lower of it and that of the options
                 applies.
+            before_send: Called when a connection is open, just before the first byte is sent.
         """
-        return HttpExchange(self, request, is_own_response, idle_limit_s)
+        return HttpExchange(self, request, is_own_response, idle_limit_s, before_send)
 
     async def fetch(
         self,
@@ -244,16 +247,20 @@
         request: HttpRequest,
         is_own_response: ResponseCheck | None = None,
         idle_limit_s: float | None = None,
+        before_send: SendHook | None = None,
     ) -> None:
         self._client = client
         self._request = request
         self._is_own_response = is_own_response
         self._idle_limit_s = idle_limit_s
+        self._before_send = before_send
 
     async def __aenter__(self) -> HttpResponse:
         """Send the request and receive the head of its response."""
         self._connection = await self._client.check_out(self._idle_limit_s)
         try:
+            if self._before_send is not None:
+                self._before_send()
             self._response = await self._connection.exchange(self._request, self._is_own_response)
         except BaseException:
             self._connection.close()
