--- a/tests/support/platform_fakes.py
+++ b/tests/support/platform_fakes.py
@@ -20,6 +20,7 @@
 from standins.platform_store import PlatformStore
 
 HOST = "127.0.0.1"
+HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nServer-Stamp: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 @attrs.define
@@ -147,6 +148,47 @@
     await trio.sleep_forever()
 
 
+def chunk(data):
+    """Return a chunk of a body without a length."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def event(number):
+    """Return an event of a stream."""
+    return b"id: %d\ndata: t%d\n\n" % (number, number)
+
+
+def streaming(count, *, break_after=None):
+    """Return a script that streams events after `Last-Event-Id`, or all without that header."""
+
+    async def script(_backend, stream, request):
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        await stream.send_all(HEAD.format(request.call_id).encode())
+        for number in range(first, count + 1):
+            if break_after is not None and number > break_after:
+                # Only part of an event, which must not appear twice in the resumed stream.
+                await stream.send_all(chunk(event(number)[:4]))
+                await stream.aclose()
+                return False
+            await stream.send_all(chunk(event(number)))
+        await stream.send_all(b"0\r\n\r\n")
+        return True
+
+    return script
+
+
+async def any_stage(backend, stream, request):
+    """Script of an engine that does prefill or decode, as the request demands."""
+    if request.headers.get("stage") == "prefill":
+        body = b'{"transfer-handle":"h1","tokens":6000,"version":1}'
+        await stream.send_all(render(request, body, signed=False))
+        return True
+    if request.method == "DELETE":
+        await stream.send_all(render(request, b""))
+        return True
+    return await streaming(2)(backend, stream, request)
+
+
 class Fleet:
     """A running gateway with its store and backend servers."""
 
