Check the caller's connection when a call is sent

What callers saw: nothing themselves, as they had left. Engines read prompts for them, which took time from callers that still waited.

Cause: the departure of a caller was an event that another task had to deliver. A gateway short of processor time reads a request late, with the close already behind it in the same socket. The task that watches the connection needs two more passes of the event loop to read the close and cancel the call, and a pass takes up to 0.6 s then; the answering task sends in the pass in which it runs, since writes bypass the scheduler. The deadline did not help, as it counts from the late read. The class is a check of a past state before an action: the state has to be read where the call is sent.

Attempts now reads the caller's socket without waiting just before the first byte, after the connection to the backend server is open, and moves its check of the deadline there as well. It covers runs, prefills, plain calls, retries and resumed streams, since all of them are sent there. An unused connection stays open. ATTEMPT_SENT is recorded only for calls that are sent.

--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -18,6 +18,7 @@
 from figwalk.gateway.codecs import AnswerFacts, BackendCodec, CallStep, KvSource, SendPlan
 from figwalk.timer import Timer
 from figwalk.transport import (
+    ClientDisconnectedError,
     Headers,
     HttpConnectError,
     HttpExchange,
@@ -152,12 +153,9 @@
         Raises:
             AttemptError: There is no valid answer, or the backend server states that it did not run
                 the call.
-            RefusalError: The deadline of the call has passed; the call is not sent. Without this
-                check, a call after a pause of this process would be cancelled only once its request
-                is sent.
+            ClientDisconnectedError: The caller has left; the call is not sent.
+            RefusalError: The deadline of the call has passed; the call is not sent.
         """
-        if self._timer.left_s(call.deadline) <= 0:
-            raise RefusalError("timeout", "the time ended before the call was sent")
         is_run = plan.step is CallStep.RUN
         if is_run:
             call.sent_to.append(plan.backend.backend)
@@ -165,20 +163,12 @@
         tracker.start(key)
         outcome = AttemptOutcome.CANCELLED
         started_at = self._timer.now()
-        # For other calls, the event of the placement or of the answer names the backend server.
-        if not call.route.repeatable and not call.route.is_model_call:
-            self._events.record(
-                Event.ATTEMPT_SENT,
-                request_id=call.call_id,
-                backend=plan.backend.backend,
-                left_s=round(plan.left_s, 3),
-                in_flight=tracker.in_flight,
-                load_age_s=tracker.load_age_s,
-            )
         connected_at: float | None = None
 
         def before_send() -> None:
             nonlocal connected_at
+            self._check_wanted(call)
+            self._record_sent(call, tracker, plan)
             connected_at = call.sent_at = self._timer.now()
 
         was_unresolved = call.unresolved
@@ -197,6 +187,11 @@
             call.unresolved = was_unresolved
             self._remove_from_sent(call, plan)
             raise AttemptError(outcome, str(error), not_run=True) from error
+        except (ClientDisconnectedError, RefusalError):
+            if connected_at is None:
+                call.unresolved = was_unresolved
+                self._remove_from_sent(call, plan)
+            raise
         except AttemptError as error:
             outcome = error.outcome
             if error.not_run:
@@ -255,6 +250,20 @@
                     Event.ATTEMPT_FAILED, request_id=call.call_id, step="release", detail=str(error)
                 )
 
+    def _check_wanted(self, call: Call) -> None:
+        """Check that a call is still wanted at the moment at which it is sent.
+
+        After a pause or under load, the tasks that cancel a call run only after it was sent.
+
+        Raises:
+            ClientDisconnectedError: The caller has left.
+            RefusalError: The deadline of the call has passed.
+        """
+        if call.has_caller_left():
+            raise ClientDisconnectedError("the caller left before the call was sent")
+        if self._timer.left_s(call.deadline) <= 0:
+            raise RefusalError("timeout", "the time ended before the call was sent")
+
     def _open(
         self, call: Call, tracker: BackendTracker, plan: SendPlan, before_send: SendHook
     ) -> HttpExchange:
@@ -308,6 +317,19 @@
         if plan.step is CallStep.RUN:
             call.sent_to.remove(plan.backend.backend)
 
+    def _record_sent(self, call: Call, tracker: BackendTracker, plan: SendPlan) -> None:
+        # For other calls, the event of the placement or of the answer names the backend server.
+        if call.route.repeatable or call.route.is_model_call:
+            return
+        self._events.record(
+            Event.ATTEMPT_SENT,
+            request_id=call.call_id,
+            backend=plan.backend.backend,
+            left_s=round(plan.left_s, 3),
+            in_flight=tracker.in_flight,
+            load_age_s=tracker.load_age_s,
+        )
+
     def _record_failure(
         self,
         call: Call,
--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import attrs
 
 from figwalk.gateway.codecs import CallFacts
@@ -23,6 +25,7 @@
         config_version: Version of the configuration that contains the route.
         arrived_at: Timer time at which the request arrived.
         deadline: Timer time at which the caller must have its final answer.
+        has_caller_left: Returns whether the caller has closed its connection.
         sent_to: Ids of the backend servers to which the call was sent; prefills don't count.
         failed_prefill_engines: Ids of the engines that failed to prefill the prompt.
         unresolved: Whether a backend server may have run the call: it was sent and neither answered
@@ -43,6 +46,7 @@
     config_version: int
     arrived_at: float
     deadline: float
+    has_caller_left: Callable[[], bool]
     sent_to: list[str] = attrs.field(factory=list)
     failed_prefill_engines: list[str] = attrs.field(factory=list)
     unresolved: bool = False
--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -66,7 +66,7 @@
         check_framing(request)
         facts = self._codec.decode(request)
         try:
-            call = self._accept(request, facts)
+            call = self._accept(request, facts, responder)
         except RefusalError as error:
             await self._send_refusal(facts.call_id, responder, error)
             return
@@ -75,7 +75,7 @@
             await self._answer(call, responder)
             nursery.cancel_scope.cancel()
 
-    def _accept(self, request: HttpRequest, facts: CallFacts) -> Call:
+    def _accept(self, request: HttpRequest, facts: CallFacts, responder: Responder) -> Call:
         routing = self._routing()
         if routing is None:
             raise RefusalError(
@@ -107,6 +107,7 @@
             config_version=routing.version,
             arrived_at=request.started_at,
             deadline=request.started_at + limit_s,
+            has_caller_left=responder.is_client_disconnected,
         )
 
     async def _watch(self, call: Call, responder: Responder, scope: trio.CancelScope) -> None:
--- a/figwalk/transport/byte_stream.py
+++ b/figwalk/transport/byte_stream.py
@@ -80,6 +80,19 @@
                 self._reads_without_yield += 1
                 return data
 
+    def receive_now(self, max_bytes: int = RECEIVE_BYTES) -> bytes | None:
+        """Receive without waiting; return None without data, and no bytes at the end of the stream.
+
+        Raises:
+            BrokenResourceError: The connection is lost.
+        """
+        try:
+            return os.read(self.socket.fileno(), max_bytes)
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            raise trio.BrokenResourceError from error
+
     async def wait_send_all_might_not_block(self) -> None:
         """Wait until the connection accepts bytes."""
         await self._stream.wait_send_all_might_not_block()
--- a/figwalk/transport/http_client.py
+++ b/figwalk/transport/http_client.py
@@ -168,7 +168,8 @@
                 discarded.
             idle_limit_s: Idle limit for this request; the lower of it and that of the options
                 applies.
-            before_send: Called when a connection is open, just before the first byte is sent.
+            before_send: Called when a connection is open, just before the first byte is sent. If it
+                raises an error, nothing is sent.
         """
         return HttpExchange(self, request, is_own_response, idle_limit_s, before_send)
 
@@ -213,7 +214,7 @@
         return _Connection(ByteStream(stream), self.address)
 
     def check_in(self, connection: _Connection) -> None:
-        """Return a connection to the idle ones, after its response was read to the end."""
+        """Return a connection to the idle ones, unused or after the end of its response."""
         self._idle.append(connection)
         if len(self._idle) > self._options.max_idle:
             self._idle.pop(0).close()
@@ -258,15 +259,22 @@
     async def __aenter__(self) -> HttpResponse:
         """Send the request and receive the head of its response."""
         self._connection = await self._client.check_out(self._idle_limit_s)
+        if self._before_send is not None:
+            self._call_before_send(self._before_send)
         try:
-            if self._before_send is not None:
-                self._before_send()
             self._response = await self._connection.exchange(self._request, self._is_own_response)
         except BaseException:
             self._connection.close()
             raise
         return self._response
 
+    def _call_before_send(self, before_send: SendHook) -> None:
+        try:
+            before_send()
+        except BaseException:
+            self._client.check_in(self._connection)
+            raise
+
     async def __aexit__(
         self,
         kind: type[BaseException] | None,
@@ -292,7 +300,7 @@
         self._address = address
         self._host_header = (b"host", address.encode())
         self._h11 = h11.Connection(h11.CLIENT)
-        self._idle_since = 0.0
+        self._idle_since = trio.current_time()
         self._request_incomplete = False
         self._sent_at = 0.0
 
--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -53,6 +53,7 @@
         self._head_only = head_only
         self._started = False
         self._finished = False
+        self._pipelined_bytes = 0
         # Set during a write; stays set if a cancellation interrupts the write.
         self._write_incomplete = False
 
@@ -109,18 +110,37 @@
         Another request that the client sends in the meantime is kept for later. The handler
         cancels this call when the response has been sent.
         """
-        received = 0
-        while received < MAX_PIPELINED_BYTES:
+        while self._pipelined_bytes < MAX_PIPELINED_BYTES:
             try:
                 data = await self._stream.receive_some(RECEIVE_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 return
             if not data:
                 return
-            received += len(data)
-            self._connection.receive_data(data)
+            self._keep_pipelined(data)
         await trio.sleep_forever()
 
+    def is_client_disconnected(self) -> bool:
+        """Check whether the client has closed its connection, without waiting for the scheduler.
+
+        A busy process runs the task in `wait_client_disconnected` long after the close.
+        """
+        while self._pipelined_bytes < MAX_PIPELINED_BYTES:
+            try:
+                data = self._stream.receive_now()
+            except trio.BrokenResourceError:
+                return True
+            if data is None:
+                return False
+            if not data:
+                return True
+            self._keep_pipelined(data)
+        return False
+
+    def _keep_pipelined(self, data: bytes) -> None:
+        self._pipelined_bytes += len(data)
+        self._connection.receive_data(data)
+
     def _render_body(self, data: bytes) -> bytes:
         # A response to HEAD has no body, and h11 refuses to send one.
         if not data or self._head_only:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -11,7 +11,13 @@
 from figwalk.errors import HttpError
 from figwalk.events import EventLog
 from figwalk.timer import Timer
-from figwalk.transport import ClientDisconnectedError, HttpClient, HttpServer, Responder
+from figwalk.transport import (
+    ClientDisconnectedError,
+    HttpClient,
+    HttpRequest,
+    HttpServer,
+    Responder,
+)
 
 LOOPBACK = "127.0.0.1"
 
@@ -178,3 +184,34 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+def test_request_abandoned_on_an_open_connection_sends_nothing():
+    """Guards against bytes for a caller that left while the connection was being opened."""
+
+    class AbandonedError(Exception):
+        pass
+
+    def abandon():
+        raise AbandonedError
+
+    async def main():
+        received = []
+
+        async def serve(stream):
+            received.append(await stream.receive_some(65536))
+            await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(partial(trio.serve_tcp, serve, 0, host="127.0.0.1"))
+            client = HttpClient("127.0.0.1", listeners[0].socket.getsockname()[1])
+            with pytest.raises(AbandonedError):
+                async with client.open(HttpRequest("GET", "/left", [], b""), before_send=abandon):
+                    pass
+            await client.fetch("GET", "/kept")
+            (data,) = received
+            assert data.startswith(b"GET /kept")
+            assert client.opened == 1
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
