Record the departure of a caller once

The task that watches a caller's connection and the task that answers can notice the same departure in one pass of the event loop.

--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -30,6 +30,7 @@
         failed_prefill_engines: Ids of the engines that failed to prefill the prompt.
         unresolved: Whether a backend server may have run the call: it was sent and neither answered
             nor refused as not run.
+        cancelled: Whether the departure of the caller was recorded.
         predicted_s: Predicted seconds from placement to the first token, or None before placement.
         placed_at: Timer time of that prediction.
         sent_at: Timer time at which the call or its prefill was last sent on an open connection, or
@@ -50,6 +51,7 @@
     sent_to: list[str] = attrs.field(factory=list)
     failed_prefill_engines: list[str] = attrs.field(factory=list)
     unresolved: bool = False
+    cancelled: bool = False
     predicted_s: float | None = None
     placed_at: float = 0.0
     sent_at: float | None = None
--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -181,6 +181,9 @@
         await responder.send_json(error.status, body, headers)
 
     def _record_cancelled(self, call: Call) -> None:
+        if call.cancelled:
+            return  # The watcher and the answering task can notice the same departure.
+        call.cancelled = True
         self._metrics.record_refusal("caller_gone")
         self._metrics.record_cancelled(sent=call.sent_at is not None)
         self._events.record(
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -1,10 +1,18 @@
 """Tests that nothing is sent to backend servers for callers that have left."""
 
 import socket
+import struct
 
 import pytest
 import trio
-from support.platform_fakes import answering, any_stage, make_request, run_test, running_fleet
+from support.platform_fakes import (
+    answering,
+    any_stage,
+    make_request,
+    render,
+    run_test,
+    running_fleet,
+)
 
 from figwalk.gateway.prompt_offers import Grant, OfferAnswer
 from standins.platform_config import make_config
@@ -94,3 +102,29 @@
             assert "left" not in {request.call_id for e in engines for request in e.requests}
 
     run_test(main)
+
+
+def test_caller_that_left_is_counted_once():
+    """Guards against two events for a caller that resets its connection as its answer arrives."""
+
+    async def main():
+        callers = []
+
+        async def reset_caller_and_answer(_backend, stream, request):
+            if callers:
+                caller = callers.pop()
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                caller.close()
+            await stream.send_all(render(request))
+            return True
+
+        async with running_fleet() as fleet:
+            fleet.publish(make_config())
+            await fleet.add_backend("b1", reset_caller_and_answer)
+            await fleet.start_gateway()
+            callers.append(connect_and_send(fleet, make_request("/check/x", call_id="left")))
+            await wait_cancelled(fleet, "left")
+            await fleet.call("/check/x", call_id="last")
+            assert len(select(fleet, "left", "REQUEST_CANCELLED")) == 1
+
+    run_test(main)
