Cancel model and service calls of the entry when their callers leave

What callers saw: nothing themselves; engines and plain services of the project's own interface worked to the end for callers that had left, which took slots from callers that waited.

Cause: the entry never watched its callers' connections. It noticed a departure only when it wrote to one, which is after the whole answer of a buffered call and at the first token of a stream; a request that was read with the close behind it was sent as well.

Model calls and repeatable service calls now run while their caller is connected, and check the connection when they are sent to an agent, which cancels a call whose connection is closed. Keyed calls run on, so that a retry gets their outcome; a test says so.

--- a/figwalk/entry/model_calls.py
+++ b/figwalk/entry/model_calls.py
@@ -104,7 +104,8 @@
         )
         call = self._prepare_call(request, model, name, service, responder)
         try:
-            await (self._stream(call) if model.stream else self._answer_buffered(call))
+            answer = self._stream if model.stream else self._answer_buffered
+            await responder.run_while_connected(answer, call)
         except RefusalError as error:
             self._tallies.record_refusal(error.code)
             if error.outcome is CallOutcome.NOT_RUN and not responder.started:
@@ -166,6 +167,7 @@
 
     async def _try_buffered(self, call: _ModelCall, target: Target) -> bool:
         """Try one backend server; return whether the answer was sent to the caller."""
+        call.responder.check_connected()
         try:
             async with target.open(self._build_call(call, target)) as reply:
                 answer = await reply.head()
@@ -216,6 +218,7 @@
 
     async def _try_stream(self, call: _ModelCall, target: Target) -> bool:
         """Try one backend server; return whether the answer was forwarded to its end."""
+        call.responder.check_connected()
         try:
             async with target.open(self._build_call(call, target)) as reply:
                 answer = await reply.head()
--- a/figwalk/entry/service_calls.py
+++ b/figwalk/entry/service_calls.py
@@ -21,7 +21,13 @@
 from figwalk.protocol.messages import Call
 from figwalk.state.published import ServiceConfig
 from figwalk.timer import Timer
-from figwalk.transport import Headers, HttpRequest, Responder, strip_hop_by_hop
+from figwalk.transport import (
+    ClientDisconnectedError,
+    Headers,
+    HttpRequest,
+    Responder,
+    strip_hop_by_hop,
+)
 
 SERVICES_PATH = "/services/"
 PLAIN_KIND = "plain"
@@ -69,7 +75,9 @@
             if _needs_key(service, http.method, target):
                 await self._serve_keyed(request, responder, name, service, target, plan)
             else:
-                await self._serve_repeatable(request, responder, target, plan)
+                await responder.run_while_connected(
+                    self._serve_repeatable, request, responder, target, plan
+                )
         except RefusalError as error:
             self._tallies.record_refusal(error.code)
             self._events.record(
@@ -79,6 +87,9 @@
                 outcome=error.outcome,
             )
             await send_refusal(responder, error, [request.id_header])
+        except ClientDisconnectedError:
+            self._events.record(Event.REQUEST_CANCELLED, request_id=request.request_id)
+            raise
 
     def _plan(self, request: CallerRequest, service: str) -> AttemptPlan:
         route = RouteRequest(
@@ -140,6 +151,7 @@
             incarnation=chosen.incarnation,
             clock=self._events.clock.tick(),
         )
+        responder.check_connected()
         try:
             async with chosen.open(call) as reply:
                 answer = await reply.head()
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -114,8 +114,15 @@
 
     def __init__(self, result=None):
         self.result = result or KeyedAnswer(201, [], b"done", replayed=True)
+        self.gate = None
+        self.started = False
+        self.completed = False
 
     async def run(self, _call, _plan):
+        self.started = True
+        if self.gate is not None:
+            await self.gate.wait()
+        self.completed = True
         if isinstance(self.result, Exception):
             raise self.result
         return self.result
@@ -138,14 +145,16 @@
         self.tallies = Tallies(Metrics(None, prefix="t", timer=self.timer), self.timer)
         self.ready = True
         budget = RetryBudget(self.timer, ratio=retry_ratio)
+        self.keyed = FakeKeyed(keyed)
         common = (self.tallies, self.events, self.timer)
         self.api = CallerApi(
             ModelCalls(self.backends, budget, *common),
-            ServiceCalls(self.backends, budget, FakeKeyed(keyed), *common),
+            ServiceCalls(self.backends, budget, self.keyed, *common),
             FakeConfiguration(),
             lambda: self.ready,
         )
         self.server = HttpServer(self.api.handle, self.events)
+        self.port = 0
         self.client = None
 
     def names(self):
@@ -159,8 +168,8 @@
         running = RunningApi(*scripts, **options)
         with trio.fail_after(20):
             async with trio.open_nursery() as nursery:
-                port = await nursery.start(running.server.serve, HOST, 0)
-                running.client = HttpClient(HOST, port)
+                running.port = await nursery.start(running.server.serve, HOST, 0)
+                running.client = HttpClient(HOST, running.port)
                 await check(running)
                 nursery.cancel_scope.cancel()
 
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -1,7 +1,10 @@
 import json
+import socket
 
 import pytest
-from entry_fakes import JSON, SSE, Script, api_test
+import trio
+import trio.testing
+from entry_fakes import HOST, JSON, SSE, Script, api_test
 
 from figwalk.errors import CallerError, CallOutcome, HttpError, RefusalError
 from figwalk.transport import HttpRequest
@@ -14,6 +17,13 @@
 DONE = b"data: [DONE]\n\n"
 
 
+def render_request(method, path, body, headers=b""):
+    """Return the bytes of a request."""
+    length = b"Content-Length: %d\r\n" % len(body)
+    line = f"{method} {path} HTTP/1.1\r\nHost: x\r\n".encode()
+    return line + headers + length + b"\r\n" + body
+
+
 def refuse(code, **fields):
     return Script(RefusalError(code, "refused", **fields))
 
@@ -252,3 +262,67 @@
         assert "RETRY_BUDGET_EMPTY" in api.names()
 
     api_test(Script(breaks=True), Script(), check=check, retry_ratio=0)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body"),
+    [
+        ("POST", CHAT_PATH, CHAT),
+        ("POST", CHAT_PATH, STREAM),
+        ("GET", "/services/depot/stock/x", b""),
+    ],
+    ids=["buffered", "stream", "service"],
+)
+def test_call_whose_caller_left_is_cancelled(method, path, body):
+    """Guards against a backend server that works to the end for a caller that has left."""
+
+    async def check(api):
+        stream = await trio.open_tcp_stream(HOST, api.port)
+        await stream.send_all(render_request(method, path, body))
+        while not api.backends.calls:
+            await trio.sleep(0.001)
+        await stream.aclose()
+        while api.server.active_requests:
+            await trio.sleep(0.001)
+        assert api.names()[-1] == "REQUEST_CANCELLED"
+
+    api_test(Script(waits=True), check=check)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body"),
+    [("POST", CHAT_PATH, CHAT), ("POST", CHAT_PATH, STREAM), ("GET", "/services/depot/x", b"")],
+    ids=["buffered", "stream", "service"],
+)
+def test_call_read_after_its_caller_left_is_not_sent(method, path, body):
+    """Guards against a busy entry that reads a request with the close behind it, and sends it."""
+
+    async def check(api):
+        caller = socket.create_connection((HOST, api.port))
+        caller.sendall(render_request(method, path, body))
+        caller.close()
+        while "REQUEST_CANCELLED" not in api.names():
+            await trio.sleep(0.001)
+        assert not api.backends.calls
+
+    api_test(Script(), check=check)
+
+
+def test_keyed_call_whose_caller_left_runs_on():
+    """Guards against a non-repeatable call whose outcome stays unknown to the caller's retry."""
+
+    async def check(api):
+        api.keyed.gate = trio.Event()
+        stream = await trio.open_tcp_stream(HOST, api.port)
+        headers = b"Idempotency-Key: k1\r\n"
+        await stream.send_all(render_request("POST", "/services/depot/orders/x", b"", headers))
+        while not api.keyed.started:
+            await trio.sleep(0.001)
+        await stream.aclose()
+        await trio.testing.wait_all_tasks_blocked()
+        api.keyed.gate.set()
+        while api.server.active_requests:
+            await trio.sleep(0.001)
+        assert api.keyed.completed
+
+    api_test(Script(), check=check)
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -118,6 +118,12 @@
     finished: bool = False
     sent: bytes = b""
 
+    async def run_while_connected(self, function, *arguments):
+        await function(*arguments)
+
+    def check_connected(self):
+        pass
+
     async def start(self, status, headers):
         self.started = True
 
