Use run_while_connected in the stand-in of backend servers

The stand-in still called the method that run_while_connected replaced, so that its calls ended without an answer.

--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -40,7 +40,7 @@
 import trio
 
 from figwalk.errors import HttpError
-from figwalk.transport import Headers, HttpRequest, Responder
+from figwalk.transport import ClientDisconnectedError, Headers, HttpRequest, Responder
 from standins.base import Standin, build_parser, make_client, run_standin
 
 MS_PER_S = 1000
@@ -186,18 +186,18 @@
     async def _wait_slot(self, responder: Responder, deadline: float) -> bool:
         """Return whether the call got a place; a caller that leaves its queue is forgotten."""
         got = False
-        async with trio.open_nursery() as nursery:
 
-            async def leave_with_client() -> None:
-                await responder.wait_client_disconnected()
-                nursery.cancel_scope.cancel()
-
-            nursery.start_soon(leave_with_client)
-            with trio.move_on_at(deadline) as scope:
-                await self._slots.acquire()
-                got = True
-            nursery.cancel_scope.cancel()
-        if scope.cancelled_caught and trio.current_time() >= deadline and not got:
+        async def acquire() -> None:
+            nonlocal got
+            await self._slots.acquire()
+            got = True
+
+        with trio.move_on_at(deadline) as scope:
+            try:
+                await responder.run_while_connected(acquire)
+            except ClientDisconnectedError:
+                return False
+        if scope.cancelled_caught and not got:
             raise NotRunError(503, "waited too long")
         return got
 
