Check the entry's connection when an agent sends a call

What callers saw: nothing themselves; a backend server could start the call of a caller that had left while the call was on its way to the agent.

Cause: as at the gateway, the task that receives the close (or a Cancel) and the one that sends the call become runnable in the same pass of the event loop, in random order, and in a busy agent a pass is long.

The agent now looks at the connection when it sends. A keyed call that was not sent is voided, as when the close is received before that.

--- a/figwalk/agent/call_server.py
+++ b/figwalk/agent/call_server.py
@@ -218,6 +218,7 @@
     ) -> None:
         """Send the call to the backend server and forward its answer to the entry."""
         call = attempt.call
+        session.cancel_if_unwanted(attempt)
         if attempt.scope.cancel_called:
             # Ends the call here, while it is certain that the agent has sent none of it.
             await trio.lowlevel.checkpoint()
--- a/figwalk/agent/call_session.py
+++ b/figwalk/agent/call_session.py
@@ -45,6 +45,14 @@
         """Record that the connection to the entry is lost."""
         self._lost = True
 
+    def cancel_if_unwanted(self, attempt: Attempt) -> None:
+        """Cancel a call if the entry has meanwhile closed the connection or sent a `Cancel`.
+
+        In a busy agent, the task that receives it may run only after the call was sent.
+        """
+        if not attempt.scope.cancel_called and not self._connection.alive:
+            attempt.cancel()
+
     async def run(self) -> None:
         """Serve calls until the connection is lost and the last call has ended."""
         async with trio.open_nursery() as nursery:
--- a/tests/test_agent_calls.py
+++ b/tests/test_agent_calls.py
@@ -118,6 +118,25 @@
     await running.backend.cancel_received.wait()
 
 
+@agent_test()
+async def test_call_read_after_its_connection_closed_is_not_sent(running):
+    """Guards against a busy agent that reads a call with the close behind it, and sends it."""
+    # Leaves an open connection to the backend server, on which a call can be sent at once.
+    entry = await running.connect()
+    await entry.call(1)
+    await entry.result()
+    # The order in which the agent's tasks run in one pass of the event loop is random.
+    for number in range(1, 21):
+        left = await running.connect()
+        await left.call(100 + number)
+        left.connection.close()
+        while running.events().count("CALL_CANCELLED") < number:
+            await trio.sleep(0.001)
+    await entry.call(2)
+    await entry.result()
+    assert [int(call.header(b"x-request-id"), 16) for call in running.backend.calls] == [1, 2]
+
+
 @agent_test()
 async def test_cancel_directly_after_a_call_is_not_lost(running):
     """Guards against ignoring a `Cancel` that arrives before the call's task has started."""
