Check the backend server's registration when a call is sent

What callers saw: a call whose run followed a long prefill went to an engine that had announced its departure, and could be cut with it.

The plan names the engine that takes the run, and was made before the prefill; nothing looked again when the run was sent. The same holds for an engine that was removed from the list, was replaced, or asked for a pause.

Attempts now checks just before the first byte that the backend server is still registered as the same instance, stays, and is not closed.

--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -18,7 +18,6 @@
 from figwalk.gateway.codecs import AnswerFacts, BackendCodec, CallStep, KvSource, SendPlan
 from figwalk.timer import Timer
 from figwalk.transport import (
-    ClientDisconnectedError,
     Headers,
     HttpConnectError,
     HttpExchange,
@@ -151,8 +150,8 @@
             head_timeout_s: Seconds to wait for the head, or None to wait until the call ends.
 
         Raises:
-            AttemptError: There is no valid answer, or the backend server states that it did not run
-                the call.
+            AttemptError: There is no valid answer, the backend server states that it did not run
+                the call, or it takes no calls any more.
             ClientDisconnectedError: The caller has left; the call is not sent.
             RefusalError: The deadline of the call has passed; the call is not sent.
         """
@@ -164,14 +163,19 @@
         outcome = AttemptOutcome.CANCELLED
         started_at = self._timer.now()
         connected_at: float | None = None
+        was_unresolved = call.unresolved
 
         def before_send() -> None:
             nonlocal connected_at
-            self._check_wanted(call)
+            try:
+                self._check_before_send(call, plan)
+            except FigwalkError:
+                call.unresolved = was_unresolved
+                self._remove_from_sent(call, plan)
+                raise
             self._record_sent(call, tracker, plan)
             connected_at = call.sent_at = self._timer.now()
 
-        was_unresolved = call.unresolved
         call.unresolved = was_unresolved or is_run
         try:
             async with AsyncExitStack() as stack:
@@ -187,11 +191,6 @@
             call.unresolved = was_unresolved
             self._remove_from_sent(call, plan)
             raise AttemptError(outcome, str(error), not_run=True) from error
-        except (ClientDisconnectedError, RefusalError):
-            if connected_at is None:
-                call.unresolved = was_unresolved
-                self._remove_from_sent(call, plan)
-            raise
         except AttemptError as error:
             outcome = error.outcome
             if error.not_run:
@@ -250,18 +249,23 @@
                     Event.ATTEMPT_FAILED, request_id=call.call_id, step="release", detail=str(error)
                 )
 
-    def _check_wanted(self, call: Call) -> None:
-        """Check that a call is still wanted at the moment at which it is sent.
+    def _check_before_send(self, call: Call, plan: SendPlan) -> None:
+        """Check at the moment of sending that the reasons to send a call still hold.
 
-        After a pause or under load, the tasks that cancel a call run only after it was sent.
+        After a pause or under load, the tasks that cancel a call run only after it was sent. A
+        backend server may have left since the call was placed, for example during a prefill.
 
         Raises:
             ClientDisconnectedError: The caller has left.
             RefusalError: The deadline of the call has passed.
+            AttemptError: The backend server takes no calls any more.
         """
         call.check_caller_connected()
         if self._timer.left_s(call.deadline) <= 0:
             raise RefusalError("timeout", "the time ended before the call was sent")
+        if not self._pool.is_open(plan.backend):
+            message = f"{plan.backend.backend} takes no calls any more"
+            raise AttemptError(AttemptOutcome.CANCELLED, message, not_run=True)
 
     def _open(
         self, call: Call, tracker: BackendTracker, plan: SendPlan, before_send: SendHook
--- a/figwalk/gateway/backend_pool.py
+++ b/figwalk/gateway/backend_pool.py
@@ -97,7 +97,7 @@
 
     def is_open(self, entry: BackendEntry) -> bool:
         """Return whether a backend server takes calls of this process now."""
-        return self._directory.opens_in_s(entry) <= 0
+        return self._directory.takes_work(entry)
 
     def opens_in_s(self, service: str) -> float | None:
         """Return the seconds until the first closed backend server of a service opens.
--- a/figwalk/state/backend_directory.py
+++ b/figwalk/state/backend_directory.py
@@ -99,6 +99,17 @@
         """Return the seconds until a backend server accepts calls of this process; 0 if now."""
         return self._notices.opens_in_s(entry.backend, entry.born_ms)
 
+    def takes_work(self, entry: BackendEntry) -> bool:
+        """Return whether this instance of a backend server takes calls of this process now.
+
+        Args:
+            entry: Registration that was read earlier.
+        """
+        known = self._entries.get(entry.backend)
+        if known is None or (known.address, known.born_ms) != (entry.address, entry.born_ms):
+            return False
+        return not self._is_leaving(known) and self.opens_in_s(known) <= 0
+
     def mark_leaving(self, entry: BackendEntry) -> None:
         """Record that a backend server announced in an answer that it leaves.
 
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -280,3 +280,41 @@
         assert "retry-after" not in headers
 
     run_with_engines(test, one=(resetting, "decode"), two=(resetting, "decode"))
+
+
+@pytest.mark.parametrize("change", ["leaving", "removed", "closed"])
+def test_prefilled_call_is_not_sent_to_an_engine_that_left_meanwhile(change):
+    """Guards against a run that follows its plan to an engine which left during a long prefill."""
+    running = {}
+    left = []
+
+    def take_runner_away(call_id):
+        process = running["fleet"].process
+        (placed,) = [r for r in process._events.select(call_id) if r.name == "PROMPT_PLACED"]
+        entry = process._directory.find(placed.fields["runner"])
+        left.append(entry.backend)
+        if change == "leaving":
+            process._pool.mark_leaving(entry)
+        elif change == "removed":
+            process._directory.remove(entry.backend)
+        else:
+            process._pool.mark_closed(entry, 5.0)
+
+    async def prefill(backend, stream, request):
+        if not left:
+            take_runner_away(request.call_id)
+        return await any_stage(backend, stream, request)
+
+    async def test(fleet, reader, **runners):
+        running["fleet"] = fleet
+        status, _, _ = await fleet.call("/chat/x", method="POST", body=b"1", headers=LONG)
+        assert status == 200
+        assert reader.requests
+        assert not [request for request in runners[left[0]].requests if request.call_id]
+
+    run_with_engines(
+        test,
+        reader=(prefill, "prefill"),
+        one=(any_stage, "decode"),
+        two=(any_stage, "decode"),
+    )
