--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -42,7 +42,7 @@
     def __init__(
         self,
         connection: h11.Connection,
-        stream: trio.abc.Stream,
+        stream: ByteStream,
         closing: Callable[[], bool] = lambda: False,
         *,
         head_only: bool = False,
@@ -316,7 +316,7 @@
         try:
             if self._rejected_connections <= MAX_REJECTED_CONNECTIONS:
                 with trio.move_on_after(LINGER_S):
-                    await Responder(h11.Connection(h11.SERVER), stream).send_json(
+                    await Responder(h11.Connection(h11.SERVER), ByteStream(stream)).send_json(
                         503, _TOO_MANY_CONNECTIONS, [CLOSE_HEADER, (b"retry-after", b"1")]
                     )
                     await _linger(stream)
