--- a/figwalk/transport/__init__.py
+++ b/figwalk/transport/__init__.py
@@ -8,12 +8,7 @@
     HttpExchange,
     HttpResponse,
 )
-from figwalk.transport.http_server import (
-    ClientDisconnectedError,
-    HttpServer,
-    Responder,
-    render_error,
-)
+from figwalk.transport.http_server import HttpServer, render_error
 from figwalk.transport.http_types import (
     Headers,
     HttpLimits,
@@ -21,6 +16,7 @@
     find_header,
     strip_hop_by_hop,
 )
+from figwalk.transport.responder import ClientDisconnectedError, Responder
 
 __all__ = [
     "ClientDisconnectedError",
