--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -186,6 +186,7 @@
             load_age_s=_round(last.plan.reader.load_age_s),
             lag_s=round(self._lag.lag_s, 4),
             refused_by=" ".join(decision.describe() for decision in decisions[:-1]),
+            shared_parts=" ".join(part.part_id for part in call.facts.prompt[:-1]),
         )
 
     def _find_plans(self, call: Call, spec: EngineSpec) -> list[PromptPlan]:
