--- a/tests/support/platform_fakes.py
+++ b/tests/support/platform_fakes.py
@@ -54,12 +54,23 @@
         self.arrived = trio.Event()
         self.connections = 0
         self.port = 0
+        self._scope = trio.CancelScope()
+
+    @property
+    def crashed(self):
+        """Whether `crash` was called."""
+        return self._scope.cancel_called
+
+    def crash(self):
+        """End the listener and all connections at once."""
+        self._scope.cancel()
 
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
-        """Serve until cancelled."""
+        """Serve until cancelled or crashed."""
         listeners = await trio.open_tcp_listeners(0, host=HOST)
         self.port = listeners[0].socket.getsockname()[1]
-        await trio.serve_listeners(self._serve_connection, listeners, task_status=task_status)
+        with self._scope:
+            await trio.serve_listeners(self._serve_connection, listeners, task_status=task_status)
 
     def register(self, store, service, **fields):
         """Write the record with which a backend server registers itself."""
@@ -211,12 +222,12 @@
         backend.register(self.store, service, **fields)
         return backend
 
-    async def start_gateway(self):
+    async def start_gateway(self, name="gateway-1"):
         """Start the gateway and wait until it knows the configuration and the backend servers."""
         ports = [choose_port() for _ in range(3)]
         self.callers, self.health, self.metrics = (Address(HOST, port) for port in ports)
         settings = GatewaySettings(
-            process="gateway-1",
+            process=name,
             zone="a",
             region="r",
             regions={"a": "r", "b": "r", "c": "s"},
@@ -244,6 +255,13 @@
             return False
         return status == 200
 
+    async def add_gateway(self, name):
+        """Start another gateway of the same deployment; return its fleet."""
+        fleet = Fleet(self.store, self.nursery)
+        fleet.store_address = self.store_address
+        await fleet.start_gateway(name)
+        return fleet
+
     async def call(self, path, **options):
         """Send a caller's request on a new connection; return status, headers and body."""
         return await fetch(self.callers, make_request(path, **options))
