Refuse prompts with a part on which engines crash

Cause: nothing connected the crash of an engine with what was in work there. A crash led to a short avoidance of that engine only, and retries carried the part to the next one.

Change: a gateway whose calls break before their first event looks whether the engine's port refuses connections, or its registration ends. If so, it reports which prompts were in work, as a record of its own in a topic of the store, which all gateways follow. A part that was in work at three crashes which no other part explains is quarantined: prompts with it are refused at once (503, not run, with the time of the next try). Parts that were answered at about the time of a crash or later are no suspects, and the first parts that many prompts share stay open, since the later part of the same prompts explains the crashes. One prompt at a time tests a quarantined part after 30 s or more.

--- a/figwalk/coordination/compacted_log.py
+++ b/figwalk/coordination/compacted_log.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 import trio
@@ -71,6 +71,23 @@
         """
 
 
+class CompactedLogWriter(ABC):
+    """Appends to compacted topics."""
+
+    @abstractmethod
+    async def append(self, topic: str, records: Mapping[str, bytes | None]) -> None:
+        """Append a record for each key, all or none of them.
+
+        Args:
+            topic: Name of the topic.
+            records: Value of each key, or None to remove the key.
+
+        Raises:
+            LogUnavailableError: The log did not respond or refused the records. They may have been
+                appended, or may be appended later.
+        """
+
+
 class TopicHandler(ABC):
     """Receives the records and the state of a topic from its follower."""
 
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -137,6 +137,29 @@
         "warning",
         "An engine no longer reports which parts of prompts its prefix cache holds.",
     )
+    ENGINE_CRASHED = (
+        432,
+        "warning",
+        "An engine ended while it worked on calls; the fields count the prompts that may be the"
+        " cause.",
+    )
+    PART_QUARANTINED = (
+        433,
+        "warning",
+        "Prompts with a part are refused, because engines crash on it.",
+    )
+    PART_RELEASED = (434, "info", "Prompts with a quarantined part are sent again.")
+    PART_TRIED = (
+        435,
+        "info",
+        "One prompt with a quarantined part is sent, to test whether engines still crash on it.",
+    )
+    CRASH_REPORT_SKIPPED = (436, "warning", "A report of a crash in the log could not be decoded.")
+    CRASH_REPORTS_UNPUBLISHED = (
+        437,
+        "warning",
+        "Reports of crashes could not be written to the log; they are written later.",
+    )
     READINESS_CHANGED = (426, "info", "The answer to readiness checks changed.")
 
     CONFIG_ADOPTED = (500, "info", "A configuration revision is in force in this process.")
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -10,6 +10,7 @@
 import trio
 
 from figwalk.coordination.backend_tracker import AttemptOutcome, BackendTracker
+from figwalk.coordination.prompt_quarantine import PromptQuarantine
 from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
 from figwalk.errors import FigwalkError, HttpError, RefusalError
 from figwalk.events import Event, EventLog
@@ -120,14 +121,21 @@
     Args:
         pool: Connections to them.
         codec: Encodes requests and decodes answers in their protocol.
+        quarantine: Prompts that must not be sent.
         events: Event log.
         timer: Source of time.
     """
 
     def __init__(
-        self, pool: BackendPool, codec: BackendCodec, events: EventLog, timer: Timer
+        self,
+        pool: BackendPool,
+        codec: BackendCodec,
+        quarantine: PromptQuarantine,
+        events: EventLog,
+        timer: Timer,
     ) -> None:
         self._pool = pool
+        self._quarantine = quarantine
         self._codec = codec
         self._events = events
         self._timer = timer
@@ -153,7 +161,8 @@
             AttemptError: There is no valid answer, the backend server states that it did not run
                 the call, or it takes no calls any more.
             ClientDisconnectedError: The caller has left; the call is not sent.
-            RefusalError: The deadline of the call has passed; the call is not sent.
+            RefusalError: The deadline of the call has passed, or engines crash on its prompt; the
+                call is not sent.
         """
         is_run = plan.step is CallStep.RUN
         if is_run:
@@ -257,10 +266,12 @@
 
         Raises:
             ClientDisconnectedError: The caller has left.
-            RefusalError: The deadline of the call has passed.
+            RefusalError: The deadline of the call has passed, or engines crash on its prompt.
             AttemptError: The backend server takes no calls any more.
         """
         call.check_caller_connected()
+        if not call.is_quarantine_test:
+            self._quarantine.check(call.part_ids)
         if self._timer.left_s(call.deadline) <= 0:
             raise RefusalError("timeout", "the time ended before the call was sent")
         if not self._pool.is_open(plan.backend):
--- a/figwalk/gateway/backend_pool.py
+++ b/figwalk/gateway/backend_pool.py
@@ -73,8 +73,7 @@
             pooled = self._backends.get(backend)
             if pooled is None:
                 continue
-            known = pooled.tracker.entry
-            if (known.address, known.born_ms) == (entry.address, entry.born_ms):
+            if pooled.tracker.entry.is_same_instance(entry):
                 pooled.tracker.update(entry)
             else:
                 self._drop(backend)
--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -30,6 +30,8 @@
         failed_prefill_engines: Ids of the engines that failed to prefill the prompt.
         unresolved: Whether a backend server may have run the call: it was sent and neither answered
             nor refused as not run.
+        is_quarantine_test: Whether the call is sent to test whether engines still crash on its
+            prompt.
         predicted_s: Predicted seconds from placement to the first token, or None before placement.
         placed_at: Timer time of that prediction.
         sent_at: Timer time at which the call or its prefill was last sent on an open connection, or
@@ -50,6 +52,7 @@
     sent_to: list[str] = attrs.field(factory=list)
     failed_prefill_engines: list[str] = attrs.field(factory=list)
     unresolved: bool = False
+    is_quarantine_test: bool = False
     predicted_s: float | None = None
     placed_at: float = 0.0
     sent_at: float | None = None
@@ -61,6 +64,11 @@
         """Id that the caller gave to this attempt."""
         return self.facts.call_id
 
+    @property
+    def part_ids(self) -> tuple[str, ...]:
+        """Ids of the parts of the prompt, in order."""
+        return tuple(part.part_id for part in self.facts.prompt)
+
     @property
     def may_try_another_backend(self) -> bool:
         """Whether the route allows an attempt on one more backend server."""
--- /dev/null
+++ b/figwalk/gateway/crash_watcher.py
@@ -0,0 +1,136 @@
+"""Notices engines that crash, and which prompts of this gateway were in work there."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import attrs
+import trio
+
+from figwalk.coordination.crash_evidence import CrashId
+from figwalk.coordination.prompt_quarantine import PromptQuarantine
+from figwalk.events import Event, EventLog
+from figwalk.gateway.gateway_metrics import GatewayMetrics
+from figwalk.state.backend_directory import BackendDirectory, BackendEntry
+from figwalk.timer import Timer
+from figwalk.transport.listening import refuses_connections
+
+# The longest round trip between regions is 24 ms; an engine whose machine is silent is not one that
+# crashed under a call.
+CHECK_TIMEOUT_S = 0.5
+# A registration lapses some seconds after the engine's last heartbeat.
+MAX_PENDING_S = 10.0
+MAX_WAITING_CHECKS = 1000
+
+
+@attrs.define
+class _BrokenCalls:
+    """Calls that broke at one instance of an engine.
+
+    Attributes:
+        entry: Registration of the engine.
+        broke_at: Timer time of the first of them.
+        prompts: Ids of the parts of their prompts.
+        crashed: Whether the engine is known to have crashed.
+    """
+
+    entry: BackendEntry
+    broke_at: float
+    prompts: list[tuple[str, ...]] = attrs.field(factory=list)
+    crashed: bool = False
+
+
+class CrashWatcher:
+    """Tells broken calls at an engine that goes on from those at an engine that crashed.
+
+    An engine has crashed if it breaks calls and its port refuses connections afterwards, or if its
+    registration ends without an announced departure.
+
+    Args:
+        directory: The registered engines.
+        quarantine: Receives the crashes.
+        metrics: Counts the crashes.
+        events: Event log.
+        timer: Source of time.
+    """
+
+    def __init__(
+        self,
+        directory: BackendDirectory,
+        quarantine: PromptQuarantine,
+        metrics: GatewayMetrics,
+        events: EventLog,
+        timer: Timer,
+    ) -> None:
+        self._directory = directory
+        self._quarantine = quarantine
+        self._metrics = metrics
+        self._events = events
+        self._timer = timer
+        self._broken: dict[CrashId, _BrokenCalls] = {}
+        self._checks_send, self._checks_receive = trio.open_memory_channel[CrashId](
+            MAX_WAITING_CHECKS
+        )
+
+    async def run(self) -> None:
+        """Check engines that broke calls, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            async for crash in self._checks_receive:
+                nursery.start_soon(self._check, crash)
+
+    def record_broken(self, entry: BackendEntry, part_ids: Sequence[str]) -> None:
+        """Record that an engine broke a call off before the first event of its answer.
+
+        Args:
+            entry: Registration that was used for the call.
+            part_ids: Ids of the parts of its prompt, in order.
+        """
+        if self._directory.is_leaving(entry):
+            return
+        crash = CrashId(entry.backend, entry.born_ms)
+        broken = self._broken.get(crash)
+        if broken is None:
+            broken = self._broken[crash] = _BrokenCalls(entry, self._timer.now())
+            self._request_check(crash)
+        broken.prompts.append(tuple(part_ids))
+        if broken.crashed:
+            self._quarantine.record_crash(crash, broken.prompts)
+
+    def update(self) -> None:
+        """Look for ended registrations of engines that broke calls, and forget old calls."""
+        cutoff = self._timer.now() - MAX_PENDING_S
+        for crash, broken in list(self._broken.items()):
+            if not broken.crashed and not self._directory.is_registered(broken.entry):
+                self._record_crash(crash, broken, "registration ended")
+            if broken.broke_at < cutoff:
+                del self._broken[crash]
+
+    def _request_check(self, crash: CrashId) -> None:
+        try:
+            self._checks_send.send_nowait(crash)
+        except trio.WouldBlock:
+            self._events.record(
+                Event.TASK_FAILED,
+                task="crash check",
+                error=f"too many checks wait; {crash.backend} is judged by its registration only",
+            )
+
+    async def _check(self, crash: CrashId) -> None:
+        address = self._broken[crash].entry.address
+        refused = await refuses_connections(address.host, address.port, timeout_s=CHECK_TIMEOUT_S)
+        broken = self._broken.get(crash)
+        if broken is not None and refused and not broken.crashed:
+            self._record_crash(crash, broken, "connection refused")
+
+    def _record_crash(self, crash: CrashId, broken: _BrokenCalls, reason: str) -> None:
+        broken.crashed = True
+        self._metrics.record_engine_crash()
+        self._events.record(
+            Event.ENGINE_CRASHED,
+            backend=crash.backend,
+            born_ms=crash.born_ms,
+            reason=reason,
+            prompts=len(broken.prompts),
+            age_s=round(self._timer.now() - broken.broke_at, 3),
+        )
+        self._quarantine.record_crash(crash, broken.prompts)
--- a/figwalk/gateway/gateway_metrics.py
+++ b/figwalk/gateway/gateway_metrics.py
@@ -46,6 +46,16 @@
         self._backends = Gauge(
             "figwalk_backends", "Registered backend servers.", registry=self._registry
         )
+        self._engine_crashes = Counter(
+            "figwalk_engine_crashes",
+            "Engines that ended while they worked on calls of this gateway.",
+            registry=self._registry,
+        )
+        self._quarantined_parts = Gauge(
+            "figwalk_quarantined_prompt_parts",
+            "Parts whose prompts are refused because engines crash on them.",
+            registry=self._registry,
+        )
         self._dropped_lines = Gauge(
             "figwalk_log_lines_dropped", "Log lines dropped so far.", registry=self._registry
         )
@@ -74,6 +84,14 @@
         """Set the number of registered backend servers."""
         self._backends.set(count)
 
+    def record_engine_crash(self) -> None:
+        """Count an engine that ended while it worked on calls."""
+        self._engine_crashes.inc()
+
+    def record_quarantined_parts(self, count: int) -> None:
+        """Set the number of parts whose prompts are refused."""
+        self._quarantined_parts.set(count)
+
     def record_dropped_lines(self, count: int) -> None:
         """Set the number of log lines dropped since the start."""
         self._dropped_lines.set(count)
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -11,12 +11,15 @@
 from figwalk.coordination.loop_lag import LoopLag
 from figwalk.coordination.plain_placement import Distance, PlainPlacement
 from figwalk.coordination.prompt_placement import PlacementSettings, PromptPlacement
+from figwalk.coordination.prompt_quarantine import PromptQuarantine
 from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
 from figwalk.errors import RefusalError
 from figwalk.events import Event, EventLog
 from figwalk.gateway.attempts import Attempts
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.caller_api import CallerApi
+from figwalk.gateway.crash_reports import CrashReports
+from figwalk.gateway.crash_watcher import CrashWatcher
 from figwalk.gateway.gateway_metrics import GatewayMetrics
 from figwalk.gateway.gateway_readiness import GatewayReadiness
 from figwalk.gateway.plain_calls import PlainCalls
@@ -27,6 +30,7 @@
     BACKENDS_TOPIC,
     CONFIG_KEY,
     CONFIG_TOPIC,
+    CRASHES_TOPIC,
     PlatformBackendCodec,
     PlatformCallerCodec,
     PlatformStore,
@@ -50,6 +54,8 @@
 # The platform kills the process at the end of the grace time. The process itself ends the remaining
 # requests this long before, so that it can log their number.
 STOP_MARGIN_S = 0.5
+# A read that waits longer would notice a silent connection to the store too late.
+CRASH_REPORTS_WAIT_S = 2.0
 
 
 class GatewayProcess(Process[GatewaySettings]):
@@ -85,6 +91,15 @@
             region=settings.region,
         )
         self._lag = LoopLag()
+        self._quarantine = PromptQuarantine(
+            settings.process, self._events, self._timer, on_report=self._publish_crashes
+        )
+        self._crash_reports = CrashReports(
+            self._make_store(), CRASHES_TOPIC, self._quarantine, self._events
+        )
+        self._crashes = CrashWatcher(
+            self._directory, self._quarantine, self._metrics, self._events, self._timer
+        )
         self._routing = RoutingReader(
             CONFIG_KEY, decode_routing, self._events, on_adopted=self._apply_routing
         )
@@ -111,6 +126,8 @@
             nursery.start_soon(self._timer.run)
             nursery.start_soon(self._offers.run)
             nursery.start_soon(self._lag.run)
+            nursery.start_soon(self._crashes.run)
+            nursery.start_soon(self._crash_reports.run)
             for follower in self._make_followers():
                 nursery.start_soon(follower.run)
             for server, address in (
@@ -156,7 +173,7 @@
             slack=settings.retry.slack,
             processes=settings.gateways,
         )
-        attempts = Attempts(self._pool, PlatformBackendCodec(), events, timer)
+        attempts = Attempts(self._pool, PlatformBackendCodec(), self._quarantine, events, timer)
         plain = PlainCalls(
             self._pool, attempts, PlainPlacement(distance, rng), budget, events, timer
         )
@@ -165,6 +182,8 @@
             attempts,
             PromptPlacement(placement, distance, rng),
             self._offers,
+            self._quarantine,
+            self._crashes,
             self._lag,
             budget,
             events,
@@ -197,7 +216,7 @@
     def _make_followers(self) -> list[TopicFollower]:
         settings = self._settings
         config = TopicFollower(
-            PlatformStore(settings.store, timeout_s=settings.store_timeout_s),
+            self._make_store(),
             CONFIG_TOPIC,
             self._routing,
             self._events,
@@ -205,7 +224,7 @@
             wait_s=settings.config_wait_s,
         )
         backends = TopicFollower(
-            PlatformStore(settings.store, timeout_s=settings.store_timeout_s),
+            self._make_store(),
             BACKENDS_TOPIC,
             BackendReader(self._directory, decode_backend, self._events),
             self._events,
@@ -213,7 +232,21 @@
             period_s=settings.backends_period_s,
             on_progress=self._directory.expire,
         )
-        return [config, backends]
+        crashes = TopicFollower(
+            self._make_store(),
+            CRASHES_TOPIC,
+            self._crash_reports,
+            self._events,
+            self._timer,
+            wait_s=CRASH_REPORTS_WAIT_S,
+        )
+        return [config, backends, crashes]
+
+    def _make_store(self) -> PlatformStore:
+        return PlatformStore(self._settings.store, timeout_s=self._settings.store_timeout_s)
+
+    def _publish_crashes(self) -> None:
+        self._crash_reports.notify()
 
     def _apply_routing(self, routing: RoutingConfig) -> None:
         limits = routing.limits
@@ -248,6 +281,9 @@
 
     async def _upkeep(self) -> None:
         self._metrics.record_loop_lag(self._lag.lag_s)
+        self._crashes.update()
+        self._crash_reports.expire()
+        self._metrics.record_quarantined_parts(len(self._quarantine.parts))
         dropped = self._dropped_lines()
         if dropped > self._reported_drops:
             self._events.record(Event.LOG_LINES_DROPPED, count=dropped - self._reported_drops)
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -15,6 +15,7 @@
 from figwalk.coordination.loop_lag import LoopLag
 from figwalk.coordination.prompt_placement import PromptPlacement
 from figwalk.coordination.prompt_plan import PromptCall, PromptPlan
+from figwalk.coordination.prompt_quarantine import PromptQuarantine
 from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
 from figwalk.errors import CallOutcome, HttpError, RefusalError
 from figwalk.events import Event, EventLog
@@ -22,6 +23,7 @@
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import CallStep, KvSource, SendPlan
+from figwalk.gateway.crash_watcher import CrashWatcher
 from figwalk.gateway.placement_decision import AdmissionDecider, PlacementDecision
 from figwalk.gateway.plain_calls import (
     NO_BACKEND_RETRY_MS,
@@ -58,6 +60,8 @@
         attempts: Sends calls to them.
         placement: Ranks engines and decides on admission.
         offers: Offers prompts to the agents beside engines.
+        quarantine: Decides which prompts are not sent.
+        crashes: Learns of calls that broke.
         lag: Measures the delay of this process's event loop.
         budget: Limits retries.
         events: Event log.
@@ -71,6 +75,8 @@
         attempts: Attempts,
         placement: PromptPlacement,
         offers: PromptOffers,
+        quarantine: PromptQuarantine,
+        crashes: CrashWatcher,
         lag: LoopLag,
         budget: WindowedRetryBudget,
         events: EventLog,
@@ -82,6 +88,8 @@
         self._attempts = attempts
         self._placement = placement
         self._offers = offers
+        self._quarantine = quarantine
+        self._crashes = crashes
         self._lag = lag
         self._budget = budget
         self._events = events
@@ -92,8 +100,10 @@
         """Answer a call; return the id of the engine that answered.
 
         Raises:
-            RefusalError: No engine gave an answer that can be passed on to the caller.
+            RefusalError: Engines crash on the prompt, or none gave an answer that can be passed on
+                to the caller.
         """
+        call.is_quarantine_test = self._quarantine.admit(call.part_ids)
         self._budget.record_first_attempt()
         relay = StreamRelay(
             responder,
@@ -209,6 +219,8 @@
         """
         if not (error.not_run or call.route.repeatable):
             raise self._refuse_unknown(error)
+        if call.is_quarantine_test and not error.not_run:
+            raise self._refuse_unknown(error)
         if call.sent_to and not call.may_try_another_backend:
             raise self._refuse(call, error)
         reached = call.sent_to or error.outcome is not AttemptOutcome.UNREACHABLE
@@ -290,6 +302,7 @@
             async with self._attempts.send(
                 call, plan.runner, send_plan, head_timeout_s=head_timeout_s
             ) as answer:
+                began_at = self._timer.now()
                 self._clear_pending_work(key, plan)
                 self._check_status(call, relay, answer)
                 if source is None:
@@ -299,7 +312,13 @@
                 else:
                     self._record_fetch_wait(plan, self._timer.now() - answer.response.sent_at)
                 await self._relay(call, relay, answer)
+                if answer.succeeded:
+                    self._quarantine.record_answered(call.part_ids, began_at)
                 return answer.backend
+        except AttemptError as error:
+            if error.outcome is AttemptOutcome.BROKEN and not relay.has_event:
+                self._crashes.record_broken(plan.runner.entry, call.part_ids)
+            raise
         finally:
             self._clear_pending_work(key, plan)
 
--- a/figwalk/gateway/stream_relay.py
+++ b/figwalk/gateway/stream_relay.py
@@ -4,7 +4,7 @@
 
 from figwalk.gateway.attempts import Answer
 from figwalk.gateway.stream_timing import StreamTiming
-from figwalk.protocol.event_stream import EventStreamSplitter
+from figwalk.protocol.event_stream import EventBoundaries, EventStreamSplitter
 from figwalk.timer import Timer
 from figwalk.transport import Responder
 
@@ -39,6 +39,12 @@
         self._timer = timer
         self._resumable = resumable
         self._last_event_id = resume_after
+        self._has_event = False
+
+    @property
+    def has_event(self) -> bool:
+        """Whether the backend server of the latest answer has sent a complete event."""
+        return self._has_event
 
     @property
     def started(self) -> bool:
@@ -59,7 +65,11 @@
             ClientDisconnectedError: The caller disconnected.
         """
         splitter = EventStreamSplitter()
+        boundaries = EventBoundaries()
+        self._has_event = False
         async for data in answer.response.chunks():
+            boundaries.feed(data)
+            self._has_event = boundaries.found
             complete = splitter.feed(data) if self._resumable else data
             if complete:
                 await self._send(answer, complete)
--- a/figwalk/platform/__init__.py
+++ b/figwalk/platform/__init__.py
@@ -11,12 +11,19 @@
 from figwalk.platform.engine_cache import PlatformEngineCacheCodec
 from figwalk.platform.engine_report import PlatformEngineReportCodec
 from figwalk.platform.routing_records import decode_routing
-from figwalk.platform.store import BACKENDS_TOPIC, CONFIG_KEY, CONFIG_TOPIC, PlatformStore
+from figwalk.platform.store import (
+    BACKENDS_TOPIC,
+    CONFIG_KEY,
+    CONFIG_TOPIC,
+    CRASHES_TOPIC,
+    PlatformStore,
+)
 
 __all__ = [
     "BACKENDS_TOPIC",
     "CONFIG_KEY",
     "CONFIG_TOPIC",
+    "CRASHES_TOPIC",
     "PlatformBackendCodec",
     "PlatformCallerCodec",
     "PlatformEngineCacheCodec",
--- a/figwalk/platform/store.py
+++ b/figwalk/platform/store.py
@@ -4,12 +4,18 @@
 
 import base64
 import struct
+from collections.abc import Mapping
 from http import HTTPStatus
 from urllib.parse import urlencode
 
 import trio
 
-from figwalk.coordination.compacted_log import CompactedLog, KeyedPage, KeyedRecord
+from figwalk.coordination.compacted_log import (
+    CompactedLog,
+    CompactedLogWriter,
+    KeyedPage,
+    KeyedRecord,
+)
 from figwalk.errors import HttpError, LogTruncatedError, LogUnavailableError
 from figwalk.platform import headers as names
 from figwalk.platform.json_fields import JsonFields, PlatformRecordError, is_count
@@ -21,6 +27,7 @@
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
 BACKENDS_TOPIC = "keyed.servers"
+CRASHES_TOPIC = "keyed.figwalk-crashes"
 
 _PARTITION = 0
 _OFFSETS = struct.Struct("!QQ")
@@ -29,8 +36,8 @@
 _MAX_PAGES = 1000
 
 
-class PlatformStore(CompactedLog):
-    """Reads the keyed topics of the platform's store.
+class PlatformStore(CompactedLog, CompactedLogWriter):
+    """Reads and writes the keyed topics of the platform's store.
 
     Args:
         address: Address of the store.
@@ -75,6 +82,14 @@
             raise LogTruncatedError(_decode_first_offset(body))
         return _decode_page(topic, offset, body, era)
 
+    async def append(self, topic: str, records: Mapping[str, bytes | None]) -> None:
+        """Append a record for each key; see `CompactedLogWriter.append`."""
+        target = f"/log-append?{urlencode({'topic': topic, 'part': _PARTITION})}"
+        body = b"".join(_encode_record(key, value) for key, value in records.items())
+        status, _, _ = await self._call("POST", target, body=body)
+        if status != HTTPStatus.OK:
+            raise LogUnavailableError(f"/log-append was answered with HTTP status {status}")
+
     def close(self) -> None:
         """Close idle connections."""
         self._client.close()
@@ -83,15 +98,22 @@
         self, path: str, query: dict[str, object], wait_s: float
     ) -> tuple[int, int | None, bytes]:
         """Return the status, era and body of a response."""
+        status, headers, body = await self._call("GET", f"{path}?{urlencode(query)}", wait_s=wait_s)
+        if status not in (HTTPStatus.OK, HTTPStatus.GONE):
+            raise LogUnavailableError(f"{path} was answered with HTTP status {status}")
+        return status, _parse_era(headers), body
+
+    async def _call(
+        self, method: str, target: str, *, body: bytes = b"", wait_s: float = 0.0
+    ) -> tuple[int, Headers, bytes]:
         try:
             with trio.fail_after(self._timeout_s + wait_s):
-                response, body = await self._client.fetch("GET", f"{path}?{urlencode(query)}")
+                response, content = await self._client.fetch(method, target, body=body)
         except (HttpError, trio.TooSlowError) as error:
             reason = "no answer in time" if isinstance(error, trio.TooSlowError) else error
+            path = target.partition("?")[0]
             raise LogUnavailableError(f"{path} failed: {reason}") from error
-        if response.status not in (HTTPStatus.OK, HTTPStatus.GONE):
-            raise LogUnavailableError(f"{path} was answered with HTTP status {response.status}")
-        return response.status, _parse_era(response.headers), body
+        return response.status, response.headers, content
 
 
 def _parse_era(headers: Headers) -> int | None:
@@ -134,6 +156,12 @@
     return KeyedPage(offset, tuple(records), era)
 
 
+def _encode_record(key: str, value: bytes | None) -> bytes:
+    name = key.encode()
+    content = bytes([len(name)]) + name + (value or b"")
+    return _LENGTH.pack(len(content)) + content
+
+
 def _decode_record(offset: int, content: bytes) -> KeyedRecord:
     """Split a record into its key and value; the key is empty if the record is not keyed."""
     if not content or len(content) < 1 + content[0]:
--- a/figwalk/protocol/event_stream.py
+++ b/figwalk/protocol/event_stream.py
@@ -8,6 +8,27 @@
 _DONE = b"[DONE]"
 _FIELD = b"data:"
 _TAIL_BYTES = 32
+# Length of the longest end of an event: a line break and an empty line, with CRLF.
+_BOUNDARY_BYTES = 4
+
+
+class EventBoundaries:
+    """Tells whether a stream has a complete event, without keeping its bytes."""
+
+    def __init__(self) -> None:
+        self._tail = b""
+        self._found = False
+
+    @property
+    def found(self) -> bool:
+        """Whether an event was complete."""
+        return self._found
+
+    def feed(self, data: bytes) -> None:
+        """Add received bytes."""
+        data = self._tail + data
+        self._found = self._found or _find_end(data) > 0
+        self._tail = data[-_BOUNDARY_BYTES:]
 
 
 class EventStreamSplitter:
--- a/figwalk/state/backend_directory.py
+++ b/figwalk/state/backend_directory.py
@@ -52,6 +52,10 @@
         """Sort key of registrations of one id: a restart resets the sequence but starts later."""
         return (self.born_ms, self.sequence)
 
+    def is_same_instance(self, other: BackendEntry) -> bool:
+        """Return whether two registrations of an id come from the same start at the same place."""
+        return (self.address, self.born_ms) == (other.address, other.born_ms)
+
 
 class BackendDirectory:
     """The registered backend servers.
@@ -106,10 +110,29 @@
             entry: Registration that was read earlier.
         """
         known = self._entries.get(entry.backend)
-        if known is None or (known.address, known.born_ms) != (entry.address, entry.born_ms):
+        if known is None or not known.is_same_instance(entry):
             return False
         return not self._is_leaving(known) and self.opens_in_s(known) <= 0
 
+    def is_registered(self, entry: BackendEntry) -> bool:
+        """Return whether this instance of a backend server is registered.
+
+        Args:
+            entry: Registration that was read earlier.
+        """
+        known = self._entries.get(entry.backend)
+        return known is not None and known.is_same_instance(entry)
+
+    def is_leaving(self, entry: BackendEntry) -> bool:
+        """Return whether this instance of a backend server has announced that it leaves.
+
+        Args:
+            entry: Registration that was read earlier.
+        """
+        known = self._entries.get(entry.backend)
+        newest = known if known is not None and known.is_same_instance(entry) else entry
+        return self._is_leaving(newest)
+
     def mark_leaving(self, entry: BackendEntry) -> None:
         """Record that a backend server announced in an answer that it leaves.
 
--- a/figwalk/transport/listening.py
+++ b/figwalk/transport/listening.py
@@ -34,6 +34,25 @@
         ) from error
 
 
+async def refuses_connections(host: str, port: int, *, timeout_s: float) -> bool:
+    """Return whether a VM states that no process listens on one of its ports.
+
+    Args:
+        host: IP address of the VM.
+        port: TCP port.
+        timeout_s: Seconds to wait for the VM; silence is not a refusal.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    with trio.socket.socket(family) as probe, trio.move_on_after(timeout_s):
+        try:
+            await probe.connect((host, port))
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False  # Not the statement of a VM that runs, so nothing follows from it.
+    return False
+
+
 async def accept_connections(
     handler: Callable[[trio.SocketStream], Awaitable[None]],
     listener: trio.SocketListener,
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -5,6 +5,7 @@
                                                4 bytes length, 1 byte key length, key, value
   GET /log-newest?topic=&part=0&after=         {"items": [{"key", "value", "offset"}], "truncated",
                                                "end"}
+  POST /log-append?topic=&part=0               records as in an answer to a read, without offsets
   POST /records   {"topic", "key", "value", "ttl_s"}: writes a record as operators and backend
                   servers do; a value of null removes the key, and a record with a time to live
                   lapses unless it is written again
@@ -157,6 +158,8 @@
             await self._read(request, responder)
         elif request.path == "/log-newest":
             await self._list(request, responder)
+        elif request.path == "/log-append" and request.method == "POST":
+            await self._append_all(request, responder)
         elif request.path == "/records" and request.method == "POST":
             await self._write(record, responder)
         else:
@@ -173,6 +176,20 @@
             self._append(record.topic, record.key, value)
         await responder.send_json(200, {})
 
+    async def _append_all(self, request: HttpRequest, responder: Responder) -> None:
+        topic = _read_query(request, "topic")
+        first = len(self._topic(topic).records)
+        position = 0
+        while position < len(request.body):
+            (length,) = _LENGTH.unpack_from(request.body, position)
+            position += _LENGTH.size
+            content = request.body[position : position + length]
+            position += length
+            end = 1 + content[0]
+            self._append(topic, content[1:end].decode(), content[end:] or None)
+        answer = {"offset": first, "end": len(self._topic(topic).records)}
+        await responder.send_json(200, answer, self._era_header())
+
     def _append(self, topic: str, key: str, value: bytes | None) -> int:
         records = self._topic(topic).records
         records.append((key, value))
--- /dev/null
+++ b/tests/test_crash_evidence.py
@@ -0,0 +1,112 @@
+"""Tests which prompt parts are found to crash engines."""
+
+import pytest
+
+from figwalk.coordination.crash_evidence import (
+    MAX_CRASHES,
+    CrashEvidence,
+    CrashId,
+    CrashReport,
+)
+
+
+def make_report(number, *prompts, reporter="g1", sound=()):
+    """Return a report on crash `number`; each prompt is a text with its parts."""
+    parts = frozenset(tuple(prompt.split()) for prompt in prompts)
+    return CrashReport(reporter, CrashId(f"e{number}", 1000), 0, parts, frozenset(sound))
+
+
+def find_deadly(*reports):
+    evidence = CrashEvidence()
+    for at, report in enumerate(reports):
+        evidence.add(report, float(at))
+    return set(evidence.find_deadly())
+
+
+def test_part_in_work_at_every_crash_is_found():
+    """Guards against engines that crash on one part for as long as it is asked for."""
+    prompts = ["head bad", "head s1"], ["head bad", "head s2"], ["head bad", "head s1"]
+    assert find_deadly(*(make_report(n, *p) for n, p in enumerate(prompts))) == {"bad"}
+
+
+def test_two_crashes_are_not_enough():
+    """Guards against a part that is refused because two engines crashed by chance."""
+    assert find_deadly(make_report(1, "bad"), make_report(2, "bad")) == set()
+
+
+def test_crashes_of_one_engine_are_told_apart_by_its_start():
+    """Guards against crashes that count once because the engine keeps its id."""
+    crashes = [CrashId("e", born_ms) for born_ms in (1, 2, 3)]
+    reports = [CrashReport("g", crash, 0, frozenset({("bad",)})) for crash in crashes]
+    assert find_deadly(*reports) == {"bad"}
+
+
+def test_reports_of_several_gateways_on_one_crash_count_once():
+    """Guards against one crash that counts as often as gateways report it."""
+    assert find_deadly(*(make_report(1, "bad", reporter=f"g{n}") for n in range(5))) == set()
+
+
+def test_no_gateway_needs_to_have_seen_all_crashes():
+    """Guards against evidence that is judged by each gateway alone."""
+    assert find_deadly(*(make_report(n, "bad", reporter=f"g{n}") for n in range(3))) == {"bad"}
+
+
+@pytest.mark.parametrize("count", [3, 4, 7])
+def test_earlier_parts_of_the_same_prompts_stay_open(count):
+    """Guards against sound prompts that are refused for a part they share with deadly ones."""
+    reports = [make_report(n, "head subject bad", f"head s{n}") for n in range(count)]
+    assert find_deadly(*reports) == {"bad"}
+
+
+def test_two_deadly_parts_are_found_behind_a_common_one():
+    """Guards against a common part that is refused because it is in work at more crashes."""
+    parts = ["bad1", "bad2"] * 3
+    assert find_deadly(*(make_report(n, f"head {p}") for n, p in enumerate(parts))) == {
+        "bad1",
+        "bad2",
+    }
+
+
+def test_common_part_with_crashes_of_its_own_is_found():
+    """Guards against a deadly first part that later parts, which are in demand, hide."""
+    reports = [make_report(n, "bad popular") for n in range(3)]
+    reports += [make_report(n, f"bad s{n}") for n in range(3, 6)]
+    assert find_deadly(*reports) == {"bad", "popular"}
+
+
+def test_part_that_other_crashes_explain_is_not_found():
+    """Guards against a sound part that is refused since it was often beside a deadly one."""
+    reports = [make_report(n, "head bad", "head popular") for n in range(4)]
+    reports.append(make_report(4, "head bad"))
+    assert find_deadly(*reports) == {"bad"}
+
+
+def test_part_reported_as_sound_is_not_found():
+    """Guards against a part in demand that is refused after crashes with another cause."""
+    reports = [make_report(n, "popular") for n in range(3)]
+    sound = [make_report(n, reporter="g2", sound=["popular"]) for n in range(1)]
+    assert find_deadly(*reports, *sound) == set()
+    assert find_deadly(*sound, *reports) == set()
+
+
+def test_report_adds_to_an_earlier_one_of_the_same_gateway():
+    """Guards against evidence that is lost when a gateway reports in steps or out of order."""
+    evidence = CrashEvidence()
+    assert evidence.add(make_report(1, "a"), 0.0)
+    assert evidence.add(make_report(1, "b", sound=["a"]), 1.0)
+    assert not evidence.add(make_report(1, "a"), 2.0)
+    found = evidence.find(CrashId("e1", 1000), "g1")
+    assert found.prompts == {("a",), ("b",)}
+    assert (evidence.crash_count("a"), evidence.crash_count("b")) == (0, 1)
+    assert evidence.crashes_with("b") == [(CrashId("e1", 1000), 0.0)]
+
+
+def test_old_crashes_are_dropped():
+    """Guards against evidence that grows without bound or counts for ever."""
+    evidence = CrashEvidence()
+    for number in range(MAX_CRASHES + 10):
+        evidence.add(make_report(number, "bad"), float(number))
+    assert evidence.crash_count("bad") == MAX_CRASHES
+    assert len(evidence.drop_before(MAX_CRASHES)) == MAX_CRASHES - 10
+    assert evidence.crash_count("bad") == 10
+    assert evidence.reporters == {"g1"}
