Treat a stream that ends inside an event as broken off

A backend server may send an answer with neither a length nor chunks, whose end is the end of its connection. If it crashed in the middle of an event, its connection closed like that of a complete answer, and the gateway ended the caller's answer as complete: the caller got part of an event and took it for the end. Resumable streams were not resumed.

Cause: the relay sent what was left after the last complete event, and did not look at the events of streams that may not be resumed. Now a stream whose bytes end inside an event counts as broken off: it is resumed if it may be, or else cut. Bodies on such a route that state another content type are passed on as before.

test_request_late_in_a_stop_is_refused_and_not_sent used the body "a" as a stream, which now counts as broken off. Its stream sends a whole event instead; what it checks is the same.

--- a/figwalk/agent/call_server.py
+++ b/figwalk/agent/call_server.py
@@ -23,13 +23,12 @@
     RefusalError,
 )
 from figwalk.events import Event, EventLog
-from figwalk.protocol.event_stream import EventStreamSplitter
+from figwalk.protocol.event_stream import EVENT_STREAM_TYPE, EventStreamSplitter
 from figwalk.protocol.messages import Answer, Call, End, Hello, Refusal
 from figwalk.timer import MS_PER_S, Timer
 from figwalk.transport import HttpConnectError, HttpResponse, strip_hop_by_hop
 
 HTTP_SERVICE_UNAVAILABLE = 503
-EVENT_STREAM_TYPE = "text/event-stream"
 CANCEL_TIMEOUT_S = 2.0
 # Limit for sending the last frames of calls that were cut.
 LAST_FRAMES_TIMEOUT_S = 2.0
--- a/figwalk/entry/model_calls.py
+++ b/figwalk/entry/model_calls.py
@@ -22,6 +22,7 @@
     render_error_event,
     rewrite_identity,
 )
+from figwalk.protocol.event_stream import EVENT_STREAM_TYPE
 from figwalk.protocol.messages import Answer, Call, Priority
 from figwalk.state.published import ServiceConfig
 from figwalk.timer import MS_PER_S, Timer
@@ -38,7 +39,7 @@
 SERVER_ERROR_STATUS = 500
 JSON_HEADERS: Headers = [(b"content-type", b"application/json")]
 STREAM_HEADERS: Headers = [
-    (b"content-type", b"text/event-stream"),
+    (b"content-type", EVENT_STREAM_TYPE.encode()),
     (b"cache-control", b"no-cache"),
 ]
 
@@ -223,7 +224,7 @@
             async with target.open(self._build_call(call, target)) as reply:
                 answer = await reply.head()
                 _check_status(answer)
-                if not find_header(answer.headers, b"content-type").startswith("text/event-stream"):
+                if not find_header(answer.headers, b"content-type").startswith(EVENT_STREAM_TYPE):
                     await self._forward_error(call, answer, await reply.read())
                     return True
                 await self._start_stream(call, answer)
--- a/figwalk/gateway/stream_relay.py
+++ b/figwalk/gateway/stream_relay.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from figwalk.errors import HttpError
 from figwalk.gateway.attempts import Answer
 from figwalk.gateway.stream_timing import StreamTiming
-from figwalk.protocol.event_stream import EventBoundaries, EventStreamSplitter
+from figwalk.protocol.event_stream import EVENT_STREAM_TYPE, EventBoundaries, EventStreamSplitter
 from figwalk.timer import Timer
-from figwalk.transport import Responder
+from figwalk.transport import Responder, find_header
 
 _ID_FIELD = b"id:"
 
@@ -60,8 +61,9 @@
         """Relay an answer up to its end.
 
         Raises:
-            HttpError: The answer is truncated. If the stream may be resumed, only complete events
-                were passed on.
+            HttpError: The answer is truncated, or ends inside an event: it may have neither a
+                length nor chunks, so that its end alone does not show that it is complete. If the
+                stream may be resumed, only complete events were passed on.
             ClientDisconnectedError: The caller disconnected.
         """
         splitter = EventStreamSplitter()
@@ -73,6 +75,8 @@
             complete = splitter.feed(data) if self._resumable else data
             if complete:
                 await self._send(answer, complete)
+        if _has_events(answer) and boundaries.inside_event:
+            raise HttpError(f"{answer.backend} ended a stream inside an event")
         if splitter.incomplete_event:
             await self._send(answer, splitter.incomplete_event)
         if not self._responder.started:
@@ -88,6 +92,12 @@
         await self._responder.send_chunk(data)
 
 
+def _has_events(answer: Answer) -> bool:
+    """Return whether the body of an answer on a stream's route consists of events."""
+    content_type = find_header(answer.headers, b"content-type")
+    return answer.succeeded and (not content_type or content_type.startswith(EVENT_STREAM_TYPE))
+
+
 def find_last_event_id(events: bytes) -> str:
     """Return the value of the last `id` field in some events, or an empty string."""
     position = len(events)
--- a/figwalk/protocol/event_stream.py
+++ b/figwalk/protocol/event_stream.py
@@ -4,6 +4,7 @@
 
 from figwalk.errors import HttpError
 
+EVENT_STREAM_TYPE = "text/event-stream"
 MAX_EVENT_BYTES = 1024 * 1024
 _DONE = b"[DONE]"
 _FIELD = b"data:"
@@ -13,21 +14,29 @@
 
 
 class EventBoundaries:
-    """Tells whether a stream has a complete event, without keeping its bytes."""
+    """Tells where the events of a stream end, without keeping its bytes."""
 
     def __init__(self) -> None:
         self._tail = b""
         self._found = False
+        self._inside_event = False
 
     @property
     def found(self) -> bool:
         """Whether an event was complete."""
         return self._found
 
+    @property
+    def inside_event(self) -> bool:
+        """Whether bytes were received after the last complete event."""
+        return self._inside_event
+
     def feed(self, data: bytes) -> None:
         """Add received bytes."""
         data = self._tail + data
-        self._found = self._found or _find_end(data) > 0
+        end = _find_end(data)
+        self._found = self._found or end > 0
+        self._inside_event = end < len(data)
         self._tail = data[-_BOUNDARY_BYTES:]
 
 
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -2,7 +2,10 @@
 
 import trio
 from support.platform_fakes import (
+    HEAD,
     answering,
+    chunk,
+    event,
     fetch,
     make_request,
     render,
@@ -65,8 +68,7 @@
     go_on = trio.Event()
 
     async def script(_backend, stream, request):
-        head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request.call_id}\r\nServer-Stamp: 1\r\n"
-        await stream.send_all(head.encode() + b"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n")
+        await stream.send_all(HEAD.format(request.call_id).encode() + chunk(event(1)))
         await go_on.wait()
         await stream.send_all(b"0\r\n\r\n")
         return True
@@ -79,7 +81,7 @@
         async with stream:
             await stream.send_all(make_request("/chat/x", method="POST", body=b"1", call_id="c1"))
             data = b""
-            while b"\r\n\r\n1\r\na" not in data:
+            while event(1) not in data:
                 data += await stream.receive_some(4096)
             stop_at = trio.current_time()
             fleet.nursery.start_soon(fleet.process.stop)
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -154,6 +154,73 @@
     run_with_engines(test, one=(breaking, "decode"), two=(breaking, "decode"))
 
 
+UNFRAMED_HEAD = HEAD.replace("Transfer-Encoding: chunked", "Content-Type: text/event-stream")
+
+
+def ending_inside_an_event(head):
+    """Return a script whose stream ends like a complete one, in the middle of its second event."""
+
+    async def script(_backend, stream, request):
+        data = event(1) + event(2)[:7]
+        framed = chunk(data) + b"0\r\n\r\n" if head is HEAD else data
+        await stream.send_all(head.format(request.call_id).encode() + framed)
+        await stream.aclose()
+        return False
+
+    return script
+
+
+@pytest.mark.parametrize("head", [HEAD, UNFRAMED_HEAD])
+@pytest.mark.parametrize("path", ["/chat/x", "/feed/x"])
+def test_stream_that_ends_inside_an_event_does_not_look_complete(path, head):
+    """Guards against a stream that broke off and whose end looks complete to the caller."""
+
+    async def main():
+        async with running_fleet() as fleet:
+            routes = [
+                make_route("feed", "stream", "orders"),
+                make_route("chat", "stream", "lm", sticky=True),
+            ]
+            fleet.publish(make_config(routes=routes))
+            script = ending_inside_an_event(head)
+            await fleet.add_backend("b1", script)
+            await fleet.add_backend("e1", script, "lm", stage="decode")
+            await fleet.start_gateway()
+            with pytest.raises(h11.RemoteProtocolError):
+                await fleet.call(path, method="POST", body=b"1", headers=SHORT)
+
+    run_test(main)
+
+
+@pytest.mark.parametrize("head", [HEAD, UNFRAMED_HEAD])
+def test_resumable_stream_that_ends_inside_an_event_is_resumed(head):
+    """Guards against a resumable stream that broke off and is taken for complete."""
+
+    async def test(fleet, **engines):
+        bodies = []
+        for number in range(8):
+            _, _, body = await fleet.call(
+                "/long/x", method="POST", body=b"1", headers=SHORT, call_id=f"c{number}"
+            )
+            bodies.append(body)
+        assert any(engine.requests for engine in engines.values())
+        assert bodies == [event(1) + event(2) + event(3)] * 8
+
+    run_with_engines(
+        test, one=(ending_inside_an_event(head), "decode"), two=(streaming(3), "decode")
+    )
+
+
+def test_body_on_a_stream_route_that_holds_no_events_is_passed_on():
+    """Guards against answers of another type that count as streams which broke off."""
+
+    async def test(fleet, one):
+        status, _, body = await fleet.call("/chat/x", method="POST", body=b"1", headers=SHORT)
+        assert (status, body) == (200, b"{}")
+
+    run_with_engines(test, one=(answering(b"{}", Content_Type="application/json"), "decode"))
+
+
 def test_resumable_stream_without_a_first_event_is_retried_on_another_engine():
     """Guards against a call that waits for an unresponsive engine."""
 
