Log the limits of requests that backend servers name in answers

Server-Limit was read nowhere, so that the logs could not tell whether a gateway had been told of a limit, from when on and for how long. Gateways log each change that an answer states; an answer to a call sent before the limit was named does not lift it. Agents log what the engine's reports state. No decision changes.

--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -106,6 +106,11 @@
         "info",
         "A backend server asked this process to send no calls for a time.",
     )
+    BACKEND_LIMITED = (
+        418,
+        "info",
+        "A backend server named, changed or lifted the number of requests a second that it takes.",
+    )
     ATTEMPT_SENT = (420, "info", "A call was sent to a backend server.")
     ATTEMPT_FAILED = (
         421,
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -311,6 +311,7 @@
             self._pool.mark_leaving(plan.backend)
         if facts.closed_s > 0:
             self._pool.mark_closed(plan.backend, facts.closed_s)
+        self._pool.mark_limit(plan.backend, facts.requests_per_s, response.sent_at)
         if facts.not_run:
             message = f"not run, HTTP status {response.status}"
             raise AttemptError(AttemptOutcome.REFUSED, message, not_run=True)
--- a/figwalk/gateway/backend_pool.py
+++ b/figwalk/gateway/backend_pool.py
@@ -114,6 +114,10 @@
         """Record that a backend server takes no calls of this process for some seconds."""
         self._directory.mark_closed(entry, seconds)
 
+    def mark_limit(self, entry: BackendEntry, requests_per_s: float | None, sent_at: float) -> None:
+        """Record which limit of requests an answer states; see `BackendDirectory.mark_limit`."""
+        self._directory.mark_limit(entry, requests_per_s, sent_at)
+
     def engines(self) -> list[EngineTracker]:
         """Return the trackers of all engines that don't leave, also those closed for now."""
         if self._routing is None:
--- a/figwalk/gateway/codecs.py
+++ b/figwalk/gateway/codecs.py
@@ -118,6 +118,8 @@
         load: Load that the backend server reports, or None.
         leaving: Whether the backend server states that it is about to leave.
         closed_s: Seconds for which the backend server takes no calls of this process.
+        requests_per_s: Requests a second that the backend server takes from all processes together,
+            or None if it states no limit.
     """
 
     not_run: bool
@@ -125,6 +127,7 @@
     load: ReportedLoad | None
     leaving: bool = False
     closed_s: float = 0.0
+    requests_per_s: float | None = None
 
 
 class BackendCodec(ABC):
--- a/figwalk/platform/backend_codec.py
+++ b/figwalk/platform/backend_codec.py
@@ -15,9 +15,9 @@
 from figwalk.transport import Headers, HttpRequest, find_header, strip_hop_by_hop
 
 _LOAD_FIELDS = 3
-# Accepted form of Retry-After. A response with any other, such as a date, a sign or more than 12
-# digits before or after the point, counts as one without Retry-After.
-_RETRY_AFTER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
+# Accepted form of Retry-After and of a request limit. Any other, such as a date, a sign or more
+# than 12 digits before or after the point, counts as if the header were absent.
+_DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 
 
 class PlatformBackendCodec(BackendCodec):
@@ -62,6 +62,7 @@
             load=None if is_misdirected else _parse_load(find_header(headers, names.LOAD)),
             leaving=not is_misdirected and is_leaving(headers),
             closed_s=read_retry_after_s(status, headers),
+            requests_per_s=None if is_misdirected else read_request_limit(headers),
         )
 
     def decode_prefill(self, backend: BackendEntry, body: bytes) -> KvSource:
@@ -85,11 +86,17 @@
 def read_retry_after_s(status: int, headers: Headers) -> float:
     """Return the seconds for which a backend server asks for no calls; 0 if it does not."""
     text = find_header(headers, names.RETRY_AFTER).strip()
-    if status != HTTPStatus.SERVICE_UNAVAILABLE or not _RETRY_AFTER.fullmatch(text):
+    if status != HTTPStatus.SERVICE_UNAVAILABLE or not _DECIMAL.fullmatch(text):
         return 0.0
     return float(text)
 
 
+def read_request_limit(headers: Headers) -> float | None:
+    """Return the requests a second that a backend server takes from all machines, or None."""
+    text = find_header(headers, names.REQUEST_LIMIT).strip()
+    return float(text) if _DECIMAL.fullmatch(text) else None
+
+
 def _parse_load(text: str) -> ReportedLoad | None:
     numbers = text.split(",")
     if len(numbers) != _LOAD_FIELDS or not all(map(is_count, numbers)):
--- a/figwalk/platform/engine_report.py
+++ b/figwalk/platform/engine_report.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 from figwalk.errors import HttpError
-from figwalk.platform.backend_codec import is_leaving, read_retry_after_s
+from figwalk.platform.backend_codec import (
+    is_leaving,
+    read_request_limit,
+    read_retry_after_s,
+)
 from figwalk.platform.json_fields import JsonFields, PlatformRecordError
 from figwalk.prompt_agent.engine_watcher import EngineReport, EngineReportCodec
 from figwalk.protocol.messages import Role
@@ -35,6 +39,7 @@
                 waiting=fields.integer("waiting"),
                 kv_tokens=fields.integer("kv-total"),
                 leaving=is_leaving(headers),
+                requests_per_s=read_request_limit(headers),
             )
         except PlatformRecordError as error:
             raise HttpError(str(error)) from error
--- a/figwalk/platform/headers.py
+++ b/figwalk/platform/headers.py
@@ -17,6 +17,9 @@
 LEAVING = b"server-leaving"
 # Seconds, also fractions; in a 503, how long the backend server asks this machine for no requests.
 RETRY_AFTER = b"retry-after"
+# Requests a second that a backend server takes from all machines together, a decimal number; in all
+# its answers for as long as the limit holds.
+REQUEST_LIMIT = b"server-limit"
 EXPECTED_BACKEND = b"expect-instance"
 # Running, waiting, slots.
 LOAD = b"server-load"
--- a/figwalk/prompt_agent/engine_watcher.py
+++ b/figwalk/prompt_agent/engine_watcher.py
@@ -44,6 +44,7 @@
         waiting: Calls in the engine's queue.
         kv_tokens: Capacity of the engine's KV cache in tokens.
         leaving: Whether the engine is about to leave.
+        requests_per_s: Requests a second that the engine takes from all processes, or None.
     """
 
     role: Role
@@ -53,6 +54,7 @@
     waiting: int
     kv_tokens: int
     leaving: bool = False
+    requests_per_s: float | None = None
 
 
 class EngineReportCodec(ABC):
@@ -168,6 +170,9 @@
                 born_ms=report.born_ms,
                 kv_tokens=report.kv_tokens,
             )
+        limit = previous.requests_per_s if previous is not None else None
+        if report.requests_per_s != limit:
+            self._events.record(Event.BACKEND_LIMITED, requests_per_s=report.requests_per_s)
         is_streaming = self.decoding >= MIN_STREAMS
         self._queue.set_duty(PREFILL_DUTY_WITH_STREAMS if is_streaming else 1.0)
         if not self._up:
--- a/figwalk/state/backend_directory.py
+++ b/figwalk/state/backend_directory.py
@@ -157,6 +157,22 @@
                 Event.BACKEND_CLOSED, backend=entry.backend, service=entry.service, seconds=seconds
             )
 
+    def mark_limit(self, entry: BackendEntry, requests_per_s: float | None, sent_at: float) -> None:
+        """Record which limit of requests an answer of a backend server states, if any.
+
+        Args:
+            entry: Registration that was used for the call.
+            requests_per_s: Requests a second from all processes together, or None.
+            sent_at: Timer time at which the call was sent.
+        """
+        if self._notices.mark_limit(entry.backend, entry.born_ms, requests_per_s, sent_at):
+            self._events.record(
+                Event.BACKEND_LIMITED,
+                backend=entry.backend,
+                service=entry.service,
+                requests_per_s=requests_per_s,
+            )
+
     def mark_loaded(self) -> None:
         """Record that the whole list has been applied."""
         self._loaded = True
--- a/figwalk/state/backend_notices.py
+++ b/figwalk/state/backend_notices.py
@@ -1,4 +1,4 @@
-"""Notices that backend servers send in their answers: that they leave, or are closed for a time.
+"""Notices of backend servers in their answers: that they leave, are closed, or limit requests.
 
 The gateway acts on a notice at once, without waiting until the list of backend servers shows it.
 """
@@ -27,12 +27,16 @@
         updated_at: Timer time of the newest notice.
         leaving: Whether it has announced that it leaves.
         closed_until: Timer time until which it accepts no calls of this process.
+        requests_per_s: Requests a second that it takes from all processes together, or None.
+        limited_at: Timer time of the newest answer that stated the limit.
     """
 
     born_ms: int
     updated_at: float
     leaving: bool = False
     closed_until: float = -math.inf
+    requests_per_s: float | None = None
+    limited_at: float = -math.inf
 
 
 class BackendNotices:
@@ -74,6 +78,31 @@
         notice.closed_until = until
         return True
 
+    def mark_limit(
+        self, backend: str, born_ms: int, requests_per_s: float | None, sent_at: float
+    ) -> bool:
+        """Record which limit an answer states, if any; return whether the limit changed.
+
+        Answers on several connections overtake each other. One without a limit lifts it only if the
+        call was sent after the newest answer with a limit had arrived.
+
+        Args:
+            backend: Id of the backend server.
+            born_ms: Wall-clock milliseconds of its start.
+            requests_per_s: Requests a second from all processes together, or None.
+            sent_at: Timer time at which the answered call was sent.
+        """
+        if requests_per_s is None and self._find(backend, born_ms) is None:
+            return False
+        notice = self._find_or_create(backend, born_ms)
+        if notice is None or (requests_per_s is None and sent_at < notice.limited_at):
+            return False
+        if requests_per_s is not None:
+            notice.limited_at = self._timer.now()
+        changed = requests_per_s != notice.requests_per_s
+        notice.requests_per_s = requests_per_s
+        return changed
+
     def is_leaving(self, backend: str, born_ms: int) -> bool:
         """Return whether an instance of a backend server has announced that it leaves."""
         notice = self._find(backend, born_ms)
--- a/tests/test_backend_notices.py
+++ b/tests/test_backend_notices.py
@@ -204,3 +204,42 @@
         assert len(backend.requests) == 3
 
     run_with_orders(test, refusing)
+
+
+@pytest.mark.parametrize(
+    ("text", "limit"),
+    [
+        ("8", 8.0),
+        (" 7.5 ", 7.5),
+        ("0", 0.0),
+        ("", None),
+        ("-1", None),
+        ("nan", None),
+        ("1e3", None),
+    ],
+)
+def test_request_limits_in_answers(text, limit):
+    """Guards against a limit that is missed, or taken from a header that means something else."""
+    headers = [(b"server-limit", text.encode())]
+    assert PlatformBackendCodec().decode_answer(200, headers).requests_per_s == limit
+    assert PlatformBackendCodec().decode_answer(421, headers).requests_per_s is None
+
+
+def limits(directory, *answers):
+    """Apply answers, given as limit and time of sending; return the limits that are logged."""
+    logged = []
+    directory._events.record = lambda _event, **fields: logged.append(fields["requests_per_s"])
+    for limit, sent_at in answers:
+        directory.mark_limit(ENTRY, limit, sent_at)
+    return logged
+
+
+def test_answer_to_a_call_sent_before_a_limit_was_named_does_not_lift_it(directory, timer):
+    """Guards against a limit that is lost because an earlier answer arrives after it."""
+    named_at = timer.now()
+    assert limits(directory, (None, named_at - 1), (8.0, named_at - 1), (None, named_at - 0.5)) == [
+        8.0
+    ]
+    timer.advance(1.0)
+    assert limits(directory, (7.0, named_at)) == [7.0]
+    assert limits(directory, (None, named_at + 0.9), (None, named_at + 1.5)) == [None]
