Keep to the limits of requests that backend servers name

Callers of a backend server in need found it slower than it had to be: it named how many requests a second it takes from all machines, and got far more.

Cause: the header was read nowhere.

Change: a gateway that was told sends at its share of the limit, at equal distances from a random start on; turns that are not used lapse. It takes a turn at each backend server of a plan when it places a call, so that runs, prefills, retries, resumed streams and releases all count. Where others have no turn either, the caller is refused at once (503, not run) and told a turn of its own. The share is the limit over the number of gateways: each agent counts the gateways connected to it and states the number in its digests; without any agent, the largest number by the settings counts. An answer without a limit lifts it.

Evidence: tests/test_request_limits.py failed before (93, 93, 85 and 160 calls in 4 s at a limit of 5 a second, 35 allowed) and passes.

--- a/figwalk/coordination/engine_tracker.py
+++ b/figwalk/coordination/engine_tracker.py
@@ -57,6 +57,7 @@
         self._reported_at = -math.inf
         self._fixed_s = 0.0
         self._measured = False
+        self._gateways = 0
         self._cached_parts: set[int] = set()
         self._prefilling_parts: frozenset[int] = frozenset()
         self._has_cache_report = False
@@ -110,8 +111,10 @@
         decoding: int,
         fixed_s: float = 0.0,
         measured: bool = True,
+        gateways: int = 0,
     ) -> None:
         """Apply the state that the agent beside the engine reports."""
+        self._gateways = gateways
         self._fixed_s = fixed_s
         self._measured = measured
         self._up = up
@@ -212,6 +215,11 @@
         """Seconds since the last report of the agent beside the engine; infinite without any."""
         return self._timer.now() - self._reported_at
 
+    @property
+    def reported_gateways(self) -> int:
+        """Gateways connected to the agent beside the engine, by a recent report; 0 without one."""
+        return self._gateways if self._has_digest else 0
+
     @property
     def reported_rate(self) -> float | None:
         """Prompt tokens that the engine prefills per second, by a recent report, or None."""
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -239,9 +239,9 @@
     async def release(self, call: Call, tracker: BackendTracker, source: KvSource) -> None:
         """Free the KV cache of a prefilled prompt that won't be fetched.
 
-        Sends nothing to an engine that takes no calls now; the cache expires there.
+        Sends nothing to an engine that takes no request now; the cache expires there.
         """
-        if not self._pool.is_open(source.backend):
+        if not (self._pool.is_open(source.backend) and self._pool.take_turns(tracker)):
             return
         self._events.record(
             Event.PREFILL_WASTED, request_id=call.call_id, backend=source.backend.backend
--- a/figwalk/gateway/backend_pool.py
+++ b/figwalk/gateway/backend_pool.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterator
 
 import attrs
 
 from figwalk.coordination.backend_tracker import BackendTracker
 from figwalk.coordination.engine_tracker import EngineTracker
+from figwalk.coordination.request_pacer import RequestPacer
 from figwalk.events import EventLog
 from figwalk.state.backend_directory import BackendDirectory, BackendEntry
 from figwalk.state.routing import RoutingConfig, ServiceSpec
@@ -34,10 +36,12 @@
     Attributes:
         tracker: Load and failures of the backend server as seen by this process.
         client: Client with the connections to it.
+        pacer: Spaces the requests to it while it limits them.
     """
 
     tracker: BackendTracker
     client: HttpClient
+    pacer: RequestPacer
 
 
 class BackendPool:
@@ -47,16 +51,24 @@
         directory: The registered backend servers.
         events: Event log.
         timer: Source of time.
-        gateways: Number of gateways that share the connections of each backend server.
+        rng: Spreads the requests to limited backend servers over time.
+        gateways: Largest number of gateways that share each backend server.
     """
 
     def __init__(
-        self, directory: BackendDirectory, events: EventLog, timer: Timer, *, gateways: int
+        self,
+        directory: BackendDirectory,
+        events: EventLog,
+        timer: Timer,
+        rng: random.Random,
+        *,
+        gateways: int,
     ) -> None:
+        self._rng = rng
         self._directory = directory
         self._events = events
         self._timer = timer
-        self._gateways = gateways + SPARE_GATEWAYS
+        self._max_gateways = gateways
         self._routing: RoutingConfig | None = None
         self._backends: dict[str, PooledBackend] = {}
 
@@ -90,21 +102,69 @@
             yield pooled
 
     def trackers(self, service: str) -> list[BackendTracker]:
-        """Return the trackers of a service's backend servers that take new calls now."""
-        trackers = [pooled.tracker for pooled in self.of_service(service)]
-        return [tracker for tracker in trackers if self.is_open(tracker.entry)]
+        """Return the trackers of a service's backend servers that take a new call now."""
+        return [
+            pooled.tracker
+            for pooled in self.of_service(service)
+            if self.is_open(pooled.tracker.entry) and self._has_turn(pooled)
+        ]
 
     def is_open(self, entry: BackendEntry) -> bool:
-        """Return whether a backend server takes calls of this process now."""
+        """Return whether a backend server takes calls of this process, apart from its limit."""
         return self._directory.takes_work(entry)
 
-    def opens_in_s(self, service: str) -> float | None:
-        """Return the seconds until the first closed backend server of a service opens.
+    def take_turns(self, *trackers: BackendTracker) -> bool:
+        """Take a turn at each backend server that limits requests, or at none of them.
 
-        Returns None if none of them is closed.
+        Returns:
+            Whether all of them take a request now.
         """
-        waits = [self._directory.opens_in_s(entry) for entry in self._directory.of_service(service)]
-        return min((wait_s for wait_s in waits if wait_s > 0), default=None)
+        pooled = [self._backends.get(name) for name in {t.entry.backend for t in trackers}]
+        limited = [each for each in pooled if each is not None and self._update_pacer(each)]
+        if not all(each.pacer.has_turn() for each in limited):
+            return False
+        for each in limited:
+            each.pacer.take_turn()
+        return True
+
+    def promise_return_s(self, service: str) -> float | None:
+        """Return after how many seconds a caller that is refused now is to come back.
+
+        That is when a closed backend server of the service opens, or at a turn of a limited one
+        that no other caller was told. Returns None if none of them is closed or limited.
+        """
+        closed, limited = [], []
+        for pooled in self.of_service(service):
+            wait_s = self._directory.opens_in_s(pooled.tracker.entry)
+            if wait_s > 0:
+                closed.append(wait_s)
+            elif self._update_pacer(pooled):
+                limited.append(pooled.pacer)
+        if limited:
+            pacer = min(limited, key=lambda pacer: pacer.next_promise_s)
+            return min([pacer.promise_turn_s(), *closed])
+        return min(closed, default=None)
+
+    def _has_turn(self, pooled: PooledBackend) -> bool:
+        return not self._update_pacer(pooled) or pooled.pacer.has_turn()
+
+    def _update_pacer(self, pooled: PooledBackend) -> bool:
+        """Return whether a backend server limits requests, with its pacer set to the limit."""
+        requests_per_s = self._directory.requests_per_s(pooled.tracker.entry)
+        if requests_per_s is None:
+            return False
+        pooled.pacer.set_limit(requests_per_s, self._count_gateways())
+        return True
+
+    def _count_gateways(self) -> int:
+        """Return how many gateways share the limit of a backend server.
+
+        Each agent knows the gateways that are connected to it. Without any agent, the largest
+        number that the settings allow is assumed.
+        """
+        trackers = (pooled.tracker for pooled in self._backends.values())
+        counts = (t.reported_gateways for t in trackers if isinstance(t, EngineTracker))
+        return max(counts, default=0) or self._max_gateways
 
     def mark_leaving(self, entry: BackendEntry) -> None:
         """Record that a backend server has announced that it leaves."""
@@ -144,13 +204,15 @@
             )
         else:
             tracker = BackendTracker(entry, self._timer, self._events)
-        return PooledBackend(tracker, self._make_client(entry))
+        return PooledBackend(
+            tracker, self._make_client(entry), RequestPacer(self._timer, self._rng)
+        )
 
     def _make_client(self, entry: BackendEntry) -> HttpClient:
         service = self._find_service(entry.service)
         share = UNKNOWN_SERVICE_MAX_CONNECTIONS
         if service is not None:
-            share = max(1, service.max_connections // self._gateways)
+            share = max(1, service.max_connections // (self._max_gateways + SPARE_GATEWAYS))
         options = ConnectionOptions(
             connect_timeout_s=CONNECT_TIMEOUT_S,
             max_idle=share,
--- a/figwalk/gateway/plain_calls.py
+++ b/figwalk/gateway/plain_calls.py
@@ -112,6 +112,7 @@
             tracker = self._placement.choose(self._pool.trackers(call.service), tried=tried)
             if tracker is None or not self._may_send(call, bool(tried)):
                 break
+            self._pool.take_turns(tracker)
             tried.append(tracker.entry.backend)
             plan = SendPlan(tracker.entry, call.deadline - self._timer.now())
             try:
@@ -132,6 +133,7 @@
             tracker = self._placement.choose(self._pool.trackers(call.service), tried=tried)
             if tracker is None or not self._may_send(call, bool(tried)):
                 break
+            self._pool.take_turns(tracker)
             tried.append(tracker.entry.backend)
             try:
                 answer = await self._attempt(call, tracker)
@@ -208,12 +210,12 @@
 
 def refuse_without_backend(pool: BackendPool, service: str) -> RefusalError:
     """Return the refusal, with a retry time, of a call that no backend server takes now."""
-    opens_in_s = pool.opens_in_s(service)
-    if opens_in_s is not None:
+    return_s = pool.promise_return_s(service)
+    if return_s is not None:
         return RefusalError(
             "backends_closed",
             f"the backend servers of {service!r} take no calls now",
-            retry_after_ms=math.ceil(opens_in_s * MS_PER_S),
+            retry_after_ms=math.ceil(return_s * MS_PER_S),
         )
     return RefusalError(
         "no_backend",
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -79,7 +79,11 @@
             self._events, self._timer, on_change=self._update_backends
         )
         self._pool = BackendPool(
-            self._directory, self._events, self._timer, gateways=settings.gateways
+            self._directory,
+            self._events,
+            self._timer,
+            random.Random(),
+            gateways=settings.gateways,
         )
         self._offers = PromptOffers(
             self._pool.engines,
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -133,6 +133,9 @@
         for plan in self._find_plans(call, spec)[:MAX_OFFERS]:
             prompt = self._make_prompt_call(call)
             decision = await self._decide(call, prompt, plan)
+            if decision.admitted and not self._pool.take_turns(plan.reader, plan.runner):
+                decision.end(read=False)
+                decision.admitted = False
             decisions.append(decision)
             if decision.admitted:
                 call.predicted_s = decision.plan.predicted_s
@@ -231,6 +234,7 @@
                 Event.STREAM_RESUMED, request_id=call.call_id, after=relay.last_event_id
             )
             plan = self._find_plans(call, spec)[0]
+            self._pool.take_turns(plan.reader, plan.runner)
             return PlacementDecision(plan, AdmissionDecider.GATEWAY, admitted=True)
         return await self._place(call, spec)
 
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -189,6 +189,7 @@
                     decoding=message.decoding,
                     fixed_s=message.fixed_ms / MS_PER_S,
                     measured=message.measured,
+                    gateways=message.gateways,
                 )
                 self._tracker.apply_cache_report(
                     message.kept,
--- a/figwalk/prompt_agent/digest_sender.py
+++ b/figwalk/prompt_agent/digest_sender.py
@@ -62,6 +62,11 @@
         """Least seconds between two digests to one gateway that the number of gateways imposes."""
         return len(self._connections) / MAX_DIGESTS_PER_S
 
+    @property
+    def gateways(self) -> int:
+        """Number of connected gateways."""
+        return len(self._connections)
+
     def add(self, connection: PeerConnection) -> None:
         """Start sending to a gateway, beginning with a digest of all cached parts.
 
--- a/figwalk/prompt_agent/prompt_server.py
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -27,6 +27,7 @@
 
 HELLO_TIMEOUT_S = 2.0
 TCP_USER_TIMEOUT_MS = 1500
+MAX_UINT16 = 2**16 - 1
 
 
 class PromptServer:
@@ -144,6 +145,7 @@
             self._queue.measured,
             changes.complete,
             list(self._queue.parts.expected),
+            min(self._digests.gateways, MAX_UINT16),
         )
 
 
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -433,6 +433,7 @@
         measured: Whether the speed is measured rather than assumed.
         kept_complete: Whether `kept` lists all cached parts rather than only new ones.
         reading: Hashes of all shared prompt parts that the engine is prefilling.
+        gateways: Number of gateways that are connected to the agent.
     """
 
     up: bool
@@ -446,6 +447,7 @@
     measured: bool = False
     kept_complete: bool = False
     reading: list[int] = attrs.field(factory=list)
+    gateways: int = 0
 
 
 Message = (
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -184,6 +184,7 @@
   measured @8 :Bool;
   keptComplete @9 :Bool;
   reading @10 :List(UInt32);
+  gateways @11 :UInt16;
 }
 
 struct Message {
--- a/figwalk/state/backend_directory.py
+++ b/figwalk/state/backend_directory.py
@@ -173,6 +173,10 @@
                 requests_per_s=requests_per_s,
             )
 
+    def requests_per_s(self, entry: BackendEntry) -> float | None:
+        """Return the requests a second that a backend server takes from all processes, or None."""
+        return self._notices.requests_per_s(entry.backend, entry.born_ms)
+
     def mark_loaded(self) -> None:
         """Record that the whole list has been applied."""
         self._loaded = True
--- a/figwalk/state/backend_notices.py
+++ b/figwalk/state/backend_notices.py
@@ -108,6 +108,11 @@
         notice = self._find(backend, born_ms)
         return notice is not None and notice.leaving
 
+    def requests_per_s(self, backend: str, born_ms: int) -> float | None:
+        """Return the requests a second that a backend server takes from all processes, or None."""
+        notice = self._find(backend, born_ms)
+        return notice.requests_per_s if notice is not None else None
+
     def opens_in_s(self, backend: str, born_ms: int) -> float:
         """Return the seconds until a backend server accepts calls again; 0 if it does now."""
         notice = self._find(backend, born_ms)
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -4,6 +4,7 @@
 import trio
 from support.platform_fakes import answering, render, run_test, running_fleet
 
+from figwalk.coordination.subject_affinity import hash_pair
 from standins.platform_config import make_config
 
 LIMIT = 5.0
@@ -77,9 +78,11 @@
         async with running_fleet() as fleet:
             fleet.publish(make_config())
             server = LimitedServer()
-            await fleet.add_backend("b1", server.script, service, **fields)
+            # Streams of short prompts go to the engine that this hash puts first.
+            first, second = sorted(("b1", "b2"), key=lambda name: hash_pair("streams", name))
+            await fleet.add_backend(first, server.script, service, **fields)
             body = b"data: 1\n\n"
-            await fleet.add_backend("b2", answering(body), service, **fields)
+            await fleet.add_backend(second, answering(body), service, **fields)
             await fleet.start_gateway()
             for number in range(160):
                 assert (await call(fleet, path, number))[0] == 200
