--- a/figwalk/coordination/prompt_quarantine.py
+++ b/figwalk/coordination/prompt_quarantine.py
@@ -98,9 +98,10 @@
         Raises:
             RefusalError: The prompt has a quarantined part.
         """
-        found = [part for part in _shared_parts(part_ids) if part in self._deadly]
+        found = self._find_deadly(part_ids)
         for part in found:
-            self._check_hold(part)
+            if self._held_for_s(part) > 0:
+                raise self._make_refusal(part)
         for part in found:
             self._tried_at[part] = self._timer.now()
             self._events.record(Event.PART_TRIED, part=part, crashes=self._deadly[part].crashes)
@@ -112,9 +113,8 @@
         Raises:
             RefusalError: The prompt has a part that was quarantined meanwhile.
         """
-        for part in _shared_parts(part_ids):
-            if part in self._deadly:
-                raise self._make_refusal(part)
+        for part in self._find_deadly(part_ids):
+            raise self._make_refusal(part)
 
     def record_answered(self, part_ids: Sequence[str], began_at: float) -> None:
         """Record that a prompt was answered completely.
@@ -234,9 +234,10 @@
             self._tried_at.pop(part, None)
             self._events.record(Event.PART_RELEASED, part=part, crashes=previous[part].crashes)
 
-    def _check_hold(self, part: str) -> None:
-        if self._held_for_s(part) > 0:
-            raise self._make_refusal(part)
+    def _find_deadly(self, part_ids: Sequence[str]) -> list[str]:
+        if not self._deadly:
+            return []
+        return [part for part in _shared_parts(part_ids) if part in self._deadly]
 
     def _held_for_s(self, part: str) -> float:
         """Return the seconds until this gateway may try a quarantined part again."""
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -54,8 +54,9 @@
 # The platform kills the process at the end of the grace time. The process itself ends the remaining
 # requests this long before, so that it can log their number.
 STOP_MARGIN_S = 0.5
-# A read that waits longer would notice a silent connection to the store too late.
-CRASH_REPORTS_WAIT_S = 2.0
+# Calls to the store are billed, so reads should be rare; but a connection that has gone silent is
+# noticed only after this time plus the store timeout.
+CRASH_REPORTS_WAIT_S = 3.0
 
 
 class GatewayProcess(Process[GatewaySettings]):
