--- a/tests/test_prompt_agent.py
+++ b/tests/test_prompt_agent.py
@@ -194,6 +194,19 @@
         await trio.sleep(0.01)
 
 
+@with_pair
+async def test_digest_states_the_number_of_gateways(pair):
+    """Guards against gateways that share the limit of a backend server by a wrong number."""
+    port = pair.offers._links[pair.tracker][0]._port
+    hello = Hello(ConnectionKind.PROMPT, "second", 2)
+    connection, _ = await PeerConnection.connect(HOST, port, hello)
+    while (await connection.receive()).gateways != 2:
+        pass
+    connection.close()
+    while pair.tracker.reported_gateways != 1:
+        await trio.sleep(0.01)
+
+
 def test_agent_behind_a_narrow_link_still_decides():
     """Guards against gateways that overload engines since they get decisions too late.
 
