--- a/figwalk/gateway/stream_relay.py
+++ b/figwalk/gateway/stream_relay.py
@@ -44,7 +44,7 @@
 
     @property
     def has_event(self) -> bool:
-        """Whether the backend server of the latest answer has sent a complete event."""
+        """Whether any backend server has sent a complete event of the stream."""
         return self._has_event
 
     @property
@@ -68,10 +68,9 @@
         """
         splitter = EventStreamSplitter()
         boundaries = EventBoundaries()
-        self._has_event = False
         async for data in answer.response.chunks():
             boundaries.feed(data)
-            self._has_event = boundaries.found
+            self._has_event = self._has_event or boundaries.found
             complete = splitter.feed(data) if self._resumable else data
             if complete:
                 await self._send(answer, complete)
--- a/tests/test_deadly_prompt_parts.py
+++ b/tests/test_deadly_prompt_parts.py
@@ -73,3 +73,23 @@
             assert await ask(gateway, ids, path, "head", "subject") == 200
 
     run_with_gateways(test)
+
+
+def test_stream_whose_engines_crash_after_its_first_events_is_no_suspect():
+    """Guards against long sound streams that are refused because engines crash under them."""
+
+    async def send_first_event(backend, stream, request):
+        number = int(request.headers.get("last-event-id", "0")) + 1
+        await stream.send_all(HEAD.format(request.call_id).encode() + chunk(event(number)))
+        backend.crash()
+        return False
+
+    async def test(fleet, gateways, ids):
+        for number in range(6):
+            engine = await fleet.add_backend(f"e{number}", send_first_event, "lm", stage="decode")
+            while not engine.crashed:
+                await ask(gateways[0], ids, "/long/x", "head", "subject")
+        assert not fleet.process._quarantine.parts
+        assert not fleet.process._quarantine.unpublished
+
+    run_with_gateways(test, count=1)
