--- a/figwalk/gateway/crash_watcher.py
+++ b/figwalk/gateway/crash_watcher.py
@@ -116,10 +116,12 @@
             )
 
     async def _check(self, crash: CrashId) -> None:
-        address = self._broken[crash].entry.address
-        refused = await refuses_connections(address.host, address.port, timeout_s=CHECK_TIMEOUT_S)
         broken = self._broken.get(crash)
-        if broken is not None and refused and not broken.crashed:
+        if broken is None:
+            return  # After a pause of the process, the calls may have been forgotten meanwhile.
+        address = broken.entry.address
+        refused = await refuses_connections(address.host, address.port, timeout_s=CHECK_TIMEOUT_S)
+        if refused and not broken.crashed:
             self._record_crash(crash, broken, "connection refused")
 
     def _record_crash(self, crash: CrashId, broken: _BrokenCalls, reason: str) -> None:
