Bound what crash reports may hold, and skip strange ones

Found by reading; each new case failed before: a report nested too deeply or with a time out of range, a key longer than the store takes (an engine with a long id), and an append above the size that the store takes. The first three would have ended the gateway, the last would have been retried for ever.

--- a/figwalk/gateway/crash_reports.py
+++ b/figwalk/gateway/crash_reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from hashlib import blake2b
 
 import attrs
 import cattrs
@@ -17,6 +18,12 @@
 
 # Keeps a burst of changes in one append.
 PUBLISH_DELAY_S = 0.02
+# Half of what the platform's store takes in one append; a report has at most 80 KB.
+MAX_APPEND_BYTES = 1024 * 1024
+# The store takes keys of up to 255 bytes.
+MAX_KEY_BYTES = 200
+# Larger numbers can't be compared with the wall clock, which is a double in places.
+MAX_TIME_MS = 2**53
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 1.0
 
@@ -83,7 +90,7 @@
             return
         try:
             report = _decode(record.value)
-        except (ValueError, cattrs.BaseValidationError) as error:
+        except (ValueError, RecursionError, cattrs.BaseValidationError) as error:
             self._events.record(
                 Event.CRASH_REPORT_SKIPPED, offset=record.offset, detail=repr(error)
             )
@@ -102,9 +109,19 @@
         self._quarantine.publish_all()
 
     async def _publish(self) -> None:
-        reports, removals = self._quarantine.unpublished, self._removals
-        self._removals = {}
-        records = {**removals, **{_key(report): _encode(report) for report in reports}}
+        removals, self._removals = self._removals, {}
+        records: dict[str, bytes | None] = dict(removals)
+        reports: list[CrashReport] = []
+        size = 0
+        for report in self._quarantine.unpublished:
+            if size >= MAX_APPEND_BYTES:
+                self.notify()
+                break
+            value = records[_key(report)] = _encode(report)
+            size += len(value)
+            reports.append(report)
+        if not records:
+            return
         try:
             await self._log.append(self._topic, records)
         except LogUnavailableError as error:
@@ -120,7 +137,10 @@
 
 
 def _key(report: CrashReport) -> str:
-    return f"{report.reporter}/{report.crash.backend}/{report.crash.born_ms}"
+    key = f"{report.reporter}/{report.crash.backend}/{report.crash.born_ms}"
+    if len(key.encode()) <= MAX_KEY_BYTES:
+        return key
+    return blake2b(key.encode(), digest_size=MAX_KEY_BYTES // 8).hexdigest()
 
 
 def _encode(report: CrashReport) -> bytes:
@@ -139,10 +159,13 @@
     """Decode a report.
 
     Raises:
-        ValueError: The value is not JSON.
+        ValueError: The value is not JSON, or has a time that is out of range.
+        RecursionError: The value is nested too deeply.
         BaseValidationError: The value does not have the fields of a report.
     """
     stored = cattrs.structure(json.loads(value), _StoredReport)
+    if not 0 <= stored.at_ms <= MAX_TIME_MS:
+        raise ValueError(f"at_ms is {stored.at_ms}, not from 0 to {MAX_TIME_MS}")
     return CrashReport(
         stored.reporter,
         CrashId(stored.backend, stored.born_ms),
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -41,12 +41,14 @@
     def __init__(self):
         self.records = {}
         self.appends = 0
+        self.largest = 0
         self.down = False
         self.changed = trio.Event()
 
     async def append(self, topic, records):
         """Append the records unless the topic is down."""
         self.appends += 1
+        self.largest = max(self.largest, sum(len(value or b"") for value in records.values()))
         self.changed.set()
         self.changed = trio.Event()
         if self.down:
@@ -133,8 +135,21 @@
     run_with_member(test)
 
 
+STORED = {"reporter": "g9", "backend": "e", "born_ms": 1, "at_ms": 0, "prompts": [], "sound": []}
+
+
 @pytest.mark.parametrize(
-    "value", [b"{", b"[]", b"{}", json.dumps({"reporter": 1, "prompts": [1]}).encode(), b"\xff"]
+    "value",
+    [
+        b"{",
+        b"[]",
+        b"{}",
+        b"[" * 100_000,
+        b"\xff",
+        json.dumps(STORED | {"prompts": [1]}).encode(),
+        json.dumps(STORED | {"at_ms": 10**400}).encode(),
+        json.dumps(STORED | {"at_ms": -1}).encode(),
+    ],
 )
 def test_malformed_report_is_skipped(value):
     """Guards against a record from another writer that ends the reading of the topic."""
@@ -152,8 +167,7 @@
 
     async def test(member):
         at_ms = member.timer.wall_ms() - int((EVIDENCE_RETENTION_S + 1) * 1000)
-        old = {"reporter": "g9", "backend": "e", "born_ms": 1, "at_ms": at_ms}
-        value = json.dumps({**old, "prompts": [], "sound": []}).encode()
+        value = json.dumps(STORED | {"at_ms": at_ms}).encode()
         member.reports.apply(KeyedRecord(1, "g9/e/1", value))
         member.quarantine.record_crash(CrashId("e1", 1), [PROMPT])
         await wait_until(member, lambda: member.topic.records)
@@ -162,6 +176,32 @@
     run_with_member(test)
 
 
+def test_report_on_an_engine_with_a_long_id_has_a_key_that_the_store_takes():
+    """Guards against a gateway that ends because of a strange registration."""
+
+    async def test(member):
+        member.quarantine.record_crash(CrashId("e" * 250, 1), [PROMPT])
+        await wait_until(member, lambda: member.topic.records)
+        (key,) = member.topic.records
+        assert len(key) < 255
+
+    run_with_member(test)
+
+
+def test_many_reports_are_written_in_several_appends():
+    """Guards against an append that the store refuses for its size, again and again."""
+
+    async def test(member):
+        for number in range(100):
+            prompts = [[f"{n:032}" for n in range(number, number + 33)] for _ in range(1)]
+            prompts += [[f"{m}-{n:029}" for n in range(33)] for m in range(63)]
+            member.quarantine.record_crash(CrashId(f"e{number}", 1), prompts)
+        await wait_until(member, lambda: len(member.topic.records) == 100)
+        assert member.topic.largest <= 2 * 1024 * 1024
+
+    run_with_member(test)
+
+
 def make_entry(port, **fields):
     options = {"leaving": False, "born_ms": 1, "sequence": 1, "role": Role.DECODE} | fields
     return BackendEntry("e1", "lm", Address(HOST, port), "a", 8, **options)
@@ -232,6 +272,27 @@
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+def test_check_that_starts_after_a_long_pause_does_nothing():
+    """Guards against a gateway that ends when it goes on after a pause."""
+
+    async def main():
+        timer = FakeTimer()
+        events = EventLog("g1", timer)
+        directory = BackendDirectory(events, timer)
+        quarantine = PromptQuarantine("g1", events, timer)
+        watcher = CrashWatcher(directory, quarantine, GatewayMetrics(), events, timer)
+        entry = make_entry(choose_port())
+        directory.apply(entry)
+        watcher.record_broken(entry, PROMPT)
+        await trio.sleep(2 * MAX_PENDING_S)
+        watcher.update()
+        with trio.move_on_after(1.0):
+            await watcher.run()
+        assert not quarantine.unpublished
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 def test_engine_that_leaves_as_announced_has_not_crashed():
     """Guards against planned stops that count as crashes under the last calls."""
 
