--- a/figwalk/coordination/request_pacer.py
+++ b/figwalk/coordination/request_pacer.py
@@ -19,6 +19,9 @@
 # Even where the limit is 0, a request has to be sent now and then: only its answer can tell that
 # the limit was lifted. Over all processes.
 MIN_REQUESTS_PER_S = 0.1
+# Turns further ahead are not promised: hardly any caller has that much time left, and those that
+# come earlier would find turns that were kept for no one.
+MAX_PROMISE_S = 10.0
 
 
 class RequestPacer:
@@ -65,10 +68,14 @@
     def promise_turn_s(self) -> float:
         """Return after how many seconds a refused caller is to come back.
 
-        Each refused caller gets a later turn, so that they don't all return for the same one.
+        Each refused caller gets a later turn, so that they don't all return for the same one, up to
+        `MAX_PROMISE_S`.
         """
+        wait_s = self.next_promise_s
+        if wait_s > MAX_PROMISE_S:
+            return MAX_PROMISE_S
         self._promised_until = self._next_promise_at()
-        return self._timer.left_s(self._promised_until)
+        return wait_s
 
     def _next_promise_at(self) -> float:
         return max(self._promised_until + 1 / self._rate, self._upcoming_turn())
--- a/tests/test_request_pacer.py
+++ b/tests/test_request_pacer.py
@@ -6,7 +6,7 @@
 import pytest
 from support.fake_timer import FakeTimer
 
-from figwalk.coordination.request_pacer import MIN_REQUESTS_PER_S, RequestPacer
+from figwalk.coordination.request_pacer import MAX_PROMISE_S, MIN_REQUESTS_PER_S, RequestPacer
 
 STEP_S = 0.01
 WINDOW_S = 4.0
@@ -82,3 +82,13 @@
     ]
     timer.advance(10.0)
     assert pacer.promise_turn_s() <= 0.5
+
+
+def test_turns_are_not_promised_far_ahead():
+    """Guards against callers that are told to come back in minutes, for turns kept for others."""
+    timer = FakeTimer()
+    (pacer,) = make_pacers(timer, 1, 2.0)
+    told = [pacer.promise_turn_s() for _ in range(1000)]
+    assert max(told) == MAX_PROMISE_S
+    timer.advance(MAX_PROMISE_S)
+    assert pacer.promise_turn_s() <= 1.0
