--- a/figwalk/coordination/crash_evidence.py
+++ b/figwalk/coordination/crash_evidence.py
@@ -1,9 +1,9 @@
-"""Finds the prompt parts that crash engines, from the prompts that were in work at each crash.
+"""Finds the prompt parts that crash engines, from the prompts in progress at each crash.
 
-When an engine crashes, all calls in work there fail at the same moment, most of them through no
-fault of their own. A part that causes crashes is in work at one crash after the other and is never
-answered. Load: several engines crash within a second and again as soon as they are back, while most
-prompts share their first part, and each gateway sees only its own calls.
+When an engine crashes, all its calls fail at the same moment, though most of them did not cause the
+crash. Prompts with a part that causes crashes are in progress at one crash after another and are
+never answered. Load: several engines crash within a second and again as soon as they are back,
+while most prompts share their first part, and each gateway sees only its own calls.
 """
 
 from __future__ import annotations
@@ -14,11 +14,11 @@
 import attrs
 
 # One crash proves nothing, since engines crash for other reasons too. By chance, two crashes may
-# have a part in common that is in great demand.
+# have a popular part in common.
 MIN_CRASHES = 3
-# When many engines crash at once, parts in demand are in work at several of them by chance. A
-# deadly part is in work at most crashes of its time, even beside another one and crashes of other
-# kinds.
+# When many engines crash at once, popular parts are in progress at several of them by chance. A
+# part that causes crashes is in progress at most crashes of its time, even beside another such part
+# and crashes for other reasons.
 MIN_SHARE = 0.2
 # Bounds memory. A deployment of 300 engines that all crash at once stays below it.
 MAX_CRASHES = 512
@@ -62,7 +62,7 @@
     """A prompt part that crashes engines.
 
     Attributes:
-        crashes: Number of crashes at which it was in work.
+        crashes: Number of crashes at which it was in progress.
         last_at: Timer time at which the latest of them was noticed.
     """
 
@@ -77,7 +77,7 @@
     Attributes:
         noticed_at: Timer time at which this process learned of the crash.
         reports: Reports by name of the gateway.
-        prompts: Parts of each prompt in work.
+        prompts: Parts of each prompt in progress.
         sound: Parts that did not cause the crash.
         suspects: Parts of the prompts that may have caused it.
     """
@@ -106,8 +106,8 @@
 class CrashEvidence:
     """The crashes of engines that the gateways have reported.
 
-    A report changes only what is known of its own crash. When many engines crash at once, each
-    gateway gets a report of each other one on each crash.
+    Adding a report is cheap: when many engines crash at once, each gateway gets a report from every
+    other gateway on each crash.
     """
 
     def __init__(self) -> None:
@@ -159,7 +159,7 @@
         return [report for key in old for report in self._drop(key).reports.values()]
 
     def crash_count(self, part: str) -> int:
-        """Return the number of crashes at which a part was in work and may be the cause."""
+        """Return the number of crashes at which a part was in progress and may be the cause."""
         return self._crash_counts[part]
 
     def crashes_with(self, part: str) -> list[tuple[CrashId, float]]:
@@ -169,7 +169,7 @@
     def find_deadly(self) -> dict[str, DeadlyPart]:
         """Return the parts that explain the crashes.
 
-        A part is found if it was in work at `MIN_CRASHES` crashes that no other found part
+        A part is found if it was in progress at `MIN_CRASHES` crashes that no other found part
         explains, and at a share of `MIN_SHARE` of all crashes from the first of these to the last
         one. If several parts of the same prompts were, the last one is found: prompts share
         their first parts with many others, and the later ones with few.
@@ -211,9 +211,9 @@
 
 
 def _score(crashes: Collection[Sequence[tuple[str, ...]]]) -> Counter[str]:
-    """Return the parts with enough crashes, and how many speak against each.
+    """Return the parts with enough crashes, and how many implicate each.
 
-    A crash does not speak against a part if a prompt with it also has a later part with enough
+    A crash does not implicate a part if a prompt with it also has a later part with enough
     crashes.
     """
     counts: Counter[str] = Counter()
--- a/figwalk/coordination/prompt_quarantine.py
+++ b/figwalk/coordination/prompt_quarantine.py
@@ -1,8 +1,8 @@
 """Keeps prompts with parts that crash engines away from the engines.
 
-A part is quarantined as soon as the crashes that all gateways report speak against it; see
+A part is quarantined as soon as the crashes that all gateways report implicate it; see
 `crash_evidence`. Prompts with it are refused at once. Since the evidence may be wrong, one prompt
-at a time is sent again after a while: its complete answer ends the quarantine, another crash
+at a time is sent as a test after a while: its complete answer ends the quarantine, another crash
 prolongs it.
 """
 
@@ -32,9 +32,9 @@
 # engine is away for seconds after a crash.
 FIRST_HOLD_S = 30.0
 MAX_HOLD_S = 300.0
-# Gateways try again one after the other, so that a crash is known to all before the next try.
+# Gateways test a part one after the other, so that a crash is known to all before the next test.
 HOLD_SHARE_BETWEEN_GATEWAYS = 0.25
-# Three times the longest hold: several gateways try before the evidence is forgotten.
+# Three times the longest hold, so that several gateways test a part before the evidence expires.
 EVIDENCE_RETENTION_S = 900.0
 # A report from another process that is younger than this by its wall clock counts as new. Wall
 # clocks of VMs differ by seconds.
@@ -74,7 +74,7 @@
         self._evidence = CrashEvidence()
         self._deadly: dict[str, DeadlyPart] = {}
         self._sound_at: OrderedDict[str, float] = OrderedDict()
-        self._tried_at: dict[str, float] = {}
+        self._tested_at: dict[str, float] = {}
         self._unpublished: dict[CrashId, None] = {}
         self._changed = False
 
@@ -103,8 +103,8 @@
             if self._held_for_s(part) > 0:
                 raise self._make_refusal(part)
         for part in found:
-            self._tried_at[part] = self._timer.now()
-            self._events.record(Event.PART_TRIED, part=part, crashes=self._deadly[part].crashes)
+            self._tested_at[part] = self._timer.now()
+            self._events.record(Event.PART_TESTED, part=part, crashes=self._deadly[part].crashes)
         return bool(found)
 
     def check(self, part_ids: Sequence[str]) -> None:
@@ -242,7 +242,7 @@
                     reporters=len(self._evidence.reporters),
                 )
         for part in previous.keys() - self._deadly.keys():
-            self._tried_at.pop(part, None)
+            self._tested_at.pop(part, None)
             self._events.record(Event.PART_RELEASED, part=part, crashes=previous[part].crashes)
 
     def _find_deadly(self, part_ids: Sequence[str]) -> list[str]:
@@ -251,9 +251,9 @@
         return [part for part in _shared_parts(part_ids) if part in self._deadly]
 
     def _held_for_s(self, part: str) -> float:
-        """Return the seconds until this gateway may try a quarantined part again.
+        """Return the seconds until this gateway may test a quarantined part.
 
-        Only gateways that have reported crashes try, as all others know their names and order.
+        Only gateways that have reported crashes do, since all gateways know their names and order.
         """
         deadly = self._deadly[part]
         names = sorted(self._evidence.reporters, key=lambda name: hash_pair(part, name))
@@ -261,8 +261,8 @@
             return self._timer.left_s(deadly.last_at + EVIDENCE_RETENTION_S)
         share = 1 + HOLD_SHARE_BETWEEN_GATEWAYS * names.index(self._process)
         held_until = deadly.last_at + share * _hold_s(deadly)
-        if part in self._tried_at:
-            held_until = max(held_until, self._tried_at[part] + share * _hold_s(deadly))
+        if part in self._tested_at:
+            held_until = max(held_until, self._tested_at[part] + share * _hold_s(deadly))
         return self._timer.left_s(held_until)
 
     def _make_refusal(self, part: str) -> RefusalError:
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -154,7 +154,7 @@
         "Prompts with a part are refused, because engines crash on it.",
     )
     PART_RELEASED = (434, "info", "Prompts with a quarantined part are sent again.")
-    PART_TRIED = (
+    PART_TESTED = (
         435,
         "info",
         "One prompt with a quarantined part is sent, to test whether engines still crash on it.",
--- a/figwalk/gateway/crash_watcher.py
+++ b/figwalk/gateway/crash_watcher.py
@@ -1,4 +1,4 @@
-"""Notices engines that crash, and which prompts of this gateway were in work there."""
+"""Notices engines that crash, and which prompts of this gateway were in progress there."""
 
 from __future__ import annotations
 
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -59,7 +59,7 @@
 
 
 def test_two_deadly_parts_are_found_behind_a_common_one():
-    """Guards against a common part that is refused because it is in work at more crashes."""
+    """Guards against a common part that is refused because it is in progress at more crashes."""
     parts = ["bad1", "bad2"] * 3
     assert find_deadly(*(make_report(n, f"head {p}") for n, p in enumerate(parts))) == {
         "bad1",
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -150,7 +150,7 @@
 
 
 def test_part_answered_shortly_before_a_crash_is_no_suspect():
-    """Guards against parts in great demand that are refused since they are always in work."""
+    """Guards against parts in great demand that are refused since they are always in progress."""
     gateways = Gateways(2)
     for number in range(6):
         gateways.members[0].record_answered(["head", "popular", "x"], gateways.timer.time)
@@ -169,7 +169,7 @@
 
 
 def test_answer_that_began_long_before_the_crashes_proves_nothing():
-    """Guards against a long stream that ends after crashes and speaks for its parts."""
+    """Guards against a long stream that ends after crashes and clears its parts."""
     gateways = Gateways()
     began_at = gateways.timer.time - 10.0
     gateways.crash(1, 2, 3)
