Count and log the times that calls reach backend servers more than once

Users saw more repeats at the model service than the retry budget of all gateways allows. The logs had the retries that were charged, but not the arrivals that they cause: a retry of a prompt may reach one engine for its prefill and another one for its answer. REPEAT_SENT and two counters tell them apart. No decision changes.

--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -64,6 +64,7 @@
 def take_retry(call: Call, budget: WindowedRetryBudget, events: EventLog) -> bool:
     """Take one retry of a call from the budget; return whether the budget allowed it."""
     if budget.try_retry():
+        call.arrivals.charged += 1
         events.record(Event.REQUEST_RETRIED, request_id=call.call_id, budget=round(budget.left, 1))
         return True
     events.record(Event.RETRY_BUDGET_EMPTY, request_id=call.call_id)
@@ -182,6 +183,7 @@
                 call.unresolved = was_unresolved
                 self._remove_from_sent(call, plan)
                 raise
+            self._record_arrival(call, plan)
             self._record_sent(call, tracker, plan)
             connected_at = call.sent_at = self._timer.now()
 
@@ -234,7 +236,9 @@
             if not answer.succeeded:
                 message = f"prefill was answered with HTTP status {answer.status}"
                 raise AttemptError(AttemptOutcome.FAILED, message, not_run=True)
-            return Prefilled(self._codec.decode_prefill(plan.backend, body), took_s)
+            source = self._codec.decode_prefill(plan.backend, body)
+            call.arrivals.prefilled = True
+            return Prefilled(source, took_s)
 
     async def release(self, call: Call, tracker: BackendTracker, source: KvSource) -> None:
         """Free the KV cache of a prefilled prompt that won't be fetched.
@@ -332,6 +336,20 @@
         if plan.step is CallStep.RUN:
             call.sent_to.remove(plan.backend.backend)
 
+    def _record_arrival(self, call: Call, plan: SendPlan) -> None:
+        repeats = call.arrivals.repeats
+        call.arrivals.sent += 1
+        if call.arrivals.repeats > repeats:
+            self._events.record(
+                Event.REPEAT_SENT,
+                request_id=call.call_id,
+                service=call.service,
+                backend=plan.backend.backend,
+                step=plan.step.value,
+                repeats=call.arrivals.repeats,
+                charged=call.arrivals.charged,
+            )
+
     def _record_sent(self, call: Call, tracker: BackendTracker, plan: SendPlan) -> None:
         # For other calls, the event of the placement or of the answer names the backend server.
         if call.route.repeatable or call.route.is_model_call:
--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from figwalk.coordination.call_arrivals import CallArrivals
 from figwalk.gateway.codecs import CallFacts
 from figwalk.gateway.stream_timing import StreamTiming
 from figwalk.state.routing import EngineSpec, Route
@@ -27,6 +28,7 @@
         deadline: Timer time at which the caller must have its final answer.
         check_caller_connected: Raises `ClientDisconnectedError` if the caller has left.
         sent_to: Ids of the backend servers to which the call was sent; prefills don't count.
+        arrivals: Times that the call or its prefill was sent to backend servers.
         failed_prefill_engines: Ids of the engines that failed to prefill the prompt.
         unresolved: Whether a backend server may have run the call: it was sent and neither answered
             nor refused as not run.
@@ -50,6 +52,7 @@
     deadline: float
     check_caller_connected: Callable[[], None]
     sent_to: list[str] = attrs.field(factory=list)
+    arrivals: CallArrivals = attrs.field(factory=CallArrivals)
     failed_prefill_engines: list[str] = attrs.field(factory=list)
     unresolved: bool = False
     is_quarantine_test: bool = False
--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -74,6 +74,9 @@
             await responder.run_while_connected(self._answer, call, responder)
         except ClientDisconnectedError:
             self._record_cancelled(call)
+        finally:
+            arrivals = call.arrivals
+            self._metrics.record_repeats(call.service, arrivals.repeats, arrivals.charged)
 
     def _accept(self, request: HttpRequest, facts: CallFacts, responder: Responder) -> Call:
         routing = self._routing()
--- a/figwalk/gateway/gateway_metrics.py
+++ b/figwalk/gateway/gateway_metrics.py
@@ -35,6 +35,18 @@
             ["sent"],
             registry=self._registry,
         )
+        self._repeats = Counter(
+            "figwalk_repeats",
+            "Times that calls reached backend servers beyond the first.",
+            ["service"],
+            registry=self._registry,
+        )
+        self._charged_retries = Counter(
+            "figwalk_charged_retries",
+            "Retries that were taken from the budget.",
+            ["service"],
+            registry=self._registry,
+        )
         self._loop_lag = Gauge(
             "figwalk_loop_lag_seconds",
             "Time that a runnable task waits until it runs.",
@@ -72,6 +84,12 @@
         """Count a call whose caller left, and whether it had been sent to a backend server."""
         self._cancelled.labels("yes" if sent else "no").inc()
 
+    def record_repeats(self, service: str, repeats: int, charged: int) -> None:
+        """Count the repeats of an ended call, and the retries taken from the budget for it."""
+        if repeats or charged:
+            self._repeats.labels(service).inc(repeats)
+            self._charged_retries.labels(service).inc(charged)
+
     def record_loop_lag(self, lag_s: float) -> None:
         """Set the seconds that a runnable task waits until it runs."""
         self._loop_lag.set(lag_s)
