--- a/tests/support/platform_fakes.py
+++ b/tests/support/platform_fakes.py
@@ -206,6 +206,7 @@
     def __init__(self, store, nursery):
         self.store = store
         self.nursery = nursery
+        self.settings = {}
         self.process = None
         self.callers = None
         self.health = None
@@ -237,6 +238,7 @@
             agents_port=1,
             store=self.store_address,
             store_timeout_s=0.5,
+            **self.settings,
         )
         random.seed(1)
         self.process = GatewayProcess(settings)
@@ -259,6 +261,7 @@
         """Start another gateway of the same deployment; return its fleet."""
         fleet = Fleet(self.store, self.nursery)
         fleet.store_address = self.store_address
+        fleet.settings = self.settings
         await fleet.start_gateway(name)
         return fleet
 
--- a/tests/test_windowed_retry_budget.py
+++ b/tests/test_windowed_retry_budget.py
@@ -35,6 +35,42 @@
         assert len(window) <= RATIO * len(seen) + SLACK
 
 
+def most_in_a_window(times):
+    return max(sum(end - WINDOW_S < at <= end for at in times) for end in times)
+
+
+def test_restarted_processes_do_not_get_their_share_again():
+    """Guards against retries above the limit while processes are killed several times a window."""
+    timer = FakeTimer()
+    processes = 6
+    retries = []
+    requests_per_s = 10
+    for _ in range(8):
+        budgets = [make_budget(timer, processes) for _ in range(processes)]
+        for _ in range(3 * requests_per_s):
+            timer.advance(1 / requests_per_s)
+            for budget in budgets:
+                budget.record_first_attempt()
+                while budget.try_retry():
+                    retries.append(timer.now())
+    requests_in_window = processes * requests_per_s * WINDOW_S
+    assert most_in_a_window(retries) <= RATIO * requests_in_window + SLACK
+
+
+def test_retries_that_arrive_late_and_together_stay_within_the_limit():
+    """Guards against retries that a cut link delays until those of the next window are sent."""
+    timer = FakeTimer()
+    budget = make_budget(timer, 1)
+    timer.advance(2 * WINDOW_S)
+    arrivals = []
+    cut_until = timer.now() + 1.5
+    for _ in range(300):
+        while budget.try_retry():
+            arrivals.append(max(timer.now(), cut_until))
+        timer.advance(0.1)
+    assert 0 < most_in_a_window(arrivals) <= SLACK
+
+
 def test_budget_recovers_after_the_window():
     """Guards against a process that never retries again once its budget was used up."""
     timer = FakeTimer()
