Charge the retry budget for each arrival that a retry causes

Callers of a model service whose engines reject runs, for example since handles of KV cache have lapsed, got up to twice the repeats that the budget of all gateways allows. Cause: a retry was charged once when it was decided on, but a prompt that is prefilled at one engine and answered by another reaches two of them. Only the first accepted prefill of a request is no repeat.

--- a/figwalk/coordination/call_arrivals.py
+++ b/figwalk/coordination/call_arrivals.py
@@ -26,6 +26,15 @@
         """Times beyond the first."""
         return max(0, self._counted - 1)
 
+    def retries_needed(self, *, with_prefill: bool) -> int:
+        """Return how many retries the next attempt takes from the budget.
+
+        Args:
+            with_prefill: Whether one engine prefills the prompt and another one runs the call.
+        """
+        arrivals = 2 if with_prefill and self.prefilled else 1
+        return max(0, self._counted + arrivals - 1 - self.charged)
+
     @property
     def _counted(self) -> int:
         return self.sent - self.prefilled
--- a/figwalk/coordination/windowed_retry_budget.py
+++ b/figwalk/coordination/windowed_retry_budget.py
@@ -45,11 +45,15 @@
         """Count a request that is sent for the first time."""
         self._first_attempts.append(self._timer.now())
 
-    def try_retry(self) -> bool:
-        """Use one retry of the budget if it allows one, and return whether it did."""
-        if self.left < 1:
+    def allows(self, count: int) -> bool:
+        """Return whether some retries are allowed now; none always are."""
+        return count == 0 or self.left >= count
+
+    def try_retries(self, count: int = 1) -> bool:
+        """Use some retries of the budget if it allows all of them, and return whether it did."""
+        if not self.allows(count):
             return False
-        self._retries.append(self._timer.now())
+        self._retries.extend([self._timer.now()] * count)
         return True
 
     def _expire(self) -> None:
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -61,14 +61,34 @@
         return self._not_run
 
 
-def take_retry(call: Call, budget: WindowedRetryBudget, events: EventLog) -> bool:
-    """Take one retry of a call from the budget; return whether the budget allowed it."""
-    if budget.try_retry():
-        call.arrivals.charged += 1
-        events.record(Event.REQUEST_RETRIED, request_id=call.call_id, budget=round(budget.left, 1))
+def take_retries(
+    call: Call, budget: WindowedRetryBudget, events: EventLog, *, with_prefill: bool = False
+) -> bool:
+    """Take what the next attempt of a call needs from the budget.
+
+    Args:
+        call: The call.
+        budget: The budget.
+        events: Event log.
+        with_prefill: Whether one engine prefills the prompt and another one runs the call.
+
+    Returns:
+        Whether the budget allowed the attempt.
+    """
+    count = call.arrivals.retries_needed(with_prefill=with_prefill)
+    if count == 0:
         return True
-    events.record(Event.RETRY_BUDGET_EMPTY, request_id=call.call_id)
-    return False
+    if not budget.try_retries(count):
+        events.record(Event.RETRY_BUDGET_EMPTY, request_id=call.call_id)
+        return False
+    call.arrivals.charged += count
+    events.record(
+        Event.REQUEST_RETRIED,
+        request_id=call.call_id,
+        charged=count,
+        budget=round(budget.left, 1),
+    )
+    return True
 
 
 @attrs.define(eq=False)
--- a/figwalk/gateway/plain_calls.py
+++ b/figwalk/gateway/plain_calls.py
@@ -12,7 +12,7 @@
 from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
 from figwalk.errors import CallOutcome, RefusalError
 from figwalk.events import EventLog
-from figwalk.gateway.attempts import Answer, AttemptError, Attempts, take_retry
+from figwalk.gateway.attempts import Answer, AttemptError, Attempts, take_retries
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import SendPlan
@@ -173,11 +173,7 @@
         if not is_repeat:
             self._budget.record_first_attempt()
             return True
-        if not call.may_try_another_backend:
-            return False
-        if not call.sent_to:
-            return True  # All backend servers so far were unreachable and received nothing.
-        return take_retry(call, self._budget, self._events)
+        return call.may_try_another_backend and take_retries(call, self._budget, self._events)
 
     @staticmethod
     def _reject_unproven_not_run(call: Call, status: int) -> None:
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -19,7 +19,7 @@
 from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
 from figwalk.errors import CallOutcome, HttpError, RefusalError
 from figwalk.events import Event, EventLog
-from figwalk.gateway.attempts import Answer, AttemptError, Attempts, take_retry
+from figwalk.gateway.attempts import Answer, AttemptError, Attempts, take_retries
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import CallStep, KvSource, SendPlan
@@ -226,17 +226,28 @@
             raise self._refuse_unknown(error)
         if call.sent_to and not call.may_try_another_backend:
             raise self._refuse(call, error)
-        reached = call.sent_to or error.outcome is not AttemptOutcome.UNREACHABLE
-        if reached and not take_retry(call, self._budget, self._events):
+        if not self._budget.allows(call.arrivals.retries_needed(with_prefill=False)):
+            self._events.record(Event.RETRY_BUDGET_EMPTY, request_id=call.call_id)
+            raise self._refuse(call, error)
+        decision = await self._place_again(call, spec, relay)
+        with_prefill = decision.plan.reader is not decision.plan.runner
+        if not take_retries(call, self._budget, self._events, with_prefill=with_prefill):
+            decision.end(read=False)
             raise self._refuse(call, error)
         if relay.started:
             self._events.record(
                 Event.STREAM_RESUMED, request_id=call.call_id, after=relay.last_event_id
             )
-            plan = self._find_plans(call, spec)[0]
-            self._pool.take_turns(plan.reader, plan.runner)
-            return PlacementDecision(plan, AdmissionDecider.GATEWAY, admitted=True)
-        return await self._place(call, spec)
+        return decision
+
+    async def _place_again(
+        self, call: Call, spec: EngineSpec, relay: StreamRelay
+    ) -> PlacementDecision:
+        if not relay.started:
+            return await self._place(call, spec)
+        plan = self._find_plans(call, spec)[0]
+        self._pool.take_turns(plan.reader, plan.runner)
+        return PlacementDecision(plan, AdmissionDecider.GATEWAY, admitted=True)
 
     async def _execute_plan(
         self, call: Call, decision: PlacementDecision, relay: StreamRelay
--- a/tests/test_windowed_retry_budget.py
+++ b/tests/test_windowed_retry_budget.py
@@ -27,7 +27,7 @@
         for budget in budgets:
             budget.record_first_attempt()
             requests.append(timer.now())
-            while budget.try_retry():
+            while budget.try_retries():
                 retries.append(timer.now())
     for end in range(101, 131):
         window = [t for t in retries if end - WINDOW_S < t <= end]
@@ -51,7 +51,7 @@
             timer.advance(1 / requests_per_s)
             for budget in budgets:
                 budget.record_first_attempt()
-                while budget.try_retry():
+                while budget.try_retries():
                     retries.append(timer.now())
     requests_in_window = processes * requests_per_s * WINDOW_S
     assert most_in_a_window(retries) <= RATIO * requests_in_window + SLACK
@@ -65,7 +65,7 @@
     arrivals = []
     cut_until = timer.now() + 1.5
     for _ in range(300):
-        while budget.try_retry():
+        while budget.try_retries():
             arrivals.append(max(timer.now(), cut_until))
         timer.advance(0.1)
     assert 0 < most_in_a_window(arrivals) <= SLACK
@@ -75,7 +75,7 @@
     """Guards against a process that never retries again once its budget was used up."""
     timer = FakeTimer()
     budget = make_budget(timer, 6)
-    while budget.try_retry():
+    while budget.try_retries():
         pass
     timer.advance(WINDOW_S + 0.1)
-    assert budget.try_retry()
+    assert budget.try_retries()
