--- a/figwalk/coordination/windowed_retry_budget.py
+++ b/figwalk/coordination/windowed_retry_budget.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 
+from figwalk.state.gateway_settings import RetrySettings
 from figwalk.timer import Timer
 
 # Share of the ratio that a process uses. The rest is a reserve, since each process counts in its
@@ -18,20 +19,16 @@
     process's own requests, and the slack is divided by the number of processes.
 
     Args:
+        settings: The limit over all processes.
         timer: Source of time.
-        window_s: Length of the window in seconds.
-        ratio: Allowed retries per first attempt in the window.
-        slack: Allowed retries beyond the ratio in a window, over all processes.
         processes: Number of processes that share the slack.
     """
 
-    def __init__(
-        self, timer: Timer, *, window_s: float, ratio: float, slack: float, processes: int
-    ) -> None:
+    def __init__(self, settings: RetrySettings, timer: Timer, *, processes: int) -> None:
         self._timer = timer
-        self._window_s = window_s
-        self._ratio = ratio * USABLE_RATIO_SHARE
-        self._slack = slack / max(1, processes)
+        self._window_s = settings.window_s
+        self._ratio = settings.ratio * USABLE_RATIO_SHARE
+        self._slack = settings.slack / max(1, processes)
         self._first_attempts: deque[float] = deque()
         self._retries: deque[float] = deque()
 
@@ -61,3 +58,28 @@
         for times in (self._first_attempts, self._retries):
             while times and times[0] < window_start:
                 times.popleft()
+
+
+class ServiceRetryBudgets:
+    """One budget for each service, since the limit holds for each by itself.
+
+    Args:
+        settings: The limit over all processes, for each service.
+        timer: Source of time.
+        processes: Number of processes that share the slack.
+    """
+
+    def __init__(self, settings: RetrySettings, timer: Timer, *, processes: int) -> None:
+        self._settings = settings
+        self._timer = timer
+        self._processes = processes
+        self._budgets: dict[str, WindowedRetryBudget] = {}
+
+    def of_service(self, service: str) -> WindowedRetryBudget:
+        """Return the budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = WindowedRetryBudget(
+                self._settings, self._timer, processes=self._processes
+            )
+        return budget
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -11,7 +11,7 @@
 
 from figwalk.coordination.backend_tracker import AttemptOutcome, BackendTracker
 from figwalk.coordination.prompt_quarantine import PromptQuarantine
-from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
+from figwalk.coordination.windowed_retry_budget import ServiceRetryBudgets
 from figwalk.errors import FigwalkError, HttpError, RefusalError
 from figwalk.events import Event, EventLog
 from figwalk.gateway.backend_pool import BackendPool
@@ -62,19 +62,20 @@
 
 
 def take_retries(
-    call: Call, budget: WindowedRetryBudget, events: EventLog, *, with_prefill: bool = False
+    call: Call, budgets: ServiceRetryBudgets, events: EventLog, *, with_prefill: bool = False
 ) -> bool:
-    """Take what the next attempt of a call needs from the budget.
+    """Take what the next attempt of a call needs from the budget of its service.
 
     Args:
         call: The call.
-        budget: The budget.
+        budgets: The budgets.
         events: Event log.
         with_prefill: Whether one engine prefills the prompt and another one runs the call.
 
     Returns:
         Whether the budget allowed the attempt.
     """
+    budget = budgets.of_service(call.service)
     count = call.arrivals.retries_needed(with_prefill=with_prefill)
     if count == 0:
         return True
--- a/figwalk/gateway/plain_calls.py
+++ b/figwalk/gateway/plain_calls.py
@@ -9,7 +9,7 @@
 
 from figwalk.coordination.backend_tracker import AttemptOutcome, BackendTracker
 from figwalk.coordination.plain_placement import PlainPlacement
-from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
+from figwalk.coordination.windowed_retry_budget import ServiceRetryBudgets
 from figwalk.errors import CallOutcome, RefusalError
 from figwalk.events import EventLog
 from figwalk.gateway.attempts import Answer, AttemptError, Attempts, take_retries
@@ -68,7 +68,7 @@
         pool: Backend servers.
         attempts: Sends calls to them.
         placement: Chooses among them.
-        budget: Limits retries.
+        budgets: Limit the retries at each service.
         events: Event log.
         timer: Source of time.
     """
@@ -78,14 +78,14 @@
         pool: BackendPool,
         attempts: Attempts,
         placement: PlainPlacement,
-        budget: WindowedRetryBudget,
+        budgets: ServiceRetryBudgets,
         events: EventLog,
         timer: Timer,
     ) -> None:
         self._pool = pool
         self._attempts = attempts
         self._placement = placement
-        self._budget = budget
+        self._budgets = budgets
         self._events = events
         self._timer = timer
 
@@ -165,15 +165,15 @@
         return (
             call.route.repeatable
             and len(call.sent_to) + 1 < call.route.max_backends
-            and self._budget.left >= 1
+            and self._budgets.of_service(call.service).left >= 1
         )
 
     def _may_send(self, call: Call, is_repeat: bool) -> bool:
         """Return whether one more attempt is allowed, and record it in the retry budget."""
         if not is_repeat:
-            self._budget.record_first_attempt()
+            self._budgets.of_service(call.service).record_first_attempt()
             return True
-        return call.may_try_another_backend and take_retries(call, self._budget, self._events)
+        return call.may_try_another_backend and take_retries(call, self._budgets, self._events)
 
     @staticmethod
     def _reject_unproven_not_run(call: Call, status: int) -> None:
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -12,7 +12,7 @@
 from figwalk.coordination.plain_placement import Distance, PlainPlacement
 from figwalk.coordination.prompt_placement import PlacementSettings, PromptPlacement
 from figwalk.coordination.prompt_quarantine import PromptQuarantine
-from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
+from figwalk.coordination.windowed_retry_budget import ServiceRetryBudgets
 from figwalk.errors import RefusalError
 from figwalk.events import Event, EventLog
 from figwalk.gateway.attempts import Attempts
@@ -171,16 +171,10 @@
         rng = random.Random()
         distance = Distance(settings.zone, settings.region, settings.regions)
         placement = PlacementSettings(engines=settings.engines)
-        budget = WindowedRetryBudget(
-            timer,
-            window_s=settings.retry.window_s,
-            ratio=settings.retry.ratio,
-            slack=settings.retry.slack,
-            processes=settings.gateways,
-        )
+        budgets = ServiceRetryBudgets(settings.retry, timer, processes=settings.gateways)
         attempts = Attempts(self._pool, PlatformBackendCodec(), self._quarantine, events, timer)
         plain = PlainCalls(
-            self._pool, attempts, PlainPlacement(distance, rng), budget, events, timer
+            self._pool, attempts, PlainPlacement(distance, rng), budgets, events, timer
         )
         prompts = PromptCalls(
             self._pool,
@@ -190,7 +184,7 @@
             self._quarantine,
             self._crashes,
             self._lag,
-            budget,
+            budgets,
             events,
             timer,
             short_prompt_tokens=placement.short_prompt_tokens,
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -16,7 +16,7 @@
 from figwalk.coordination.prompt_placement import PromptPlacement
 from figwalk.coordination.prompt_plan import PromptCall, PromptPlan
 from figwalk.coordination.prompt_quarantine import PromptQuarantine
-from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
+from figwalk.coordination.windowed_retry_budget import ServiceRetryBudgets
 from figwalk.errors import CallOutcome, HttpError, RefusalError
 from figwalk.events import Event, EventLog
 from figwalk.gateway.attempts import Answer, AttemptError, Attempts, take_retries
@@ -63,7 +63,7 @@
         quarantine: Decides which prompts are not sent.
         crashes: Learns of calls that broke.
         lag: Measures the delay of this process's event loop.
-        budget: Limits retries.
+        budgets: Limit the retries at each service.
         events: Event log.
         timer: Source of time.
         short_prompt_tokens: Prompts up to this length are short.
@@ -78,7 +78,7 @@
         quarantine: PromptQuarantine,
         crashes: CrashWatcher,
         lag: LoopLag,
-        budget: WindowedRetryBudget,
+        budgets: ServiceRetryBudgets,
         events: EventLog,
         timer: Timer,
         *,
@@ -91,7 +91,7 @@
         self._quarantine = quarantine
         self._crashes = crashes
         self._lag = lag
-        self._budget = budget
+        self._budgets = budgets
         self._events = events
         self._timer = timer
         self._short_prompt_tokens = short_prompt_tokens
@@ -104,7 +104,7 @@
                 to the caller.
         """
         call.is_quarantine_test = self._quarantine.admit(call.part_ids)
-        self._budget.record_first_attempt()
+        self._budgets.of_service(call.service).record_first_attempt()
         relay = StreamRelay(
             responder,
             call.timing,
@@ -226,12 +226,14 @@
             raise self._refuse_unknown(error)
         if call.sent_to and not call.may_try_another_backend:
             raise self._refuse(call, error)
-        if not self._budget.allows(call.arrivals.retries_needed(with_prefill=False)):
+        if not self._budgets.of_service(call.service).allows(
+            call.arrivals.retries_needed(with_prefill=False)
+        ):
             self._events.record(Event.RETRY_BUDGET_EMPTY, request_id=call.call_id)
             raise self._refuse(call, error)
         decision = await self._place_again(call, spec, relay)
         with_prefill = decision.plan.reader is not decision.plan.runner
-        if not take_retries(call, self._budget, self._events, with_prefill=with_prefill):
+        if not take_retries(call, self._budgets, self._events, with_prefill=with_prefill):
             decision.end(read=False)
             raise self._refuse(call, error)
         if relay.started:
--- a/tests/test_windowed_retry_budget.py
+++ b/tests/test_windowed_retry_budget.py
@@ -3,6 +3,7 @@
 from support.fake_timer import FakeTimer
 
 from figwalk.coordination.windowed_retry_budget import WindowedRetryBudget
+from figwalk.state.gateway_settings import RetrySettings
 
 WINDOW_S = 10.0
 RATIO = 0.2
@@ -10,9 +11,8 @@
 
 
 def make_budget(timer, processes):
-    return WindowedRetryBudget(
-        timer, window_s=WINDOW_S, ratio=RATIO, slack=SLACK, processes=processes
-    )
+    settings = RetrySettings(ratio=RATIO, window_s=WINDOW_S, slack=SLACK)
+    return WindowedRetryBudget(settings, timer, processes=processes)
 
 
 def test_retries_of_all_processes_stay_within_the_bound_when_everything_fails():
