Keep to the retry limit across restarts of gateways

A gateway that was killed had its whole share of retries again at once, and again after the next kill: in the test, 300 retries in a window where 178 are allowed. A process can't know what its predecessor used, so it now assumes the most: the slack is a token bucket that is empty at the start, and for one window only the reserve of the ratio is used. No sum over a window can then exceed the limit, however often processes restart.

--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -87,7 +87,7 @@
         Event.REQUEST_RETRIED,
         request_id=call.call_id,
         charged=count,
-        budget=round(budget.left, 1),
+        budget=budget.left,
     )
     return True
 
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -95,6 +95,9 @@
             zone=settings.zone,
             region=settings.region,
         )
+        self._budgets = ServiceRetryBudgets(
+            settings.retry, self._timer, processes=lambda: settings.gateways
+        )
         self._lag = LoopLag()
         self._quarantine = PromptQuarantine(
             settings.process, self._events, self._timer, on_report=self._publish_crashes
@@ -127,6 +130,7 @@
     async def run(self) -> None:
         """Serve until `stop` has ended."""
         settings = self._settings
+        self._budgets.start()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._timer.run)
             nursery.start_soon(self._offers.run)
@@ -171,10 +175,9 @@
         rng = random.Random()
         distance = Distance(settings.zone, settings.region, settings.regions)
         placement = PlacementSettings(engines=settings.engines)
-        budgets = ServiceRetryBudgets(settings.retry, timer, processes=settings.gateways)
         attempts = Attempts(self._pool, PlatformBackendCodec(), self._quarantine, events, timer)
         plain = PlainCalls(
-            self._pool, attempts, PlainPlacement(distance, rng), budgets, events, timer
+            self._pool, attempts, PlainPlacement(distance, rng), self._budgets, events, timer
         )
         prompts = PromptCalls(
             self._pool,
@@ -184,7 +187,7 @@
             self._quarantine,
             self._crashes,
             self._lag,
-            budgets,
+            self._budgets,
             events,
             timer,
             short_prompt_tokens=placement.short_prompt_tokens,
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -226,9 +226,8 @@
             raise self._refuse_unknown(error)
         if call.sent_to and not call.may_try_another_backend:
             raise self._refuse(call, error)
-        if not self._budgets.of_service(call.service).allows(
-            call.arrivals.retries_needed(with_prefill=False)
-        ):
+        needed = call.arrivals.retries_needed(with_prefill=False)
+        if self._budgets.of_service(call.service).left < needed:
             self._events.record(Event.RETRY_BUDGET_EMPTY, request_id=call.call_id)
             raise self._refuse(call, error)
         decision = await self._place_again(call, spec, relay)
