Count retries that arrive late towards the window in which they arrive

Retries that were sent into a cut link arrived together with those of the next window: in the test, 116 where 58 are allowed. A retry now counts for two seconds longer than the window, the longest time until it arrives or the system aborts its connection.

--- a/figwalk/coordination/windowed_retry_budget.py
+++ b/figwalk/coordination/windowed_retry_budget.py
@@ -16,6 +16,9 @@
 # Share of the ratio that a process uses. The rest is a reserve, since each process counts in its
 # own window, and the requests of a caller are spread unevenly.
 USABLE_RATIO_SHARE = 0.7
+# A retry may reach its backend server this long after it was taken from the budget: it waits for a
+# prefill, or in a cut link until the system aborts the connection.
+MAX_ARRIVAL_DELAY_S = 2.0
 # Share of the slack that can be used at once; the rest becomes available evenly over the window.
 SLACK_BURST_SHARE = 0.5
 
@@ -54,8 +57,9 @@
         share = self._settings.slack / max(1, self._processes())
         # A bucket for less than one retry would never allow any.
         capacity = max(SLACK_BURST_SHARE * share, min(1.0, share))
+        period_s = self._settings.window_s + MAX_ARRIVAL_DELAY_S
         now = self._timer.now()
-        flow = (share - capacity) / self._settings.window_s * (now - self._filled_at)
+        flow = (share - capacity) / period_s * (now - self._filled_at)
         self._tokens = min(capacity, self._tokens + flow)
         self._filled_at = now
 
@@ -109,7 +113,7 @@
 
     def _left_of_ratio(self) -> int:
         now = self._timer.now()
-        retries_since = now - self._settings.window_s
+        retries_since = now - self._settings.window_s - MAX_ARRIVAL_DELAY_S
         _drop_before(self._first_attempts, now - self._settings.window_s)
         _drop_before(self._retries, retries_since)
         # A predecessor may have used the usable share in this time, which leaves the reserve.
