Divide the slack of retries by the gateways that run

The slack was divided by the number of the settings, 24 at six zones. With 68 gateways, as at the large deployment, the shares added up to almost three times the slack. Agents already count the gateways that are connected to them; the largest number of the last minute is used, so that one that is cut off from agents and still sends keeps its share. A gateway that is added has no slack at first, so that the others know of it before it uses any. tests/test_gateway_count.py could not pass before: nothing read the reported number for this.

--- a/figwalk/gateway/backend_pool.py
+++ b/figwalk/gateway/backend_pool.py
@@ -153,18 +153,18 @@
         requests_per_s = self._directory.requests_per_s(pooled.tracker.entry)
         if requests_per_s is None:
             return False
-        pooled.pacer.set_limit(requests_per_s, self._count_gateways())
+        gateways = self.count_reported_gateways() or self._max_gateways
+        pooled.pacer.set_limit(requests_per_s, gateways)
         return True
 
-    def _count_gateways(self) -> int:
-        """Return how many gateways share the limit of a backend server.
+    def count_reported_gateways(self) -> int:
+        """Return how many gateways are connected to some agent, or 0 without any report.
 
-        Each agent knows the gateways that are connected to it. Without any agent, the largest
-        number that the settings allow is assumed.
+        Each agent knows the gateways that are connected to it.
         """
         trackers = (pooled.tracker for pooled in self._backends.values())
         counts = (t.reported_gateways for t in trackers if isinstance(t, EngineTracker))
-        return max(counts, default=0) or self._max_gateways
+        return max(counts, default=0)
 
     def mark_leaving(self, entry: BackendEntry) -> None:
         """Record that a backend server has announced that it leaves."""
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -8,6 +8,7 @@
 import trio
 
 from figwalk.coordination.compacted_log import TopicFollower
+from figwalk.coordination.gateway_count import GatewayCount
 from figwalk.coordination.loop_lag import LoopLag
 from figwalk.coordination.plain_placement import Distance, PlainPlacement
 from figwalk.coordination.prompt_placement import PlacementSettings, PromptPlacement
@@ -95,8 +96,9 @@
             zone=settings.zone,
             region=settings.region,
         )
+        self._gateway_count = GatewayCount(settings.gateways, self._timer)
         self._budgets = ServiceRetryBudgets(
-            settings.retry, self._timer, processes=lambda: settings.gateways
+            settings.retry, self._timer, processes=lambda: self._gateway_count.count
         )
         self._lag = LoopLag()
         self._quarantine = PromptQuarantine(
@@ -284,6 +286,7 @@
 
     async def _upkeep(self) -> None:
         self._metrics.record_loop_lag(self._lag.lag_s)
+        self._gateway_count.record(self._pool.count_reported_gateways())
         self._crashes.update()
         self._crash_reports.expire()
         self._metrics.record_quarantined_parts(len(self._quarantine.parts))
