Bound the memory of a retry budget while nothing fails

The times of requests were dropped only when a retry was asked for, so that a gateway without failures kept them all. tests/test_windowed_retry_budget.py -k memory: 1,000 kept before, 11 now.

--- a/figwalk/coordination/windowed_retry_budget.py
+++ b/figwalk/coordination/windowed_retry_budget.py
@@ -100,7 +100,9 @@
 
     def record_first_attempt(self) -> None:
         """Count a request that is sent for the first time."""
-        self._first_attempts.append(self._timer.now())
+        now = self._timer.now()
+        _drop_before(self._first_attempts, now - self._settings.window_s)
+        self._first_attempts.append(now)
 
     def try_retries(self, count: int = 1) -> bool:
         """Use some retries of the budget if it allows all of them, and return whether it did."""
--- a/tests/test_windowed_retry_budget.py
+++ b/tests/test_windowed_retry_budget.py
@@ -79,3 +79,13 @@
         pass
     timer.advance(WINDOW_S + 0.1)
     assert budget.try_retries()
+
+
+def test_memory_stays_bounded_while_nothing_fails():
+    """Guards against times of requests that are kept until the first retry."""
+    timer = FakeTimer()
+    budget = make_budget(timer, 1)
+    for _ in range(1000):
+        timer.advance(1.0)
+        budget.record_first_attempt()
+    assert len(budget._first_attempts) <= WINDOW_S + 1
