--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -397,6 +397,7 @@
         self._events.record(
             Event.ATTEMPT_FAILED,
             request_id=call.call_id,
+            request=call.request_digest,
             backend=plan.backend.backend,
             step=plan.step.value,
             outcome=outcome.value,
--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import cached_property
+from hashlib import blake2b
 
 import attrs
 
@@ -12,6 +14,8 @@
 from figwalk.state.routing import EngineSpec, Route
 from figwalk.transport import HttpRequest
 
+REQUEST_DIGEST_BYTES = 12
+
 
 @attrs.define(eq=False)
 class Call:
@@ -67,6 +71,16 @@
         """Id that the caller gave to this attempt."""
         return self.facts.call_id
 
+    @cached_property
+    def request_digest(self) -> str:
+        """Digest of what the caller asks for; it is the same when the request comes again."""
+        request = self.request
+        digest = blake2b(digest_size=REQUEST_DIGEST_BYTES)
+        for field in (request.method, request.header(b"host"), request.target):
+            digest.update(field.encode() + b"\0")
+        digest.update(request.body)
+        return digest.hexdigest()
+
     @property
     def part_ids(self) -> tuple[str, ...]:
         """Ids of the parts of the prompt, in order."""
