--- a/figwalk/coordination/crash_evidence.py
+++ b/figwalk/coordination/crash_evidence.py
@@ -1,9 +1,10 @@
-"""Finds the prompt parts that crash engines, from the prompts in progress at each crash.
+"""Finds the requests and prompt parts that crash backend servers, from the calls in progress.
 
-When an engine crashes, all its calls fail at the same moment, though most of them did not cause the
-crash. Prompts with a part that causes crashes are in progress at one crash after another and are
-never answered. Load: several engines crash within a second and again as soon as they are back,
-while most prompts share their first part, and each gateway sees only its own calls.
+When a backend server crashes, all its calls fail at the same moment, though most of them did not
+cause the crash. A request that causes crashes comes again and again, is in progress at one crash
+after another, and is never answered; so are prompts with a part that causes crashes, whatever else
+they hold. Load: several servers crash within a second and again as soon as they are back, while
+most prompts share their first part, and each gateway sees only its own calls.
 """
 
 from __future__ import annotations
@@ -20,6 +21,11 @@
 # part that causes crashes is in progress at most crashes of its time, even beside another such part
 # and crashes for other reasons.
 MIN_SHARE = 0.2
+# A part is no cause if a single request with it explains the crashes. One more crash may have the
+# part in progress by chance.
+MIN_CRASHES_OF_OTHERS = 2
+# Starts the id of a request, so that it is told apart from the ids of parts.
+REQUEST_PREFIX = "request:"
 # Bounds memory. A deployment of 300 engines that all crash at once stays below it.
 MAX_CRASHES = 512
 
@@ -47,7 +53,10 @@
         at_ms: Wall-clock milliseconds at which the gateway noticed it.
         prompts: Shared parts, in order, of each prompt that the gateway had sent to the engine and
             whose answer had no complete event yet. Parts that were known to be sound are left out.
-        sound: Parts that were answered completely at about the time of the crash or later.
+        sound: Parts and requests that were answered completely at about the time of the crash or
+            later.
+        requests: Ids of the requests that the gateway had sent to the backend server and whose
+            answer had no complete event yet, less those known to be sound.
     """
 
     reporter: str
@@ -55,11 +64,12 @@
     at_ms: int
     prompts: frozenset[tuple[str, ...]] = frozenset()
     sound: frozenset[str] = frozenset()
+    requests: frozenset[str] = frozenset()
 
 
 @attrs.frozen
-class DeadlyPart:
-    """A prompt part that crashes engines.
+class CrashCause:
+    """A request or prompt part that crashes backend servers.
 
     Attributes:
         crashes: Number of crashes at which it was in progress.
@@ -78,8 +88,8 @@
         noticed_at: Timer time at which this process learned of the crash.
         reports: Reports by name of the gateway.
         prompts: Parts of each prompt in progress.
-        sound: Parts that did not cause the crash.
-        suspects: Parts of the prompts that may have caused it.
+        sound: Parts and requests that did not cause the crash.
+        suspects: Parts and requests that may have caused it.
     """
 
     noticed_at: float
@@ -93,7 +103,7 @@
         self.reports[report.reporter] = report
         self.prompts |= report.prompts
         self.sound |= report.sound
-        self.suspects.update(*report.prompts)
+        self.suspects.update(report.requests, *report.prompts)
         self.suspects -= self.sound
 
     def prompts_with(self, parts: Set[str]) -> list[tuple[str, ...]]:
@@ -104,16 +114,16 @@
 
 
 class CrashEvidence:
-    """The crashes of engines that the gateways have reported.
+    """The crashes of backend servers that the gateways have reported.
 
-    Adding a report is cheap: when many engines crash at once, each gateway gets a report from every
+    Adding a report is cheap: when many servers crash at once, each gateway gets a report from every
     other gateway on each crash.
     """
 
     def __init__(self) -> None:
         self._crashes: dict[CrashId, _Crash] = {}
         self._crash_counts: Counter[str] = Counter()
-        # Parts with at least `MIN_CRASHES` crashes.
+        # Parts and requests with at least `MIN_CRASHES` crashes.
         self._frequent: set[str] = set()
 
     @property
@@ -140,8 +150,12 @@
         """
         known = self.find(report.crash, report.reporter)
         if known is not None:
-            prompts, sound = known.prompts | report.prompts, known.sound | report.sound
-            report = attrs.evolve(known, prompts=prompts, sound=sound)
+            report = attrs.evolve(
+                known,
+                prompts=known.prompts | report.prompts,
+                sound=known.sound | report.sound,
+                requests=known.requests | report.requests,
+            )
         if report == known:
             return False
         crash = self._crashes.setdefault(report.crash, _Crash(noticed_at))
@@ -158,16 +172,20 @@
         old = [key for key, crash in self._crashes.items() if crash.noticed_at < cutoff]
         return [report for key in old for report in self._drop(key).reports.values()]
 
-    def crash_count(self, part: str) -> int:
-        """Return the number of crashes at which a part was in progress and may be the cause."""
-        return self._crash_counts[part]
+    def crash_count(self, suspect: str) -> int:
+        """Return at how many crashes a part or request was in progress and may be the cause."""
+        return self._crash_counts[suspect]
 
-    def crashes_with(self, part: str) -> list[tuple[CrashId, float]]:
+    def crashes_with(self, suspect: str) -> list[tuple[CrashId, float]]:
         """Return those crashes, and when each was noticed."""
-        return [(key, c.noticed_at) for key, c in self._crashes.items() if part in c.suspects]
+        return [(key, c.noticed_at) for key, c in self._crashes.items() if suspect in c.suspects]
 
-    def find_deadly(self) -> dict[str, DeadlyPart]:
-        """Return the parts that explain the crashes.
+    def find_causes(self) -> dict[str, CrashCause]:
+        """Return the requests and parts that explain the crashes.
+
+        A request is found if it was in progress at `MIN_CRASHES` crashes, and at a share of
+        `MIN_SHARE` of all crashes from the first of these to the last one. Refusing it affects
+        nobody else, so that several requests may explain the same crash.
 
         A part is found if it was in progress at `MIN_CRASHES` crashes that no other found part
         explains, and at a share of `MIN_SHARE` of all crashes from the first of these to the last
@@ -176,17 +194,37 @@
         """
         if not self._frequent:
             return {}
+        requests = self._find_requests()
+        return requests | self._find_parts(requests.keys())
+
+    def _find_requests(self) -> dict[str, CrashCause]:
+        found = {}
+        for request in filter(is_request, self._frequent):
+            cause = self._make_cause([key for key, _ in self.crashes_with(request)])
+            if cause is not None:
+                found[request] = cause
+        return found
+
+    def _find_parts(self, requests: Set[str]) -> dict[str, CrashCause]:
         unexplained = {key: c.prompts_with(self._frequent) for key, c in self._crashes.items()}
-        deadly: dict[str, DeadlyPart] = {}
+        found: dict[str, CrashCause] = {}
         while scores := _score(unexplained.values()):
             part = max(scores, key=lambda name: (scores[name], name))
             explained = [key for key, prompts in unexplained.items() if _contains(prompts, part)]
-            times = [self._crashes[key].noticed_at for key in explained]
-            if len(explained) >= MIN_SHARE * self._count_between(min(times), max(times)):
-                deadly[part] = DeadlyPart(len(explained), max(times))
+            others = [key for key in explained if not requests & self._crashes[key].suspects]
+            cause = self._make_cause(explained)
+            if cause is not None and len(others) >= MIN_CRASHES_OF_OTHERS:
+                found[part] = cause
             for key in explained:
                 del unexplained[key]
-        return deadly
+        return found
+
+    def _make_cause(self, crashes: Sequence[CrashId]) -> CrashCause | None:
+        """Return the cause of some crashes, or None if it explains too few of their time."""
+        times = [self._crashes[key].noticed_at for key in crashes]
+        if len(crashes) < MIN_SHARE * self._count_between(min(times), max(times)):
+            return None
+        return CrashCause(len(crashes), max(times))
 
     def _count_between(self, first_at: float, last_at: float) -> int:
         """Return the number of crashes that were noticed from one time to another."""
@@ -197,17 +235,22 @@
         self._count(crash.suspects, -1)
         return crash
 
-    def _count(self, parts: Iterable[str], change: int) -> None:
-        for part in parts:
-            count = self._crash_counts[part] + change
+    def _count(self, suspects: Iterable[str], change: int) -> None:
+        for suspect in suspects:
+            count = self._crash_counts[suspect] + change
             if count:
-                self._crash_counts[part] = count
+                self._crash_counts[suspect] = count
             else:
-                del self._crash_counts[part]
+                del self._crash_counts[suspect]
             if count >= MIN_CRASHES:
-                self._frequent.add(part)
+                self._frequent.add(suspect)
             else:
-                self._frequent.discard(part)
+                self._frequent.discard(suspect)
+
+
+def is_request(suspect: str) -> bool:
+    """Return whether the id of a possible cause is that of a request, not of a prompt part."""
+    return suspect.startswith(REQUEST_PREFIX)
 
 
 def _score(crashes: Collection[Sequence[tuple[str, ...]]]) -> Counter[str]:
--- a/figwalk/coordination/prompt_quarantine.py
+++ b/figwalk/coordination/prompt_quarantine.py
@@ -1,9 +1,9 @@
-"""Keeps prompts with parts that crash engines away from the engines.
+"""Keeps calls that crash backend servers away from them.
 
-A part is quarantined as soon as the crashes that all gateways report implicate it; see
-`crash_evidence`. Prompts with it are refused at once. Since the evidence may be wrong, one prompt
-at a time is sent as a test after a while: its complete answer ends the quarantine, another crash
-prolongs it.
+A request, or a part of prompts, is quarantined as soon as the crashes that all gateways report
+implicate it; see `crash_evidence`. The request, or prompts with the part, are refused at once.
+Since the evidence may be wrong, one call at a time is sent as a test after a while: its complete
+answer ends the quarantine, another crash prolongs it.
 """
 
 from __future__ import annotations
@@ -13,44 +13,85 @@
 from collections.abc import Callable, Sequence
 from hashlib import blake2b
 
+import attrs
+
 from figwalk.coordination.crash_evidence import (
     MIN_CRASHES,
+    REQUEST_PREFIX,
+    CrashCause,
     CrashEvidence,
     CrashId,
     CrashReport,
-    DeadlyPart,
+    is_request,
 )
 from figwalk.coordination.subject_affinity import hash_pair
 from figwalk.errors import RefusalError
 from figwalk.events import Event, EventLog
 from figwalk.timer import MS_PER_S, Timer
 
-# A part that was answered less than this before a crash did not cause it. A part may begin to crash
+# What was answered less than this before a crash did not cause it. A part may begin to crash
 # engines though it was answered before, so the time is short.
 SOUND_BEFORE_CRASH_S = 2.0
-# Time without any prompt with a quarantined part, doubled with each crash above `MIN_CRASHES`. An
-# engine is away for seconds after a crash.
+# Time without any call that is quarantined, doubled with each crash above `MIN_CRASHES`. A backend
+# server is away for seconds after a crash.
 FIRST_HOLD_S = 30.0
 MAX_HOLD_S = 300.0
-# Gateways test a part one after the other, so that a crash is known to all before the next test.
+# Gateways test a cause one after the other, so that a crash is known to all before the next test.
 HOLD_SHARE_BETWEEN_GATEWAYS = 0.25
 # Three times the longest hold, so that several gateways test a part before the evidence expires.
 EVIDENCE_RETENTION_S = 900.0
 # A report from another process that is younger than this by its wall clock counts as new. Wall
 # clocks of VMs differ by seconds.
 CLOCK_TOLERANCE_S = 10.0
-# That a part is sound is reported when one more crash could make it look deadly.
+# That a call is sound is reported when one more crash could make it look like the cause.
 WORTH_A_REPORT = MIN_CRASHES - 1
-# About 2 MB.
-MAX_KNOWN_PARTS = 20_000
+# Parts and requests; about 3 MB.
+MAX_KNOWN_SOUND = 20_000
 # Bounds the size of a report: ids that are longer are replaced by a hash.
 MAX_PART_ID_LENGTH = 32
 MAX_PARTS_OF_PROMPT = 32
 MAX_PROMPTS_OF_REPORT = 64
+# More calls than one gateway has in progress at one backend server.
+MAX_REQUESTS_OF_REPORT = 512
+
+
+@attrs.frozen
+class CallIdentity:
+    """What a call has in common with others that may crash backend servers too.
+
+    Attributes:
+        part_ids: Ids of the parts of its prompt, in order; the last one is its own. Empty for calls
+            without a prompt.
+        request: Digest of what the caller asks for, or empty.
+    """
+
+    part_ids: Sequence[str] = ()
+    request: str = ""
+
+    @property
+    def shared_parts(self) -> list[str]:
+        """Ids of the parts that other prompts may share, in bounded length."""
+        return [
+            part
+            if len(part) <= MAX_PART_ID_LENGTH
+            else blake2b(part.encode(), digest_size=MAX_PART_ID_LENGTH // 2).hexdigest()
+            for part in self.part_ids[:-1][-MAX_PARTS_OF_PROMPT:]
+        ]
+
+    @property
+    def request_id(self) -> str | None:
+        """Id of the request among the possible causes of a crash."""
+        return REQUEST_PREFIX + self.request if self.request else None
+
+    @property
+    def suspects(self) -> list[str]:
+        """Ids of all that may make the call crash a backend server."""
+        request_id = self.request_id
+        return self.shared_parts + ([request_id] if request_id is not None else [])
 
 
 class PromptQuarantine:
-    """Decides which prompts are not sent to engines, from the crashes of all gateways.
+    """Decides which calls are not sent to backend servers, from the crashes of all gateways.
 
     Args:
         process: Name of this gateway.
@@ -72,7 +113,7 @@
         self._events = events
         self._timer = timer
         self._evidence = CrashEvidence()
-        self._deadly: dict[str, DeadlyPart] = {}
+        self._causes: dict[str, CrashCause] = {}
         self._sound_at: OrderedDict[str, float] = OrderedDict()
         self._tested_at: dict[str, float] = {}
         self._unpublished: dict[CrashId, None] = {}
@@ -80,8 +121,13 @@
 
     @property
     def parts(self) -> frozenset[str]:
-        """The quarantined parts."""
-        return frozenset(self._deadly)
+        """The quarantined parts of prompts."""
+        return frozenset(cause for cause in self._causes if not is_request(cause))
+
+    @property
+    def requests(self) -> frozenset[str]:
+        """The quarantined requests."""
+        return frozenset(filter(is_request, self._causes))
 
     @property
     def unpublished(self) -> list[CrashReport]:
@@ -89,78 +135,79 @@
         reports = [self._evidence.find(crash, self._process) for crash in self._unpublished]
         return [report for report in reports if report is not None]
 
-    def admit(self, part_ids: Sequence[str]) -> bool:
-        """Decide on a prompt that has just arrived; return whether it tests a quarantined part.
-
-        Args:
-            part_ids: Ids of the prompt's parts in order; the last one is its own.
+    def admit(self, call: CallIdentity) -> bool:
+        """Decide on a call that has just arrived; return whether it tests a quarantined cause.
 
         Raises:
-            RefusalError: The prompt has a quarantined part.
+            RefusalError: The request, or a part of its prompt, is quarantined.
         """
-        found = self._find_deadly(part_ids)
-        for part in found:
-            if self._held_for_s(part) > 0:
-                raise self._make_refusal(part)
-        for part in found:
-            self._tested_at[part] = self._timer.now()
-            self._events.record(Event.PART_TESTED, part=part, crashes=self._deadly[part].crashes)
+        found = self._find_causes(call)
+        for cause in found:
+            if self._held_for_s(cause) > 0:
+                raise self._make_refusal(cause)
+        for cause in found:
+            self._tested_at[cause] = self._timer.now()
+            self._record(Event.PART_TESTED, cause, crashes=self._causes[cause].crashes)
         return bool(found)
 
-    def check(self, part_ids: Sequence[str]) -> None:
-        """Check a prompt just before it is sent to an engine, possibly once more.
+    def check(self, call: CallIdentity) -> None:
+        """Check a call just before it is sent to a backend server, possibly once more.
 
         Raises:
-            RefusalError: The prompt has a part that was quarantined meanwhile.
+            RefusalError: The request, or a part of its prompt, was quarantined meanwhile.
         """
-        found = self._find_deadly(part_ids)
+        found = self._find_causes(call)
         if found:
             raise self._make_refusal(found[0])
 
-    def record_answered(self, part_ids: Sequence[str], began_at: float) -> None:
-        """Record that a prompt was answered completely.
+    def record_answered(self, call: CallIdentity, began_at: float) -> None:
+        """Record that a call was answered completely.
 
         Args:
-            part_ids: Ids of its parts in order.
+            call: The call.
             began_at: Timer time at which its answer began.
         """
-        for part in _shared_parts(part_ids):
-            self._sound_at[part] = max(began_at, self._sound_at.get(part, -math.inf))
-            self._sound_at.move_to_end(part)
-            if self._evidence.crash_count(part) >= WORTH_A_REPORT and self._report_sound(part):
-                self._update_deadly()
-        while len(self._sound_at) > MAX_KNOWN_PARTS:
+        for suspect in call.suspects:
+            self._sound_at[suspect] = max(began_at, self._sound_at.get(suspect, -math.inf))
+            self._sound_at.move_to_end(suspect)
+            may_matter = self._evidence.crash_count(suspect) >= WORTH_A_REPORT
+            if may_matter and self._report_sound(suspect):
+                self._update_causes()
+        while len(self._sound_at) > MAX_KNOWN_SOUND:
             self._sound_at.popitem(last=False)
 
-    def record_crash(self, crash: CrashId, prompts: Sequence[Sequence[str]]) -> None:
-        """Record that an engine crashed before it completed the first events of some answers.
+    def record_crash(self, crash: CrashId, calls: Sequence[CallIdentity]) -> None:
+        """Record that a backend server crashed before the first events of some answers.
 
         Args:
             crash: The crash.
-            prompts: Ids of the parts, in order, of the prompts that this gateway had sent to it.
+            calls: The calls that this gateway had sent to it.
         """
         now = self._timer.now()
-        suspects = (
-            tuple(part for part in _shared_parts(ids) if not self._is_sound(part, now))
-            for ids in prompts
-        )
-        found = frozenset(parts for parts in suspects if parts)
-        if not found:
+        prompts = {
+            tuple(part for part in call.shared_parts if not self._is_sound(part, now))
+            for call in calls
+        }
+        requests = {call.request_id for call in calls if call.request_id is not None}
+        requests = {request for request in requests if not self._is_sound(request, now)}
+        prompts.discard(())
+        if not prompts and not requests:
             return
         report = CrashReport(
             self._process,
             crash,
             self._timer.wall_ms(),
-            frozenset(sorted(found)[:MAX_PROMPTS_OF_REPORT]),
+            prompts=frozenset(sorted(prompts)[:MAX_PROMPTS_OF_REPORT]),
+            requests=frozenset(sorted(requests)[:MAX_REQUESTS_OF_REPORT]),
         )
         if self._add(report, now):
             self._publish(crash)
-            self._update_deadly()
+            self._update_causes()
 
     def apply(self, report: CrashReport) -> bool:
         """Apply a report from the log; return whether it is recent enough to matter.
 
-        It takes effect with the next `refresh`: after crashes of many engines, reports come by the
+        It takes effect with the next `refresh`: after crashes of many servers, reports come by the
         hundred.
         """
         age_s = (self._timer.wall_ms() - report.at_ms) / MS_PER_S
@@ -174,9 +221,9 @@
         return True
 
     def refresh(self) -> None:
-        """Judge the parts by the reports that were applied."""
+        """Judge the crashes by the reports that were applied."""
         if self._changed:
-            self._update_deadly()
+            self._update_causes()
 
     def mark_published(self, reports: Sequence[CrashReport]) -> None:
         """Record that the log has these reports; newer forms of them stay unpublished."""
@@ -193,7 +240,7 @@
         """Forget old crashes; return the reports of this gateway on them."""
         dropped = self._evidence.drop_before(self._timer.now() - EVIDENCE_RETENTION_S)
         if dropped:
-            self._update_deadly()
+            self._update_causes()
         return [report for report in dropped if report.reporter == self._process]
 
     def _publish_unless_equal(self, stored: CrashReport) -> None:
@@ -209,80 +256,86 @@
     def _add(self, report: CrashReport, noticed_at: float) -> bool:
         if not self._evidence.add(report, noticed_at):
             return False
-        for part in {part for prompt in report.prompts for part in prompt}:
-            if self._evidence.crash_count(part) >= WORTH_A_REPORT:
-                self._report_sound(part)
+        for suspect in {part for prompt in report.prompts for part in prompt} | report.requests:
+            if self._evidence.crash_count(suspect) >= WORTH_A_REPORT:
+                self._report_sound(suspect)
         return True
 
-    def _is_sound(self, part: str, crashed_at: float) -> bool:
-        return self._sound_at.get(part, -math.inf) >= crashed_at - SOUND_BEFORE_CRASH_S
+    def _is_sound(self, suspect: str, crashed_at: float) -> bool:
+        return self._sound_at.get(suspect, -math.inf) >= crashed_at - SOUND_BEFORE_CRASH_S
 
-    def _report_sound(self, part: str) -> bool:
-        """Report the crashes that a part did not cause; return whether there are any new ones."""
+    def _report_sound(self, suspect: str) -> bool:
+        """Report the crashes that a suspect did not cause; return whether any are new."""
         changed = False
-        for crash, noticed_at in self._evidence.crashes_with(part):
-            if self._is_sound(part, noticed_at):
-                sound = frozenset((part,))
+        for crash, noticed_at in self._evidence.crashes_with(suspect):
+            if self._is_sound(suspect, noticed_at):
+                sound = frozenset((suspect,))
                 report = CrashReport(self._process, crash, self._timer.wall_ms(), sound=sound)
                 if self._evidence.add(report, noticed_at):
                     self._publish(crash)
                     changed = True
         return changed
 
-    def _update_deadly(self) -> None:
+    def _update_causes(self) -> None:
         self._changed = False
-        previous, self._deadly = self._deadly, self._evidence.find_deadly()
-        for part, deadly in self._deadly.items():
-            if part not in previous or previous[part].crashes != deadly.crashes:
-                self._events.record(
+        previous, self._causes = self._causes, self._evidence.find_causes()
+        for name, cause in self._causes.items():
+            if name not in previous or previous[name].crashes != cause.crashes:
+                self._record(
                     Event.PART_QUARANTINED,
-                    part=part,
-                    crashes=deadly.crashes,
-                    hold_s=_hold_s(deadly),
+                    name,
+                    crashes=cause.crashes,
+                    hold_s=_hold_s(cause),
                     reporters=len(self._evidence.reporters),
                 )
-        for part in previous.keys() - self._deadly.keys():
-            self._tested_at.pop(part, None)
-            self._events.record(Event.PART_RELEASED, part=part, crashes=previous[part].crashes)
-
-    def _find_deadly(self, part_ids: Sequence[str]) -> list[str]:
-        if not self._deadly:
+        for name in previous.keys() - self._causes.keys():
+            self._tested_at.pop(name, None)
+            self._record(Event.PART_RELEASED, name, crashes=previous[name].crashes)
+
+    def _record(self, event: Event, cause: str, **fields: object) -> None:
+        """Record an event on a part, or the one on a request that corresponds to it."""
+        if is_request(cause):
+            request = cause.removeprefix(REQUEST_PREFIX)
+            self._events.record(_REQUEST_EVENTS[event], request=request, **fields)
+        else:
+            self._events.record(event, part=cause, **fields)
+
+    def _find_causes(self, call: CallIdentity) -> list[str]:
+        if not self._causes:
             return []
-        return [part for part in _shared_parts(part_ids) if part in self._deadly]
+        return [suspect for suspect in call.suspects if suspect in self._causes]
 
-    def _held_for_s(self, part: str) -> float:
-        """Return the seconds until this gateway may test a quarantined part.
+    def _held_for_s(self, name: str) -> float:
+        """Return the seconds until this gateway may test a quarantined request or part.
 
         Only gateways that have reported crashes do, since all gateways know their names and order.
         """
-        deadly = self._deadly[part]
-        names = sorted(self._evidence.reporters, key=lambda name: hash_pair(part, name))
-        if self._process not in names:
-            return self._timer.left_s(deadly.last_at + EVIDENCE_RETENTION_S)
-        share = 1 + HOLD_SHARE_BETWEEN_GATEWAYS * names.index(self._process)
-        held_until = deadly.last_at + share * _hold_s(deadly)
-        if part in self._tested_at:
-            held_until = max(held_until, self._tested_at[part] + share * _hold_s(deadly))
+        cause = self._causes[name]
+        testers = sorted(self._evidence.reporters, key=lambda tester: hash_pair(name, tester))
+        if self._process not in testers:
+            return self._timer.left_s(cause.last_at + EVIDENCE_RETENTION_S)
+        share = 1 + HOLD_SHARE_BETWEEN_GATEWAYS * testers.index(self._process)
+        held_until = cause.last_at + share * _hold_s(cause)
+        if name in self._tested_at:
+            held_until = max(held_until, self._tested_at[name] + share * _hold_s(cause))
         return self._timer.left_s(held_until)
 
-    def _make_refusal(self, part: str) -> RefusalError:
-        deadly = self._deadly[part]
+    def _make_refusal(self, name: str) -> RefusalError:
+        crashes = self._causes[name].crashes
+        code, message = "deadly_prompt", f"engines crashed {crashes} times on part {name!r}"
+        if is_request(name):
+            code, message = "deadly_request", f"backend servers crashed {crashes} times on it"
         return RefusalError(
-            "deadly_prompt",
-            f"engines crashed {deadly.crashes} times on part {part!r} of the prompt",
-            retry_after_ms=math.ceil(self._held_for_s(part) * MS_PER_S),
+            code, message, retry_after_ms=math.ceil(self._held_for_s(name) * MS_PER_S)
         )
 
 
-def _hold_s(deadly: DeadlyPart) -> float:
-    return min(MAX_HOLD_S, FIRST_HOLD_S * 2 ** (deadly.crashes - MIN_CRASHES))
+_REQUEST_EVENTS = {
+    Event.PART_QUARANTINED: Event.REQUEST_QUARANTINED,
+    Event.PART_TESTED: Event.REQUEST_TESTED,
+    Event.PART_RELEASED: Event.REQUEST_RELEASED,
+}
 
 
-def _shared_parts(part_ids: Sequence[str]) -> list[str]:
-    """Return the ids of the parts that other prompts may share, in bounded length."""
-    return [
-        part
-        if len(part) <= MAX_PART_ID_LENGTH
-        else blake2b(part.encode(), digest_size=MAX_PART_ID_LENGTH // 2).hexdigest()
-        for part in part_ids[:-1][-MAX_PARTS_OF_PROMPT:]
-    ]
+def _hold_s(cause: CrashCause) -> float:
+    return min(MAX_HOLD_S, FIRST_HOLD_S * 2 ** (cause.crashes - MIN_CRASHES))
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -146,8 +146,8 @@
     ENGINE_CRASHED = (
         432,
         "warning",
-        "An engine ended while it worked on calls; the fields count the prompts that may be the"
-        " cause.",
+        "A backend server ended while it worked on calls; the fields count the calls that may be"
+        " the cause.",
     )
     PART_QUARANTINED = (
         433,
@@ -160,6 +160,13 @@
         "info",
         "One prompt with a quarantined part is sent, to test whether engines still crash on it.",
     )
+    REQUEST_QUARANTINED = (
+        438,
+        "warning",
+        "Backend servers crash on a request; it is not sent any more.",
+    )
+    REQUEST_RELEASED = (439, "info", "A quarantined request is sent again.")
+    REQUEST_TESTED = (440, "info", "A quarantined request is sent once, as a test.")
     CRASH_REPORT_SKIPPED = (436, "warning", "A report of a crash in the log could not be decoded.")
     CRASH_REPORTS_UNPUBLISHED = (
         437,
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -143,7 +143,7 @@
     Args:
         pool: Connections to them.
         codec: Encodes requests and decodes answers in their protocol.
-        quarantine: Prompts that must not be sent.
+        quarantine: Calls that must not be sent.
         events: Event log.
         timer: Source of time.
     """
@@ -183,7 +183,7 @@
             AttemptError: There is no valid answer, the backend server states that it did not run
                 the call, or it takes no calls any more.
             ClientDisconnectedError: The caller has left; the call is not sent.
-            RefusalError: The deadline of the call has passed, or engines crash on its prompt; the
+            RefusalError: The deadline of the call has passed, or backend servers crash on it; the
                 call is not sent.
         """
         is_run = plan.step is CallStep.RUN
@@ -291,12 +291,12 @@
 
         Raises:
             ClientDisconnectedError: The caller has left.
-            RefusalError: The deadline of the call has passed, or engines crash on its prompt.
+            RefusalError: The deadline of the call has passed, or backend servers crash on it.
             AttemptError: The backend server takes no calls any more.
         """
         call.check_caller_connected()
         if not call.is_quarantine_test:
-            self._quarantine.check(call.part_ids)
+            self._quarantine.check(call.identity)
         if self._timer.left_s(call.deadline) <= 0:
             raise RefusalError("timeout", "the time ended before the call was sent")
         if not self._pool.is_open(plan.backend):
--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -9,6 +9,7 @@
 import attrs
 
 from figwalk.coordination.call_arrivals import CallArrivals
+from figwalk.coordination.prompt_quarantine import CallIdentity
 from figwalk.gateway.codecs import CallFacts
 from figwalk.gateway.stream_timing import StreamTiming
 from figwalk.state.routing import EngineSpec, Route
@@ -81,10 +82,11 @@
         digest.update(request.body)
         return digest.hexdigest()
 
-    @property
-    def part_ids(self) -> tuple[str, ...]:
-        """Ids of the parts of the prompt, in order."""
-        return tuple(part.part_id for part in self.facts.prompt)
+    @cached_property
+    def identity(self) -> CallIdentity:
+        """What the call has in common with others that may crash backend servers too."""
+        part_ids = tuple(part.part_id for part in self.facts.prompt)
+        return CallIdentity(part_ids, self.request_digest)
 
     @property
     def may_try_another_backend(self) -> bool:
--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from figwalk.coordination.prompt_quarantine import PromptQuarantine
 from figwalk.errors import CallerError, CallOutcome, RefusalError
 from figwalk.events import Event, EventLog
 from figwalk.gateway.call import Call
@@ -31,6 +32,7 @@
             `RefusalError` if the gateway accepts no new calls.
         plain_calls: Answers calls of plain services.
         prompt_calls: Answers calls of services with model engines.
+        quarantine: Decides which calls are not sent to backend servers.
         metrics: Counters and latencies.
         events: Event log.
         timer: Source of time.
@@ -43,6 +45,7 @@
         routing: Callable[[], RoutingConfig | None],
         plain_calls: PlainCalls,
         prompt_calls: PromptCalls,
+        quarantine: PromptQuarantine,
         metrics: GatewayMetrics,
         events: EventLog,
         timer: Timer,
@@ -52,6 +55,7 @@
         self._routing = routing
         self._plain_calls = plain_calls
         self._prompt_calls = prompt_calls
+        self._quarantine = quarantine
         self._metrics = metrics
         self._events = events
         self._timer = timer
@@ -125,6 +129,7 @@
             self._record_answered(call, backend)
 
     async def _run(self, call: Call, responder: Responder) -> str:
+        call.is_quarantine_test = self._quarantine.admit(call.identity)
         if call.engine is not None:
             return await self._prompt_calls.run(call, responder, call.engine)
         return await self._plain_calls.run(call, responder)
--- a/figwalk/gateway/crash_reports.py
+++ b/figwalk/gateway/crash_reports.py
@@ -38,6 +38,7 @@
     at_ms: int
     prompts: list[list[str]]
     sound: list[str]
+    requests: list[str] = attrs.field(factory=list)  # Earlier versions store none.
 
 
 class CrashReports(TopicHandler):
@@ -151,6 +152,7 @@
         report.at_ms,
         [list(parts) for parts in sorted(report.prompts)],
         sorted(report.sound),
+        sorted(report.requests),
     )
     return json.dumps(attrs.asdict(stored)).encode()
 
@@ -172,4 +174,5 @@
         stored.at_ms,
         frozenset(tuple(parts) for parts in stored.prompts),
         frozenset(stored.sound),
+        frozenset(stored.requests),
     )
--- a/figwalk/gateway/crash_watcher.py
+++ b/figwalk/gateway/crash_watcher.py
@@ -1,53 +1,51 @@
-"""Notices engines that crash, and which prompts of this gateway were in progress there."""
+"""Notices backend servers that crash, and which calls of this gateway were in progress there."""
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-
 import attrs
 import trio
 
 from figwalk.coordination.crash_evidence import CrashId
-from figwalk.coordination.prompt_quarantine import PromptQuarantine
+from figwalk.coordination.prompt_quarantine import CallIdentity, PromptQuarantine
 from figwalk.events import Event, EventLog
 from figwalk.gateway.gateway_metrics import GatewayMetrics
 from figwalk.state.backend_directory import BackendDirectory, BackendEntry
 from figwalk.timer import Timer
 from figwalk.transport.listening import refuses_connections
 
-# The longest round trip between regions is 24 ms; an engine whose machine is silent is not one that
-# crashed under a call.
+# The longest round trip between regions is 24 ms; a backend server whose machine is silent is not
+# one that crashed under a call.
 CHECK_TIMEOUT_S = 0.5
-# A registration lapses some seconds after the engine's last heartbeat.
+# A registration lapses some seconds after the backend server's last heartbeat.
 MAX_PENDING_S = 10.0
 MAX_WAITING_CHECKS = 1000
 
 
 @attrs.define
 class _BrokenCalls:
-    """Calls that broke at one instance of an engine.
+    """Calls that broke at one instance of a backend server.
 
     Attributes:
-        entry: Registration of the engine.
+        entry: Registration of the backend server.
         broke_at: Timer time of the first of them.
-        prompts: Ids of the parts of their prompts.
-        crashed: Whether the engine is known to have crashed.
+        calls: What may have crashed the backend server.
+        crashed: Whether it is known to have crashed.
     """
 
     entry: BackendEntry
     broke_at: float
-    prompts: list[tuple[str, ...]] = attrs.field(factory=list)
+    calls: list[CallIdentity] = attrs.field(factory=list)
     crashed: bool = False
 
 
 class CrashWatcher:
-    """Tells broken calls at an engine that goes on from those at an engine that crashed.
+    """Tells broken calls at a backend server that goes on from those at one that crashed.
 
-    An engine has crashed if it breaks calls and its port refuses connections afterwards, or if its
-    registration ends without an announced departure.
+    A backend server has crashed if it breaks calls and its port refuses connections afterwards, or
+    if its registration ends without an announced departure.
 
     Args:
-        directory: The registered engines.
+        directory: The registered backend servers.
         quarantine: Receives the crashes.
         metrics: Counts the crashes.
         events: Event log.
@@ -73,17 +71,17 @@
         )
 
     async def run(self) -> None:
-        """Check engines that broke calls, until cancelled."""
+        """Check backend servers that broke calls, until cancelled."""
         async with trio.open_nursery() as nursery:
             async for crash in self._checks_receive:
                 nursery.start_soon(self._check, crash)
 
-    def record_broken(self, entry: BackendEntry, part_ids: Sequence[str]) -> None:
-        """Record that an engine broke a call off before the first event of its answer.
+    def record_broken(self, entry: BackendEntry, call: CallIdentity) -> None:
+        """Record that a backend server broke a call off before the first event of its answer.
 
         Args:
             entry: Registration that was used for the call.
-            part_ids: Ids of the parts of its prompt, in order.
+            call: The call.
         """
         if self._directory.is_leaving(entry):
             return
@@ -92,12 +90,12 @@
         if broken is None:
             broken = self._broken[crash] = _BrokenCalls(entry, self._timer.now())
             self._request_check(crash)
-        broken.prompts.append(tuple(part_ids))
+        broken.calls.append(call)
         if broken.crashed:
-            self._quarantine.record_crash(crash, broken.prompts)
+            self._quarantine.record_crash(crash, broken.calls)
 
     def update(self) -> None:
-        """Look for ended registrations of engines that broke calls, and forget old calls."""
+        """Look for ended registrations of servers that broke calls, and forget old calls."""
         cutoff = self._timer.now() - MAX_PENDING_S
         for crash, broken in list(self._broken.items()):
             if not broken.crashed and not self._directory.is_registered(broken.entry):
@@ -132,7 +130,7 @@
             backend=crash.backend,
             born_ms=crash.born_ms,
             reason=reason,
-            prompts=len(broken.prompts),
+            calls=len(broken.calls),
             age_s=round(self._timer.now() - broken.broke_at, 3),
         )
-        self._quarantine.record_crash(crash, broken.prompts)
+        self._quarantine.record_crash(crash, broken.calls)
--- a/figwalk/gateway/gateway_metrics.py
+++ b/figwalk/gateway/gateway_metrics.py
@@ -60,7 +60,7 @@
         )
         self._engine_crashes = Counter(
             "figwalk_engine_crashes",
-            "Engines that ended while they worked on calls of this gateway.",
+            "Backend servers that ended while they worked on calls of this gateway.",
             registry=self._registry,
         )
         self._quarantined_parts = Gauge(
@@ -68,6 +68,11 @@
             "Parts whose prompts are refused because engines crash on them.",
             registry=self._registry,
         )
+        self._quarantined_requests = Gauge(
+            "figwalk_quarantined_requests",
+            "Requests that are refused because backend servers crash on them.",
+            registry=self._registry,
+        )
         self._dropped_lines = Gauge(
             "figwalk_log_lines_dropped", "Log lines dropped so far.", registry=self._registry
         )
@@ -103,12 +108,13 @@
         self._backends.set(count)
 
     def record_engine_crash(self) -> None:
-        """Count an engine that ended while it worked on calls."""
+        """Count a backend server that ended while it worked on calls."""
         self._engine_crashes.inc()
 
-    def record_quarantined_parts(self, count: int) -> None:
-        """Set the number of parts whose prompts are refused."""
-        self._quarantined_parts.set(count)
+    def record_quarantine(self, *, parts: int, requests: int) -> None:
+        """Set the number of parts whose prompts are refused, and of refused requests."""
+        self._quarantined_parts.set(parts)
+        self._quarantined_requests.set(requests)
 
     def record_dropped_lines(self, count: int) -> None:
         """Set the number of log lines dropped since the start."""
--- a/figwalk/gateway/plain_calls.py
+++ b/figwalk/gateway/plain_calls.py
@@ -9,6 +9,7 @@
 
 from figwalk.coordination.backend_tracker import AttemptOutcome, BackendTracker
 from figwalk.coordination.plain_placement import PlainPlacement
+from figwalk.coordination.prompt_quarantine import PromptQuarantine
 from figwalk.coordination.windowed_retry_budget import ServiceRetryBudgets
 from figwalk.errors import CallOutcome, RefusalError
 from figwalk.events import EventLog
@@ -16,6 +17,7 @@
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import SendPlan
+from figwalk.gateway.crash_watcher import CrashWatcher
 from figwalk.gateway.stream_relay import StreamRelay
 from figwalk.state.routing import CallKind
 from figwalk.timer import MS_PER_S, Timer
@@ -68,6 +70,8 @@
         pool: Backend servers.
         attempts: Sends calls to them.
         placement: Chooses among them.
+        quarantine: Learns which calls were answered.
+        crashes: Learns of calls that broke.
         budgets: Limit the retries at each service.
         events: Event log.
         timer: Source of time.
@@ -78,6 +82,8 @@
         pool: BackendPool,
         attempts: Attempts,
         placement: PlainPlacement,
+        quarantine: PromptQuarantine,
+        crashes: CrashWatcher,
         budgets: ServiceRetryBudgets,
         events: EventLog,
         timer: Timer,
@@ -85,6 +91,8 @@
         self._pool = pool
         self._attempts = attempts
         self._placement = placement
+        self._quarantine = quarantine
+        self._crashes = crashes
         self._budgets = budgets
         self._events = events
         self._timer = timer
@@ -115,14 +123,18 @@
             self._pool.take_turns(tracker)
             tried.append(tracker.entry.backend)
             plan = SendPlan(tracker.entry, call.deadline - self._timer.now())
+            relay = StreamRelay(responder, call.timing, self._timer, resumable=False)
             try:
                 async with self._attempts.send(call, tracker, plan) as answer:
+                    began_at = self._timer.now()
                     self._reject_unproven_not_run(call, answer.status)
-                    relay = StreamRelay(responder, call.timing, self._timer, resumable=False)
                     await relay.relay(answer)
+                    self._quarantine.record_answered(call.identity, began_at)
                     return answer.backend
             except AttemptError as attempt_error:
                 error = attempt_error
+                if not relay.has_event:
+                    self._record_broken(call, tracker, error)
         raise self._refuse(call, error)
 
     async def _find_answer(self, call: Call) -> BufferedAnswer:
@@ -139,6 +151,7 @@
                 answer = await self._attempt(call, tracker)
             except AttemptError as attempt_error:
                 error = attempt_error
+                self._record_broken(call, tracker, error)
                 if not (error.not_run or call.route.repeatable):
                     break
             else:
@@ -159,7 +172,14 @@
         async with self._attempts.send(
             call, tracker, plan, head_timeout_s=head_timeout_s
         ) as answer:
-            return await _read_answer(answer)
+            began_at = self._timer.now()
+            buffered = await _read_answer(answer)
+            self._quarantine.record_answered(call.identity, began_at)
+            return buffered
+
+    def _record_broken(self, call: Call, tracker: BackendTracker, error: AttemptError) -> None:
+        if error.outcome is AttemptOutcome.BROKEN:
+            self._crashes.record_broken(tracker.entry, call.identity)
 
     def _may_be_repeated(self, call: Call) -> bool:
         return (
@@ -173,6 +193,8 @@
         if not is_repeat:
             self._budgets.of_service(call.service).record_first_attempt()
             return True
+        if call.is_quarantine_test and call.sent_to:
+            return False
         return call.may_try_another_backend and take_retries(call, self._budgets, self._events)
 
     @staticmethod
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -179,7 +179,14 @@
         placement = PlacementSettings(engines=settings.engines)
         attempts = Attempts(self._pool, PlatformBackendCodec(), self._quarantine, events, timer)
         plain = PlainCalls(
-            self._pool, attempts, PlainPlacement(distance, rng), self._budgets, events, timer
+            self._pool,
+            attempts,
+            PlainPlacement(distance, rng),
+            self._quarantine,
+            self._crashes,
+            self._budgets,
+            events,
+            timer,
         )
         prompts = PromptCalls(
             self._pool,
@@ -199,6 +206,7 @@
             self._routing_for_new_call,
             plain,
             prompts,
+            self._quarantine,
             self._metrics,
             events,
             timer,
@@ -289,7 +297,9 @@
         self._gateway_count.record(self._pool.count_reported_gateways())
         self._crashes.update()
         self._crash_reports.expire()
-        self._metrics.record_quarantined_parts(len(self._quarantine.parts))
+        self._metrics.record_quarantine(
+            parts=len(self._quarantine.parts), requests=len(self._quarantine.requests)
+        )
         dropped = self._dropped_lines()
         if dropped > self._reported_drops:
             self._events.record(Event.LOG_LINES_DROPPED, count=dropped - self._reported_drops)
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -103,7 +103,6 @@
             RefusalError: Engines crash on the prompt, or none gave an answer that can be passed on
                 to the caller.
         """
-        call.is_quarantine_test = self._quarantine.admit(call.part_ids)
         self._budgets.of_service(call.service).record_first_attempt()
         relay = StreamRelay(
             responder,
@@ -329,11 +328,11 @@
                     self._record_fetch_wait(plan, self._timer.now() - answer.response.sent_at)
                 await self._relay(call, relay, answer)
                 if answer.succeeded:
-                    self._quarantine.record_answered(call.part_ids, began_at)
+                    self._quarantine.record_answered(call.identity, began_at)
                 return answer.backend
         except AttemptError as error:
             if error.outcome is AttemptOutcome.BROKEN and not relay.has_event:
-                self._crashes.record_broken(plan.runner.entry, call.part_ids)
+                self._crashes.record_broken(plan.runner.entry, call.identity)
             raise
         finally:
             self._clear_pending_work(key, plan)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -4,23 +4,25 @@
 
 from figwalk.coordination.crash_evidence import (
     MAX_CRASHES,
+    REQUEST_PREFIX,
     CrashEvidence,
     CrashId,
     CrashReport,
 )
 
 
-def make_report(number, *prompts, reporter="g1", sound=()):
+def make_report(number, *prompts, reporter="g1", sound=(), requests=()):
     """Return a report on crash `number`; each prompt is a text with its parts."""
     parts = frozenset(tuple(prompt.split()) for prompt in prompts)
-    return CrashReport(reporter, CrashId(f"e{number}", 1000), 0, parts, frozenset(sound))
+    ids = frozenset(REQUEST_PREFIX + name for name in requests)
+    return CrashReport(reporter, CrashId(f"e{number}", 1000), 0, parts, frozenset(sound), ids)
 
 
 def find_deadly(*reports):
     evidence = CrashEvidence()
     for at, report in enumerate(reports):
         evidence.add(report, float(at))
-    return set(evidence.find_deadly())
+    return set(evidence.find_causes())
 
 
 def test_part_in_work_at_every_crash_is_found():
@@ -117,3 +119,37 @@
     reports = [make_report(n, f"s{n % 8}", f"t{n}") for n in range(24)]
     assert find_deadly(*reports) == set()
     assert find_deadly(*reports, *(make_report(30 + n, "bad") for n in range(4))) == {"bad"}
+
+
+def test_request_in_work_at_three_crashes_is_found():
+    """Guards against a request that crashes one server after another, without any prompt parts."""
+    reports = [make_report(n, requests=["bad", f"sound{n}"]) for n in range(3)]
+    assert find_deadly(*reports[:2]) == set()
+    assert find_deadly(*reports) == {"request:bad"}
+
+
+def test_request_beside_a_deadly_one_at_all_crashes_does_not_hide_it():
+    """Guards against a deadly request that is sent on since another one explains its crashes."""
+    reports = [make_report(n, requests=["bad", "unlucky"]) for n in range(3)]
+    assert find_deadly(*reports) == {"request:bad", "request:unlucky"}
+
+
+def test_parts_of_a_deadly_request_stay_open():
+    """Guards against sound prompts that are refused for a part they share with one request."""
+    reports = [make_report(n, "head subject", "head other", requests=["bad"]) for n in range(3)]
+    assert find_deadly(*reports) == {"request:bad"}
+    assert find_deadly(*reports, make_report(3, "head subject")) == {"request:bad"}
+
+
+def test_deadly_part_is_found_although_one_request_with_it_came_three_times():
+    """Guards against a deadly part that a repeated request with it hides."""
+    reports = [make_report(n, "head bad", requests=["first"]) for n in range(3)]
+    reports += [make_report(n, "head bad", requests=[f"r{n}"]) for n in range(3, 5)]
+    assert find_deadly(*reports) == {"request:first", "bad"}
+
+
+def test_request_reported_as_sound_is_not_found():
+    """Guards against a request in demand that is refused after crashes with another cause."""
+    reports = [make_report(n, requests=["popular"]) for n in range(3)]
+    sound = make_report(1, reporter="g2", sound=["request:popular"])
+    assert find_deadly(*reports, sound) == set()
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -1,5 +1,6 @@
 """Tests how gateways notice crashes of engines and share them through the log."""
 
+import itertools
 import json
 
 import attrs
@@ -19,7 +20,11 @@
 
 from figwalk.coordination.compacted_log import CompactedLogWriter, KeyedRecord
 from figwalk.coordination.crash_evidence import CrashId
-from figwalk.coordination.prompt_quarantine import EVIDENCE_RETENTION_S, PromptQuarantine
+from figwalk.coordination.prompt_quarantine import (
+    EVIDENCE_RETENTION_S,
+    CallIdentity,
+    PromptQuarantine,
+)
 from figwalk.errors import LogUnavailableError
 from figwalk.events import EventLog
 from figwalk.gateway.crash_reports import CrashReports
@@ -32,7 +37,7 @@
 from standins.launcher import choose_port
 from standins.platform_config import make_config
 
-PROMPT = ("head", "bad", "own")
+CALL = CallIdentity(("head", "bad", "own"))
 
 
 class FakeTopic(CompactedLogWriter):
@@ -94,7 +99,7 @@
 
     async def test(member):
         member.topic.down = True
-        member.quarantine.record_crash(CrashId("e1", 1), [PROMPT])
+        member.quarantine.record_crash(CrashId("e1", 1), [CALL])
         await wait_until(member, lambda: member.topic.appends >= 2)
         member.topic.down = False
         await wait_until(member, lambda: member.topic.records)
@@ -108,7 +113,7 @@
     """Guards against reports that are missing after the log came back from an older copy."""
 
     async def test(member):
-        member.quarantine.record_crash(CrashId("e1", 1), [PROMPT])
+        member.quarantine.record_crash(CrashId("e1", 1), [CALL])
         await wait_until(member, lambda: member.topic.records)
         member.topic.records.clear()
         member.reports.handle_restore()
@@ -122,7 +127,7 @@
 
     async def test(member):
         for number in range(3):
-            member.quarantine.record_crash(CrashId(f"e{number}", 1), [PROMPT])
+            member.quarantine.record_crash(CrashId(f"e{number}", 1), [CALL])
         await wait_until(member, lambda: len(member.topic.records) == 3)
         events = EventLog("g2", member.timer)
         quarantine = PromptQuarantine("g2", events, member.timer)
@@ -169,7 +174,7 @@
         at_ms = member.timer.wall_ms() - int((EVIDENCE_RETENTION_S + 1) * 1000)
         value = json.dumps(STORED | {"at_ms": at_ms}).encode()
         member.reports.apply(KeyedRecord(1, "g9/e/1", value))
-        member.quarantine.record_crash(CrashId("e1", 1), [PROMPT])
+        member.quarantine.record_crash(CrashId("e1", 1), [CALL])
         await wait_until(member, lambda: member.topic.records)
         assert member.topic.records["g9/e/1"] is None
 
@@ -180,7 +185,7 @@
     """Guards against a gateway that ends because of a strange registration."""
 
     async def test(member):
-        member.quarantine.record_crash(CrashId("e" * 250, 1), [PROMPT])
+        member.quarantine.record_crash(CrashId("e" * 250, 1), [CALL])
         await wait_until(member, lambda: member.topic.records)
         (key,) = member.topic.records
         assert len(key) < 255
@@ -195,7 +200,8 @@
         for number in range(100):
             prompts = [[f"{n:032}" for n in range(number, number + 33)] for _ in range(1)]
             prompts += [[f"{m}-{n:029}" for n in range(33)] for m in range(63)]
-            member.quarantine.record_crash(CrashId(f"e{number}", 1), prompts)
+            calls = [CallIdentity(tuple(prompt)) for prompt in prompts]
+            member.quarantine.record_crash(CrashId(f"e{number}", 1), calls)
         await wait_until(member, lambda: len(member.topic.records) == 100)
         assert member.topic.largest <= 2 * 1024 * 1024
 
@@ -217,7 +223,7 @@
     watcher = CrashWatcher(directory, quarantine, GatewayMetrics(), events, timer)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(watcher.run)
-        watcher.record_broken(entry, PROMPT)
+        watcher.record_broken(entry, CALL)
         await act(directory, watcher, quarantine)
         nursery.cancel_scope.cancel()
     return len(quarantine.unpublished)
@@ -283,7 +289,7 @@
         watcher = CrashWatcher(directory, quarantine, GatewayMetrics(), events, timer)
         entry = make_entry(choose_port())
         directory.apply(entry)
-        watcher.record_broken(entry, PROMPT)
+        watcher.record_broken(entry, CALL)
         await trio.sleep(2 * MAX_PENDING_S)
         watcher.update()
         with trio.move_on_after(1.0):
@@ -313,9 +319,11 @@
         backend.crash()
         return False
 
+    bodies = (b"%d" % number for number in itertools.count())
+
     async def ask(gateway):
         headers = ["Prefix-Hash: head:50,bad:50,own:50", "Token-Counts: 200,20", "Model: m"]
-        return await gateway.call("/long/x", method="POST", body=b"1", headers=headers)
+        return await gateway.call("/long/x", method="POST", body=next(bodies), headers=headers)
 
     async def main():
         async with running_fleet() as fleet:
--- a/tests/test_deadly_prompt_parts.py
+++ b/tests/test_deadly_prompt_parts.py
@@ -49,7 +49,7 @@
     call_id = f"c{number}"
     try:
         status, _, _ = await gateway.call(
-            path, method="POST", body=b"1", call_id=call_id, headers=headers
+            path, method="POST", body=b"%d" % number, call_id=call_id, headers=headers
         )
     except h11.RemoteProtocolError:
         return None
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -11,12 +11,14 @@
     FIRST_HOLD_S,
     HOLD_SHARE_BETWEEN_GATEWAYS,
     SOUND_BEFORE_CRASH_S,
+    CallIdentity,
     PromptQuarantine,
 )
 from figwalk.errors import RefusalError
 from figwalk.events import EventLog
 
 PROMPT = ["head", "bad", "own"]
+CALL = CallIdentity(tuple(PROMPT))
 
 
 class ManualTimer(FakeTimer):
@@ -60,13 +62,14 @@
         """Have the gateways notice crashes in turn."""
         for number in numbers:
             member = self.members[number % len(self.members)]
-            member.record_crash(CrashId(f"e{number}", 1), prompts)
+            calls = [CallIdentity(tuple(prompt)) for prompt in prompts]
+            member.record_crash(CrashId(f"e{number}", 1), calls)
         self.exchange()
 
 
 def is_refused(quarantine, prompt=PROMPT):
     try:
-        quarantine.check(prompt)
+        quarantine.check(CallIdentity(tuple(prompt)))
     except RefusalError as error:
         assert (error.code, error.status) == ("deadly_prompt", 503)
         return True
@@ -97,12 +100,12 @@
     gateways = Gateways()
     gateways.crash(1, 2, 3)
     with pytest.raises(RefusalError) as refusal:
-        gateways.members[0].admit(PROMPT)
+        gateways.members[0].admit(CALL)
     assert refusal.value.retry_after_ms == FIRST_HOLD_S * 1000
     gateways.timer.time += FIRST_HOLD_S
-    assert gateways.members[0].admit(PROMPT)
+    assert gateways.members[0].admit(CALL)
     with pytest.raises(RefusalError):
-        gateways.members[0].admit(PROMPT)
+        gateways.members[0].admit(CALL)
 
 
 @pytest.mark.parametrize("count", [4, 30])
@@ -117,7 +120,7 @@
         gateways.timer.time += 1.0
         for member in gateways.members:
             try:
-                if member.admit(PROMPT):
+                if member.admit(CALL):
                     tries.append(gateways.timer.time)
             except RefusalError:
                 continue
@@ -132,10 +135,10 @@
     gateways = Gateways()
     gateways.crash(1, 2, 3)
     gateways.timer.time += FIRST_HOLD_S
-    assert gateways.members[0].admit(PROMPT)
+    assert gateways.members[0].admit(CALL)
     gateways.crash(4)
     with pytest.raises(RefusalError) as refusal:
-        gateways.members[0].admit(PROMPT)
+        gateways.members[0].admit(CALL)
     assert refusal.value.retry_after_ms == 2 * FIRST_HOLD_S * 1000
 
 
@@ -144,7 +147,7 @@
     gateways = Gateways(2)
     gateways.crash(1, 2, 3)
     gateways.timer.time += FIRST_HOLD_S
-    gateways.members[0].record_answered(PROMPT, gateways.timer.time)
+    gateways.members[0].record_answered(CALL, gateways.timer.time)
     gateways.exchange()
     assert not any(is_refused(member) for member in gateways.members)
 
@@ -152,8 +155,9 @@
 def test_part_answered_shortly_before_a_crash_is_no_suspect():
     """Guards against parts in great demand that are refused since they are always in progress."""
     gateways = Gateways(2)
+    popular = CallIdentity(("head", "popular", "x"))
     for number in range(6):
-        gateways.members[0].record_answered(["head", "popular", "x"], gateways.timer.time)
+        gateways.members[0].record_answered(popular, gateways.timer.time)
         gateways.timer.time += SOUND_BEFORE_CRASH_S / 2
         gateways.crash(number, prompts=[["head", "popular", "y"]])
     assert not any(member.parts for member in gateways.members)
@@ -162,7 +166,7 @@
 def test_part_that_becomes_deadly_after_answers_is_refused():
     """Guards against a part that counts as sound for ever because it was answered once."""
     gateways = Gateways()
-    gateways.members[0].record_answered(PROMPT, gateways.timer.time)
+    gateways.members[0].record_answered(CALL, gateways.timer.time)
     gateways.timer.time += SOUND_BEFORE_CRASH_S + 0.1
     gateways.crash(1, 2, 3)
     assert is_refused(gateways.members[0])
@@ -173,7 +177,7 @@
     gateways = Gateways()
     began_at = gateways.timer.time - 10.0
     gateways.crash(1, 2, 3)
-    gateways.members[0].record_answered(PROMPT, began_at)
+    gateways.members[0].record_answered(CALL, began_at)
     assert is_refused(gateways.members[0])
 
 
@@ -238,3 +242,24 @@
     gateways.crash(1, 2, 3, prompts=[prompt])
     assert is_refused(gateways.members[0], prompt)
     assert max(len(part) for part in gateways.members[0].parts) <= 32
+
+
+def test_request_is_refused_at_all_gateways_and_tested_after_a_while():
+    """Guards against a request without a prompt that no quarantine can name."""
+    gateways = Gateways(3)
+    order = CallIdentity((), "order")
+    for number in range(3):
+        gateways.members[number].record_crash(CrashId(f"e{number}", 1), [order])
+        gateways.exchange()
+    for member in gateways.members:
+        assert member.requests == {"request:order"}
+        with pytest.raises(RefusalError) as refusal:
+            member.admit(order)
+        assert (refusal.value.code, refusal.value.status) == ("deadly_request", 503)
+        assert refusal.value.retry_after_ms >= FIRST_HOLD_S * 1000
+        assert not member.admit(CallIdentity((), "other order"))
+    gateways.timer.time += 2 * FIRST_HOLD_S
+    assert gateways.members[0].admit(order)
+    gateways.members[0].record_answered(order, gateways.timer.time)
+    gateways.exchange()
+    assert not any(member.requests for member in gateways.members)
