Continue a begun stream only with events that follow

After a stream had begun and broken off, the next backend server's answer was relayed into it if its status was 2xx, whatever it held: the text of an error, the head of another answer inside the body, events that the caller had already; an empty 204 ended the stream as if it were complete. Statuses above 2xx were rejected already. A resumed answer must now be an event stream with status 200, and each of its events has to have an id that follows the last one; otherwise the attempt counts as broken.

--- a/figwalk/gateway/stream_relay.py
+++ b/figwalk/gateway/stream_relay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
+
 from figwalk.errors import HttpError
 from figwalk.gateway.attempts import Answer
 from figwalk.gateway.stream_timing import StreamTiming
@@ -10,6 +12,7 @@
 from figwalk.transport import Responder, find_header
 
 _ID_FIELD = b"id:"
+_COMMENT_START = b":"
 
 
 class StreamRelay:
@@ -62,10 +65,14 @@
 
         Raises:
             HttpError: The answer is truncated, or ends inside an event: it may have neither a
-                length nor chunks, so that its end alone does not show that it is complete. If the
-                stream may be resumed, only complete events were passed on.
+                length nor chunks, so that its end alone does not show that it is complete. Or it
+                does not continue a stream that has begun. If the stream may be resumed, only
+                complete events were passed on.
             ClientDisconnectedError: The caller disconnected.
         """
+        is_resumed = self.started
+        if is_resumed and not (answer.status == HTTPStatus.OK and _has_events(answer)):
+            raise HttpError(f"{answer.backend} did not continue a stream with events")
         splitter = EventStreamSplitter()
         boundaries = EventBoundaries()
         async for data in answer.response.chunks():
@@ -73,6 +80,8 @@
             self._has_event = self._has_event or boundaries.found
             complete = splitter.feed(data) if self._resumable else data
             if complete:
+                if is_resumed:
+                    self._check_order(answer, complete)
                 await self._send(answer, complete)
         if _has_events(answer) and boundaries.inside_event:
             raise HttpError(f"{answer.backend} ended a stream inside an event")
@@ -82,6 +91,22 @@
             await self._responder.start(answer.status, answer.headers)
         await self._responder.finish()
 
+    def _check_order(self, answer: Answer, events: bytes) -> None:
+        """Check that the events of a resumed stream follow those that the caller has.
+
+        Raises:
+            HttpError: An event has no id, or an id that does not follow. A faulty backend server
+                may begin anew, or write an error into the stream.
+        """
+        last = self._last_event_id
+        for event in _split_events(events):
+            event_id = find_last_event_id(event)
+            if not _follows(event_id, last):
+                raise HttpError(
+                    f"{answer.backend} sent event {event_id!r} of a stream after {last!r}"
+                )
+            last = event_id
+
     async def _send(self, answer: Answer, data: bytes) -> None:
         if not self._responder.started:
             await self._responder.start(answer.status, answer.headers)
@@ -97,6 +122,30 @@
     return answer.succeeded and (not content_type or content_type.startswith(EVENT_STREAM_TYPE))
 
 
+def _split_events(events: bytes) -> list[bytes]:
+    """Return the events in some bytes, without those that consist of comments."""
+    blocks = events.replace(b"\r\n", b"\n").split(b"\n\n")
+    lines = [[line for line in block.split(b"\n") if line] for block in blocks]
+    return [
+        b"\n".join(block)
+        for block in lines
+        if not all(line.startswith(_COMMENT_START) for line in block)
+    ]
+
+
+def _follows(event_id: str, last: str) -> bool:
+    """Return whether an event may come after another one; the ids of a stream increase."""
+    if event_id.isdecimal() and last.isdecimal():
+        return _numeric_key(event_id) > _numeric_key(last)
+    return event_id not in ("", last) or not last
+
+
+def _numeric_key(digits: str) -> tuple[int, str]:
+    """Return a key that orders decimal numbers of any length by value."""
+    digits = digits.lstrip("0")
+    return len(digits), digits
+
+
 def find_last_event_id(events: bytes) -> str:
     """Return the value of the last `id` field in some events, or an empty string."""
     position = len(events)
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -385,3 +385,69 @@
         one=(any_stage, "decode"),
         two=(any_stage, "decode"),
     )
+
+
+def answering_raw(*answers):
+    """Return a script that streams two events and breaks off, then answers with other bytes."""
+
+    async def script(backend, stream, request):
+        if "last-event-id" not in request.headers:
+            return await streaming(5, break_after=2)(backend, stream, request)
+        for answer in answers:
+            await stream.send_all(answer.format(id=request.call_id).encode())
+        await stream.aclose()
+        return False
+
+    return script
+
+
+def remove_chunk_sizes(body):
+    """Return the content of a body in chunks, which may lack its end."""
+    content = b""
+    while body:
+        size, _, body = body.partition(b"\r\n")
+        content += body[: int(size, 16)]
+        body = body[int(size, 16) + 2 :]
+    return content
+
+
+STAMPED = "Request-Id: {id}\r\nServer-Stamp: 1\r\n"
+ERROR_TEXT = "backend exploded\n\n"
+ERROR_HEAD = f"HTTP/1.1 500 X\r\n{STAMPED}Content-Length: {len(ERROR_TEXT)}\r\n\r\n{ERROR_TEXT}"
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        ERROR_HEAD,
+        ERROR_HEAD.replace("500", "404"),
+        ERROR_HEAD.replace("500", "302"),
+        ERROR_HEAD.replace("500 X\r\n", "200 X\r\nContent-Type: application/json\r\n"),
+        ERROR_HEAD.replace("500 X\r\n", "200 X\r\nContent-Type: text/event-stream\r\n"),
+        f"HTTP/1.1 200 X\r\n{STAMPED}Content-Type: text/plain\r\n\r\n{ERROR_TEXT}",
+        f"HTTP/1.1 204 X\r\n{STAMPED}\r\n",
+        f"HTTP/1.1 206 X\r\n{STAMPED}Content-Length: 3\r\n\r\nabc",
+        f"HTTP/1.1 200 X\r\n{STAMPED}Transfer-Encoding: chunked\r\n\r\n" + ERROR_HEAD,
+        f"HTTP/1.1 200 X\r\n{STAMPED}Content-Type: text/event-stream\r\n\r\n" + ERROR_HEAD,
+        f"HTTP/1.1 200 X\r\n{STAMPED}Content-Type: text/event-stream\r\n\r\n"
+        "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n",
+    ],
+)
+def test_stream_that_broke_off_is_continued_by_its_next_event_or_stays_incomplete(answer):
+    """Guards against the error of the next engine, or events out of order, in a begun stream."""
+
+    async def test(fleet, **engines):
+        stream = await trio.open_tcp_stream(fleet.callers.host, fleet.callers.port)
+        request = make_request("/long/x", method="POST", body=b"1", headers=SHORT)
+        async with stream:
+            await stream.send_all(request)
+            received = b""
+            while data := await stream.receive_some(65536):
+                received += data
+        assert len([e for e in engines.values() if e.requests]) == 2
+        _, _, body = received.partition(b"\r\n\r\n")
+        assert remove_chunk_sizes(body) == event(1) + event(2)
+        assert not body.endswith(b"0\r\n\r\n")
+
+    script = answering_raw(answer)
+    run_with_engines(test, one=(script, "decode"), two=(script, "decode"))
