Skip strange entries among the registrations instead of the whole list

One item of a listing that could not be read made the whole listing unavailable, so that a gateway stopped following the list, or never became ready. Unreadable items are now passed on as records without a value, which the reader logs and skips.

--- a/figwalk/platform/backend_records.py
+++ b/figwalk/platform/backend_records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from reprlib import repr as shorten
+
 from figwalk.platform.json_fields import JsonFields, PlatformRecordError, is_token
 from figwalk.protocol.messages import Role
 from figwalk.state.backend_directory import BackendEntry
@@ -22,15 +24,15 @@
     fields = JsonFields.parse(data, f"registration of {key!r}")
     state = fields.text("state")
     if state not in _LEAVING:
-        raise PlatformRecordError(f"registration of {key!r}: state {state!r} is not known")
+        raise PlatformRecordError(f"registration of {key!r}: state {shorten(state)} is not known")
     stage = fields.text("stage", "")
     if stage and stage not in _ROLES:
-        raise PlatformRecordError(f"registration of {key!r}: stage {stage!r} is not known")
+        raise PlatformRecordError(f"registration of {key!r}: stage {shorten(stage)} is not known")
     return BackendEntry(
         backend=key,
-        service=fields.text("service"),
+        service=fields.name("service"),
         address=fields.address("address"),
-        zone=fields.text("zone"),
+        zone=fields.name("zone"),
         slots=fields.integer("slots"),
         leaving=_LEAVING[state],
         # `sequence` counts the registrations since `born`, the start of the process.
--- a/figwalk/platform/json_fields.py
+++ b/figwalk/platform/json_fields.py
@@ -15,6 +15,8 @@
 MAX_NUMBER = 2**53
 # For counts of tokens and requests in headers; 9 digits fit into the 32 bits of a peer message.
 MAX_COUNT_DIGITS = 9
+# Names of services and zones have a few dozen characters.
+MAX_NAME_LENGTH = 255
 
 
 class PlatformRecordError(FigwalkError):
@@ -85,6 +87,10 @@
             raise PlatformRecordError(f"{self._where}: {name!r} is not from 0 to {MAX_NUMBER}")
         return value
 
+    def items(self, name: str) -> list[object]:
+        """Return a field with a list of anything; without the field, an empty list."""
+        return self._read(name, list, [])
+
     def objects(self, name: str) -> list[JsonFields]:
         """Return a field with a list of objects."""
         items = self._read(name, list, [])
@@ -108,7 +114,8 @@
         """Return a field with an IP address and a port."""
         host, separator, port = self.text(name).rpartition(":")
         try:
-            ipaddress.ip_address(host)
+            # The scope of an IPv6 address is valid on one VM only, and may hold any text.
+            ipaddress.ip_address(host if "%" not in host else "")
             number = int(port) if port.isascii() and port.isdigit() else 0
         except ValueError:
             number = 0
@@ -123,6 +130,15 @@
             raise PlatformRecordError(f"{self._where}: {name!r} is not visible ASCII")
         return text
 
+    def name(self, name: str) -> str:
+        """Return a field with the name of a service or zone: a short token."""
+        text = self.token(name)
+        if len(text) > MAX_NAME_LENGTH:
+            raise PlatformRecordError(
+                f"{self._where}: {name!r} has {len(text)} characters, above {MAX_NAME_LENGTH}"
+            )
+        return text
+
     def _read(self, name: str, kind: type, default: object) -> Any:
         value = self._content.get(name, default)
         if not isinstance(value, kind):
--- a/figwalk/platform/store.py
+++ b/figwalk/platform/store.py
@@ -62,14 +62,15 @@
             era = page_era
             try:
                 fields = JsonFields.parse(body, f"newest records of {topic!r}")
-                records += [_decode_item(item) for item in fields.objects("items")]
+                records += [_decode_item(item) for item in fields.items("items")]
                 # Pages are not a snapshot: records after the end of the first page are read again.
                 end = fields.integer("end") if end is None else end
-                if not fields.flag("truncated", default=False) or not records:
+                keys = [record.key for record in records if record.key]
+                if not fields.flag("truncated", default=False) or not keys:
                     return KeyedPage(end, tuple(records), era)
             except PlatformRecordError as error:
                 raise LogUnavailableError(str(error)) from error
-            query["after"] = records[-1].key
+            query["after"] = keys[-1]
         raise LogUnavailableError(f"listing {topic!r} did not end")
 
     async def read(self, topic: str, offset: int, *, wait_s: float = 0.0) -> KeyedPage:
@@ -122,12 +123,21 @@
     return int(text) if is_count(text) else None
 
 
-def _decode_item(fields: JsonFields) -> KeyedRecord:
+def _decode_item(item: object) -> KeyedRecord:
+    """Return the record of a listed item.
+
+    Key and value are empty if they can't be read, so that one strange item does not hide the
+    others; the reader of the topic reports and skips it.
+    """
+    key, offset, value = "", 0, b""
     try:
+        fields = JsonFields(item, "listed item")
+        key = fields.text("key")
+        offset = fields.integer("offset")
         value = base64.b64decode(fields.text("value"), validate=True)
-    except ValueError as error:
-        raise PlatformRecordError(f"a value is not base64: {error}") from error
-    return KeyedRecord(fields.integer("offset"), fields.text("key"), value)
+    except (PlatformRecordError, ValueError):
+        return KeyedRecord(offset, key, b"")
+    return KeyedRecord(offset, key, value)
 
 
 def _decode_first_offset(body: bytes) -> int:
--- a/tests/test_decoder_bounds.py
+++ b/tests/test_decoder_bounds.py
@@ -1,5 +1,6 @@
 """Tests of decoders with malformed bytes and values out of range."""
 
+import base64
 import json
 import math
 from contextlib import suppress
@@ -9,22 +10,28 @@
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
-from support.platform_fakes import fetch, make_request, run_test, running_fleet
+from support.platform_fakes import HOST, fetch, make_request, run_test, running_fleet
 
 from figwalk.coordination.prompt_plan import PromptCall
 from figwalk.errors import HttpError, MalformedFrameError
+from figwalk.events import EventLog
 from figwalk.gateway.prompt_offers import _make_offer
+from figwalk.gateway.topic_handlers import BackendReader
 from figwalk.platform import (
     PlatformBackendCodec,
     PlatformCallerCodec,
     PlatformEngineReportCodec,
+    PlatformStore,
     decode_backend,
     decode_routing,
 )
 from figwalk.platform.json_fields import PlatformRecordError
 from figwalk.protocol.codec import decode_message, encode_message
 from figwalk.protocol.messages import PromptOffer
-from figwalk.transport import HttpRequest
+from figwalk.state.backend_directory import BackendDirectory
+from figwalk.state.settings import Address
+from figwalk.timer import Timer
+from figwalk.transport import HttpRequest, HttpServer
 from standins.platform_config import make_config
 
 HUGE = 10**400
@@ -58,13 +65,87 @@
         decode_backend("b", json.dumps(REGISTRATION | {field: HUGE}).encode())
 
 
-@pytest.mark.parametrize("address", ["127.0.0.1:\u00b2", "\ud800:80", "localhost:80", "a b:80"])
+@pytest.mark.parametrize(
+    "address",
+    [
+        "127.0.0.1:\u00b2",
+        "\ud800:80",
+        "localhost:80",
+        "a b:80",
+        "127.0.0.1:0",
+        "127.0.0.1:65536",
+        "127.0.0.1:" + "9" * 5000,
+        "fe80::1%\r\nx: y:80",
+    ],
+)
 def test_registration_with_an_invalid_ip_address_is_refused(address):
     """Guards against a call that fails only when the address is used."""
     with pytest.raises(PlatformRecordError):
         decode_backend("b", json.dumps(REGISTRATION | {"address": address}).encode())
 
 
+@pytest.mark.parametrize("field", ["service", "zone"])
+@pytest.mark.parametrize("name", ["", "a\r\nx: y", "a b", "\ud800", "\u00e4", "x" * 1_000_000])
+def test_registration_with_a_strange_service_or_zone_is_refused(field, name):
+    """Guards against names that logs, metrics and headers can't carry, or that fill memory."""
+    with pytest.raises(PlatformRecordError):
+        decode_backend("b", json.dumps(REGISTRATION | {field: name}).encode())
+
+
+@pytest.mark.parametrize("field", ["state", "stage"])
+def test_error_on_a_long_value_is_short(field):
+    """Guards against log lines of a megabyte for one odd registration."""
+    with pytest.raises(PlatformRecordError) as error:
+        decode_backend("b", json.dumps(REGISTRATION | {field: "x" * 1_000_000}).encode())
+    assert len(str(error.value)) < 500
+
+
+def item(key, content, offset=0):
+    return {"key": key, "offset": offset, "value": base64.b64encode(content).decode()}
+
+
+ODD_ITEMS = [
+    7,
+    None,
+    [],
+    {},
+    {"key": 5, "offset": 1, "value": ""},
+    {"key": "odd", "offset": HUGE, "value": ""},
+    {"key": "odd", "offset": 1, "value": "?"},
+    {"key": "odd", "offset": 1, "value": None},
+    item("odd", b"[" * 100_000),
+    item("odd", json.dumps(REGISTRATION | {"address": "10.0.0.1:70000"}).encode()),
+    item("odd", json.dumps(REGISTRATION | {"slots": HUGE}).encode()),
+]
+
+
+@pytest.mark.parametrize("odd", ODD_ITEMS)
+@pytest.mark.parametrize("position", [0, 1, 2])
+def test_odd_item_of_a_listing_does_not_hide_the_others(odd, position):
+    """Guards against a gateway that stops following the list because of one strange entry."""
+    items = [item(key, json.dumps(REGISTRATION).encode()) for key in ("a", "b")]
+    items.insert(position, odd)
+
+    async def answer(_request, responder):
+        await responder.send_json(200, {"items": items, "truncated": False, "end": 3})
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            events = EventLog("store", Timer())
+            port = await nursery.start(HttpServer(answer, events).serve, HOST, 0)
+            store = PlatformStore(Address(HOST, port), timeout_s=5.0)
+            page = await store.read_newest("keyed.servers")
+            directory = BackendDirectory(events, Timer())
+            reader = BackendReader(directory, decode_backend, events)
+            for record in page.records:
+                reader.apply(record)
+            assert {entry.backend for entry in directory.entries()} == {"a", "b"}
+            store.close()
+            nursery.cancel_scope.cancel()
+
+    run_test(main)
+
+
 @pytest.mark.parametrize("key", ["", "a b", "a\r\nx: y", "\u00e4"])
 def test_registration_key_that_is_not_a_valid_header_value_is_refused(key):
     """Guards against a backend id that invalidates, or injects, headers of each call."""
