Test that a refusal of an earlier call says nothing about the next one

Operators of similar systems saw faulty servers repeat an earlier refusal on a kept connection, and callers told that a call had not run which had. It does not happen here: answers with another id, or without one, are skipped, and a connection is not used again after a refusal. 18 cases pass on the code as it was.

--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -152,6 +152,47 @@
         assert body == f"c{i}".encode()
 
 
+@pytest.mark.parametrize("refusal_id", ["c0", ""])
+@pytest.mark.parametrize("refusal", [{"status": 503}, {"status": 429}, {"status": 421}])
+@pytest.mark.parametrize(("end", "expected"), [("answer", 200), ("close", 502), ("silence", 504)])
+def test_refusal_of_an_earlier_call_says_nothing_about_the_next_one(
+    refusal, refusal_id, end, expected
+):
+    """Guards against an order that ran and is refused as not run, or runs a second time."""
+
+    async def script(backend, stream, request):
+        options = refusal | {"signed": False, "Not_Executed": 1}
+        if len(backend.requests) == 1:
+            # After a refusal, the gateway would not use the connection again.
+            await stream.send_all(render(request, b"ran"))
+            return True
+        copy = render(request, b"", call_id="EARLIER", **options)
+        await stream.send_all(copy.replace(b"EARLIER", refusal_id.encode()))
+        if end == "answer":
+            await stream.send_all(render(request, b"ran"))
+        if end == "close":
+            await stream.aclose()
+        return end != "close"
+
+    async def main():
+        async with running_fleet() as fleet:
+            fleet.publish(make_config())
+            backend = await fleet.add_backend("b1", script)
+            await fleet.start_gateway()
+            first, _, _ = await fleet.call("/order/x", method="POST", body=b"1", call_id="c0")
+            assert first == 200
+            other = await fleet.add_backend("b2", answering(b"twice"), zone="c")
+            while len(fleet.process._directory.entries()) < 2:
+                await trio.sleep(0.01)
+            status, _, _ = await fleet.call(
+                "/order/x", method="POST", body=b"1", call_id="c1", deadline_ms=500
+            )
+            assert (status, len(backend.requests), backend.connections) == (expected, 2, 1)
+            assert other.requests == []
+
+    run_test(main)
+
+
 @with_fleet()
 async def test_bytes_after_an_answer_end_the_connection(fleet):
     """Guards against extra bytes that the next call on the connection reads as its answer."""
