Name the quarantine after the calls that it holds, not after prompts only

CallQuarantine decides on requests and on parts of prompts; what identifies a call moves to a module of its own. No behaviour changes, but REPEAT_SENT is no longer logged for a prefill that may turn out to be the first accepted one of its request.

--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -10,7 +10,7 @@
 import trio
 
 from figwalk.coordination.backend_tracker import AttemptOutcome, BackendTracker
-from figwalk.coordination.prompt_quarantine import PromptQuarantine
+from figwalk.coordination.call_quarantine import CallQuarantine
 from figwalk.coordination.windowed_retry_budget import ServiceRetryBudgets
 from figwalk.errors import FigwalkError, HttpError, RefusalError
 from figwalk.events import Event, EventLog
@@ -152,7 +152,7 @@
         self,
         pool: BackendPool,
         codec: BackendCodec,
-        quarantine: PromptQuarantine,
+        quarantine: CallQuarantine,
         events: EventLog,
         timer: Timer,
     ) -> None:
@@ -358,17 +358,19 @@
             call.sent_to.remove(plan.backend.backend)
 
     def _record_arrival(self, call: Call, plan: SendPlan) -> None:
-        repeats = call.arrivals.repeats
-        call.arrivals.sent += 1
-        if call.arrivals.repeats > repeats:
+        arrivals = call.arrivals
+        arrivals.sent += 1
+        # A prefill that may be the first accepted one is counted when the call is run.
+        is_free = plan.step is CallStep.PREFILL and not arrivals.prefilled
+        if arrivals.repeats and not is_free:
             self._events.record(
                 Event.REPEAT_SENT,
                 request_id=call.call_id,
                 service=call.service,
                 backend=plan.backend.backend,
                 step=plan.step.value,
-                repeats=call.arrivals.repeats,
-                charged=call.arrivals.charged,
+                repeats=arrivals.repeats,
+                charged=arrivals.charged,
             )
 
     def _record_sent(self, call: Call, tracker: BackendTracker, plan: SendPlan) -> None:
--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -9,7 +9,7 @@
 import attrs
 
 from figwalk.coordination.call_arrivals import CallArrivals
-from figwalk.coordination.prompt_quarantine import CallIdentity
+from figwalk.coordination.call_identity import CallIdentity
 from figwalk.gateway.codecs import CallFacts
 from figwalk.gateway.stream_timing import StreamTiming
 from figwalk.state.routing import EngineSpec, Route
--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from figwalk.coordination.prompt_quarantine import PromptQuarantine
+from figwalk.coordination.call_quarantine import CallQuarantine
 from figwalk.errors import CallerError, CallOutcome, RefusalError
 from figwalk.events import Event, EventLog
 from figwalk.gateway.call import Call
@@ -45,7 +45,7 @@
         routing: Callable[[], RoutingConfig | None],
         plain_calls: PlainCalls,
         prompt_calls: PromptCalls,
-        quarantine: PromptQuarantine,
+        quarantine: CallQuarantine,
         metrics: GatewayMetrics,
         events: EventLog,
         timer: Timer,
--- a/figwalk/gateway/crash_reports.py
+++ b/figwalk/gateway/crash_reports.py
@@ -10,9 +10,9 @@
 import trio
 
 from figwalk.coordination.backoff import Backoff
+from figwalk.coordination.call_quarantine import CallQuarantine
 from figwalk.coordination.compacted_log import CompactedLogWriter, KeyedRecord, TopicHandler
 from figwalk.coordination.crash_evidence import CrashId, CrashReport
-from figwalk.coordination.prompt_quarantine import PromptQuarantine
 from figwalk.errors import LogUnavailableError
 from figwalk.events import Event, EventLog
 
@@ -56,7 +56,7 @@
     """
 
     def __init__(
-        self, log: CompactedLogWriter, topic: str, quarantine: PromptQuarantine, events: EventLog
+        self, log: CompactedLogWriter, topic: str, quarantine: CallQuarantine, events: EventLog
     ) -> None:
         self._log = log
         self._topic = topic
--- a/figwalk/gateway/crash_watcher.py
+++ b/figwalk/gateway/crash_watcher.py
@@ -5,8 +5,9 @@
 import attrs
 import trio
 
+from figwalk.coordination.call_identity import CallIdentity
+from figwalk.coordination.call_quarantine import CallQuarantine
 from figwalk.coordination.crash_evidence import CrashId
-from figwalk.coordination.prompt_quarantine import CallIdentity, PromptQuarantine
 from figwalk.events import Event, EventLog
 from figwalk.gateway.gateway_metrics import GatewayMetrics
 from figwalk.state.backend_directory import BackendDirectory, BackendEntry
@@ -55,7 +56,7 @@
     def __init__(
         self,
         directory: BackendDirectory,
-        quarantine: PromptQuarantine,
+        quarantine: CallQuarantine,
         metrics: GatewayMetrics,
         events: EventLog,
         timer: Timer,
--- a/figwalk/gateway/plain_calls.py
+++ b/figwalk/gateway/plain_calls.py
@@ -8,8 +8,8 @@
 import attrs
 
 from figwalk.coordination.backend_tracker import AttemptOutcome, BackendTracker
+from figwalk.coordination.call_quarantine import CallQuarantine
 from figwalk.coordination.plain_placement import PlainPlacement
-from figwalk.coordination.prompt_quarantine import PromptQuarantine
 from figwalk.coordination.windowed_retry_budget import ServiceRetryBudgets
 from figwalk.errors import CallOutcome, RefusalError
 from figwalk.events import EventLog
@@ -82,7 +82,7 @@
         pool: BackendPool,
         attempts: Attempts,
         placement: PlainPlacement,
-        quarantine: PromptQuarantine,
+        quarantine: CallQuarantine,
         crashes: CrashWatcher,
         budgets: ServiceRetryBudgets,
         events: EventLog,
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -7,12 +7,12 @@
 
 import trio
 
+from figwalk.coordination.call_quarantine import CallQuarantine
 from figwalk.coordination.compacted_log import TopicFollower
 from figwalk.coordination.gateway_count import GatewayCount
 from figwalk.coordination.loop_lag import LoopLag
 from figwalk.coordination.plain_placement import Distance, PlainPlacement
 from figwalk.coordination.prompt_placement import PlacementSettings, PromptPlacement
-from figwalk.coordination.prompt_quarantine import PromptQuarantine
 from figwalk.coordination.windowed_retry_budget import ServiceRetryBudgets
 from figwalk.errors import RefusalError
 from figwalk.events import Event, EventLog
@@ -101,7 +101,7 @@
             settings.retry, self._timer, processes=lambda: self._gateway_count.count
         )
         self._lag = LoopLag()
-        self._quarantine = PromptQuarantine(
+        self._quarantine = CallQuarantine(
             settings.process, self._events, self._timer, on_report=self._publish_crashes
         )
         self._crash_reports = CrashReports(
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -11,11 +11,11 @@
 import attrs
 
 from figwalk.coordination.backend_tracker import AttemptOutcome
+from figwalk.coordination.call_quarantine import CallQuarantine
 from figwalk.coordination.engine_tracker import EngineTracker
 from figwalk.coordination.loop_lag import LoopLag
 from figwalk.coordination.prompt_placement import PromptPlacement
 from figwalk.coordination.prompt_plan import PromptCall, PromptPlan
-from figwalk.coordination.prompt_quarantine import PromptQuarantine
 from figwalk.coordination.windowed_retry_budget import ServiceRetryBudgets
 from figwalk.errors import CallOutcome, HttpError, RefusalError
 from figwalk.events import Event, EventLog
@@ -75,7 +75,7 @@
         attempts: Attempts,
         placement: PromptPlacement,
         offers: PromptOffers,
-        quarantine: PromptQuarantine,
+        quarantine: CallQuarantine,
         crashes: CrashWatcher,
         lag: LoopLag,
         budgets: ServiceRetryBudgets,
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_call_quarantine.py
@@ -5,15 +5,15 @@
 import pytest
 from support.fake_log import FakeTimer
 
-from figwalk.coordination.crash_evidence import CrashId, CrashReport
-from figwalk.coordination.prompt_quarantine import (
+from figwalk.coordination.call_identity import CallIdentity
+from figwalk.coordination.call_quarantine import (
     EVIDENCE_RETENTION_S,
     FIRST_HOLD_S,
     HOLD_SHARE_BETWEEN_GATEWAYS,
     SOUND_BEFORE_CRASH_S,
-    CallIdentity,
-    PromptQuarantine,
+    CallQuarantine,
 )
+from figwalk.coordination.crash_evidence import CrashId, CrashReport
 from figwalk.errors import RefusalError
 from figwalk.events import EventLog
 
@@ -43,7 +43,7 @@
 
     def make(self, name):
         """Return the quarantine of a gateway that has just started."""
-        return PromptQuarantine(name, EventLog(name, self.timer), self.timer)
+        return CallQuarantine(name, EventLog(name, self.timer), self.timer)
 
     def exchange(self):
         """Publish all reports and have each gateway apply them, until none is new."""
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -18,13 +18,13 @@
     running_fleet,
 )
 
-from figwalk.coordination.compacted_log import CompactedLogWriter, KeyedRecord
-from figwalk.coordination.crash_evidence import CrashId
-from figwalk.coordination.prompt_quarantine import (
+from figwalk.coordination.call_identity import CallIdentity
+from figwalk.coordination.call_quarantine import (
     EVIDENCE_RETENTION_S,
-    CallIdentity,
-    PromptQuarantine,
+    CallQuarantine,
 )
+from figwalk.coordination.compacted_log import CompactedLogWriter, KeyedRecord
+from figwalk.coordination.crash_evidence import CrashId
 from figwalk.errors import LogUnavailableError
 from figwalk.events import EventLog
 from figwalk.gateway.crash_reports import CrashReports
@@ -65,7 +65,7 @@
 class Member:
     """One gateway's part in sharing reports."""
 
-    quarantine: PromptQuarantine
+    quarantine: CallQuarantine
     reports: CrashReports
     topic: FakeTopic
     timer: FakeTimer
@@ -75,9 +75,7 @@
     async def main():
         timer, topic = FakeTimer(), FakeTopic()
         events = EventLog("g1", timer)
-        quarantine = PromptQuarantine(
-            "g1", events, timer, on_report=lambda: member.reports.notify()
-        )
+        quarantine = CallQuarantine("g1", events, timer, on_report=lambda: member.reports.notify())
         reports = CrashReports(topic, "t", quarantine, events)
         member = Member(quarantine, reports, topic, timer)
         async with trio.open_nursery() as nursery:
@@ -130,7 +128,7 @@
             member.quarantine.record_crash(CrashId(f"e{number}", 1), [CALL])
         await wait_until(member, lambda: len(member.topic.records) == 3)
         events = EventLog("g2", member.timer)
-        quarantine = PromptQuarantine("g2", events, member.timer)
+        quarantine = CallQuarantine("g2", events, member.timer)
         reader = CrashReports(member.topic, "t", quarantine, events)
         for offset, (key, value) in enumerate(member.topic.records.items()):
             reader.apply(KeyedRecord(offset, key, value))
@@ -219,7 +217,7 @@
     events = EventLog("g1", timer)
     directory = BackendDirectory(events, timer)
     directory.apply(entry)
-    quarantine = PromptQuarantine("g1", events, timer)
+    quarantine = CallQuarantine("g1", events, timer)
     watcher = CrashWatcher(directory, quarantine, GatewayMetrics(), events, timer)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(watcher.run)
@@ -285,7 +283,7 @@
         timer = FakeTimer()
         events = EventLog("g1", timer)
         directory = BackendDirectory(events, timer)
-        quarantine = PromptQuarantine("g1", events, timer)
+        quarantine = CallQuarantine("g1", events, timer)
         watcher = CrashWatcher(directory, quarantine, GatewayMetrics(), events, timer)
         entry = make_entry(choose_port())
         directory.apply(entry)
