Wait on for a first event if no retry is allowed

A resumable stream without a first event within three targets was abandoned for a retry, also when the retry budget had none left, and so failed with 502. Plain calls already looked at the budget. tests/test_retry_limits.py -k slow_stream: 502 before, 200 now.

--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -433,10 +433,12 @@
         remaining_s = abandoned_at - now - self._lag.lag_s
         return PromptCall(_prompt_parts(call), target_s, remaining_s, call.deadline - now)
 
-    @staticmethod
-    def _first_event_timeout_s(call: Call) -> float | None:
+    def _first_event_timeout_s(self, call: Call) -> float | None:
+        """Return how long to wait for a first event, or None if the call can't be retried then."""
         if not call.route.repeatable or len(call.sent_to) + 1 >= call.route.max_backends:
             return None
+        if self._budgets.of_service(call.service).left < 1:
+            return None
         return FIRST_EVENT_TIMEOUT_TARGETS * call.route.target_s
 
     def _refuse(self, call: Call, error: AttemptError) -> RefusalError:
--- a/tests/test_retry_limits.py
+++ b/tests/test_retry_limits.py
@@ -1,6 +1,7 @@
 """Tests that all gateways together stay within the limit of repeats, whatever happens to them."""
 
-from support.platform_fakes import any_stage, refusing, run_test, running_fleet
+import trio
+from support.platform_fakes import any_stage, refusing, run_test, running_fleet, streaming
 
 from figwalk.state.gateway_settings import RetrySettings
 from standins.platform_config import make_config
@@ -73,3 +74,20 @@
         assert count_repeats(failing) <= ratio * 10
 
     run_with_retries(test, ratio=ratio)
+
+
+def test_slow_stream_is_not_given_up_if_no_retry_is_allowed():
+    """Guards against a stream that fails since it is abandoned without a retry left for it."""
+
+    async def slow(backend, stream, request):
+        # Four targets of the route; without an event for three, the stream would be retried.
+        await trio.sleep(1.0)
+        return await streaming(2)(backend, stream, request)
+
+    async def test(fleet):
+        for name in ("one", "two"):
+            await fleet.add_backend(name, slow, "lm", stage="decode")
+        await fleet.start_gateway()
+        assert (await ask(fleet, "/long/x", 1))[0] == 200
+
+    run_with_retries(test, ratio=0.0)
