Find a deadly request however many other crashes there are

The same request is hardly in progress at three crashes by chance, and refusing it affects no other. tests/test_crash_evidence.py -k many_crashes: found nothing before.

--- a/figwalk/coordination/crash_evidence.py
+++ b/figwalk/coordination/crash_evidence.py
@@ -183,28 +183,24 @@
     def find_causes(self) -> dict[str, CrashCause]:
         """Return the requests and parts that explain the crashes.
 
-        A request is found if it was in progress at `MIN_CRASHES` crashes, and at a share of
-        `MIN_SHARE` of all crashes from the first of these to the last one. Refusing it affects
-        nobody else, so that several requests may explain the same crash.
+        A request is found if it was in progress at `MIN_CRASHES` crashes, however many others there
+        were: the same request is hardly in progress at several by chance. Refusing it affects no
+        other request, so that several requests may explain the same crash.
 
         A part is found if it was in progress at `MIN_CRASHES` crashes that no other found part
-        explains, and at a share of `MIN_SHARE` of all crashes from the first of these to the last
-        one. If several parts of the same prompts were, the last one is found: prompts share
-        their first parts with many others, and the later ones with few.
+        explains, at a share of `MIN_SHARE` of all crashes from the first of these to the last one,
+        and at `MIN_CRASHES_OF_OTHERS` crashes that no found request explains. If several parts of
+        the same prompts were, the last one is found: prompts share their first parts with many
+        others, and the later ones with few.
         """
         if not self._frequent:
             return {}
-        requests = self._find_requests()
+        requests = {
+            request: self._make_cause([key for key, _ in self.crashes_with(request)])
+            for request in filter(is_request, self._frequent)
+        }
         return requests | self._find_parts(requests.keys())
 
-    def _find_requests(self) -> dict[str, CrashCause]:
-        found = {}
-        for request in filter(is_request, self._frequent):
-            cause = self._make_cause([key for key, _ in self.crashes_with(request)])
-            if cause is not None:
-                found[request] = cause
-        return found
-
     def _find_parts(self, requests: Set[str]) -> dict[str, CrashCause]:
         unexplained = {key: c.prompts_with(self._frequent) for key, c in self._crashes.items()}
         found: dict[str, CrashCause] = {}
@@ -212,23 +208,21 @@
             part = max(scores, key=lambda name: (scores[name], name))
             explained = [key for key, prompts in unexplained.items() if _contains(prompts, part)]
             others = [key for key in explained if not requests & self._crashes[key].suspects]
-            cause = self._make_cause(explained)
-            if cause is not None and len(others) >= MIN_CRASHES_OF_OTHERS:
-                found[part] = cause
+            if self._is_usual(explained) and len(others) >= MIN_CRASHES_OF_OTHERS:
+                found[part] = self._make_cause(explained)
             for key in explained:
                 del unexplained[key]
         return found
 
-    def _make_cause(self, crashes: Sequence[CrashId]) -> CrashCause | None:
-        """Return the cause of some crashes, or None if it explains too few of their time."""
-        times = [self._crashes[key].noticed_at for key in crashes]
-        if len(crashes) < MIN_SHARE * self._count_between(min(times), max(times)):
-            return None
-        return CrashCause(len(crashes), max(times))
+    def _make_cause(self, crashes: Sequence[CrashId]) -> CrashCause:
+        return CrashCause(len(crashes), max(self._crashes[key].noticed_at for key in crashes))
 
-    def _count_between(self, first_at: float, last_at: float) -> int:
-        """Return the number of crashes that were noticed from one time to another."""
-        return sum(first_at <= c.noticed_at <= last_at for c in self._crashes.values())
+    def _is_usual(self, crashes: Sequence[CrashId]) -> bool:
+        """Return whether some crashes are a sufficient share of all crashes of their time."""
+        times = [self._crashes[key].noticed_at for key in crashes]
+        first_at, last_at = min(times), max(times)
+        count = sum(first_at <= c.noticed_at <= last_at for c in self._crashes.values())
+        return len(crashes) >= MIN_SHARE * count
 
     def _drop(self, key: CrashId) -> _Crash:
         crash = self._crashes.pop(key)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -153,3 +153,11 @@
     reports = [make_report(n, requests=["popular"]) for n in range(3)]
     sound = make_report(1, reporter="g2", sound=["request:popular"])
     assert find_deadly(*reports, sound) == set()
+
+
+def test_request_in_work_at_three_of_many_crashes_is_found():
+    """Guards against a deadly request that the crash of a whole zone hides."""
+    reports = [make_report(n, requests=[f"s{n}"]) for n in range(60)]
+    reports[10:13] = [make_report(n, requests=["bad", f"s{n}"]) for n in range(10, 13)]
+    reports.append(make_report(70, requests=["bad"]))
+    assert find_deadly(*reports) == {"request:bad"}
