Count a call as sent only when its first byte is sent

A call whose time ended while it waited for a connection was answered 504, outcome unknown, although no backend server had received it. It counted as sent before the connection was open. tests/test_gateway_calls.py -k time_ends_before: 504 before, 503 (not run) now.

--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -201,14 +201,14 @@
             try:
                 self._check_before_send(call, plan)
             except FigwalkError:
-                call.unresolved = was_unresolved
                 self._remove_from_sent(call, plan)
                 raise
+            # Not before, since a call that ends while it waits for a connection was not sent.
+            call.unresolved = was_unresolved or is_run
             self._record_arrival(call, plan)
             self._record_sent(call, tracker, plan)
             connected_at = call.sent_at = self._timer.now()
 
-        call.unresolved = was_unresolved or is_run
         try:
             async with AsyncExitStack() as stack:
                 exchange = self._open(call, tracker, plan, before_send)
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -436,3 +436,12 @@
     assert status == 503
     assert "retry-after" in headers
     assert not backend.requests
+
+
+@with_fleet()
+async def test_call_whose_time_ends_before_it_is_sent_has_not_run(fleet):
+    """Guards against an unknown outcome for a call that waited for a connection to the end."""
+    backend = await fleet.add_backend("b1", answering())
+    await fleet.start_gateway()
+    status, _, _ = await fleet.call("/order/x", method="POST", body=b"1", deadline_ms=0)
+    assert (status, backend.requests) == (503, [])
