Count the lag of a busy gateway towards the time of a call

A request waits in the socket's buffer for as long as the event loop lags, and its time counted from the read. The lag is now taken off the call's time, so that it ends in time or is refused at once as not run.

--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -9,6 +9,7 @@
 import trio
 
 from figwalk.coordination.call_quarantine import CallQuarantine
+from figwalk.coordination.loop_lag import LoopLag
 from figwalk.errors import CallerError, CallOutcome, RefusalError
 from figwalk.events import Event, EventLog
 from figwalk.gateway.call import Call
@@ -33,6 +34,7 @@
         plain_calls: Answers calls of plain services.
         prompt_calls: Answers calls of services with model engines.
         quarantine: Decides which calls are not sent to backend servers.
+        lag: Measures the delay of this process's event loop.
         metrics: Counters and latencies.
         events: Event log.
         timer: Source of time.
@@ -46,6 +48,7 @@
         plain_calls: PlainCalls,
         prompt_calls: PromptCalls,
         quarantine: CallQuarantine,
+        lag: LoopLag,
         metrics: GatewayMetrics,
         events: EventLog,
         timer: Timer,
@@ -56,6 +59,7 @@
         self._plain_calls = plain_calls
         self._prompt_calls = prompt_calls
         self._quarantine = quarantine
+        self._lag = lag
         self._metrics = metrics
         self._events = events
         self._timer = timer
@@ -103,6 +107,8 @@
         limit_s = route.timeout_s
         if facts.caller_timeout_s is not None:
             limit_s = min(limit_s, facts.caller_timeout_s)
+        # The request may have waited in the socket's buffer for as long as the event loop lags.
+        arrived_at = request.started_at - self._lag.lag_s
         service = route.pick_service(self._rng)
         spec = routing.services.get(service)
         return Call(
@@ -113,7 +119,7 @@
             engine=spec.engine if spec is not None else None,
             config_version=routing.version,
             arrived_at=request.started_at,
-            deadline=request.started_at + limit_s,
+            deadline=arrived_at + limit_s,
             check_caller_connected=responder.check_connected,
         )
 
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -207,6 +207,7 @@
             plain,
             prompts,
             self._quarantine,
+            self._lag,
             self._metrics,
             events,
             timer,
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -445,3 +445,23 @@
     await fleet.start_gateway()
     status, _, _ = await fleet.call("/order/x", method="POST", body=b"1", deadline_ms=0)
     assert (status, backend.requests) == (503, [])
+
+
+@pytest.mark.parametrize(("lag_s", "status"), [(0.4, 200), (0.6, 503)])
+def test_time_that_a_request_waited_for_a_busy_gateway_counts(lag_s, status):
+    """Guards against calls that are held past their time by as much as the event loop lags."""
+
+    async def main():
+        async with running_fleet() as fleet:
+            fleet.publish(make_config())
+            backend = await fleet.add_backend("b1", answering())
+            await fleet.start_gateway()
+            lag = fleet.process._lag
+            lag.record = lambda _late_s: None
+            lag._lag_s = lag_s
+            answer, _, _ = await fleet.call("/check/x", deadline_ms=500)
+            assert answer == status
+            assert all(int(r.headers["deadline-ms"]) <= 100 for r in backend.requests)
+            assert len(backend.requests) == (status == 200)
+
+    run_test(main)
