Remove the records of crashes that are forgotten because there are too many

Above 512 crashes in 15 minutes the oldest evidence was dropped, but its record stayed in the store, and its key among the unpublished ones. Both tests failed before; one of them had the leak in its expected number, which is now all reports that were dropped.

--- a/figwalk/coordination/call_quarantine.py
+++ b/figwalk/coordination/call_quarantine.py
@@ -202,7 +202,10 @@
         dropped = self._evidence.drop_before(self._timer.now() - EVIDENCE_RETENTION_S)
         if dropped:
             self._update_causes()
-        return [report for report in dropped if report.reporter == self._process]
+        own = [report for report in dropped if report.reporter == self._process]
+        for report in own:
+            self._unpublished.pop(report.crash, None)
+        return own
 
     def _publish_unless_equal(self, stored: CrashReport) -> None:
         """Publish a report again if the log has an older form of it, from a delayed append."""
@@ -276,10 +279,8 @@
         if self._process not in testers:
             return self._timer.left_s(cause.last_at + EVIDENCE_RETENTION_S)
         share = 1 + HOLD_SHARE_BETWEEN_GATEWAYS * testers.index(self._process)
-        held_until = cause.last_at + share * _hold_s(cause)
-        if name in self._tested_at:
-            held_until = max(held_until, self._tested_at[name] + share * _hold_s(cause))
-        return self._timer.left_s(held_until)
+        held_since = max(cause.last_at, self._tested_at.get(name, -math.inf))
+        return self._timer.left_s(held_since + share * _hold_s(cause))
 
     def _make_refusal(self, name: str) -> RefusalError:
         crashes = self._causes[name].crashes
--- a/figwalk/coordination/crash_evidence.py
+++ b/figwalk/coordination/crash_evidence.py
@@ -122,6 +122,8 @@
 
     def __init__(self) -> None:
         self._crashes: dict[CrashId, _Crash] = {}
+        # Reports on crashes that were dropped since there were too many.
+        self._excess: list[CrashReport] = []
         self._crash_counts: Counter[str] = Counter()
         # Parts and requests with at least `MIN_CRASHES` crashes.
         self._frequent: set[str] = set()
@@ -164,13 +166,19 @@
         self._count(crash.suspects - before, 1)
         self._count(before - crash.suspects, -1)
         while len(self._crashes) > MAX_CRASHES:
-            self._drop(next(iter(self._crashes)))
+            self._excess += self._drop(next(iter(self._crashes))).reports.values()
         return True
 
     def drop_before(self, cutoff: float) -> list[CrashReport]:
-        """Forget the crashes that were noticed before a time; return the reports on them."""
+        """Forget the crashes that were noticed before a time.
+
+        Returns:
+            The reports on them, and on those that were forgotten since there were too many.
+        """
         old = [key for key, crash in self._crashes.items() if crash.noticed_at < cutoff]
-        return [report for key in old for report in self._drop(key).reports.values()]
+        dropped = [report for key in old for report in self._drop(key).reports.values()]
+        excess, self._excess = self._excess, []
+        return excess + dropped
 
     def crash_count(self, suspect: str) -> int:
         """Return at how many crashes a part or request was in progress and may be the cause."""
--- a/tests/test_call_quarantine.py
+++ b/tests/test_call_quarantine.py
@@ -13,7 +13,7 @@
     SOUND_BEFORE_CRASH_S,
     CallQuarantine,
 )
-from figwalk.coordination.crash_evidence import CrashId, CrashReport
+from figwalk.coordination.crash_evidence import MAX_CRASHES, CrashId, CrashReport
 from figwalk.errors import RefusalError
 from figwalk.events import EventLog
 
@@ -263,3 +263,13 @@
     gateways.members[0].record_answered(order, gateways.timer.time)
     gateways.exchange()
     assert not any(member.requests for member in gateways.members)
+
+
+def test_reports_above_the_limit_are_removed_from_the_log():
+    """Guards against a log that keeps reports which the gateway has forgotten."""
+    gateways = Gateways()
+    member = gateways.members[0]
+    for number in range(MAX_CRASHES + 5):
+        member.record_crash(CrashId(f"e{number}", 1), [CALL])
+    assert [report.crash.backend for report in member.expire()] == [f"e{n}" for n in range(5)]
+    assert len(member._unpublished) == len(member.unpublished) == MAX_CRASHES
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -109,7 +109,8 @@
     for number in range(MAX_CRASHES + 10):
         evidence.add(make_report(number, "bad"), float(number))
     assert evidence.crash_count("bad") == MAX_CRASHES
-    assert len(evidence.drop_before(MAX_CRASHES)) == MAX_CRASHES - 10
+    # The ten that were above the limit are among them, so that their records are removed too.
+    assert len(evidence.drop_before(MAX_CRASHES)) == MAX_CRASHES
     assert evidence.crash_count("bad") == 10
     assert evidence.reporters == {"g1"}
 
