--- a/figwalk/state/backend_directory.py
+++ b/figwalk/state/backend_directory.py
@@ -109,8 +109,8 @@
         Args:
             entry: Registration that was read earlier.
         """
-        known = self._entries.get(entry.backend)
-        if known is None or not known.is_same_instance(entry):
+        known = self._find_instance(entry)
+        if known is None:
             return False
         return not self._is_leaving(known) and self.opens_in_s(known) <= 0
 
@@ -120,8 +120,7 @@
         Args:
             entry: Registration that was read earlier.
         """
-        known = self._entries.get(entry.backend)
-        return known is not None and known.is_same_instance(entry)
+        return self._find_instance(entry) is not None
 
     def is_leaving(self, entry: BackendEntry) -> bool:
         """Return whether this instance of a backend server has announced that it leaves.
@@ -129,9 +128,7 @@
         Args:
             entry: Registration that was read earlier.
         """
-        known = self._entries.get(entry.backend)
-        newest = known if known is not None and known.is_same_instance(entry) else entry
-        return self._is_leaving(newest)
+        return self._is_leaving(self._find_instance(entry) or entry)
 
     def mark_leaving(self, entry: BackendEntry) -> None:
         """Record that a backend server announced in an answer that it leaves.
@@ -245,6 +242,11 @@
         for backend in [name for name in self._entries if name not in backends]:
             self.remove(backend)
 
+    def _find_instance(self, entry: BackendEntry) -> BackendEntry | None:
+        """Return the newest registration of the same instance, or None if it has none."""
+        known = self._entries.get(entry.backend)
+        return known if known is not None and known.is_same_instance(entry) else None
+
     def _is_leaving(self, entry: BackendEntry) -> bool:
         return entry.leaving or self._notices.is_leaving(entry.backend, entry.born_ms)
 
