--- a/figwalk/coordination/call_arrivals.py
+++ b/figwalk/coordination/call_arrivals.py
@@ -37,4 +37,4 @@
 
     @property
     def _counted(self) -> int:
-        return self.sent - self.prefilled
+        return self.sent - (1 if self.prefilled else 0)
--- a/figwalk/coordination/crash_evidence.py
+++ b/figwalk/coordination/crash_evidence.py
@@ -14,10 +14,10 @@
 
 import attrs
 
-# One crash proves nothing, since engines crash for other reasons too. By chance, two crashes may
+# One crash proves nothing, since servers crash for other reasons too. By chance, two crashes may
 # have a popular part in common.
 MIN_CRASHES = 3
-# When many engines crash at once, popular parts are in progress at several of them by chance. A
+# When many servers crash at once, popular parts are in progress at several of them by chance. A
 # part that causes crashes is in progress at most crashes of its time, even beside another such part
 # and crashes for other reasons.
 MIN_SHARE = 0.2
@@ -26,16 +26,16 @@
 MIN_CRASHES_OF_OTHERS = 2
 # Starts the id of a request, so that it is told apart from the ids of parts.
 REQUEST_PREFIX = "request:"
-# Bounds memory. A deployment of 300 engines that all crash at once stays below it.
+# Bounds memory. A deployment of 300 servers that all crash at once stays below it.
 MAX_CRASHES = 512
 
 
 @attrs.frozen
 class CrashId:
-    """One crash of one engine.
+    """One crash of one backend server.
 
     Attributes:
-        backend: Id of the engine.
+        backend: Id of the backend server.
         born_ms: Wall-clock milliseconds at which the crashed instance of it had started.
     """
 
--- a/figwalk/gateway/plain_calls.py
+++ b/figwalk/gateway/plain_calls.py
@@ -194,7 +194,7 @@
             self._budgets.of_service(call.service).record_first_attempt()
             return True
         if call.is_quarantine_test and call.sent_to:
-            return False
+            return False  # A second backend server could crash as well.
         return call.may_try_another_backend and take_retries(call, self._budgets, self._events)
 
     @staticmethod
--- a/figwalk/platform/backend_records.py
+++ b/figwalk/platform/backend_records.py
@@ -30,9 +30,9 @@
         raise PlatformRecordError(f"registration of {key!r}: stage {shorten(stage)} is not known")
     return BackendEntry(
         backend=key,
-        service=fields.name("service"),
+        service=fields.short_token("service"),
         address=fields.address("address"),
-        zone=fields.name("zone"),
+        zone=fields.short_token("zone"),
         slots=fields.integer("slots"),
         leaving=_LEAVING[state],
         # `sequence` counts the registrations since `born`, the start of the process.
--- a/figwalk/platform/json_fields.py
+++ b/figwalk/platform/json_fields.py
@@ -130,7 +130,7 @@
             raise PlatformRecordError(f"{self._where}: {name!r} is not visible ASCII")
         return text
 
-    def name(self, name: str) -> str:
+    def short_token(self, name: str) -> str:
         """Return a field with the name of a service or zone: a short token."""
         text = self.token(name)
         if len(text) > MAX_NAME_LENGTH:
