--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -37,8 +37,8 @@
         failed_prefill_engines: Ids of the engines that failed to prefill the prompt.
         unresolved: Whether a backend server may have run the call: it was sent and neither answered
             nor refused as not run.
-        is_quarantine_test: Whether the call is sent to test whether engines still crash on its
-            prompt.
+        is_quarantine_test: Whether the call is sent to test whether backend servers still crash on
+            it.
         predicted_s: Predicted seconds from placement to the first token, or None before placement.
         placed_at: Timer time of that prediction.
         sent_at: Timer time at which the call or its prefill was last sent on an open connection, or
