Keep grants alive in the test of an agent behind a narrow link

The test counts the grants after ten offers, which take 1.6 s, while a grant without an end expires 1.5 s after it was given: on a busy VM the first ones expired before the last offer, and the count was never reached. Grants now last 60 s in the test, which checks the same count.

--- a/tests/test_prompt_agent.py
+++ b/tests/test_prompt_agent.py
@@ -7,6 +7,7 @@
 from support.forwarder import Forwarder
 from support.platform_fakes import HOST, run_test
 
+from figwalk.coordination import prefill_queue
 from figwalk.coordination.engine_tracker import EngineTracker
 from figwalk.coordination.plain_placement import Distance
 from figwalk.coordination.prefill_queue import PrefillQueue
@@ -207,11 +208,13 @@
         await trio.sleep(0.01)
 
 
-def test_agent_behind_a_narrow_link_still_decides():
+def test_agent_behind_a_narrow_link_still_decides(monkeypatch):
     """Guards against gateways that overload engines since they get decisions too late.
 
     Load: one gateway, offers in sequence, 60 ms of delay in addition to the round trip of 0.
     """
+    # The offers take 1.6 s, so that the first grants would expire before the last on a busy VM.
+    monkeypatch.setattr(prefill_queue, "GRANT_TTL_S", 60.0)
 
     async def main():
         async with running_pair(delay_s=0.03) as pair:
