Check a server again when more calls break at it

A server that broke a call and was found alive was not checked again for ten seconds. If it crashed in that time, gateways noticed that only with the end of its registration, seconds later, and sent a request that crashes servers on meanwhile. Each broken call now asks for a check, one at a time and at most every 0.3 s. tests/test_crash_reports.py -k soon_after failed before.

--- a/figwalk/gateway/crash_watcher.py
+++ b/figwalk/gateway/crash_watcher.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 import trio
 
@@ -20,6 +22,8 @@
 # A registration lapses some seconds after the backend server's last heartbeat.
 MAX_PENDING_S = 10.0
 MAX_WAITING_CHECKS = 1000
+# A check opens a connection, so a server that breaks many calls is not checked for each.
+CHECK_PERIOD_S = 0.3
 
 
 @attrs.define
@@ -31,12 +35,16 @@
         broke_at: Timer time of the first of them.
         calls: What may have crashed the backend server.
         crashed: Whether it is known to have crashed.
+        check_waits: Whether a check is to begin.
+        checked_at: Timer time at which the last check began.
     """
 
     entry: BackendEntry
     broke_at: float
     calls: list[CallIdentity] = attrs.field(factory=list)
     crashed: bool = False
+    check_waits: bool = False
+    checked_at: float = -math.inf
 
 
 class CrashWatcher:
@@ -90,10 +98,12 @@
         broken = self._broken.get(crash)
         if broken is None:
             broken = self._broken[crash] = _BrokenCalls(entry, self._timer.now())
-            self._request_check(crash)
         broken.calls.append(call)
         if broken.crashed:
             self._quarantine.record_crash(crash, broken.calls)
+        elif not broken.check_waits:
+            # Also if an earlier check found it alive: it may have crashed since.
+            self._request_check(crash, broken)
 
     def update(self) -> None:
         """Look for ended registrations of servers that broke calls, and forget old calls."""
@@ -104,9 +114,10 @@
             if broken.broke_at < cutoff:
                 del self._broken[crash]
 
-    def _request_check(self, crash: CrashId) -> None:
+    def _request_check(self, crash: CrashId, broken: _BrokenCalls) -> None:
         try:
             self._checks_send.send_nowait(crash)
+            broken.check_waits = True
         except trio.WouldBlock:
             self._events.record(
                 Event.TASK_FAILED,
@@ -118,6 +129,9 @@
         broken = self._broken.get(crash)
         if broken is None:
             return  # After a pause of the process, the calls may have been forgotten meanwhile.
+        await trio.sleep(self._timer.left_s(broken.checked_at + CHECK_PERIOD_S))
+        broken.check_waits = False
+        broken.checked_at = self._timer.now()
         address = broken.entry.address
         refused = await refuses_connections(address.host, address.port, timeout_s=CHECK_TIMEOUT_S)
         if refused and not broken.crashed:
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -258,6 +258,25 @@
     run_test(main)
 
 
+def test_crash_soon_after_a_call_that_broke_for_another_reason_is_noticed():
+    """Guards against crashes that are missed since the server was found alive before."""
+
+    async def main():
+        (listener,) = await trio.open_tcp_listeners(0, host=HOST)
+        entry = make_entry(listener.socket.getsockname()[1])
+
+        async def act(_directory, watcher, quarantine):
+            await listener.accept()
+            await listener.aclose()
+            watcher.record_broken(entry, CALL)
+            while not quarantine.unpublished:
+                await trio.sleep(0.001)
+
+        assert await watch(entry, act) == 1
+
+    run_test(main)
+
+
 @pytest.mark.parametrize(("after_s", "crashes"), [(MAX_PENDING_S / 2, 1), (MAX_PENDING_S * 2, 0)])
 def test_registration_that_ends_soon_after_broken_calls_shows_a_crash(after_s, crashes):
     """Guards against crashes behind a port that another process has taken over."""
