Count the time that a request waits on a new connection of a busy gateway

The example is read 0.76 s after it was sent, while the lag of the event loop is 0.22 s: a connection waits one pass until it is accepted, one until its task begins, and one until the request is read. The time of arrival is corrected in one place; prompts took the lag off again at each placement. tests/test_http.py -k waited_on: failed before (the parameter is new).

--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -29,7 +29,7 @@
         service: Service chosen by the route.
         engine: Specification of that service's engines, or None for a plain service.
         config_version: Version of the configuration that contains the route.
-        arrived_at: Timer time at which the request arrived.
+        arrived_at: Timer time at which the request arrived, before it waited to be read.
         deadline: Timer time at which the caller must have its final answer.
         check_caller_connected: Raises `ClientDisconnectedError` if the caller has left.
         sent_to: Ids of the backend servers to which the call was sent; prefills don't count.
--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -118,7 +118,7 @@
             service=service,
             engine=spec.engine if spec is not None else None,
             config_version=routing.version,
-            arrived_at=request.started_at,
+            arrived_at=arrived_at,
             deadline=arrived_at + limit_s,
             check_caller_connected=responder.check_connected,
         )
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -427,10 +427,9 @@
 
     def _make_prompt_call(self, call: Call) -> PromptCall:
         now = self._timer.now()
-        # A request may have waited in the socket's buffer for as long as the event loop lags.
-        target_s = call.arrived_at + call.route.target_s - now - self._lag.lag_s
+        target_s = call.arrived_at + call.route.target_s - now
         abandoned_at = min(call.deadline, call.arrived_at + call.route.first_event_timeout_s)
-        remaining_s = abandoned_at - now - self._lag.lag_s
+        remaining_s = abandoned_at - now
         return PromptCall(_prompt_parts(call), target_s, remaining_s, call.deadline - now)
 
     def _first_event_timeout_s(self, call: Call) -> float | None:
--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -130,14 +130,14 @@
             listener.socket.close()
         self._listeners.clear()
 
-    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+    async def _serve_connection(self, stream: trio.SocketStream, accepted_at: float) -> None:
         if self._connections >= self._limits.max_connections:
             self._events.record(Event.HTTP_TOO_MANY_CONNECTIONS, limit=self._connections)
             await self._reject_connection(stream)
             return
         self._connections += 1
         try:
-            await self._serve_requests(stream)
+            await self._serve_requests(stream, accepted_at)
         except (ConnectionLostError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except h11.LocalProtocolError as error:
@@ -167,21 +167,33 @@
             self._rejected_connections -= 1
             await trio.aclose_forcefully(stream)
 
-    async def _serve_requests(self, stream: trio.SocketStream) -> None:
+    async def _serve_requests(self, stream: trio.SocketStream, accepted_at: float) -> None:
         byte_stream = ByteStream(stream)
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
         )
+        # A busy process may have accepted the connection long before it reads the first request.
+        waiting_since = accepted_at if stream.socket.is_readable() else None
         after = _AfterRequest.NEXT
         while after is _AfterRequest.NEXT:
-            after = await self._serve_request(connection, byte_stream)
+            after = await self._serve_request(connection, byte_stream, waiting_since)
+            waiting_since = None
         if after is _AfterRequest.LINGER:
             await _linger(stream)
 
-    async def _serve_request(self, connection: h11.Connection, stream: ByteStream) -> _AfterRequest:
-        """Receive one request and send its response."""
+    async def _serve_request(
+        self, connection: h11.Connection, stream: ByteStream, waiting_since: float | None
+    ) -> _AfterRequest:
+        """Receive one request and send its response.
+
+        Args:
+            connection: State of the HTTP connection.
+            stream: The client's connection.
+            waiting_since: Time of trio's clock since which the request has waited to be read, or
+                None if it has not arrived yet.
+        """
         try:
-            request = await self._receive_request(connection, stream)
+            request = await self._receive_request(connection, stream, waiting_since)
         except h11.RemoteProtocolError as error:
             refusal = CallerError(error.error_status_hint, "malformed_request", str(error))
             await self._refuse(connection, stream, refusal)
@@ -207,12 +219,13 @@
         return _AfterRequest.NEXT
 
     async def _receive_request(
-        self, connection: h11.Connection, stream: ByteStream
+        self, connection: h11.Connection, stream: ByteStream, waiting_since: float | None
     ) -> HttpRequest | None:
         """Return the next request, or None if the connection is to be closed."""
         if not connection.trailing_data[0] and not await self._wait_for_request(connection, stream):
             return None
-        reader = _RequestReader(connection, self._limits.max_body_bytes, trio.current_time())
+        started_at = trio.current_time() if waiting_since is None else waiting_since
+        reader = _RequestReader(connection, self._limits.max_body_bytes, started_at)
         request = reader.parse()
         if request is not h11.NEED_DATA:
             # Most requests arrive in one piece; parsing these without a timeout saves a cancel
@@ -311,7 +324,8 @@
     Args:
         connection: The client's connection.
         max_body_bytes: Maximum size of the body.
-        started_at: Time of trio's clock at which the first bytes were read.
+        started_at: Time of trio's clock at which the first bytes were read, or since which they
+            have waited for that.
     """
 
     def __init__(
--- a/figwalk/transport/http_types.py
+++ b/figwalk/transport/http_types.py
@@ -51,7 +51,8 @@
         target: Path and query.
         headers: Pairs of lower-case name and value.
         body: Complete body.
-        started_at: Time of trio's clock at which the first bytes of the request were read.
+        started_at: Time of trio's clock at which the first bytes of the request were read. For the
+            first request of a connection on which they had arrived before, when it was accepted.
     """
 
     method: str
--- a/figwalk/transport/listening.py
+++ b/figwalk/transport/listening.py
@@ -54,7 +54,7 @@
 
 
 async def accept_connections(
-    handler: Callable[[trio.SocketStream], Awaitable[None]],
+    handler: Callable[[trio.SocketStream, float], Awaitable[None]],
     listener: trio.SocketListener,
     nursery: trio.Nursery,
 ) -> None:
@@ -64,7 +64,8 @@
     a pass takes tens of milliseconds, and clients then time out before they are accepted.
 
     Args:
-        handler: Handles a connection and closes it.
+        handler: Handles a connection and closes it; gets the time of trio's clock at which it was
+            accepted.
         listener: Listening socket.
         nursery: Nursery in which handlers run.
 
@@ -87,7 +88,7 @@
                     continue  # The client closed the connection before it was accepted.
                 client.setblocking(False)
                 stream = trio.SocketStream(trio.socket.from_stdlib_socket(client))
-                nursery.start_soon(handler, stream)
+                nursery.start_soon(handler, stream, trio.current_time())
     finally:
         listening_socket.detach()
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -215,3 +215,33 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+@pytest.mark.parametrize("waiting", [True, False])
+def test_request_that_waited_on_a_new_connection_began_when_it_was_accepted(waiting):
+    """Guards against deadlines that don't count the time until a busy process reads a request."""
+
+    async def main():
+        started = []
+
+        async def answer(request, responder):
+            started.append(request.started_at)
+            await responder.send_json(200, {})
+
+        server = HttpServer(answer, EventLog("server", Timer()))
+        ours, theirs = trio.socket.socketpair()
+        client = trio.SocketStream(ours)
+        accepted_at = trio.current_time() - 5.0
+        request = b"GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
+        async with client, trio.open_nursery() as nursery:
+            if waiting:
+                await client.send_all(request)
+            nursery.start_soon(server._serve_connection, trio.SocketStream(theirs), accepted_at)
+            await trio.testing.wait_all_tasks_blocked()
+            if not waiting:
+                await client.send_all(request)
+            while await client.receive_some():
+                pass
+        assert (started[0] == accepted_at) == waiting
+
+    trio.run(main)
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -66,7 +66,7 @@
         accepted = []
         done = trio.Event()
 
-        async def handle(stream):
+        async def handle(stream, _accepted_at):
             accepted.append(stream)
             if len(accepted) == waiting:
                 done.set()
