--- a/figwalk/coordination/gateway_count.py
+++ b/figwalk/coordination/gateway_count.py
@@ -12,10 +12,10 @@
 
 
 class GatewayCount:
-    """The largest number of gateways that was reported lately, and at least that of the settings.
+    """The largest number of gateways that was reported lately.
 
     Args:
-        least: Number that the settings expect at most; more may be added while the fleet runs.
+        least: Number that is assumed if fewer are reported.
         timer: Source of time.
     """
 
--- a/figwalk/coordination/loop_lag.py
+++ b/figwalk/coordination/loop_lag.py
@@ -12,8 +12,7 @@
 class LoopLag:
     """Estimates how long a runnable task waits before this process runs it.
 
-    Requests wait in socket buffers for the same time before the process reads them, which their
-    recorded arrival times do not show.
+    Requests wait in socket buffers for the same time before the process reads them.
     """
 
     def __init__(self) -> None:
--- a/figwalk/coordination/windowed_retry_budget.py
+++ b/figwalk/coordination/windowed_retry_budget.py
@@ -144,7 +144,7 @@
         self._budgets: dict[str, WindowedRetryBudget] = {}
 
     def start(self) -> None:
-        """Record that the process starts now, with budgets that may be used up."""
+        """Record that the process starts now; otherwise, it has started with the first use."""
         self._started_at = self._timer.now()
 
     def of_service(self, service: str) -> WindowedRetryBudget:
