Move the charging of retries out of the attempts, and simplify two checks

A listing looks up its last readable key instead of collecting all keys anew for each page, and an address with a scope is refused by a condition instead of by parsing an empty text. No behaviour changes.

--- a/figwalk/coordination/call_arrivals.py
+++ b/figwalk/coordination/call_arrivals.py
@@ -26,6 +26,14 @@
         """Times beyond the first."""
         return max(0, self._counted - 1)
 
+    def record_sent(self, *, is_prefill: bool) -> bool:
+        """Count an arrival; return whether it is a repeat, whatever the answer will be.
+
+        A prefill that may be the first accepted one is a repeat only if it is rejected.
+        """
+        self.sent += 1
+        return self.repeats > 0 and not (is_prefill and not self.prefilled)
+
     def retries_needed(self, *, with_prefill: bool) -> int:
         """Return how many retries the next attempt takes from the budget.
 
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -11,7 +11,6 @@
 
 from figwalk.coordination.backend_tracker import AttemptOutcome, BackendTracker
 from figwalk.coordination.call_quarantine import CallQuarantine
-from figwalk.coordination.windowed_retry_budget import ServiceRetryBudgets
 from figwalk.errors import FigwalkError, HttpError, RefusalError
 from figwalk.events import Event, EventLog
 from figwalk.gateway.backend_pool import BackendPool
@@ -61,37 +60,6 @@
         return self._not_run
 
 
-def take_retries(
-    call: Call, budgets: ServiceRetryBudgets, events: EventLog, *, with_prefill: bool = False
-) -> bool:
-    """Take what the next attempt of a call needs from the budget of its service.
-
-    Args:
-        call: The call.
-        budgets: The budgets.
-        events: Event log.
-        with_prefill: Whether one engine prefills the prompt and another one runs the call.
-
-    Returns:
-        Whether the budget allowed the attempt.
-    """
-    budget = budgets.of_service(call.service)
-    count = call.arrivals.retries_needed(with_prefill=with_prefill)
-    if count == 0:
-        return True
-    if not budget.try_retries(count):
-        events.record(Event.RETRY_BUDGET_EMPTY, request_id=call.call_id)
-        return False
-    call.arrivals.charged += count
-    events.record(
-        Event.REQUEST_RETRIED,
-        request_id=call.call_id,
-        charged=count,
-        budget=budget.left,
-    )
-    return True
-
-
 @attrs.define(eq=False)
 class Answer:
     """The head of a backend server's answer to a call.
@@ -358,19 +326,15 @@
             call.sent_to.remove(plan.backend.backend)
 
     def _record_arrival(self, call: Call, plan: SendPlan) -> None:
-        arrivals = call.arrivals
-        arrivals.sent += 1
-        # A prefill that may be the first accepted one is counted when the call is run.
-        is_free = plan.step is CallStep.PREFILL and not arrivals.prefilled
-        if arrivals.repeats and not is_free:
+        if call.arrivals.record_sent(is_prefill=plan.step is CallStep.PREFILL):
             self._events.record(
                 Event.REPEAT_SENT,
                 request_id=call.call_id,
                 service=call.service,
                 backend=plan.backend.backend,
                 step=plan.step.value,
-                repeats=arrivals.repeats,
-                charged=arrivals.charged,
+                repeats=call.arrivals.repeats,
+                charged=call.arrivals.charged,
             )
 
     def _record_sent(self, call: Call, tracker: BackendTracker, plan: SendPlan) -> None:
--- a/figwalk/gateway/plain_calls.py
+++ b/figwalk/gateway/plain_calls.py
@@ -13,11 +13,12 @@
 from figwalk.coordination.windowed_retry_budget import ServiceRetryBudgets
 from figwalk.errors import CallOutcome, RefusalError
 from figwalk.events import EventLog
-from figwalk.gateway.attempts import Answer, AttemptError, Attempts, take_retries
+from figwalk.gateway.attempts import Answer, AttemptError, Attempts
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import SendPlan
 from figwalk.gateway.crash_watcher import CrashWatcher
+from figwalk.gateway.retries import take_retries
 from figwalk.gateway.stream_relay import StreamRelay
 from figwalk.state.routing import CallKind
 from figwalk.timer import MS_PER_S, Timer
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -19,7 +19,7 @@
 from figwalk.coordination.windowed_retry_budget import ServiceRetryBudgets
 from figwalk.errors import CallOutcome, HttpError, RefusalError
 from figwalk.events import Event, EventLog
-from figwalk.gateway.attempts import Answer, AttemptError, Attempts, take_retries
+from figwalk.gateway.attempts import Answer, AttemptError, Attempts
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import CallStep, KvSource, SendPlan
@@ -31,6 +31,7 @@
     refuse_without_backend,
 )
 from figwalk.gateway.prompt_offers import PromptOffers
+from figwalk.gateway.retries import take_retries
 from figwalk.gateway.stream_relay import StreamRelay
 from figwalk.state.routing import EngineSpec
 from figwalk.timer import MS_PER_S, Timer
--- a/figwalk/platform/json_fields.py
+++ b/figwalk/platform/json_fields.py
@@ -114,12 +114,12 @@
         """Return a field with an IP address and a port."""
         host, separator, port = self.text(name).rpartition(":")
         try:
-            # The scope of an IPv6 address is valid on one VM only, and may hold any text.
-            ipaddress.ip_address(host if "%" not in host else "")
+            ipaddress.ip_address(host)
             number = int(port) if port.isascii() and port.isdigit() else 0
         except ValueError:
             number = 0
-        if not (separator and 0 < number <= MAX_PORT):
+        # The scope of an IPv6 address is valid on one VM only, and may hold any text.
+        if not (separator and "%" not in host and 0 < number <= MAX_PORT):
             raise PlatformRecordError(f"{self._where}: {name!r} is not IP:PORT")
         return Address(host, number)
 
--- a/figwalk/platform/store.py
+++ b/figwalk/platform/store.py
@@ -65,12 +65,12 @@
                 records += [_decode_item(item) for item in fields.items("items")]
                 # Pages are not a snapshot: records after the end of the first page are read again.
                 end = fields.integer("end") if end is None else end
-                keys = [record.key for record in records if record.key]
-                if not fields.flag("truncated", default=False) or not keys:
+                last_key = next((r.key for r in reversed(records) if r.key), None)
+                if not fields.flag("truncated", default=False) or last_key is None:
                     return KeyedPage(end, tuple(records), era)
             except PlatformRecordError as error:
                 raise LogUnavailableError(str(error)) from error
-            query["after"] = keys[-1]
+            query["after"] = last_key
         raise LogUnavailableError(f"listing {topic!r} did not end")
 
     async def read(self, topic: str, offset: int, *, wait_s: float = 0.0) -> KeyedPage:
