--- a/review/rig/store.py
+++ b/review/rig/store.py
@@ -23,6 +23,8 @@
         self._written = asyncio.Event()
         self.era = 1
         self.address = ""
+        self._away = False
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, host: str) -> None:
         """Listen on a free port."""
@@ -37,13 +39,41 @@
         """Return all records of a topic."""
         return self._topics.setdefault(topic, [])
 
+    def copy(self) -> dict[str, int]:
+        """Return the end of each topic, as a copy of the store at this moment has it."""
+        return {topic: len(records) for topic, records in self._topics.items()}
+
+    def leave(self) -> None:
+        """Reset all connections, also new ones, until `restore`."""
+        self._away = True
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def restore(self, copy: dict[str, int]) -> dict[str, list[tuple[str, bytes | None]]]:
+        """Come back from an older copy; return the records of each topic that it lacks."""
+        lost = {}
+        for topic, records in self._topics.items():
+            end = copy.get(topic, 0)
+            lost[topic] = records[end:]
+            del records[end:]
+        self.era += 1
+        self._away = False
+        return lost
+
+    def write_again(self, topic: str, key: str, value: bytes | None) -> None:
+        """Write a record again as it was."""
+        self._append(topic, key, value)
+
     def _append(self, topic: str, key: str, value: bytes | None) -> None:
         self.records(topic).append((key, value))
         self._written.set()
         self._written = asyncio.Event()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         try:
+            if self._away:
+                writer.transport.abort()
             while (request := await read_request(reader)) is not None:
                 answer = await self._answer(request)
                 answer.headers["Store-Era"] = str(self.era)
@@ -52,6 +82,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, request: Message) -> Answer:
