--- a/review/build.sh
+++ b/review/build.sh
@@ -9,6 +9,6 @@
 
 if sys.version_info < (3, 11):
     raise SystemExit("the stand-ins need Python 3.11")
-for path in sorted(Path().glob("*/*.py")):
+for path in sorted(Path().rglob("*.py")):
     compile(path.read_text(), str(path), "exec")
 PYTHON
