Add the interfaces for organisations, duties and load reports of four figures

Cause: the configuration of new deployments names organisations, their keys and bounds of the number of backend servers, the settings name calls to the platform that one process makes, and load reports have a fourth figure, with which the decoder threw the whole report away.

Nothing acts on them yet, except that load reports of four figures are read.

--- a/figwalk/coordination/backend_tracker.py
+++ b/figwalk/coordination/backend_tracker.py
@@ -50,11 +50,13 @@
         running: Calls in progress.
         waiting: Calls in its queue.
         slots: Calls that it can process at once.
+        slowdown: Seconds that work takes on its VM at this moment as a multiple of the usual.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 @attrs.define
--- a/figwalk/coordination/compacted_log.py
+++ b/figwalk/coordination/compacted_log.py
@@ -88,6 +88,43 @@
         """
 
 
+@attrs.frozen
+class AppendedRecords:
+    """Result of a conditional append.
+
+    Attributes:
+        offset: Offset of the first record.
+        end: Offset after the last one.
+        era: Number that increases whenever the log is restored from an older copy, or None if the
+            log does not report it.
+    """
+
+    offset: int
+    end: int
+    era: int | None = None
+
+
+class ConditionalLog(CompactedLog, CompactedLogWriter):
+    """Compacted topics with appends that depend on what the log contains."""
+
+    @abstractmethod
+    async def append_if_end(
+        self, topic: str, end: int, records: Mapping[str, bytes | None]
+    ) -> AppendedRecords:
+        """Append a record for each key, all or none, if the topic ends at an offset.
+
+        Args:
+            topic: Name of the topic.
+            end: Offset after its newest record, as the caller knows it.
+            records: Value of each key, or None to remove the key.
+
+        Raises:
+            LogConflictError: The topic has another end; nothing was appended.
+            LogUnavailableError: The log did not respond or refused the records. They may have been
+                appended, or may be appended later if the topic then still has this end.
+        """
+
+
 class TopicHandler(ABC):
     """Receives the records and the state of a topic from its follower."""
 
--- a/figwalk/errors.py
+++ b/figwalk/errors.py
@@ -109,6 +109,23 @@
     """An append got no response; the record may or may not be in the log."""
 
 
+class LogConflictError(LogError):
+    """A conditional append was refused since the log has other records; nothing was written.
+
+    Args:
+        end: Offset after the newest record.
+    """
+
+    def __init__(self, end: int) -> None:
+        self._end = end
+        super().__init__(f"the log ends at offset {end}")
+
+    @property
+    def end(self) -> int:
+        """Offset after the newest record."""
+        return self._end
+
+
 class LogTruncatedError(LogError):
     """The log no longer has the records at the requested offset.
 
--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -12,7 +12,7 @@
 from figwalk.coordination.call_identity import CallIdentity
 from figwalk.gateway.codecs import CallFacts
 from figwalk.gateway.stream_timing import StreamTiming
-from figwalk.state.routing import EngineSpec, Route
+from figwalk.state.routing import EngineSpec, Organisation, Route
 from figwalk.transport import HttpRequest
 
 REQUEST_DIGEST_BYTES = 12
@@ -29,6 +29,7 @@
         service: Service chosen by the route.
         engine: Specification of that service's engines, or None for a plain service.
         config_version: Version of the configuration that contains the route.
+        organisation: The caller's organisation, or None if the call needs no key.
         arrived_at: Timer time at which the request arrived, before it waited to be read.
         deadline: Timer time at which the caller must have its final answer.
         check_caller_connected: Raises `ClientDisconnectedError` if the caller has left.
@@ -56,6 +57,7 @@
     arrived_at: float
     deadline: float
     check_caller_connected: Callable[[], None]
+    organisation: Organisation | None = None
     sent_to: list[str] = attrs.field(factory=list)
     arrivals: CallArrivals = attrs.field(factory=CallArrivals)
     failed_prefill_engines: list[str] = attrs.field(factory=list)
@@ -72,6 +74,13 @@
         """Id that the caller gave to this attempt."""
         return self.facts.call_id
 
+    @property
+    def priority(self) -> int:
+        """Priority of the call; 0 is the highest."""
+        if self.organisation is not None and self.organisation.priority is not None:
+            return self.organisation.priority
+        return self.route.priority
+
     @cached_property
     def request_digest(self) -> str:
         """Digest of what the caller asks for; it is the same when the request comes again."""
--- a/figwalk/gateway/codecs.py
+++ b/figwalk/gateway/codecs.py
@@ -34,12 +34,18 @@
         caller_timeout_s: Seconds until the caller times out, or None if the request states none.
         prompt: Parts of the prompt in order; empty for calls that are not model calls.
         resume_after: Id of the last event that the caller received of a broken stream, or empty.
+        api_key: Key of the caller's organisation, or empty.
+        max_output_tokens: Largest number of tokens of the answer, or None if it is not stated.
+        expected_output_tokens: The caller's estimate of that number, often far off, or None.
     """
 
     call_id: str
     caller_timeout_s: float | None
     prompt: tuple[PromptPart, ...] = ()
     resume_after: str = ""
+    api_key: str = attrs.field(default="", repr=False)
+    max_output_tokens: int | None = None
+    expected_output_tokens: int | None = None
 
     @property
     def prompt_tokens(self) -> int:
@@ -95,6 +101,7 @@
         step: Work that it does.
         kv_source: KV cache of the prefilled prompt, which the engine fetches first, or None.
         donor: Source engine from which the engine fetches cached prompt parts, or None.
+        organisation: Name of the caller's organisation, or empty.
         engine_priority: Priority among an engine's calls, 0 to 9 with 0 first, or None.
         resume_after: Id of the event after which a stream resumes, or empty.
     """
@@ -106,6 +113,7 @@
     engine_priority: int | None = None
     resume_after: str = ""
     donor: BackendEntry | None = None
+    organisation: str = ""
 
 
 @attrs.frozen
--- a/figwalk/platform/backend_codec.py
+++ b/figwalk/platform/backend_codec.py
@@ -15,6 +15,8 @@
 from figwalk.transport import Headers, HttpRequest, find_header, strip_hop_by_hop
 
 _LOAD_FIELDS = 3
+_LOAD_FIELDS_WITH_SLOWDOWN = 4
+_USUAL_SLOWDOWN = 100  # Percent.
 # Accepted form of Retry-After and of a request limit. Any other, such as a date, a sign or more
 # than 12 digits before or after the point, counts as if the header were absent.
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
@@ -99,6 +101,11 @@
 
 def _parse_load(text: str) -> ReportedLoad | None:
     numbers = text.split(",")
-    if len(numbers) != _LOAD_FIELDS or not all(map(is_count, numbers)):
+    if not all(map(is_count, numbers)):
         return None
-    return ReportedLoad(*map(int, numbers))
+    counts = list(map(int, numbers))
+    if len(counts) == _LOAD_FIELDS:
+        return ReportedLoad(*counts)
+    if len(counts) == _LOAD_FIELDS_WITH_SLOWDOWN:
+        return ReportedLoad(*counts[:_LOAD_FIELDS], slowdown=counts[-1] / _USUAL_SLOWDOWN)
+    return None
--- a/figwalk/platform/headers.py
+++ b/figwalk/platform/headers.py
@@ -21,7 +21,7 @@
 # its answers for as long as the limit holds.
 REQUEST_LIMIT = b"server-limit"
 EXPECTED_BACKEND = b"expect-instance"
-# Running, waiting, slots.
+# Running, waiting, slots; on some services also how long work takes now, 100 is usual.
 LOAD = b"server-load"
 URGENCY = b"request-priority"
 STEP = b"stage"
--- a/figwalk/platform/routing_records.py
+++ b/figwalk/platform/routing_records.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import math
+
 from figwalk.platform.json_fields import JsonFields, PlatformRecordError
+from figwalk.state.organisation_keys import digest_key
 from figwalk.state.routing import (
+    Autoscaling,
     CallerLimits,
     CallKind,
     EngineSpec,
+    Organisation,
     Route,
     RoutingConfig,
     ServiceSpec,
@@ -23,6 +28,7 @@
 # answer within its deadline meets it.
 _DEFAULT_TARGET_MS = 60_000.0
 _DEFAULT_HANDLE_TTL_S = 5.0
+_DEFAULT_SWITCH_S = 3.0
 # Callers abandon a stream after a gap, also before its first event, of two seconds, four times the
 # latency objective or eight times `gap-aim-ms`, whichever is longest.
 _MIN_FIRST_EVENT_TIMEOUT_S = 2.0
@@ -43,6 +49,7 @@
         tuple(_decode_route(item) for item in fields.objects("routes")),
         {service.name: service for service in services},
         _decode_limits(fields.object("limits")),
+        _decode_organisations(fields),
     )
 
 
@@ -68,6 +75,8 @@
         first_event_timeout_s=max(
             _MIN_FIRST_EVENT_TIMEOUT_S, _TIMEOUT_PER_TARGET * target_s, _TIMEOUT_PER_GAP * gap_s
         ),
+        is_public=fields.flag("public", default=False),
+        gap_s=gap_s if gap_s > 0 else math.inf,
     )
 
 
@@ -85,7 +94,13 @@
 
 def _decode_service(fields: JsonFields) -> ServiceSpec:
     engine = _decode_engine(fields.object("engine")) if fields.has("engine") else None
-    return ServiceSpec(fields.text("name"), fields.integer("max-connections"), engine)
+    autoscaling = _decode_autoscaling(fields) if fields.has("autoscaling") else None
+    return ServiceSpec(fields.text("name"), fields.integer("max-connections"), engine, autoscaling)
+
+
+def _decode_autoscaling(fields: JsonFields) -> Autoscaling:
+    bounds = fields.object("autoscaling")
+    return Autoscaling(bounds.integer("min"), bounds.integer("max"), bounds.number("boot-s", 0.0))
 
 
 def _decode_engine(fields: JsonFields) -> EngineSpec:
@@ -95,6 +110,7 @@
         kv_bytes_per_token=fields.number("kv-bytes"),
         link_mbps=fields.number("link-mbps"),
         handle_ttl_s=fields.number("handle-ttl-s", _DEFAULT_HANDLE_TTL_S),
+        switch_s=fields.number("switch-s", _DEFAULT_SWITCH_S),
     )
 
 
@@ -106,3 +122,20 @@
         fields.number("header-timeout-ms") / MS_PER_S,
         fields.number("idle-timeout-ms") / MS_PER_S,
     )
+
+
+def _decode_organisations(fields: JsonFields) -> tuple[Organisation, ...] | None:
+    if not fields.has("tenants"):
+        return None
+    return tuple(_decode_organisation(item) for item in fields.objects("tenants"))
+
+
+def _decode_organisation(fields: JsonFields) -> Organisation:
+    keys = fields.items("api-keys")
+    if not all(isinstance(key, str) for key in keys):
+        raise PlatformRecordError("a key of an organisation is not text")
+    return Organisation(
+        fields.token("name"),
+        fields.integer("priority") if fields.has("priority") else None,
+        frozenset(digest_key(str(key)) for key in keys),
+    )
--- a/figwalk/platform/store.py
+++ b/figwalk/platform/store.py
@@ -11,12 +11,17 @@
 import trio
 
 from figwalk.coordination.compacted_log import (
-    CompactedLog,
-    CompactedLogWriter,
+    AppendedRecords,
+    ConditionalLog,
     KeyedPage,
     KeyedRecord,
 )
-from figwalk.errors import HttpError, LogTruncatedError, LogUnavailableError
+from figwalk.errors import (
+    HttpError,
+    LogConflictError,
+    LogTruncatedError,
+    LogUnavailableError,
+)
 from figwalk.platform import headers as names
 from figwalk.platform.json_fields import JsonFields, PlatformRecordError, is_count
 from figwalk.state.settings import Address
@@ -36,7 +41,7 @@
 _MAX_PAGES = 1000
 
 
-class PlatformStore(CompactedLog, CompactedLogWriter):
+class PlatformStore(ConditionalLog):
     """Reads and writes the keyed topics of the platform's store.
 
     Args:
@@ -85,16 +90,38 @@
 
     async def append(self, topic: str, records: Mapping[str, bytes | None]) -> None:
         """Append a record for each key; see `CompactedLogWriter.append`."""
-        target = f"/log-append?{urlencode({'topic': topic, 'part': _PARTITION})}"
-        body = b"".join(_encode_record(key, value) for key, value in records.items())
-        status, _, _ = await self._call("POST", target, body=body)
+        status, _, _ = await self._append({"topic": topic, "part": _PARTITION}, records)
         if status != HTTPStatus.OK:
             raise LogUnavailableError(f"/log-append was answered with HTTP status {status}")
 
+    async def append_if_end(
+        self, topic: str, end: int, records: Mapping[str, bytes | None]
+    ) -> AppendedRecords:
+        """Append records if a topic ends at an offset; see `ConditionalLog.append_if_end`."""
+        query = {"topic": topic, "part": _PARTITION, "at": end}
+        status, headers, body = await self._append(query, records)
+        if status not in (HTTPStatus.OK, HTTPStatus.PRECONDITION_FAILED):
+            raise LogUnavailableError(f"/log-append was answered with HTTP status {status}")
+        try:
+            fields = JsonFields.parse(body, "answer to an append")
+            if status == HTTPStatus.PRECONDITION_FAILED:
+                raise LogConflictError(fields.integer("end"))
+            return AppendedRecords(
+                fields.integer("offset"), fields.integer("end"), _parse_era(headers)
+            )
+        except PlatformRecordError as error:
+            raise LogUnavailableError(str(error)) from error
+
     def close(self) -> None:
         """Close idle connections."""
         self._client.close()
 
+    async def _append(
+        self, query: dict[str, object], records: Mapping[str, bytes | None]
+    ) -> tuple[int, Headers, bytes]:
+        body = b"".join(_encode_record(key, value) for key, value in records.items())
+        return await self._call("POST", f"/log-append?{urlencode(query)}", body=body)
+
     async def _get(
         self, path: str, query: dict[str, object], wait_s: float
     ) -> tuple[int, int | None, bytes]:
--- a/figwalk/state/gateway_settings.py
+++ b/figwalk/state/gateway_settings.py
@@ -49,6 +49,66 @@
         return self.prefill_tokens_per_s * self.decode_prefill_ratio
 
 
+@attrs.frozen
+class LeaseSettings:
+    """Lease of the process that orders and reports for all gateways.
+
+    Attributes:
+        duration_ms: Milliseconds that the lease lasts without a renewal.
+        thaw_ms: Milliseconds after a pause, or after a cut link has healed, in which a call of a
+            former holder does no harm.
+        require_fencing: Whether receivers of orders and reports refuse a fencing token that is
+            lower than one they have seen.
+    """
+
+    duration_ms: float = 3000.0
+    thaw_ms: float = 300.0
+    require_fencing: bool = False
+
+
+@attrs.frozen
+class DutySettings:
+    """Calls to the platform that one process makes for all gateways.
+
+    Attributes:
+        address: Address of the platform's interface.
+        tasks: Names of the duties that the deployment asks for; others are ignored.
+        calls_per_s: Calls a second that the platform takes from all processes together.
+        window_s: Length of the time windows of usage, in seconds.
+        usage_late_s: Seconds from the end of a window until its report is late.
+    """
+
+    address: Address
+    tasks: tuple[str, ...] = ()
+    calls_per_s: float = 50.0
+    window_s: float = 5.0
+    usage_late_s: float = 10.0
+
+    @property
+    def reports_usage(self) -> bool:
+        """Whether the usage of organisations is to be reported."""
+        return "usage_report" in self.tasks
+
+    @property
+    def orders_servers(self) -> bool:
+        """Whether numbers of backend servers are to be ordered."""
+        return "scaling" in self.tasks
+
+
+@attrs.frozen
+class RevocationSettings:
+    """How keys of organisations are treated while the store is unavailable.
+
+    Attributes:
+        strict: Whether calls that need a key are refused once the configuration is too old.
+        max_age_ms: Milliseconds since the store has confirmed the configuration after which it is
+            too old.
+    """
+
+    strict: bool = False
+    max_age_ms: float = 5000.0
+
+
 @attrs.frozen
 class GatewaySettings:
     """Settings of `figwalk-gateway`.
@@ -73,6 +133,10 @@
             share the retry budget's slack and the backend servers' connections.
         retry: Limit of retries.
         engines: Prefill speeds of the engines.
+        lease: Lease of the process that orders and reports for all gateways.
+        duties: Calls to the platform that one process makes for all, or None if there are none.
+        revocation: How keys of organisations are treated while the store is unavailable.
+        memory_mb: Memory that the process may use, in MB.
         log_lines_per_s: Largest number of log lines a second; a burst may add as many again.
         log_format: `json` or `console`.
     """
@@ -94,6 +158,10 @@
     gateways_per_zone: int = 4
     retry: RetrySettings = attrs.field(factory=RetrySettings)
     engines: EngineSettings = attrs.field(factory=EngineSettings)
+    lease: LeaseSettings = attrs.field(factory=LeaseSettings)
+    duties: DutySettings | None = None
+    revocation: RevocationSettings = attrs.field(factory=RevocationSettings)
+    memory_mb: float = 300.0
     log_lines_per_s: int = 400
     log_format: str = "json"
 
--- a/figwalk/state/routing.py
+++ b/figwalk/state/routing.py
@@ -31,6 +31,38 @@
     weight: float
 
 
+@attrs.frozen
+class Organisation:
+    """An organisation whose callers share the deployment with those of others.
+
+    Attributes:
+        name: Name by which backend servers and usage reports know it.
+        priority: Priority of its calls, which goes before that of their route; 0 is the highest.
+            None if the route's applies.
+        key_digests: Digests of the keys that its callers may send; see
+            `figwalk.state.organisation_keys`.
+    """
+
+    name: str
+    priority: int | None = None
+    key_digests: frozenset[bytes] = attrs.field(factory=frozenset, repr=False)
+
+
+@attrs.frozen
+class Autoscaling:
+    """Bounds of the number of backend servers of a service in each availability zone.
+
+    Attributes:
+        min_servers: Smallest number in an availability zone.
+        max_servers: Largest number in an availability zone.
+        boot_s: Seconds from an order until a new backend server takes calls.
+    """
+
+    min_servers: int
+    max_servers: int
+    boot_s: float
+
+
 @attrs.frozen
 class Route:
     """Rule for the calls to one host under one path prefix.
@@ -48,6 +80,8 @@
         is_model_call: Whether calls name a model and the parts of their prompt.
         resumable: Whether a broken stream may be resumed at another backend server.
         first_event_timeout_s: Seconds after which callers abandon a stream without any event.
+        is_public: Whether calls need no key of an organisation.
+        gap_s: Longest pause between two events of a stream that is still on time, in seconds.
     """
 
     name: str
@@ -62,6 +96,8 @@
     is_model_call: bool = False
     resumable: bool = False
     first_event_timeout_s: float = math.inf
+    is_public: bool = False
+    gap_s: float = math.inf
 
     @property
     def repeatable(self) -> bool:
@@ -92,6 +128,7 @@
         link_mbps: Bandwidth for KV transfers, in Mbit/s.
         handle_ttl_s: Seconds for which an engine keeps the KV cache of a prefilled prompt
             available for a fetch.
+        switch_s: Seconds for which an engine takes no calls when its role is changed.
     """
 
     slots: int
@@ -99,6 +136,7 @@
     kv_bytes_per_token: float
     link_mbps: float
     handle_ttl_s: float
+    switch_s: float = 3.0
 
 
 @attrs.frozen
@@ -109,11 +147,13 @@
         name: Name by which routes and backend servers refer to it.
         max_connections: Connections that a backend server accepts from all gateways together.
         engine: Properties of its model engines, or None for a plain service.
+        autoscaling: Bounds of the number of its backend servers, or None if it is fixed.
     """
 
     name: str
     max_connections: int
     engine: EngineSpec | None = None
+    autoscaling: Autoscaling | None = None
 
 
 @attrs.frozen
@@ -146,12 +186,14 @@
         routes: All routes.
         services: Services by name.
         limits: Limits of the requests and connections of callers.
+        organisations: The organisations whose callers are served, or None if callers need no keys.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, ServiceSpec]
     limits: CallerLimits
+    organisations: tuple[Organisation, ...] | None = None
     _index: dict[tuple[str, str], Route] = attrs.field(
         init=False,
         repr=False,
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -179,6 +179,9 @@
     async def _append_all(self, request: HttpRequest, responder: Responder) -> None:
         topic = _read_query(request, "topic")
         first = len(self._topic(topic).records)
+        if read_query_number(request, "at", first) != first:
+            await responder.send_json(412, {"end": first}, self._era_header())
+            return
         position = 0
         while position < len(request.body):
             (length,) = _LENGTH.unpack_from(request.body, position)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -11,14 +11,16 @@
 from hypothesis import strategies as st
 from support.platform_fakes import HOST, run_test
 
+from figwalk.coordination.backend_tracker import ReportedLoad
 from figwalk.coordination.compacted_log import CompactedLog, KeyedPage, KeyedRecord, TopicFollower
-from figwalk.errors import LogTruncatedError, LogUnavailableError
+from figwalk.errors import LogConflictError, LogTruncatedError, LogUnavailableError
 from figwalk.events import EventLog
 from figwalk.gateway.topic_handlers import BackendReader, RoutingReader
 from figwalk.platform import (
     BACKENDS_TOPIC,
     CONFIG_KEY,
     CONFIG_TOPIC,
+    PlatformBackendCodec,
     PlatformCallerCodec,
     PlatformStore,
     decode_backend,
@@ -28,6 +30,7 @@
 from figwalk.platform.store import _decode_page
 from figwalk.protocol.messages import Role
 from figwalk.state.backend_directory import BackendDirectory
+from figwalk.state.organisation_keys import digest_key
 from figwalk.state.routing import CallKind
 from figwalk.state.settings import Address
 from figwalk.timer import Timer
@@ -184,6 +187,43 @@
     assert page.next_offset == 2
 
 
+@with_store
+async def test_conditional_append_needs_the_end_of_the_topic(store, client, nursery):
+    """Guards against two processes that both take the same place in the log."""
+    store.put("t", "k", b"v")
+    appended = await client.append_if_end("t", 1, {"a": b"1", "b": None})
+    assert (appended.offset, appended.end, appended.era) == (1, 3, 1)
+    with pytest.raises(LogConflictError) as caught:
+        await client.append_if_end("t", 1, {"a": b"2"})
+    assert caught.value.end == 3
+    assert [r.value for r in (await client.read_newest("t")).records if r.key == "a"] == [b"1"]
+
+
+def test_organisations_are_decoded_without_their_keys():
+    """Guards against keys that are lost, or that stand in a log of the configuration."""
+    tenants = [{"name": "o1", "api-keys": ["k1", "k2"], "priority": 1}, {"name": "o2"}]
+    routing = decode_routing(json.dumps(make_config(tenants=tenants)).encode())
+    assert [(o.name, o.priority) for o in routing.organisations] == [("o1", 1), ("o2", None)]
+    assert routing.organisations[0].key_digests == {digest_key("k1"), digest_key("k2")}
+    assert "k1" not in repr(routing)
+    assert decode_routing(json.dumps(make_config()).encode()).organisations is None
+
+
+@pytest.mark.parametrize(
+    ("text", "load"),
+    [
+        (b"3,1,8", ReportedLoad(3, 1, 8)),
+        (b"3,1,8,250", ReportedLoad(3, 1, 8, slowdown=2.5)),
+        (b"3,1,8,x", None),
+        (b"3,1", None),
+    ],
+)
+def test_load_is_decoded_with_and_without_the_slowdown(text, load):
+    """Guards against load reports that are dropped because they have one more figure."""
+    facts = PlatformBackendCodec().decode_answer(200, [(b"server-load", text)])
+    assert facts.load == load
+
+
 @with_store
 async def test_read_of_dropped_records_is_an_error(store, client, nursery):
     """Guards against a reader that misses records after the store dropped its history."""
