Use the least suspect engine if all that can run a prompt are avoided

Avoidance, which is a suspicion, could leave a service without any engine that runs prompts, and PromptPlacement.rank then returned no plan, so that every prompt was refused with no_backend for up to two seconds. The ranking now keeps the least suspect engine that can run a prompt, unless its agent reports it as down. The new test fails on the code before.

--- a/figwalk/coordination/backend_tracker.py
+++ b/figwalk/coordination/backend_tracker.py
@@ -146,6 +146,13 @@
         if outcome in _DOWN_OUTCOMES:
             self._record_down(outcome)
 
+    def suspicion(self) -> tuple[bool, int, float]:
+        """Return how likely the backend server is down, as a sort key; the least likely is first.
+
+        It orders backend servers where all that could take a call are avoided.
+        """
+        return (self._is_unresponsive(self._timer.now()), self._down_count, self.failure_share())
+
     def failure_share(self) -> float:
         """Return the share of recent calls that failed, 0 to 1."""
         self._decay()
--- a/figwalk/coordination/engine_tracker.py
+++ b/figwalk/coordination/engine_tracker.py
@@ -246,7 +246,11 @@
 
     def is_avoided(self) -> bool:
         """Return whether calls to the engine are avoided now; see `BackendTracker.is_avoided`."""
-        return (self._has_digest and not self._up) or super().is_avoided()
+        return self.is_known_down() or super().is_avoided()
+
+    def is_known_down(self) -> bool:
+        """Return whether the agent beside the engine reports that it is down or takes no calls."""
+        return self._has_digest and not self._up
 
     def start_fetch(self, call: object, seconds: float) -> None:
         """Record that a fetch over the engine's link begins, and how long it takes by itself."""
--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -22,6 +22,7 @@
 from figwalk.coordination.plain_placement import Distance
 from figwalk.coordination.prompt_plan import PromptCall, PromptPlan
 from figwalk.coordination.subject_affinity import find_preferred_engine, hash_pair
+from figwalk.coordination.usable_engines import find_usable_engines
 from figwalk.protocol.messages import Role
 from figwalk.state.gateway_settings import EngineSettings
 from figwalk.state.routing import EngineSpec
@@ -110,9 +111,9 @@
     ) -> list[PromptPlan]:
         """Return a plan for each engine that may prefill a prompt, the best first.
 
-        The list is empty if no engine is usable.
+        The list is empty if no engine can run a prompt.
         """
-        usable = [engine for engine in engines if not engine.is_avoided()]
+        usable = find_usable_engines(engines, self._rng)
         self._learn_rates(usable)
         decode_engines = [engine for engine in usable if engine.entry.role is not Role.PREFILL]
         if not decode_engines:
--- a/tests/test_prompt_placement.py
+++ b/tests/test_prompt_placement.py
@@ -100,6 +100,31 @@
     assert engines.best_pair() is None
 
 
+@pytest.mark.parametrize("parts", [LONG, SHORT])
+def test_least_suspect_engine_is_used_if_all_are_avoided(parts):
+    """Guards against every prompt refused while engines that can run it are avoided, not down."""
+    engines = EngineFleet(
+        p1=("a", Role.PREFILL), d1=("a", Role.DECODE), d2=("b", Role.DECODE), d3=("c", Role.DECODE)
+    )
+    for name, failures in (("d1", 2), ("d2", 1), ("d3", 0)):
+        for call in range(failures):
+            engines.trackers[name].start(call)
+            engines.trackers[name].finish(call, AttemptOutcome.UNREACHABLE)
+    engines.report("d3", up=False)
+    assert all(engines.trackers[name].is_avoided() for name in ("d1", "d2", "d3"))
+    assert engines.best_pair(parts)[1] == "d2"
+    engines.report("d2", up=False)
+    assert engines.best_pair(parts)[1] == "d1"
+
+
+def test_avoided_prefill_engine_is_replaced_by_engines_that_run_prompts():
+    """Guards against prompts sent to an avoided engine although others can prefill them."""
+    engines = EngineFleet(p1=("a", Role.PREFILL), d1=("a", Role.DECODE))
+    engines.trackers["p1"].start("c1")
+    engines.trackers["p1"].finish("c1", AttemptOutcome.UNREACHABLE)
+    assert engines.best_pair() == ("d1", "d1")
+
+
 def test_outdated_agent_report_is_ignored():
     """Guards against acting on the last report of a lost agent for ever.
 
