Don't avoid a backend server that answered others while a call waited there

A call without a first event for three targets counted as silence and its engine was avoided for up to two seconds, although the engine answered other calls meanwhile: it was busy, not down. Such a call now counts as a failure only. Answers that begin and data of running streams both count. The new test fails on the code before.

--- a/figwalk/coordination/backend_tracker.py
+++ b/figwalk/coordination/backend_tracker.py
@@ -135,14 +135,24 @@
             # This includes the answered call, which runs until its whole answer has arrived.
             self._in_flight_at_load = len(self._calls)
 
+    def record_data(self) -> None:
+        """Record that a part of an answer arrived, which shows that the backend server runs."""
+        self._last_answer_at = self._timer.now()
+
     def finish(self, call: object, outcome: AttemptOutcome) -> None:
-        """Record the end of a call."""
-        self._calls.pop(call, None)
+        """Record the end of a call.
+
+        A backend server that has answered others since the call was sent was too slow for this one,
+        but is not silent: the call counts as failed, and the backend server is not avoided.
+        """
+        sent = self._calls.pop(call, None)
         self._decay()
         if outcome is AttemptOutcome.ANSWERED:
             self._answered += 1
         elif outcome in _FAILURE_OUTCOMES:
             self._failed += 1
+        if outcome is AttemptOutcome.SILENT and self._has_answered_since(sent):
+            return
         if outcome in _DOWN_OUTCOMES:
             self._record_down(outcome)
 
@@ -188,6 +198,9 @@
             for call in self._calls.values()
         )
 
+    def _has_answered_since(self, sent: _SentCall | None) -> bool:
+        return sent is not None and self._last_answer_at > sent.sent_at
+
     def _record_down(self, outcome: AttemptOutcome) -> None:
         self._down_count += 1
         hold_s = min(MAX_AVOIDANCE_S, FIRST_AVOIDANCE_S * 2 ** (self._down_count - 1))
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -70,6 +70,7 @@
         headers: Headers for the caller.
         facts: Fields decoded from the status and the headers.
         response: The response, whose body has not been read yet.
+        tracker: Tracker of the backend server.
     """
 
     backend: str
@@ -77,6 +78,7 @@
     headers: Headers
     facts: AnswerFacts
     response: HttpResponse
+    tracker: BackendTracker
 
     @property
     def succeeded(self) -> bool:
@@ -314,6 +316,7 @@
             strip_hop_by_hop(response.headers),
             facts,
             response,
+            tracker,
         )
         if plan.step is CallStep.RUN and answer.succeeded and not facts.signed:
             message = "the answer does not bear the backend server's signature"
--- a/figwalk/gateway/stream_relay.py
+++ b/figwalk/gateway/stream_relay.py
@@ -76,6 +76,7 @@
         splitter = EventStreamSplitter()
         boundaries = EventBoundaries()
         async for data in answer.response.chunks():
+            answer.tracker.record_data()
             boundaries.feed(data)
             self._has_event = self._has_event or boundaries.found
             complete = splitter.feed(data) if self._resumable else data
--- a/tests/test_backend_tracker.py
+++ b/tests/test_backend_tracker.py
@@ -1,5 +1,6 @@
 """Tests of how a process tracks a backend server by its own calls."""
 
+import pytest
 from support.fake_timer import FakeTimer
 
 from figwalk.coordination.backend_tracker import (
@@ -56,6 +57,39 @@
     assert not tracker.is_avoided()
 
 
+@pytest.mark.parametrize("is_stream", [False, True])
+def test_backend_that_answers_others_is_not_silent(is_stream):
+    """Guards against an overloaded backend server avoided because one call waits too long there."""
+    timer = FakeTimer()
+    tracker = make_tracker(timer)
+    tracker.start("c1")
+    timer.advance(0.1)
+    if is_stream:
+        tracker.record_data()
+    else:
+        tracker.start("c2")
+        tracker.record_answer("c2", None)
+        tracker.finish("c2", AttemptOutcome.ANSWERED)
+    timer.advance(RESPONSE_TIMEOUT_S)
+    tracker.finish("c1", AttemptOutcome.SILENT)
+    assert not tracker.is_avoided()
+    assert tracker.failure_share() > 0
+
+
+def test_backend_without_answer_since_the_call_was_sent_is_silent():
+    """Guards against a backend server that stays in use since it once answered."""
+    timer = FakeTimer()
+    tracker = make_tracker(timer)
+    tracker.start("c1")
+    tracker.record_answer("c1", None)
+    tracker.finish("c1", AttemptOutcome.ANSWERED)
+    timer.advance(0.1)
+    tracker.start("c2")
+    timer.advance(RESPONSE_TIMEOUT_S)
+    tracker.finish("c2", AttemptOutcome.SILENT)
+    assert tracker.is_avoided()
+
+
 def test_reported_load_is_corrected_by_calls_sent_since():
     """Guards against every process choosing a backend server by an outdated load."""
     timer = FakeTimer()
