Accept registrations again that a restored store had lost

A registration that an older copy of the store lacked, or that lapsed in an outage, was dropped after the renewal time even if it had been written again unchanged, and was then ignored for two minutes: apply returned early for a registration that was not newer than the known one. The same registration now ends the wait for its renewal, and after a drop for want of renewal it is accepted again. Withdrawn registrations stay removed.

--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -235,6 +235,12 @@
         "The VM list does not answer; the last known one stays in force.",
     )
 
+    BACKEND_CONFIRMED = (
+        830,
+        "info",
+        "A registration that the store had lost, or that had expired, is there again unchanged.",
+    )
+
     @property
     def number(self) -> int:
         """Number in the catalogue."""
--- a/figwalk/state/backend_directory.py
+++ b/figwalk/state/backend_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from enum import Enum
 
 import attrs
 
@@ -57,9 +58,43 @@
         return (self.address, self.born_ms) == (other.address, other.born_ms)
 
 
+class RemovalCause(Enum):
+    """Why a registration is no longer known."""
+
+    WITHDRAWN = "withdrawn"  # It was removed while the store was available, or its server leaves.
+    NOT_RENEWED = "not_renewed"  # It lapsed in an outage, or an older copy of the store lacks it.
+
+
+@attrs.frozen
+class _Removal:
+    """A registration that is no longer known.
+
+    Attributes:
+        age_key: Age of the newest registration that was read.
+        cause: Why it was removed.
+        removed_at: Timer time of the removal.
+    """
+
+    age_key: tuple[int, int]
+    cause: RemovalCause
+    removed_at: float
+
+    def is_undone_by(self, entry: BackendEntry) -> bool:
+        """Return whether a registration that is read later is valid again.
+
+        Without a withdrawal, the same registration is valid: backend servers write again what the
+        store has lost. After one, the same registration is a write that the store carried out late.
+        """
+        if self.cause is RemovalCause.NOT_RENEWED:
+            return entry.age_key >= self.age_key
+        return entry.age_key > self.age_key
+
+
 class BackendDirectory:
     """The registered backend servers.
 
+    `docs/design/records-after-restore.md` has a table of what follows from each record.
+
     Args:
         events: Event log that records the changes.
         timer: Source of time.
@@ -73,7 +108,7 @@
         self._timer = timer
         self._on_change = on_change
         self._entries: dict[str, BackendEntry] = {}
-        self._removed: dict[str, tuple[tuple[int, int], float]] = {}
+        self._removed: dict[str, _Removal] = {}
         self._expiring: dict[str, float] = {}
         self._store_recovered_at: float | None = None
         self._store_unavailable = False
@@ -181,27 +216,30 @@
     def set_store_available(self, *, available: bool) -> None:
         """Record whether the store that holds the list is available."""
         if available and self._store_unavailable:
-            self._store_recovered_at = self._timer.now()
+            self._await_renewals()
         self._store_unavailable = not available
 
     def handle_restore(self) -> None:
         """Record that the store was restored from an older copy, without the newest registrations.
 
         As after an outage, backend servers renew their registrations. Backend servers that were
-        removed since the copy was made stay removed, although the copy may still list them.
+        withdrawn since the copy was made stay removed, although the copy may still list them.
         """
-        self._store_recovered_at = self._timer.now()
+        self._await_renewals()
 
     def apply(self, entry: BackendEntry) -> bool:
-        """Apply a registration; return whether it was newer than the known one.
+        """Apply a registration; return whether it was newer than the known one, or valid again.
 
         Registrations may arrive late: one that is older than the newest one, or than a removal, is
-        ignored.
+        ignored. One that equals the known one ends the wait for its renewal.
         """
         known = self._entries.get(entry.backend)
-        removed = self._removed.get(entry.backend)
-        newest = known.age_key if known else removed[0] if removed else None
-        if newest is not None and entry.age_key <= newest:
+        removal = self._removed.get(entry.backend)
+        if known is not None and entry.age_key <= known.age_key:
+            if entry.age_key == known.age_key:
+                self._confirm(known)
+            return False
+        if removal is not None and not removal.is_undone_by(entry):
             return False
         self._entries[entry.backend] = entry
         self._removed.pop(entry.backend, None)
@@ -218,22 +256,24 @@
 
     def remove(self, backend: str) -> None:
         """Apply a removal: at once, or after the renewal time if the store was unavailable."""
-        if backend not in self._entries:
+        entry = self._entries.get(backend)
+        if entry is None:
             return
         if self._is_awaiting_renewals():
             wait_until = (self._store_recovered_at or self._timer.now()) + RENEWAL_WAIT_S
+            if backend not in self._expiring:
+                self._record(Event.BACKEND_EXPIRING, entry)
             self._expiring.setdefault(backend, wait_until)
-            self._record(Event.BACKEND_EXPIRING, self._entries[backend])
         else:
-            self._drop(backend)
+            self._drop(backend, RemovalCause.WITHDRAWN)
 
     def expire(self) -> None:
         """Drop the removed backend servers whose renewal time is over, and outdated removals."""
         now = self._timer.now()
         for backend in [name for name, until in self._expiring.items() if now >= until]:
-            self._drop(backend)
-        old = [name for name, (_, at) in self._removed.items() if now - at > REMOVAL_RETENTION_S]
-        for backend in old:
+            self._drop(backend, RemovalCause.NOT_RENEWED)
+        cutoff = now - REMOVAL_RETENTION_S
+        for backend in [name for name, r in self._removed.items() if r.removed_at < cutoff]:
             del self._removed[backend]
         self._notices.drop_expired(self._entries.__contains__)
 
@@ -256,16 +296,30 @@
         returned = self._store_recovered_at
         return returned is not None and self._timer.now() - returned < RENEWAL_WAIT_S
 
-    def _drop(self, backend: str) -> None:
+    def _await_renewals(self) -> None:
+        """Give all backend servers the whole renewal time from now on."""
+        self._store_recovered_at = now = self._timer.now()
+        for backend in self._expiring:
+            self._expiring[backend] = now + RENEWAL_WAIT_S
+
+    def _confirm(self, known: BackendEntry) -> None:
+        """Keep a registration that is in the store again, unless its server leaves."""
+        if known.backend in self._expiring and not self._is_leaving(known):
+            del self._expiring[known.backend]
+            self._record(Event.BACKEND_CONFIRMED, known)
+
+    def _drop(self, backend: str, cause: RemovalCause) -> None:
         self._expiring.pop(backend, None)
         entry = self._entries.pop(backend, None)
         if entry is None:
             return
-        self._removed[backend] = (entry.age_key, self._timer.now())
-        self._record(Event.BACKEND_REMOVED, entry)
+        if self._is_leaving(entry):
+            cause = RemovalCause.WITHDRAWN
+        self._removed[backend] = _Removal(entry.age_key, cause, self._timer.now())
+        self._record(Event.BACKEND_REMOVED, entry, cause=cause.value)
         self._on_change()
 
-    def _record(self, event: Event, entry: BackendEntry) -> None:
+    def _record(self, event: Event, entry: BackendEntry, **fields: str) -> None:
         self._events.record(
             event,
             backend=entry.backend,
@@ -275,4 +329,5 @@
             role=entry.role.value,
             born_ms=entry.born_ms,
             sequence=entry.sequence,
+            **fields,
         )
