Keep the gateway running if no descriptor is free for a port check

refuses_connections opened its socket outside the try block, so that EMFILE ended the process. It is now no refusal, as other errors of the check. The new test fails on the code before.

--- a/figwalk/transport/listening.py
+++ b/figwalk/transport/listening.py
@@ -43,13 +43,15 @@
         timeout_s: Seconds to wait for the VM; silence is not a refusal.
     """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    with trio.socket.socket(family) as probe, trio.move_on_after(timeout_s):
-        try:
+    try:
+        with trio.socket.socket(family) as probe, trio.move_on_after(timeout_s):
             await probe.connect((host, port))
-        except ConnectionRefusedError:
-            return True
-        except OSError:
-            return False  # Not the statement of a VM that runs, so nothing follows from it.
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        # Not the statement of a VM that runs, so nothing follows from it. The error may also be
+        # this process's own, which has no free file descriptor.
+        return False
     return False
 
 
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -1,3 +1,4 @@
+import errno
 import socket
 import subprocess
 import sys
@@ -14,7 +15,11 @@
     PlatformSettings,
 )
 from figwalk.state.settings_file import dump_settings
-from figwalk.transport.listening import accept_connections, open_listeners
+from figwalk.transport.listening import (
+    accept_connections,
+    open_listeners,
+    refuses_connections,
+)
 
 FREE, CLOSED = Address(HOST, 0), Address(HOST, 1)
 
@@ -84,3 +89,16 @@
             await client.aclose() if isinstance(client, trio.SocketStream) else client.close()
 
     trio.run(main)
+
+
+def test_check_of_a_port_without_a_free_descriptor_is_no_refusal(monkeypatch):
+    """Guards against a gateway that ends because it can't open a socket for a check."""
+
+    def fail(_family):
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    async def main():
+        monkeypatch.setattr(trio.socket, "socket", fail)
+        assert not await refuses_connections(HOST, 1, timeout_s=5.0)
+
+    trio.run(main)
