Ignore SIGHUP until its handler is installed

A SIGHUP during the imports, or between the reading of the settings and the start of trio, ended a gateway or prompt agent by the default action of the signal. It is now ignored from the first statement of the program on; the watcher finds a change of the file anyway, also one between its first read and the start.

--- a/figwalk/gateway/main.py
+++ b/figwalk/gateway/main.py
@@ -2,6 +2,12 @@
 
 from __future__ import annotations
 
+import signal
+
+if __name__ == "__main__":
+    # The other imports take about a second, in which a SIGHUP would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 from pathlib import Path
 from typing import Annotated
 
--- a/figwalk/process_runner.py
+++ b/figwalk/process_runner.py
@@ -63,14 +63,17 @@
         cls: Class of the settings.
         process: Process to which the new settings are applied.
         events: Event log.
+        content: Content of the file from which the process got its settings, or an older one.
     """
 
-    def __init__(self, path: Path, cls: type[S], process: Process[S], events: EventLog) -> None:
+    def __init__(
+        self, path: Path, cls: type[S], process: Process[S], events: EventLog, *, content: bytes
+    ) -> None:
         self._path = path
         self._cls = cls
         self._process = process
         self._events = events
-        self._content = path.read_bytes()
+        self._content = content
 
     async def check(self) -> None:
         """Reload the settings if the content of the file has changed."""
@@ -114,10 +117,15 @@
         typer.Exit: The settings are invalid, the process can't listen on an address, or it failed
             with an unexpected error.
     """
+    # Until its handler is installed and after that is removed, a SIGHUP would end the process. The
+    # settings are read later than this, and the watcher looks for changes without a signal.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     if path is None:
         typer.echo(f"pass a settings file, or set {SETTINGS_FILE_VARIABLE}", err=True)
         raise typer.Exit(SETTINGS_EXIT_CODE)
     try:
+        # Read before the settings, so that a change in between is noticed as one.
+        content = path.read_bytes() if path.is_file() else b""
         settings = load_settings(path, cls)
         output = BoundedOutput(sys.stdout.fileno(), lines_per_s=settings.log_lines_per_s)
         configure_logging(settings.log_format, output)
@@ -126,7 +134,7 @@
         raise typer.Exit(SETTINGS_EXIT_CODE) from error
     process = make_process(settings, lambda: output.dropped)
     events = EventLog(settings.process, Timer())
-    watcher = SettingsWatcher(path, cls, process, events)
+    watcher = SettingsWatcher(path, cls, process, events, content=content)
     try:
         trio.run(_run, process, watcher)
     except BaseExceptionGroup as group:
