Keep backend servers closed for as long as they ask

A Retry-After over 60 s was cut to 60 s, so that a gateway called a backend server that had asked for no calls. Agents still poll their engine once a minute, since a poll is all that shows a new instance. The new test fails on the code before.

--- a/figwalk/prompt_agent/engine_watcher.py
+++ b/figwalk/prompt_agent/engine_watcher.py
@@ -11,7 +11,6 @@
 from figwalk.errors import HttpError
 from figwalk.events import Event, EventLog
 from figwalk.protocol.messages import Role
-from figwalk.state.backend_notices import MAX_CLOSED_S
 from figwalk.state.gateway_settings import EngineSettings
 from figwalk.timer import Timer
 from figwalk.transport import Headers, HttpClient, HttpRequest
@@ -19,6 +18,9 @@
 # An engine on the same VM answers within a few milliseconds; each report takes the VM about 1 ms.
 REPORT_PERIOD_S = 0.1
 REPORT_TIMEOUT_S = 0.4
+# An engine may ask for a longer pause than this, but only a poll shows that another instance has
+# replaced it.
+MAX_PAUSE_S = 60.0
 # A report lists the engine's calls, about 40 bytes each.
 MAX_REPORT_BYTES = 256 * 1024
 # One missed report may be a transient fault; the next poll, one period later, decides.
@@ -157,7 +159,7 @@
 
     def _pause_polling(self, seconds: float) -> None:
         if seconds > 0:
-            self._paused_until = self._timer.now() + min(seconds, MAX_CLOSED_S)
+            self._paused_until = self._timer.now() + min(seconds, MAX_PAUSE_S)
 
     def _apply_report(self, report: EngineReport) -> None:
         previous, self._report = self._report, report
--- a/figwalk/state/backend_notices.py
+++ b/figwalk/state/backend_notices.py
@@ -12,8 +12,9 @@
 
 from figwalk.timer import Timer
 
-# Limits the effect of a wrong value, which must not keep a backend server out of use for good.
-MAX_CLOSED_S = 60.0
+# Limits the effect of a wrong value, which must not keep a backend server out of use for good. It
+# is longer than any outage of a service that is planned in an answer.
+MAX_CLOSED_S = 86_400.0
 # A registration that expires and is renewed within this time does not undo a notice.
 NOTICE_RETENTION_S = 120.0
 
@@ -122,9 +123,11 @@
 
     def drop_expired(self, is_registered: Callable[[str], bool]) -> None:
         """Drop old notices of backend servers that are no longer registered."""
-        cutoff = self._timer.now() - NOTICE_RETENTION_S
+        now = self._timer.now()
+        cutoff = now - NOTICE_RETENTION_S
         for backend, notice in list(self._notices.items()):
-            if notice.updated_at < cutoff and not is_registered(backend):
+            is_old = notice.updated_at < cutoff and notice.closed_until < now
+            if is_old and not is_registered(backend):
                 del self._notices[backend]
 
     def _find(self, backend: str, born_ms: int) -> _Notice | None:
--- a/tests/test_backend_notices.py
+++ b/tests/test_backend_notices.py
@@ -86,6 +86,22 @@
     assert directory.opens_in_s(ENTRY) == MAX_CLOSED_S
 
 
+def test_long_closed_time_is_kept(directory, timer):
+    """Guards against calls to a backend server that asked for none for longer than a minute.
+
+    Its registration may lapse and be renewed meanwhile.
+    """
+    directory.mark_closed(ENTRY, 3600.0)
+    timer.advance(600.0)
+    assert directory.opens_in_s(ENTRY) == pytest.approx(3000.0)
+    directory.set_store_available(available=True)
+    directory.remove("b1")
+    timer.advance(600.0)
+    directory.expire()
+    directory.apply(attrs.evolve(ENTRY, sequence=6))
+    assert directory.opens_in_s(ENTRY) == pytest.approx(2400.0)
+
+
 def test_notices_of_removed_backends_expire(directory, timer):
     """Guards against memory that grows with each backend server that ever left."""
     directory.mark_leaving(ENTRY)
