Add strict revocation and refuse calls without a key before their body

Cause: keys stayed valid for any time without the store; a caller without a key could have its whole body received; h11 quotes malformed header lines, and with them keys, in error messages. Change: ConfirmingLog notes when the store last confirmed the configuration, by CLOCK_BOOTTIME, and with strict revocation calls that need a key get 503 once that is too long ago. HttpServer has a screen that sees the head of a request whose body has not arrived. Messages of h11 are cut before quoted bytes. Events 840 to 842 and metrics count organisations and keys.

--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -235,6 +235,18 @@
         "The VM list does not answer; the last known one stays in force.",
     )
 
+    ORGANISATIONS_CHANGED = (
+        840,
+        "info",
+        "A configuration with organisations took effect; the fields count their keys.",
+    )
+    CONFIG_UNCONFIRMED = (
+        841,
+        "warning",
+        "The store has not confirmed the configuration for so long that keys are not relied on.",
+    )
+    CONFIG_CONFIRMED = (842, "info", "The store confirms the configuration again.")
+
     @property
     def number(self) -> int:
         """Number in the catalogue."""
--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -93,6 +93,34 @@
             arrivals = call.arrivals
             self._metrics.record_repeats(call.service, arrivals.repeats, arrivals.charged)
 
+    async def screen(self, request: HttpRequest, responder: Responder) -> bool:
+        """Refuse a request whose body has not arrived, if it lacks a valid key.
+
+        Returns whether it was refused.
+
+        Raises:
+            CallerError: The request is not valid.
+        """
+        try:
+            routing = self._routing()
+        except RefusalError:
+            return False  # `handle` gives the refusal.
+        if routing is None or routing.organisations is None:
+            return False
+        route = routing.match(request.header(b"host"), request.path)
+        if route is None:
+            return False
+        facts = self._codec.decode(request)
+        try:
+            self._access.authenticate(routing, route, facts.api_key)
+        except RefusalError as error:
+            await self._send_refusal(facts.call_id, responder, error)
+        except InvalidKeyError as error:
+            await self._send_invalid_key(facts.call_id, responder, error)
+        else:
+            return False
+        return True
+
     def _accept(self, request: HttpRequest, facts: CallFacts, responder: Responder) -> Call:
         routing = self._routing()
         if routing is None:
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -28,6 +28,7 @@
 from figwalk.gateway.prompt_offers import PromptOffers
 from figwalk.gateway.topic_handlers import BackendReader, RoutingReader
 from figwalk.organisations.access_control import AccessControl
+from figwalk.organisations.config_confirmation import ConfigConfirmation, ConfirmingLog
 from figwalk.platform import (
     BACKENDS_TOPIC,
     CONFIG_KEY,
@@ -114,13 +115,18 @@
         self._routing = RoutingReader(
             CONFIG_KEY, decode_routing, self._events, on_adopted=self._apply_routing
         )
-        self._access = AccessControl(lambda: self._routing.current, self._metrics)
+        self._confirmation = ConfigConfirmation(settings.revocation, self._events, self._timer)
+        self._access = AccessControl(
+            lambda: self._routing.current, self._confirmation, self._metrics, self._events
+        )
         self._readiness = GatewayReadiness(lambda: self._routing.current, self._directory)
         self._was_ready: bool | None = None
+        caller_api = self._make_caller_api()
         self._callers = HttpServer(
-            self._make_caller_api().handle,
+            caller_api.handle,
             self._events,
             limits=HttpLimits(max_connections=settings.max_connections),
+            screen=caller_api.screen,
         )
         self._health = HttpServer(self._answer_health, self._events)
         self._metrics_server = HttpServer(self._metrics.handle, self._events)
@@ -234,12 +240,12 @@
     def _make_followers(self) -> list[TopicFollower]:
         settings = self._settings
         config = TopicFollower(
-            self._make_store(),
+            ConfirmingLog(self._make_store(), self._confirmation, self._timer),
             CONFIG_TOPIC,
             self._routing,
             self._events,
             self._timer,
-            wait_s=settings.config_wait_s,
+            wait_s=self._confirmation.limit_wait_s(settings.config_wait_s),
         )
         backends = TopicFollower(
             self._make_store(),
@@ -280,9 +286,7 @@
         )
         self._pool.set_routing(routing)
         self._metrics.record_config_version(routing.version)
-        self._metrics.record_organisations(
-            organisations=len(routing.organisations or ()), keys=routing.key_count
-        )
+        self._access.record_adopted(routing)
 
     def _update_backends(self) -> None:
         self._pool.sync()
@@ -306,6 +310,7 @@
         self._gateway_count.record(self._pool.count_reported_gateways())
         self._crashes.update()
         self._crash_reports.expire()
+        self._confirmation.record_change()
         self._metrics.record_quarantine(
             parts=len(self._quarantine.parts), requests=len(self._quarantine.requests)
         )
--- a/figwalk/organisations/access_control.py
+++ b/figwalk/organisations/access_control.py
@@ -6,13 +6,16 @@
 from enum import StrEnum
 from http import HTTPStatus
 
-from figwalk.errors import CallerError
+from figwalk.errors import CallerError, RefusalError
+from figwalk.events import Event, EventLog
 from figwalk.gateway.call import Call
 from figwalk.gateway.gateway_metrics import GatewayMetrics
+from figwalk.organisations.config_confirmation import ConfigConfirmation
 from figwalk.state.organisation_keys import digest_key
 from figwalk.state.routing import Organisation, Route, RoutingConfig
 
 INVALID_KEY_CODE = "invalid_api_key"
+UNCONFIRMED_RETRY_MS = 500
 
 
 class KeyRefusal(StrEnum):
@@ -21,6 +24,7 @@
     MISSING = "missing"
     UNKNOWN = "unknown"
     WITHDRAWN = "withdrawn"
+    UNCONFIRMED = "unconfirmed"
 
 
 class InvalidKeyError(CallerError):
@@ -47,14 +51,39 @@
 
     Args:
         routing: Returns the configuration in force, or None before the first one.
+        confirmation: Knows whether the configuration is confirmed as strict revocation demands.
         metrics: Counts refused keys.
+        events: Event log.
     """
 
     def __init__(
-        self, routing: Callable[[], RoutingConfig | None], metrics: GatewayMetrics
+        self,
+        routing: Callable[[], RoutingConfig | None],
+        confirmation: ConfigConfirmation,
+        metrics: GatewayMetrics,
+        events: EventLog,
     ) -> None:
         self._routing = routing
+        self._confirmation = confirmation
         self._metrics = metrics
+        self._events = events
+        self._key_digests: frozenset[bytes] = frozenset()
+
+    def record_adopted(self, routing: RoutingConfig) -> None:
+        """Record the organisations and keys of a configuration that takes effect, in numbers."""
+        known, digests = self._key_digests, frozenset(routing.key_digests)
+        organisations = len(routing.organisations or ())
+        self._metrics.record_organisations(organisations=organisations, keys=len(digests))
+        if routing.organisations is not None or known:
+            self._events.record(
+                Event.ORGANISATIONS_CHANGED,
+                version=routing.version,
+                organisations=organisations,
+                keys=len(digests),
+                added=len(digests - known),
+                withdrawn=len(known - digests),
+            )
+        self._key_digests = digests
 
     def authenticate(
         self, routing: RoutingConfig, route: Route, api_key: str
@@ -68,13 +97,12 @@
 
         Raises:
             InvalidKeyError: The route needs a key of an organisation, and the caller sent none.
+            RefusalError: The route needs a key, and the store has not confirmed for too long which
+                keys are valid.
         """
         if routing.organisations is None:
             return None
-        organisation = routing.find_organisation(digest_key(api_key)) if api_key else None
-        if organisation is None and not route.is_public:
-            raise self._refuse(KeyRefusal.UNKNOWN if api_key else KeyRefusal.MISSING)
-        return organisation
+        return self._identify(routing, route, api_key, KeyRefusal.UNKNOWN)
 
     def check_again(self, call: Call) -> str | None:
         """Authenticate a call that has waited, by the configuration now in force.
@@ -84,22 +112,39 @@
 
         Raises:
             InvalidKeyError: The key was withdrawn, or the route needs one now.
+            RefusalError: As for `authenticate`.
         """
         routing = self._routing()
         if routing is None or routing.organisations is None:
             call.organisation = None
             return "" if call.has_organisations else None
-        call.has_organisations = True
-        if routing.version != call.config_version:
+        if routing.version == call.config_version:
+            self._check_confirmed(call.route)
+        else:
             request = call.request
             route = routing.match(request.header(b"host"), request.path) or call.route
-            api_key = call.facts.api_key
-            organisation = routing.find_organisation(digest_key(api_key)) if api_key else None
-            if organisation is None and not route.is_public:
-                raise self._refuse(KeyRefusal.WITHDRAWN)
-            call.organisation = organisation
+            reason = KeyRefusal.WITHDRAWN if call.has_organisations else KeyRefusal.UNKNOWN
+            call.has_organisations = True
+            call.organisation = self._identify(routing, route, call.facts.api_key, reason)
         return call.organisation.name if call.organisation is not None else ""
 
-    def _refuse(self, reason: KeyRefusal) -> InvalidKeyError:
+    def _identify(
+        self, routing: RoutingConfig, route: Route, api_key: str, reason: KeyRefusal
+    ) -> Organisation | None:
+        self._check_confirmed(route)
+        organisation = routing.find_organisation(digest_key(api_key)) if api_key else None
+        if organisation is not None or route.is_public:
+            return organisation
+        reason = reason if api_key else KeyRefusal.MISSING
         self._metrics.record_refused_key(reason.value)
-        return InvalidKeyError(reason)
+        raise InvalidKeyError(reason)
+
+    def _check_confirmed(self, route: Route) -> None:
+        if route.is_public or not self._confirmation.is_too_old:
+            return
+        self._metrics.record_refused_key(KeyRefusal.UNCONFIRMED.value)
+        raise RefusalError(
+            "keys_unconfirmed",
+            "the store has not confirmed the valid keys in time",
+            retry_after_ms=UNCONFIRMED_RETRY_MS,
+        )
--- a/figwalk/state/routing.py
+++ b/figwalk/state/routing.py
@@ -4,7 +4,7 @@
 
 import math
 import random
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 from enum import StrEnum
 
 import attrs
@@ -216,9 +216,9 @@
     )
 
     @property
-    def key_count(self) -> int:
-        """Number of different keys of all organisations."""
-        return len(self._keys)
+    def key_digests(self) -> Set[bytes]:
+        """Digests of the keys of all organisations."""
+        return self._keys.keys()
 
     def find_organisation(self, key_digest: bytes) -> Organisation | None:
         """Return the organisation that holds a key, or None.
--- a/figwalk/transport/__init__.py
+++ b/figwalk/transport/__init__.py
@@ -8,12 +8,13 @@
     HttpExchange,
     HttpResponse,
 )
-from figwalk.transport.http_server import HttpServer, render_error
+from figwalk.transport.http_server import HttpServer
 from figwalk.transport.http_types import (
     Headers,
     HttpLimits,
     HttpRequest,
     find_header,
+    render_error,
     strip_hop_by_hop,
 )
 from figwalk.transport.responder import ClientDisconnectedError, Responder
--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Awaitable, Callable
 from enum import Enum
 
@@ -11,7 +12,7 @@
 from figwalk.errors import CallerError, CallOutcome, ConnectionLostError
 from figwalk.events import Event, EventLog
 from figwalk.transport.byte_stream import RECEIVE_BYTES, ByteStream
-from figwalk.transport.http_types import Headers, HttpLimits, HttpRequest, find_header
+from figwalk.transport.http_types import Headers, HttpLimits, HttpRequest, find_header, render_error
 from figwalk.transport.listening import accept_connections, open_listeners
 from figwalk.transport.responder import CLOSE_HEADER, ClientDisconnectedError, Responder
 
@@ -24,6 +25,8 @@
 LINGER_S = 2.0
 MAX_REJECTED_CONNECTIONS = 64
 BACKLOG_POLL_S = 0.005
+# Start of the bytes that h11 quotes in a message; they may hold a key of the client.
+_QUOTED_BYTES = re.compile(r""":? (?:bytearray\()?b['"]""")
 
 
 class SlowSenderError(CallerError):
@@ -31,6 +34,7 @@
 
 
 HttpHandler = Callable[[HttpRequest, Responder], Awaitable[None]]
+HttpScreen = Callable[[HttpRequest, Responder], Awaitable[bool]]
 
 
 class HttpServer:
@@ -43,12 +47,21 @@
         handler: Coroutine function called with each complete request and its responder.
         events: Event log.
         limits: Limits for requests and connections.
+        screen: Called with the head of a request before more of its body is awaited; returns
+            whether it has sent a refusal, after which the connection is closed. May raise
+            `CallerError`, too.
     """
 
     def __init__(
-        self, handler: HttpHandler, events: EventLog, *, limits: HttpLimits | None = None
+        self,
+        handler: HttpHandler,
+        events: EventLog,
+        *,
+        limits: HttpLimits | None = None,
+        screen: HttpScreen | None = None,
     ) -> None:
         self._handler = handler
+        self._screen = screen
         self._events = events
         self._limits = limits or HttpLimits()
         self._connections = 0
@@ -195,14 +208,15 @@
         try:
             request = await self._receive_request(connection, stream, waiting_since)
         except h11.RemoteProtocolError as error:
-            refusal = CallerError(error.error_status_hint, "malformed_request", str(error))
+            detail = _QUOTED_BYTES.split(str(error))[0]
+            refusal = CallerError(error.error_status_hint, "malformed_request", detail)
             await self._refuse(connection, stream, refusal)
             return _AfterRequest.LINGER
         except CallerError as error:
             await self._refuse(connection, stream, error)
             return _AfterRequest.LINGER
-        if request is None:
-            return _AfterRequest.CLOSE
+        if isinstance(request, _AfterRequest):
+            return request
         responder = Responder(
             connection, stream, lambda: self._draining, head_only=request.method == "HEAD"
         )
@@ -220,22 +234,27 @@
 
     async def _receive_request(
         self, connection: h11.Connection, stream: ByteStream, waiting_since: float | None
-    ) -> HttpRequest | None:
-        """Return the next request, or None if the connection is to be closed."""
+    ) -> HttpRequest | _AfterRequest:
+        """Return the next request, or what to do with the connection without one."""
         if not connection.trailing_data[0] and not await self._wait_for_request(connection, stream):
-            return None
+            return _AfterRequest.CLOSE
         started_at = trio.current_time() if waiting_since is None else waiting_since
         reader = _RequestReader(connection, self._limits.max_body_bytes, started_at)
         request = reader.parse()
         if request is not h11.NEED_DATA:
             # Most requests arrive in one piece; parsing these without a timeout saves a cancel
             # scope.
-            return request
+            return request or _AfterRequest.CLOSE
+        screen = self._screen
         with trio.move_on_after(self._limits.receive_timeout_s):
             while request is h11.NEED_DATA:
+                if screen is not None and (head := reader.build_head()) is not None:
+                    if await screen(head, Responder(connection, stream, lambda: True)):
+                        return _AfterRequest.LINGER
+                    screen = None
                 await reader.receive(stream)
                 request = reader.parse()
-            return request
+            return request or _AfterRequest.CLOSE
         raise SlowSenderError(
             408, "request_timeout", "the request was not complete in time; send it faster"
         )
@@ -358,7 +377,7 @@
                 self._body += event.data
                 self._check_body_size(len(self._body))
             elif isinstance(event, h11.EndOfMessage) and self._head is not None:
-                return self._build()
+                return self._build(bytes(self._body))
             else:
                 return None
 
@@ -369,6 +388,10 @@
             await stream.send_all(self._connection.send(continue_response) or b"")
         self._connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
 
+    def build_head(self) -> HttpRequest | None:
+        """Return the request without its body, or None if its head is not complete."""
+        return self._build(b"") if self._head is not None else None
+
     def _check_body_size(self, size: int) -> None:
         if size > self._max_body_bytes:
             raise CallerError(
@@ -377,21 +400,16 @@
                 f"the body is above the limit of {self._max_body_bytes} bytes",
             )
 
-    def _build(self) -> HttpRequest:
+    def _build(self, body: bytes) -> HttpRequest:
         return HttpRequest(
             self._head.method.decode("ascii"),
             self._head.target.decode("latin-1"),
             self._headers,
-            bytes(self._body),
+            body,
             self._started_at,
         )
 
 
-def render_error(kind: str, code: str, message: str, **fields: object) -> dict[str, object]:
-    """Return an error body in the format that OpenAI clients expect."""
-    return {"error": {"type": kind, "code": code, "message": message, **fields}}
-
-
 _TOO_MANY_CONNECTIONS = render_error(
     "server_error",
     "too_many_connections",
--- a/figwalk/transport/http_types.py
+++ b/figwalk/transport/http_types.py
@@ -97,3 +97,8 @@
         for name, value in headers
         if (name not in HOP_BY_HOP_HEADERS or (keep_host and name == b"host")) and name not in named
     ]
+
+
+def render_error(kind: str, code: str, message: str, **fields: object) -> dict[str, object]:
+    """Return an error body in the format that OpenAI clients expect."""
+    return {"error": {"type": kind, "code": code, "message": message, **fields}}
--- a/tests/support/fake_timer.py
+++ b/tests/support/fake_timer.py
@@ -18,6 +18,10 @@
         """Return the time set."""
         return self.time
 
+    def boot_time(self):
+        """Return the time set."""
+        return self.time
+
     def advance(self, seconds):
         """Let time pass."""
         self.time += seconds
