Show organisations on the command line, and check them in the soak

Cause: operators could not see the organisations of a configuration, and the soak's calls had none. Change: `figwalk fleet` lists organisations with their priority and number of keys. Each call of the soak carries a key and a forged name; backend servers note both, and a new rule checks them.

--- a/figwalk/cli/fleet_view.py
+++ b/figwalk/cli/fleet_view.py
@@ -17,6 +17,7 @@
     decode_backend,
     decode_routing,
 )
+from figwalk.state.routing import RoutingConfig
 from figwalk.state.settings import Address
 from figwalk.transport import HttpClient
 
@@ -48,6 +49,21 @@
     slots: int
 
 
+@attrs.frozen
+class OrganisationView:
+    """An organisation, without its keys.
+
+    Attributes:
+        name: Its name.
+        priority: Priority of its calls, or None if that of their route applies.
+        keys: Number of its keys.
+    """
+
+    name: str
+    priority: int | None
+    keys: int
+
+
 @attrs.frozen
 class GatewayView:
     """State of a gateway according to its metrics.
@@ -77,6 +93,7 @@
         config_version: Version of the newest configuration, or None without one.
         routes: Number of routes in it.
         services: Names of the services in it.
+        organisations: The organisations in it.
         backends: Registered backend servers.
         unreadable: Errors for registrations that could not be decoded.
         gateways: The gateways whose metrics were requested.
@@ -85,6 +102,7 @@
     config_version: int | None
     routes: int
     services: list[str]
+    organisations: list[OrganisationView]
     backends: list[RegisteredBackendView]
     unreadable: list[str]
     gateways: list[GatewayView]
@@ -143,12 +161,19 @@
         routing.version if routing else None,
         len(routing.routes) if routing else 0,
         sorted(routing.services) if routing else [],
+        _list_organisations(routing),
         sorted(backends, key=lambda view: (view.service, view.backend)),
         unreadable,
         [views[index] for index in sorted(views)],
     )
 
 
+def _list_organisations(routing: RoutingConfig | None) -> list[OrganisationView]:
+    organisations = (routing.organisations if routing else None) or ()
+    views = [OrganisationView(o.name, o.priority, len(o.key_digests)) for o in organisations]
+    return sorted(views, key=lambda view: view.name)
+
+
 def write_fleet(output: Output, view: FleetView) -> None:
     """Write the view as tables, or as JSON."""
     if output.as_json:
@@ -163,6 +188,9 @@
     ]
     columns = ("service", "backend", "zone", "address", "role", "state")
     output.write_table("Backend servers", columns, rows)
+    if view.organisations:
+        rows = [(o.name, o.priority, o.keys) for o in view.organisations]
+        output.write_table("Organisations", ("organisation", "priority", "keys"), rows)
     for reason in view.unreadable:
         output.write_line(f"unreadable: {reason}")
     if view.gateways:
--- a/histories/platform_caller.py
+++ b/histories/platform_caller.py
@@ -39,6 +39,8 @@
             ("request-id", call.call_id),
             ("deadline-ms", str(int(call.patience_s * MS_PER_S))),
         ]
+        if call.key:
+            headers += [("x-api-key", call.key), ("tenant", "forged")]
         if call.kind.is_stream:
             tokens = sum(int(part.partition(":")[2]) for part in call.prompt.split(","))
             headers += [("prefix-hash", call.prompt), ("token-counts", f"{tokens},{call.events}")]
--- a/histories/platform_history.py
+++ b/histories/platform_history.py
@@ -58,6 +58,8 @@
         patience_s: Seconds that the caller said it would wait.
         prompt: Prefix parts of a stream.
         events: Events that a stream should have.
+        key: Key of the caller's organisation, or empty.
+        organisation: Name of that organisation, or empty.
         status: Status of the answer, or None.
         echoed_id: Id that the answer bears.
         signed: Whether it bears a backend server's signature.
@@ -76,6 +78,8 @@
     patience_s: float
     prompt: str = ""
     events: int = 0
+    key: str = ""
+    organisation: str = ""
     status: int | None = None
     echoed_id: str = ""
     signed: bool = False
@@ -88,12 +92,23 @@
 
 @attrs.frozen
 class BackendNote:
-    """A line of a backend server's run log."""
+    """A line of a backend server's run log.
+
+    Attributes:
+        event: What happened to the call.
+        call_id: Its id.
+        at: Unix seconds.
+        backend: Id of the backend server.
+        organisation: Name of an organisation in the request, for `received`.
+        has_key: Whether the request held a key, for `received`.
+    """
 
     event: str
     call_id: str
     at: float
     backend: str
+    organisation: str = ""
+    has_key: bool = False
 
 
 @attrs.frozen
@@ -161,7 +176,14 @@
             if line.endswith("}"):
                 fields = json.loads(line)
                 self.notes.append(
-                    BackendNote(fields["event"], fields["id"], fields["at"], fields["backend"])
+                    BackendNote(
+                        fields["event"],
+                        fields["id"],
+                        fields["at"],
+                        fields["backend"],
+                        fields.get("organisation", ""),
+                        fields.get("has_key", False),
+                    )
                 )
 
 
@@ -208,6 +230,23 @@
     return violations
 
 
+def check_organisations(history: PlatformHistory) -> list[Violation]:
+    """Backend servers get the name of the caller's organisation and no key; no key is refused."""
+    violations = [
+        Violation("organisation", f"{call.call_id} was refused for its key", (call,))
+        for call in history.calls.values()
+        if call.status == 401
+    ]
+    for note in history.notes:
+        call = history.calls.get(note.call_id)
+        if note.event != "received" or call is None:
+            continue
+        if note.has_key or note.organisation != call.organisation:
+            message = f"{note.call_id} came with a key or with the organisation of another caller"
+            violations.append(Violation("organisation", message, (call, note)))
+    return violations
+
+
 def check_ends(history: PlatformHistory) -> list[Violation]:
     """Each call has ended, at the latest when its caller no longer waits."""
     paused = [
@@ -284,7 +323,13 @@
     return [Violation("failure", line, ()) for line in history.failures]
 
 
-_TIMELESS_RULES = (check_run_counts, check_refusals, check_answers, check_failures)
+_TIMELESS_RULES = (
+    check_run_counts,
+    check_refusals,
+    check_answers,
+    check_organisations,
+    check_failures,
+)
 _TIMED_RULES = (check_ends, check_stops, check_retry_bound, check_calm_calls)
 
 
--- a/histories/platform_soak.py
+++ b/histories/platform_soak.py
@@ -37,7 +37,7 @@
 from histories.platform_page import draw_page
 from histories.soak import run_until_signal
 from standins.launcher import Launcher
-from standins.platform_config import make_config, make_route
+from standins.platform_config import make_config, make_organisation, make_route
 from standins.platform_deployment import PlatformDeployment, make_plan
 from tests.support.forwarder import Forwarder
 
@@ -53,6 +53,10 @@
 STALL_S = 0.5  # A tick this late is beyond what a busy machine of ours shows.
 LAST_CALLS_S = LONG_PATIENCE_S + 5.0
 SHOWN_VIOLATIONS = 10
+ORGANISATIONS = [
+    make_organisation("large", "key-1", "key-2", priority=1),
+    make_organisation("small", "key-3"),
+]
 FAILURE_EVENTS = frozenset({"TASK_FAILED"})
 
 
@@ -128,7 +132,9 @@
                 return self._addresses[link]
 
             plan = make_plan(gateways=options.gateways, services=3, engines=options.engines)
-            self._deployment = PlatformDeployment(plan, launcher, self._directory, route=route)
+            self._deployment = PlatformDeployment(
+                plan, launcher, self._directory, route=route, config={"tenants": ORGANISATIONS}
+            )
             await self.deployment.start()
             retry = self.deployment.gateway("gateway-0").retry
             self._history.bound = RetryBound(retry.ratio, retry.window_s, retry.slack)
@@ -231,6 +237,8 @@
         call = PlatformCall(
             call_id, kind, f"/{kind.value}/{self._numbers}", gateway, 0.0, patience_s
         )
+        organisation = rng.choice(ORGANISATIONS)
+        call.key, call.organisation = rng.choice(organisation["api-keys"]), organisation["name"]
         if kind.is_stream:
             shared = f"{rng.randint(1, 5):x}:2000" if kind is CallKind.LONG else "c:60"
             own = rng.randint(500, 4000) if kind is CallKind.LONG else rng.randint(20, 200)
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -7,7 +7,8 @@
 bear Server-Stamp, their content depends only on the call (`expected_body`, `expected_event`).
 Calls that are not run get 503, 421 or 400 with Not-Executed; one whose Deadline-Ms is over while
 it runs gets 504. The file --run-log gets a line for each call that arrives (`received`), that is
-prefilled (`prefill`) and that begins to run (`run`), written before anything is answered.
+prefilled (`prefill`) and that begins to run (`run`), written before anything is answered; the first
+also tells the value of Tenant and whether there was an X-Api-Key.
 
 An engine reads a prompt first (Prefix-Hash: ID:TOKENS parts; parts read before cost nothing) and
 then streams as many events as the second number of Token-Counts, from the one after Last-Event-Id.
@@ -40,7 +41,13 @@
 import trio
 
 from figwalk.errors import HttpError
-from figwalk.transport import ClientDisconnectedError, Headers, HttpRequest, Responder
+from figwalk.transport import (
+    ClientDisconnectedError,
+    Headers,
+    HttpRequest,
+    Responder,
+    find_header,
+)
 from standins.base import Standin, build_parser, make_client, run_standin
 
 MS_PER_S = 1000
@@ -143,7 +150,7 @@
             await responder.send_json(200 if taken else 404, {})
             return
         call_id = request.header(b"request-id")
-        self._note("received", call_id)
+        self._note("received", call_id, request.headers)
         try:
             await self._serve(request, responder)
         except NotRunError as error:
@@ -355,9 +362,12 @@
     def _sign(self, call_id: str) -> Headers:
         return [*_echo(call_id), (b"server-stamp", f"{self._options.id}.{call_id}".encode())]
 
-    def _note(self, event: str, call_id: str) -> None:
+    def _note(self, event: str, call_id: str, headers: Headers | None = None) -> None:
         if self._run_log >= 0:
             line = {"event": event, "id": call_id, "at": time.time(), "backend": self._options.id}
+            if headers is not None:
+                line["organisation"] = find_header(headers, b"tenant")
+                line["has_key"] = bool(find_header(headers, b"x-api-key"))
             os.write(self._run_log, json.dumps(line).encode() + b"\n")
 
 
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -88,14 +88,22 @@
         directory: For settings files and the backend servers' run logs.
         route: Given the name of a link and the address of its server, returns the address that
             clients are to use, on the same host: `GATEWAY-store`, the name of a backend server.
+        config: Fields of the operator's configuration beside those of `make_config`.
     """
 
     def __init__(
-        self, plan: PlatformPlan, launcher: Launcher, directory: Path, *, route: Route | None = None
+        self,
+        plan: PlatformPlan,
+        launcher: Launcher,
+        directory: Path,
+        *,
+        route: Route | None = None,
+        config: dict[str, object] | None = None,
     ) -> None:
         self._plan = plan
         self._launcher = launcher
         self._directory = directory
+        self._config = config or {}
         self._route = route or _keep_address
         self._store_address = Address("", 0)
         self._agents_port = choose_port()
@@ -142,12 +150,13 @@
             await self.wait_ready(name)
 
     async def publish(self, config: dict[str, object]) -> None:
-        """Write a configuration to the store as the operator does.
+        """Write a configuration, with the fields of this deployment, as the operator does.
 
         Raises:
             PlatformDeploymentError: The store did not take it.
         """
-        record = {"topic": "keyed.op", "key": "config", "value": config}
+        value = config | self._config
+        record = {"topic": "keyed.op", "key": "config", "value": value}
         client = HttpClient(self._store_address.host, self._store_address.port)
         try:
             response, _ = await client.fetch("POST", "/records", body=json.dumps(record).encode())
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -10,7 +10,7 @@
 from figwalk.cli.main import app
 from figwalk.state.settings import Address
 from standins.launcher import choose_port
-from standins.platform_config import make_config
+from standins.platform_config import make_config, make_organisation
 
 
 def test_view_shows_configuration_backends_and_gateways():
@@ -50,6 +50,26 @@
     run_test(main)
 
 
+def test_organisations_are_shown_without_their_keys():
+    """Guards against a view without the organisations, or with their keys."""
+    tenants = [make_organisation("b", "k-1", "k-2", priority=2), make_organisation("a")]
+    results = []
+
+    async def main():
+        async with running_fleet() as fleet:
+            fleet.publish(make_config(7, tenants=tenants))
+            for options in ([], ["--json"]):
+                arguments = ["fleet", "--store", str(fleet.store_address), *options]
+                results.append(await trio.to_thread.run_sync(CliRunner().invoke, app, arguments))
+
+    run_test(main)
+    table, as_json = (result.stdout for result in results)
+    assert "b\t2\t2" in table
+    shown = json.loads(as_json)["organisations"]
+    assert [(o["name"], o["priority"], o["keys"]) for o in shown] == [("a", None, 0), ("b", 2, 2)]
+    assert "k-" not in table + as_json
+
+
 def test_invalid_address_and_unreachable_store_are_reported():
     """Guards against a traceback when the operator mistypes the address of the store."""
     result = CliRunner().invoke(app, ["fleet", "--store", "nowhere"])
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -84,6 +84,9 @@
         ("planned_stop", {"calls": [], "stops": [PlannedStop("gateway-0", 100.0, 1.0, 70)]}),
         ("retry_bound", {"calls": [ORDER], "notes": [RECEIVED] * 4}),
         ("recovery", {"calls": [attrs.evolve(ORDER, calm=True, status=502)]}),
+        ("organisation", {"calls": [attrs.evolve(ORDER, organisation="large")]}),
+        ("organisation", {"calls": [attrs.evolve(STREAM, status=401)]}),
+        ("organisation", {"calls": [ORDER], "notes": [attrs.evolve(RECEIVED, has_key=True)]}),
         ("failure", {"calls": [], "failures": ["TASK_FAILED"]}),
     ],
 )
