--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -240,6 +240,17 @@
         "info",
         "A registration that the store had lost, or that had expired, is there again unchanged.",
     )
+    ORGANISATIONS_CHANGED = (
+        840,
+        "info",
+        "A configuration with organisations took effect; the fields count their keys.",
+    )
+    CONFIG_UNCONFIRMED = (
+        841,
+        "warning",
+        "The store has not confirmed the configuration for so long that keys are not relied on.",
+    )
+    CONFIG_CONFIRMED = (842, "info", "The store confirms the configuration again.")
 
     @property
     def number(self) -> int:
