--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -235,6 +235,33 @@
         "The VM list does not answer; the last known one stays in force.",
     )
 
+    DUTIES_TAKEN = (850, "info", "This process holds the lease and carries out the duties.")
+    DUTIES_LOST = (851, "warning", "This process no longer holds the lease of the duties.")
+    DUTY_LOG_FAILED = (
+        852,
+        "warning",
+        "The lease or a decision could not be read or written; it is tried again.",
+    )
+    DUTY_CALL_FAILED = (853, "warning", "A call of a duty failed; the fields give the reason.")
+    USAGE_UNWRITTEN = (
+        854,
+        "warning",
+        "The counts of this process could not be written to the log; they are written later.",
+    )
+    USAGE_DECIDED = (
+        855,
+        "info",
+        "The report of a usage window was decided; the fields name processes without counts.",
+    )
+    USAGE_SENT = (856, "info", "The platform has taken the report of a usage window.")
+    USAGE_COUNTS_LATE = (
+        857,
+        "warning",
+        "Counts are missing in the report of a usage window that was already decided.",
+    )
+    USAGE_RECORD_SKIPPED = (858, "warning", "A record of usage counts could not be decoded.")
+    DUTY_ORDERED = (859, "info", "An order was sent; the fields give the reason.")
+
     @property
     def number(self) -> int:
         """Number in the catalogue."""
--- a/figwalk/timer.py
+++ b/figwalk/timer.py
@@ -52,6 +52,10 @@
         """
         return max(0.0, deadline - self.now())
 
+    def boot_now(self) -> float:
+        """Return monotonic time in seconds that also counts while the VM is suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def wall_ms(self) -> int:
         """Return wall-clock time in milliseconds since 1970.
 
