Count, decide and send usage reports

Gateways count the calls that backend servers began for each organisation and window, and write them once a window. The holder of the lease adds them up, appends the decided report with a renewal of the lease, and sends it. A successor sends what was decided.

--- a/figwalk/coordination/backend_tracker.py
+++ b/figwalk/coordination/backend_tracker.py
@@ -24,6 +24,7 @@
 LOAD_MAX_AGE_S = 0.5
 ANSWER_TIME_WEIGHT = 0.1
 ASSUMED_ANSWER_S = 0.03
+MIN_SLOWDOWN = 0.1  # A report of zero must not make times infinite.
 
 
 class AttemptOutcome(Enum):
@@ -105,6 +106,16 @@
         """Mean seconds from sending a call to its answer."""
         return self._answer_s
 
+    @property
+    def last_answer_at(self) -> float:
+        """Timer time of the latest start of an answer; before the first one, of the first sight."""
+        return self._last_answer_at
+
+    @property
+    def slowdown(self) -> float:
+        """Seconds that work takes there as a multiple of the usual, by the last reported load."""
+        return max(self._load.slowdown, MIN_SLOWDOWN) if self._load is not None else 1.0
+
     @property
     def load_age_s(self) -> float | None:
         """Seconds since the backend server reported its load, or None if it never did."""
--- a/figwalk/duties/duty.py
+++ b/figwalk/duties/duty.py
@@ -26,6 +26,10 @@
     def record_refused(self, fence: int) -> None:
         """Give up the lease: a receiver has seen a higher fencing token than this one."""
 
+    @abstractmethod
+    def step_aside(self) -> None:
+        """Let another process take over, since this one can't reach the receivers of its calls."""
+
     @abstractmethod
     def notify(self) -> None:
         """Have the records of the duties appended now."""
@@ -45,6 +49,10 @@
         They are returned again, unchanged, until `apply` was called with them.
         """
 
+    @abstractmethod
+    def has_urgent_records(self) -> bool:
+        """Return whether records should be appended at once rather than with the next renewal."""
+
     @abstractmethod
     def apply(self, record: KeyedRecord) -> None:
         """Apply a record of the lease's topic; must not raise for a strange one."""
--- a/figwalk/duties/lease.py
+++ b/figwalk/duties/lease.py
@@ -24,6 +24,8 @@
 # holder's last one.
 STALE_RENEWALS = 2.0
 RETRY_S = 0.2
+# Enough for the present lease to end and for others to notice that.
+STEP_ASIDE_LEASES = 3.0
 # Reads of the lease a second by all candidates together.
 CANDIDATE_READS_PER_S = 3.0
 
@@ -177,6 +179,12 @@
         record = self._newest[1]
         return record.holder if record is not None else ""
 
+    @property
+    def was_restored(self) -> bool:
+        """Whether the newest lease record is from before a restore of the log."""
+        record = self._newest[1]
+        return record is not None and self._era is not None and record.era < self._era
+
     def fence(self, now: float) -> int | None:
         """Return the fencing token if this process holds the lease, else None."""
         return self._term.fence if self._term is not None and now < self._term.valid_until else None
@@ -205,8 +213,8 @@
         if self._term is not None and held:
             if self._term.era != self._era:
                 return LeaseAction(LeaseStep.CLAIM, retry_at, "log_restored")
-            if not wanted:
-                return LeaseAction(LeaseStep.WAIT, self._term.valid_until, "idle")
+            if not wanted or now < self._blocked_until:
+                return LeaseAction(LeaseStep.WAIT, self._term.valid_until, "not_renewed")
             due = now if urgent else self._term.renewed_at + self._renewal_s
             return LeaseAction(LeaseStep.RENEW, max(due, retry_at), "renewal")
         return self._plan_candidate(now, retry_at, candidates)
@@ -290,6 +298,10 @@
         self._blocked_until = now + CLOCK_RATE_MARGIN * self._duration_s
         self._must_read = True
 
+    def step_aside(self, now: float) -> None:
+        """Let others claim the lease: neither renew nor claim it for some lease durations."""
+        self._blocked_until = now + STEP_ASIDE_LEASES * self._duration_s
+
     def resign(self) -> None:
         """Neither claim nor renew the lease any more; the present term ends by the clock."""
         self._resigned = True
--- a/figwalk/duties/lease_keeper.py
+++ b/figwalk/duties/lease_keeper.py
@@ -78,6 +78,11 @@
             self._lease.record_refused(now)
             self.notify()
 
+    def step_aside(self) -> None:
+        """Let another process take over; see `Authority.step_aside`."""
+        self._lease.step_aside(self._timer.boot_now())
+        self.notify()
+
     def notify(self) -> None:
         """Plan anew at once; see `Authority.notify`."""
         self._woken.set()
@@ -100,7 +105,7 @@
         now = self._timer.boot_now()
         self._report(now)
         wanted = any(duty.is_wanted() for duty in self._duties)
-        urgent = self._lease.fence(now) is not None and bool(self._collect())
+        urgent = any(duty.has_urgent_records() for duty in self._duties)
         action = self._lease.plan(
             now, wanted=wanted, urgent=urgent, candidates=max(1, self._candidates())
         )
@@ -134,6 +139,8 @@
         usable = self._lease.apply_page(page, self._timer.boot_now(), self._wall_ms())
         self._note_era(era)
         if usable:
+            if era is None and self._lease.was_restored:
+                self._handle_restore()
             for record in page.records:
                 self._apply(record)
             for duty in self._duties:
@@ -171,6 +178,9 @@
         if known is None or era == known:
             return
         self._events.record(Event.LOG_RESTORED, topic=self._topic, era=era, known_era=known)
+        self._handle_restore()
+
+    def _handle_restore(self) -> None:
         for duty in self._duties:
             duty.handle_restore()
 
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
 from http import HTTPStatus
 
 import attrs
@@ -11,11 +12,13 @@
 
 from figwalk.coordination.backend_tracker import AttemptOutcome, BackendTracker
 from figwalk.coordination.call_quarantine import CallQuarantine
+from figwalk.duties.usage_counter import AttemptStart, UsageCounter
 from figwalk.errors import FigwalkError, HttpError, RefusalError
 from figwalk.events import Event, EventLog
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import AnswerFacts, BackendCodec, CallStep, KvSource, SendPlan
+from figwalk.state.routing import CallKind
 from figwalk.timer import Timer
 from figwalk.transport import (
     Headers,
@@ -70,6 +73,7 @@
         headers: Headers for the caller.
         facts: Fields decoded from the status and the headers.
         response: The response, whose body has not been read yet.
+        on_first_event: Called when the first event of a stream arrives.
     """
 
     backend: str
@@ -77,6 +81,7 @@
     headers: Headers
     facts: AnswerFacts
     response: HttpResponse
+    on_first_event: Callable[[], None] = lambda: None
 
     @property
     def succeeded(self) -> bool:
@@ -114,6 +119,7 @@
         quarantine: Calls that must not be sent.
         events: Event log.
         timer: Source of time.
+        usage: Counts the calls that backend servers began, or None if nobody asks for it.
     """
 
     def __init__(
@@ -123,7 +129,9 @@
         quarantine: CallQuarantine,
         events: EventLog,
         timer: Timer,
+        usage: UsageCounter | None = None,
     ) -> None:
+        self._usage = usage
         self._pool = pool
         self._quarantine = quarantine
         self._codec = codec
@@ -163,6 +171,8 @@
         started_at = self._timer.now()
         connected_at: float | None = None
         was_unresolved = call.unresolved
+        start = self._open_start(call, tracker, plan)
+        has_head = False
 
         def before_send() -> None:
             nonlocal connected_at
@@ -176,12 +186,18 @@
             self._record_arrival(call, plan)
             self._record_sent(call, tracker, plan)
             connected_at = call.sent_at = self._timer.now()
+            if start is not None:
+                self._usage.record_sent(start)
 
         try:
             async with AsyncExitStack() as stack:
                 exchange = self._open(call, tracker, plan, before_send)
                 response = await _wait_for_head(stack, exchange, head_timeout_s, not_run=not is_run)
+                has_head = True
                 answer = self._read_head(call, tracker, plan, response, key)
+                if start is not None:
+                    self._usage.record_answered(start)
+                    answer.on_first_event = partial(self._usage.record_first_event, start)
                 outcome = AttemptOutcome.ANSWERED
                 if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
                     outcome = AttemptOutcome.FAILED
@@ -201,6 +217,8 @@
             raise AttemptError(outcome, str(error), not_run=not is_run) from error
         finally:
             tracker.finish(key, outcome)
+            if start is not None:
+                self._usage.record_ended(start, outcome, has_head=has_head)
             if outcome is not AttemptOutcome.ANSWERED:
                 connect_s = connected_at - started_at if connected_at is not None else None
                 self._record_failure(call, plan, outcome, started_at, tracker, connect_s=connect_s)
@@ -251,6 +269,15 @@
                     Event.ATTEMPT_FAILED, request_id=call.call_id, step="release", detail=str(error)
                 )
 
+    def _open_start(
+        self, call: Call, tracker: BackendTracker, plan: SendPlan
+    ) -> AttemptStart | None:
+        """Return the record by which an attempt counts as usage, or None if it does not count."""
+        if self._usage is None or call.organisation is None or plan.step is not CallStep.RUN:
+            return None
+        is_stream = call.route.kind is CallKind.STREAM
+        return self._usage.open(call.organisation.name, call.service, tracker, is_stream=is_stream)
+
     def _check_before_send(self, call: Call, plan: SendPlan) -> None:
         """Check at the moment of sending that the reasons to send a call still hold.
 
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -21,6 +21,7 @@
 from figwalk.gateway.caller_api import CallerApi
 from figwalk.gateway.crash_reports import CrashReports
 from figwalk.gateway.crash_watcher import CrashWatcher
+from figwalk.gateway.gateway_duties import GatewayDuties
 from figwalk.gateway.gateway_metrics import GatewayMetrics
 from figwalk.gateway.gateway_readiness import GatewayReadiness
 from figwalk.gateway.plain_calls import PlainCalls
@@ -100,6 +101,13 @@
         self._budgets = ServiceRetryBudgets(
             settings.retry, self._timer, processes=lambda: self._gateway_count.count
         )
+        self._duties = GatewayDuties(
+            settings,
+            self._make_store,
+            self._events,
+            self._timer,
+            gateways=lambda: self._gateway_count.count,
+        )
         self._lag = LoopLag()
         self._quarantine = CallQuarantine(
             settings.process, self._events, self._timer, on_report=self._publish_crashes
@@ -138,6 +146,7 @@
             nursery.start_soon(self._offers.run)
             nursery.start_soon(self._lag.run)
             nursery.start_soon(self._crashes.run)
+            nursery.start_soon(self._duties.run)
             nursery.start_soon(self._crash_reports.run)
             for follower in self._make_followers():
                 nursery.start_soon(follower.run)
@@ -164,12 +173,15 @@
         self._events.record(Event.PROCESS_STOPPING, active=self._callers.active_requests)
         self._readiness.stop()
         self._accept_until = self._timer.now() + LAST_REQUEST_S
-        with trio.move_on_after(self._settings.grace_s - STOP_MARGIN_S) as scope:
+        self._duties.resign()
+        drain_s = self._settings.grace_s - STOP_MARGIN_S - self._duties.stop_s
+        with trio.move_on_after(drain_s) as scope:
             await self._callers.drain(accept_for_s=BALANCER_NOTICE_S)
         if scope.cancelled_caught:
             self._events.record(Event.PROCESS_STOP_CUT, active=self._callers.active_requests)
         else:
             self._events.record(Event.PROCESS_STOPPED)
+        await self._duties.stop()
         self._stopped.set()
 
     def _make_caller_api(self) -> CallerApi:
@@ -177,7 +189,14 @@
         rng = random.Random()
         distance = Distance(settings.zone, settings.region, settings.regions)
         placement = PlacementSettings(engines=settings.engines)
-        attempts = Attempts(self._pool, PlatformBackendCodec(), self._quarantine, events, timer)
+        attempts = Attempts(
+            self._pool,
+            PlatformBackendCodec(),
+            self._quarantine,
+            events,
+            timer,
+            self._duties.usage,
+        )
         plain = PlainCalls(
             self._pool,
             attempts,
--- a/figwalk/gateway/stream_relay.py
+++ b/figwalk/gateway/stream_relay.py
@@ -75,8 +75,12 @@
             raise HttpError(f"{answer.backend} did not continue a stream with events")
         splitter = EventStreamSplitter()
         boundaries = EventBoundaries()
+        is_begun = False
         async for data in answer.response.chunks():
             boundaries.feed(data)
+            if boundaries.found and not is_begun:
+                is_begun = True
+                answer.on_first_event()
             self._has_event = self._has_event or boundaries.found
             complete = splitter.feed(data) if self._resumable else data
             if complete:
--- a/figwalk/platform/__init__.py
+++ b/figwalk/platform/__init__.py
@@ -8,6 +8,7 @@
 from figwalk.platform.backend_codec import PlatformBackendCodec
 from figwalk.platform.backend_records import decode_backend
 from figwalk.platform.caller_codec import PlatformCallerCodec
+from figwalk.platform.duty_client import PlatformDutyClient
 from figwalk.platform.engine_cache import PlatformEngineCacheCodec
 from figwalk.platform.engine_report import PlatformEngineReportCodec
 from figwalk.platform.routing_records import decode_routing
@@ -16,6 +17,8 @@
     CONFIG_KEY,
     CONFIG_TOPIC,
     CRASHES_TOPIC,
+    DUTIES_TOPIC,
+    USAGE_TOPIC,
     PlatformStore,
 )
 
@@ -24,8 +27,11 @@
     "CONFIG_KEY",
     "CONFIG_TOPIC",
     "CRASHES_TOPIC",
+    "DUTIES_TOPIC",
+    "USAGE_TOPIC",
     "PlatformBackendCodec",
     "PlatformCallerCodec",
+    "PlatformDutyClient",
     "PlatformEngineCacheCodec",
     "PlatformEngineReportCodec",
     "PlatformStore",
--- a/figwalk/platform/headers.py
+++ b/figwalk/platform/headers.py
@@ -32,6 +32,10 @@
 # rest.
 KV_FETCH = b"kv-fetch"
 
+# Name of the VM that holds the lease, and a number that rises when the holder changes.
+LEASE_HOLDER = b"lease-holder"
+FENCING_TOKEN = b"fencing-token"
+
 # Only figwalk sends these to a backend server; they are removed from callers' requests.
 SYSTEM_HEADERS = frozenset(
     {
--- a/figwalk/platform/store.py
+++ b/figwalk/platform/store.py
@@ -33,6 +33,8 @@
 CONFIG_KEY = "config"
 BACKENDS_TOPIC = "keyed.servers"
 CRASHES_TOPIC = "keyed.figwalk-crashes"
+DUTIES_TOPIC = "keyed.figwalk-duties"
+USAGE_TOPIC = "keyed.figwalk-usage"
 
 _PARTITION = 0
 _OFFSETS = struct.Struct("!QQ")
