Limit prefill beside streams by the pause that callers accept

Streams packed on an engine with the role decode paused for longer than the route's gap-aim-ms, since the agent limited prefill only from four running calls on and knew neither the accepted pause nor the time of an event there.

The agent now measures the time of an event from the runs of the engine's reports. Digests carry the number of streams and the time of an event: gateways put streams on slow engines last and prefer engines without streams for long prompts. If a prefill would pause streams at every engine, the prompt is offered without the limit. Old peers and reports without runs keep the former behaviour.

--- a/figwalk/coordination/engine_tracker.py
+++ b/figwalk/coordination/engine_tracker.py
@@ -8,6 +8,7 @@
 from figwalk.coordination.backend_tracker import BackendTracker
 from figwalk.coordination.cached_parts import count_leading_tokens
 from figwalk.coordination.prefix_cache_estimate import PrefixCacheEstimate
+from figwalk.coordination.stream_pauses import NO_STREAMS, StreamLoad
 from figwalk.state.routing import EngineSpec
 
 # An event holds several tokens, so that the first one takes that many decode steps. This is the
@@ -58,6 +59,7 @@
         self._fixed_s = 0.0
         self._measured = False
         self._gateways = 0
+        self._stream_load = NO_STREAMS
         self._cached_parts: set[int] = set()
         self._prefilling_parts: frozenset[int] = frozenset()
         self._has_cache_report = False
@@ -112,9 +114,11 @@
         fixed_s: float = 0.0,
         measured: bool = True,
         gateways: int = 0,
+        stream_load: StreamLoad = NO_STREAMS,
     ) -> None:
         """Apply the state that the agent beside the engine reports."""
         self._gateways = gateways
+        self._stream_load = stream_load
         self._fixed_s = fixed_s
         self._measured = measured
         self._up = up
@@ -220,6 +224,11 @@
         """Gateways connected to the agent beside the engine, by a recent report; 0 without one."""
         return self._gateways if self._has_digest else 0
 
+    @property
+    def stream_load(self) -> StreamLoad:
+        """Streams that the engine runs, by a recent report; empty without one."""
+        return self._stream_load if self._has_digest else NO_STREAMS
+
     @property
     def reported_rate(self) -> float | None:
         """Prompt tokens that the engine prefills per second, by a recent report, or None."""
--- a/figwalk/coordination/prefill_queue.py
+++ b/figwalk/coordination/prefill_queue.py
@@ -14,6 +14,7 @@
 
 from figwalk.coordination.cached_parts import CachedParts
 from figwalk.coordination.prefill_speed import PrefillSpeed
+from figwalk.coordination.stream_pauses import PauseLimit, PrefillSchedule
 from figwalk.timer import Timer
 
 # A gateway that is lost or disconnected never reports the end of its grants, which must not count
@@ -49,6 +50,7 @@
         left_s: Seconds until its caller gives up.
         after_s: Seconds from the end of the prefill until the first token reaches the caller.
         fetched_tokens: Tokens from the start of the prompt whose KV cache the engine fetches.
+        pause_limit: Prefill that the engine may do beside its streams, or None without a limit.
     """
 
     parts: Sequence[tuple[str, int]]
@@ -56,6 +58,7 @@
     left_s: float
     after_s: float
     fetched_tokens: int = 0
+    pause_limit: PauseLimit | None = None
 
 
 @attrs.frozen
@@ -97,6 +100,8 @@
         self._speed = PrefillSpeed(tokens_per_s)
         self._duty = 1.0
         self._paced_until = 0.0
+        self._schedule = PrefillSchedule()
+        self._granted_s = 0.0
         self._parts = CachedParts(timer)
         self._grants: dict[object, _Grant] = {}
         self._backlog_tokens = 0.0
@@ -129,6 +134,11 @@
         """Set the share of the time in which the engine may prefill."""
         self._duty = duty
 
+    @property
+    def prefilled_s(self) -> float:
+        """Seconds of prefill that the engine has done since this object was made, as predicted."""
+        return self._granted_s - self.backlog_tokens / self.tokens_per_s
+
     @property
     def depth(self) -> int:
         """Granted prompts that have not been prefilled."""
@@ -166,6 +176,7 @@
             self._speed = PrefillSpeed(tokens_per_s)
         self._parts.clear()
         self._grants.clear()
+        self._schedule.clear()
         self._reset_measure()
 
     def offer(self, key: object, owner: object, reading: PrefillRequest) -> PrefillDecision:
@@ -180,15 +191,19 @@
         total = sum(tokens for _, tokens in reading.parts)
         kept = max(reading.fetched_tokens, self._parts.cached_tokens(reading.parts))
         uncached = max(0.0, total - kept)
-        wait_s = max(self.backlog_tokens / self.tokens_per_s, self._pause_s())
+        backlog_s = self.backlog_tokens / self.tokens_per_s
         own_s = uncached / self.tokens_per_s
+        pause_s = max(self._pause_s(), self._excess_s(reading, backlog_s, own_s))
+        wait_s = max(backlog_s, pause_s)
         finish_s = wait_s + own_s + self.fixed_s
-        granted = self._pause_s() == 0.0 and self._admits(reading, wait_s, finish_s)
+        granted = pause_s == 0.0 and self._admits(reading, wait_s, finish_s)
         if granted:
             now = self._timer.now()
             self._backlog_tokens, self._backlog_at = self._remaining_tokens() + uncached, now
             ttl_s = max(GRANT_TTL_S, GRANT_TTL_FACTOR * finish_s)
             self._grants[key] = _Grant(owner, uncached, now + ttl_s, alone=not self._grants)
+            self._schedule.add(now, now + wait_s, own_s)
+            self._granted_s += own_s
             self._paced_until = max(now, self._paced_until) + own_s / self._duty
             # The engine will have cached its shared parts for the prompts behind it.
             self._parts.expect(reading.parts[:-1])
@@ -230,6 +245,12 @@
             return 0.0
         return self._timer.left_s(self._paced_until - PACING_BURST_S)
 
+    def _excess_s(self, reading: PrefillRequest, wait_s: float, own_s: float) -> float:
+        """Return for how many seconds a prompt must wait so that no stream pauses for too long."""
+        if reading.pause_limit is None:
+            return 0.0
+        return self._schedule.excess_s(self._timer.now() + wait_s, own_s, reading.pause_limit)
+
     @staticmethod
     def _admits(reading: PrefillRequest, wait_s: float, finish_s: float) -> bool:
         """Return whether a prompt may be sent.
--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -20,7 +20,8 @@
 
 from figwalk.coordination.engine_tracker import EngineTracker
 from figwalk.coordination.plain_placement import Distance
-from figwalk.coordination.prompt_plan import PromptCall, PromptPlan
+from figwalk.coordination.prompt_plan import PromptCall, PromptPlan, mark_last_resort
+from figwalk.coordination.stream_pauses import predict_disturbance, stream_slowness
 from figwalk.coordination.subject_affinity import find_preferred_engine, hash_pair
 from figwalk.protocol.messages import Role
 from figwalk.state.gateway_settings import EngineSettings
@@ -134,7 +135,7 @@
         plans += [plan for plan in unpaired if plan.reading_s <= longest_s]
         if self._sources:
             plans = [self._add_repeated_prefill(call, plan) for plan in plans]
-        return sorted(plans, key=self._rank_key)
+        return sorted(mark_last_resort(plans), key=self._rank_key)
 
     def _find_decode_engines(
         self, reader: EngineTracker, decode_engines: Sequence[EngineTracker]
@@ -182,7 +183,9 @@
         prefill_zones = {e.entry.zone for e in engines if e.entry.role is Role.PREFILL}
         limit = max(1.0, MAX_PACKED_SHARE * spec.slots)
 
-        def key(runner: EngineTracker) -> tuple[bool, bool, float, bool, bytes]:
+        usual_rate = statistics.median(self._rate(engine) for engine in decode_engines)
+
+        def key(runner: EngineTracker) -> tuple[bool, float, bool, float, bool, bytes]:
             is_full = runner.decoding >= limit
             prefill_s = runner.backlog_tokens() / self._rate(runner)
             is_prefilling = prefill_s > MAX_PREFILL_WAIT_SHARE * max(call.target_s, MIN_RETRY_S)
@@ -191,6 +194,7 @@
             near_prefill_engine = runner.entry.zone in prefill_zones
             return (
                 is_prefilling,
+                stream_slowness(runner.stream_load, call.gap_s, self._rate(runner) / usual_rate),
                 is_full,
                 load + failing,
                 near_prefill_engine,
@@ -269,6 +273,9 @@
             delay_to_others_s=0.0 if is_pair else self._delay_to_others_s(runner, uncached / rate),
             donor=source,
             transfer_s=transfer_s,
+            disturbance=predict_disturbance(
+                reader.stream_load, call.gap_s, call.target_s, uncached / rate
+            ),
         )
 
     @staticmethod
@@ -382,8 +389,8 @@
             known += PREFERRED_HIT_SHARE * (call.shared_tokens - known)
         return max(0.0, call.tokens - known)
 
-    def _rank_key(self, plan: PromptPlan) -> tuple[float, float]:
-        return (self._cost_s(plan), self._rng.random())
+    def _rank_key(self, plan: PromptPlan) -> tuple[bool, float, float]:
+        return (plan.disturbance.too_long, self._cost_s(plan), self._rng.random())
 
     def _cost_s(self, plan: PromptPlan) -> float:
         failures = plan.reader.failure_share() + plan.runner.failure_share()
@@ -392,6 +399,6 @@
             zone = engine.entry.zone
             cost_s += self._distance.cost_s(zone) - self._distance.round_trip_s(zone)
         # Other fetches on the links of both engines wait for this one.
-        cost_s += plan.fetch_s + plan.transfer_s
+        cost_s += plan.fetch_s + plan.transfer_s + plan.disturbance.delay_s
         moves = (plan.reader is not plan.runner) + (plan.donor is not None)
         return cost_s + moves * TRANSFER_BILL_S
--- a/figwalk/coordination/prompt_plan.py
+++ b/figwalk/coordination/prompt_plan.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from functools import cached_property
 
 import attrs
 
 from figwalk.coordination.cached_parts import hash_part
 from figwalk.coordination.engine_tracker import EngineTracker
+from figwalk.coordination.stream_pauses import StreamDisturbance
 
 # Prefilling parts that another engine has cached takes capacity from prompts that could be served.
 # This share of that time counts as a delay, so that it happens only at engines with a short queue.
@@ -23,6 +25,7 @@
         target_s: Remaining seconds until its first token is late; may be negative.
         left_s: Remaining seconds until the caller gives up if it has no first token.
         deadline_s: Remaining seconds until the caller gives up in any case; `left_s` by default.
+        gap_s: Longest pause in seconds that callers of streams of its service accept.
     """
 
     parts: tuple[tuple[str, int], ...]
@@ -31,6 +34,7 @@
     deadline_s: float = attrs.field(
         default=attrs.Factory(lambda call: call.left_s, takes_self=True)
     )
+    gap_s: float = math.inf
 
     @cached_property
     def hashed_parts(self) -> tuple[tuple[int, int], ...]:
@@ -80,6 +84,8 @@
         donor: Source engine from which the prefill engine fetches the shared parts before it
             prefills the rest, or None.
         transfer_s: Seconds that this KV transfer takes.
+        disturbance: What the prefill does to the streams of the prefill engine.
+        is_last_resort: Whether the prefill would pause streams at every engine.
     """
 
     reader: EngineTracker
@@ -96,6 +102,8 @@
     delay_to_others_s: float = 0.0
     donor: EngineTracker | None = None
     transfer_s: float = 0.0
+    disturbance: StreamDisturbance = attrs.field(factory=StreamDisturbance)
+    is_last_resort: bool = False
 
     @property
     def reserve_s(self) -> float:
@@ -112,3 +120,13 @@
     def predicted_s(self) -> float:
         """Predicted seconds until the first event arrives at the gateway."""
         return self.backlog_s + self.reading_s + self.after_s
+
+
+def mark_last_resort(plans: list[PromptPlan]) -> list[PromptPlan]:
+    """Mark the plans of a prompt whose prefill pauses streams for too long at every engine.
+
+    Such a prompt would otherwise be refused for as long as streams run, however idle the engines.
+    """
+    if all(plan.disturbance.too_long for plan in plans):
+        return [attrs.evolve(plan, is_last_resort=True) for plan in plans]
+    return plans
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -235,6 +235,12 @@
         "The VM list does not answer; the last known one stays in force.",
     )
 
+    ENGINE_RUNS_LISTED = (
+        870,
+        "info",
+        "The engine's reports list the calls that it runs, or do so no longer.",
+    )
+
     @property
     def number(self) -> int:
         """Number in the catalogue."""
--- a/figwalk/gateway/backend_pool.py
+++ b/figwalk/gateway/backend_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterator
 
@@ -70,11 +71,21 @@
         self._timer = timer
         self._max_gateways = gateways
         self._routing: RoutingConfig | None = None
+        self._gaps_s: dict[str, float] = {}
         self._backends: dict[str, PooledBackend] = {}
 
     def set_routing(self, routing: RoutingConfig) -> None:
         """Use the services of a configuration; existing clients keep their connection limits."""
         self._routing = routing
+        self._gaps_s = {}
+        for route in routing.routes:
+            for share in route.services:
+                known_s = self._gaps_s.get(share.service, math.inf)
+                self._gaps_s[share.service] = min(known_s, route.gap_s)
+
+    def gap_s(self, service: str) -> float:
+        """Return the longest pause that callers of all streams of a service accept, in seconds."""
+        return self._gaps_s.get(service, math.inf)
 
     def sync(self) -> None:
         """Update trackers from the directory; drop backend servers that left or restarted."""
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -431,7 +431,13 @@
         target_s = call.arrived_at + call.route.target_s - now
         abandoned_at = min(call.deadline, call.arrived_at + call.route.first_event_timeout_s)
         remaining_s = abandoned_at - now
-        return PromptCall(_prompt_parts(call), target_s, remaining_s, call.deadline - now)
+        return PromptCall(
+            _prompt_parts(call),
+            target_s,
+            remaining_s,
+            call.deadline - now,
+            self._pool.gap_s(call.service),
+        )
 
     def _first_event_timeout_s(self, call: Call) -> float | None:
         """Return how long to wait for a first event, or None if the call can't be retried then."""
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import random
 from collections.abc import Callable, Iterable
 
@@ -13,6 +14,7 @@
 from figwalk.coordination.backoff import Backoff
 from figwalk.coordination.engine_tracker import EngineTracker
 from figwalk.coordination.prompt_plan import PromptCall, PromptPlan
+from figwalk.coordination.stream_pauses import StreamLoad
 from figwalk.errors import TransportError
 from figwalk.events import Event, EventLog
 from figwalk.protocol.codec import clamp_to_uint32
@@ -190,6 +192,7 @@
                     fixed_s=message.fixed_ms / MS_PER_S,
                     measured=message.measured,
                     gateways=message.gateways,
+                    stream_load=StreamLoad(message.streams, message.event_ms / MS_PER_S),
                 )
                 self._tracker.apply_cache_report(
                     message.kept,
@@ -310,6 +313,7 @@
         _to_ms(prompt.left_s),
         max(0, _to_ms(plan.after_s)),
         clamp_to_uint32(prompt.shared_tokens) if plan.donor is not None else 0,
+        _to_ms(prompt.gap_s) if math.isfinite(prompt.gap_s) and not plan.is_last_resort else 0,
     )
 
 
--- a/figwalk/platform/engine_report.py
+++ b/figwalk/platform/engine_report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from figwalk.coordination.stream_pauses import EngineRun
 from figwalk.errors import HttpError
 from figwalk.platform.backend_codec import (
     is_leaving,
@@ -40,6 +41,23 @@
                 kv_tokens=fields.integer("kv-total"),
                 leaving=is_leaving(headers),
                 requests_per_s=read_request_limit(headers),
+                runs=_decode_runs(fields),
             )
         except PlatformRecordError as error:
             raise HttpError(str(error)) from error
+
+
+def _decode_runs(fields: JsonFields) -> tuple[EngineRun, ...] | None:
+    """Return the calls that an engine runs, or None without a list that can be read.
+
+    An engine without such a list is served as before, so a malformed one is no reason to reject the
+    whole report; the agent logs whether it gets a list.
+    """
+    runs = []
+    for row in fields.items("runs") if fields.has("runs") else [None]:
+        match row:
+            case [str(request_id), _, int(events), *_] if events >= 0:
+                runs.append(EngineRun(request_id, events))
+            case _:
+                return None
+    return tuple(runs)
--- a/figwalk/prompt_agent/digest_sender.py
+++ b/figwalk/prompt_agent/digest_sender.py
@@ -26,6 +26,7 @@
 BACKLOG_STEP_S = 0.01
 DECODING_STEP = 2
 RATE_STEP = 0.05
+EVENT_TIME_STEP = 0.2
 
 
 class DigestSender:
@@ -128,5 +129,7 @@
         now.up != sent.up
         or backlog_s >= BACKLOG_STEP_S
         or abs(now.decoding - sent.decoding) >= DECODING_STEP
+        or (now.streams > 0) != (sent.streams > 0)
+        or abs(now.event_ms - sent.event_ms) > EVENT_TIME_STEP * sent.event_ms
         or abs(now.tokens_per_s - sent.tokens_per_s) > RATE_STEP * sent.tokens_per_s
     )
--- a/figwalk/prompt_agent/engine_watcher.py
+++ b/figwalk/prompt_agent/engine_watcher.py
@@ -8,6 +8,13 @@
 import trio
 
 from figwalk.coordination.prefill_queue import PrefillQueue
+from figwalk.coordination.stream_pauses import (
+    EngineRun,
+    PauseLimit,
+    StreamLoad,
+    StreamProgress,
+    limit_prefill,
+)
 from figwalk.errors import HttpError
 from figwalk.events import Event, EventLog
 from figwalk.protocol.messages import Role
@@ -45,6 +52,7 @@
         kv_tokens: Capacity of the engine's KV cache in tokens.
         leaving: Whether the engine is about to leave.
         requests_per_s: Requests a second that the engine takes from all processes, or None.
+        runs: Calls that the engine runs, or None if the report does not list them.
     """
 
     role: Role
@@ -55,6 +63,7 @@
     kv_tokens: int
     leaving: bool = False
     requests_per_s: float | None = None
+    runs: tuple[EngineRun, ...] | None = None
 
 
 class EngineReportCodec(ABC):
@@ -109,6 +118,8 @@
         self._missed_reports = 0
         self._paused_until = 0.0
         self._up = False
+        self._progress = StreamProgress()
+        self._prefilled_s = 0.0
 
     @property
     def up(self) -> bool:
@@ -123,6 +134,15 @@
             return 0
         return max(0, self._report.running - self._queue.depth)
 
+    @property
+    def stream_load(self) -> StreamLoad:
+        """Streams that the engine runs; empty if its reports don't list its calls."""
+        return self._progress.load
+
+    def limit_prefill(self, gap_s: float) -> PauseLimit | None:
+        """Return the limit of prefill beside the streams; see `stream_pauses.limit_prefill`."""
+        return limit_prefill(self._progress.load, gap_s)
+
     @property
     def report(self) -> EngineReport | None:
         """The latest report, or None before the first one."""
@@ -164,6 +184,7 @@
         self._reported_at = self._timer.now()
         if previous is None or (previous.born_ms, previous.role) != (report.born_ms, report.role):
             self._queue.set_engine(tokens_per_s=self._settings.prefill_rate(report.role))
+            self._progress = StreamProgress()
             self._events.record(
                 Event.ENGINE_STARTED_ANEW,
                 role=report.role.value,
@@ -173,12 +194,24 @@
         limit = previous.requests_per_s if previous is not None else None
         if report.requests_per_s != limit:
             self._events.record(Event.BACKEND_LIMITED, requests_per_s=report.requests_per_s)
-        is_streaming = self.decoding >= MIN_STREAMS
+        if (previous is not None and previous.runs is not None) != (report.runs is not None):
+            self._events.record(Event.ENGINE_RUNS_LISTED, listed=report.runs is not None)
+        is_streaming = self._count_streams(report) >= MIN_STREAMS
         self._queue.set_duty(PREFILL_DUTY_WITH_STREAMS if is_streaming else 1.0)
         if not self._up:
             self._up = True
             self._events.record(Event.BACKEND_UP, running=report.running, waiting=report.waiting)
 
+    def _count_streams(self, report: EngineReport) -> int:
+        if report.runs is None:
+            self._progress = StreamProgress()
+            return self.decoding
+        prefilled_s = self._queue.prefilled_s
+        runs = () if report.role is Role.PREFILL else report.runs
+        self._progress.record(self._timer.now(), runs, prefilled_s - self._prefilled_s)
+        self._prefilled_s = prefilled_s
+        return self._progress.load.streams
+
     def _record_missed_report(self, detail: str) -> None:
         self._missed_reports += 1
         if self._up and self._missed_reports >= DOWN_AFTER_MISSED_REPORTS:
--- a/figwalk/prompt_agent/prompt_server.py
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -102,6 +102,7 @@
             left_s=offer.left_ms / MS_PER_S,
             after_s=offer.after_ms / MS_PER_S,
             fetched_tokens=offer.fetched_tokens,
+            pause_limit=self._watcher.limit_prefill(offer.gap_ms / MS_PER_S),
         )
         decision = self._queue.offer((connection, offer.call_id), connection, prompt)
         granted = decision.granted and self._watcher.up
@@ -122,6 +123,9 @@
             depth=self._queue.depth,
             tokens_per_s=int(self._queue.tokens_per_s),
             fixed_s=round(self._queue.fixed_s, 4),
+            streams=self._watcher.stream_load.streams,
+            event_s=round(self._watcher.stream_load.event_s, 4),
+            gap_ms=offer.gap_ms,
         )
         return PromptDecision(
             offer.call_id,
@@ -146,6 +150,8 @@
             changes.complete,
             list(self._queue.parts.expected),
             min(self._digests.gateways, MAX_UINT16),
+            clamp_to_uint32(self._watcher.stream_load.streams),
+            self._watcher.stream_load.event_s * MS_PER_S,
         )
 
 
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -369,6 +369,8 @@
         after_ms: Milliseconds from the end of prefill to the arrival of the first token at the
             caller.
         fetched_tokens: Tokens from the start of the prompt whose KV cache the engine fetches.
+        gap_ms: Longest pause in milliseconds that callers of the engine's streams accept and that
+            the prefill must not exceed; 0 if unknown, or if the prompt has no other engine.
     """
 
     call_id: int
@@ -379,6 +381,7 @@
     left_ms: int
     after_ms: int
     fetched_tokens: int = 0
+    gap_ms: int = 0
 
 
 @attrs.frozen
@@ -434,6 +437,9 @@
         kept_complete: Whether `kept` lists all cached parts rather than only new ones.
         reading: Hashes of all shared prompt parts that the engine is prefilling.
         gateways: Number of gateways that are connected to the agent.
+        streams: Number of streams that the engine runs; 0 also if unknown.
+        event_ms: Milliseconds that one event of a stream takes without prefill in between; 0 if
+            unknown.
     """
 
     up: bool
@@ -448,6 +454,8 @@
     kept_complete: bool = False
     reading: list[int] = attrs.field(factory=list)
     gateways: int = 0
+    streams: int = 0
+    event_ms: float = 0.0
 
 
 Message = (
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -155,6 +155,7 @@
   leftMs @5 :Int32;
   afterMs @6 :UInt32;
   fetchedTokens @7 :UInt32;
+  gapMs @8 :UInt32;
 }
 
 struct PromptDecision {
@@ -185,6 +186,8 @@
   keptComplete @9 :Bool;
   reading @10 :List(UInt32);
   gateways @11 :UInt16;
+  streams @12 :UInt32;
+  eventMs @13 :Float32;
 }
 
 struct Message {
--- a/tests/test_prompt_agent.py
+++ b/tests/test_prompt_agent.py
@@ -282,6 +282,18 @@
         await trio.sleep(0.01)
 
 
+@with_pair
+async def test_gateways_learn_of_streams_and_their_events(pair):
+    """Guards against gateways that put streams on an engine whose events take too long."""
+    for events in (5, 15):
+        pair.engine.report |= {"stage": "decode", "runs": [["s1", 100, events, 2]]}
+        await pair.watcher.poll()
+    while not pair.tracker.stream_load.event_s:
+        await trio.sleep(0.01)
+    assert pair.tracker.stream_load.streams == 1
+    assert pair.watcher.limit_prefill(0.3) is not None
+
+
 @with_pair
 async def test_restarted_engine_counts_as_empty(pair):
     """Guards against prompts that count as cached at an engine that lost its prefix cache."""
