--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -277,6 +277,11 @@
     )
     USAGE_RECORD_SKIPPED = (858, "warning", "A record of usage counts could not be decoded.")
     DUTY_ORDERED = (859, "info", "An order was sent; the fields give the reason.")
+    ENGINE_RUNS_LISTED = (
+        870,
+        "info",
+        "The engine's reports list the calls that it runs, or do so no longer.",
+    )
 
     @property
     def number(self) -> int:
