Keep keys withdrawn at gateways that start from an older copy of the store

Cause: a gateway that starts knows only what the store has; after a restore from an older copy, that may be a configuration with a key that was withdrawn since.

--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -246,6 +246,16 @@
         "The store has not confirmed the configuration for so long that keys are not relied on.",
     )
     CONFIG_CONFIRMED = (842, "info", "The store confirms the configuration again.")
+    CONFIG_COPY_WRITTEN = (
+        843,
+        "warning",
+        "The store has lost the configuration in force; a copy was written for new processes.",
+    )
+    CONFIG_COPY_UNAVAILABLE = (
+        844,
+        "info",
+        "The copy of a lost configuration could not be read or written.",
+    )
 
     @property
     def number(self) -> int:
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -29,8 +29,10 @@
 from figwalk.gateway.topic_handlers import BackendReader, RoutingReader
 from figwalk.organisations.access_control import AccessControl
 from figwalk.organisations.config_confirmation import ConfigConfirmation, ConfirmingLog
+from figwalk.organisations.config_copy import ConfigCopy
 from figwalk.platform import (
     BACKENDS_TOPIC,
+    CONFIG_COPY_TOPIC,
     CONFIG_KEY,
     CONFIG_TOPIC,
     CRASHES_TOPIC,
@@ -113,7 +115,14 @@
             self._directory, self._quarantine, self._metrics, self._events, self._timer
         )
         self._routing = RoutingReader(
-            CONFIG_KEY, decode_routing, self._events, on_adopted=self._apply_routing
+            CONFIG_KEY,
+            decode_routing,
+            self._events,
+            on_adopted=self._apply_routing,
+            on_restored=lambda: self._config_copy.record_restored(),
+        )
+        self._config_copy = ConfigCopy(
+            self._make_store(), CONFIG_COPY_TOPIC, self._routing, self._events, random.Random()
         )
         self._confirmation = ConfigConfirmation(settings.revocation, self._events, self._timer)
         self._access = AccessControl(
@@ -147,6 +156,7 @@
             nursery.start_soon(self._lag.run)
             nursery.start_soon(self._crashes.run)
             nursery.start_soon(self._crash_reports.run)
+            nursery.start_soon(self._config_copy.run)
             for follower in self._make_followers():
                 nursery.start_soon(follower.run)
             for server, address in (
@@ -287,6 +297,7 @@
         self._pool.set_routing(routing)
         self._metrics.record_config_version(routing.version)
         self._access.record_adopted(routing)
+        self._config_copy.record_adopted()
 
     def _update_backends(self) -> None:
         self._pool.sync()
--- a/figwalk/gateway/topic_handlers.py
+++ b/figwalk/gateway/topic_handlers.py
@@ -19,6 +19,7 @@
         decode: Decodes the value of that record.
         events: Event log.
         on_adopted: Called with each configuration that takes effect.
+        on_restored: Called when the store came back from an older copy.
     """
 
     def __init__(
@@ -28,30 +29,56 @@
         events: EventLog,
         *,
         on_adopted: Callable[[RoutingConfig], None],
+        on_restored: Callable[[], None] = lambda: None,
     ) -> None:
         self._key = key
         self._decode = decode
         self._events = events
         self._on_adopted = on_adopted
+        self._on_restored = on_restored
         self._current: RoutingConfig | None = None
+        self._record: KeyedRecord | None = None
+        self._stored_version = -1
 
     @property
     def current(self) -> RoutingConfig | None:
         """The configuration in force, or None before the first one."""
         return self._current
 
+    @property
+    def record(self) -> KeyedRecord | None:
+        """Record of the configuration in force, or None before the first one."""
+        return self._record
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the store has only an older configuration, or none."""
+        return self._current is not None and self._stored_version < self._current.version
+
     def apply(self, record: KeyedRecord) -> None:
         """Apply a record if it holds a newer configuration; reject one that can't be decoded."""
         if record.key != self._key or record.value is None:
             return
+        self._stored_version = max(self._stored_version, self._adopt(record, record.value))
+
+    def adopt_copy(self, record: KeyedRecord) -> int:
+        """Apply a copy of the record from another topic; return its version, or -1 if it has none.
+
+        The configuration counts as lost until the store has it itself.
+        """
+        if record.key != self._key or record.value is None:
+            return -1
+        return self._adopt(record, record.value)
+
+    def _adopt(self, record: KeyedRecord, value: bytes) -> int:
         try:
-            routing = self._decode(record.value)
+            routing = self._decode(value)
         except FigwalkError as error:
             self._events.record(Event.CONFIG_REJECTED, offset=record.offset, detail=str(error))
-            return
+            return -1
         if self._current is not None and routing.version <= self._current.version:
-            return
-        self._current = routing
+            return routing.version
+        self._current, self._record = routing, record
         self._events.record(
             Event.CONFIG_ADOPTED,
             version=routing.version,
@@ -60,6 +87,7 @@
             services=len(routing.services),
         )
         self._on_adopted(routing)
+        return routing.version
 
     def apply_key_set(self, keys: frozenset[str]) -> None:
         """Do nothing: the configuration stays in force even if its record is gone."""
@@ -68,7 +96,9 @@
         """Do nothing: the configuration stays in force while the store is unavailable."""
 
     def handle_restore(self) -> None:
-        """Do nothing: the restored, older copy of the store may lack the configuration."""
+        """Keep the configuration, which the restored, older copy of the store may lack."""
+        self._stored_version = -1
+        self._on_restored()
 
 
 class BackendReader(TopicHandler):
--- a/figwalk/platform/__init__.py
+++ b/figwalk/platform/__init__.py
@@ -13,6 +13,7 @@
 from figwalk.platform.routing_records import decode_routing
 from figwalk.platform.store import (
     BACKENDS_TOPIC,
+    CONFIG_COPY_TOPIC,
     CONFIG_KEY,
     CONFIG_TOPIC,
     CRASHES_TOPIC,
@@ -21,6 +22,7 @@
 
 __all__ = [
     "BACKENDS_TOPIC",
+    "CONFIG_COPY_TOPIC",
     "CONFIG_KEY",
     "CONFIG_TOPIC",
     "CRASHES_TOPIC",
--- a/figwalk/platform/store.py
+++ b/figwalk/platform/store.py
@@ -30,6 +30,7 @@
 from figwalk.transport.http_client import ConnectionOptions, HttpClient
 
 CONFIG_TOPIC = "keyed.op"
+CONFIG_COPY_TOPIC = "keyed.figwalk-config"
 CONFIG_KEY = "config"
 BACKENDS_TOPIC = "keyed.servers"
 CRASHES_TOPIC = "keyed.figwalk-crashes"
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -116,6 +116,10 @@
         """Append the removal of a key and return its offset."""
         return self._append(topic, key, None)
 
+    def records(self, topic: str) -> list[tuple[str, bytes | None]]:
+        """Return key and value of each record of a topic, also of those that were dropped."""
+        return list(self._topic(topic).records)
+
     def forget(self, topic: str) -> None:
         """Drop all records but the newest of each key."""
         kept = self._topic(topic)
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -284,3 +284,24 @@
         assert (status, headers["request-id"], headers["connection"]) == (401, "c1", "close")
     status, _, _ = await fleet.call("/order/x", method="POST", body=b"1" * 90_000, key="k-one")
     assert (status, len(backend.requests[0].body)) == (200, 90_000)
+
+
+@with_organisations
+async def test_key_withdrawn_before_a_restore_stays_withdrawn_at_a_new_gateway(fleet):
+    """Guards against a key valid again at a gateway that starts from the store's older copy."""
+    backend = await fleet.add_backend("b1", answering())
+    await fleet.start_gateway()
+    other = await fleet.add_gateway("gateway-2")
+    for gateway in (fleet, other):
+        await gateway.wait_version(1)
+    await withdraw(fleet, OTHER)
+    await other.wait_version(2)
+    fleet.store.restore(1)
+    while not fleet.store.records("keyed.figwalk-config"):
+        await trio.sleep(0.02)
+    backend.register(fleet.store, "orders")
+    restarted = await fleet.add_gateway("gateway-3")
+    await restarted.wait_version(2)
+    assert (await restarted.call("/check/x", key="k-one"))[0] == 401
+    assert (await restarted.call("/check/x", key="k-other"))[0] == 200
+    assert len(fleet.store.records("keyed.figwalk-config")) == 1
