--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -281,6 +281,15 @@
         870,
         "info",
         "The engine's reports list the calls that it runs, or do so no longer.",
+    CONFIG_COPY_WRITTEN = (
+        843,
+        "warning",
+        "The store has lost the configuration in force; a copy was written for new processes.",
+    )
+    CONFIG_COPY_UNAVAILABLE = (
+        844,
+        "info",
+        "The copy of a lost configuration could not be read or written.",
     )
 
     @property
