--- a/figwalk/duties/usage_counter.py
+++ b/figwalk/duties/usage_counter.py
@@ -26,7 +26,7 @@
 
     NONE = "none"  # It was not begun.
     BEGUN = "begun"
-    IF_ALIVE = "if_alive"  # It was begun if the backend server answered other calls since.
+    IF_ALIVE = "if_alive"  # It was begun if the backend server still ran afterwards.
 
 
 @attrs.define(eq=False)
@@ -39,7 +39,8 @@
         is_stream: Whether the answer is a stream, which begins with its first event.
         tracker: The backend server.
         sent_at: Timer time at which it was sent, or None before.
-        had_room: Whether the backend server had a free slot, by its reported load.
+        queue_s: Seconds that it was predicted to wait for a slot when it was sent.
+        spoiled: Whether an answer arrived that does not bear the id of the call.
         counted: Whether it was counted already.
     """
 
@@ -48,7 +49,8 @@
     is_stream: bool
     tracker: BackendTracker
     sent_at: float | None = None
-    had_room: bool = True
+    queue_s: float = 0.0
+    spoiled: bool = False
     counted: bool = False
 
 
@@ -57,6 +59,17 @@
     start: AttemptStart
     began_at: float
     ended_at: float
+    sequence: int
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether the backend server answered a call or registered anew after the attempt.
+
+        One registration may have been written before and read after it.
+        """
+        tracker = self.start.tracker
+        registrations = tracker.entry.sequence - self.sequence
+        return tracker.last_answer_at > self.ended_at or registrations > 1
 
 
 class UsageCounter:
@@ -97,8 +110,9 @@
     def record_sent(self, start: AttemptStart) -> None:
         """Record that an attempt is sent on an open connection."""
         start.sent_at = self._timer.now()
-        # The estimate includes this call already.
-        start.had_room = start.tracker.estimate_load() <= start.tracker.entry.slots
+        slots = max(1, start.tracker.entry.slots)
+        ahead = start.tracker.estimate_load() - slots  # The load includes this call already.
+        start.queue_s = max(0, ahead) * self._work_s.get(start.service, 0.0) / slots
 
     def record_answered(self, start: AttemptStart) -> None:
         """Record that the head of an answer arrived, which shows that the call ran."""
@@ -126,12 +140,13 @@
         if start.counted or start.sent_at is None:
             return
         now = self._timer.now()
-        evidence = self._judge(start, outcome, now, has_head=has_head)
-        began_at = now if start.is_stream else self._estimate_begin(start, now)
+        evidence = self._judge(start, outcome, now, has_head=has_head or start.spoiled)
+        began_at = now if start.is_stream else min(now, start.sent_at + start.queue_s)
         if evidence is Evidence.BEGUN:
             self._count(start, began_at)
         elif evidence is Evidence.IF_ALIVE:
-            self._doubts.append(_Doubt(start, began_at, now))
+            doubt = _Doubt(start, began_at, now, start.tracker.entry.sequence)
+            self._doubts.append(doubt)
 
     def freeze(self, window: int) -> dict[int, dict[str, int]]:
         """End the counting of the windows up to one, and return those counted since last time.
@@ -152,7 +167,7 @@
         for doubt in self._doubts:
             if self._window_of(doubt.began_at) > window:
                 left.append(doubt)
-            elif doubt.start.tracker.last_answer_at > doubt.ended_at:
+            elif doubt.is_alive:
                 self._count(doubt.start, doubt.began_at)
         self._doubts = left
 
@@ -174,15 +189,8 @@
         # backend server drops a call in its queue, and a stream before its first event.
         if start.is_stream:
             return Evidence.NONE
-        waited_long = now - start.sent_at >= 2 * self._work_s.get(start.service, 0.0)
-        return Evidence.IF_ALIVE if start.had_room or waited_long else Evidence.NONE
-
-    def _estimate_begin(self, start: AttemptStart, now: float) -> float:
-        """Return when a plain call without an answer began."""
-        assert start.sent_at is not None
-        if start.had_room:
-            return start.sent_at
-        return max(start.sent_at, now - self._work_s.get(start.service, 0.0))
+        has_waited = now - start.sent_at >= start.queue_s
+        return Evidence.IF_ALIVE if has_waited else Evidence.NONE
 
     def _learn_work(self, service: str, took_s: float) -> float:
         samples = self._work[service]
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -191,7 +191,7 @@
 
         try:
             async with AsyncExitStack() as stack:
-                exchange = self._open(call, tracker, plan, before_send)
+                exchange = self._open(call, tracker, plan, before_send, start)
                 response = await _wait_for_head(stack, exchange, head_timeout_s, not_run=not is_run)
                 has_head = True
                 answer = self._read_head(call, tracker, plan, response, key)
@@ -299,19 +299,28 @@
             raise AttemptError(AttemptOutcome.CANCELLED, message, not_run=True)
 
     def _open(
-        self, call: Call, tracker: BackendTracker, plan: SendPlan, before_send: SendHook
+        self,
+        call: Call,
+        tracker: BackendTracker,
+        plan: SendPlan,
+        before_send: SendHook,
+        start: AttemptStart | None,
     ) -> HttpExchange:
         request = self._codec.encode(call.request, plan)
         return self._pool.client(tracker).open(
             request,
-            is_own_response=lambda headers: self._check_echo(call, plan, headers),
+            is_own_response=lambda headers: self._check_echo(call, plan, headers, start),
             idle_limit_s=None if call.route.repeatable else MAX_IDLE_NON_REPEATABLE_S,
             before_send=before_send,
         )
 
-    def _check_echo(self, call: Call, plan: SendPlan, headers: Headers) -> bool:
+    def _check_echo(
+        self, call: Call, plan: SendPlan, headers: Headers, start: AttemptStart | None
+    ) -> bool:
         if self._codec.is_own_response(call.call_id, headers):
             return True
+        if start is not None:
+            start.spoiled = True
         self._events.record(
             Event.ANSWER_FOREIGN, request_id=call.call_id, backend=plan.backend.backend
         )
