Restore the event catalogue after the merges

Cause: a merge by lines left two events unclosed. Change: the events of all merged parts, in the order of their numbers.

--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -251,6 +251,16 @@
         "The store has not confirmed the configuration for so long that keys are not relied on.",
     )
     CONFIG_CONFIRMED = (842, "info", "The store confirms the configuration again.")
+    CONFIG_COPY_WRITTEN = (
+        843,
+        "warning",
+        "The store has lost the configuration in force; a copy was written for new processes.",
+    )
+    CONFIG_COPY_UNAVAILABLE = (
+        844,
+        "info",
+        "The copy of a lost configuration could not be read or written.",
+    )
     DUTIES_TAKEN = (850, "info", "This process holds the lease and carries out the duties.")
     DUTIES_LOST = (851, "warning", "This process no longer holds the lease of the duties.")
     DUTY_LOG_FAILED = (
@@ -281,15 +291,6 @@
         870,
         "info",
         "The engine's reports list the calls that it runs, or do so no longer.",
-    CONFIG_COPY_WRITTEN = (
-        843,
-        "warning",
-        "The store has lost the configuration in force; a copy was written for new processes.",
-    )
-    CONFIG_COPY_UNAVAILABLE = (
-        844,
-        "info",
-        "The copy of a lost configuration could not be read or written.",
     )
 
     @property
