Count every end of a backend server as crash evidence

Cause: only attempts that ended as broken were evidence. Calls at a server whose machine falls silent end as silent or cancelled, so that a request or a part that turned servers dark was never quarantined.

Change: the watcher knows every call that a backend server holds, prefills and plain kinds included, and sees a server end by a refused port, by the end of its registration together with a port that is away, or by another instance at its address. Its suspects are the calls that it held when it was last alive; those sent after it fell silent are none. A server that left as announced did not crash; one that is registered again, or goes on with its heartbeats, was frozen or cut off, and its crash is withdrawn.

--- a/figwalk/coordination/call_quarantine.py
+++ b/figwalk/coordination/call_quarantine.py
@@ -12,6 +12,8 @@
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
 
+import attrs
+
 from figwalk.coordination.call_identity import CallIdentity
 from figwalk.coordination.crash_evidence import (
     MIN_CRASHES,
@@ -137,14 +139,17 @@
         while len(self._sound_at) > MAX_KNOWN_SOUND:
             self._sound_at.popitem(last=False)
 
-    def record_crash(self, crash: CrashId, calls: Sequence[CallIdentity]) -> None:
+    def record_crash(
+        self, crash: CrashId, calls: Sequence[CallIdentity], crashed_at: float | None = None
+    ) -> None:
         """Record that a backend server crashed before the first events of some answers.
 
         Args:
             crash: The crash.
             calls: The calls that this gateway had sent to it.
+            crashed_at: Timer time of the crash, or None if it was noticed at once.
         """
-        now = self._timer.now()
+        now = self._timer.now() if crashed_at is None else crashed_at
         prompts = {
             tuple(part for part in call.shared_parts if not self._is_sound(part, now))
             for call in calls
@@ -157,7 +162,7 @@
         report = CrashReport(
             self._process,
             crash,
-            self._timer.wall_ms(),
+            self._timer.wall_ms() - round((self._timer.now() - now) * MS_PER_S),
             prompts=frozenset(sorted(prompts)[:MAX_PROMPTS_OF_REPORT]),
             requests=frozenset(sorted(requests)[:MAX_REQUESTS_OF_REPORT]),
         )
@@ -165,6 +170,16 @@
             self._publish(crash)
             self._update_causes()
 
+    def withdraw_crash(self, crash: CrashId) -> None:
+        """Record that a backend server did not crash: what it held is no suspect."""
+        known = self._evidence.find(crash, self._process)
+        if known is None:
+            return
+        sound = known.requests.union(*known.prompts)
+        if self._evidence.add(attrs.evolve(known, sound=known.sound | sound), self._timer.now()):
+            self._publish(crash)
+            self._update_causes()
+
     def apply(self, report: CrashReport) -> bool:
         """Apply a report from the log; return whether it is recent enough to matter.
 
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -149,6 +149,11 @@
         "A backend server ended while it worked on calls; the fields count the calls that may be"
         " the cause.",
     )
+    CRASH_WITHDRAWN = (
+        820,
+        "info",
+        "A backend server that counted as ended goes on; calls that it held are no suspects.",
+    )
     PART_QUARANTINED = (
         433,
         "warning",
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -16,6 +16,7 @@
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import AnswerFacts, BackendCodec, CallStep, KvSource, SendPlan
+from figwalk.gateway.crash_watcher import CrashWatcher, HeldCall
 from figwalk.timer import Timer
 from figwalk.transport import (
     Headers,
@@ -112,6 +113,7 @@
         pool: Connections to them.
         codec: Encodes requests and decodes answers in their protocol.
         quarantine: Calls that must not be sent.
+        crashes: Learns which calls backend servers hold.
         events: Event log.
         timer: Source of time.
     """
@@ -121,11 +123,13 @@
         pool: BackendPool,
         codec: BackendCodec,
         quarantine: CallQuarantine,
+        crashes: CrashWatcher,
         events: EventLog,
         timer: Timer,
     ) -> None:
         self._pool = pool
         self._quarantine = quarantine
+        self._crashes = crashes
         self._codec = codec
         self._events = events
         self._timer = timer
@@ -162,10 +166,12 @@
         outcome = AttemptOutcome.CANCELLED
         started_at = self._timer.now()
         connected_at: float | None = None
+        held: HeldCall | None = None
+        complete = False
         was_unresolved = call.unresolved
 
         def before_send() -> None:
-            nonlocal connected_at
+            nonlocal connected_at, held
             try:
                 self._check_before_send(call, plan)
             except FigwalkError:
@@ -176,16 +182,19 @@
             self._record_arrival(call, plan)
             self._record_sent(call, tracker, plan)
             connected_at = call.sent_at = self._timer.now()
+            held = self._crashes.start(plan.backend, call.identity, call.timing)
 
         try:
             async with AsyncExitStack() as stack:
                 exchange = self._open(call, tracker, plan, before_send)
                 response = await _wait_for_head(stack, exchange, head_timeout_s, not_run=not is_run)
                 answer = self._read_head(call, tracker, plan, response, key)
+                self._crashes.record_answer(held)
                 outcome = AttemptOutcome.ANSWERED
                 if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
                     outcome = AttemptOutcome.FAILED
                 yield answer
+                complete = True
         except HttpConnectError as error:
             outcome = AttemptOutcome.UNREACHABLE
             call.unresolved = was_unresolved
@@ -201,6 +210,9 @@
             raise AttemptError(outcome, str(error), not_run=not is_run) from error
         finally:
             tracker.finish(key, outcome)
+            if held is not None:
+                is_cut = outcome is AttemptOutcome.ANSWERED and not complete
+                self._crashes.finish(held, AttemptOutcome.CANCELLED if is_cut else outcome)
             if outcome is not AttemptOutcome.ANSWERED:
                 connect_s = connected_at - started_at if connected_at is not None else None
                 self._record_failure(call, plan, outcome, started_at, tracker, connect_s=connect_s)
--- a/figwalk/gateway/crash_watcher.py
+++ b/figwalk/gateway/crash_watcher.py
@@ -1,57 +1,145 @@
-"""Notices backend servers that crash, and which calls of this gateway were in progress there."""
+"""Notices backend servers that end, and which calls of this gateway they held."""
 
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 
 import attrs
 import trio
 
+from figwalk.coordination.backend_tracker import RESPONSE_TIMEOUT_S, AttemptOutcome
 from figwalk.coordination.call_identity import CallIdentity
 from figwalk.coordination.call_quarantine import CallQuarantine
 from figwalk.coordination.crash_evidence import CrashId
 from figwalk.events import Event, EventLog
 from figwalk.gateway.gateway_metrics import GatewayMetrics
+from figwalk.gateway.stream_timing import StreamTiming
 from figwalk.state.backend_directory import BackendDirectory, BackendEntry
+from figwalk.state.settings import Address
 from figwalk.timer import Timer
-from figwalk.transport.listening import refuses_connections
+from figwalk.transport.listening import PortState, probe_port
 
-# The longest round trip between regions is 24 ms; a backend server whose machine is silent is not
-# one that crashed under a call.
+# The longest round trip between regions is 24 ms.
 CHECK_TIMEOUT_S = 0.5
 # A registration lapses some seconds after the backend server's last heartbeat.
 MAX_PENDING_S = 10.0
 MAX_WAITING_CHECKS = 1000
 # A check opens a connection, so a server that breaks many calls is not checked for each.
 CHECK_PERIOD_S = 0.3
+# Bounds the memory for calls that ended without an answer at one backend server.
+MAX_ENDED_CALLS = 512
+# A backend server that was frozen or cut off is registered again within this time.
+WITHDRAWAL_S = 60.0
+# One heartbeat may have been written before the crash and read after it.
+HEARTBEATS_AFTER_CRASH = 2
+# The backend server answered, or never received the call.
+_NOT_HELD = frozenset({AttemptOutcome.FAILED, AttemptOutcome.REFUSED, AttemptOutcome.UNREACHABLE})
 
 
-@attrs.define
-class _BrokenCalls:
-    """Calls that broke at one instance of a backend server.
+@attrs.define(eq=False)
+class HeldCall:
+    """A call that was sent to a backend server and is not answered.
+
+    Attributes:
+        instance: The backend server.
+        identity: What may have crashed it.
+        timing: Shows whether the caller's stream has had a complete event.
+        sent_at: Timer time at which it was sent.
+        ended_at: Timer time at which the gateway stopped waiting, or None.
+        broken: Whether the exchange broke.
+    """
+
+    instance: _Instance
+    identity: CallIdentity
+    timing: StreamTiming
+    sent_at: float
+    ended_at: float | None = None
+    broken: bool = False
+
+
+@attrs.define(eq=False)
+class _Instance:
+    """Calls that one instance of a backend server holds, or held when it last showed life.
 
     Attributes:
         entry: Registration of the backend server.
-        broke_at: Timer time of the first of them.
-        calls: What may have crashed the backend server.
-        crashed: Whether it is known to have crashed.
+        open: Calls in progress.
+        ended: Calls that ended without an answer.
+        seen_at: Timer time of its latest answer.
+        crashed_at: Timer time at which its end was noticed, or None.
+        refused: Whether its port then refused connections.
+        lapsed: Whether its registration had ended at some time since then.
+        crash_sequence: Newest sequence of its registration that was known then.
         check_waits: Whether a check is to begin.
         checked_at: Timer time at which the last check began.
     """
 
     entry: BackendEntry
-    broke_at: float
-    calls: list[CallIdentity] = attrs.field(factory=list)
-    crashed: bool = False
+    open: set[HeldCall] = attrs.field(factory=set)
+    ended: list[HeldCall] = attrs.field(factory=list)
+    seen_at: float = -math.inf
+    crashed_at: float | None = None
+    refused: bool = False
+    lapsed: bool = False
+    crash_sequence: int = 0
     check_waits: bool = False
     checked_at: float = -math.inf
 
+    @property
+    def crash_id(self) -> CrashId:
+        """Id of the crash that may end this instance."""
+        return CrashId(self.entry.backend, self.entry.born_ms)
+
+    @property
+    def has_broken(self) -> bool:
+        """Whether an exchange broke."""
+        return any(call.broken for call in self.ended)
+
+    def forget_ended(self, now: float) -> None:
+        """Forget calls that ended long ago, or after which the backend server answered others."""
+        cutoff = now - MAX_PENDING_S
+        self.ended = [
+            call
+            for call in self.ended[-MAX_ENDED_CALLS:]
+            if call.ended_at >= cutoff and (call.broken or call.ended_at > self.seen_at)
+        ]
+
+    def find_suspects(self, now: float) -> tuple[list[CallIdentity], float]:
+        """Return the calls that may have ended the backend server, and when it ended.
+
+        Calls that were sent after it had been silent for `RESPONSE_TIMEOUT_S` came too late to be
+        the cause. If its port refuses connections, those that broke did so when it ended.
+        """
+        held = [call for call in (*self.open, *self.ended) if not call.timing.has_event]
+        silent = [call for call in held if not (self.refused and call.broken)]
+        waits = [
+            (max(c.sent_at, self.seen_at), now if c.ended_at is None else c.ended_at)
+            for c in silent
+        ]
+        since = min(
+            (start for start, end in waits if end - start >= RESPONSE_TIMEOUT_S), default=now
+        )
+        suspects = [
+            call.identity
+            for call in held
+            if (self.refused and call.broken) or call.sent_at <= since + RESPONSE_TIMEOUT_S
+        ]
+        return suspects, now if self.refused else since
+
 
 class CrashWatcher:
-    """Tells broken calls at a backend server that goes on from those at one that crashed.
+    """Tells calls without an answer at a backend server that goes on from those at one that ended.
+
+    A backend server has ended if
 
-    A backend server has crashed if it breaks calls and its port refuses connections afterwards, or
-    if its registration ends without an announced departure.
+    - it breaks calls and its port refuses connections afterwards, or its registration ends;
+    - its registration ends while calls are unanswered there, and it can't be reached;
+    - another instance is registered at its address while calls are unanswered there.
+
+    A backend server that has announced that it leaves ends as planned. One that is registered again
+    as the same instance, or that goes on with its heartbeats, was frozen or cut off: its crash is
+    withdrawn.
 
     Args:
         directory: The registered backend servers.
@@ -74,78 +162,165 @@
         self._metrics = metrics
         self._events = events
         self._timer = timer
-        self._broken: dict[CrashId, _BrokenCalls] = {}
-        self._checks_send, self._checks_receive = trio.open_memory_channel[CrashId](
+        self._instances: dict[CrashId, _Instance] = {}
+        self._checks_send, self._checks_receive = trio.open_memory_channel[_Instance](
             MAX_WAITING_CHECKS
         )
 
     async def run(self) -> None:
-        """Check backend servers that broke calls, until cancelled."""
+        """Check backend servers that left calls unanswered, until cancelled."""
         async with trio.open_nursery() as nursery:
-            async for crash in self._checks_receive:
-                nursery.start_soon(self._check, crash)
+            async for instance in self._checks_receive:
+                nursery.start_soon(self._check, instance)
+
+    def start(self, entry: BackendEntry, identity: CallIdentity, timing: StreamTiming) -> HeldCall:
+        """Record that a call is sent to a backend server.
+
+        Args:
+            entry: Registration that is used for the call.
+            identity: What the call has in common with others.
+            timing: Shows when the caller's stream has had a complete event.
+        """
+        instance = self._instances.setdefault(
+            CrashId(entry.backend, entry.born_ms), _Instance(entry)
+        )
+        held = HeldCall(instance, identity, timing, self._timer.now())
+        instance.open.add(held)
+        return held
+
+    def record_answer(self, held: HeldCall) -> None:
+        """Record that the head of a backend server's answer has arrived."""
+        held.instance.seen_at = self._timer.now()
 
-    def record_broken(self, entry: BackendEntry, call: CallIdentity) -> None:
-        """Record that a backend server broke a call off before the first event of its answer.
+    def finish(self, held: HeldCall, outcome: AttemptOutcome) -> None:
+        """Record the end of a call.
 
         Args:
-            entry: Registration that was used for the call.
-            call: The call.
+            held: The call.
+            outcome: How it ended; `ANSWERED` only if the answer was complete.
         """
-        if self._directory.is_leaving(entry):
+        instance = held.instance
+        instance.open.discard(held)
+        if outcome is AttemptOutcome.ANSWERED:
+            instance.seen_at = self._timer.now()
+        if outcome is AttemptOutcome.ANSWERED or outcome in _NOT_HELD:
+            return
+        if held.timing.has_event or self._directory.is_leaving(instance.entry):
+            return
+        held.ended_at = self._timer.now()
+        held.broken = outcome is AttemptOutcome.BROKEN
+        instance.ended.append(held)
+        if not held.broken:
             return
-        crash = CrashId(entry.backend, entry.born_ms)
-        broken = self._broken.get(crash)
-        if broken is None:
-            broken = self._broken[crash] = _BrokenCalls(entry, self._timer.now())
-        broken.calls.append(call)
-        if broken.crashed:
-            self._quarantine.record_crash(crash, broken.calls)
-        elif not broken.check_waits:
-            # Also if an earlier check found it alive: it may have crashed since.
-            self._request_check(crash, broken)
+        if instance.crashed_at is not None:
+            self._report(instance)
+        else:
+            # Also if an earlier check found it alive: it may have ended since.
+            self._request_check(instance)
 
     def update(self) -> None:
-        """Look for ended registrations of servers that broke calls, and forget old calls."""
-        cutoff = self._timer.now() - MAX_PENDING_S
-        for crash, broken in list(self._broken.items()):
-            if not broken.crashed and not self._directory.is_registered(broken.entry):
-                self._record_crash(crash, broken, "registration ended")
-            if broken.broke_at < cutoff:
-                del self._broken[crash]
-
-    def _request_check(self, crash: CrashId, broken: _BrokenCalls) -> None:
+        """Compare the backend servers that hold calls with the registrations."""
+        if not self._instances:
+            return
+        now = self._timer.now()
+        others: dict[Address, list[BackendEntry]] = {}
+        for entry in self._directory.entries():
+            others.setdefault(entry.address, []).append(entry)
+        for crash, instance in list(self._instances.items()):
+            if self._directory.is_leaving(instance.entry):
+                del self._instances[crash]
+                continue
+            instance.forget_ended(now)
+            if instance.crashed_at is not None:
+                self._update_crashed(instance, now)
+            elif not instance.open and not instance.ended:
+                del self._instances[crash]
+            else:
+                self._compare(instance, others.get(instance.entry.address, ()))
+
+    def _compare(self, instance: _Instance, at_address: Sequence[BackendEntry]) -> None:
+        registered = self._directory.is_registered(instance.entry)
+        replaced = any(
+            (entry.backend, entry.born_ms) != (instance.entry.backend, instance.entry.born_ms)
+            and (not registered or entry.born_ms > instance.entry.born_ms)
+            for entry in at_address
+        )
+        if replaced:
+            self._record_crash(instance, "replaced by another instance")
+        elif not registered and instance.has_broken:
+            self._record_crash(instance, "registration ended")
+        elif not registered:
+            self._request_check(instance)
+
+    def _update_crashed(self, instance: _Instance, now: float) -> None:
+        known = self._directory.find(instance.entry.backend)
+        if known is None or not known.is_same_instance(instance.entry):
+            instance.lapsed = True
+        elif instance.lapsed or (
+            known.sequence >= instance.crash_sequence + HEARTBEATS_AFTER_CRASH
+        ):
+            self._events.record(
+                Event.CRASH_WITHDRAWN,
+                backend=instance.entry.backend,
+                born_ms=instance.entry.born_ms,
+                age_s=round(now - instance.crashed_at, 3),
+            )
+            del self._instances[instance.crash_id]
+            self._quarantine.withdraw_crash(instance.crash_id)
+            return
+        if now - instance.crashed_at > WITHDRAWAL_S:
+            del self._instances[instance.crash_id]
+
+    def _request_check(self, instance: _Instance) -> None:
+        if instance.check_waits:
+            return
         try:
-            self._checks_send.send_nowait(crash)
-            broken.check_waits = True
+            self._checks_send.send_nowait(instance)
+            instance.check_waits = True
         except trio.WouldBlock:
+            backend = instance.entry.backend
             self._events.record(
                 Event.TASK_FAILED,
                 task="crash check",
-                error=f"too many checks wait; {crash.backend} is judged by its registration only",
+                error=f"too many checks wait; {backend} is judged by its registration only",
             )
 
-    async def _check(self, crash: CrashId) -> None:
-        broken = self._broken.get(crash)
-        if broken is None:
+    async def _check(self, instance: _Instance) -> None:
+        await trio.sleep(self._timer.left_s(instance.checked_at + CHECK_PERIOD_S))
+        instance.check_waits = False
+        if self._instances.get(instance.crash_id) is not instance:
             return  # After a pause of the process, the calls may have been forgotten meanwhile.
-        await trio.sleep(self._timer.left_s(broken.checked_at + CHECK_PERIOD_S))
-        broken.check_waits = False
-        broken.checked_at = self._timer.now()
-        address = broken.entry.address
-        refused = await refuses_connections(address.host, address.port, timeout_s=CHECK_TIMEOUT_S)
-        if refused and not broken.crashed:
-            self._record_crash(crash, broken, "connection refused")
-
-    def _record_crash(self, crash: CrashId, broken: _BrokenCalls, reason: str) -> None:
-        broken.crashed = True
+        instance.checked_at = self._timer.now()
+        address = instance.entry.address
+        state = await probe_port(address.host, address.port, timeout_s=CHECK_TIMEOUT_S)
+        if instance.crashed_at is not None or self._directory.is_leaving(instance.entry):
+            return
+        if state is PortState.REFUSES and instance.has_broken:
+            instance.refused = True
+            self._record_crash(instance, "connection refused")
+        elif not self._directory.is_registered(instance.entry) and state.is_away:
+            self._record_crash(instance, "registration ended and not reachable")
+
+    def _record_crash(self, instance: _Instance, reason: str) -> None:
+        now = self._timer.now()
+        suspects, _ = instance.find_suspects(now)
+        if not suspects:
+            return
+        instance.crashed_at = now
+        known = self._directory.find(instance.entry.backend)
+        instance.lapsed = not self._directory.is_registered(instance.entry)
+        instance.crash_sequence = (known or instance.entry).sequence
         self._metrics.record_engine_crash()
         self._events.record(
             Event.ENGINE_CRASHED,
-            backend=crash.backend,
-            born_ms=crash.born_ms,
+            backend=instance.entry.backend,
+            born_ms=instance.entry.born_ms,
             reason=reason,
-            calls=len(broken.calls),
-            age_s=round(self._timer.now() - broken.broke_at, 3),
+            calls=len(suspects),
+            silent_s=round(now - instance.seen_at, 3) if instance.seen_at > 0 else None,
         )
-        self._quarantine.record_crash(crash, broken.calls)
+        self._report(instance)
+
+    def _report(self, instance: _Instance) -> None:
+        suspects, ended_at = instance.find_suspects(self._timer.now())
+        self._quarantine.record_crash(instance.crash_id, suspects, ended_at)
--- a/figwalk/gateway/plain_calls.py
+++ b/figwalk/gateway/plain_calls.py
@@ -17,7 +17,6 @@
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import SendPlan
-from figwalk.gateway.crash_watcher import CrashWatcher
 from figwalk.gateway.retries import take_retries
 from figwalk.gateway.stream_relay import StreamRelay
 from figwalk.state.routing import CallKind
@@ -72,7 +71,6 @@
         attempts: Sends calls to them.
         placement: Chooses among them.
         quarantine: Learns which calls were answered.
-        crashes: Learns of calls that broke.
         budgets: Limit the retries at each service.
         events: Event log.
         timer: Source of time.
@@ -84,7 +82,6 @@
         attempts: Attempts,
         placement: PlainPlacement,
         quarantine: CallQuarantine,
-        crashes: CrashWatcher,
         budgets: ServiceRetryBudgets,
         events: EventLog,
         timer: Timer,
@@ -93,7 +90,6 @@
         self._attempts = attempts
         self._placement = placement
         self._quarantine = quarantine
-        self._crashes = crashes
         self._budgets = budgets
         self._events = events
         self._timer = timer
@@ -134,8 +130,6 @@
                     return answer.backend
             except AttemptError as attempt_error:
                 error = attempt_error
-                if not relay.has_event:
-                    self._record_broken(call, tracker, error)
         raise self._refuse(call, error)
 
     async def _find_answer(self, call: Call) -> BufferedAnswer:
@@ -152,7 +146,6 @@
                 answer = await self._attempt(call, tracker)
             except AttemptError as attempt_error:
                 error = attempt_error
-                self._record_broken(call, tracker, error)
                 if not (error.not_run or call.route.repeatable):
                     break
             else:
@@ -178,10 +171,6 @@
             self._quarantine.record_answered(call.identity, began_at)
             return buffered
 
-    def _record_broken(self, call: Call, tracker: BackendTracker, error: AttemptError) -> None:
-        if error.outcome is AttemptOutcome.BROKEN:
-            self._crashes.record_broken(tracker.entry, call.identity)
-
     def _may_be_repeated(self, call: Call) -> bool:
         return (
             call.route.repeatable
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -177,13 +177,14 @@
         rng = random.Random()
         distance = Distance(settings.zone, settings.region, settings.regions)
         placement = PlacementSettings(engines=settings.engines)
-        attempts = Attempts(self._pool, PlatformBackendCodec(), self._quarantine, events, timer)
+        attempts = Attempts(
+            self._pool, PlatformBackendCodec(), self._quarantine, self._crashes, events, timer
+        )
         plain = PlainCalls(
             self._pool,
             attempts,
             PlainPlacement(distance, rng),
             self._quarantine,
-            self._crashes,
             self._budgets,
             events,
             timer,
@@ -194,7 +195,6 @@
             PromptPlacement(placement, distance, rng),
             self._offers,
             self._quarantine,
-            self._crashes,
             self._lag,
             self._budgets,
             events,
@@ -278,6 +278,8 @@
 
     def _update_backends(self) -> None:
         self._pool.sync()
+        # At each change, since a departure may be announced just before the registration ends.
+        self._crashes.update()
         self._metrics.record_backend_count(len(self._directory.entries()))
 
     async def _answer_health(self, request: HttpRequest, responder: Responder) -> None:
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -23,7 +23,6 @@
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import CallStep, KvSource, SendPlan
-from figwalk.gateway.crash_watcher import CrashWatcher
 from figwalk.gateway.placement_decision import AdmissionDecider, PlacementDecision
 from figwalk.gateway.plain_calls import (
     NO_BACKEND_RETRY_MS,
@@ -62,7 +61,6 @@
         placement: Ranks engines and decides on admission.
         offers: Offers prompts to the agents beside engines.
         quarantine: Decides which prompts are not sent.
-        crashes: Learns of calls that broke.
         lag: Measures the delay of this process's event loop.
         budgets: Limit the retries at each service.
         events: Event log.
@@ -77,7 +75,6 @@
         placement: PromptPlacement,
         offers: PromptOffers,
         quarantine: CallQuarantine,
-        crashes: CrashWatcher,
         lag: LoopLag,
         budgets: ServiceRetryBudgets,
         events: EventLog,
@@ -90,7 +87,6 @@
         self._placement = placement
         self._offers = offers
         self._quarantine = quarantine
-        self._crashes = crashes
         self._lag = lag
         self._budgets = budgets
         self._events = events
@@ -331,10 +327,6 @@
                 if answer.succeeded:
                     self._quarantine.record_answered(call.identity, began_at)
                 return answer.backend
-        except AttemptError as error:
-            if error.outcome is AttemptOutcome.BROKEN and not relay.has_event:
-                self._crashes.record_broken(plan.runner.entry, call.identity)
-            raise
         finally:
             self._clear_pending_work(key, plan)
 
--- a/figwalk/gateway/stream_relay.py
+++ b/figwalk/gateway/stream_relay.py
@@ -43,12 +43,6 @@
         self._timer = timer
         self._resumable = resumable
         self._last_event_id = resume_after
-        self._has_event = False
-
-    @property
-    def has_event(self) -> bool:
-        """Whether any backend server has sent a complete event of the stream."""
-        return self._has_event
 
     @property
     def started(self) -> bool:
@@ -77,7 +71,7 @@
         boundaries = EventBoundaries()
         async for data in answer.response.chunks():
             boundaries.feed(data)
-            self._has_event = self._has_event or boundaries.found
+            self._timing.has_event |= boundaries.found
             complete = splitter.feed(data) if self._resumable else data
             if complete:
                 if is_resumed:
--- a/figwalk/gateway/stream_timing.py
+++ b/figwalk/gateway/stream_timing.py
@@ -14,12 +14,14 @@
         first_at: Timer time of the first piece, or None before it.
         last_at: Timer time of the latest piece, or None before the first one.
         longest_gap_s: Longest time between two successive pieces, in seconds.
+        has_event: Whether any backend server has sent a complete event of the stream.
     """
 
     pieces: int = 0
     first_at: float | None = None
     last_at: float | None = None
     longest_gap_s: float = 0.0
+    has_event: bool = False
 
     def record_piece(self, now: float) -> None:
         """Record that a piece is relayed.
--- a/figwalk/transport/listening.py
+++ b/figwalk/transport/listening.py
@@ -6,6 +6,7 @@
 import os
 import socket
 from collections.abc import Awaitable, Callable
+from enum import Enum
 
 import trio
 
@@ -16,6 +17,22 @@
 # Wait for other connections to close when no file descriptor is free.
 NO_DESCRIPTOR_PAUSE_S = 0.1
 _NO_DESCRIPTOR_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+# A timeout that fires later than this was delayed by a pause of this process.
+MAX_PROBE_DELAY_S = 0.25
+
+
+class PortState(Enum):
+    """What an attempt to connect to a port of a VM shows."""
+
+    ACCEPTS = "accepts"
+    REFUSES = "refuses"  # The VM states that no process listens.
+    SILENT = "silent"  # The VM does not answer.
+    UNKNOWN = "unknown"  # Nothing follows from the attempt.
+
+    @property
+    def is_away(self) -> bool:
+        """Whether no process can be reached there."""
+        return self in (PortState.REFUSES, PortState.SILENT)
 
 
 async def open_listeners(host: str, port: int, *, backlog: int) -> list[trio.SocketListener]:
@@ -42,15 +59,30 @@
         port: TCP port.
         timeout_s: Seconds to wait for the VM; silence is not a refusal.
     """
+    return await probe_port(host, port, timeout_s=timeout_s) is PortState.REFUSES
+
+
+async def probe_port(host: str, port: int, *, timeout_s: float) -> PortState:
+    """Return what an attempt to connect to a port of a VM shows.
+
+    Args:
+        host: IP address of the VM.
+        port: TCP port.
+        timeout_s: Seconds to wait for the VM.
+    """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    with trio.socket.socket(family) as probe, trio.move_on_after(timeout_s):
-        try:
+    started_at = trio.current_time()
+    try:
+        with trio.socket.socket(family) as probe, trio.move_on_after(timeout_s):
             await probe.connect((host, port))
-        except ConnectionRefusedError:
-            return True
-        except OSError:
-            return False  # Not the statement of a VM that runs, so nothing follows from it.
-    return False
+            return PortState.ACCEPTS
+    except ConnectionRefusedError:
+        return PortState.REFUSES
+    except OSError as error:
+        # Others are faults of this VM, such as no free file descriptor.
+        return PortState.SILENT if error.errno == errno.EHOSTUNREACH else PortState.UNKNOWN
+    is_late = trio.current_time() - started_at > timeout_s + MAX_PROBE_DELAY_S
+    return PortState.UNKNOWN if is_late else PortState.SILENT
 
 
 async def accept_connections(
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -18,6 +18,7 @@
     running_fleet,
 )
 
+from figwalk.coordination.backend_tracker import AttemptOutcome
 from figwalk.coordination.call_identity import CallIdentity
 from figwalk.coordination.call_quarantine import (
     EVIDENCE_RETENTION_S,
@@ -30,6 +31,7 @@
 from figwalk.gateway.crash_reports import CrashReports
 from figwalk.gateway.crash_watcher import MAX_PENDING_S, CrashWatcher
 from figwalk.gateway.gateway_metrics import GatewayMetrics
+from figwalk.gateway.stream_timing import StreamTiming
 from figwalk.protocol.messages import Role
 from figwalk.state.backend_directory import BackendDirectory, BackendEntry
 from figwalk.state.settings import Address
@@ -211,6 +213,10 @@
     return BackendEntry("e1", "lm", Address(HOST, port), "a", 8, **options)
 
 
+def break_call(watcher, entry):
+    watcher.finish(watcher.start(entry, CALL, StreamTiming()), AttemptOutcome.BROKEN)
+
+
 async def watch(entry, act, *, port_open=False):
     """Break a call at an engine, act, and return how many crashes were noticed."""
     timer = FakeTimer()
@@ -221,7 +227,7 @@
     watcher = CrashWatcher(directory, quarantine, GatewayMetrics(), events, timer)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(watcher.run)
-        watcher.record_broken(entry, CALL)
+        break_call(watcher, entry)
         await act(directory, watcher, quarantine)
         nursery.cancel_scope.cancel()
     return len(quarantine.unpublished)
@@ -268,7 +274,7 @@
         async def act(_directory, watcher, quarantine):
             await listener.accept()
             await listener.aclose()
-            watcher.record_broken(entry, CALL)
+            break_call(watcher, entry)
             while not quarantine.unpublished:
                 await trio.sleep(0.001)
 
@@ -306,7 +312,7 @@
         watcher = CrashWatcher(directory, quarantine, GatewayMetrics(), events, timer)
         entry = make_entry(choose_port())
         directory.apply(entry)
-        watcher.record_broken(entry, CALL)
+        break_call(watcher, entry)
         await trio.sleep(2 * MAX_PENDING_S)
         watcher.update()
         with trio.move_on_after(1.0):
