--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -234,6 +234,11 @@
         "warning",
         "The VM list does not answer; the last known one stays in force.",
     )
+    CRASH_WITHDRAWN = (
+        820,
+        "info",
+        "A backend server that counted as ended goes on; calls that it held are no suspects.",
+    )
 
     BACKEND_CONFIRMED = (
         830,
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -18,6 +18,7 @@
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import AnswerFacts, BackendCodec, CallStep, KvSource, SendPlan
+from figwalk.gateway.crash_watcher import CrashWatcher, HeldCall
 from figwalk.organisations.access_control import AccessControl
 from figwalk.state.routing import CallKind
 from figwalk.timer import Timer
@@ -121,6 +122,7 @@
         codec: Encodes requests and decodes answers in their protocol.
         quarantine: Calls that must not be sent.
         access: Tells whether the configuration still allows a call, and for which organisation.
+        crashes: Learns which calls backend servers hold.
         events: Event log.
         timer: Source of time.
         usage: Counts the calls that backend servers began, or None if nobody asks for it.
@@ -132,6 +134,7 @@
         codec: BackendCodec,
         quarantine: CallQuarantine,
         access: AccessControl,
+        crashes: CrashWatcher,
         events: EventLog,
         timer: Timer,
         usage: UsageCounter | None = None,
@@ -140,6 +143,7 @@
         self._pool = pool
         self._quarantine = quarantine
         self._access = access
+        self._crashes = crashes
         self._codec = codec
         self._events = events
         self._timer = timer
@@ -178,12 +182,14 @@
         outcome = AttemptOutcome.CANCELLED
         started_at = self._timer.now()
         connected_at: float | None = None
+        held: HeldCall | None = None
+        complete = False
         was_unresolved = call.unresolved
         start = self._open_start(call, tracker, plan)
         has_head = False
 
         def before_send() -> None:
-            nonlocal connected_at
+            nonlocal connected_at, held
             try:
                 self._check_before_send(call, plan)
             except FigwalkError:
@@ -196,6 +202,7 @@
             connected_at = call.sent_at = self._timer.now()
             if start is not None:
                 self._usage.record_sent(start)
+            held = self._crashes.start(plan.backend, call.identity, call.timing)
 
         try:
             async with AsyncExitStack() as stack:
@@ -206,10 +213,12 @@
                 if start is not None:
                     self._usage.record_answered(start)
                     answer.on_first_event = partial(self._usage.record_first_event, start)
+                self._crashes.record_answer(held)
                 outcome = AttemptOutcome.ANSWERED
                 if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
                     outcome = AttemptOutcome.FAILED
                 yield answer
+                complete = True
         except HttpConnectError as error:
             outcome = AttemptOutcome.UNREACHABLE
             call.unresolved = was_unresolved
@@ -227,6 +236,9 @@
             tracker.finish(key, outcome)
             if start is not None:
                 self._usage.record_ended(start, outcome, has_head=has_head)
+            if held is not None:
+                is_cut = outcome is AttemptOutcome.ANSWERED and not complete
+                self._crashes.finish(held, AttemptOutcome.CANCELLED if is_cut else outcome)
             if outcome is not AttemptOutcome.ANSWERED:
                 connect_s = connected_at - started_at if connected_at is not None else None
                 self._record_failure(call, plan, outcome, started_at, tracker, connect_s=connect_s)
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -212,6 +212,7 @@
             PlatformBackendCodec(),
             self._quarantine,
             self._access,
+            self._crashes,
             events,
             timer,
             self._duties.usage,
@@ -221,7 +222,6 @@
             attempts,
             PlainPlacement(distance, rng),
             self._quarantine,
-            self._crashes,
             self._budgets,
             events,
             timer,
@@ -232,7 +232,6 @@
             PromptPlacement(placement, distance, rng),
             self._offers,
             self._quarantine,
-            self._crashes,
             self._lag,
             self._budgets,
             events,
@@ -319,6 +318,8 @@
 
     def _update_backends(self) -> None:
         self._pool.sync()
+        # At each change, since a departure may be announced just before the registration ends.
+        self._crashes.update()
         self._metrics.record_backend_count(len(self._directory.entries()))
 
     async def _answer_health(self, request: HttpRequest, responder: Responder) -> None:
