Hold the ports that tests choose

choose_port closed its socket before the listener bound the port, so that another socket could take it first; tests with gateways then failed now and then. The port now stays bound, without listening, in the process that chose it.

--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -15,6 +15,7 @@
 import socket
 import subprocess
 import sys
+from collections import deque
 from collections.abc import Collection
 from pathlib import Path
 from types import TracebackType
@@ -34,13 +35,27 @@
 AGENT_SOCKETS = ("peers", "health")
 STANDIN_SOCKETS = ("http",)
 STANDIN_PREFIX = "standins."
+# More than one deployment needs, and far below the usual limit of 1024 file descriptors.
+MAX_HELD_PORTS = 200
+
+_held_ports: deque[socket.socket] = deque()
 
 
 def choose_port(host: str = LOOPBACK) -> int:
-    """Return a TCP port that is free at the moment."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return int(probe.getsockname()[1])
+    """Return a free TCP port that only a listener gets that is given its number.
+
+    This process keeps the port bound, without listening, so that the system assigns it to no other
+    socket. Listeners set `SO_REUSEADDR` and can therefore bind it too, in this and other processes;
+    without one, connections to it are refused. The oldest of `MAX_HELD_PORTS` ports is given back
+    when another one is chosen.
+    """
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind((host, 0))
+    _held_ports.append(holder)
+    if len(_held_ports) > MAX_HELD_PORTS:
+        _held_ports.popleft().close()
+    return int(holder.getsockname()[1])
 
 
 class LaunchError(FigwalkError):
