Test keys that change while a connection is opened

Cause: the check just before each send had no test of its own, apart from the one at its start. Change: a test changes the configuration between the two checks. Result: both cases fail with the second check taken out, and pass with it.

--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -1,5 +1,7 @@
 """Tests of calls of organisations' callers, which send a key, through a real gateway."""
 
+import json
+
 import pytest
 import trio
 from support.platform_fakes import (
@@ -12,6 +14,7 @@
     streaming,
 )
 
+from figwalk.coordination.compacted_log import KeyedRecord
 from figwalk.state.gateway_settings import RevocationSettings
 from standins.platform_config import make_config, make_organisation, make_route
 from standins.platform_store import PlatformStoreFaults
@@ -305,3 +308,31 @@
     assert (await restarted.call("/check/x", key="k-one"))[0] == 401
     assert (await restarted.call("/check/x", key="k-other"))[0] == 200
     assert len(fleet.store.records("keyed.figwalk-config")) == 1
+
+
+@pytest.mark.parametrize(
+    ("owner", "status", "sent"), [("none", 401, []), ("other", 200, ["other"])]
+)
+def test_key_changed_while_a_connection_is_opened(owner, status, sent):
+    """Guards against a call sent for a withdrawn key, or in the name of a former organisation."""
+    changed = config(2, [OTHER] if owner == "none" else [make_organisation(owner, "k-one")])
+
+    async def main():
+        async with running_fleet() as fleet:
+            fleet.publish(config())
+            backends = [await fleet.add_backend(f"b{i}", answering()) for i in range(2)]
+            await fleet.start_gateway()
+            access, routing = fleet.process._access, fleet.process._routing
+            check_again = access.check_again
+
+            def change_after_check(call):
+                name = check_again(call)
+                routing.apply(KeyedRecord(9, "config", json.dumps(changed).encode()))
+                return name
+
+            access.check_again = change_after_check
+            assert (await fleet.call("/check/x", key="k-one"))[0] == status
+            requests = [request for backend in backends for request in backend.requests]
+            assert [request.organisation for request in requests] == sent
+
+    run_test(main)
