Order an engine to run prompts where none of its service is left

The holder of the lease now has one of them change its role, with its fencing token and the engine's sequence of orders as precondition.

--- a/figwalk/duties/duty.py
+++ b/figwalk/duties/duty.py
@@ -80,6 +80,7 @@
     DONE = "done"
     FENCED = "fenced"  # The receiver has seen a higher fencing token.
     REFUSED = "refused"  # The receiver did not carry it out.
+    UNREACHABLE = "unreachable"  # Nothing was sent.
     UNKNOWN = "unknown"  # It may be carried out now, later or never.
 
 
--- a/figwalk/duties/usage_duty.py
+++ b/figwalk/duties/usage_duty.py
@@ -41,6 +41,7 @@
 FIRST_RETRY_S = 0.25
 MAX_RETRY_S = 1.0
 MAX_PAUSE_S = 3.0  # A wrong Retry-After must not keep reports back for good.
+_UNANSWERED = frozenset({CallResult.UNREACHABLE, CallResult.UNKNOWN})
 
 
 class UsageDuty(Duty):
@@ -291,7 +292,7 @@
         )
         if outcome.result is CallResult.FENCED and fence is not None:
             authority.record_refused(fence)
-        self._note_unanswered(authority, unanswered=outcome.result is CallResult.UNKNOWN)
+        self._note_unanswered(authority, unanswered=outcome.result in _UNANSWERED)
         return max(min(outcome.retry_after_s, MAX_PAUSE_S), self._backoff.next_delay())
 
     def _note_unanswered(self, authority: Authority, *, unanswered: bool) -> None:
--- a/figwalk/gateway/gateway_duties.py
+++ b/figwalk/gateway/gateway_duties.py
@@ -2,20 +2,29 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import trio
 
 from figwalk.coordination.compacted_log import ConditionalLog
 from figwalk.duties.duty import Duty, DutyClient
 from figwalk.duties.lease_keeper import LeaseKeeper
+from figwalk.duties.role_duty import RoleDuty, ServiceEngines
+from figwalk.duties.role_need import KnownEngine
 from figwalk.duties.usage_counter import UsageCounter
 from figwalk.duties.usage_duty import UsageDuty
 from figwalk.duties.usage_publisher import UsagePublisher
 from figwalk.duties.window_clock import WindowClock
 from figwalk.events import EventLog
-from figwalk.platform import DUTIES_TOPIC, USAGE_TOPIC, PlatformDutyClient
+from figwalk.gateway.backend_pool import BackendPool
+from figwalk.platform import (
+    DUTIES_TOPIC,
+    USAGE_TOPIC,
+    PlatformDutyClient,
+    PlatformEngineOrders,
+)
 from figwalk.state.gateway_settings import DutySettings, GatewaySettings
+from figwalk.state.routing import RoutingConfig
 from figwalk.timer import Timer
 
 # Time that a stopping gateway has for writing its last counts.
@@ -32,6 +41,7 @@
         events: Event log.
         timer: Source of time.
         gateways: Returns the number of gateways that may check the lease.
+        engines: Returns the engines of all services.
     """
 
     def __init__(
@@ -42,12 +52,14 @@
         timer: Timer,
         *,
         gateways: Callable[[], int],
+        engines: Callable[[], Sequence[ServiceEngines]],
     ) -> None:
         window_s = settings.duties.window_s if settings.duties else DEFAULT_WINDOW_S
         self._clock = WindowClock(timer, window_s)
         self._counter: UsageCounter | None = None
         self._publisher: UsagePublisher | None = None
-        duties: list[Duty] = []
+        orders = PlatformEngineOrders(holder=settings.process)
+        duties: list[Duty] = [RoleDuty(engines, orders, events, timer)]
         if settings.duties is not None and settings.duties.reports_usage:
             client = PlatformDutyClient(settings.duties.address, holder=settings.process)
             duties.append(
@@ -112,3 +124,19 @@
         if self._publisher is not None:
             with trio.move_on_after(LAST_WRITE_S):
                 await self._publisher.stop()
+
+
+def list_service_engines(routing: RoutingConfig | None, pool: BackendPool) -> list[ServiceEngines]:
+    """Return the engines of each service, as far as a gateway knows them."""
+    services = []
+    for name, spec in routing.services.items() if routing is not None else ():
+        if spec.engine is None:
+            continue
+        trackers = [pooled.tracker for pooled in pool.of_service(name)]
+        views = [
+            KnownEngine(t.entry.backend, t.entry.role, t.is_avoided(), t.estimate_load())
+            for t in trackers
+        ]
+        entries = {tracker.entry.backend: tracker.entry for tracker in trackers}
+        services.append(ServiceEngines(name, entries, views, spec.engine.switch_s))
+    return services
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -21,7 +21,7 @@
 from figwalk.gateway.caller_api import CallerApi
 from figwalk.gateway.crash_reports import CrashReports
 from figwalk.gateway.crash_watcher import CrashWatcher
-from figwalk.gateway.gateway_duties import GatewayDuties
+from figwalk.gateway.gateway_duties import GatewayDuties, list_service_engines
 from figwalk.gateway.gateway_metrics import GatewayMetrics
 from figwalk.gateway.gateway_readiness import GatewayReadiness
 from figwalk.gateway.plain_calls import PlainCalls
@@ -107,6 +107,7 @@
             self._events,
             self._timer,
             gateways=lambda: self._gateway_count.count,
+            engines=lambda: list_service_engines(self._routing.current, self._pool),
         )
         self._lag = LoopLag()
         self._quarantine = CallQuarantine(
--- a/figwalk/platform/__init__.py
+++ b/figwalk/platform/__init__.py
@@ -10,6 +10,7 @@
 from figwalk.platform.caller_codec import PlatformCallerCodec
 from figwalk.platform.duty_client import PlatformDutyClient
 from figwalk.platform.engine_cache import PlatformEngineCacheCodec
+from figwalk.platform.engine_orders import PlatformEngineOrders
 from figwalk.platform.engine_report import PlatformEngineReportCodec
 from figwalk.platform.routing_records import decode_routing
 from figwalk.platform.store import (
@@ -33,6 +34,7 @@
     "PlatformCallerCodec",
     "PlatformDutyClient",
     "PlatformEngineCacheCodec",
+    "PlatformEngineOrders",
     "PlatformEngineReportCodec",
     "PlatformStore",
     "decode_backend",
--- a/figwalk/platform/duty_client.py
+++ b/figwalk/platform/duty_client.py
@@ -14,7 +14,12 @@
 from figwalk.platform.backend_codec import read_retry_after_s
 from figwalk.state.settings import Address
 from figwalk.transport import HttpRequest
-from figwalk.transport.http_client import ConnectionOptions, HttpClient, HttpConnectError
+from figwalk.transport.http_client import (
+    ConnectionOptions,
+    HttpClient,
+    HttpConnectError,
+    HttpResponse,
+)
 
 CALL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
@@ -59,33 +64,53 @@
         self, target: str, content: Mapping[str, object], authority: Authority
     ) -> CallOutcome:
         fence = authority.fence()
-        if fence is None:
-            return CallOutcome(CallResult.REFUSED, "the lease is not held")
-
-        def check_authority() -> None:
-            # After a pause of the process, the lease may have ended while it connected.
-            if authority.fence() != fence:
-                raise _NoAuthorityError("the lease ended before the call was sent")
-
         headers = [
             (names.LEASE_HOLDER, self._holder.encode()),
             (names.FENCING_TOKEN, str(fence).encode()),
             (b"content-type", b"application/json"),
         ]
         request = HttpRequest("POST", target, headers, json.dumps(content).encode())
-        try:
-            with trio.fail_after(min(CALL_TIMEOUT_S, authority.left_s())):
-                async with self._client.open(request, before_send=check_authority) as response:
-                    await response.read(MAX_ANSWER_BYTES)
-        except (HttpConnectError, _NoAuthorityError) as error:
-            is_lease_over = isinstance(error, _NoAuthorityError)
-            result = CallResult.REFUSED if is_lease_over else CallResult.UNKNOWN
-            return CallOutcome(result, error.message)
-        except trio.TooSlowError:
-            return CallOutcome(CallResult.UNKNOWN, "no answer in time")
-        except HttpError as error:
-            return CallOutcome(CallResult.UNKNOWN, error.message)
-        return _read_outcome(response.status, response.headers)
+        outcome = await send_with_authority(self._client, request, fence, authority)
+        if isinstance(outcome, CallOutcome):
+            return outcome
+        return _read_outcome(outcome.status, outcome.headers)
+
+
+async def send_with_authority(
+    client: HttpClient, request: HttpRequest, fence: int | None, authority: Authority
+) -> HttpResponse | CallOutcome:
+    """Send a request if this process holds the lease at that moment, and read its whole answer.
+
+    Args:
+        client: The receiver.
+        request: The request, which bears the fencing token.
+        fence: Fencing token in the request, or None if the lease was not held.
+        authority: Tells whether it is still in force.
+
+    Returns:
+        The response, or the outcome of a call that got none.
+    """
+    if fence is None:
+        return CallOutcome(CallResult.REFUSED, "the lease is not held")
+
+    def check_authority() -> None:
+        # After a pause of the process, the lease may have ended while it connected.
+        if authority.fence() != fence:
+            raise _NoAuthorityError("the lease ended before the call was sent")
+
+    try:
+        with trio.fail_after(min(CALL_TIMEOUT_S, authority.left_s())):
+            async with client.open(request, before_send=check_authority) as response:
+                await response.read(MAX_ANSWER_BYTES)
+                return response
+    except _NoAuthorityError as error:
+        return CallOutcome(CallResult.REFUSED, error.message)
+    except trio.TooSlowError:
+        return CallOutcome(CallResult.UNKNOWN, "no answer in time")
+    except HttpConnectError as error:
+        return CallOutcome(CallResult.UNREACHABLE, error.message)
+    except HttpError as error:
+        return CallOutcome(CallResult.UNKNOWN, error.message)
 
 
 def _read_outcome(status: int, headers: list[tuple[bytes, bytes]]) -> CallOutcome:
--- a/figwalk/platform/engine_report.py
+++ b/figwalk/platform/engine_report.py
@@ -13,7 +13,7 @@
 from figwalk.protocol.messages import Role
 from figwalk.transport import Headers, HttpRequest
 
-_ROLES = {"prefill": Role.PREFILL, "decode": Role.DECODE}
+ROLES = {"prefill": Role.PREFILL, "decode": Role.DECODE}
 
 
 class PlatformEngineReportCodec(EngineReportCodec):
@@ -32,7 +32,7 @@
         try:
             fields = JsonFields.parse(body, "report of an engine")
             return EngineReport(
-                role=_ROLES.get(fields.text("stage"), Role.MIXED),
+                role=ROLES.get(fields.text("stage"), Role.MIXED),
                 changing=fields.flag("busy"),
                 born_ms=fields.integer("born", 0),
                 running=fields.integer("running"),
