--- a/figwalk/duties/usage_duty.py
+++ b/figwalk/duties/usage_duty.py
@@ -92,6 +92,11 @@
         self._backoff = Backoff(first_s=FIRST_RETRY_S, max_s=MAX_RETRY_S)
         self._unanswered_since: float | None = None
 
+    @property
+    def unsent(self) -> int:
+        """Decided reports that were not taken."""
+        return len(self._decided.keys() - self._sent)
+
     def is_wanted(self) -> bool:
         """Return True: there is always a next window."""
         return True
--- a/figwalk/duties/usage_publisher.py
+++ b/figwalk/duties/usage_publisher.py
@@ -74,6 +74,11 @@
         self._stopping = False
         self._backoff = Backoff(first_s=FIRST_RETRY_S, max_s=MAX_RETRY_S)
 
+    @property
+    def unwritten(self) -> int:
+        """Ended windows whose counts are not in the log."""
+        return self._through - self._written_through
+
     async def run(self) -> None:
         """Write the counts of each window after its end, until cancelled."""
         while not self._stopping:
--- a/figwalk/gateway/gateway_duties.py
+++ b/figwalk/gateway/gateway_duties.py
@@ -17,6 +17,7 @@
 from figwalk.duties.window_clock import WindowClock
 from figwalk.events import EventLog
 from figwalk.gateway.backend_pool import BackendPool
+from figwalk.gateway.gateway_metrics import GatewayMetrics
 from figwalk.platform import (
     DUTIES_TOPIC,
     USAGE_TOPIC,
@@ -58,13 +59,15 @@
         self._clock = WindowClock(timer, window_s)
         self._counter: UsageCounter | None = None
         self._publisher: UsagePublisher | None = None
+        self._reports: UsageDuty | None = None
         orders = PlatformEngineOrders(holder=settings.process)
         duties: list[Duty] = [RoleDuty(engines, orders, events, timer)]
         if settings.duties is not None and settings.duties.reports_usage:
             client = PlatformDutyClient(settings.duties.address, holder=settings.process)
-            duties.append(
-                self._build_usage(settings, settings.duties, client, make_log, events, timer)
+            self._reports = self._build_usage(
+                settings, settings.duties, client, make_log, events, timer
             )
+            duties.append(self._reports)
         self._keeper = LeaseKeeper(
             make_log(),
             DUTIES_TOPIC,
@@ -85,7 +88,7 @@
         make_log: Callable[[], ConditionalLog],
         events: EventLog,
         timer: Timer,
-    ) -> Duty:
+    ) -> UsageDuty:
         self._counter = UsageCounter(self._clock, timer)
         self._publisher = UsagePublisher(
             make_log(),
@@ -115,6 +118,15 @@
             if self._publisher is not None:
                 nursery.start_soon(self._publisher.run)
 
+    def update_metrics(self, metrics: GatewayMetrics) -> None:
+        """Show the state of the duties in the metrics."""
+        held = self._keeper.fence() is not None
+        metrics.record_duties(
+            held=held,
+            unwritten=self._publisher.unwritten if self._publisher is not None else 0,
+            unsent=self._reports.unsent if self._reports is not None and held else 0,
+        )
+
     def resign(self) -> None:
         """Leave the duties to other gateways, since this one is about to stop."""
         self._keeper.resign()
--- a/figwalk/gateway/gateway_metrics.py
+++ b/figwalk/gateway/gateway_metrics.py
@@ -73,6 +73,21 @@
             "Requests that are refused because backend servers crash on them.",
             registry=self._registry,
         )
+        self._duties_held = Gauge(
+            "figwalk_duties_held",
+            "1 if this gateway carries out the duties for all.",
+            registry=self._registry,
+        )
+        self._unwritten_windows = Gauge(
+            "figwalk_usage_unwritten_windows",
+            "Ended usage windows whose counts are not in the log yet.",
+            registry=self._registry,
+        )
+        self._unsent_reports = Gauge(
+            "figwalk_usage_unsent_reports",
+            "Decided usage reports that the platform has not taken yet.",
+            registry=self._registry,
+        )
         self._dropped_lines = Gauge(
             "figwalk_log_lines_dropped", "Log lines dropped so far.", registry=self._registry
         )
@@ -116,6 +131,18 @@
         self._quarantined_parts.set(parts)
         self._quarantined_requests.set(requests)
 
+    def record_duties(self, *, held: bool, unwritten: int, unsent: int) -> None:
+        """Set whether this gateway holds the lease, and how far its part in usage is behind.
+
+        Args:
+            held: Whether it holds the lease.
+            unwritten: Ended windows whose counts are not in the log.
+            unsent: Decided reports that were not taken.
+        """
+        self._duties_held.set(held)
+        self._unwritten_windows.set(unwritten)
+        self._unsent_reports.set(unsent)
+
     def record_dropped_lines(self, count: int) -> None:
         """Set the number of log lines dropped since the start."""
         self._dropped_lines.set(count)
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -318,6 +318,7 @@
         self._gateway_count.record(self._pool.count_reported_gateways())
         self._crashes.update()
         self._crash_reports.expire()
+        self._duties.update_metrics(self._metrics)
         self._metrics.record_quarantine(
             parts=len(self._quarantine.parts), requests=len(self._quarantine.requests)
         )
