--- a/figwalk/duties/usage_duty.py
+++ b/figwalk/duties/usage_duty.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping
 
 import trio
 
 from figwalk.coordination.backoff import Backoff
-from figwalk.coordination.compacted_log import ConditionalLog, KeyedRecord
+from figwalk.coordination.compacted_log import CompactedLogWriter, KeyedRecord
+from figwalk.duties.counts_reader import CountsListener, CountsReader
 from figwalk.duties.duty import Authority, CallResult, Duty, DutyClient
 from figwalk.duties.usage_ledger import UsageLedger
 from figwalk.duties.usage_records import (
@@ -21,7 +21,7 @@
     UsageRecordError,
 )
 from figwalk.duties.window_clock import WindowClock
-from figwalk.errors import LogError, LogTruncatedError
+from figwalk.errors import LogError
 from figwalk.events import Event, EventLog
 from figwalk.state.gateway_settings import DutySettings
 
@@ -33,7 +33,6 @@
 DECIDE_SHARE = 0.8
 RECOVERY_SHARE = 0.3
 LAST_SHARE = 0.94
-READ_PERIOD_S = 0.75
 # Part of the platform's limit on calls that reports may use.
 RATE_SHARE = 0.5
 # A holder whose calls get no answer for this long lets another process try.
@@ -44,7 +43,7 @@
 _UNANSWERED = frozenset({CallResult.UNREACHABLE, CallResult.UNKNOWN})
 
 
-class UsageDuty(Duty):
+class UsageDuty(Duty, CountsListener):
     """The reports of usage.
 
     A report is decided once all gateways have written their counts, or when it would otherwise be
@@ -54,8 +53,9 @@
     may have been lost are decided only with the counts of all gateways, which gives the same sums.
 
     Args:
-        log: The log.
+        log: Writes to the log.
         topic: Topic of the gateways' counts.
+        reader: Reads those counts.
         client: Makes the calls to the platform.
         clock: Tells the windows.
         events: Event log.
@@ -64,8 +64,9 @@
 
     def __init__(
         self,
-        log: ConditionalLog,
+        log: CompactedLogWriter,
         topic: str,
+        reader: CountsReader,
         client: DutyClient,
         clock: WindowClock,
         events: EventLog,
@@ -73,6 +74,7 @@
     ) -> None:
         self._log = log
         self._topic = topic
+        self._reader = reader
         self._client = client
         self._clock = clock
         self._events = events
@@ -84,13 +86,10 @@
         self._sent: set[int] = set()
         self._sent_logged: set[int] = set()
         self._restored_through = -1
-        self._offset: int | None = None
-        self._era: int | None = None
-        self._read_at = -math.inf
-        self._answers_since = math.inf
         self._expired_at = -1
         self._backoff = Backoff(first_s=FIRST_RETRY_S, max_s=MAX_RETRY_S)
         self._unanswered_since: float | None = None
+        reader.subscribe(self)
 
     @property
     def unsent(self) -> int:
@@ -156,7 +155,7 @@
         now = self._clock.now()
         if now < self._clock.end_of(window) + READ_SHARE * self._settings.usage_late_s:
             return
-        if now - self._read_at < READ_PERIOD_S or not await self._read_counts():
+        if not await self._reader.refresh():
             return
         first = self._ledger.first_window
         if first is None or authority.fence() is None:
@@ -187,8 +186,8 @@
         if now < end + READ_SHARE * late_s:
             return None
         # Gateways need some time to write what they could not write while the log was away.
-        complete_at = self._answers_since + RECOVERY_SHARE * late_s
-        if self._answers_since < end + late_s:
+        complete_at = self._reader.answers_since + RECOVERY_SHARE * late_s
+        if self._reader.answers_since < end + late_s:
             complete_at = min(complete_at, end + LAST_SHARE * late_s)
         complete_at = max(complete_at, end + DECIDE_SHARE * late_s)
         may_be_known = window <= self._restored_through
@@ -198,43 +197,9 @@
         oldest = self._clock.window_at(self._clock.now()) - KEPT_WINDOWS
         return max(max(self._decided, default=-1) + 1, oldest)
 
-    async def _read_counts(self) -> bool:
-        """Return whether the counts were read."""
-        try:
-            if self._offset is None:
-                page = await self._log.read_newest(self._topic)
-            else:
-                page = await self._log.read(self._topic, self._offset)
-        except LogTruncatedError:
-            self._offset = None
-            return False
-        except LogError as error:
-            self._answers_since = math.inf
-            self._events.record(Event.DUTY_LOG_FAILED, step="read usage", detail=error.message)
-            return False
-        finally:
-            self._read_at = self._clock.now()
-        is_restored = self._era is not None and page.era != self._era
-        self._era = page.era
-        if is_restored and self._offset is not None:
-            self._offset = None
-            return False
-        if self._answers_since == math.inf:
-            self._answers_since = self._clock.now()
-        self._offset = page.next_offset
-        for record in page.records:
-            self._apply_counts(record)
-        return True
-
-    def _apply_counts(self, record: KeyedRecord) -> None:
-        if record.value is None:
-            return
-        try:
-            counts = UsageCounts.decode(record.value)
-        except UsageRecordError as error:
-            self._skip(record, error)
-            return
-        for window, values in self._ledger.apply(record.key, counts).items():
+    def apply_counts(self, key: str, counts: UsageCounts) -> None:
+        """Add a gateway's counts, and log those that a decided report lacks."""
+        for window, values in self._ledger.apply(key, counts).items():
             decision = self._decided.get(window)
             if decision is None or not values:
                 continue
--- a/figwalk/gateway/gateway_duties.py
+++ b/figwalk/gateway/gateway_duties.py
@@ -7,6 +7,7 @@
 import trio
 
 from figwalk.coordination.compacted_log import ConditionalLog
+from figwalk.duties.counts_reader import CountsReader
 from figwalk.duties.duty import Duty, DutyClient
 from figwalk.duties.lease_keeper import LeaseKeeper
 from figwalk.duties.role_duty import RoleDuty, ServiceEngines
@@ -99,7 +100,8 @@
             duties,
             process=settings.process,
         )
-        return UsageDuty(make_log(), USAGE_TOPIC, client, self._clock, events, duties)
+        reader = CountsReader(make_log(), USAGE_TOPIC, self._clock, events)
+        return UsageDuty(make_log(), USAGE_TOPIC, reader, client, self._clock, events, duties)
 
     @property
     def usage(self) -> UsageCounter | None:
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -6,6 +6,7 @@
 from support.fake_topics import FakeTopics, Topics
 from support.mock_time import mock_time
 
+from figwalk.duties.counts_reader import CountsReader
 from figwalk.duties.duty import CallOutcome, CallResult, DutyClient
 from figwalk.duties.lease_keeper import LeaseKeeper
 from figwalk.duties.usage_counter import UsageCounter
@@ -149,7 +150,8 @@
         logs = tuple(FakeTopics(self.topics) for _ in range(3))
         publisher = UsagePublisher(logs[0], "usage", counter, clock, events, SETTINGS, process=name)
         client = FakeClient(self.platform, name)
-        duty = UsageDuty(logs[1], "usage", client, clock, events, SETTINGS)
+        reader = CountsReader(logs[1], "usage", clock, events)
+        duty = UsageDuty(logs[1], "usage", reader, client, clock, events, SETTINGS)
         keeper = LeaseKeeper(
             logs[2],
             "duties",
