Order numbers of backend servers

The holder adds up the calls in flight of each zone's gateways, which they write with their counts, and orders more backend servers for a need that lasts, fewer after a long time.

--- a/figwalk/duties/usage_publisher.py
+++ b/figwalk/duties/usage_publisher.py
@@ -9,6 +9,7 @@
 
 from figwalk.coordination.backoff import Backoff
 from figwalk.coordination.compacted_log import CompactedLogWriter
+from figwalk.duties.demand_meter import DemandMeter
 from figwalk.duties.usage_counter import UsageCounter
 from figwalk.duties.usage_records import KEPT_WINDOWS, UsageCounts
 from figwalk.duties.window_clock import SAMPLE_PERIOD_S, WindowClock
@@ -42,6 +43,8 @@
         events: Event log.
         settings: Times of the reports.
         process: Name of this gateway.
+        zone: Its availability zone.
+        meter: Measures its demand, or None.
     """
 
     def __init__(
@@ -54,6 +57,8 @@
         settings: DutySettings,
         *,
         process: str,
+        zone: str = "",
+        meter: DemandMeter | None = None,
     ) -> None:
         self._log = log
         self._topic = topic
@@ -61,6 +66,9 @@
         self._clock = clock
         self._events = events
         self._process = process
+        self._zone = zone
+        self._meter = meter
+        self._demand: dict[str, float] = {}
         # After a restart, the counts of the former process must not be overwritten.
         self._key = f"{process}/{secrets.token_hex(INSTANCE_BYTES)}"
         digest = blake2b(process.encode(), digest_size=2).digest()
@@ -103,6 +111,7 @@
         if window <= self._through:
             return
         self._windows |= self._counter.freeze(window)
+        self._demand = self._meter.take() if self._meter is not None else {}
         self._through = window
         if self._counter.late > self._reported_late:
             calls = self._counter.late - self._reported_late
@@ -118,7 +127,15 @@
             through - KEPT_WINDOWS, min(through - REPEATED_WINDOWS, self._written_through)
         )
         self._windows = {k: v for k, v in self._windows.items() if k > kept_from}
-        record = UsageCounts(self._process, self._first, through, stopped, self._windows)
+        record = UsageCounts(
+            self._process,
+            self._first,
+            through,
+            stopped,
+            self._windows,
+            self._zone,
+            self._demand,
+        )
         try:
             await self._log.append(self._topic, {self._key: record.encode()})
         except LogError as error:
--- a/figwalk/duties/usage_records.py
+++ b/figwalk/duties/usage_records.py
@@ -31,6 +31,8 @@
         through: Last window whose counts are complete.
         stopped: Whether it has ended and counts no more.
         windows: Calls of each organisation in each of the last windows, by the window's number.
+        zone: Availability zone of the gateway, or empty.
+        demand: Mean number of calls in flight at each service with autoscaling, in the last window.
     """
 
     process: str
@@ -38,6 +40,8 @@
     through: int
     stopped: bool
     windows: dict[int, dict[str, int]]
+    zone: str = ""
+    demand: dict[str, float] = attrs.field(factory=dict)
 
     def encode(self) -> bytes:
         """Return the value of the record."""
--- a/figwalk/gateway/gateway_duties.py
+++ b/figwalk/gateway/gateway_duties.py
@@ -2,22 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import trio
 
 from figwalk.coordination.compacted_log import ConditionalLog
 from figwalk.duties.counts_reader import CountsReader
-from figwalk.duties.duty import Duty, DutyClient
+from figwalk.duties.demand_meter import DemandMeter
+from figwalk.duties.duty import Duty
 from figwalk.duties.lease_keeper import LeaseKeeper
-from figwalk.duties.role_duty import RoleDuty, ServiceEngines
-from figwalk.duties.role_need import KnownEngine
+from figwalk.duties.role_duty import RoleDuty
+from figwalk.duties.scaling_duty import ScalingDuty
 from figwalk.duties.usage_counter import UsageCounter
 from figwalk.duties.usage_duty import UsageDuty
 from figwalk.duties.usage_publisher import UsagePublisher
 from figwalk.duties.window_clock import WindowClock
 from figwalk.events import EventLog
-from figwalk.gateway.backend_pool import BackendPool
+from figwalk.gateway.duty_views import DutyViews
 from figwalk.gateway.gateway_metrics import GatewayMetrics
 from figwalk.platform import (
     DUTIES_TOPIC,
@@ -26,7 +27,6 @@
     PlatformEngineOrders,
 )
 from figwalk.state.gateway_settings import DutySettings, GatewaySettings
-from figwalk.state.routing import RoutingConfig
 from figwalk.timer import Timer
 
 # Time that a stopping gateway has for writing its last counts.
@@ -43,7 +43,7 @@
         events: Event log.
         timer: Source of time.
         gateways: Returns the number of gateways that may check the lease.
-        engines: Returns the engines of all services.
+        views: What is known of backend servers.
     """
 
     def __init__(
@@ -54,25 +54,26 @@
         timer: Timer,
         *,
         gateways: Callable[[], int],
-        engines: Callable[[], Sequence[ServiceEngines]],
+        views: DutyViews,
     ) -> None:
-        window_s = settings.duties.window_s if settings.duties else DEFAULT_WINDOW_S
-        self._clock = WindowClock(timer, window_s)
-        self._counter: UsageCounter | None = None
+        duties = settings.duties
+        self._make_log = make_log
+        self._events = events
+        self._views = views
+        self._clock = WindowClock(timer, duties.window_s if duties else DEFAULT_WINDOW_S)
+        self._counter = UsageCounter(self._clock, timer)
+        self._meter = DemandMeter()
+        self._counts_usage = duties is not None and duties.reports_usage
         self._publisher: UsagePublisher | None = None
         self._reports: UsageDuty | None = None
         orders = PlatformEngineOrders(holder=settings.process)
-        duties: list[Duty] = [RoleDuty(engines, orders, events, timer)]
-        if settings.duties is not None and settings.duties.reports_usage:
-            client = PlatformDutyClient(settings.duties.address, holder=settings.process)
-            self._reports = self._build_usage(
-                settings, settings.duties, client, make_log, events, timer
-            )
-            duties.append(self._reports)
+        parts: list[Duty] = [RoleDuty(views.engines, orders, events, timer)]
+        if duties is not None and (duties.reports_usage or duties.orders_servers):
+            parts += self._build_platform_duties(settings, duties)
         self._keeper = LeaseKeeper(
             make_log(),
             DUTIES_TOPIC,
-            duties,
+            parts,
             events,
             timer,
             holder=settings.process,
@@ -81,32 +82,35 @@
             wall_ms=self._clock.now_ms,
         )
 
-    def _build_usage(
-        self,
-        settings: GatewaySettings,
-        duties: DutySettings,
-        client: DutyClient,
-        make_log: Callable[[], ConditionalLog],
-        events: EventLog,
-        timer: Timer,
-    ) -> UsageDuty:
-        self._counter = UsageCounter(self._clock, timer)
+    def _build_platform_duties(self, settings: GatewaySettings, duties: DutySettings) -> list[Duty]:
         self._publisher = UsagePublisher(
-            make_log(),
+            self._make_log(),
             USAGE_TOPIC,
             self._counter,
             self._clock,
-            events,
+            self._events,
             duties,
             process=settings.process,
+            zone=settings.zone,
+            meter=self._meter,
         )
-        reader = CountsReader(make_log(), USAGE_TOPIC, self._clock, events)
-        return UsageDuty(make_log(), USAGE_TOPIC, reader, client, self._clock, events, duties)
+        client = PlatformDutyClient(duties.address, holder=settings.process)
+        reader = CountsReader(self._make_log(), USAGE_TOPIC, self._clock, self._events)
+        parts: list[Duty] = []
+        if duties.reports_usage:
+            self._reports = UsageDuty(
+                self._make_log(), USAGE_TOPIC, reader, client, self._clock, self._events, duties
+            )
+            parts.append(self._reports)
+        if duties.orders_servers:
+            services = self._views.scaled_services
+            parts.append(ScalingDuty(services, reader, client, self._clock, self._events, duties))
+        return parts
 
     @property
     def usage(self) -> UsageCounter | None:
         """Counts the calls that backend servers began, or None if nobody asks for it."""
-        return self._counter
+        return self._counter if self._counts_usage else None
 
     @property
     def stop_s(self) -> float:
@@ -120,8 +124,9 @@
             if self._publisher is not None:
                 nursery.start_soon(self._publisher.run)
 
-    def update_metrics(self, metrics: GatewayMetrics) -> None:
-        """Show the state of the duties in the metrics."""
+    def update(self, metrics: GatewayMetrics) -> None:
+        """Sample the demand, and show the state of the duties in the metrics."""
+        self._meter.sample(self._views.in_flight())
         held = self._keeper.fence() is not None
         metrics.record_duties(
             held=held,
@@ -138,19 +143,3 @@
         if self._publisher is not None:
             with trio.move_on_after(LAST_WRITE_S):
                 await self._publisher.stop()
-
-
-def list_service_engines(routing: RoutingConfig | None, pool: BackendPool) -> list[ServiceEngines]:
-    """Return the engines of each service, as far as a gateway knows them."""
-    services = []
-    for name, spec in routing.services.items() if routing is not None else ():
-        if spec.engine is None:
-            continue
-        trackers = [pooled.tracker for pooled in pool.of_service(name)]
-        views = [
-            KnownEngine(t.entry.backend, t.entry.role, t.is_avoided(), t.estimate_load())
-            for t in trackers
-        ]
-        entries = {tracker.entry.backend: tracker.entry for tracker in trackers}
-        services.append(ServiceEngines(name, entries, views, spec.engine.switch_s))
-    return services
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -21,7 +21,8 @@
 from figwalk.gateway.caller_api import CallerApi
 from figwalk.gateway.crash_reports import CrashReports
 from figwalk.gateway.crash_watcher import CrashWatcher
-from figwalk.gateway.gateway_duties import GatewayDuties, list_service_engines
+from figwalk.gateway.duty_views import DutyViews
+from figwalk.gateway.gateway_duties import GatewayDuties
 from figwalk.gateway.gateway_metrics import GatewayMetrics
 from figwalk.gateway.gateway_readiness import GatewayReadiness
 from figwalk.gateway.plain_calls import PlainCalls
@@ -107,7 +108,7 @@
             self._events,
             self._timer,
             gateways=lambda: self._gateway_count.count,
-            engines=lambda: list_service_engines(self._routing.current, self._pool),
+            views=DutyViews(lambda: self._routing.current, self._pool, tuple(settings.regions)),
         )
         self._lag = LoopLag()
         self._quarantine = CallQuarantine(
@@ -318,7 +319,7 @@
         self._gateway_count.record(self._pool.count_reported_gateways())
         self._crashes.update()
         self._crash_reports.expire()
-        self._duties.update_metrics(self._metrics)
+        self._duties.update(self._metrics)
         self._metrics.record_quarantine(
             parts=len(self._quarantine.parts), requests=len(self._quarantine.requests)
         )
