--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -21,6 +21,7 @@
 from figwalk.gateway.caller_api import CallerApi
 from figwalk.gateway.crash_reports import CrashReports
 from figwalk.gateway.crash_watcher import CrashWatcher
+from figwalk.gateway.duty_views import DutyViews
 from figwalk.gateway.gateway_duties import GatewayDuties
 from figwalk.gateway.gateway_metrics import GatewayMetrics
 from figwalk.gateway.gateway_readiness import GatewayReadiness
@@ -111,6 +112,7 @@
             self._events,
             self._timer,
             gateways=lambda: self._gateway_count.count,
+            views=DutyViews(lambda: self._routing.current, self._pool, tuple(settings.regions)),
         )
         self._lag = LoopLag()
         self._quarantine = CallQuarantine(
@@ -341,6 +343,7 @@
         self._crashes.update()
         self._crash_reports.expire()
         self._confirmation.record_change()
+        self._duties.update(self._metrics)
         self._metrics.record_quarantine(
             parts=len(self._quarantine.parts), requests=len(self._quarantine.requests)
         )
