Bound the connections being opened, and keep idle ones as servers state

In bursts, each call without an idle connection opened one at once. Backend servers accept one a millisecond, so that attempts timed out, a working backend server was avoided for up to 2 s, and its load moved to the others.

A call now waits for whichever comes first, a connection that another call gives back or a new one; a gateway opens at most two at a time to one backend server, and one that its call no longer needs is kept for the next. Idle connections are reused by the time in the header Keep-Alive, for calls that may not be repeated up to half of it. A call without a connection in time ends as UNCONNECTED: the backend server is avoided only if it has not answered meanwhile and calls on open connections fail too, or a second call fails in the same way. Placement adds 5 ms for backend servers without an idle connection, so that calls of a gateway concentrate.

In the new test, 40 calls at once at a server that accepts in 50 ms open at most two connections at a time and at most ten in all.

--- a/figwalk/coordination/backend_tracker.py
+++ b/figwalk/coordination/backend_tracker.py
@@ -33,7 +33,8 @@
     FAILED = "failed"  # The answer reports that the work failed.
     REFUSED = "refused"  # The answer reports that the work was not begun.
     BROKEN = "broken"  # The call was sent and got no valid answer.
-    UNREACHABLE = "unreachable"  # Nothing was sent.
+    UNREACHABLE = "unreachable"  # Nothing was sent, since no connection can be opened.
+    UNCONNECTED = "unconnected"  # Nothing was sent, since no connection was opened in time.
     SILENT = "silent"  # No answer arrived before the timeout.
     CANCELLED = "cancelled"  # The caller disconnected, or the call was abandoned otherwise.
 
@@ -83,6 +84,9 @@
         self._failed = 0.0
         self._decayed_at = timer.now()
         self._down_count = 0
+        self._unconnected_at: float | None = None
+        self._open_failed = False  # Whether a call on an open connection failed since the answer.
+        self._has_connection = True
         self._avoided_until = 0.0
         self._last_answer_at = timer.now()
         self._load: ReportedLoad | None = None
@@ -110,6 +114,15 @@
         """Seconds since the backend server reported its load, or None if it never did."""
         return self._timer.now() - self._load_at if self._load else None
 
+    @property
+    def has_connection(self) -> bool:
+        """Whether a call would probably find an idle connection."""
+        return self._has_connection
+
+    def set_connected(self, connected: bool) -> None:
+        """Set whether a call would probably find an idle connection."""
+        self._has_connection = connected
+
     def update(self, entry: BackendEntry) -> None:
         """Replace the registration with a newer one."""
         self._entry = entry
@@ -126,6 +139,7 @@
             sent.answered = True
             self._answer_s += ANSWER_TIME_WEIGHT * (now - sent.sent_at - self._answer_s)
         self._last_answer_at = now
+        self._unconnected_at, self._open_failed = None, False
         if self._down_count:
             self._down_count = 0
             self._events.record(Event.BACKEND_USED_AGAIN, backend=self._entry.backend)
@@ -137,13 +151,17 @@
 
     def finish(self, call: object, outcome: AttemptOutcome) -> None:
         """Record the end of a call."""
-        self._calls.pop(call, None)
+        sent = self._calls.pop(call, None)
         self._decay()
         if outcome is AttemptOutcome.ANSWERED:
             self._answered += 1
         elif outcome in _FAILURE_OUTCOMES:
             self._failed += 1
-        if outcome in _DOWN_OUTCOMES:
+        self._open_failed |= outcome in (AttemptOutcome.BROKEN, AttemptOutcome.SILENT)
+        is_down = outcome in _DOWN_OUTCOMES
+        if outcome is AttemptOutcome.UNCONNECTED and sent is not None:
+            is_down = self._confirms_down(sent)
+        if is_down:
             self._record_down(outcome)
 
     def failure_share(self) -> float:
@@ -155,10 +173,13 @@
         """Return whether calls should go to other backend servers now, if there are any.
 
         After an avoidance ends, one call at a time tests whether the backend server has recovered.
+        So does one after a call got no connection.
         """
         now = self._timer.now()
         if now < self._avoided_until or self._is_unresponsive(now):
             return True
+        if self._unconnected_at is not None:
+            return any(not call.answered for call in self._calls.values())
         return self._down_count > 0 and bool(self._calls)
 
     def estimate_load(self) -> int:
@@ -173,6 +194,20 @@
         reported = self._load.running + self._load.waiting
         return max(own, reported + own - self._in_flight_at_load)
 
+    def _confirms_down(self, sent: _SentCall) -> bool:
+        """Return whether a call that got no connection shows that the backend server is down.
+
+        It may just have many connections to open. It counts as down if it has not answered since
+        the call began, and was down before, or calls on open connections failed as well, or the
+        call began after another one had got no connection.
+        """
+        if self._last_answer_at > sent.sent_at:
+            return False
+        if self._unconnected_at is None:
+            self._unconnected_at = self._timer.now()
+        is_second = sent.sent_at >= self._unconnected_at
+        return is_second or self._down_count > 0 or self._open_failed
+
     def _is_unresponsive(self, now: float) -> bool:
         if now - self._last_answer_at < RESPONSE_TIMEOUT_S:
             return False
--- a/figwalk/coordination/plain_placement.py
+++ b/figwalk/coordination/plain_placement.py
@@ -21,6 +21,9 @@
 # A failing backend server is worse than one in another region.
 FAILURE_COST_S = 1.0
 COLD_COST_S = 0.02
+# A new connection costs this time at the backend server and on the way. Calls of one
+# process thereby concentrate on few backend servers.
+CONNECT_COST_S = 0.005
 
 
 @attrs.frozen
@@ -85,6 +88,7 @@
         cost_s = self._distance.cost_s(tracker.entry.zone)
         cost_s += tracker.failure_share() * FAILURE_COST_S
         cost_s += COLD_COST_S if tracker.entry.cold_s > 0 else 0.0
+        cost_s += 0.0 if tracker.has_connection else CONNECT_COST_S
         slots = max(1, tracker.entry.slots)
         queued = max(0, tracker.estimate_load() + 1 - slots)
         return cost_s + queued / slots * tracker.answer_s
--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -19,7 +19,7 @@
 import attrs
 
 from figwalk.coordination.engine_tracker import EngineTracker
-from figwalk.coordination.plain_placement import Distance
+from figwalk.coordination.plain_placement import CONNECT_COST_S, Distance
 from figwalk.coordination.prompt_plan import PromptCall, PromptPlan, mark_last_resort
 from figwalk.coordination.stream_pauses import predict_disturbance, stream_slowness
 from figwalk.coordination.subject_affinity import find_preferred_engine, hash_pair
@@ -398,6 +398,7 @@
         for engine in {plan.reader, plan.runner}:
             zone = engine.entry.zone
             cost_s += self._distance.cost_s(zone) - self._distance.round_trip_s(zone)
+            cost_s += 0.0 if engine.has_connection else CONNECT_COST_S
         # Other fetches on the links of both engines wait for this one.
         cost_s += plan.fetch_s + plan.transfer_s + plan.disturbance.delay_s
         moves = (plan.reader is not plan.runner) + (plan.donor is not None)
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -20,6 +20,7 @@
 from figwalk.transport import (
     Headers,
     HttpConnectError,
+    HttpConnectTimeoutError,
     HttpExchange,
     HttpResponse,
     strip_hop_by_hop,
@@ -187,7 +188,8 @@
                     outcome = AttemptOutcome.FAILED
                 yield answer
         except HttpConnectError as error:
-            outcome = AttemptOutcome.UNREACHABLE
+            is_timeout = isinstance(error, HttpConnectTimeoutError)
+            outcome = AttemptOutcome.UNCONNECTED if is_timeout else AttemptOutcome.UNREACHABLE
             call.unresolved = was_unresolved
             self._remove_from_sent(call, plan)
             raise AttemptError(outcome, str(error), not_run=True) from error
--- a/figwalk/gateway/backend_pool.py
+++ b/figwalk/gateway/backend_pool.py
@@ -19,10 +19,14 @@
 
 # Far above the round trip of 24 ms between regions and the few milliseconds of an accept.
 CONNECT_TIMEOUT_S = 0.3
+# Connections that a gateway opens to one backend server at a time. Opening one costs the backend
+# server a millisecond, and in a burst all gateways open some at once.
+MAX_OPENING = 2
 # Detects a peer that lost power and acknowledges nothing. Well above the time of retransmissions on
 # a lossy link.
 UNACKNOWLEDGED_TIMEOUT_S = 1.5
-# Backend servers close idle connections after some seconds and reset a request sent after that.
+# Backend servers close idle connections after some seconds and reset a request sent after that. For
+# those that don't state after how many.
 IDLE_LIMIT_S = 4.0
 # Gateways that may be added while the fleet runs. They also need a share of a backend server's
 # connections.
@@ -114,11 +118,12 @@
 
     def trackers(self, service: str) -> list[BackendTracker]:
         """Return the trackers of a service's backend servers that take a new call now."""
-        return [
-            pooled.tracker
-            for pooled in self.of_service(service)
-            if self.is_open(pooled.tracker.entry) and self._has_turn(pooled)
-        ]
+        trackers = []
+        for pooled in self.of_service(service):
+            if self.is_open(pooled.tracker.entry) and self._has_turn(pooled):
+                pooled.tracker.set_connected(pooled.client.has_idle)
+                trackers.append(pooled.tracker)
+        return trackers
 
     def is_open(self, entry: BackendEntry) -> bool:
         """Return whether a backend server takes calls of this process, apart from its limit."""
@@ -202,6 +207,10 @@
         pooled = self._backends.get(tracker.entry.backend)
         return pooled.client if pooled is not None else self._make_client(tracker.entry)
 
+    def count_opened(self) -> int:
+        """Return how many connections to the present backend servers were opened so far."""
+        return sum(pooled.client.opened for pooled in self._backends.values())
+
     def close(self) -> None:
         """Close all idle connections."""
         for backend in list(self._backends):
@@ -227,6 +236,7 @@
         options = ConnectionOptions(
             connect_timeout_s=CONNECT_TIMEOUT_S,
             max_idle=share,
+            max_opening=MAX_OPENING,
             idle_limit_s=IDLE_LIMIT_S,
             unacknowledged_timeout_s=UNACKNOWLEDGED_TIMEOUT_S,
         )
--- a/figwalk/gateway/gateway_metrics.py
+++ b/figwalk/gateway/gateway_metrics.py
@@ -58,6 +58,11 @@
         self._backends = Gauge(
             "figwalk_backends", "Registered backend servers.", registry=self._registry
         )
+        self._connections = Gauge(
+            "figwalk_backend_connections_opened",
+            "Connections that were opened to the present backend servers so far.",
+            registry=self._registry,
+        )
         self._engine_crashes = Counter(
             "figwalk_engine_crashes",
             "Backend servers that ended while they worked on calls of this gateway.",
@@ -107,6 +112,10 @@
         """Set the number of registered backend servers."""
         self._backends.set(count)
 
+    def record_opened_connections(self, count: int) -> None:
+        """Set the connections that were opened to the present backend servers so far."""
+        self._connections.set(count)
+
     def record_engine_crash(self) -> None:
         """Count a backend server that ended while it worked on calls."""
         self._engine_crashes.inc()
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -295,6 +295,7 @@
 
     async def _upkeep(self) -> None:
         self._metrics.record_loop_lag(self._lag.lag_s)
+        self._metrics.record_opened_connections(self._pool.count_opened())
         self._gateway_count.record(self._pool.count_reported_gateways())
         self._crashes.update()
         self._crash_reports.expire()
--- a/figwalk/transport/__init__.py
+++ b/figwalk/transport/__init__.py
@@ -1,13 +1,12 @@
 """Transport layer: frames between figwalk processes, and an HTTP client and server."""
 
-from figwalk.transport.frame_stream import Frame, FrameStream, FrameType
-from figwalk.transport.http_client import (
+from figwalk.transport.connection_pool import (
     ConnectionOptions,
-    HttpClient,
     HttpConnectError,
-    HttpExchange,
-    HttpResponse,
+    HttpConnectTimeoutError,
 )
+from figwalk.transport.frame_stream import Frame, FrameStream, FrameType
+from figwalk.transport.http_client import HttpClient, HttpExchange, HttpResponse
 from figwalk.transport.http_server import HttpServer, render_error
 from figwalk.transport.http_types import (
     Headers,
@@ -27,6 +26,7 @@
     "Headers",
     "HttpClient",
     "HttpConnectError",
+    "HttpConnectTimeoutError",
     "HttpExchange",
     "HttpLimits",
     "HttpRequest",
--- a/figwalk/transport/http_client.py
+++ b/figwalk/transport/http_client.py
@@ -3,20 +3,27 @@
 from __future__ import annotations
 
 import errno
+import re
 import socket
 from collections.abc import AsyncIterator, Callable
 from types import TracebackType
 
-import attrs
 import h11
 import trio
 
 from figwalk.errors import HttpError
 from figwalk.transport.byte_stream import RECEIVE_BYTES, ByteStream
+from figwalk.transport.connection_pool import (
+    ConnectionOptions,
+    ConnectionPool,
+    HttpConnectError,
+)
 from figwalk.transport.http_types import Headers, HttpRequest, find_header
 
-CONNECT_TIMEOUT_S = 3.0
-MAX_IDLE_CONNECTIONS = 64
+# A server closes connections that were idle for the time in its header `Keep-Alive`. They are used
+# up to the first share of it; up to the second for requests that must not meet a closing one.
+KEEP_ALIVE_SHARE = 0.8
+CAUTIOUS_KEEP_ALIVE_SHARE = 0.5
 # Larger requests are sent while the response is received, since a server may respond before it has
 # read the body.
 INLINE_REQUEST_BYTES = 16 * 1024
@@ -30,32 +37,13 @@
 MAX_INFORMATIONAL_RESPONSES = 8
 # Above the largest page and configuration in the platform's store, about 1 MiB in base64 and JSON.
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+KEEP_ALIVE_TIMEOUT = re.compile(r"(?:^|[\s,;])timeout\s*=\s*(\d{1,6})", re.IGNORECASE)
 _END_OF_MESSAGE = h11.EndOfMessage()
 
 ResponseCheck = Callable[[Headers], bool]
 SendHook = Callable[[], None]
 
 
-@attrs.frozen
-class ConnectionOptions:
-    """How connections to a server are opened and reused.
-
-    Attributes:
-        connect_timeout_s: Seconds after which an attempt to connect fails.
-        max_idle: Maximum number of idle connections kept open.
-        idle_limit_s: Seconds without a request after which a connection is not reused, or
-            None for no limit. A server that closes idle connections may do so just as the next
-            request is sent.
-        unacknowledged_timeout_s: Seconds after which the system aborts a connection whose sent
-            bytes are not acknowledged, or None for the system's default of minutes.
-    """
-
-    connect_timeout_s: float = CONNECT_TIMEOUT_S
-    max_idle: int = MAX_IDLE_CONNECTIONS
-    idle_limit_s: float | None = None
-    unacknowledged_timeout_s: float | None = None
-
-
 class HttpResponse:
     """A response whose body is read in pieces."""
 
@@ -134,8 +122,9 @@
         self._host = host
         self._port = port
         self._options = options or ConnectionOptions()
-        self._idle: list[_Connection] = []
-        self._opened = 0
+        self._pool: ConnectionPool[_Connection] = ConnectionPool(
+            self._connect, self.address, self._options
+        )
 
     @property
     def address(self) -> str:
@@ -145,7 +134,12 @@
     @property
     def opened(self) -> int:
         """Number of connections opened so far."""
-        return self._opened
+        return self._pool.opened
+
+    @property
+    def has_idle(self) -> bool:
+        """Whether a request would probably find an idle connection."""
+        return self._pool.has_idle
 
     def open(
         self,
@@ -166,8 +160,9 @@
             is_own_response: Returns, from the headers of a response, whether it belongs to the
                 request. Other responses, such as a late second one to the previous request, are
                 discarded.
-            idle_limit_s: Idle limit for this request; the lower of it and that of the options
-                applies.
+            idle_limit_s: Idle limit for this request, which must not meet a connection that the
+                server is about to close; the lower of it and that of the options applies, or half
+                of the time that the server states.
             before_send: Called when a connection is open, just before the first byte is sent. If it
                 raises an error, nothing is sent.
         """
@@ -192,36 +187,23 @@
 
     def close(self) -> None:
         """Close all idle connections."""
-        for connection in self._idle:
-            connection.close()
-        self._idle.clear()
+        self._pool.close()
 
     async def check_out(self, idle_limit_s: float | None = None) -> _Connection:
-        """Return an idle connection, or a new one."""
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.usable(self._idle_limit_s(idle_limit_s)):
-                return connection
-            connection.close()
-        try:
-            with trio.fail_after(self._options.connect_timeout_s):
-                stream = await trio.open_tcp_stream(self._host, self._port)
-        except (OSError, trio.TooSlowError) as error:
-            reason = "no answer in time" if isinstance(error, trio.TooSlowError) else error
-            raise HttpConnectError(f"cannot connect to {self.address}: {reason}") from error
-        self._opened += 1
-        self._limit_unacknowledged(stream)
-        return _Connection(ByteStream(stream), self.address)
+        """Return an open connection; see `ConnectionPool.check_out`."""
+        return await self._pool.check_out(idle_limit_s)
 
     def check_in(self, connection: _Connection) -> None:
         """Return a connection to the idle ones, unused or after the end of its response."""
-        self._idle.append(connection)
-        if len(self._idle) > self._options.max_idle:
-            self._idle.pop(0).close()
+        self._pool.check_in(connection)
 
-    def _idle_limit_s(self, limit_s: float | None) -> float | None:
-        limits = [s for s in (limit_s, self._options.idle_limit_s) if s is not None]
-        return min(limits, default=None)
+    async def _connect(self) -> _Connection:
+        try:
+            stream = await trio.open_tcp_stream(self._host, self._port)
+        except OSError as error:
+            raise HttpConnectError(f"cannot connect to {self.address}: {error}") from error
+        self._limit_unacknowledged(stream)
+        return _Connection(ByteStream(stream), self.address)
 
     def _limit_unacknowledged(self, stream: trio.SocketStream) -> None:
         timeout_s = self._options.unacknowledged_timeout_s
@@ -288,10 +270,6 @@
             self._connection.close()
 
 
-class HttpConnectError(HttpError):
-    """The request could not be sent; no byte of it left this process."""
-
-
 class _Connection:
     """One connection to the server."""
 
@@ -301,6 +279,7 @@
         self._host_header = (b"host", address.encode())
         self._h11 = h11.Connection(h11.CLIENT)
         self._idle_since = trio.current_time()
+        self._keep_alive_s: float | None = None
         self._request_incomplete = False
         self._sent_at = 0.0
 
@@ -369,6 +348,8 @@
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                match = KEEP_ALIVE_TIMEOUT.search(find_header(event.headers, b"keep-alive"))
+                self._keep_alive_s = float(match[1]) if match else self._keep_alive_s
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise HttpError(f"{self._address} closed the connection before its answer")
@@ -413,11 +394,15 @@
         self._idle_since = trio.current_time()
         return True
 
-    def usable(self, idle_limit_s: float | None) -> bool:
-        """Return whether a connection is open, within the idle limit and without unread data."""
-        if idle_limit_s is not None and trio.current_time() - self._idle_since > idle_limit_s:
-            return False
-        return not self._stream.socket.is_readable()
+    def usable(self, idle_limit_s: float | None, request_limit_s: float | None = None) -> bool:
+        """Return whether a connection is open, within the idle limits and without unread data."""
+        if self._keep_alive_s is not None:
+            share = KEEP_ALIVE_SHARE if request_limit_s is None else CAUTIOUS_KEEP_ALIVE_SHARE
+            limits = [share * self._keep_alive_s]
+        else:
+            limits = [s for s in (idle_limit_s, request_limit_s) if s is not None]
+        idle_s = trio.current_time() - self._idle_since
+        return all(idle_s <= s for s in limits) and not self._stream.socket.is_readable()
 
     def close(self) -> None:
         """Close the socket immediately."""
--- /dev/null
+++ b/tests/test_connection_pool.py
@@ -0,0 +1,149 @@
+"""Tests of how calls share the connections to one server in bursts."""
+
+import math
+
+import pytest
+import trio
+from support.fake_timer import FakeTimer
+from support.mock_time import mock_time
+from test_backend_tracker import make_tracker
+
+from figwalk.coordination.backend_tracker import AttemptOutcome
+from figwalk.events import EventLog
+from figwalk.timer import Timer
+from figwalk.transport import HttpClient, HttpServer
+from figwalk.transport.connection_pool import (
+    ConnectionOptions,
+    ConnectionPool,
+    HttpConnectError,
+    HttpConnectTimeoutError,
+)
+
+OPTIONS = ConnectionOptions(connect_timeout_s=0.3, max_opening=2)
+
+
+class Connection:
+    """A connection that is always usable."""
+
+    def usable(self, _idle_limit_s, _request_limit_s=None):
+        """Return that the connection can be used."""
+        return True
+
+
+class Server:
+    """A server that takes a time to accept each connection, or refuses it."""
+
+    def __init__(self, accept_s=0.05, error=None):
+        self.accept_s = accept_s
+        self.error = error
+        self.opening = 0
+        self.most_opening = 0
+        self.pool = ConnectionPool(self.open, "server", OPTIONS)
+
+    async def open(self):
+        """Open a connection."""
+        self.opening += 1
+        self.most_opening = max(self.most_opening, self.opening)
+        try:
+            await trio.sleep(self.accept_s)
+        finally:
+            self.opening -= 1
+        if self.error:
+            raise self.error
+        return Connection()
+
+    async def call(self, seconds=0.01):
+        """Use a connection for some seconds."""
+        connection = await self.pool.check_out()
+        await trio.sleep(seconds)
+        self.pool.check_in(connection)
+
+
+@mock_time
+async def test_burst_opens_few_connections_and_all_calls_get_one():
+    """Guards against a burst of connections that makes a server time out, though it works.
+
+    Load: 40 calls of 10 ms at once, without idle connections; the server accepts in 50 ms.
+    """
+    server = Server()
+    async with trio.open_nursery() as nursery:
+        for _ in range(40):
+            nursery.start_soon(server.call)
+    assert server.most_opening == 2
+    assert server.pool.opened <= 10
+    assert trio.current_time() < 0.25
+
+
+@mock_time
+async def test_connection_that_a_call_no_longer_needs_serves_the_next():
+    """Guards against opened connections that are lost with callers who leave."""
+    server = Server()
+    with trio.move_on_after(0.04):
+        await server.call()
+    await trio.sleep(0.02)
+    assert server.pool.opened == 1
+    assert server.pool.has_idle
+    server.accept_s = math.inf
+    await server.call()
+
+
+@mock_time
+async def test_calls_do_not_wait_for_ever():
+    """Guards against calls that hang at a silent or refusing server, or hold up later ones."""
+    server = Server(accept_s=math.inf)
+    with pytest.raises(HttpConnectTimeoutError):
+        await server.call()
+    server.accept_s, server.error = 0.0, HttpConnectError("refused")
+    for _ in range(3):
+        with pytest.raises(HttpConnectError, match="refused"):
+            await server.call()
+    server.error = None
+    await server.call()
+
+
+def test_idle_connections_are_kept_as_long_as_the_server_states():
+    """Guards against connections opened anew for each call, or reused when the server closes them.
+
+    Requests that must not meet a closing connection reuse it for half of that time.
+    """
+
+    async def main():
+        async def respond(_request, responder):
+            await responder.send(200, [(b"keep-alive", b"timeout=10, max=100")], b"")
+
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(HttpServer(respond, EventLog("t", Timer())).serve, "::1", 0)
+            client = HttpClient("::1", port, options=ConnectionOptions(idle_limit_s=4.0))
+            await client.fetch("GET", "/")
+            (connection,) = client._pool._idle
+            for idle_s, for_any, for_cautious in ((4.5, 1, 1), (7.0, 1, 0), (9.0, 0, 0)):
+                connection._idle_since = trio.current_time() - idle_s
+                assert connection.usable(4.0) == for_any
+                assert connection.usable(4.0, 1.0) == for_cautious
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_backend_without_connection_is_avoided_only_on_further_evidence():
+    """Guards against a busy backend server that is avoided since it opens connections slowly."""
+    timer = FakeTimer()
+    tracker = make_tracker(timer)
+
+    def fail(call, *, answer=False):
+        tracker.start(call)
+        timer.advance(0.3)
+        if answer:
+            tracker.start("open")
+            tracker.record_answer("open", None)
+            tracker.finish("open", AttemptOutcome.ANSWERED)
+        tracker.finish(call, AttemptOutcome.UNCONNECTED)
+        return tracker.is_avoided()
+
+    for call in range(10):
+        assert not fail(call, answer=True)
+    tracker.start("beside")
+    fail("first")
+    tracker.finish("beside", AttemptOutcome.UNCONNECTED)
+    assert not tracker.is_avoided()
+    assert fail("second")
