Spread work that leaves its region, and give each region homes of shared parts

Gateways of a region at its peak all picked the same idle server elsewhere by reports some tenths of a second old, and offered a long prompt to three engines at home although another region had room. Shared parts had one home for all regions; the way there is longer than their prefill, so that other regions read them at engines chosen at random, as did all prompts that the home had no room for.

The best choice outside the region is now drawn at random from those within 15 ms of it that read no more. If all offers would go to the region of the gateway, the last one goes to the best engine elsewhere that is predicted to be in time. Each region has its own home of shared parts; while a prompt would wait there for over a quarter of its target, a second engine, the same for all gateways, is preferred by 10 ms and fetches the parts from the first.

Moves PlacementSettings to a module of its own.

--- a/figwalk/coordination/plain_placement.py
+++ b/figwalk/coordination/plain_placement.py
@@ -13,6 +13,7 @@
 import attrs
 
 from figwalk.coordination.backend_tracker import BackendTracker
+from figwalk.spillover.remote_spread import spread_remote
 
 CROSS_ZONE_S = 0.002  # Round trip between availability zones of one region.
 CROSS_REGION_S = 0.025  # Round trip between regions: 12 ms each way.
@@ -82,7 +83,11 @@
         usable = [tracker for tracker in remaining if not tracker.is_avoided()] or remaining
         if not usable:
             return None
-        return min(usable, key=lambda tracker: (self._cost_s(tracker), self._rng.random()))
+        ranked = sorted(usable, key=lambda tracker: (self._cost_s(tracker), self._rng.random()))
+        return spread_remote(ranked, self._cost_s, self._is_remote, self._rng)[0]
+
+    def _is_remote(self, tracker: BackendTracker) -> bool:
+        return self._distance.regions.get(tracker.entry.zone) != self._distance.region
 
     def _cost_s(self, tracker: BackendTracker) -> float:
         cost_s = self._distance.cost_s(tracker.entry.zone)
--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -19,12 +19,14 @@
 import attrs
 
 from figwalk.coordination.engine_tracker import EngineTracker
+from figwalk.coordination.placement_settings import PlacementSettings
 from figwalk.coordination.plain_placement import CONNECT_COST_S, Distance
 from figwalk.coordination.prompt_plan import PromptCall, PromptPlan, mark_last_resort
 from figwalk.coordination.stream_pauses import predict_disturbance, stream_slowness
-from figwalk.coordination.subject_affinity import find_preferred_engine, hash_pair
+from figwalk.coordination.subject_affinity import hash_pair
 from figwalk.protocol.messages import Role
-from figwalk.state.gateway_settings import EngineSettings
+from figwalk.spillover.remote_spread import spread_remote
+from figwalk.spillover.subject_homes import SubjectHomes
 from figwalk.state.routing import EngineSpec
 
 # Share of an engine's slots up to which streams are packed onto it. Prefill slows streams down to a
@@ -46,7 +48,10 @@
 MIN_TRANSFER_TOKENS = 1000
 # A large share of all prompts has the same first part, so that every engine has it cached.
 COMMON_PARTS = 1
-MAX_CACHED_SUBJECTS = 20_000  # About 2 MB; the users' prompts have some 1,500 subjects a day.
+# Share of the target beyond which a wait at the home of the shared parts is too long. What other
+# engines then take goes to the second home, unless others are faster by more than this time.
+MAX_HOME_WAIT_SHARE = 0.25
+SECOND_HOME_S = 0.01
 # An engine that fails every call is worse than any wait.
 FAILURE_COST_S = 1.0
 # An agent surely refuses a prompt behind a backlog above this share of the time to the target. The
@@ -72,22 +77,6 @@
 TRANSFER_BILL_S = 0.01
 
 
-@attrs.frozen
-class PlacementSettings:
-    """Settings of a deployment for the placement of prompts.
-
-    Attributes:
-        engines: Assumed rates of the engines.
-        short_prompt_tokens: Prompts up to this length are prefilled by the engine that answers
-            them.
-        admission_ratio: Share of the time to the target that a prediction may take.
-    """
-
-    engines: EngineSettings = attrs.field(factory=EngineSettings)
-    short_prompt_tokens: int = 1500
-    admission_ratio: float = 0.9
-
-
 class PromptPlacement:
     """Ranks engines by the predicted first token of a prompt, and admits or refuses the prompt.
 
@@ -102,8 +91,8 @@
         self._distance = distance
         self._rng = rng
         self._rates: dict[Role, float] = {}
-        self._preferred_names: dict[tuple[str, ...], str] = {}
-        self._preferred_among: tuple[str, ...] = ()
+        self._homes = SubjectHomes(distance)
+        self._second_home: EngineTracker | None = None
         self._sources: list[EngineTracker] = []
 
     def rank(
@@ -121,7 +110,8 @@
         self._sources = [engine for engine in usable if self._caches_shared(call, engine)]
         if self.is_short(call):
             return self._rank_short(call, decode_engines, engines, spec)
-        preferred = self._find_preferred_engine(call.subject, engines)
+        preferred, second = self._homes.find(call.subject, engines)
+        self._second_home = second if preferred and self._is_busy(call, preferred) else None
         plans = []
         for reader in usable:
             if reader.entry.role is Role.PREFILL:
@@ -135,7 +125,14 @@
         plans += [plan for plan in unpaired if plan.reading_s <= longest_s]
         if self._sources:
             plans = [self._add_repeated_prefill(call, plan) for plan in plans]
-        return sorted(mark_last_resort(plans), key=self._rank_key)
+        ranked = sorted(mark_last_resort(plans), key=self._rank_key)
+        least = ranked[0].uncached_tokens if ranked else 0.0
+        return spread_remote(
+            ranked,
+            self._cost_s,
+            lambda plan: self.is_remote(plan) and plan.uncached_tokens <= least,
+            self._rng,
+        )
 
     def _find_decode_engines(
         self, reader: EngineTracker, decode_engines: Sequence[EngineTracker]
@@ -153,19 +150,13 @@
         repeated = max(0.0, plan.uncached_tokens - call.own_tokens)
         return attrs.evolve(plan, repeated_prefill_s=repeated / self._rate(plan.reader))
 
-    def _find_preferred_engine(
-        self, subject: tuple[str, ...], engines: Sequence[EngineTracker]
-    ) -> EngineTracker | None:
-        """Return the preferred engine of a subject, cached while the engines stay the same."""
-        names = tuple(engine.entry.backend for engine in engines)
-        if names != self._preferred_among or len(self._preferred_names) > MAX_CACHED_SUBJECTS:
-            self._preferred_names.clear()
-            self._preferred_among = names
-        if subject not in self._preferred_names:
-            engine = find_preferred_engine(subject, engines)
-            self._preferred_names[subject] = engine.entry.backend if engine is not None else ""
-        name = self._preferred_names[subject]
-        return next((engine for engine in engines if engine.entry.backend == name), None)
+    def _is_busy(self, call: PromptCall, engine: EngineTracker) -> bool:
+        wait_s = engine.backlog_tokens() / self._rate(engine)
+        return engine.is_avoided() or wait_s > MAX_HOME_WAIT_SHARE * max(call.target_s, MIN_RETRY_S)
+
+    def is_remote(self, plan: PromptPlan) -> bool:
+        """Return whether the prefill engine of a plan is in another region than this process."""
+        return self._distance.regions.get(plan.reader.entry.zone) != self._distance.region
 
     def _rank_short(
         self,
@@ -401,5 +392,7 @@
             cost_s += 0.0 if engine.has_connection else CONNECT_COST_S
         # Other fetches on the links of both engines wait for this one.
         cost_s += plan.fetch_s + plan.transfer_s + plan.disturbance.delay_s
+        if plan.reader is self._second_home:
+            cost_s -= SECOND_HOME_S
         moves = (plan.reader is not plan.runner) + (plan.donor is not None)
         return cost_s + moves * TRANSFER_BILL_S
--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -198,6 +198,8 @@
     def _record_answered(self, call: Call, backend: str) -> None:
         took_s = self._timer.now() - call.arrived_at
         self._metrics.record_answer(call.service, took_s)
+        if call.timing.longest_gap_s > call.route.gap_s:
+            self._metrics.record_paused_stream(call.service)
         self._events.record(
             Event.CALL_ANSWERED,
             request_id=call.call_id,
--- a/figwalk/gateway/gateway_metrics.py
+++ b/figwalk/gateway/gateway_metrics.py
@@ -58,6 +58,12 @@
         self._backends = Gauge(
             "figwalk_backends", "Registered backend servers.", registry=self._registry
         )
+        self._paused_streams = Counter(
+            "figwalk_paused_streams",
+            "Streams with a pause between two events that was longer than their callers accept.",
+            ["service"],
+            registry=self._registry,
+        )
         self._connections = Gauge(
             "figwalk_backend_connections_opened",
             "Connections that were opened to the present backend servers so far.",
@@ -112,6 +118,10 @@
         """Set the number of registered backend servers."""
         self._backends.set(count)
 
+    def record_paused_stream(self, service: str) -> None:
+        """Count a stream with a pause that was longer than its caller accepts."""
+        self._paused_streams.labels(service).inc()
+
     def record_opened_connections(self, count: int) -> None:
         """Set the connections that were opened to the present backend servers so far."""
         self._connections.set(count)
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+from functools import partial
 from http import HTTPStatus
 
 import attrs
@@ -33,6 +34,7 @@
 from figwalk.gateway.prompt_offers import PromptOffers
 from figwalk.gateway.retries import take_retries
 from figwalk.gateway.stream_relay import StreamRelay
+from figwalk.spillover.remote_spread import keep_remote_offer
 from figwalk.state.routing import EngineSpec
 from figwalk.timer import MS_PER_S, Timer
 from figwalk.transport import Responder
@@ -130,7 +132,7 @@
         """
         retry_after_s = math.inf
         decisions: list[PlacementDecision] = []
-        for plan in self._find_plans(call, spec)[:MAX_OFFERS]:
+        for plan in self._choose_offers(call, spec):
             prompt = self._make_prompt_call(call)
             decision = await self._decide(call, prompt, plan)
             if decision.admitted and not self._pool.take_turns(plan.reader, plan.runner):
@@ -183,6 +185,7 @@
             reader=last.plan.reader.entry.backend,
             runner=last.plan.runner.entry.backend,
             admitted=last.admitted,
+            remote=self._placement.is_remote(last.plan),
             age_s=round(self._timer.now() - call.arrived_at, 4),
             tokens=prompt.tokens,
             uncached=int(last.plan.uncached_tokens),
@@ -202,6 +205,15 @@
             shared_parts=" ".join(part.part_id for part in call.facts.prompt[:-1]),
         )
 
+    def _choose_offers(self, call: Call, spec: EngineSpec) -> list[PromptPlan]:
+        plans = self._find_plans(call, spec)
+        prompt = self._make_prompt_call(call)
+        if self._placement.is_short(prompt):
+            return plans[:MAX_OFFERS]
+        return keep_remote_offer(
+            plans, partial(self._placement.admits, prompt), self._placement.is_remote, MAX_OFFERS
+        )
+
     def _find_plans(self, call: Call, spec: EngineSpec) -> list[PromptPlan]:
         engines = [t for t in self._pool.trackers(call.service) if isinstance(t, EngineTracker)]
         tried = {*call.sent_to, *call.failed_prefill_engines}
