--- a/figwalk/coordination/plain_placement.py
+++ b/figwalk/coordination/plain_placement.py
@@ -13,6 +13,7 @@
 import attrs
 
 from figwalk.coordination.backend_tracker import BackendTracker
+from figwalk.spillover.remote_spread import spread_remote
 
 CROSS_ZONE_S = 0.002  # Round trip between availability zones of one region.
 CROSS_REGION_S = 0.025  # Round trip between regions: 12 ms each way.
@@ -21,6 +22,9 @@
 # A failing backend server is worse than one in another region.
 FAILURE_COST_S = 1.0
 COLD_COST_S = 0.02
+# A new connection costs this time at the backend server and on the way. Calls of one
+# process thereby concentrate on few backend servers.
+CONNECT_COST_S = 0.005
 
 
 @attrs.frozen
@@ -79,12 +83,17 @@
         usable = [tracker for tracker in remaining if not tracker.is_avoided()] or remaining
         if not usable:
             return None
-        return min(usable, key=lambda tracker: (self._cost_s(tracker), self._rng.random()))
+        ranked = sorted(usable, key=lambda tracker: (self._cost_s(tracker), self._rng.random()))
+        return spread_remote(ranked, self._cost_s, self._is_remote, self._rng)[0]
+
+    def _is_remote(self, tracker: BackendTracker) -> bool:
+        return self._distance.regions.get(tracker.entry.zone) != self._distance.region
 
     def _cost_s(self, tracker: BackendTracker) -> float:
         cost_s = self._distance.cost_s(tracker.entry.zone)
         cost_s += tracker.failure_share() * FAILURE_COST_S
         cost_s += COLD_COST_S if tracker.entry.cold_s > 0 else 0.0
+        cost_s += 0.0 if tracker.has_connection else CONNECT_COST_S
         slots = max(1, tracker.entry.slots)
         queued = max(0, tracker.estimate_load() + 1 - slots)
         return cost_s + queued / slots * tracker.answer_s
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -25,6 +25,7 @@
 from figwalk.transport import (
     Headers,
     HttpConnectError,
+    HttpConnectTimeoutError,
     HttpExchange,
     HttpResponse,
     strip_hop_by_hop,
@@ -220,7 +221,8 @@
                 yield answer
                 complete = True
         except HttpConnectError as error:
-            outcome = AttemptOutcome.UNREACHABLE
+            is_timeout = isinstance(error, HttpConnectTimeoutError)
+            outcome = AttemptOutcome.UNCONNECTED if is_timeout else AttemptOutcome.UNREACHABLE
             call.unresolved = was_unresolved
             self._remove_from_sent(call, plan)
             raise AttemptError(outcome, str(error), not_run=True) from error
