Place plain calls by the speed of backend servers

Cause: the slowdown that a backend server reports and the time that its answers take had no effect on the choice of a server; a gateway kept calling the nearest one, also while that one was slow.

The predicted extra time counts as distance.

--- a/figwalk/coordination/backend_tracker.py
+++ b/figwalk/coordination/backend_tracker.py
@@ -7,6 +7,8 @@
 import attrs
 
 from figwalk.events import Event, EventLog
+from figwalk.pacing.reported_slowdown import ReportedSlowdown
+from figwalk.pacing.service_pacing import ServicePacing
 from figwalk.state.backend_directory import BackendEntry
 from figwalk.timer import Timer
 
@@ -22,6 +24,7 @@
 RESPONSE_TIMEOUT_S = 0.6
 # A reported load that is older than this no longer describes the backend server.
 LOAD_MAX_AGE_S = 0.5
+USUAL_SLOWDOWN = 1.0
 ANSWER_TIME_WEIGHT = 0.1
 ASSUMED_ANSWER_S = 0.03
 
@@ -56,13 +59,17 @@
     running: int
     waiting: int
     slots: int
-    slowdown: float = 1.0
+    slowdown: float = USUAL_SLOWDOWN
 
 
 @attrs.define
 class _SentCall:
     sent_at: float
     answered: bool = False
+    # What the time of work is compared with, when the call left this process, and its result.
+    kind: str | None = None
+    left_at: float = 0.0
+    work_s: float = 0.0
 
 
 class BackendTracker:
@@ -72,9 +79,19 @@
         entry: Registration of the backend server.
         timer: Source of time.
         events: Log in which avoidance is recorded.
+        pacing: State that the trackers of the service share; by default one of its own.
+        network_s: Network round trip to the backend server, in seconds.
     """
 
-    def __init__(self, entry: BackendEntry, timer: Timer, events: EventLog) -> None:
+    def __init__(
+        self,
+        entry: BackendEntry,
+        timer: Timer,
+        events: EventLog,
+        *,
+        pacing: ServicePacing | None = None,
+        network_s: float = 0.0,
+    ) -> None:
         self._entry = entry
         self._timer = timer
         self._events = events
@@ -89,6 +106,9 @@
         self._load_at = 0.0
         self._in_flight_at_load = 0
         self._answer_s = ASSUMED_ANSWER_S
+        self._pacing = pacing or ServicePacing.create(timer)
+        self._network_s = network_s
+        self._slowdown = ReportedSlowdown(timer)
 
     @property
     def entry(self) -> BackendEntry:
@@ -110,6 +130,31 @@
         """Seconds since the backend server reported its load, or None if it never did."""
         return self._timer.now() - self._load_at if self._load else None
 
+    @property
+    def slowdown(self) -> float:
+        """Seconds of work at this moment as a multiple of the server's own usual."""
+        return self._slowdown.factor
+
+    @property
+    def speed_factor(self) -> float:
+        """Seconds of work as a multiple of the service's usual, apart from short spells."""
+        return self._pacing.speeds.factor(self._entry.backend)
+
+    @property
+    def extra_work_s(self) -> float:
+        """Seconds by which a call is predicted to take longer than usual at the service."""
+        return (self.speed_factor * self.slowdown - 1.0) * self._pacing.speeds.mean_s
+
+    @property
+    def pacing(self) -> ServicePacing:
+        """State that the trackers of the service share."""
+        return self._pacing
+
+    @property
+    def is_speed_known(self) -> bool:
+        """Whether enough recent answers show how fast the backend server is."""
+        return self._pacing.speeds.is_known(self._entry.backend)
+
     def update(self, entry: BackendEntry) -> None:
         """Replace the registration with a newer one."""
         self._entry = entry
@@ -118,13 +163,39 @@
         """Record that a call is being sent."""
         self._calls[call] = _SentCall(self._timer.now())
 
-    def record_answer(self, call: object, load: ReportedLoad | None) -> None:
-        """Record the start of an answer, with the load that it reports."""
+    def record_sent(self, call: object, kind: str | None) -> None:
+        """Record that a call leaves on an open connection.
+
+        Args:
+            call: The call.
+            kind: Kind of work whose times are comparable, or None if they depend on the call.
+        """
+        sent = self._calls.get(call)
+        # With a queue, the time of the answer would not show the time of the work.
+        if sent is not None and self.estimate_load() <= self._entry.slots:
+            sent.kind = kind
+            sent.left_at = self._timer.now()
+
+    def record_answer(
+        self, call: object, load: ReportedLoad | None, *, succeeded: bool = True
+    ) -> None:
+        """Record the start of an answer.
+
+        Args:
+            call: The call.
+            load: Load that the answer reports, or None.
+            succeeded: Whether the work was done. A refusal or failure takes no time.
+        """
         now = self._timer.now()
         sent = self._calls.get(call)
+        if load is not None:
+            self._slowdown.record(load.slowdown)
+            self._pacing.states_slowdown |= load.slowdown != USUAL_SLOWDOWN
         if sent is not None and not sent.answered:
             sent.answered = True
             self._answer_s += ANSWER_TIME_WEIGHT * (now - sent.sent_at - self._answer_s)
+            if succeeded and (load is None or load.waiting == 0):
+                sent.work_s = now - sent.left_at - self._network_s
         self._last_answer_at = now
         if self._down_count:
             self._down_count = 0
@@ -137,10 +208,12 @@
 
     def finish(self, call: object, outcome: AttemptOutcome) -> None:
         """Record the end of a call."""
-        self._calls.pop(call, None)
+        sent = self._calls.pop(call, None)
         self._decay()
         if outcome is AttemptOutcome.ANSWERED:
             self._answered += 1
+            if sent is not None:
+                self._record_work(sent)
         elif outcome in _FAILURE_OUTCOMES:
             self._failed += 1
         if outcome in _DOWN_OUTCOMES:
@@ -173,6 +246,12 @@
         reported = self._load.running + self._load.waiting
         return max(own, reported + own - self._in_flight_at_load)
 
+    def _record_work(self, sent: _SentCall) -> None:
+        # While a server is cold, its times don't show how fast it is later.
+        if sent.kind is not None and sent.work_s > 0 and self._entry.cold_s <= 0:
+            seconds = sent.work_s / self.slowdown
+            self._pacing.speeds.record(self._entry.backend, sent.kind, seconds)
+
     def _is_unresponsive(self, now: float) -> bool:
         if now - self._last_answer_at < RESPONSE_TIMEOUT_S:
             return False
--- a/figwalk/coordination/engine_tracker.py
+++ b/figwalk/coordination/engine_tracker.py
@@ -41,8 +41,8 @@
 class EngineTracker(BackendTracker):
     """A backend tracker that also tracks the prompts being prefilled and the cached parts."""
 
-    def __init__(self, *args: object, spec: EngineSpec) -> None:
-        super().__init__(*args)
+    def __init__(self, *args: object, spec: EngineSpec, **options: object) -> None:
+        super().__init__(*args, **options)
         self._prefilling: dict[object, float] = {}
         self._prefix_cache = PrefixCacheEstimate(spec.kv_tokens)
         self._rate_factor = 1.0
--- a/figwalk/coordination/plain_placement.py
+++ b/figwalk/coordination/plain_placement.py
@@ -2,7 +2,8 @@
 
 Calls of plain services are short and of nearly equal length, and the queues are far from full on
 ordinary days. The nearest working backend server is therefore best; a full or failing one is passed
-over.
+over. Where the servers' speeds differ, in general or for a moment, the time that a call is
+predicted to take longer counts as distance.
 """
 
 from __future__ import annotations
@@ -21,6 +22,8 @@
 # A failing backend server is worse than one in another region.
 FAILURE_COST_S = 1.0
 COLD_COST_S = 0.02
+# Calls are not sent to a server that fails more of them than this only to learn its speed.
+MAX_EXPLORED_FAILURES = 0.1
 
 
 @attrs.frozen
@@ -53,7 +56,7 @@
 
 
 class PlainPlacement:
-    """Chooses backend servers by distance, queue length and failures.
+    """Chooses backend servers by distance, speed, queue length and failures.
 
     Args:
         distance: Location of this process, and the distances from it.
@@ -79,12 +82,35 @@
         usable = [tracker for tracker in remaining if not tracker.is_avoided()] or remaining
         if not usable:
             return None
-        return min(usable, key=lambda tracker: (self._cost_s(tracker), self._rng.random()))
+        best = min(usable, key=lambda tracker: (self._cost_s(tracker), self._rng.random()))
+        return self._explore(best, usable) or best
+
+    def _explore(
+        self, best: BackendTracker, usable: Iterable[BackendTracker]
+    ) -> BackendTracker | None:
+        """Return an idle server of unknown speed that is nearly as near as the best, or None."""
+        if not best.pacing.may_explore():
+            return None
+        longest_s = self._distance.cost_s(best.entry.zone) + CROSS_ZONE_S
+        unknown = [
+            tracker
+            for tracker in usable
+            if not tracker.is_speed_known
+            and self._distance.cost_s(tracker.entry.zone) <= longest_s
+            and tracker.entry.cold_s <= 0
+            and tracker.failure_share() < MAX_EXPLORED_FAILURES
+            and tracker.estimate_load() * 2 < tracker.entry.slots
+        ]
+        if not unknown:
+            return None
+        best.pacing.record_exploration()
+        return self._rng.choice(unknown)
 
     def _cost_s(self, tracker: BackendTracker) -> float:
         cost_s = self._distance.cost_s(tracker.entry.zone)
         cost_s += tracker.failure_share() * FAILURE_COST_S
         cost_s += COLD_COST_S if tracker.entry.cold_s > 0 else 0.0
+        cost_s += tracker.extra_work_s
         slots = max(1, tracker.entry.slots)
         queued = max(0, tracker.estimate_load() + 1 - slots)
-        return cost_s + queued / slots * tracker.answer_s
+        return cost_s + queued / slots * tracker.answer_s * tracker.slowdown
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -176,6 +176,8 @@
             self._record_arrival(call, plan)
             self._record_sent(call, tracker, plan)
             connected_at = call.sent_at = self._timer.now()
+            # Prompts differ in length, so that the times of model calls are not comparable.
+            tracker.record_sent(key, None if call.route.is_model_call else call.route.name)
 
         try:
             async with AsyncExitStack() as stack:
@@ -299,7 +301,8 @@
         key: object,
     ) -> Answer:
         facts = self._codec.decode_answer(response.status, response.headers)
-        tracker.record_answer(key, facts.load)
+        succeeded = HTTPStatus.OK <= response.status < HTTPStatus.MULTIPLE_CHOICES
+        tracker.record_answer(key, facts.load, succeeded=succeeded and not facts.not_run)
         if facts.leaving:
             self._pool.mark_leaving(plan.backend)
         if facts.closed_s > 0:
--- a/figwalk/gateway/backend_pool.py
+++ b/figwalk/gateway/backend_pool.py
@@ -9,8 +9,10 @@
 
 from figwalk.coordination.backend_tracker import BackendTracker
 from figwalk.coordination.engine_tracker import EngineTracker
+from figwalk.coordination.plain_placement import Distance
 from figwalk.coordination.request_pacer import RequestPacer
 from figwalk.events import EventLog
+from figwalk.pacing.service_pacing import ServicePacing
 from figwalk.state.backend_directory import BackendDirectory, BackendEntry
 from figwalk.state.routing import RoutingConfig, ServiceSpec
 from figwalk.timer import Timer
@@ -53,6 +55,7 @@
         timer: Source of time.
         rng: Spreads the requests to limited backend servers over time.
         gateways: Largest number of gateways that share each backend server.
+        distance: Network round trips to the backend servers, or None if they are taken as 0.
     """
 
     def __init__(
@@ -63,7 +66,10 @@
         rng: random.Random,
         *,
         gateways: int,
+        distance: Distance | None = None,
     ) -> None:
+        self._distance = distance
+        self._pacing: dict[str, ServicePacing] = {}
         self._rng = rng
         self._directory = directory
         self._events = events
@@ -198,12 +204,23 @@
 
     def _add(self, entry: BackendEntry) -> PooledBackend:
         service = self._find_service(entry.service)
+        pacing = self._pacing.get(entry.service)
+        if pacing is None:
+            pacing = self._pacing[entry.service] = ServicePacing.create(self._timer)
+        network_s = self._distance.round_trip_s(entry.zone) if self._distance else 0.0
         if service is not None and service.engine is not None:
             tracker: BackendTracker = EngineTracker(
-                entry, self._timer, self._events, spec=service.engine
+                entry,
+                self._timer,
+                self._events,
+                spec=service.engine,
+                pacing=pacing,
+                network_s=network_s,
             )
         else:
-            tracker = BackendTracker(entry, self._timer, self._events)
+            tracker = BackendTracker(
+                entry, self._timer, self._events, pacing=pacing, network_s=network_s
+            )
         return PooledBackend(
             tracker, self._make_client(entry), RequestPacer(self._timer, self._rng)
         )
@@ -225,4 +242,6 @@
         return self._routing.services.get(name) if self._routing is not None else None
 
     def _drop(self, backend: str) -> None:
-        self._backends.pop(backend).client.close()
+        pooled = self._backends.pop(backend)
+        pooled.client.close()
+        self._pacing[pooled.tracker.entry.service].speeds.forget(backend)
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -86,6 +86,7 @@
             self._timer,
             random.Random(),
             gateways=settings.gateways,
+            distance=Distance(settings.zone, settings.region, settings.regions),
         )
         self._offers = PromptOffers(
             self._pool.engines,
