Treat attempts without a connection as calls that nobody held

Cause: attempts that found no connection in time got an outcome of their own, which the crash evidence did not know. Change: they are no evidence of a crash, and no usage. Result: tests/test_crash_watcher.py passes; two cases failed before.

--- a/figwalk/duties/usage_counter.py
+++ b/figwalk/duties/usage_counter.py
@@ -20,6 +20,10 @@
 # closed or the server ended before it took the call.
 BROKEN_SHARE = 0.25
 
+_NOT_BEGUN = frozenset(
+    {AttemptOutcome.REFUSED, AttemptOutcome.UNREACHABLE, AttemptOutcome.UNCONNECTED}
+)
+
 
 class Evidence(Enum):
     """What an attempt without an answer says about whether the call was begun."""
@@ -178,7 +182,7 @@
     def _judge(
         self, start: AttemptStart, outcome: AttemptOutcome, now: float, *, has_head: bool
     ) -> Evidence:
-        if outcome in (AttemptOutcome.REFUSED, AttemptOutcome.UNREACHABLE):
+        if outcome in _NOT_BEGUN:
             return Evidence.NONE
         if has_head:
             return Evidence.BEGUN
--- a/figwalk/gateway/crash_watcher.py
+++ b/figwalk/gateway/crash_watcher.py
@@ -34,7 +34,14 @@
 # One heartbeat may have been written before the crash and read after it.
 HEARTBEATS_AFTER_CRASH = 2
 # The backend server answered, or never received the call.
-_NOT_HELD = frozenset({AttemptOutcome.FAILED, AttemptOutcome.REFUSED, AttemptOutcome.UNREACHABLE})
+_NOT_HELD = frozenset(
+    {
+        AttemptOutcome.FAILED,
+        AttemptOutcome.REFUSED,
+        AttemptOutcome.UNREACHABLE,
+        AttemptOutcome.UNCONNECTED,
+    }
+)
 
 
 @attrs.define(eq=False)
