Give the usage tests real keys of organisations

Cause: they replaced the type of calls to name an organisation, which calls now take from the key that their caller sent. Change: the tests publish an organisation with a key and send it; what they check is the same.

--- a/tests/test_usage_counter.py
+++ b/tests/test_usage_counter.py
@@ -22,11 +22,9 @@
 from figwalk.duties.usage_counter import UsageCounter
 from figwalk.duties.window_clock import WindowClock
 from figwalk.events import EventLog
-from figwalk.gateway import caller_api
 from figwalk.platform import USAGE_TOPIC
 from figwalk.state.backend_directory import BackendEntry
 from figwalk.state.gateway_settings import DutySettings, LeaseSettings
-from figwalk.state.routing import Organisation
 from figwalk.state.settings import Address
 from figwalk.transport import HttpServer
 from standins.platform_config import make_config
@@ -130,22 +128,20 @@
     assert bench.counts() == {}
 
 
-def count_in_gateway(monkeypatch, scripts, calls, *, service="orders", **fields):
+def count_in_gateway(scripts, calls, *, service="orders", **fields):
     """Return the counts that a gateway has written at its stop after some calls."""
-    organisation = Organisation("small")
-    make_call = caller_api.Call
-    monkeypatch.setattr(caller_api, "Call", lambda **kw: make_call(**kw, organisation=organisation))
     written = {}
 
     async def test():
         async with running_fleet() as fleet:
-            fleet.publish(make_config())
+            fleet.publish(make_config(tenants=TENANTS))
             fleet.settings["duties"] = DutySettings(Address("127.0.0.1", 1), ("usage_report",))
             for number, script in enumerate(scripts):
                 await fleet.add_backend(f"b{number}", script, service=service, **fields)
             await fleet.start_gateway()
             for path, options in calls:
-                await fleet.call(path, **options)
+                headers = (*options.get("headers", ()), KEY_HEADER)
+                await fleet.call(path, **options | {"headers": headers})
             await fleet.process._duties.stop()
             (value,) = fleet.store._topic(USAGE_TOPIC).newest().values()
             for counts in json.loads(value[1])["windows"].values():
@@ -163,6 +159,8 @@
     return True
 
 
+TENANTS = [{"name": "small", "api-keys": ["k1"]}]
+KEY_HEADER = "X-Api-Key: k1"
 POST = {"method": "POST", "body": b"1"}
 PROMPT = {"headers": ("Prefix-Hash: aa:6000", "Token-Counts: 6000,2", "Model: m"), "method": "POST"}
 
@@ -179,33 +177,28 @@
         ([hanging], [("/order/1", POST | {"deadline_ms": 300})], {}),
     ],
 )
-def test_a_gateway_counts_what_backend_servers_began(monkeypatch, scripts, calls, expected):
+def test_a_gateway_counts_what_backend_servers_began(scripts, calls, expected):
     """Guards against attempts that the gateway's parts don't report, or report twice."""
-    assert count_in_gateway(monkeypatch, scripts, calls) == expected
+    assert count_in_gateway(scripts, calls) == expected
 
 
-def test_prefills_and_streams_count_once(monkeypatch):
+def test_prefills_and_streams_count_once():
     """Guards against prefills that count, and streams that count before their first event."""
     calls = [("/chat/1", PROMPT), ("/chat/2", PROMPT)]
     for scripts in ([any_stage], [streaming(2)]):
-        counts = count_in_gateway(monkeypatch, scripts, calls, service="lm", stage="decode")
+        counts = count_in_gateway(scripts, calls, service="lm", stage="decode")
         assert counts == {"small": 2}
-        monkeypatch.undo()
 
 
-def test_a_process_reports_usage_end_to_end(monkeypatch):
+def test_a_process_reports_usage_end_to_end():
     """Guards against parts that work alone and not together in a gateway process."""
-    make_call = caller_api.Call
-    monkeypatch.setattr(
-        caller_api, "Call", lambda **kw: make_call(**kw, organisation=Organisation("small"))
-    )
 
     async def test():
         async with running_fleet() as fleet:
             platform = PlatformDuties(require_fencing=True)
             server = HttpServer(platform.answer, EventLog("platform", FakeTimer()))
             port = await fleet.nursery.start(server.serve, "127.0.0.1", 0)
-            fleet.publish(make_config())
+            fleet.publish(make_config(tenants=TENANTS))
             fleet.settings["lease"] = LeaseSettings(duration_ms=300)
             fleet.settings["duties"] = DutySettings(
                 Address("127.0.0.1", port), ("usage_report",), window_s=0.5, usage_late_s=1.0
@@ -213,7 +206,7 @@
             await fleet.add_backend("b1", answering())
             await fleet.start_gateway()
             for number in range(5):
-                await fleet.call(f"/order/{number}", **POST)
+                await fleet.call(f"/order/{number}", headers=(KEY_HEADER,), **POST)
             while sum(r.get("small", 0) for r in platform.reports().values()) < 5:
                 await trio.sleep(0.05)
             assert {call.holder for call in platform.calls} == {"gateway-1"}
