Refuse a header above the limit also if it arrives in one piece

Cause: h11 checks the size of a head only while it is incomplete, so that lists of prompt parts above `max-header-bytes` were accepted or refused depending on how they arrived; the refusal said "Receive buffer too long".

Change: the server checks complete heads as well, and answers 431 with the code `header_too_large` and the limit.

--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable, Callable
 from enum import Enum
+from http import HTTPStatus
 
 import h11
 import trio
@@ -24,6 +25,8 @@
 LINGER_S = 2.0
 MAX_REJECTED_CONNECTIONS = 64
 BACKLOG_POLL_S = 0.005
+# Colon, space and line end of a header.
+_HEADER_LINE_EXTRA = 4
 
 
 class SlowSenderError(CallerError):
@@ -195,8 +198,7 @@
         try:
             request = await self._receive_request(connection, stream, waiting_since)
         except h11.RemoteProtocolError as error:
-            refusal = CallerError(error.error_status_hint, "malformed_request", str(error))
-            await self._refuse(connection, stream, refusal)
+            await self._refuse(connection, stream, self._explain(error))
             return _AfterRequest.LINGER
         except CallerError as error:
             await self._refuse(connection, stream, error)
@@ -218,6 +220,12 @@
         connection.start_next_cycle()
         return _AfterRequest.NEXT
 
+    def _explain(self, error: h11.RemoteProtocolError) -> CallerError:
+        # h11 checks the size of a head only while it is incomplete.
+        if error.error_status_hint == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
+            return _refuse_header(self._limits.max_header_bytes)
+        return CallerError(error.error_status_hint, "malformed_request", str(error))
+
     async def _receive_request(
         self, connection: h11.Connection, stream: ByteStream, waiting_since: float | None
     ) -> HttpRequest | None:
@@ -225,7 +233,7 @@
         if not connection.trailing_data[0] and not await self._wait_for_request(connection, stream):
             return None
         started_at = trio.current_time() if waiting_since is None else waiting_since
-        reader = _RequestReader(connection, self._limits.max_body_bytes, started_at)
+        reader = _RequestReader(connection, self._limits, started_at)
         request = reader.parse()
         if request is not h11.NEED_DATA:
             # Most requests arrive in one piece; parsing these without a timeout saves a cancel
@@ -304,6 +312,14 @@
             pass
 
 
+def _refuse_header(max_bytes: int) -> CallerError:
+    return CallerError(
+        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+        "header_too_large",
+        f"the request line and the headers are above the limit of {max_bytes} bytes",
+    )
+
+
 def _refuse_connect(request: HttpRequest) -> None:
     # h11 treats a 2xx response to CONNECT as the start of a tunnel and refuses its body.
     if request.method == "CONNECT":
@@ -323,17 +339,17 @@
 
     Args:
         connection: The client's connection.
-        max_body_bytes: Maximum size of the body.
+        limits: Maximum sizes of the header and the body.
         started_at: Time of trio's clock at which the first bytes were read, or since which they
             have waited for that.
     """
 
     def __init__(
-        self, connection: h11.Connection, max_body_bytes: int, started_at: float = 0.0
+        self, connection: h11.Connection, limits: HttpLimits, started_at: float = 0.0
     ) -> None:
         self._started_at = started_at
         self._connection = connection
-        self._max_body_bytes = max_body_bytes
+        self._limits = limits
         self._head: h11.Request | None = None
         self._headers: Headers = []
         self._body = bytearray()
@@ -342,7 +358,7 @@
         """Return the request if it is complete, or None if the connection is to be closed.
 
         Raises:
-            CallerError: The body is above the limit.
+            CallerError: The header or the body is above its limit.
         """
         while True:
             event = self._connection.next_event()
@@ -351,6 +367,7 @@
             if isinstance(event, h11.Request):
                 self._head = event
                 self._headers = list(event.headers)
+                self._check_header_size(event)
                 # h11 has validated the header. The size is checked here because a client that waits
                 # for 100 has not sent the body.
                 self._check_body_size(int(find_header(self._headers, b"content-length", "0")))
@@ -369,12 +386,17 @@
             await stream.send_all(self._connection.send(continue_response) or b"")
         self._connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
 
+    def _check_header_size(self, head: h11.Request) -> None:
+        lines = sum(len(name) + len(value) + _HEADER_LINE_EXTRA for name, value in head.headers)
+        if lines + len(head.method) + len(head.target) > self._limits.max_header_bytes:
+            raise _refuse_header(self._limits.max_header_bytes)
+
     def _check_body_size(self, size: int) -> None:
-        if size > self._max_body_bytes:
+        if size > self._limits.max_body_bytes:
             raise CallerError(
                 413,
                 "body_too_large",
-                f"the body is above the limit of {self._max_body_bytes} bytes",
+                f"the body is above the limit of {self._limits.max_body_bytes} bytes",
             )
 
     def _build(self) -> HttpRequest:
