Find deadly parts at any position of a prompt

Cause: only the last 32 shared parts of a prompt were suspects, the decoder ignored parts after the 64th, and a report took the first 64 prompts in the order of their ids. A deadly part elsewhere was never quarantined.

Change: all parts are decoded, bounded by the size of headers, and all shared ones are suspects. A report has up to 2,048 entries: parts with the most crashes first, then those never answered, equal ones in another order at each crash. The evidence keeps up to 50,000 suspects and 300,000 entries, and forgets those of the oldest crashes that were seen once. Looking for what is sound skips parts that were never answered, and the check at each send takes a set.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # Tests that fail for a known fault; CI passes over them and prints the file.
 KNOWN_RED = $(shell sed -n 's/^test: /--deselect=/p' KNOWN-RED.txt 2>/dev/null)
 
-.PHONY: venv test format docs demo up model soak bench bench-goodput slopes bench-claims
+.PHONY: venv test format docs demo up model soak bench bench-goodput slopes bench-claims review
 
 venv: $(VENV)/.installed
 
@@ -54,3 +54,7 @@
 
 bench-claims: venv
 	$(BIN)/python -m bench.claims
+
+# Not part of CI: each case plays for about a minute. CASES="1 2" plays some of them.
+review: venv
+	$(BIN)/python -m bench.review $(CASES)
--- a/figwalk/coordination/call_identity.py
+++ b/figwalk/coordination/call_identity.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from functools import cached_property
 from hashlib import blake2b
 
 import attrs
 
 from figwalk.coordination.crash_evidence import REQUEST_PREFIX
 
-# Bound the size of a crash report: ids that are longer are replaced by a hash.
+# Bounds the size of a crash report: ids that are longer are replaced by a hash.
 MAX_PART_ID_LENGTH = 32
-MAX_PARTS_OF_PROMPT = 32
 
 
 @attrs.frozen
@@ -27,23 +27,28 @@
     part_ids: Sequence[str] = ()
     request: str = ""
 
-    @property
-    def shared_parts(self) -> list[str]:
-        """Ids of the parts that other prompts may share, in bounded length."""
-        return [
+    @cached_property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the parts that other prompts may share, each in bounded length."""
+        return tuple(
             part
             if len(part) <= MAX_PART_ID_LENGTH
             else blake2b(part.encode(), digest_size=MAX_PART_ID_LENGTH // 2).hexdigest()
-            for part in self.part_ids[:-1][-MAX_PARTS_OF_PROMPT:]
-        ]
+            for part in self.part_ids[:-1]
+        )
 
     @property
     def request_id(self) -> str | None:
         """Id of the request among the possible causes of a crash."""
         return REQUEST_PREFIX + self.request if self.request else None
 
-    @property
-    def suspects(self) -> list[str]:
+    @cached_property
+    def suspects(self) -> tuple[str, ...]:
         """Ids of all that may make the call crash a backend server."""
         request_id = self.request_id
-        return self.shared_parts + ([request_id] if request_id is not None else [])
+        return self.shared_parts if request_id is None else (*self.shared_parts, request_id)
+
+    @cached_property
+    def suspect_set(self) -> frozenset[str]:
+        """The same ids, for checks whose time does not grow with the length of the prompt."""
+        return frozenset(self.suspects)
--- a/figwalk/coordination/call_quarantine.py
+++ b/figwalk/coordination/call_quarantine.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Sequence
 
 import attrs
@@ -47,8 +47,8 @@
 WORTH_A_REPORT = MIN_CRASHES - 1
 # Parts and requests; about 3 MB.
 MAX_KNOWN_SOUND = 20_000
-# Bound the size of a report.
-MAX_PROMPTS_OF_REPORT = 64
+# Bounds the size of a report to about 80 KB; a part counts once for each prompt that has it.
+MAX_PARTS_OF_REPORT = 2048
 # More calls than one gateway has in progress at one backend server.
 MAX_REQUESTS_OF_REPORT = 512
 
@@ -150,21 +150,20 @@
             crashed_at: Timer time of the crash, or None if it was noticed at once.
         """
         now = self._timer.now() if crashed_at is None else crashed_at
-        prompts = {
-            tuple(part for part in call.shared_parts if not self._is_sound(part, now))
-            for call in calls
-        }
-        requests = {call.request_id for call in calls if call.request_id is not None}
-        requests = {request for request in requests if not self._is_sound(request, now)}
-        prompts.discard(())
+        # The checks of a part are done once, though many prompts share it.
+        unproven = frozenset().union(*(call.suspect_set for call in calls))
+        unproven = {suspect for suspect in unproven if not self._is_sound(suspect, now)}
+        ranked = sorted(unproven, key=lambda suspect: self._rank(suspect, crash))
+        prompts = _bound_prompts([call.shared_parts for call in calls], ranked)
+        requests = list(filter(is_request, ranked))[:MAX_REQUESTS_OF_REPORT]
         if not prompts and not requests:
             return
         report = CrashReport(
             self._process,
             crash,
             self._timer.wall_ms() - round((self._timer.now() - now) * MS_PER_S),
-            prompts=frozenset(sorted(prompts)[:MAX_PROMPTS_OF_REPORT]),
-            requests=frozenset(sorted(requests)[:MAX_REQUESTS_OF_REPORT]),
+            prompts=prompts,
+            requests=frozenset(requests),
         )
         if self._add(report, now):
             self._publish(crash)
@@ -240,12 +239,26 @@
                 self._report_sound(suspect)
         return True
 
+    def _rank(self, suspect: str, crash: CrashId) -> tuple[int, bool, bytes]:
+        """Return a sort key: the strongest suspects of a crash first.
+
+        Those with the most crashes come first, then those that were never answered. Equal ones
+        come in another order at each crash, so that none is left out of all reports.
+        """
+        return (
+            -self._evidence.crash_count(suspect),
+            suspect in self._sound_at,
+            hash_pair(suspect, f"{crash.backend}/{crash.born_ms}"),
+        )
+
     def _is_sound(self, suspect: str, crashed_at: float) -> bool:
         return self._sound_at.get(suspect, -math.inf) >= crashed_at - SOUND_BEFORE_CRASH_S
 
     def _report_sound(self, suspect: str) -> bool:
         """Report the crashes that a suspect did not cause; return whether any are new."""
         changed = False
+        if suspect not in self._sound_at:
+            return False  # Most suspects; looking for their crashes would take long.
         for crash, noticed_at in self._evidence.crashes_with(suspect):
             if self._is_sound(suspect, noticed_at):
                 sound = frozenset((suspect,))
@@ -280,7 +293,7 @@
             self._events.record(event, part=cause, **fields)
 
     def _find_causes(self, call: CallIdentity) -> list[str]:
-        if not self._causes:
+        if self._causes.keys().isdisjoint(call.suspect_set):
             return []
         return [suspect for suspect in call.suspects if suspect in self._causes]
 
@@ -314,5 +327,21 @@
 }
 
 
+def _bound_prompts(
+    prompts: Sequence[Sequence[str]], ranked: Sequence[str]
+) -> frozenset[tuple[str, ...]]:
+    """Return the prompts with as many of the ranked parts as a report may have."""
+    distinct = set(prompts)
+    counts = Counter(part for prompt in distinct for part in prompt)
+    kept: set[str] = set()
+    size = 0
+    for part in ranked:
+        if part in counts and size + counts[part] <= MAX_PARTS_OF_REPORT:
+            kept.add(part)
+            size += counts[part]
+    found = (tuple(part for part in prompt if part in kept) for prompt in distinct)
+    return frozenset(filter(None, found))
+
+
 def _hold_s(cause: CrashCause) -> float:
     return min(MAX_HOLD_S, FIRST_HOLD_S * 2 ** (cause.crashes - MIN_CRASHES))
--- a/figwalk/coordination/crash_evidence.py
+++ b/figwalk/coordination/crash_evidence.py
@@ -28,6 +28,9 @@
 REQUEST_PREFIX = "request:"
 # Bounds memory. A deployment of 300 servers that all crash at once stays below it.
 MAX_CRASHES = 512
+# Bound memory. A part is one suspect, and one entry for each prompt of each report that has it.
+MAX_SUSPECTS = 50_000
+MAX_ENTRIES = 300_000
 
 
 @attrs.frozen
@@ -66,6 +69,20 @@
     sound: frozenset[str] = frozenset()
     requests: frozenset[str] = frozenset()
 
+    @property
+    def entries(self) -> int:
+        """Number of ids in the report."""
+        return sum(map(len, self.prompts)) + len(self.sound) + len(self.requests)
+
+    def keep(self, suspects: Set[str]) -> CrashReport:
+        """Return a report with these suspects only."""
+        found = (tuple(part for part in prompt if part in suspects) for prompt in self.prompts)
+        return attrs.evolve(
+            self,
+            prompts=frozenset(filter(None, found)),
+            requests=self.requests & suspects,
+        )
+
 
 @attrs.frozen
 class CrashCause:
@@ -90,6 +107,7 @@
         prompts: Parts of each prompt in progress.
         sound: Parts and requests that did not cause the crash.
         suspects: Parts and requests that may have caused it.
+        is_reduced: Whether it has only suspects of several crashes.
     """
 
     noticed_at: float
@@ -97,6 +115,12 @@
     prompts: set[tuple[str, ...]] = attrs.field(factory=set)
     sound: set[str] = attrs.field(factory=set)
     suspects: set[str] = attrs.field(factory=set)
+    is_reduced: bool = False
+
+    @property
+    def entries(self) -> int:
+        """Number of ids in the reports."""
+        return sum(report.entries for report in self.reports.values())
 
     def apply(self, report: CrashReport) -> None:
         """Add what a report states."""
@@ -105,6 +129,14 @@
         self.sound |= report.sound
         self.suspects.update(report.requests, *report.prompts)
         self.suspects -= self.sound
+        self.is_reduced = False
+
+    def reduce(self, suspects: Set[str]) -> None:
+        """Keep only some of the suspects."""
+        self.reports = {name: report.keep(suspects) for name, report in self.reports.items()}
+        self.prompts = set().union(*(report.prompts for report in self.reports.values()))
+        self.suspects &= suspects
+        self.is_reduced = True
 
     def prompts_with(self, parts: Set[str]) -> list[tuple[str, ...]]:
         """Return those of some parts that each prompt has, unless they are sound."""
@@ -127,6 +159,7 @@
         self._crash_counts: Counter[str] = Counter()
         # Parts and requests with at least `MIN_CRASHES` crashes.
         self._frequent: set[str] = set()
+        self._entries = 0
 
     @property
     def reporters(self) -> set[str]:
@@ -162,11 +195,12 @@
             return False
         crash = self._crashes.setdefault(report.crash, _Crash(noticed_at))
         before = set(crash.suspects)
+        self._entries += report.entries - (known.entries if known is not None else 0)
         crash.apply(report)
         self._count(crash.suspects - before, 1)
         self._count(before - crash.suspects, -1)
-        while len(self._crashes) > MAX_CRASHES:
-            self._excess += self._drop(next(iter(self._crashes))).reports.values()
+        while self._is_full():
+            self._forget_weakest()
         return True
 
     def drop_before(self, cutoff: float) -> list[CrashReport]:
@@ -182,7 +216,7 @@
 
     def crash_count(self, suspect: str) -> int:
         """Return at how many crashes a part or request was in progress and may be the cause."""
-        return self._crash_counts[suspect]
+        return self._crash_counts.get(suspect, 0)
 
     def crashes_with(self, suspect: str) -> list[tuple[CrashId, float]]:
         """Return those crashes, and when each was noticed."""
@@ -232,8 +266,29 @@
         count = sum(first_at <= c.noticed_at <= last_at for c in self._crashes.values())
         return len(crashes) >= MIN_SHARE * count
 
+    def _is_full(self) -> bool:
+        return (
+            len(self._crashes) > MAX_CRASHES
+            or len(self._crash_counts) > MAX_SUSPECTS
+            or self._entries > MAX_ENTRIES
+        )
+
+    def _forget_weakest(self) -> None:
+        """Forget the suspects of the oldest crash that had no other, or else the oldest crash."""
+        if len(self._crashes) <= MAX_CRASHES:
+            for crash in self._crashes.values():
+                if not crash.is_reduced:
+                    strong = {name for name in crash.suspects if self._crash_counts[name] > 1}
+                    self._count(crash.suspects - strong, -1)
+                    self._entries -= crash.entries
+                    crash.reduce(strong)
+                    self._entries += crash.entries
+                    return
+        self._excess += self._drop(next(iter(self._crashes))).reports.values()
+
     def _drop(self, key: CrashId) -> _Crash:
         crash = self._crashes.pop(key)
+        self._entries -= crash.entries
         self._count(crash.suspects, -1)
         return crash
 
--- a/figwalk/gateway/crash_reports.py
+++ b/figwalk/gateway/crash_reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import sys
 from hashlib import blake2b
 
 import attrs
@@ -172,7 +173,8 @@
         stored.reporter,
         CrashId(stored.backend, stored.born_ms),
         stored.at_ms,
-        frozenset(tuple(parts) for parts in stored.prompts),
+        # A part is in many reports; one copy of its id is kept.
+        frozenset(tuple(map(sys.intern, parts)) for parts in stored.prompts),
         frozenset(stored.sound),
         frozenset(stored.requests),
     )
--- a/figwalk/platform/caller_codec.py
+++ b/figwalk/platform/caller_codec.py
@@ -9,9 +9,6 @@
 from figwalk.timer import MS_PER_S
 from figwalk.transport import Headers, HttpRequest
 
-# A prompt has a handful of parts; the rest of a longer list is ignored.
-MAX_PROMPT_PARTS = 64
-
 
 class PlatformCallerCodec(CallerCodec):
     """Decodes the id, deadline and prompt parts in callers' requests."""
@@ -47,9 +44,12 @@
 
 
 def _parse_prompt(text: str) -> tuple[PromptPart, ...]:
-    """Return the parts of a prompt; none if the list is malformed, since it is only a hint."""
+    """Return the parts of a prompt; none if the list is malformed, since it is only a hint.
+
+    The server's limit of the size of headers bounds their number.
+    """
     parts = []
-    for item in text.split(",", MAX_PROMPT_PARTS)[:MAX_PROMPT_PARTS]:
+    for item in text.split(","):
         part_id, separator, tokens = item.strip().partition(":")
         if not (separator and part_id and is_count(tokens)):
             return ()
--- a/tests/test_call_quarantine.py
+++ b/tests/test_call_quarantine.py
@@ -10,6 +10,7 @@
     EVIDENCE_RETENTION_S,
     FIRST_HOLD_S,
     HOLD_SHARE_BETWEEN_GATEWAYS,
+    MAX_PARTS_OF_REPORT,
     SOUND_BEFORE_CRASH_S,
     CallQuarantine,
 )
@@ -273,3 +274,50 @@
         member.record_crash(CrashId(f"e{number}", 1), [CALL])
     assert [report.crash.backend for report in member.expire()] == [f"e{n}" for n in range(5)]
     assert len(member._unpublished) == len(member.unpublished) == MAX_CRASHES
+
+
+def test_check_of_a_long_prompt_takes_hardly_longer_than_that_of_a_short_one():
+    """Guards against a check at each send whose work grows with the number of parts."""
+
+    class CountingDict(dict):
+        lookups = 0
+
+        def __contains__(self, key):
+            CountingDict.lookups += 1
+            return super().__contains__(key)
+
+    gateways = Gateways()
+    gateways.crash(1, 2, 3)
+    member = gateways.members[0]
+    member._causes = CountingDict(member._causes)
+    for count in (3, 400):
+        member.check(CallIdentity(tuple(f"p{number}" for number in range(count))))
+        assert CountingDict.lookups == 0
+
+
+def test_report_on_many_long_prompts_is_bounded_and_keeps_the_part_that_crashes():
+    """Guards against reports without bound, and a part that all of them leave out."""
+    gateways = Gateways()
+    member = gateways.members[0]
+    for number in range(12):
+        prompts = [[f"{number}-{n}-{m}" for m in range(400)] for n in range(20)]
+        prompts[number][number * 30] = "bad"
+        calls = [CallIdentity((*prompt, "own")) for prompt in prompts]
+        member.record_crash(CrashId(f"e{number}", 1), calls)
+    sizes = [sum(map(len, report.prompts)) for report in member.unpublished]
+    assert max(sizes) <= MAX_PARTS_OF_REPORT
+    assert member.parts == {"bad"}
+
+
+def test_answered_parts_are_left_out_of_a_report_before_those_never_answered():
+    """Guards against a deadly part that is left out of a report for many sound ones."""
+    gateways = Gateways()
+    member = gateways.members[0]
+    sound = [f"s{number}" for number in range(2 * MAX_PARTS_OF_REPORT)]
+    member.record_answered(CallIdentity((*sound, "own")), gateways.timer.time)
+    gateways.timer.time += SOUND_BEFORE_CRASH_S + 1.0
+    member.record_crash(CrashId("e", 1), [CallIdentity((*sound, "bad", "own"))])
+    (report,) = member.unpublished
+    (prompt,) = report.prompts
+    assert "bad" in prompt
+    assert len(prompt) == MAX_PARTS_OF_REPORT
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from figwalk.coordination import crash_evidence
 from figwalk.coordination.crash_evidence import (
     MAX_CRASHES,
     REQUEST_PREFIX,
@@ -162,3 +163,19 @@
     reports[10:13] = [make_report(n, requests=["bad", f"s{n}"]) for n in range(10, 13)]
     reports.append(make_report(70, requests=["bad"]))
     assert find_deadly(*reports) == {"request:bad"}
+
+
+def test_memory_is_bounded_by_the_suspects_with_the_fewest_crashes(monkeypatch):
+    """Guards against a gateway that runs out of memory, or forgets the part that crashes."""
+    monkeypatch.setattr(crash_evidence, "MAX_SUSPECTS", 100)
+    evidence = CrashEvidence()
+    found = []
+    for number in range(40):
+        own = " ".join(f"{number}-{n}" for n in range(30))
+        evidence.add(make_report(number, f"bad {own}" if number % 2 else own), float(number))
+        assert len(evidence._crash_counts) <= 100
+        found.append(set(evidence.find_causes()))
+    assert found[5:] == [{"bad"}] * 35
+    assert sum(len(report.prompts) for report in evidence.reports_by("g1")) < 40
+    evidence.drop_before(100.0)
+    assert evidence._entries == 0
--- a/tests/test_deadly_prompt_parts.py
+++ b/tests/test_deadly_prompt_parts.py
@@ -1,6 +1,7 @@
 """Tests how gateways treat prompts that crash the engines which answer them."""
 
 import itertools
+import json
 
 import h11
 import pytest
@@ -93,3 +94,47 @@
         assert not fleet.process._quarantine.unpublished
 
     run_with_gateways(test, count=1)
+
+
+@pytest.mark.parametrize("place", ["first", "middle", "last but one"])
+@pytest.mark.parametrize("count", [1, 33, 65, 400])
+def test_deadly_part_is_refused_wherever_it_stands(count, place):
+    """Guards against a part of a long prompt that no quarantine can name for its position."""
+    position = {"first": 0, "middle": count // 2, "last but one": count - 1}[place]
+
+    def make_parts(number):
+        """Return the shared parts of a prompt, of which others have some."""
+        return [f"s{(number * 7 + n) % 500}" for n in range(count)]
+
+    async def test(fleet, gateways, ids):
+        engines = await add_engines(fleet, [f"e{number}" for number in range(12)])
+        for gateway in gateways:
+            while await ask(gateway, ids, "/long/x", *make_parts(3)) != 200:
+                pass
+        for number, gateway in enumerate(gateways * 8):
+            parts = make_parts(number)
+            await ask(gateway, ids, "/long/x", *parts)
+            parts[position] = DEADLY
+            await ask(gateway, ids, "/long/x", *parts)
+        sent = [r for e in engines for r in e.requests if DEADLY in r.headers["prefix-hash"]]
+        assert len(sent) <= MAX_DEADLY_SENDS
+        for gateway in gateways:
+            assert gateway.process._quarantine.parts == {DEADLY}
+            assert await ask(gateway, ids, "/long/x", *make_parts(3)) == 200
+
+    run_with_gateways(test)
+
+
+def test_header_above_the_limit_of_the_configuration_gets_a_clear_error():
+    """Guards against a list of parts that is cut without a word."""
+
+    async def test(fleet, gateways, ids):
+        await add_engines(fleet, ["e0"])
+        padding = [f"{number:032}" for number in range(500)]
+        assert await ask(gateways[0], ids, "/long/x", *padding) == 431
+        headers = ["Prefix-Hash: " + ",".join(f"{part}:1" for part in padding)]
+        status, _, body = await gateways[0].call("/long/x", method="POST", headers=headers)
+        assert (status, json.loads(body)["error"]["code"]) == (431, "header_too_large")
+        assert b"16384 bytes" in body
+
+    run_with_gateways(test, count=1)
