Don't take an answer with status 500 for proof that a request is sound

Cause: plain calls counted every complete answer, so that a server which fails all its calls cleared a request that crashes the others.

Change: only answers below 500 count, on plain kinds and streams, as they did for prompts.

--- a/figwalk/gateway/plain_calls.py
+++ b/figwalk/gateway/plain_calls.py
@@ -126,7 +126,8 @@
                     began_at = self._timer.now()
                     self._reject_unproven_not_run(call, answer.status)
                     await relay.relay(answer)
-                    self._quarantine.record_answered(call.identity, began_at)
+                    if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+                        self._quarantine.record_answered(call.identity, began_at)
                     return answer.backend
             except AttemptError as attempt_error:
                 error = attempt_error
@@ -168,7 +169,9 @@
         ) as answer:
             began_at = self._timer.now()
             buffered = await _read_answer(answer)
-            self._quarantine.record_answered(call.identity, began_at)
+            if not buffered.failed:
+                # A server that fails all its calls may never have begun this one.
+                self._quarantine.record_answered(call.identity, began_at)
             return buffered
 
     def _may_be_repeated(self, call: Call) -> bool:
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -153,3 +153,24 @@
             assert await ask(gateway, "/check/x", SOUND, ids) == 200
 
     run_with_gateways(test)
+
+
+@pytest.mark.parametrize("path", ["/check/x", "/order/x", "/feed/x", "/chat/x"])
+def test_answer_with_a_server_error_does_not_clear_a_deadly_request(path):
+    """Guards against a server that fails all its calls and so hides a request that crashes."""
+    service, prompt = ("lm", SHORT_PROMPT) if path == "/chat/x" else ("orders", [])
+
+    async def test(fleet, gateways, ids):
+        script = crashing_on_deadly_request(answering(event(1)))
+        failing = answering(status=500, Content_Type="text/plain")
+        stage = {"stage": "decode"}
+        names = [f"s{number}" for number in range(14)]
+        servers = await add_servers(fleet, gateways, names, script, service, **stage)
+        servers += await add_servers(fleet, gateways, ["f0", "f1"], failing, service, **stage)
+        for gateway in gateways * 12:
+            await ask(gateway, path, DEADLY, ids, prompt)
+        crashed = sum(server.crashed for server in servers)
+        assert crashed <= MAX_DEADLY_SENDS
+        assert all(gateway.process._quarantine.requests for gateway in gateways)
+
+    run_with_gateways(test)
