Find a part that causes under a fifth of the crashes

Cause: a part had to be in progress at a fifth of all crashes of its time, so that many crashes of other kinds hid it. A part with more crashes, but too few for its own time, also took its crashes from the parts beside it.

Change: five crashes over at least 2 s are enough whatever their share, since a part in demand is answered meanwhile; crashes close together still need a fifth. A part that explains too little leaves its crashes to others.

Result: the new tests with 10 and 50 other crashes for each, and the one of a part in demand beside it, fail on the code before and pass; so do all others on which parts must not be found.

--- a/figwalk/coordination/crash_evidence.py
+++ b/figwalk/coordination/crash_evidence.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Collection, Iterable, Sequence, Set
+from collections.abc import Collection, Iterable, Mapping, Sequence, Set
 
 import attrs
 
@@ -21,6 +21,10 @@
 # part that causes crashes is in progress at most crashes of its time, even beside another such part
 # and crashes for other reasons.
 MIN_SHARE = 0.2
+# With so many crashes, other crashes of the time don't matter: a part in demand is answered between
+# them, unless all are close together.
+MIN_CRASHES_OF_ANY_SHARE = 5
+MIN_SPAN_S = 2.0
 # A part is no cause if a single request with it explains the crashes. One more crash may have the
 # part in progress by chance.
 MIN_CRASHES_OF_OTHERS = 2
@@ -230,8 +234,9 @@
         other request, so that several requests may explain the same crash.
 
         A part is found if it was in progress at `MIN_CRASHES` crashes that no other found part
-        explains, at a share of `MIN_SHARE` of all crashes from the first of these to the last one,
-        and at `MIN_CRASHES_OF_OTHERS` crashes that no found request explains. If several parts of
+        explains, and at `MIN_CRASHES_OF_OTHERS` crashes that no found request explains. Its crashes
+        have to be a share of `MIN_SHARE` of all crashes from the first of them to the last one, or
+        `MIN_CRASHES_OF_ANY_SHARE` over a time of `MIN_SPAN_S`. If several parts of
         the same prompts were, the last one is found: prompts share their first parts with many
         others, and the later ones with few.
         """
@@ -245,25 +250,50 @@
 
     def _find_parts(self, requests: Set[str]) -> dict[str, CrashCause]:
         unexplained = {key: c.prompts_with(self._frequent) for key, c in self._crashes.items()}
+        with_request = {key for key, c in self._crashes.items() if requests & c.suspects}
         found: dict[str, CrashCause] = {}
-        while scores := _score(unexplained.values()):
-            part = max(scores, key=lambda name: (scores[name], name))
+        rejected: set[str] = set()
+        while part := self._choose_part(unexplained, with_request, rejected):
             explained = [key for key, prompts in unexplained.items() if _contains(prompts, part)]
-            others = [key for key in explained if not requests & self._crashes[key].suspects]
-            if self._is_usual(explained) and len(others) >= MIN_CRASHES_OF_OTHERS:
-                found[part] = self._make_cause(explained)
+            found[part] = self._make_cause(explained)
             for key in explained:
                 del unexplained[key]
         return found
 
+    def _choose_part(
+        self,
+        unexplained: Mapping[CrashId, Sequence[tuple[str, ...]]],
+        with_request: Set[CrashId],
+        rejected: set[str],
+    ) -> str | None:
+        """Return the part that explains the most crashes, or None if none explains enough.
+
+        Args:
+            unexplained: Prompts in progress at each crash that no found part explains.
+            with_request: Crashes that a found request explains.
+            rejected: Parts that don't explain enough; more are added. The crashes at which they
+                were in progress may still have other causes.
+        """
+        scores = _score(unexplained.values(), rejected)
+        parts = {key: set().union(*prompts) for key, prompts in unexplained.items()}
+        for part in sorted(scores, key=lambda name: (scores[name], name), reverse=True):
+            explained = [key for key, names in parts.items() if part in names]
+            others = sum(key not in with_request for key in explained)
+            if others >= MIN_CRASHES_OF_OTHERS and self._is_usual(explained):
+                return part
+            rejected.add(part)
+        return None
+
     def _make_cause(self, crashes: Sequence[CrashId]) -> CrashCause:
         return CrashCause(len(crashes), max(self._crashes[key].noticed_at for key in crashes))
 
     def _is_usual(self, crashes: Sequence[CrashId]) -> bool:
-        """Return whether some crashes are a sufficient share of all crashes of their time."""
+        """Return whether some crashes are too many, of all crashes of their time, for chance."""
         times = [self._crashes[key].noticed_at for key in crashes]
         first_at, last_at = min(times), max(times)
         count = sum(first_at <= c.noticed_at <= last_at for c in self._crashes.values())
+        if len(crashes) >= MIN_CRASHES_OF_ANY_SHARE and last_at - first_at >= MIN_SPAN_S:
+            return True
         return len(crashes) >= MIN_SHARE * count
 
     def _is_full(self) -> bool:
@@ -310,22 +340,30 @@
     return suspect.startswith(REQUEST_PREFIX)
 
 
-def _score(crashes: Collection[Sequence[tuple[str, ...]]]) -> Counter[str]:
+def _score(
+    crashes: Collection[Sequence[tuple[str, ...]]], rejected: Set[str] = frozenset()
+) -> Counter[str]:
     """Return the parts with enough crashes, and how many implicate each.
 
     A crash does not implicate a part if a prompt with it also has a later part with enough
-    crashes.
+    crashes, be it a rejected one.
     """
     counts: Counter[str] = Counter()
     for prompts in crashes:
         counts.update({part for prompt in prompts for part in prompt})
-    frequent = {part for part, count in counts.items() if count >= MIN_CRASHES}
+    frequent = {part for part, count in counts.items() if count >= MIN_CRASHES} | rejected
     scores: Counter[str] = Counter()
     for prompts in crashes:
         chains = [[part for part in prompt if part in frequent] for prompt in prompts]
         last = {chain[-1] for chain in chains if chain}
         scores.update(last.difference(*(chain[:-1] for chain in chains)))
-    return Counter({part: count for part, count in scores.items() if count >= MIN_CRASHES})
+    return Counter(
+        {
+            part: count
+            for part, count in scores.items()
+            if count >= MIN_CRASHES and part not in rejected
+        }
+    )
 
 
 def _contains(prompts: Iterable[Sequence[str]], part: str) -> bool:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -179,3 +179,29 @@
     assert sum(len(report.prompts) for report in evidence.reports_by("g1")) < 40
     evidence.drop_before(100.0)
     assert evidence._entries == 0
+
+
+@pytest.mark.parametrize("others", [5, 10, 50])
+def test_part_that_causes_a_small_share_of_the_crashes_is_found(others):
+    """Guards against a deadly part that many crashes of other kinds hide."""
+    reports = []
+    for number in range(5):
+        reports.append(make_report(f"bad{number}", f"bad s{number}", "popular"))
+        reports += [make_report(f"{number}-{n}", f"t{number}-{n}") for n in range(others)]
+        reports.append(make_report(f"bad{number}", reporter="g2", sound=["popular"]))
+    assert find_deadly(*reports) == {"bad"}
+
+
+def test_parts_in_work_when_many_servers_crash_at_once_are_not_found():
+    """Guards against parts in demand that are refused when a whole zone crashes in a moment."""
+    evidence = CrashEvidence()
+    for number in range(64):
+        evidence.add(make_report(number, f"head s{number % 8}"), number * 0.01)
+    assert evidence.find_causes() == {}
+
+
+def test_part_in_work_at_crashes_by_chance_does_not_hide_their_cause():
+    """Guards against a deadly part that one in demand hides, though it explains too few crashes."""
+    reports = [make_report(n, "popular" if n == 0 else f"t{n}") for n in range(28)]
+    reports += [make_report(n, "popular", "bad") for n in range(28, 31)]
+    assert find_deadly(*reports) == {"bad"}
