Leave calls from before a pause of the gateway out of crash evidence

Cause: a gateway that was paused beyond its calls' deadlines cancels them before it reads answers that have arrived. If their server was replaced meanwhile, they counted as held when it ended.

Change: a gap of more than 1 s between two comparisons of the registrations is a pause; calls sent before its end are no suspects.

--- a/figwalk/gateway/crash_watcher.py
+++ b/figwalk/gateway/crash_watcher.py
@@ -33,6 +33,9 @@
 WITHDRAWAL_S = 60.0
 # One heartbeat may have been written before the crash and read after it.
 HEARTBEATS_AFTER_CRASH = 2
+# The registrations are compared several times a second. A longer time is a pause of this process,
+# during which answers may have arrived unread.
+MAX_UPDATE_PAUSE_S = 1.0
 # The backend server answered, or never received the call.
 _NOT_HELD = frozenset({AttemptOutcome.FAILED, AttemptOutcome.REFUSED, AttemptOutcome.UNREACHABLE})
 
@@ -96,6 +99,11 @@
         """Whether an exchange broke."""
         return any(call.broken for call in self.ended)
 
+    def forget_before(self, sent_before: float) -> None:
+        """Forget the calls that were sent before a time."""
+        self.open = {call for call in self.open if call.sent_at >= sent_before}
+        self.ended = [call for call in self.ended if call.sent_at >= sent_before]
+
     def forget_ended(self, now: float) -> None:
         """Forget calls that ended long ago, or after which the backend server answered others."""
         cutoff = now - MAX_PENDING_S
@@ -137,7 +145,8 @@
     - its registration ends while calls are unanswered there, and it can't be reached;
     - another instance is registered at its address while calls are unanswered there.
 
-    A backend server that has announced that it leaves ends as planned. One that is registered again
+    Calls that were sent before a pause of this process are no evidence. A backend server that has
+    announced that it leaves ends as planned. One that is registered again
     as the same instance, or that goes on with its heartbeats, was frozen or cut off: its crash is
     withdrawn.
 
@@ -163,6 +172,8 @@
         self._events = events
         self._timer = timer
         self._instances: dict[CrashId, _Instance] = {}
+        self._updated_at: float | None = None
+        self._resumed_at = -math.inf
         self._checks_send, self._checks_receive = trio.open_memory_channel[_Instance](
             MAX_WAITING_CHECKS
         )
@@ -205,7 +216,9 @@
             instance.seen_at = self._timer.now()
         if outcome is AttemptOutcome.ANSWERED or outcome in _NOT_HELD:
             return
-        if held.timing.has_event or self._directory.is_leaving(instance.entry):
+        if held.sent_at < self._resumed_at or held.timing.has_event:
+            return
+        if self._directory.is_leaving(instance.entry):
             return
         held.ended_at = self._timer.now()
         held.broken = outcome is AttemptOutcome.BROKEN
@@ -220,9 +233,14 @@
 
     def update(self) -> None:
         """Compare the backend servers that hold calls with the registrations."""
+        now = self._timer.now()
+        updated_at, self._updated_at = self._updated_at, now
+        if updated_at is not None and now - updated_at > MAX_UPDATE_PAUSE_S:
+            self._resumed_at = now
+            for instance in self._instances.values():
+                instance.forget_before(now)
         if not self._instances:
             return
-        now = self._timer.now()
         others: dict[Address, list[BackendEntry]] = {}
         for entry in self._directory.entries():
             others.setdefault(entry.address, []).append(entry)
