Plan only as many engines for a short prompt as are tried

Ranking 50 engines for a short prompt built a plan for each of them, of which at most three are offered.

--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 import random
 import statistics
@@ -32,6 +33,7 @@
 # Share of an engine's slots up to which streams are packed onto it. Prefill slows streams down to a
 # third of their speed; the engines without streams prefill at full speed.
 MAX_PACKED_SHARE = 0.35
+MAX_SHORT_PLANS = 5  # More than are tried; each plan takes processor time.
 # A short prompt waits until the engine has prefilled a long one. If that takes more than this share
 # of its target, the short prompt goes to another engine.
 MAX_PREFILL_WAIT_SHARE = 0.25
@@ -165,7 +167,7 @@
         engines: Sequence[EngineTracker],
         spec: EngineSpec,
     ) -> list[PromptPlan]:
-        """Return a plan for each engine that may answer a short prompt, the best first.
+        """Return plans for the engines that are best for a short prompt, the best first.
 
         All processes pack streams onto the same engines, up to a share of their slots. Engines in
         availability zones without a prefill engine come first, since they would fetch the KV cache
@@ -173,26 +175,27 @@
         """
         prefill_zones = {e.entry.zone for e in engines if e.entry.role is Role.PREFILL}
         limit = max(1.0, MAX_PACKED_SHARE * spec.slots)
-
-        usual_rate = statistics.median(self._rate(engine) for engine in decode_engines)
+        rates = {engine: self._rate(engine) for engine in decode_engines}
+        usual_rate = statistics.median(rates.values())
 
         def key(runner: EngineTracker) -> tuple[bool, float, bool, float, bool, bytes]:
             is_full = runner.decoding >= limit
-            prefill_s = runner.backlog_tokens() / self._rate(runner)
+            prefill_s = runner.backlog_tokens() / rates[runner]
             is_prefilling = prefill_s > MAX_PREFILL_WAIT_SHARE * max(call.target_s, MIN_RETRY_S)
             load = runner.decoding if is_full else 0.0
             failing = round(runner.failure_share(), 1)
             near_prefill_engine = runner.entry.zone in prefill_zones
             return (
                 is_prefilling,
-                stream_slowness(runner.stream_load, call.gap_s, self._rate(runner) / usual_rate),
+                stream_slowness(runner.stream_load, call.gap_s, rates[runner] / usual_rate),
                 is_full,
                 load + failing,
                 near_prefill_engine,
                 hash_pair("streams", runner.entry.backend),
             )
 
-        return [self._build_plan(call, r, r, None, spec) for r in sorted(decode_engines, key=key)]
+        best = heapq.nsmallest(MAX_SHORT_PLANS, decode_engines, key=key)
+        return [self._build_plan(call, r, r, None, spec) for r in best]
 
     def admits(self, call: PromptCall, plan: PromptPlan) -> bool:
         """Return whether a call is to be sent by its plan.
@@ -392,7 +395,6 @@
             cost_s += 0.0 if engine.has_connection else CONNECT_COST_S
         # Other fetches on the links of both engines wait for this one.
         cost_s += plan.fetch_s + plan.transfer_s + plan.disturbance.delay_s
-        if plan.reader is self._second_home:
-            cost_s -= SECOND_HOME_S
+        cost_s -= SECOND_HOME_S if plan.reader is self._second_home else 0.0
         moves = (plan.reader is not plan.runner) + (plan.donor is not None)
         return cost_s + moves * TRANSFER_BILL_S
