--- a/figwalk/transport/connection_pool.py
+++ b/figwalk/transport/connection_pool.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Generic, Protocol, TypeVar
@@ -16,6 +17,8 @@
 
 from figwalk.errors import HttpError
 
+_logger = logging.getLogger(__name__)
+
 CONNECT_TIMEOUT_S = 3.0
 MAX_IDLE_CONNECTIONS = 64
 
@@ -196,6 +199,7 @@
             error = connect_error
         except Exception as unexpected:
             # An error that leaves a system task would end the process.
+            _logger.exception("An attempt to connect to %s failed unexpectedly.", self._address)
             error = HttpConnectError(f"cannot connect to {self._address}: {unexpected!r}")
         finally:
             self._opening -= 1
--- a/figwalk/transport/http_client.py
+++ b/figwalk/transport/http_client.py
@@ -37,7 +37,7 @@
 MAX_INFORMATIONAL_RESPONSES = 8
 # Above the largest page and configuration in the platform's store, about 1 MiB in base64 and JSON.
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
-KEEP_ALIVE_TIMEOUT = re.compile(r"(?:^|[\s,;])timeout\s*=\s*(\d{1,6})", re.IGNORECASE)
+KEEP_ALIVE_TIMEOUT = re.compile(r"(?:^|[\s,;])timeout\s*=\s*(\d{1,6}(?:\.\d{1,3})?)", re.IGNORECASE)
 _END_OF_MESSAGE = h11.EndOfMessage()
 
 ResponseCheck = Callable[[Headers], bool]
--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -37,7 +37,6 @@
     """
     remote = {f"b{n}": ("b", Role.DECODE) for n in range(4)}
     fleet = EngineFleet(a1=("a", Role.DECODE), **remote)
-    # Without shared parts, so that no engine is better by its cache.
     for n in range(4):
         fleet.report(f"b{n}", backlog_tokens=180 * n)
     assert choose_engines(fleet) == {"a1"}
