Learn engine speeds for first events, streams and lost agents

Cause: only the prefill rate that an agent measured was known for each engine. An engine whose agent is lost counted as one of median speed, the first event started from one assumption for all engines, streams were packed on slow engines too, and a spell of slowness that an engine reports was ignored.

Change: engines learn their speed from prefills, first events and the fastest runs of streams of this gateway, and from the rates that agents measure; each kind is compared among engines of one role, and only samples of nearly idle engines count. The speed divides the rate of an engine without a measured one, scales the assumed part of the first event and orders engines for streams; the reported slowdown divides every rate while it is fresh. A failed answer is no longer a sample of the first event.

--- a/figwalk/coordination/backend_tracker.py
+++ b/figwalk/coordination/backend_tracker.py
@@ -130,6 +130,11 @@
         """Seconds since the backend server reported its load, or None if it never did."""
         return self._timer.now() - self._load_at if self._load else None
 
+    @property
+    def network_s(self) -> float:
+        """Network round trip to the backend server, in seconds."""
+        return self._network_s
+
     @property
     def slowdown(self) -> float:
         """Seconds of work at this moment as a multiple of the server's own usual."""
--- a/figwalk/coordination/engine_tracker.py
+++ b/figwalk/coordination/engine_tracker.py
@@ -23,6 +23,12 @@
 # prompts whose first part is cached.
 ASSUMED_UNCACHED_TOKENS = 4000.0
 UNCACHED_MEAN_WEIGHT = 0.05  # Some 20 calls count.
+# The fixed time may be most of what the prefill of fewer tokens takes.
+MIN_SPEED_SAMPLE_TOKENS = 2000
+# With more calls than this share of the slots, or a longer wait for other prompts than this share
+# of a prefill, a time does not show how fast the engine itself is.
+MAX_SPEED_SAMPLE_CALLS = 0.1
+MAX_SPEED_SAMPLE_WAIT = 0.1
 # Without the agent, the rate is estimated from the calls of this process. The bounds keep one odd
 # call from making an engine look unusable or unlimited.
 RATE_WEIGHT = 0.1
@@ -52,6 +58,7 @@
         self._up = True
         self._decoding = 0
         self._first_event_s = FIRST_EVENT_S
+        self._assumed_share = 1.0  # Part of the mean that still is the assumption.
         self._reported_rate: float | None = None
         self._reported_backlog = 0.0
         self._reported_at = -math.inf
@@ -119,8 +126,12 @@
         self._measured = measured
         self._up = up
         self._decoding = decoding
+        is_new_rate = measured and tokens_per_s != self._reported_rate
         self._reported_rate = tokens_per_s
         self.apply_backlog(backlog_tokens)
+        if is_new_rate and tokens_per_s > 0:
+            # The agent measures over the prompts of all gateways, and so sooner than each of them.
+            self._record_speed("rate", 1 / tokens_per_s)
 
     def apply_cache_report(
         self,
@@ -199,16 +210,51 @@
         Args:
             reading_s: Seconds for which the engine prefills other prompts, which slows its decode.
         """
-        slowed_s = self._first_event_s + PREFILL_SLOWDOWN_SHARE * reading_s
-        return min(self._first_event_s * PREFILL_SLOWDOWN_FACTOR, slowed_s)
+        alone_s = self._lone_first_event_s * self.slowdown
+        slowed_s = alone_s + PREFILL_SLOWDOWN_SHARE * reading_s
+        return min(alone_s * PREFILL_SLOWDOWN_FACTOR, slowed_s)
 
     def record_first_event(self, predicted_s: float, took_s: float) -> None:
         """Learn how long the first event took after the prompt was prefilled or fetched."""
         if predicted_s <= 0:
             return
-        seconds = self._first_event_s * max(0.0, took_s) / predicted_s
+        seconds = self._lone_first_event_s * max(0.0, took_s) / predicted_s
         seconds = min(MAX_FIRST_EVENT_S, max(MIN_FIRST_EVENT_S, seconds))
         self._first_event_s += FIRST_EVENT_WEIGHT * (seconds - self._first_event_s)
+        self._assumed_share *= 1 - FIRST_EVENT_WEIGHT
+        self._record_speed("first_event", seconds)
+
+    def record_prefill_time(self, tokens: float, wait_s: float, took_s: float) -> None:
+        """Learn the engine's speed from how long a prefill took.
+
+        Args:
+            tokens: Tokens that were prefilled.
+            wait_s: Seconds that it was predicted to wait for other prompts.
+            took_s: Seconds that it took at the engine, wait included.
+        """
+        seconds = took_s - wait_s - self._fixed_s
+        if tokens >= MIN_SPEED_SAMPLE_TOKENS and wait_s <= MAX_SPEED_SAMPLE_WAIT * took_s:
+            self._record_speed("prefill", seconds / tokens / self.slowdown)
+
+    def record_decode_time(self, seconds: float | None) -> None:
+        """Learn the engine's speed from the seconds between the pieces of a stream, if known."""
+        if seconds is not None:
+            self._record_speed("decode", seconds / self.slowdown)
+
+    def _record_speed(self, work: str, seconds: float) -> None:
+        # Engines of one role are compared, since the others run at another speed by design.
+        most = max(1.0, MAX_SPEED_SAMPLE_CALLS * self.entry.slots)
+        if max(self.decoding, self.estimate_load()) <= most:
+            kind = f"{work} {self.entry.role.value}"
+            self.pacing.speeds.record(self.entry.backend, kind, seconds)
+
+    @property
+    def _lone_first_event_s(self) -> float:
+        """Seconds to the first event at an engine that does nothing else.
+
+        As far as this is still an assumption, it follows the speed of the engine's other work.
+        """
+        return self._first_event_s + self._assumed_share * FIRST_EVENT_S * (self.speed_factor - 1)
 
     @property
     def digest_age_s(self) -> float:
--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -183,10 +183,11 @@
         limit = max(1.0, MAX_PACKED_SHARE * spec.slots)
 
         def key(runner: EngineTracker) -> tuple[bool, bool, float, bool, bytes]:
-            is_full = runner.decoding >= limit
+            decoding = runner.decoding * runner.speed_factor
+            is_full = decoding >= limit
             prefill_s = runner.backlog_tokens() / self._rate(runner)
             is_prefilling = prefill_s > MAX_PREFILL_WAIT_SHARE * max(call.target_s, MIN_RETRY_S)
-            load = runner.decoding if is_full else 0.0
+            load = decoding if is_full else max(0.0, runner.speed_factor - 1)
             failing = round(runner.failure_share(), 1)
             near_prefill_engine = runner.entry.zone in prefill_zones
             return (
@@ -351,12 +352,13 @@
     def _rate(self, engine: EngineTracker) -> float:
         # The last rate that a lost agent reported is closer than the deployment's assumed one.
         if engine.measured_rate is not None:
-            return max(1.0, engine.measured_rate)
+            return max(1.0, engine.measured_rate / engine.slowdown)
         if engine.entry.role in self._rates:
-            return self._rates[engine.entry.role]
+            return self._rates[engine.entry.role] / (engine.speed_factor * engine.slowdown)
         if engine.last_reported_rate is not None:
-            return max(1.0, engine.last_reported_rate)
-        return self._settings.engines.prefill_rate(engine.entry.role) * engine.rate_factor
+            return max(1.0, engine.last_reported_rate / engine.slowdown)
+        assumed = self._settings.engines.prefill_rate(engine.entry.role)
+        return assumed * engine.rate_factor / engine.slowdown
 
     def _learn_rates(self, engines: Sequence[EngineTracker]) -> None:
         """Derive the rates of engines that were not measured from those that were.
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -322,13 +322,14 @@
                 self._clear_pending_work(key, plan)
                 self._check_status(call, relay, answer)
                 if source is None:
-                    self._record_prefill_time(
-                        call, decision, self._timer.now() - answer.response.sent_at
-                    )
+                    took_s = self._timer.now() - answer.response.sent_at
+                    self._record_prefill_time(call, decision, took_s, succeeded=answer.succeeded)
                 else:
                     self._record_fetch_wait(plan, self._timer.now() - answer.response.sent_at)
                 await self._relay(call, relay, answer)
                 if answer.succeeded:
+                    if len(call.sent_to) == 1:
+                        plan.runner.record_decode_time(call.timing.usual_gap_s)
                     self._quarantine.record_answered(call.identity, began_at)
                 return answer.backend
         except AttemptError as error:
@@ -384,7 +385,9 @@
             message = f"the engine answered with HTTP status {answer.status}"
             raise AttemptError(AttemptOutcome.FAILED, message, not_run=False)
 
-    def _record_prefill_time(self, call: Call, decision: PlacementDecision, took_s: float) -> None:
+    def _record_prefill_time(
+        self, call: Call, decision: PlacementDecision, took_s: float, *, succeeded: bool = True
+    ) -> None:
         """Record how long a prefill took beside its prediction, and report its end to the agent."""
         plan = decision.plan
         parts = _prompt_parts(call)
@@ -392,13 +395,18 @@
         overhead_s = self._placement.round_trip_s(plan.reader)
         if plan.reader is plan.runner:
             first_event_s = took_s - overhead_s - predicted_s
-            plan.runner.record_first_event(plan.first_event_s, first_event_s)
+            if succeeded:
+                plan.runner.record_first_event(plan.first_event_s, first_event_s)
             overhead_s += plan.first_event_s
         else:
             # The decode engine caches fetched prompt parts like those that it has prefilled itself.
             plan.runner.record_fetched(parts)
-        decision.end(read=True, took_s=took_s - overhead_s)
-        plan.reader.record_prefill(parts, predicted_s, took_s - overhead_s)
+        prefill_s = took_s - overhead_s
+        # A failure takes no time, and a transfer is not the engine's own work.
+        if succeeded and plan.donor is None:
+            plan.reader.record_prefill_time(plan.uncached_tokens, plan.backlog_s, prefill_s)
+        decision.end(read=True, took_s=prefill_s)
+        plan.reader.record_prefill(parts, predicted_s, prefill_s)
 
     def _make_send_plan(
         self,
--- a/figwalk/gateway/stream_timing.py
+++ b/figwalk/gateway/stream_timing.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 import attrs
 
+# Pieces in a row whose fastest pace shows how fast the engine generates: pauses fall between such
+# runs, and pieces that arrive together count as their mean.
+RUN_PIECES = 8
+
 
 @attrs.define
 class StreamTiming:
@@ -20,6 +26,15 @@
     first_at: float | None = None
     last_at: float | None = None
     longest_gap_s: float = 0.0
+    _latest: deque[float] = attrs.field(
+        factory=lambda: deque(maxlen=RUN_PIECES + 1), init=False, repr=False
+    )
+    _fastest_run_s: float | None = attrs.field(default=None, init=False)
+
+    @property
+    def usual_gap_s(self) -> float | None:
+        """Seconds between two pieces in the fastest run of pieces, or None before any run."""
+        return self._fastest_run_s / RUN_PIECES if self._fastest_run_s is not None else None
 
     def record_piece(self, now: float) -> None:
         """Record that a piece is relayed.
@@ -33,3 +48,8 @@
             self.longest_gap_s = max(self.longest_gap_s, now - self.last_at)
         self.last_at = now
         self.pieces += 1
+        self._latest.append(now)
+        if len(self._latest) > RUN_PIECES:
+            run_s = now - self._latest[0]
+            fastest_s = self._fastest_run_s
+            self._fastest_run_s = run_s if fastest_s is None else min(run_s, fastest_s)
--- a/tests/support/queue_model.py
+++ b/tests/support/queue_model.py
@@ -70,11 +70,31 @@
         for _ in range(gateways):
             zone = next(zones)
             distance = Distance(zone, ZONES[zone], ZONES)
-            placement = PlainPlacement(distance, random.Random(self.rng.random()))
+            placement = self.make_gateway(distance, random.Random(self.rng.random()))
             self.gateways.append((distance, placement, ServicePacing.create(self.timer), {}))
         for number, zone in zip(range(servers), itertools.cycle(ZONES), strict=False):
             self.add(f"s{number}", zone)
 
+    def make_gateway(self, distance, rng):
+        """Return the placement of a gateway."""
+        return PlainPlacement(distance, rng)
+
+    def make_tracker(self, entry, **options):
+        """Return a gateway's tracker of a server."""
+        return BackendTracker(entry, self.timer, self.events, **options)
+
+    def choose(self, placement, trackers):
+        """Return the tracker that a call is sent to, or None, and the plan if there is one."""
+        return placement.choose(trackers), None
+
+    def record(self, tracker, plan, took_s, network_s):
+        """Record an answer beyond what trackers of plain servers do."""
+
+    def disable_speeds(self):
+        """Let all gateways take all servers as equally fast."""
+        for _, _, pacing, _ in self.gateways:
+            pacing.speeds.factor = lambda _: 1.0
+
     def slowdown(self, _server):
         """Return the seconds of work as a multiple of the usual, now."""
         return 1.0
@@ -94,9 +114,8 @@
             name, "x", Address("h", 1), zone, self.load.slots, False, 1, 1, **fields
         )
         for distance, _, pacing, trackers in self.gateways:
-            trackers[name] = BackendTracker(
-                entry, self.timer, self.events, pacing=pacing, network_s=distance.round_trip_s(zone)
-            )
+            network_s = distance.round_trip_s(zone)
+            trackers[name] = self.make_tracker(entry, pacing=pacing, network_s=network_s)
 
     def at(self, when, action, *args):
         """Run an action at a time."""
@@ -114,8 +133,10 @@
 
     def _send(self, gateway):
         distance, placement, _, trackers = gateway
-        tracker = placement.choose(trackers.values())
-        call = object()
+        tracker, plan = self.choose(placement, trackers.values())
+        if tracker is None:
+            return
+        call = (object(), plan)
         tracker.start(call)
         tracker.record_sent(call, "x")
         server = self.servers[tracker.entry.backend]
@@ -151,6 +172,9 @@
 
     def _receive(self, server, tracker, call, load, sent_at, ok):
         tracker.record_answer(call, load, succeeded=ok)
+        if ok:
+            network_s = tracker.network_s
+            self.record(tracker, call[1], self.timer.time - sent_at, network_s)
         tracker.finish(call, AttemptOutcome.ANSWERED if ok else AttemptOutcome.FAILED)
         self.done.append(Done(server.name, sent_at, self.timer.time - sent_at, ok))
 
--- a/tests/test_plain_speeds.py
+++ b/tests/test_plain_speeds.py
@@ -32,8 +32,7 @@
     servers = max(2, round(6 * scale))
     cell = cell_type(load, gateways=gateways, servers=servers, seed=seed, reports=learns)
     if not learns:
-        for _, _, pacing, _ in cell.gateways:
-            pacing.speeds.factor = lambda _: 1.0
+        cell.disable_speeds()
     return cell.run()
 
 
