--- a/figwalk/coordination/backend_tracker.py
+++ b/figwalk/coordination/backend_tracker.py
@@ -148,6 +148,11 @@
         """Set whether a call would probably find an idle connection."""
         self._has_connection = connected
 
+    @property
+    def network_s(self) -> float:
+        """Network round trip to the backend server, in seconds."""
+        return self._network_s
+
     @property
     def slowdown(self) -> float:
         """Seconds of work at this moment as a multiple of the server's own usual."""
