--- a/tests/support/duty_fakes.py
+++ b/tests/support/duty_fakes.py
@@ -1,5 +1,7 @@
 """Several gateways' duties on a mock clock, with one store and one platform."""
 
+import json
+
 import attrs
 import trio
 
@@ -27,13 +29,14 @@
 
 
 class BootTimer(FakeTimer):
-    """Timer whose clocks all follow trio's, with an error of the wall clock that a test sets."""
+    """Timer whose clocks all follow trio's, with differences that a test sets."""
 
     wall_error_ms = 0
+    suspended_s = 0.0
 
     def boot_now(self):
-        """Return trio's time."""
-        return trio.current_time()
+        """Return trio's time and the time for which the VM was suspended."""
+        return trio.current_time() + self.suspended_s
 
     def wall_ms(self):
         """Return the wall clock, which may be wrong."""
@@ -78,6 +81,10 @@
             return self.status
         assert fence >= self.highest_of.get(place, 0), "a lower fencing token"
         self.highest_of[place] = fence
+        values = [
+            v for k, v in self.topics.records["duties"] if k == f"scale/{place[0]}/{place[1]}"
+        ]
+        assert json.loads(values[-1])["count"] == count, "not in the log"
         if self.late_orders:
             self.late_orders -= 1
             trio.lowlevel.spawn_system_task(self._take_late, place, count)
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -106,6 +106,24 @@
     assert orders[-1][0] - orders[-2][0] >= 5
 
 
+@deployed()
+async def test_no_order_is_sent_before_it_is_in_the_log(deployment):
+    """Guards against orders that a successor does not know; `FakePlatform` checks each one."""
+    deployment.scaled = [make_scaled()]
+
+    async def delay_appends():
+        while True:
+            await trio.sleep(1.3)
+            for gateway in deployment.gateways:
+                gateway.logs[2].late_appends = 1
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(delay_appends)
+        await keep_demand(deployment, 3, 14)
+        nursery.cancel_scope.cancel()
+    assert deployment.platform.orders[-1][-1] == 3
+
+
 @deployed()
 async def test_orders_wait_for_a_platform_that_refuses_them(deployment):
     """Guards against an order that is given up after a 429."""
--- a/tests/test_usage_counter.py
+++ b/tests/test_usage_counter.py
@@ -23,6 +23,7 @@
 from figwalk.duties.window_clock import WindowClock
 from figwalk.events import EventLog
 from figwalk.gateway import caller_api
+from figwalk.gateway import process as gateway_process
 from figwalk.platform import USAGE_TOPIC
 from figwalk.state.backend_directory import BackendEntry
 from figwalk.state.gateway_settings import DutySettings, LeaseSettings
@@ -132,6 +133,7 @@
 
 def count_in_gateway(monkeypatch, scripts, calls, *, service="orders", **fields):
     """Return the counts that a gateway has written at its stop after some calls."""
+    monkeypatch.setattr(gateway_process, "BALANCER_NOTICE_S", 0.05)
     organisation = Organisation("small")
     make_call = caller_api.Call
     monkeypatch.setattr(caller_api, "Call", lambda **kw: make_call(**kw, organisation=organisation))
@@ -146,7 +148,8 @@
             await fleet.start_gateway()
             for path, options in calls:
                 await fleet.call(path, **options)
-            await fleet.process._duties.stop()
+            await fleet.process.stop()
+            # Written before the process ends.
             (value,) = fleet.store._topic(USAGE_TOPIC).newest().values()
             for counts in json.loads(value[1])["windows"].values():
                 for name, count in counts.items():
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -93,6 +93,20 @@
     assert any(g.has(Event.USAGE_COUNTS_LATE) for g in deployment.gateways)
 
 
+@deployed()
+async def test_a_suspended_holder_has_lost_the_lease_when_it_goes_on(deployment):
+    """Guards against a lease by a clock that does not count the suspension of a VM."""
+    window = await deployment.next_window()
+    suspended = deployment.holder
+    calls = len(deployment.platform.calls)
+    fence = suspended.keeper.fence()
+    suspended.timer.suspended_s = LEASE.duration_ms / 1000
+    assert suspended.keeper.fence() is None
+    await deployment.reach(window + 4, 0.0)
+    assert window in deployment.platform.reports
+    assert fence not in [used for _, _, used, _ in deployment.platform.calls[calls:]]
+
+
 @deployed()
 async def test_lost_and_late_appends_don_t_double_or_change_reports(deployment):
     """Guards against a decision that is made twice because its append got no answer."""
