--- a/tests/test_usage_counter.py
+++ b/tests/test_usage_counter.py
@@ -22,6 +22,7 @@
 from figwalk.duties.usage_counter import UsageCounter
 from figwalk.duties.window_clock import WindowClock
 from figwalk.events import EventLog
+from figwalk.gateway import process as gateway_process
 from figwalk.platform import USAGE_TOPIC
 from figwalk.state.backend_directory import BackendEntry
 from figwalk.state.gateway_settings import DutySettings, LeaseSettings
@@ -128,8 +129,9 @@
     assert bench.counts() == {}
 
 
-def count_in_gateway(scripts, calls, *, service="orders", **fields):
+def count_in_gateway(monkeypatch, scripts, calls, *, service="orders", **fields):
     """Return the counts that a gateway has written at its stop after some calls."""
+    monkeypatch.setattr(gateway_process, "BALANCER_NOTICE_S", 0.05)
     written = {}
 
     async def test():
@@ -142,7 +144,8 @@
             for path, options in calls:
                 headers = (*options.get("headers", ()), KEY_HEADER)
                 await fleet.call(path, **options | {"headers": headers})
-            await fleet.process._duties.stop()
+            await fleet.process.stop()
+            # Written before the process ends.
             (value,) = fleet.store._topic(USAGE_TOPIC).newest().values()
             for counts in json.loads(value[1])["windows"].values():
                 for name, count in counts.items():
@@ -177,16 +180,16 @@
         ([hanging], [("/order/1", POST | {"deadline_ms": 300})], {}),
     ],
 )
-def test_a_gateway_counts_what_backend_servers_began(scripts, calls, expected):
+def test_a_gateway_counts_what_backend_servers_began(monkeypatch, scripts, calls, expected):
     """Guards against attempts that the gateway's parts don't report, or report twice."""
-    assert count_in_gateway(scripts, calls) == expected
+    assert count_in_gateway(monkeypatch, scripts, calls) == expected
 
 
-def test_prefills_and_streams_count_once():
+def test_prefills_and_streams_count_once(monkeypatch):
     """Guards against prefills that count, and streams that count before their first event."""
     calls = [("/chat/1", PROMPT), ("/chat/2", PROMPT)]
     for scripts in ([any_stage], [streaming(2)]):
-        counts = count_in_gateway(scripts, calls, service="lm", stage="decode")
+        counts = count_in_gateway(monkeypatch, scripts, calls, service="lm", stage="decode")
         assert counts == {"small": 2}
 
 
