Describe crash evidence, and count crashes that are withdrawn

Cause: no page said which outcomes of attempts are evidence, and a second registration at the address of a sound server made its calls suspects.

Another instance at an address counts only if calls stay unanswered there, or the registration has ended.

--- a/figwalk/gateway/crash_watcher.py
+++ b/figwalk/gateway/crash_watcher.py
@@ -113,25 +113,30 @@
             if call.ended_at >= cutoff and (call.broken or call.ended_at > self.seen_at)
         ]
 
+    def find_silence(self, now: float) -> float | None:
+        """Return since when the backend server has left a call unanswered for long, or None."""
+        waits = (
+            (max(call.sent_at, self.seen_at), now if call.ended_at is None else call.ended_at)
+            for call in (*self.open, *self.ended)
+            if not (call.timing.has_event or (self.refused and call.broken))
+        )
+        return min(
+            (start for start, end in waits if end - start >= RESPONSE_TIMEOUT_S), default=None
+        )
+
     def find_suspects(self, now: float) -> tuple[list[CallIdentity], float]:
         """Return the calls that may have ended the backend server, and when it ended.
 
         Calls that were sent after it had been silent for `RESPONSE_TIMEOUT_S` came too late to be
         the cause. If its port refuses connections, those that broke did so when it ended.
         """
-        held = [call for call in (*self.open, *self.ended) if not call.timing.has_event]
-        silent = [call for call in held if not (self.refused and call.broken)]
-        waits = [
-            (max(c.sent_at, self.seen_at), now if c.ended_at is None else c.ended_at)
-            for c in silent
-        ]
-        since = min(
-            (start for start, end in waits if end - start >= RESPONSE_TIMEOUT_S), default=now
-        )
+        silence = self.find_silence(now)
+        since = now if silence is None else silence
         suspects = [
             call.identity
-            for call in held
-            if (self.refused and call.broken) or call.sent_at <= since + RESPONSE_TIMEOUT_S
+            for call in (*self.open, *self.ended)
+            if not call.timing.has_event
+            and ((self.refused and call.broken) or call.sent_at <= since + RESPONSE_TIMEOUT_S)
         ]
         return suspects, now if self.refused else since
 
@@ -143,7 +148,7 @@
 
     - it breaks calls and its port refuses connections afterwards, or its registration ends;
     - its registration ends while calls are unanswered there, and it can't be reached;
-    - another instance is registered at its address while calls are unanswered there.
+    - another instance is registered at its address, and calls stay unanswered there.
 
     Calls that were sent before a pause of this process are no evidence. A backend server that has
     announced that it leaves ends as planned. One that is registered again
@@ -263,7 +268,8 @@
             and (not registered or entry.born_ms > instance.entry.born_ms)
             for entry in at_address
         )
-        if replaced:
+        # A registration at a foreign address says nothing about the server that answers there.
+        if replaced and (not registered or instance.find_silence(self._timer.now()) is not None):
             self._record_crash(instance, "replaced by another instance")
         elif not registered and instance.has_broken:
             self._record_crash(instance, "registration ended")
@@ -277,6 +283,7 @@
         elif instance.lapsed or (
             known.sequence >= instance.crash_sequence + HEARTBEATS_AFTER_CRASH
         ):
+            self._metrics.record_withdrawn_crash()
             self._events.record(
                 Event.CRASH_WITHDRAWN,
                 backend=instance.entry.backend,
--- a/figwalk/gateway/gateway_metrics.py
+++ b/figwalk/gateway/gateway_metrics.py
@@ -63,6 +63,11 @@
             "Backend servers that ended while they worked on calls of this gateway.",
             registry=self._registry,
         )
+        self._withdrawn_crashes = Counter(
+            "figwalk_withdrawn_crashes",
+            "Backend servers that counted as ended and went on.",
+            registry=self._registry,
+        )
         self._quarantined_parts = Gauge(
             "figwalk_quarantined_prompt_parts",
             "Parts whose prompts are refused because engines crash on them.",
@@ -111,6 +116,10 @@
         """Count a backend server that ended while it worked on calls."""
         self._engine_crashes.inc()
 
+    def record_withdrawn_crash(self) -> None:
+        """Count a backend server that counted as ended and goes on."""
+        self._withdrawn_crashes.inc()
+
     def record_quarantine(self, *, parts: int, requests: int) -> None:
         """Set the number of parts whose prompts are refused, and of refused requests."""
         self._quarantined_parts.set(parts)
--- a/tests/test_crash_watcher.py
+++ b/tests/test_crash_watcher.py
@@ -2,6 +2,7 @@
 
 import itertools
 import socket
+from pathlib import Path
 
 import attrs
 import pytest
@@ -110,6 +111,16 @@
     assert gateway.suspects == {"bad"}
 
 
+def test_registration_at_a_foreign_address_makes_no_suspects(gateway):
+    """Guards against calls at a sound server that become suspects by a false registration."""
+    gateway.directory.apply(attrs.evolve(ENTRY, backend="e2", born_ms=2))
+    for _ in range(20):
+        held = gateway.send()
+        gateway.look()
+        gateway.watcher.finish(held, AttemptOutcome.ANSWERED)
+    assert not gateway.suspects
+
+
 @pytest.mark.parametrize("port", PortState)
 def test_server_that_is_silent_but_registered_has_not_ended(gateway, port):
     """Guards against sound calls that become suspects when a link is cut."""
@@ -288,3 +299,12 @@
             assert len(crashes) - before <= 3
 
     run_test(main)
+
+
+def test_page_states_which_outcomes_are_evidence():
+    """Guards against an outcome of attempts that the page on the design leaves out."""
+    page = (Path(__file__).parent.parent / "docs" / "design.md").read_text()
+    rows = [line.split("|")[1:3] for line in page.splitlines() if line.startswith("| `")]
+    stated = {name.strip(): text.strip().startswith("yes") for name, text in rows}
+    for outcome in AttemptOutcome:
+        assert stated[f"`{outcome.name}`"] == (outcome in HELD)
