Report the calls of a crashed server once

Cause: each call that broke after a crash had been noticed reported all calls of that server again. Ranking the parts of many long prompts for each of them would hold up the event loop.

Change: the calls in progress are part of the first report, so that nothing is reported again; calls sent after the crash was noticed can't be its cause.

--- a/figwalk/gateway/crash_watcher.py
+++ b/figwalk/gateway/crash_watcher.py
@@ -223,16 +223,12 @@
             return
         if held.sent_at < self._resumed_at or held.timing.has_event:
             return
-        if self._directory.is_leaving(instance.entry):
-            return
+        if instance.crashed_at is not None or self._directory.is_leaving(instance.entry):
+            return  # Calls that were open at the crash are reported; later ones came too late.
         held.ended_at = self._timer.now()
         held.broken = outcome is AttemptOutcome.BROKEN
         instance.ended.append(held)
-        if not held.broken:
-            return
-        if instance.crashed_at is not None:
-            self._report(instance)
-        else:
+        if held.broken:
             # Also if an earlier check found it alive: it may have ended since.
             self._request_check(instance)
 
@@ -328,7 +324,7 @@
 
     def _record_crash(self, instance: _Instance, reason: str) -> None:
         now = self._timer.now()
-        suspects, _ = instance.find_suspects(now)
+        suspects, ended_at = instance.find_suspects(now)
         if not suspects:
             return
         instance.crashed_at = now
@@ -344,8 +340,4 @@
             calls=len(suspects),
             silent_s=round(now - instance.seen_at, 3) if instance.seen_at > 0 else None,
         )
-        self._report(instance)
-
-    def _report(self, instance: _Instance) -> None:
-        suspects, ended_at = instance.find_suspects(self._timer.now())
         self._quarantine.record_crash(instance.crash_id, suspects, ended_at)
