--- a/figwalk/gateway/crash_watcher.py
+++ b/figwalk/gateway/crash_watcher.py
@@ -120,25 +120,30 @@
             if call.ended_at >= cutoff and (call.broken or call.ended_at > self.seen_at)
         ]
 
+    def find_silence(self, now: float) -> float | None:
+        """Return since when the backend server has left a call unanswered for long, or None."""
+        waits = (
+            (max(call.sent_at, self.seen_at), now if call.ended_at is None else call.ended_at)
+            for call in (*self.open, *self.ended)
+            if not (call.timing.has_event or (self.refused and call.broken))
+        )
+        return min(
+            (start for start, end in waits if end - start >= RESPONSE_TIMEOUT_S), default=None
+        )
+
     def find_suspects(self, now: float) -> tuple[list[CallIdentity], float]:
         """Return the calls that may have ended the backend server, and when it ended.
 
         Calls that were sent after it had been silent for `RESPONSE_TIMEOUT_S` came too late to be
         the cause. If its port refuses connections, those that broke did so when it ended.
         """
-        held = [call for call in (*self.open, *self.ended) if not call.timing.has_event]
-        silent = [call for call in held if not (self.refused and call.broken)]
-        waits = [
-            (max(c.sent_at, self.seen_at), now if c.ended_at is None else c.ended_at)
-            for c in silent
-        ]
-        since = min(
-            (start for start, end in waits if end - start >= RESPONSE_TIMEOUT_S), default=now
-        )
+        silence = self.find_silence(now)
+        since = now if silence is None else silence
         suspects = [
             call.identity
-            for call in held
-            if (self.refused and call.broken) or call.sent_at <= since + RESPONSE_TIMEOUT_S
+            for call in (*self.open, *self.ended)
+            if not call.timing.has_event
+            and ((self.refused and call.broken) or call.sent_at <= since + RESPONSE_TIMEOUT_S)
         ]
         return suspects, now if self.refused else since
 
@@ -150,7 +155,7 @@
 
     - it breaks calls and its port refuses connections afterwards, or its registration ends;
     - its registration ends while calls are unanswered there, and it can't be reached;
-    - another instance is registered at its address while calls are unanswered there.
+    - another instance is registered at its address, and calls stay unanswered there.
 
     Calls that were sent before a pause of this process are no evidence. A backend server that has
     announced that it leaves ends as planned. One that is registered again
@@ -225,16 +230,12 @@
             return
         if held.sent_at < self._resumed_at or held.timing.has_event:
             return
-        if self._directory.is_leaving(instance.entry):
-            return
+        if instance.crashed_at is not None or self._directory.is_leaving(instance.entry):
+            return  # Calls that were open at the crash are reported; later ones came too late.
         held.ended_at = self._timer.now()
         held.broken = outcome is AttemptOutcome.BROKEN
         instance.ended.append(held)
-        if not held.broken:
-            return
-        if instance.crashed_at is not None:
-            self._report(instance)
-        else:
+        if held.broken:
             # Also if an earlier check found it alive: it may have ended since.
             self._request_check(instance)
 
@@ -270,7 +271,8 @@
             and (not registered or entry.born_ms > instance.entry.born_ms)
             for entry in at_address
         )
-        if replaced:
+        # A registration at a foreign address says nothing about the server that answers there.
+        if replaced and (not registered or instance.find_silence(self._timer.now()) is not None):
             self._record_crash(instance, "replaced by another instance")
         elif not registered and instance.has_broken:
             self._record_crash(instance, "registration ended")
@@ -284,6 +286,7 @@
         elif instance.lapsed or (
             known.sequence >= instance.crash_sequence + HEARTBEATS_AFTER_CRASH
         ):
+            self._metrics.record_withdrawn_crash()
             self._events.record(
                 Event.CRASH_WITHDRAWN,
                 backend=instance.entry.backend,
@@ -328,7 +331,7 @@
 
     def _record_crash(self, instance: _Instance, reason: str) -> None:
         now = self._timer.now()
-        suspects, _ = instance.find_suspects(now)
+        suspects, ended_at = instance.find_suspects(now)
         if not suspects:
             return
         instance.crashed_at = now
@@ -344,8 +347,4 @@
             calls=len(suspects),
             silent_s=round(now - instance.seen_at, 3) if instance.seen_at > 0 else None,
         )
-        self._report(instance)
-
-    def _report(self, instance: _Instance) -> None:
-        suspects, ended_at = instance.find_suspects(self._timer.now())
         self._quarantine.record_crash(instance.crash_id, suspects, ended_at)
