--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -24,46 +24,43 @@
 
 
 class Server:
-    """A server that takes a time to accept each connection, or refuses it."""
+    """A server that accepts one connection after the other, or refuses them all."""
 
-    def __init__(self, accept_s=0.05, error=None):
+    def __init__(self, accept_s=0.05, error=None, gateways=1):
         self.accept_s = accept_s
         self.error = error
-        self.opening = 0
-        self.most_opening = 0
-        self.pool = ConnectionPool(self.open, "server", OPTIONS)
+        self.accepting = trio.Lock()
+        self.pools = [ConnectionPool(self.open, "server", OPTIONS) for _ in range(gateways)]
+        self.pool = self.pools[0]
 
     async def open(self):
         """Open a connection."""
-        self.opening += 1
-        self.most_opening = max(self.most_opening, self.opening)
-        try:
+        async with self.accepting:
             await trio.sleep(self.accept_s)
-        finally:
-            self.opening -= 1
         if self.error:
             raise self.error
         return SimpleNamespace(usable=lambda *_limits: True)
 
-    async def call(self, seconds=0.01):
-        """Use a connection for some seconds."""
-        connection = await self.pool.check_out()
-        await trio.sleep(seconds)
-        self.pool.check_in(connection)
+    async def call(self, pool=None):
+        """Use a connection for 30 ms."""
+        pool = pool or self.pool
+        connection = await pool.check_out()
+        await trio.sleep(0.03)
+        pool.check_in(connection)
 
 
 @mock_time
-async def test_burst_opens_few_connections_and_all_calls_get_one():
+async def test_burst_of_all_gateways_opens_connections_in_time():
     """Guards against a burst of connections that makes a server time out, though it works.
 
-    Load: 40 calls of 10 ms at once, without idle connections; the server accepts in 50 ms.
+    Load: 25 gateways with 16 calls of 30 ms each at once, without idle connections; the server
+    accepts one connection a millisecond, 300 within the time for which calls wait.
     """
-    server = Server()
+    server = Server(accept_s=0.001, gateways=25)
     async with trio.open_nursery() as nursery:
-        for _ in range(40):
-            nursery.start_soon(server.call)
-    assert server.most_opening == 2
-    assert server.pool.opened <= 10
+        for pool in (pool for pool in server.pools for _ in range(16)):
+            nursery.start_soon(server.call, pool)
+    assert sum(pool.opened for pool in server.pools) < 250
     assert trio.current_time() < 0.25
 
 
