--- a/figwalk/coordination/backend_tracker.py
+++ b/figwalk/coordination/backend_tracker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import Enum
 
 import attrs
@@ -22,6 +23,8 @@
 RESPONSE_TIMEOUT_S = 0.6
 # A reported load that is older than this no longer describes the backend server.
 LOAD_MAX_AGE_S = 0.5
+# Two calls without a connection that are further apart are no evidence together.
+UNCONNECTED_MAX_AGE_S = 5.0
 ANSWER_TIME_WEIGHT = 0.1
 ASSUMED_ANSWER_S = 0.03
 
@@ -84,7 +87,7 @@
         self._failed = 0.0
         self._decayed_at = timer.now()
         self._down_count = 0
-        self._unconnected_at: float | None = None
+        self._unconnected_at = -math.inf
         self._open_failed = False  # Whether a call on an open connection failed since the answer.
         self._has_connection = True
         self._avoided_until = 0.0
@@ -139,7 +142,7 @@
             sent.answered = True
             self._answer_s += ANSWER_TIME_WEIGHT * (now - sent.sent_at - self._answer_s)
         self._last_answer_at = now
-        self._unconnected_at, self._open_failed = None, False
+        self._unconnected_at, self._open_failed = -math.inf, False
         if self._down_count:
             self._down_count = 0
             self._events.record(Event.BACKEND_USED_AGAIN, backend=self._entry.backend)
@@ -178,7 +181,7 @@
         now = self._timer.now()
         if now < self._avoided_until or self._is_unresponsive(now):
             return True
-        if self._unconnected_at is not None:
+        if self._is_in_doubt():
             return any(not call.answered for call in self._calls.values())
         return self._down_count > 0 and bool(self._calls)
 
@@ -203,11 +206,15 @@
         """
         if self._last_answer_at > sent.sent_at:
             return False
-        if self._unconnected_at is None:
+        if not self._is_in_doubt():
             self._unconnected_at = self._timer.now()
         is_second = sent.sent_at >= self._unconnected_at
         return is_second or self._down_count > 0 or self._open_failed
 
+    def _is_in_doubt(self) -> bool:
+        """Return whether a call recently got no connection and none was answered since."""
+        return self._timer.now() - self._unconnected_at <= UNCONNECTED_MAX_AGE_S
+
     def _is_unresponsive(self, now: float) -> bool:
         if now - self._last_answer_at < RESPONSE_TIMEOUT_S:
             return False
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -127,6 +127,8 @@
     for call in range(10):
         assert not fail(call, answer=True)
     assert not fail("first")
+    timer.advance(10.0)
+    assert not fail("much later")
     assert fail("second")
     timer.advance(1.0)
     tracker.record_answer("open", None)
