Limit the calls to new and recovered servers, and bound avoidance

Cause: all gateways found a new server idle at the same moment and sent their calls there while it was still cold, and a server that was avoided got all its calls back after one answer. Nothing bounded how many servers of a service were avoided at once.

Change: a server that appears later than 3 s after a gateway first saw its service, or that answers again after it was avoided, or fails most calls, gets an adaptive limit of calls at once from each gateway (PaceLimiter): first calls spread over 1 s, one more for each answer on time, half after a late one, a pause after a late single call or a failure, no limit from four on. A server that is full by its own report gets no call while it is limited. Late answers within 10 s after the limit was lifted bring it back. At most half of the servers of a role are kept out (select_usable); beyond that the least suspect are used at a cost of 1 s (avoided) or 0.1 s (limited), but never an engine that its agent reports as down. Events 860 and 861, two gauges.

--- a/figwalk/coordination/backend_tracker.py
+++ b/figwalk/coordination/backend_tracker.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import random
 from enum import Enum
 
 import attrs
 
 from figwalk.events import Event, EventLog
+from figwalk.pacing.pace_limiter import PaceSignal
 from figwalk.pacing.reported_slowdown import ReportedSlowdown
 from figwalk.pacing.service_pacing import ServicePacing
 from figwalk.state.backend_directory import BackendEntry
@@ -25,6 +27,14 @@
 # A reported load that is older than this no longer describes the backend server.
 LOAD_MAX_AGE_S = 0.5
 USUAL_SLOWDOWN = 1.0
+# An answer that takes longer than this multiple of the expected time is late.
+LATE_FACTOR = 2.0
+# A server that fails more calls than this share is limited to few calls at once.
+FAILING_SHARE = 0.5
+# Seconds that a call should rather wait elsewhere than go to a server that is avoided, which is as
+# bad as one that fails all its calls, or to one that has as many calls as it may have.
+AVOIDED_COST_S = 1.0
+LIMITED_COST_S = 0.1
 ANSWER_TIME_WEIGHT = 0.1
 ASSUMED_ANSWER_S = 0.03
 
@@ -68,8 +78,10 @@
     answered: bool = False
     # What the time of work is compared with, when the call left this process, and its result.
     kind: str | None = None
-    left_at: float = 0.0
+    left_at: float | None = None
     work_s: float = 0.0
+    expected_s: float | None = None
+    signal: PaceSignal = PaceSignal.NONE
 
 
 class BackendTracker:
@@ -106,8 +118,9 @@
         self._load_at = 0.0
         self._in_flight_at_load = 0
         self._answer_s = ASSUMED_ANSWER_S
-        self._pacing = pacing or ServicePacing.create(timer)
+        self._pacing = pacing or ServicePacing.create(events, timer, random.Random())
         self._network_s = network_s
+        self._keep_out_cost_s = 0.0
         self._slowdown = ReportedSlowdown(timer)
 
     @property
@@ -148,7 +161,9 @@
     @property
     def extra_work_s(self) -> float:
         """Seconds by which a call is predicted to take longer than usual at the service."""
-        return (self.speed_factor * self.slowdown - 1.0) * self._pacing.speeds.mean_s
+        speeds = self._pacing.speeds
+        factor = speeds.factor(self._entry.backend) * self._slowdown.factor
+        return (factor - 1.0) * speeds.mean_s
 
     @property
     def pacing(self) -> ServicePacing:
@@ -167,19 +182,30 @@
     def start(self, call: object) -> None:
         """Record that a call is being sent."""
         self._calls[call] = _SentCall(self._timer.now())
+        self._pacing.limiter.start(self._entry.backend, call)
 
-    def record_sent(self, call: object, kind: str | None) -> None:
+    def record_sent(
+        self, call: object, kind: str | None, *, expected_s: float | None = None
+    ) -> None:
         """Record that a call leaves on an open connection.
 
         Args:
             call: The call.
             kind: Kind of work whose times are comparable, or None if they depend on the call.
+            expected_s: Seconds until its answer, as predicted, or None if `kind` tells them.
         """
         sent = self._calls.get(call)
+        if sent is None:
+            return
+        sent.left_at = self._timer.now()
+        sent.expected_s = expected_s
+        if kind is not None:
+            usual_s = self._pacing.speeds.usual_s(kind)
+            if usual_s is not None:
+                sent.expected_s = usual_s * max(1.0, self.speed_factor)
         # With a queue, the time of the answer would not show the time of the work.
-        if sent is not None and self.estimate_load() <= self._entry.slots:
+        if self.estimate_load() <= self._entry.slots:
             sent.kind = kind
-            sent.left_at = self._timer.now()
 
     def record_answer(
         self, call: object, load: ReportedLoad | None, *, succeeded: bool = True
@@ -199,12 +225,15 @@
         if sent is not None and not sent.answered:
             sent.answered = True
             self._answer_s += ANSWER_TIME_WEIGHT * (now - sent.sent_at - self._answer_s)
-            if succeeded and (load is None or load.waiting == 0):
-                sent.work_s = now - sent.left_at - self._network_s
+            if succeeded and sent.left_at is not None:
+                took_s = now - sent.left_at - self._network_s
+                sent.signal = self._judge(sent, took_s)
+                sent.work_s = took_s if load is None or load.waiting == 0 else 0.0
         self._last_answer_at = now
         if self._down_count:
             self._down_count = 0
             self._events.record(Event.BACKEND_USED_AGAIN, backend=self._entry.backend)
+            self._pacing.limiter.begin_recovered(self._entry.backend)
         if load is not None:
             self._load = load
             self._load_at = now
@@ -221,11 +250,21 @@
                 self._record_work(sent)
         elif outcome in _FAILURE_OUTCOMES:
             self._failed += 1
+            if self.failure_share() > FAILING_SHARE:
+                self._pacing.limiter.begin_failing(self._entry.backend)
         if outcome in _DOWN_OUTCOMES:
             self._record_down(outcome)
+        signal = sent.signal if sent is not None else PaceSignal.NONE
+        if outcome in _FAILURE_OUTCOMES or outcome in _DOWN_OUTCOMES:
+            signal = PaceSignal.FAILED
+        elif outcome is not AttemptOutcome.ANSWERED:
+            signal = PaceSignal.NONE
+        self._pacing.limiter.finish(self._entry.backend, call, signal)
 
     def failure_share(self) -> float:
         """Return the share of recent calls that failed, 0 to 1."""
+        if not self._failed:
+            return 0.0
         self._decay()
         return self._failed / (self._answered + self._failed + FAILURE_PRIOR_CALLS)
 
@@ -239,6 +278,36 @@
             return True
         return self._down_count > 0 and bool(self._calls)
 
+    @property
+    def is_known_down(self) -> bool:
+        """Whether a process beside the backend server says that it is down."""
+        return False
+
+    def is_kept_out(self) -> bool:
+        """Return whether calls should go elsewhere now: it is avoided, or limited without room."""
+        self._keep_out_cost_s = 0.0
+        if self.is_avoided():
+            self._keep_out_cost_s = AVOIDED_COST_S
+        elif self._is_limited():
+            self._keep_out_cost_s = LIMITED_COST_S
+        return self._keep_out_cost_s > 0
+
+    @property
+    def keep_out_cost_s(self) -> float:
+        """Seconds of delay elsewhere that are better than a call here, by the latest check."""
+        return self._keep_out_cost_s
+
+    def suspicion(self) -> tuple[bool, float, float]:
+        """Return a sort key of kept-out servers, with those most likely to work first."""
+        left_s = self._timer.left_s(self._avoided_until)
+        return (self.is_avoided(), self.failure_share(), left_s)
+
+    def _is_limited(self) -> bool:
+        backend, limiter = self._entry.backend, self._pacing.limiter
+        if not limiter.is_limited(backend):
+            return False
+        return not limiter.allows(backend, self.estimate_load(), self._entry.slots)
+
     def estimate_load(self) -> int:
         """Return the calls that the backend server has now, from all callers.
 
@@ -251,9 +320,18 @@
         reported = self._load.running + self._load.waiting
         return max(own, reported + own - self._in_flight_at_load)
 
+    def _judge(self, sent: _SentCall, took_s: float) -> PaceSignal:
+        if sent.expected_s is None:
+            return PaceSignal.ON_TIME
+        # A spell of slowness that the server reports is not the effect of too many calls.
+        longest_s = LATE_FACTOR * sent.expected_s * max(1.0, self.slowdown)
+        return PaceSignal.LATE if took_s > longest_s else PaceSignal.ON_TIME
+
     def _record_work(self, sent: _SentCall) -> None:
         # While a server is cold, its times don't show how fast it is later.
-        if sent.kind is not None and sent.work_s > 0 and self._entry.cold_s <= 0:
+        if self._entry.cold_s > 0 or self._pacing.limiter.is_warming_up(self._entry.backend):
+            return
+        if sent.kind is not None and sent.work_s > 0:
             seconds = sent.work_s / self.slowdown
             self._pacing.speeds.record(self._entry.backend, sent.kind, seconds)
 
--- a/figwalk/coordination/engine_tracker.py
+++ b/figwalk/coordination/engine_tracker.py
@@ -290,9 +290,14 @@
     def _has_digest(self) -> bool:
         return self._reported_rate is not None and self.digest_age_s <= DIGEST_MAX_AGE_S
 
+    @property
+    def is_known_down(self) -> bool:
+        """Whether a recent report of the agent beside the engine says that it is down."""
+        return self._has_digest and not self._up
+
     def is_avoided(self) -> bool:
         """Return whether calls to the engine are avoided now; see `BackendTracker.is_avoided`."""
-        return (self._has_digest and not self._up) or super().is_avoided()
+        return self.is_known_down or super().is_avoided()
 
     def start_fetch(self, call: object, seconds: float) -> None:
         """Record that a fetch over the engine's link begins, and how long it takes by itself."""
--- a/figwalk/coordination/plain_placement.py
+++ b/figwalk/coordination/plain_placement.py
@@ -14,6 +14,7 @@
 import attrs
 
 from figwalk.coordination.backend_tracker import BackendTracker
+from figwalk.coordination.kept_out import select_usable
 
 CROSS_ZONE_S = 0.002  # Round trip between availability zones of one region.
 CROSS_REGION_S = 0.025  # Round trip between regions: 12 ms each way.
@@ -50,9 +51,13 @@
 
     def cost_s(self, zone: str) -> float:
         """Return the round trip plus the cost of traffic between regions, in seconds."""
+        return self.round_trip_s(zone) + self.bill_s(zone)
+
+    def bill_s(self, zone: str) -> float:
+        """Return the cost of traffic to a zone of another region, in seconds."""
         if self.regions.get(zone) == self.region or zone == self.zone:
-            return self.round_trip_s(zone)
-        return self.round_trip_s(zone) + CROSS_REGION_BILL_S
+            return 0.0
+        return CROSS_REGION_BILL_S
 
 
 class PlainPlacement:
@@ -66,20 +71,22 @@
     def __init__(self, distance: Distance, rng: random.Random) -> None:
         self._distance = distance
         self._rng = rng
+        self._zone_costs_s: dict[str, float] = {}
 
     def choose(
         self, candidates: Iterable[BackendTracker], *, tried: Collection[str] = ()
     ) -> BackendTracker | None:
         """Return the best backend server, or None if none remains.
 
-        Avoided ones are chosen only if there is no other.
+        Avoided ones, and limited ones without room, are chosen only if there is no other, or if too
+        many are kept out and the others have long queues; see `select_usable`.
 
         Args:
             candidates: Backend servers of the service that accept new work.
             tried: Ids of the backend servers that the call was already sent to.
         """
         remaining = [tracker for tracker in candidates if tracker.entry.backend not in tried]
-        usable = [tracker for tracker in remaining if not tracker.is_avoided()] or remaining
+        usable = select_usable(remaining) or remaining
         if not usable:
             return None
         best = min(usable, key=lambda tracker: (self._cost_s(tracker), self._rng.random()))
@@ -91,26 +98,33 @@
         """Return an idle server of unknown speed that is nearly as near as the best, or None."""
         if not best.pacing.may_explore():
             return None
-        longest_s = self._distance.cost_s(best.entry.zone) + CROSS_ZONE_S
+        best.pacing.record_exploration()
+        longest_s = self._zone_cost_s(best.entry.zone) + CROSS_ZONE_S
         unknown = [
             tracker
             for tracker in usable
             if not tracker.is_speed_known
-            and self._distance.cost_s(tracker.entry.zone) <= longest_s
+            and self._zone_cost_s(tracker.entry.zone) <= longest_s
             and tracker.entry.cold_s <= 0
             and tracker.failure_share() < MAX_EXPLORED_FAILURES
             and tracker.estimate_load() * 2 < tracker.entry.slots
         ]
-        if not unknown:
-            return None
-        best.pacing.record_exploration()
-        return self._rng.choice(unknown)
+        return self._rng.choice(unknown) if unknown else None
 
     def _cost_s(self, tracker: BackendTracker) -> float:
-        cost_s = self._distance.cost_s(tracker.entry.zone)
+        entry = tracker.entry
+        cost_s = self._zone_cost_s(entry.zone)
         cost_s += tracker.failure_share() * FAILURE_COST_S
-        cost_s += COLD_COST_S if tracker.entry.cold_s > 0 else 0.0
-        cost_s += tracker.extra_work_s
-        slots = max(1, tracker.entry.slots)
-        queued = max(0, tracker.estimate_load() + 1 - slots)
+        cost_s += COLD_COST_S if entry.cold_s > 0 else 0.0
+        cost_s += tracker.extra_work_s + tracker.keep_out_cost_s
+        slots = entry.slots if entry.slots > 1 else 1
+        queued = tracker.estimate_load() + 1 - slots
+        if queued <= 0:
+            return cost_s
         return cost_s + queued / slots * tracker.answer_s * tracker.slowdown
+
+    def _zone_cost_s(self, zone: str) -> float:
+        cost_s = self._zone_costs_s.get(zone)
+        if cost_s is None:
+            cost_s = self._zone_costs_s[zone] = self._distance.cost_s(zone)
+        return cost_s
--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -19,6 +19,7 @@
 import attrs
 
 from figwalk.coordination.engine_tracker import EngineTracker
+from figwalk.coordination.kept_out import select_usable
 from figwalk.coordination.plain_placement import Distance
 from figwalk.coordination.prompt_plan import PromptCall, PromptPlan
 from figwalk.coordination.subject_affinity import find_preferred_engine, hash_pair
@@ -112,7 +113,7 @@
 
         The list is empty if no engine is usable.
         """
-        usable = [engine for engine in engines if not engine.is_avoided()]
+        usable = select_usable(engines)
         self._learn_rates(usable)
         decode_engines = [engine for engine in usable if engine.entry.role is not Role.PREFILL]
         if not decode_engines:
@@ -193,7 +194,7 @@
             return (
                 is_prefilling,
                 is_full,
-                load + failing,
+                load + failing + runner.keep_out_cost_s,
                 near_prefill_engine,
                 hash_pair("streams", runner.entry.backend),
             )
@@ -391,8 +392,7 @@
         failures = plan.reader.failure_share() + plan.runner.failure_share()
         cost_s = plan.predicted_s + plan.reserve_s + failures * FAILURE_COST_S
         for engine in {plan.reader, plan.runner}:
-            zone = engine.entry.zone
-            cost_s += self._distance.cost_s(zone) - self._distance.round_trip_s(zone)
+            cost_s += engine.keep_out_cost_s + self._distance.bill_s(engine.entry.zone)
         # Other fetches on the links of both engines wait for this one.
         cost_s += plan.fetch_s + plan.transfer_s
         moves = (plan.reader is not plan.runner) + (plan.donor is not None)
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -234,6 +234,12 @@
         "warning",
         "The VM list does not answer; the last known one stays in force.",
     )
+    PACE_LIMITED = (
+        860,
+        "info",
+        "A new or recovered backend server gets a limited number of calls at once.",
+    )
+    PACE_LIFTED = (861, "info", "A backend server kept up, and its limit of calls is lifted.")
 
     @property
     def number(self) -> int:
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -177,7 +177,10 @@
             self._record_sent(call, tracker, plan)
             connected_at = call.sent_at = self._timer.now()
             # Prompts differ in length, so that the times of model calls are not comparable.
-            tracker.record_sent(key, None if call.route.is_model_call else call.route.name)
+            if call.route.is_model_call:
+                tracker.record_sent(key, None, expected_s=call.predicted_s or None)
+            else:
+                tracker.record_sent(key, call.route.name)
 
         try:
             async with AsyncExitStack() as stack:
--- a/figwalk/gateway/backend_pool.py
+++ b/figwalk/gateway/backend_pool.py
@@ -192,6 +192,14 @@
         trackers = [pooled.tracker for name in services for pooled in self.of_service(name)]
         return [tracker for tracker in trackers if isinstance(tracker, EngineTracker)]
 
+    def count_limited(self) -> int:
+        """Return how many backend servers are new or have recovered, and get limited calls."""
+        return sum(pacing.limiter.limited for pacing in self._pacing.values())
+
+    def count_slow(self) -> int:
+        """Return how many backend servers have shown to be slower than usual."""
+        return sum(pooled.tracker.speed_factor > 1.0 for pooled in self._backends.values())
+
     def client(self, tracker: BackendTracker) -> HttpClient:
         """Return the client of a tracked backend server."""
         pooled = self._backends.get(tracker.entry.backend)
@@ -206,7 +214,9 @@
         service = self._find_service(entry.service)
         pacing = self._pacing.get(entry.service)
         if pacing is None:
-            pacing = self._pacing[entry.service] = ServicePacing.create(self._timer)
+            pacing = ServicePacing.create(self._events, self._timer, self._rng)
+            self._pacing[entry.service] = pacing
+        pacing.add(entry.backend)
         network_s = self._distance.round_trip_s(entry.zone) if self._distance else 0.0
         if service is not None and service.engine is not None:
             tracker: BackendTracker = EngineTracker(
@@ -244,4 +254,4 @@
     def _drop(self, backend: str) -> None:
         pooled = self._backends.pop(backend)
         pooled.client.close()
-        self._pacing[pooled.tracker.entry.service].speeds.forget(backend)
+        self._pacing[pooled.tracker.entry.service].forget(backend)
--- a/figwalk/gateway/gateway_metrics.py
+++ b/figwalk/gateway/gateway_metrics.py
@@ -73,6 +73,16 @@
             "Requests that are refused because backend servers crash on them.",
             registry=self._registry,
         )
+        self._limited_backends = Gauge(
+            "figwalk_limited_backends",
+            "Backend servers that are new or have recovered, and get limited calls.",
+            registry=self._registry,
+        )
+        self._slow_backends = Gauge(
+            "figwalk_slow_backends",
+            "Backend servers that have shown to be slower than usual at their service.",
+            registry=self._registry,
+        )
         self._dropped_lines = Gauge(
             "figwalk_log_lines_dropped", "Log lines dropped so far.", registry=self._registry
         )
@@ -116,6 +126,11 @@
         self._quarantined_parts.set(parts)
         self._quarantined_requests.set(requests)
 
+    def record_pacing(self, *, limited: int, slow: int) -> None:
+        """Set the number of backend servers with limited calls, and of slow ones."""
+        self._limited_backends.set(limited)
+        self._slow_backends.set(slow)
+
     def record_dropped_lines(self, count: int) -> None:
         """Set the number of log lines dropped since the start."""
         self._dropped_lines.set(count)
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -302,6 +302,9 @@
         self._metrics.record_quarantine(
             parts=len(self._quarantine.parts), requests=len(self._quarantine.requests)
         )
+        self._metrics.record_pacing(
+            limited=self._pool.count_limited(), slow=self._pool.count_slow()
+        )
         dropped = self._dropped_lines()
         if dropped > self._reported_drops:
             self._events.record(Event.LOG_LINES_DROPPED, count=dropped - self._reported_drops)
--- a/figwalk/pacing/speed_estimator.py
+++ b/figwalk/pacing/speed_estimator.py
@@ -106,8 +106,10 @@
         self._recorded_at[backend] = self._timer.now()
 
     def factor(self, backend: str) -> float:
-        """Return the seconds of work at a backend server as a multiple of the usual."""
-        self._refresh()
+        """Return the seconds of work at a backend server as a multiple of the usual.
+
+        This is the value of the latest `refresh`.
+        """
         return self._factors.get(backend, 1.0)
 
     def is_known(self, backend: str) -> bool:
@@ -119,8 +121,10 @@
         return max(counts, default=0) >= MIN_SAMPLES
 
     def usual_s(self, kind: str) -> float | None:
-        """Return the usual seconds of a kind of work, or None if too few servers have done it."""
-        self._refresh()
+        """Return the usual seconds of a kind of work, or None if too few servers have done it.
+
+        This is the value of the latest `refresh`.
+        """
         return self._usual_s.get(kind)
 
     def forget(self, backend: str) -> None:
@@ -130,7 +134,8 @@
         self._recorded_at.pop(backend, None)
         self._factors.pop(backend, None)
 
-    def _refresh(self) -> None:
+    def refresh(self) -> None:
+        """Derive the factors from the samples, unless that was done a moment ago."""
         now = self._timer.now()
         if now < self._refresh_at:
             return
--- a/tests/support/queue_model.py
+++ b/tests/support/queue_model.py
@@ -38,6 +38,7 @@
     target_s: float
     slots: int = 6
     seconds: float = 10.0
+    begins: float = 0.0
 
 
 @attrs.frozen
@@ -70,8 +71,11 @@
         for _ in range(gateways):
             zone = next(zones)
             distance = Distance(zone, ZONES[zone], ZONES)
-            placement = self.make_gateway(distance, random.Random(self.rng.random()))
-            self.gateways.append((distance, placement, ServicePacing.create(self.timer), {}))
+            rng = random.Random(self.rng.random())
+            placement = self.make_gateway(distance, rng)
+            self.gateways.append(
+                (distance, placement, ServicePacing.create(self.events, self.timer, rng), {})
+            )
         for number, zone in zip(range(servers), itertools.cycle(ZONES), strict=False):
             self.add(f"s{number}", zone)
 
@@ -95,6 +99,11 @@
         for _, _, pacing, _ in self.gateways:
             pacing.speeds.factor = lambda _: 1.0
 
+    def disable_limits(self):
+        """Let all gateways send any number of calls to new and recovered servers."""
+        for _, _, pacing, _ in self.gateways:
+            pacing.limiter.allows = lambda *_: True
+
     def slowdown(self, _server):
         """Return the seconds of work as a multiple of the usual, now."""
         return 1.0
@@ -104,7 +113,7 @@
         return self.slowdown(server)
 
     def fails(self, _server):
-        """Return whether a server fails the call that arrives now."""
+        """Return whether a server fails the call that arrives now, at once."""
         return False
 
     def add(self, name, zone, **fields):
@@ -115,6 +124,7 @@
         )
         for distance, _, pacing, trackers in self.gateways:
             network_s = distance.round_trip_s(zone)
+            pacing.add(name)
             trackers[name] = self.make_tracker(entry, pacing=pacing, network_s=network_s)
 
     def at(self, when, action, *args):
@@ -123,7 +133,7 @@
 
     def run(self):
         """Play the load to its end and return this cell."""
-        when = 0.0
+        when = self.load.begins
         while (when := when + self.rng.expovariate(self.load.rate)) < self.load.seconds:
             self.at(when, self._send, self.rng.choice(self.gateways))
         while self._agenda:
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -104,7 +104,9 @@
         for tracker, rate in zip(trackers.values(), rates, strict=True):
             noisy = rate * (1 + cell.rng.uniform(-0.02, 0.02))
             tracker.apply_digest(up=True, backlog_tokens=0, tokens_per_s=noisy, decoding=0)
-    return cell, placement, list(trackers.values())
+    engines = list(trackers.values())
+    engines[0].pacing.speeds.refresh()
+    return cell, placement, engines
 
 
 def test_first_event_is_predicted_by_the_speed_of_other_work():
--- a/tests/test_plain_speeds.py
+++ b/tests/test_plain_speeds.py
@@ -101,11 +101,15 @@
         for server in ("s0", "s1", "s2"):
             noise = 0.01 * (-1) ** number
             speeds.record(server, "x", 0.1 * (2.0 if server == "s0" else 1.0) + noise)
+    speeds.refresh()
     assert speeds.factor("s0") == pytest.approx(2.0, abs=0.1)
     assert speeds.factor("s1") == 1.0
     timer.advance(HALF_LIFE_S)
+    speeds.refresh()
     assert speeds.factor("s0") == pytest.approx(1.5, abs=0.1)
     speeds.record("s0", "x", 60.0)
+    timer.advance(1.0)
+    speeds.refresh()
     assert speeds.factor("s0") < 2.5
     speeds.forget("s0")
     assert speeds.factor("s0") == 1.0
