--- a/figwalk/coordination/backend_tracker.py
+++ b/figwalk/coordination/backend_tracker.py
@@ -288,7 +288,7 @@
         self._keep_out_cost_s = 0.0
         if self.is_avoided():
             self._keep_out_cost_s = AVOIDED_COST_S
-        elif self._is_limited():
+        elif self._pacing.limiter.is_used and self._is_limited():
             self._keep_out_cost_s = LIMITED_COST_S
         return self._keep_out_cost_s > 0
 
--- a/figwalk/pacing/pace_limiter.py
+++ b/figwalk/pacing/pace_limiter.py
@@ -54,8 +54,9 @@
         limit: Calls that this process may have there at once; infinite once it is lifted.
         threshold: Limit above which it grows by one call per round instead of per answer.
         began_at: Timer time at which the limit was set.
-        changed_at: Timer time of the last decrease. Calls sent earlier say nothing about it.
         open_at: Timer time from which calls may be sent.
+        changed_at: Timer time of the last decrease, at first of the beginning. Calls sent earlier
+            say nothing about the limit.
         setbacks: Holds without an answer on time between them.
         watched_until: Timer time until which late answers limit the server again.
     """
@@ -63,8 +64,8 @@
     limit: float
     began_at: float
     open_at: float
+    changed_at: float
     threshold: float = math.inf
-    changed_at: float = -math.inf
     setbacks: int = 0
     watched_until: float = math.inf
     calls: dict[object, float] = attrs.field(factory=dict)
@@ -92,6 +93,11 @@
         """Number of servers with a limit."""
         return sum(not math.isinf(pace.limit) for pace in self._paces.values())
 
+    @property
+    def is_used(self) -> bool:
+        """Whether any server has, or lately had, a limit."""
+        return bool(self._paces)
+
     def is_limited(self, backend: str) -> bool:
         """Return whether a server has a limit."""
         pace = self._paces.get(backend)
@@ -153,7 +159,7 @@
                 self._begin(backend, FULL_LIMIT * DECREASE_FACTOR, "slow again", 0.0)
         elif signal is PaceSignal.ON_TIME:
             self._increase(backend, pace)
-        elif signal is PaceSignal.LATE and sent_at > pace.changed_at:
+        elif signal is PaceSignal.LATE and sent_at >= pace.changed_at:
             if pace.limit <= 1.0:
                 # A single call is not too many; the server itself is still slow.
                 self._hold(pace, MAX_LATE_HOLD_S)
@@ -173,7 +179,7 @@
         now = self._timer.now()
         known = self._paces.get(backend)
         calls = known.calls if known is not None else {}
-        self._paces[backend] = _Pace(limit, now, now + delay_s, calls=calls)
+        self._paces[backend] = _Pace(limit, now, now + delay_s, now, calls=calls)
         self._events.record(Event.PACE_LIMITED, backend=backend, reason=reason)
 
     def _hold(self, pace: _Pace, longest_s: float) -> None:
--- a/tests/support/queue_model.py
+++ b/tests/support/queue_model.py
@@ -17,115 +17,61 @@
 ZONES = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
 
 
-@attrs.define(eq=False)
-class Server:
-    """A backend server: `slots` calls at once, the rest in a queue."""
-
-    name: str
-    zone: str
-    slots: int
-    waiting: list = attrs.field(factory=list)
-    running: int = 0
-    most_running: int = 0
-
-
 @attrs.define
 class Load:
-    """What reaches the servers. Times in seconds, `rate` in calls per second."""
+    """What reaches the servers: calls per second, seconds, and slots of each server.
+
+    The functions take the name of a server and the time: how long work takes there as a multiple of
+    the usual, what it reports about that, and whether it fails a call at once.
+    """
 
     rate: float
     work_s: float
     target_s: float
-    slots: int = 6
-    seconds: float = 10.0
+    seconds: float
     begins: float = 0.0
-
-
-@attrs.frozen
-class Done:
-    """An ended call."""
-
-    server: str
-    sent_at: float
-    took_s: float
-    ok: bool
+    slots: int = 6
+    slowdown: object = lambda _server, _now: 1.0
+    reported: object = lambda _server, _now: 1.0
+    fails: object = lambda _server, _now: False
 
 
 class Cell:
-    """Gateways, each with its own trackers and placement, before the same servers.
+    """Gateways, each with its own trackers and placement, before the same servers."""
 
-    Subclasses say how slow a server is, what it reports, and which calls it fails.
-    """
-
-    def __init__(self, load, *, gateways, servers, seed, reports=True):
-        self.load, self.reports = load, reports
+    def __init__(self, load, gateways, servers, *, seed=1):
+        self.load = load
         self.rng = random.Random(seed)
         self.timer = FakeTimer(0.0)
         self.events = EventLog("test", self.timer)
-        zones = itertools.cycle(ZONES)
-        self.servers = {}
         self.gateways = []
+        self.running, self.waiting = {}, {}
+        # Server, time sent, seconds, and whether it succeeded, of each ended call.
         self.done = []
-        self._agenda = []
-        self._order = itertools.count()
-        for _ in range(gateways):
-            zone = next(zones)
-            distance = Distance(zone, ZONES[zone], ZONES)
-            rng = random.Random(self.rng.random())
-            placement = self.make_gateway(distance, rng)
-            self.gateways.append(
-                (distance, placement, ServicePacing.create(self.events, self.timer, rng), {})
-            )
+        self._agenda, self._order = [], itertools.count()
+        for _, zone in zip(range(gateways), itertools.cycle(ZONES), strict=False):
+            distance, rng = Distance(zone, ZONES[zone], ZONES), random.Random(self.rng.random())
+            pacing = ServicePacing.create(self.events, self.timer, rng)
+            self.gateways.append((distance, self._make_placement(distance, rng), pacing, {}))
         for number, zone in zip(range(servers), itertools.cycle(ZONES), strict=False):
             self.add(f"s{number}", zone)
 
-    def make_gateway(self, distance, rng):
-        """Return the placement of a gateway."""
-        return PlainPlacement(distance, rng)
-
-    def make_tracker(self, entry, **options):
-        """Return a gateway's tracker of a server."""
-        return BackendTracker(entry, self.timer, self.events, **options)
-
-    def choose(self, placement, trackers):
-        """Return the tracker that a call is sent to, or None, and the plan if there is one."""
-        return placement.choose(trackers), None
-
-    def record(self, tracker, plan, took_s, network_s):
-        """Record an answer beyond what trackers of plain servers do."""
-
-    def disable_speeds(self):
-        """Let all gateways take all servers as equally fast."""
-        for _, _, pacing, _ in self.gateways:
-            pacing.speeds.factor = lambda _: 1.0
-
-    def disable_limits(self):
-        """Let all gateways send any number of calls to new and recovered servers."""
-        for _, _, pacing, _ in self.gateways:
-            pacing.limiter.allows = lambda *_: True
-
-    def slowdown(self, _server):
-        """Return the seconds of work as a multiple of the usual, now."""
-        return 1.0
-
-    def reported(self, server):
-        """Return the slowdown that a server reports."""
-        return self.slowdown(server)
-
-    def fails(self, _server):
-        """Return whether a server fails the call that arrives now, at once."""
-        return False
-
-    def add(self, name, zone, **fields):
+    def add(self, name, zone):
         """Add a server, of which all gateways learn now."""
-        self.servers[name] = Server(name, zone, self.load.slots)
-        entry = BackendEntry(
-            name, "x", Address("h", 1), zone, self.load.slots, False, 1, 1, **fields
-        )
+        self.running[name], self.waiting[name] = 0, []
+        entry = BackendEntry(name, "x", Address("h", 1), zone, self.load.slots, False, 1, 1)
         for distance, _, pacing, trackers in self.gateways:
-            network_s = distance.round_trip_s(zone)
             pacing.add(name)
-            trackers[name] = self.make_tracker(entry, pacing=pacing, network_s=network_s)
+            options = {"pacing": pacing, "network_s": distance.round_trip_s(zone)}
+            trackers[name] = self._make_tracker(entry, **options)
+
+    def disable(self, *, speeds=False, limits=False):
+        """Let gateways decide without speeds, or without limits for new servers."""
+        for _, _, pacing, _ in self.gateways:
+            if speeds:
+                pacing.speeds.factor = lambda _: 1.0
+            if limits:
+                pacing.limiter.allows = lambda *_: True
 
     def at(self, when, action, *args):
         """Run an action at a time."""
@@ -141,62 +87,64 @@
             action(*args)
         return self
 
+    def count_late(self, server=None, since=0.0):
+        """Return how many calls, at one server or all, failed or were late."""
+        return sum(
+            not (ok and took_s <= self.load.target_s)
+            for name, sent_at, took_s, ok in self.done
+            if sent_at >= since and server in (None, name)
+        )
+
+    def _make_placement(self, distance, rng):
+        return PlainPlacement(distance, rng)
+
+    def _make_tracker(self, entry, **options):
+        return BackendTracker(entry, self.timer, self.events, **options)
+
+    def _choose(self, placement, trackers):
+        return placement.choose(trackers), None
+
+    def _record(self, tracker, plan, took_s):
+        pass
+
     def _send(self, gateway):
-        distance, placement, _, trackers = gateway
-        tracker, plan = self.choose(placement, trackers.values())
-        if tracker is None:
-            return
-        call = (object(), plan)
+        _, placement, _, trackers = gateway
+        tracker, plan = self._choose(placement, list(trackers.values()))
+        call = (object(), tracker, plan, self.timer.time)
         tracker.start(call)
         tracker.record_sent(call, "x")
-        server = self.servers[tracker.entry.backend]
-        one_way_s = distance.round_trip_s(server.zone) / 2
-        self.at(self.timer.time + one_way_s, self._arrive, server, tracker, call, one_way_s)
-
-    def _arrive(self, server, tracker, call, one_way_s):
-        entered = (tracker, call, one_way_s, self.timer.time - one_way_s)
-        if self.fails(server):
-            self._answer(server, *entered, False)
-        elif server.running < server.slots:
-            self._begin(server, entered)
+        self.at(self.timer.time + tracker.network_s / 2, self._arrive, call)
+
+    def _arrive(self, call):
+        name = call[1].entry.backend
+        if self.load.fails(name, self.timer.time):
+            self._answer(name, call, False)
+        elif self.running[name] < self.load.slots:
+            self._begin(name, call)
         else:
-            server.waiting.append(entered)
-
-    def _begin(self, server, entered):
-        server.running += 1
-        server.most_running = max(server.most_running, server.running)
-        seconds = self.load.work_s * self.slowdown(server)
-        self.at(self.timer.time + seconds, self._end, server, entered)
-
-    def _end(self, server, entered):
-        server.running -= 1
-        if server.waiting:
-            self._begin(server, server.waiting.pop(0))
-        self._answer(server, *entered, True)
-
-    def _answer(self, server, tracker, call, one_way_s, sent_at, ok):
-        slowdown = self.reported(server) if self.reports else 1.0
-        load = ReportedLoad(server.running, len(server.waiting), server.slots, slowdown)
-        when = self.timer.time + one_way_s
-        self.at(when, self._receive, server, tracker, call, load, sent_at, ok)
-
-    def _receive(self, server, tracker, call, load, sent_at, ok):
+            self.waiting[name].append(call)
+
+    def _begin(self, name, call):
+        self.running[name] += 1
+        seconds = self.load.work_s * self.load.slowdown(name, self.timer.time)
+        self.at(self.timer.time + seconds, self._end, name, call)
+
+    def _end(self, name, call):
+        self.running[name] -= 1
+        if self.waiting[name]:
+            self._begin(name, self.waiting[name].pop(0))
+        self._answer(name, call, True)
+
+    def _answer(self, name, call, ok):
+        slowdown = self.load.reported(name, self.timer.time)
+        load = ReportedLoad(self.running[name], len(self.waiting[name]), self.load.slots, slowdown)
+        self.at(self.timer.time + call[1].network_s / 2, self._receive, name, call, load, ok)
+
+    def _receive(self, name, call, load, ok):
+        _, tracker, plan, sent_at = call
+        took_s = self.timer.time - sent_at
         tracker.record_answer(call, load, succeeded=ok)
         if ok:
-            network_s = tracker.network_s
-            self.record(tracker, call[1], self.timer.time - sent_at, network_s)
+            self._record(tracker, plan, took_s - tracker.network_s)
         tracker.finish(call, AttemptOutcome.ANSWERED if ok else AttemptOutcome.FAILED)
-        self.done.append(Done(server.name, sent_at, self.timer.time - sent_at, ok))
-
-    def select(self, server=None, since=0.0, until=float("inf")):
-        """Return the ended calls of one server or all that were sent in a span of time."""
-        return [
-            d
-            for d in self.done
-            if since <= d.sent_at < until and (server is None or d.server == server)
-        ]
-
-    def share_in_time(self, *args, **span):
-        """Return the share of the selected calls that succeeded within the target."""
-        calls = self.select(*args, **span)
-        return sum(d.ok and d.took_s <= self.load.target_s for d in calls) / max(1, len(calls))
+        self.done.append((name, sent_at, took_s, ok))
