--- a/figwalk/coordination/backend_tracker.py
+++ b/figwalk/coordination/backend_tracker.py
@@ -2,22 +2,21 @@
 
 from __future__ import annotations
 
-import math
+import random
 from enum import Enum
 
 import attrs
 
+from figwalk.coordination.connection_doubt import ConnectionDoubt
+from figwalk.coordination.failure_share import FailureShare
+from figwalk.coordination.sent_call import SentCall
 from figwalk.events import Event, EventLog
+from figwalk.pacing.pace_limiter import PaceSignal
 from figwalk.pacing.reported_slowdown import ReportedSlowdown
 from figwalk.pacing.service_pacing import ServicePacing
 from figwalk.state.backend_directory import BackendEntry
 from figwalk.timer import Timer
 
-# The weight of failures halves in this time, so that a backend server that has recovered soon gets
-# calls again.
-FAILURE_HALF_LIFE_S = 2.0
-# Without these assumed calls, one failure among few calls would count too much.
-FAILURE_PRIOR_CALLS = 2.0
 FIRST_AVOIDANCE_S = 0.25
 MAX_AVOIDANCE_S = 2.0
 # Backend servers answer or send a first event within a few hundred milliseconds. One that leaves
@@ -26,8 +25,12 @@
 # A reported load that is older than this no longer describes the backend server.
 LOAD_MAX_AGE_S = 0.5
 USUAL_SLOWDOWN = 1.0
-# Two calls without a connection that are further apart are no evidence together.
-UNCONNECTED_MAX_AGE_S = 5.0
+# A server that fails more calls than this share is limited to few calls at once.
+FAILING_SHARE = 0.5
+# Seconds that a call should rather wait elsewhere than go to a server that is avoided, which is as
+# bad as one that fails all its calls, or to one that has as many calls as it may have.
+AVOIDED_COST_S = 1.0
+LIMITED_COST_S = 0.1
 ANSWER_TIME_WEIGHT = 0.1
 ASSUMED_ANSWER_S = 0.03
 
@@ -66,16 +69,6 @@
     slowdown: float = USUAL_SLOWDOWN
 
 
-@attrs.define
-class _SentCall:
-    sent_at: float
-    answered: bool = False
-    # What the time of work is compared with, when the call left this process, and its result.
-    kind: str | None = None
-    left_at: float = 0.0
-    work_s: float = 0.0
-
-
 class BackendTracker:
     """Calls in flight, failures and reported load of one backend server.
 
@@ -99,13 +92,10 @@
         self._entry = entry
         self._timer = timer
         self._events = events
-        self._calls: dict[object, _SentCall] = {}
-        self._answered = 0.0
-        self._failed = 0.0
-        self._decayed_at = timer.now()
+        self._calls: dict[object, SentCall] = {}
+        self._failures = FailureShare(timer)
         self._down_count = 0
-        self._unconnected_at = -math.inf
-        self._open_failed = False  # Whether a call on an open connection failed since the answer.
+        self._doubt = ConnectionDoubt(timer)
         self._has_connection = True
         self._avoided_until = 0.0
         self._last_answer_at = timer.now()
@@ -113,8 +103,9 @@
         self._load_at = 0.0
         self._in_flight_at_load = 0
         self._answer_s = ASSUMED_ANSWER_S
-        self._pacing = pacing or ServicePacing.create(timer)
+        self._pacing = pacing or ServicePacing.create(events, timer, random.Random())
         self._network_s = network_s
+        self._keep_out_cost_s = 0.0
         self._slowdown = ReportedSlowdown(timer)
 
     @property
@@ -169,7 +160,9 @@
     @property
     def extra_work_s(self) -> float:
         """Seconds by which a call is predicted to take longer than usual at the service."""
-        return (self.speed_factor * self.slowdown - 1.0) * self._pacing.speeds.mean_s
+        speeds = self._pacing.speeds
+        factor = speeds.factor(self._entry.backend) * self._slowdown.factor
+        return (factor - 1.0) * speeds.mean_s
 
     @property
     def pacing(self) -> ServicePacing:
@@ -187,20 +180,31 @@
 
     def start(self, call: object) -> None:
         """Record that a call is being sent."""
-        self._calls[call] = _SentCall(self._timer.now())
+        self._calls[call] = SentCall(self._timer.now())
+        self._pacing.limiter.start(self._entry.backend, call)
 
-    def record_sent(self, call: object, kind: str | None) -> None:
+    def record_sent(
+        self, call: object, kind: str | None, *, expected_s: float | None = None
+    ) -> None:
         """Record that a call leaves on an open connection.
 
         Args:
             call: The call.
             kind: Kind of work whose times are comparable, or None if they depend on the call.
+            expected_s: Seconds until its answer, as predicted, or None if `kind` tells them.
         """
         sent = self._calls.get(call)
+        if sent is None:
+            return
+        sent.left_at = self._timer.now()
+        sent.expected_s = expected_s
+        if kind is not None:
+            usual_s = self._pacing.speeds.usual_s(kind)
+            if usual_s is not None:
+                sent.expected_s = usual_s * max(1.0, self.speed_factor)
         # With a queue, the time of the answer would not show the time of the work.
-        if sent is not None and self.estimate_load() <= self._entry.slots:
+        if self.estimate_load() <= self._entry.slots:
             sent.kind = kind
-            sent.left_at = self._timer.now()
 
     def record_answer(
         self, call: object, load: ReportedLoad | None, *, succeeded: bool = True
@@ -220,13 +224,16 @@
         if sent is not None and not sent.answered:
             sent.answered = True
             self._answer_s += ANSWER_TIME_WEIGHT * (now - sent.sent_at - self._answer_s)
-            if succeeded and (load is None or load.waiting == 0):
-                sent.work_s = now - sent.left_at - self._network_s
+            if succeeded and sent.left_at is not None:
+                took_s = now - sent.left_at - self._network_s
+                sent.signal = sent.judge(took_s, self.slowdown)
+                sent.work_s = took_s if load is None or load.waiting == 0 else 0.0
         self._last_answer_at = now
-        self._unconnected_at, self._open_failed = -math.inf, False
+        self._doubt.clear()
         if self._down_count:
             self._down_count = 0
             self._events.record(Event.BACKEND_USED_AGAIN, backend=self._entry.backend)
+            self._pacing.limiter.begin_recovered(self._entry.backend)
         if load is not None:
             self._load = load
             self._load_at = now
@@ -244,33 +251,26 @@
         but is not silent: the call counts as failed, and the backend server is not avoided.
         """
         sent = self._calls.pop(call, None)
-        self._decay()
         if outcome is AttemptOutcome.ANSWERED:
-            self._answered += 1
+            self._failures.record_answer()
             if sent is not None:
                 self._record_work(sent)
         elif outcome in _FAILURE_OUTCOMES:
-            self._failed += 1
-        self._open_failed |= outcome in (AttemptOutcome.BROKEN, AttemptOutcome.SILENT)
-        if outcome is AttemptOutcome.SILENT and self._has_answered_since(sent):
-            return
-        is_down = outcome in _DOWN_OUTCOMES
-        if outcome is AttemptOutcome.UNCONNECTED and sent is not None:
-            is_down = self._confirms_down(sent)
+            self._failures.record_failure()
+            if self.failure_share() > FAILING_SHARE:
+                self._pacing.limiter.begin_failing(self._entry.backend)
+            if outcome is not AttemptOutcome.FAILED:
+                self._doubt.record_open_failure()
+        is_down = self._shows_down(sent, outcome)
         if is_down:
             self._record_down(outcome)
-
-    def suspicion(self) -> tuple[bool, int, float]:
-        """Return how likely the backend server is down, as a sort key; the least likely is first.
-
-        It orders backend servers where all that could take a call are avoided.
-        """
-        return (self._is_unresponsive(self._timer.now()), self._down_count, self.failure_share())
+        self._pacing.limiter.finish(
+            self._entry.backend, call, self._find_signal(sent, outcome, is_down=is_down)
+        )
 
     def failure_share(self) -> float:
         """Return the share of recent calls that failed, 0 to 1."""
-        self._decay()
-        return self._failed / (self._answered + self._failed + FAILURE_PRIOR_CALLS)
+        return self._failures.share
 
     def is_avoided(self) -> bool:
         """Return whether calls should go to other backend servers now, if there are any.
@@ -281,10 +281,49 @@
         now = self._timer.now()
         if now < self._avoided_until or self._is_unresponsive(now):
             return True
-        if self._is_in_doubt():
+        if self._doubt.is_raised:
             return any(not call.answered for call in self._calls.values())
         return self._down_count > 0 and bool(self._calls)
 
+    @property
+    def is_known_down(self) -> bool:
+        """Whether a process beside the backend server says that it is down."""
+        return False
+
+    def is_kept_out(self) -> bool:
+        """Return whether calls should go elsewhere now: it is avoided, or limited without room."""
+        self._keep_out_cost_s = 0.0
+        if self.is_avoided():
+            self._keep_out_cost_s = self._avoided_cost_s()
+        elif self._pacing.limiter.is_used and self._is_limited():
+            self._keep_out_cost_s = LIMITED_COST_S
+        return self._keep_out_cost_s > 0
+
+    @property
+    def keep_out_cost_s(self) -> float:
+        """Seconds of delay elsewhere that are better than a call here, by the latest check.
+
+        They rise with the evidence that the backend server is down.
+        """
+        return self._keep_out_cost_s
+
+    def suspicion(self) -> tuple[float, float, float]:
+        """Return a sort key of kept-out servers, with those most likely to work first."""
+        left_s = self._timer.left_s(self._avoided_until)
+        return (self._keep_out_cost_s, self.failure_share(), left_s)
+
+    def _avoided_cost_s(self) -> float:
+        hold_s = self._hold_s() if self._down_count else 0.0
+        if self._is_unresponsive(self._timer.now()):
+            hold_s += MAX_AVOIDANCE_S
+        return AVOIDED_COST_S + hold_s
+
+    def _is_limited(self) -> bool:
+        backend, limiter = self._entry.backend, self._pacing.limiter
+        if not limiter.is_limited(backend):
+            return False
+        return not limiter.allows(backend, self.estimate_load(), self._entry.slots)
+
     def estimate_load(self) -> int:
         """Return the calls that the backend server has now, from all callers.
 
@@ -297,30 +336,35 @@
         reported = self._load.running + self._load.waiting
         return max(own, reported + own - self._in_flight_at_load)
 
-    def _confirms_down(self, sent: _SentCall) -> bool:
-        """Return whether a call that got no connection shows that the backend server is down.
-
-        It may just have many connections to open. It counts as down if it has not answered since
-        the call began, and was down before, or calls on open connections failed as well, or the
-        call began after another one had got no connection.
-        """
-        if self._last_answer_at > sent.sent_at:
+    def _shows_down(self, sent: SentCall | None, outcome: AttemptOutcome) -> bool:
+        if outcome is AttemptOutcome.UNCONNECTED and sent is not None:
+            # After other evidence, one call without a connection is enough.
+            confirmed = self._doubt.confirms_down(sent.sent_at, self._last_answer_at)
+            return confirmed or (self._down_count > 0 and not self._has_answered_since(sent))
+        if outcome is AttemptOutcome.SILENT and self._has_answered_since(sent):
             return False
-        if not self._is_in_doubt():
-            self._unconnected_at = self._timer.now()
-        is_second = sent.sent_at >= self._unconnected_at
-        return is_second or self._down_count > 0 or self._open_failed
-
-    def _record_work(self, sent: _SentCall) -> None:
+        return outcome in _DOWN_OUTCOMES
+
+    def _find_signal(
+        self, sent: SentCall | None, outcome: AttemptOutcome, *, is_down: bool
+    ) -> PaceSignal:
+        """Return what the end of a call says about the pace of the backend server."""
+        if outcome is AttemptOutcome.SILENT and not is_down:
+            return PaceSignal.LATE
+        if is_down or outcome in _FAILURE_OUTCOMES:
+            return PaceSignal.FAILED
+        if outcome is AttemptOutcome.ANSWERED and sent is not None:
+            return sent.signal
+        return PaceSignal.NONE
+
+    def _record_work(self, sent: SentCall) -> None:
         # While a server is cold, its times don't show how fast it is later.
-        if sent.kind is not None and sent.work_s > 0 and self._entry.cold_s <= 0:
+        if self._entry.cold_s > 0 or self._pacing.limiter.is_warming_up(self._entry.backend):
+            return
+        if sent.kind is not None and sent.work_s > 0:
             seconds = sent.work_s / self.slowdown
             self._pacing.speeds.record(self._entry.backend, sent.kind, seconds)
 
-    def _is_in_doubt(self) -> bool:
-        """Return whether a call recently got no connection and none was answered since."""
-        return self._timer.now() - self._unconnected_at <= UNCONNECTED_MAX_AGE_S
-
     def _is_unresponsive(self, now: float) -> bool:
         if now - self._last_answer_at < RESPONSE_TIMEOUT_S:
             return False
@@ -329,12 +373,12 @@
             for call in self._calls.values()
         )
 
-    def _has_answered_since(self, sent: _SentCall | None) -> bool:
+    def _has_answered_since(self, sent: SentCall | None) -> bool:
         return sent is not None and self._last_answer_at > sent.sent_at
 
     def _record_down(self, outcome: AttemptOutcome) -> None:
         self._down_count += 1
-        hold_s = min(MAX_AVOIDANCE_S, FIRST_AVOIDANCE_S * 2 ** (self._down_count - 1))
+        hold_s = self._hold_s()
         self._avoided_until = self._timer.now() + hold_s
         self._events.record(
             Event.BACKEND_AVOIDED,
@@ -344,9 +388,6 @@
             hold_s=hold_s,
         )
 
-    def _decay(self) -> None:
-        now = self._timer.now()
-        factor = 0.5 ** ((now - self._decayed_at) / FAILURE_HALF_LIFE_S)
-        self._answered *= factor
-        self._failed *= factor
-        self._decayed_at = now
+    def _hold_s(self) -> float:
+        """Return for how long the latest evidence keeps the backend server out, in seconds."""
+        return min(MAX_AVOIDANCE_S, FIRST_AVOIDANCE_S * 2 ** (self._down_count - 1))
--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -20,12 +20,16 @@
 import attrs
 
 from figwalk.coordination.engine_tracker import EngineTracker
+from figwalk.coordination.kept_out import select_usable
 from figwalk.coordination.placement_settings import PlacementSettings
 from figwalk.coordination.plain_placement import CONNECT_COST_S, Distance
 from figwalk.coordination.prompt_plan import PromptCall, PromptPlan, mark_last_resort
-from figwalk.coordination.stream_pauses import predict_disturbance, stream_slowness
+from figwalk.coordination.stream_pauses import (
+    delay_to_others_s,
+    predict_disturbance,
+    stream_slowness,
+)
 from figwalk.coordination.subject_affinity import hash_pair
-from figwalk.coordination.usable_engines import find_usable_engines
 from figwalk.protocol.messages import Role
 from figwalk.spillover.remote_spread import spread_remote
 from figwalk.spillover.subject_homes import SubjectHomes
@@ -44,9 +48,6 @@
 # An engine that answers calls begins none while it prefills a prompt. Prefills that take longer
 # than this share of the time to the target are left to engines with the role prefill.
 MAX_DECODE_PREFILL_SHARE = 0.5
-# Mean duration of a stream. The number of running streams divided by it is the number of calls that
-# arrive per second.
-MEAN_STREAM_S = 1.5
 # An engine prefills shorter parts in the time that setting up a transfer takes.
 MIN_TRANSFER_TOKENS = 1000
 # A large share of all prompts has the same first part, so that every engine has it cached.
@@ -105,12 +106,16 @@
 
         The list is empty if no engine can run a prompt.
         """
-        usable = find_usable_engines(engines, self._rng)
+        usable = select_usable(engines, self._rng)
         self._learn_rates(usable)
         decode_engines = [engine for engine in usable if engine.entry.role is not Role.PREFILL]
         if not decode_engines:
             return []
-        self._sources = [engine for engine in usable if self._caches_shared(call, engine)]
+        self._sources = [
+            engine
+            for engine in usable
+            if not engine.keep_out_cost_s and self._caches_shared(call, engine)
+        ]
         if self.is_short(call):
             return self._rank_short(call, decode_engines, engines, spec)
         preferred, second = self._homes.find(call.subject, engines)
@@ -121,7 +126,8 @@
                 near = self._find_decode_engines(reader, decode_engines)
                 pairs = [self._build_plan(call, reader, r, preferred, spec) for r in near]
                 plans.append(min(pairs, key=self._rank_key))
-        longest_s = MAX_DECODE_PREFILL_SHARE * call.target_s if plans else math.inf
+        can_read = any(not plan.reader.keep_out_cost_s for plan in plans)
+        longest_s = MAX_DECODE_PREFILL_SHARE * call.target_s if can_read else math.inf
         unpaired = [
             self._build_plan(call, runner, runner, preferred, spec) for runner in decode_engines
         ]
@@ -191,7 +197,7 @@
                 is_prefilling,
                 stream_slowness(runner.stream_load, call.gap_s, rates[runner] / usual_rate),
                 is_full,
-                load + failing,
+                load + failing + runner.keep_out_cost_s,
                 near_prefill_engine,
                 hash_pair("streams", runner.entry.backend),
             )
@@ -266,7 +272,9 @@
             first_event_s=runner.first_event_s(
                 0.0 if is_pair else self._concurrent_prefill_s(call, runner, uncached)
             ),
-            delay_to_others_s=0.0 if is_pair else self._delay_to_others_s(runner, uncached / rate),
+            delay_to_others_s=0.0
+            if is_pair
+            else delay_to_others_s(runner.decoding, uncached / rate),
             donor=source,
             transfer_s=transfer_s,
             disturbance=predict_disturbance(
@@ -274,17 +282,6 @@
             ),
         )
 
-    @staticmethod
-    def _delay_to_others_s(runner: EngineTracker, prefill_s: float) -> float:
-        """Return the sum of the seconds that other calls wait for the prefill of a prompt.
-
-        Until an engine has prefilled a prompt, it begins no other call, not even one whose KV cache
-        it fetches. Calls arrive as often as streams end, and wait for half of the prefill on
-        average.
-        """
-        arrivals_per_s = runner.decoding / MEAN_STREAM_S
-        return arrivals_per_s * prefill_s * prefill_s / 2
-
     def _concurrent_prefill_s(
         self, call: PromptCall, runner: EngineTracker, uncached: float
     ) -> float:
@@ -393,8 +390,7 @@
         failures = plan.reader.failure_share() + plan.runner.failure_share()
         cost_s = plan.predicted_s + plan.reserve_s + failures * FAILURE_COST_S
         for engine in {plan.reader, plan.runner}:
-            zone = engine.entry.zone
-            cost_s += self._distance.cost_s(zone) - self._distance.round_trip_s(zone)
+            cost_s += engine.keep_out_cost_s + self._distance.bill_s(engine.entry.zone)
             cost_s += 0.0 if engine.has_connection else CONNECT_COST_S
         # Other fetches on the links of both engines wait for this one.
         cost_s += plan.fetch_s + plan.transfer_s + plan.disturbance.delay_s
--- a/figwalk/coordination/stream_pauses.py
+++ b/figwalk/coordination/stream_pauses.py
@@ -34,6 +34,9 @@
 # The time of an event grows with the number of streams, so that it says nothing about an engine
 # whose streams ended long ago.
 EVENT_TIME_MAX_AGE_S = 5.0
+# Mean duration of a stream. The number of running streams divided by it is the number of calls that
+# arrive per second.
+MEAN_STREAM_S = 1.5
 
 
 @attrs.frozen
@@ -194,6 +197,19 @@
             self._measured_s *= factor
 
 
+def delay_to_others_s(streams: int, prefill_s: float) -> float:
+    """Return the sum of the seconds that other calls wait for the prefill of a prompt.
+
+    Until an engine has prefilled a prompt, it begins no other call, not even one whose KV cache it
+    fetches. Calls arrive as often as streams end, and wait for half of the prefill on average.
+
+    Args:
+        streams: Streams that the engine runs.
+        prefill_s: Duration of the prefill, in seconds.
+    """
+    return streams / MEAN_STREAM_S * prefill_s * prefill_s / 2
+
+
 class PrefillSchedule:
     """When the granted prompts of an engine are predicted to be prefilled, one after the other."""
 
--- a/figwalk/gateway/gateway_metrics.py
+++ b/figwalk/gateway/gateway_metrics.py
@@ -120,6 +120,16 @@
             "Decided usage reports that the platform has not taken yet.",
             registry=self._registry,
         )
+        self._limited_backends = Gauge(
+            "figwalk_limited_backends",
+            "Backend servers that are new or have recovered, and get limited calls.",
+            registry=self._registry,
+        )
+        self._slow_backends = Gauge(
+            "figwalk_slow_backends",
+            "Backend servers that have shown to be slower than usual at their service.",
+            registry=self._registry,
+        )
         self._dropped_lines = Gauge(
             "figwalk_log_lines_dropped", "Log lines dropped so far.", registry=self._registry
         )
@@ -196,6 +206,11 @@
         self._unwritten_windows.set(unwritten)
         self._unsent_reports.set(unsent)
 
+    def record_pacing(self, *, limited: int, slow: int) -> None:
+        """Set the number of backend servers with limited calls, and of slow ones."""
+        self._limited_backends.set(limited)
+        self._slow_backends.set(slow)
+
     def record_dropped_lines(self, count: int) -> None:
         """Set the number of log lines dropped since the start."""
         self._dropped_lines.set(count)
