Keep the first calls that a silent server left unanswered

Cause: above 512 ended calls of one server the oldest were forgotten, which are the ones that may have ended it.

--- a/figwalk/gateway/crash_watcher.py
+++ b/figwalk/gateway/crash_watcher.py
@@ -27,7 +27,8 @@
 MAX_WAITING_CHECKS = 1000
 # A check opens a connection, so a server that breaks many calls is not checked for each.
 CHECK_PERIOD_S = 0.3
-# Bounds the memory for calls that ended without an answer at one backend server.
+# Bounds the memory for calls that ended without an answer at one backend server. The first ones are
+# kept: later ones were sent to a server that was silent already.
 MAX_ENDED_CALLS = 512
 # A backend server that was frozen or cut off is registered again within this time.
 WITHDRAWAL_S = 60.0
@@ -109,7 +110,7 @@
         cutoff = now - MAX_PENDING_S
         self.ended = [
             call
-            for call in self.ended[-MAX_ENDED_CALLS:]
+            for call in self.ended[:MAX_ENDED_CALLS]
             if call.ended_at >= cutoff and (call.broken or call.ended_at > self.seen_at)
         ]
 
