Judge the crashes of long prompts in less time

Cause: with many reports at their largest size, each judgement looped over all parts of all prompts, although usually all of them are wanted.

Change: prompts of which all parts are wanted are taken as they are.

The tests of evidence, quarantine, watcher, deadly parts and deadly requests pass.

--- a/figwalk/coordination/crash_evidence.py
+++ b/figwalk/coordination/crash_evidence.py
@@ -142,10 +142,10 @@
         self.suspects &= suspects
         self.is_reduced = True
 
-    def prompts_with(self, parts: Set[str]) -> list[tuple[str, ...]]:
+    def prompts_with(self, parts: set[str]) -> list[tuple[str, ...]]:
         """Return those of some parts that each prompt has, unless they are sound."""
         wanted = parts & self.suspects
-        found = (tuple(part for part in prompt if part in wanted) for prompt in self.prompts)
+        found = (_choose_parts(prompt, wanted) for prompt in self.prompts)
         return [prompt for prompt in found if prompt]
 
 
@@ -350,11 +350,11 @@
     """
     counts: Counter[str] = Counter()
     for prompts in crashes:
-        counts.update({part for prompt in prompts for part in prompt})
+        counts.update(set().union(*prompts))
     frequent = {part for part, count in counts.items() if count >= MIN_CRASHES} | rejected
     scores: Counter[str] = Counter()
     for prompts in crashes:
-        chains = [[part for part in prompt if part in frequent] for prompt in prompts]
+        chains = [_choose_parts(prompt, frequent) for prompt in prompts]
         last = {chain[-1] for chain in chains if chain}
         scores.update(last.difference(*(chain[:-1] for chain in chains)))
     return Counter(
@@ -366,5 +366,13 @@
     )
 
 
+def _choose_parts(prompt: tuple[str, ...], wanted: set[str]) -> tuple[str, ...]:
+    """Return the wanted parts of a prompt, in order."""
+    # The usual case when long prompts come again; a loop over their parts would take long.
+    if wanted.issuperset(prompt):
+        return prompt
+    return tuple(part for part in prompt if part in wanted)
+
+
 def _contains(prompts: Iterable[Sequence[str]], part: str) -> bool:
     return any(part in prompt for prompt in prompts)
