--- a/model/check.py
+++ b/model/check.py
@@ -14,12 +14,12 @@
 import attrs
 from minicheck import check_safety
 
-from model import authority, configuration, keyed_calls
+from model import authority, configuration, duty_lease, keyed_calls
 
 MAX_STATES = 3_000_000
 MAX_PROCESSES = 5
 SHOW_TRACES_OPTION = "--traces"
-MODELS: tuple[ModuleType, ...] = (authority, configuration, keyed_calls)
+MODELS: tuple[ModuleType, ...] = (authority, configuration, duty_lease, keyed_calls)
 
 
 @attrs.frozen
