Offer a prompt to another region in addition to three engines at home

Putting that offer in place of the third one refused more prompts than before: the third engine of the region often has room.

--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -34,7 +34,7 @@
 from figwalk.gateway.prompt_offers import PromptOffers
 from figwalk.gateway.retries import take_retries
 from figwalk.gateway.stream_relay import StreamRelay
-from figwalk.spillover.remote_spread import keep_remote_offer
+from figwalk.spillover.remote_spread import choose_offers
 from figwalk.state.routing import EngineSpec
 from figwalk.timer import MS_PER_S, Timer
 from figwalk.transport import Responder
@@ -210,7 +210,7 @@
         prompt = self._make_prompt_call(call)
         if self._placement.is_short(prompt):
             return plans[:MAX_OFFERS]
-        return keep_remote_offer(
+        return choose_offers(
             plans, partial(self._placement.admits, prompt), self._placement.is_remote, MAX_OFFERS
         )
 
--- a/figwalk/spillover/remote_spread.py
+++ b/figwalk/spillover/remote_spread.py
@@ -42,25 +42,25 @@
     return choices
 
 
-def keep_remote_offer(
+def choose_offers(
     ranked: Sequence[Choice],
     may_help: Callable[[Choice], bool],
     is_remote: Callable[[Choice], bool],
     count: int,
 ) -> list[Choice]:
-    """Return the choices to try in turn, with one in another region if all others are at home.
+    """Return the choices to try in turn, with a further one elsewhere if all are in the region.
 
     At a peak, all backend servers of a region refuse work within the same tenth of a second, while
-    the reports that this process has still show room there.
+    the reports that this process has still show room there. The further choice replaces none of the
+    others: the third of them often has room.
 
     Args:
         ranked: Choices, the best first.
         may_help: Returns whether a choice is predicted to be in time.
         is_remote: Returns whether a choice is in another region.
-        count: Number of choices to try.
+        count: Number of choices to try, apart from the further one.
     """
     tried = list(ranked[:count])
-    if count < 2 or any(is_remote(choice) for choice in tried):
+    if any(is_remote(choice) for choice in tried):
         return tried
-    remote = next((c for c in ranked[count:] if is_remote(c) and may_help(c)), None)
-    return tried if remote is None else [*tried[:-1], remote]
+    return tried + [c for c in ranked[count:] if is_remote(c) and may_help(c)][:1]
--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -12,7 +12,7 @@
 from figwalk.coordination.prompt_placement import PlacementSettings, PromptPlacement
 from figwalk.coordination.prompt_plan import PromptCall
 from figwalk.protocol.messages import Role
-from figwalk.spillover.remote_spread import keep_remote_offer
+from figwalk.spillover.remote_spread import choose_offers
 
 GATEWAYS = 12
 
@@ -64,14 +64,14 @@
     assert chosen == expected
 
 
-def test_one_offer_goes_to_another_region():
+def test_one_more_offer_goes_to_another_region():
     """Guards against a refusal by three engines at home while another region has room."""
     ranked = ["a1", "a2", "a3", "a4", "b1", "b2"]
 
     def choose(ranked, *, may_help=True):
-        return keep_remote_offer(ranked, lambda _: may_help, lambda name: name[0] == "b", 3)
+        return choose_offers(ranked, lambda _: may_help, lambda name: name[0] == "b", 3)
 
-    assert choose(ranked) == ["a1", "a2", "b1"]
+    assert choose(ranked) == ["a1", "a2", "a3", "b1"]
     assert choose(ranked, may_help=False) == ["a1", "a2", "a3"]
     assert choose(["b1", *ranked]) == ["b1", "a1", "a2"]
 
