Put streams on busy engines rather than avoided ones

Cause: the bound on avoidance lets suspect engines take calls, and the ranking of short prompts compared their cost only after the prefill queues and streams of the others, so that an idle engine that is down came first. Change: kept-out engines come last while one of the others has a slot. Result: the new test fails on the code before and passes now. A second case of the test of avoided prefill engines covers prompts of 40,000 tokens.

--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -111,11 +111,8 @@
         decode_engines = [engine for engine in usable if engine.entry.role is not Role.PREFILL]
         if not decode_engines:
             return []
-        self._sources = [
-            engine
-            for engine in usable
-            if not engine.keep_out_cost_s and self._caches_shared(call, engine)
-        ]
+        sources = [e for e in usable if not e.keep_out_cost_s]
+        self._sources = [e for e in sources if self._caches_shared(call, e)]
         if self.is_short(call):
             return self._rank_short(call, decode_engines, engines, spec)
         preferred, second = self._homes.find(call.subject, engines)
@@ -184,8 +181,10 @@
         limit = max(1.0, MAX_PACKED_SHARE * spec.slots)
         rates = {engine: self._rate(engine) for engine in decode_engines}
         usual_rate = statistics.median(rates.values())
+        # Kept-out engines relieve the others only once these have no slots left.
+        has_room = any(e.decoding < spec.slots for e in decode_engines if not e.keep_out_cost_s)
 
-        def key(runner: EngineTracker) -> tuple[bool, float, bool, float, bool, bytes]:
+        def key(runner: EngineTracker) -> tuple[float, bool, float, bool, float, bool, bytes]:
             decoding = runner.decoding * runner.speed_factor
             is_full = decoding >= limit
             prefill_s = runner.backlog_tokens() / rates[runner]
@@ -194,6 +193,7 @@
             failing = round(runner.failure_share(), 1)
             near_prefill_engine = runner.entry.zone in prefill_zones
             return (
+                runner.keep_out_cost_s if has_room else 0.0,
                 is_prefilling,
                 stream_slowness(runner.stream_load, call.gap_s, rates[runner] / usual_rate),
                 is_full,
--- a/tests/test_prompt_placement.py
+++ b/tests/test_prompt_placement.py
@@ -117,12 +117,25 @@
     assert engines.best_pair(parts)[1] == "d1"
 
 
-def test_avoided_prefill_engine_is_replaced_by_engines_that_run_prompts():
+def test_stream_goes_to_a_busy_engine_rather_than_to_an_avoided_one():
+    """Guards against streams at engines that are down while the bound on avoidance lets them in."""
+    engines = EngineFleet(d1=("a", Role.DECODE), d2=("b", Role.DECODE), d3=("c", Role.DECODE))
+    for name in ("d1", "d2"):
+        engines.trackers[name].start("c1")
+        engines.trackers[name].finish("c1", AttemptOutcome.UNREACHABLE)
+    engines.report("d3", backlog_tokens=100_000)
+    assert engines.best_pair(SHORT) == ("d3", "d3")
+    engines.report("d3", decoding=SPEC.slots)
+    assert engines.best_pair(SHORT) != ("d3", "d3")
+
+
+@pytest.mark.parametrize("parts", [LONG, (("own", 40_000),)])
+def test_avoided_prefill_engine_is_replaced_by_engines_that_run_prompts(parts):
     """Guards against prompts sent to an avoided engine although others can prefill them."""
     engines = EngineFleet(p1=("a", Role.PREFILL), d1=("a", Role.DECODE))
     engines.trackers["p1"].start("c1")
     engines.trackers["p1"].finish("c1", AttemptOutcome.UNREACHABLE)
-    assert engines.best_pair() == ("d1", "d1")
+    assert engines.best_pair(parts) == ("d1", "d1")
 
 
 def test_outdated_agent_report_is_ignored():
