Pause streams rather than send prompts to avoided engines

Cause: plans are ranked by the pauses of streams first, so that an avoided engine without streams, which the bound on avoidance lets in, came before all engines that work and run streams. Change: kept-out engines don't count when it is decided whether a prompt pauses streams everywhere; plans are then compared by their cost.

--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -191,14 +191,13 @@
             is_prefilling = prefill_s > MAX_PREFILL_WAIT_SHARE * max(call.target_s, MIN_RETRY_S)
             load = decoding if is_full else max(0.0, runner.speed_factor - 1)
             failing = round(runner.failure_share(), 1)
-            near_prefill_engine = runner.entry.zone in prefill_zones
             return (
                 runner.keep_out_cost_s if has_room else 0.0,
                 is_prefilling,
                 stream_slowness(runner.stream_load, call.gap_s, rates[runner] / usual_rate),
                 is_full,
                 load + failing + runner.keep_out_cost_s,
-                near_prefill_engine,
+                runner.entry.zone in prefill_zones,
                 hash_pair("streams", runner.entry.backend),
             )
 
@@ -384,7 +383,8 @@
         return max(0.0, call.tokens - known)
 
     def _rank_key(self, plan: PromptPlan) -> tuple[bool, float, float]:
-        return (plan.disturbance.too_long, self._cost_s(plan), self._rng.random())
+        too_long = plan.disturbance.too_long and not plan.is_last_resort
+        return (too_long, self._cost_s(plan), self._rng.random())
 
     def _cost_s(self, plan: PromptPlan) -> float:
         failures = plan.reader.failure_share() + plan.runner.failure_share()
--- a/figwalk/coordination/prompt_plan.py
+++ b/figwalk/coordination/prompt_plan.py
@@ -85,7 +85,7 @@
             prefills the rest, or None.
         transfer_s: Seconds that this KV transfer takes.
         disturbance: What the prefill does to the streams of the prefill engine.
-        is_last_resort: Whether the prefill would pause streams at every engine.
+        is_last_resort: Whether the prefill would pause streams there, and at every other engine.
     """
 
     reader: EngineTracker
@@ -126,7 +126,9 @@
     """Mark the plans of a prompt whose prefill pauses streams for too long at every engine.
 
     Such a prompt would otherwise be refused for as long as streams run, however idle the engines.
+    Engines that are kept out don't count, unless all are: they run no streams if they are down.
     """
-    if all(plan.disturbance.too_long for plan in plans):
-        return [attrs.evolve(plan, is_last_resort=True) for plan in plans]
-    return plans
+    usable = [plan for plan in plans if not plan.reader.keep_out_cost_s] or plans
+    if not all(plan.disturbance.too_long for plan in usable):
+        return plans
+    return [attrs.evolve(plan, is_last_resort=plan.disturbance.too_long) for plan in plans]
--- a/tests/test_stream_pauses.py
+++ b/tests/test_stream_pauses.py
@@ -8,6 +8,7 @@
 from test_prefill_queue import make_queue
 from test_prompt_placement import LONG, SHORT, SPEC, EngineFleet
 
+from figwalk.coordination.backend_tracker import AttemptOutcome
 from figwalk.coordination.prefill_queue import PrefillRequest
 from figwalk.coordination.prompt_plan import PromptCall
 from figwalk.coordination.stream_pauses import (
@@ -157,3 +158,16 @@
     fleet.report("d2")
     assert [plan.is_last_resort for plan in rank(fleet, LONG)] == [False] * 3
     assert rank(fleet, LONG)[0].reader.entry.backend == "d2"
+
+
+def test_prompt_pauses_streams_rather_than_go_to_an_avoided_engine():
+    """Guards against prompts sent to engines that are down since no streams run there."""
+    fleet = make_fleet()
+    fleet.report("d3", stream_load=StreamLoad(1, 0.23))
+    for name in ("d1", "d2"):
+        fleet.trackers[name].start("call")
+        fleet.trackers[name].finish("call", AttemptOutcome.UNREACHABLE)
+    plans = rank(fleet, LONG)
+    assert len(plans) == 2
+    assert plans[0].reader.entry.backend == "d3"
+    assert [plan.is_last_resort for plan in plans] == [True, False]
