Bound the bytes of requests and answers that a gateway holds

Each body was bounded, but not all together: forty bodies of 4 MB at once took a gateway over the 300 MB of its VM. All bytes that are held for a request, from its body to the unread part of its answer, now count against one ByteBudget, derived from memory_mb or set as max_held_mb. Without room a body is read no further and gets 503 with Retry-After at once; answers wait in order, and new connections in the kernel. The bytes in flight at one backend server are bounded too; plain calls wait for room there.

--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -240,6 +240,16 @@
         "info",
         "A registration that the store had lost, or that had expired, is there again unchanged.",
     )
+    HTTP_BODY_REFUSED = (
+        831,
+        "warning",
+        "The body of a request was not read, since too many bytes are held.",
+    )
+    HELD_BYTES_BOUND = (
+        832,
+        "info",
+        "The bound of the bytes of requests and answers that the process holds.",
+    )
 
     @property
     def number(self) -> int:
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -18,6 +18,7 @@
 from figwalk.gateway.codecs import AnswerFacts, BackendCodec, CallStep, KvSource, SendPlan
 from figwalk.timer import Timer
 from figwalk.transport import (
+    ByteCharge,
     Headers,
     HttpConnectError,
     HttpExchange,
@@ -85,13 +86,17 @@
         """Whether the status is 2xx."""
         return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
 
-    async def read_body(self, max_bytes: int = MAX_RESPONSE_BYTES) -> bytes:
+    async def read_body(self, held: ByteCharge, max_bytes: int = MAX_RESPONSE_BYTES) -> bytes:
         """Read the response to its end and return the complete body.
 
+        Args:
+            held: Counts the body.
+            max_bytes: Maximum size of the body.
+
         Raises:
             HttpError: The body is truncated or larger than the limit.
         """
-        return await self.response.read(max_bytes)
+        return await self.response.read(max_bytes, held)
 
 
 @attrs.frozen
@@ -161,6 +166,7 @@
             call.sent_to.append(plan.backend.backend)
         key = object()
         tracker.start(key)
+        in_flight = self._pool.charge_body(tracker, len(call.request.body))
         outcome = AttemptOutcome.CANCELLED
         started_at = self._timer.now()
         connected_at: float | None = None
@@ -202,6 +208,7 @@
             outcome = AttemptOutcome.BROKEN
             raise AttemptError(outcome, str(error), not_run=not is_run) from error
         finally:
+            self._pool.release_body(in_flight)
             tracker.finish(key, outcome)
             if outcome is not AttemptOutcome.ANSWERED:
                 connect_s = connected_at - started_at if connected_at is not None else None
@@ -223,7 +230,7 @@
         """
         async with self.send(call, tracker, plan, head_timeout_s=head_timeout_s) as answer:
             took_s = self._timer.now() - answer.response.sent_at
-            body = await answer.read_body(MAX_HANDLE_BYTES)
+            body = await answer.read_body(call.held, MAX_HANDLE_BYTES)
             if not answer.succeeded:
                 message = f"prefill was answered with HTTP status {answer.status}"
                 raise AttemptError(AttemptOutcome.FAILED, message, not_run=True)
--- a/figwalk/gateway/backend_pool.py
+++ b/figwalk/gateway/backend_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterator
 
@@ -12,8 +13,11 @@
 from figwalk.coordination.request_pacer import RequestPacer
 from figwalk.events import EventLog
 from figwalk.state.backend_directory import BackendDirectory, BackendEntry
+from figwalk.state.notifier import Notifier
 from figwalk.state.routing import RoutingConfig, ServiceSpec
 from figwalk.timer import Timer
+from figwalk.transport import ByteBudget, ByteCharge
+from figwalk.transport.byte_budget import SMALL_BODY_BYTES
 from figwalk.transport.http_client import ConnectionOptions, HttpClient
 
 # Far above the round trip of 24 ms between regions and the few milliseconds of an accept.
@@ -37,11 +41,13 @@
         tracker: Load and failures of the backend server as seen by this process.
         client: Client with the connections to it.
         pacer: Spaces the requests to it while it limits them.
+        in_flight: Bounds the bytes of the requests in flight there, which it holds in memory.
     """
 
     tracker: BackendTracker
     client: HttpClient
     pacer: RequestPacer
+    in_flight: ByteBudget
 
 
 class BackendPool:
@@ -53,6 +59,7 @@
         timer: Source of time.
         rng: Spreads the requests to limited backend servers over time.
         gateways: Largest number of gateways that share each backend server.
+        max_backend_bytes: Largest number of bytes of the requests in flight at a backend server.
     """
 
     def __init__(
@@ -63,14 +70,17 @@
         rng: random.Random,
         *,
         gateways: int,
+        max_backend_bytes: float = math.inf,
     ) -> None:
         self._rng = rng
         self._directory = directory
         self._events = events
         self._timer = timer
         self._max_gateways = gateways
+        self._max_backend_bytes = max_backend_bytes
         self._routing: RoutingConfig | None = None
         self._backends: dict[str, PooledBackend] = {}
+        self._body_ended = Notifier()
 
     def set_routing(self, routing: RoutingConfig) -> None:
         """Use the services of a configuration; existing clients keep their connection limits."""
@@ -101,14 +111,37 @@
                 pooled = self._backends[entry.backend] = self._add(entry)
             yield pooled
 
-    def trackers(self, service: str) -> list[BackendTracker]:
-        """Return the trackers of a service's backend servers that take a new call now."""
+    def trackers(self, service: str, body_bytes: int = 0) -> list[BackendTracker]:
+        """Return the trackers of a service's backend servers that take a new call now.
+
+        Args:
+            service: Name of the service.
+            body_bytes: Size of the call's body.
+        """
         return [
             pooled.tracker
             for pooled in self.of_service(service)
-            if self.is_open(pooled.tracker.entry) and self._has_turn(pooled)
+            if self.is_open(pooled.tracker.entry)
+            and self._has_turn(pooled)
+            and (body_bytes <= SMALL_BODY_BYTES or pooled.in_flight.fits(body_bytes))
         ]
 
+    async def wait_body_ended(self) -> None:
+        """Wait until some body is no longer in flight at its backend server."""
+        await self._body_ended.wait()
+
+    def release_body(self, charge: ByteCharge) -> None:
+        """End the charge of a body that is no longer in flight."""
+        charge.close()
+        self._body_ended.notify()
+
+    def charge_body(self, tracker: BackendTracker, size: int) -> ByteCharge:
+        """Count a body as in flight at a backend server until `release_body`."""
+        pooled = self._backends.get(tracker.entry.backend)
+        charge = (pooled.in_flight if pooled is not None else ByteBudget()).open_charge()
+        charge.add(size)
+        return charge
+
     def is_open(self, entry: BackendEntry) -> bool:
         """Return whether a backend server takes calls of this process, apart from its limit."""
         return self._directory.takes_work(entry)
@@ -205,7 +238,10 @@
         else:
             tracker = BackendTracker(entry, self._timer, self._events)
         return PooledBackend(
-            tracker, self._make_client(entry), RequestPacer(self._timer, self._rng)
+            tracker,
+            self._make_client(entry),
+            RequestPacer(self._timer, self._rng),
+            ByteBudget(self._max_backend_bytes),
         )
 
     def _make_client(self, entry: BackendEntry) -> HttpClient:
--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -13,7 +13,7 @@
 from figwalk.gateway.codecs import CallFacts
 from figwalk.gateway.stream_timing import StreamTiming
 from figwalk.state.routing import EngineSpec, Organisation, Route
-from figwalk.transport import HttpRequest
+from figwalk.transport import ByteCharge, HttpRequest
 
 REQUEST_DIGEST_BYTES = 12
 
@@ -29,6 +29,7 @@
         service: Service chosen by the route.
         engine: Specification of that service's engines, or None for a plain service.
         config_version: Version of the configuration that contains the route.
+        held: Counts what is held for the call.
         organisation: The caller's organisation, or None if the call needs no key.
         arrived_at: Timer time at which the request arrived, before it waited to be read.
         deadline: Timer time at which the caller must have its final answer.
@@ -57,6 +58,7 @@
     arrived_at: float
     deadline: float
     check_caller_connected: Callable[[], None]
+    held: ByteCharge
     organisation: Organisation | None = None
     sent_to: list[str] = attrs.field(factory=list)
     arrivals: CallArrivals = attrs.field(factory=CallArrivals)
--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -121,6 +121,7 @@
             arrived_at=arrived_at,
             deadline=arrived_at + limit_s,
             check_caller_connected=responder.check_connected,
+            held=responder.held,
         )
 
     async def _answer(self, call: Call, responder: Responder) -> None:
--- a/figwalk/gateway/gateway_metrics.py
+++ b/figwalk/gateway/gateway_metrics.py
@@ -5,7 +5,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 
-from figwalk.transport import HttpRequest, Responder
+from figwalk.transport import ByteBudget, HttpRequest, Responder
 
 # Bucket bounds. The users' latency targets are 0.15 to 0.3 s, and their timeouts 0.8 to 15 s.
 LATENCY_BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.5, 1.0, 2.0, 5.0, 15.0)
@@ -73,6 +73,19 @@
             "Requests that are refused because backend servers crash on them.",
             registry=self._registry,
         )
+        self._held = Gauge(
+            "figwalk_held_bytes",
+            "Bytes of requests and answers that are held.",
+            registry=self._registry,
+        )
+        self._held_limit = Gauge(
+            "figwalk_held_bytes_limit", "Bound of these bytes.", registry=self._registry
+        )
+        self._refused_bodies = Gauge(
+            "figwalk_bodies_refused",
+            "Bodies that were not read so far, since too many bytes were held.",
+            registry=self._registry,
+        )
         self._dropped_lines = Gauge(
             "figwalk_log_lines_dropped", "Log lines dropped so far.", registry=self._registry
         )
@@ -116,6 +129,12 @@
         self._quarantined_parts.set(parts)
         self._quarantined_requests.set(requests)
 
+    def record_held(self, budget: ByteBudget) -> None:
+        """Set the bytes of requests and answers that are held, with their bound."""
+        self._held.set(budget.held)
+        self._held_limit.set(budget.limit)
+        self._refused_bodies.set(budget.refused)
+
     def record_dropped_lines(self, count: int) -> None:
         """Set the number of log lines dropped since the start."""
         self._dropped_lines.set(count)
--- a/figwalk/gateway/plain_calls.py
+++ b/figwalk/gateway/plain_calls.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 
 import attrs
+import trio
 
 from figwalk.coordination.backend_tracker import AttemptOutcome, BackendTracker
 from figwalk.coordination.call_quarantine import CallQuarantine
@@ -23,10 +24,13 @@
 from figwalk.state.routing import CallKind
 from figwalk.timer import MS_PER_S, Timer
 from figwalk.transport import Headers, Responder
+from figwalk.transport.byte_budget import SMALL_BODY_BYTES
 
 # An attempt times out after this share of the remaining time if a retry is allowed; the retry then
 # still has the larger share.
 ATTEMPT_TIMEOUT_SHARE = 0.35
+# A call waits for this share of the remaining time until a backend server has room for its body.
+ROOM_WAIT_SHARE = 0.5
 # A shorter timeout would abandon attempts at backend servers that are merely busy.
 MIN_ATTEMPT_TIMEOUT_S = 0.15
 # Statuses from which callers conclude that their request was not run.
@@ -118,7 +122,7 @@
         tried: list[str] = []
         error: AttemptError | None = None
         while error is None or error.not_run:
-            tracker = self._placement.choose(self._pool.trackers(call.service), tried=tried)
+            tracker = await self._choose(call, tried)
             if tracker is None or not self._may_send(call, bool(tried)):
                 break
             self._pool.take_turns(tracker)
@@ -143,7 +147,7 @@
         failed: BufferedAnswer | None = None
         error: AttemptError | None = None
         while True:
-            tracker = self._placement.choose(self._pool.trackers(call.service), tried=tried)
+            tracker = await self._choose(call, tried)
             if tracker is None or not self._may_send(call, bool(tried)):
                 break
             self._pool.take_turns(tracker)
@@ -164,6 +168,24 @@
             return failed
         raise self._refuse(call, error)
 
+    async def _choose(self, call: Call, tried: list[str]) -> BackendTracker | None:
+        """Choose a backend server; wait if those that are left have too many bytes in flight."""
+        tracker = self._choose_now(call, tried)
+        if tracker is not None or len(call.request.body) <= SMALL_BODY_BYTES:
+            return tracker
+        remaining_s = call.deadline - self._timer.now()
+        with trio.move_on_after(max(0.0, ROOM_WAIT_SHARE * remaining_s)):
+            while tracker is None and any(
+                other.entry.backend not in tried for other in self._pool.trackers(call.service)
+            ):
+                await self._pool.wait_body_ended()
+                tracker = self._choose_now(call, tried)
+        return tracker
+
+    def _choose_now(self, call: Call, tried: list[str]) -> BackendTracker | None:
+        candidates = self._pool.trackers(call.service, len(call.request.body))
+        return self._placement.choose(candidates, tried=tried)
+
     async def _attempt(self, call: Call, tracker: BackendTracker) -> BufferedAnswer:
         remaining_s = call.deadline - self._timer.now()
         plan = SendPlan(tracker.entry, remaining_s)
@@ -174,7 +196,7 @@
             call, tracker, plan, head_timeout_s=head_timeout_s
         ) as answer:
             began_at = self._timer.now()
-            buffered = await _read_answer(answer)
+            buffered = await _read_answer(call, answer)
             self._quarantine.record_answered(call.identity, began_at)
             return buffered
 
@@ -224,11 +246,15 @@
         is_refused = error is not None and error.outcome is AttemptOutcome.REFUSED
         if is_refused and self._pool.trackers(call.service):
             return RefusalError("backends_full", str(error), retry_after_ms=FULL_RETRY_MS)
-        return refuse_without_backend(self._pool, call.service)
+        return refuse_without_backend(self._pool, call)
 
 
-def refuse_without_backend(pool: BackendPool, service: str) -> RefusalError:
+def refuse_without_backend(pool: BackendPool, call: Call) -> RefusalError:
     """Return the refusal, with a retry time, of a call that no backend server takes now."""
+    service, size = call.service, len(call.request.body)
+    if pool.trackers(service) and not pool.trackers(service, size):
+        message = f"the backend servers of {service!r} have too many bytes in flight"
+        return RefusalError("backends_full", message, retry_after_ms=FULL_RETRY_MS)
     return_s = pool.promise_return_s(service)
     if return_s is not None:
         return RefusalError(
@@ -243,5 +269,6 @@
     )
 
 
-async def _read_answer(answer: Answer) -> BufferedAnswer:
-    return BufferedAnswer(answer.backend, answer.status, answer.headers, await answer.read_body())
+async def _read_answer(call: Call, answer: Answer) -> BufferedAnswer:
+    body = await answer.read_body(call.held)
+    return BufferedAnswer(answer.backend, answer.status, answer.headers, body)
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -43,7 +43,7 @@
 from figwalk.state.gateway_settings import GatewaySettings
 from figwalk.state.routing import RoutingConfig
 from figwalk.timer import Timer
-from figwalk.transport import HttpLimits, HttpRequest, HttpServer, Responder
+from figwalk.transport import ByteBudget, HttpLimits, HttpRequest, HttpServer, Responder
 
 UPKEEP_PERIOD_S = 0.2
 # The balancer checks readiness once a second and removes a VM after two failed checks.
@@ -86,6 +86,7 @@
             self._timer,
             random.Random(),
             gateways=settings.gateways,
+            max_backend_bytes=settings.max_backend_bytes,
         )
         self._offers = PromptOffers(
             self._pool.engines,
@@ -115,10 +116,12 @@
         )
         self._readiness = GatewayReadiness(lambda: self._routing.current, self._directory)
         self._was_ready: bool | None = None
+        self._budget = ByteBudget(settings.max_held_bytes)
         self._callers = HttpServer(
             self._make_caller_api().handle,
             self._events,
             limits=HttpLimits(max_connections=settings.max_connections),
+            budget=self._budget,
         )
         self._health = HttpServer(self._answer_health, self._events)
         self._metrics_server = HttpServer(self._metrics.handle, self._events)
@@ -155,6 +158,12 @@
                 metrics=str(settings.metrics),
                 zone=settings.zone,
             )
+            self._events.record(
+                Event.HELD_BYTES_BOUND,
+                limit=settings.max_held_bytes,
+                backend_limit=settings.max_backend_bytes,
+                memory_mb=settings.memory_mb,
+            )
             await self._stopped.wait()
             nursery.cancel_scope.cancel()
         self._pool.close()
@@ -295,6 +304,7 @@
 
     async def _upkeep(self) -> None:
         self._metrics.record_loop_lag(self._lag.lag_s)
+        self._metrics.record_held(self._budget)
         self._gateway_count.record(self._pool.count_reported_gateways())
         self._crashes.update()
         self._crash_reports.expire()
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -203,12 +203,13 @@
         )
 
     def _find_plans(self, call: Call, spec: EngineSpec) -> list[PromptPlan]:
-        engines = [t for t in self._pool.trackers(call.service) if isinstance(t, EngineTracker)]
+        trackers = self._pool.trackers(call.service, len(call.request.body))
+        engines = [t for t in trackers if isinstance(t, EngineTracker)]
         tried = {*call.sent_to, *call.failed_prefill_engines}
         candidates = [t for t in engines if t.entry.backend not in tried]
         plans = self._placement.rank(self._make_prompt_call(call), candidates, spec)
         if not plans:
-            raise refuse_without_backend(self._pool, call.service)
+            raise refuse_without_backend(self._pool, call)
         return plans
 
     async def _place_retry(
--- a/figwalk/gateway/stream_relay.py
+++ b/figwalk/gateway/stream_relay.py
@@ -114,7 +114,10 @@
         if self._resumable:
             self._last_event_id = find_last_event_id(data) or self._last_event_id
         self._timing.record_piece(self._timer.now())
+        held = self._responder.held
+        held.add(len(data))
         await self._responder.send_chunk(data)
+        held.remove(len(data))
 
 
 def _has_events(answer: Answer) -> bool:
--- a/figwalk/state/gateway_settings.py
+++ b/figwalk/state/gateway_settings.py
@@ -12,6 +12,14 @@
 # reads should be rare; but a read that fails has to be repeated once within the deadline.
 CONFIG_WAIT_SHARE = 0.4
 BACKENDS_PERIOD_SHARE = 0.28
+# Memory of a gateway that holds no bodies, under load.
+BASE_MEMORY_MB = 96.0
+# Share of the rest that bodies may take. Copies that are made for a moment and memory that the
+# allocator does not return need the other part.
+HELD_MEMORY_SHARE = 0.5
+# Three bodies of the largest size that the users allow.
+MIN_HELD_MB = 12.0
+BYTES_PER_MB = 1_000_000
 
 
 @attrs.frozen
@@ -137,6 +145,10 @@
         duties: Calls to the platform that one process makes for all, or None if there are none.
         revocation: How keys of organisations are treated while the store is unavailable.
         memory_mb: Memory that the process may use, in MB.
+        max_held_mb: Largest size of all requests and answers that the process holds together, in
+            MB, or None to derive it from `memory_mb`.
+        max_backend_mb: Largest size of the requests that the process has in flight at one backend
+            server, in MB; a single larger request is sent.
         log_lines_per_s: Largest number of log lines a second; a burst may add as many again.
         log_format: `json` or `console`.
     """
@@ -162,9 +174,24 @@
     duties: DutySettings | None = None
     revocation: RevocationSettings = attrs.field(factory=RevocationSettings)
     memory_mb: float = 300.0
+    max_held_mb: float | None = None
+    max_backend_mb: float = 16.0
     log_lines_per_s: int = 400
     log_format: str = "json"
 
+    @property
+    def max_held_bytes(self) -> int:
+        """Largest number of bytes of all requests and answers that the process holds."""
+        held_mb = self.max_held_mb
+        if held_mb is None:
+            held_mb = max(MIN_HELD_MB, HELD_MEMORY_SHARE * (self.memory_mb - BASE_MEMORY_MB))
+        return int(held_mb * BYTES_PER_MB)
+
+    @property
+    def max_backend_bytes(self) -> int:
+        """Largest number of bytes of the requests in flight at one backend server."""
+        return int(self.max_backend_mb * BYTES_PER_MB)
+
     @property
     def config_wait_s(self) -> float:
         """Seconds for which a read of the configuration waits for a new record.
--- a/figwalk/transport/__init__.py
+++ b/figwalk/transport/__init__.py
@@ -1,5 +1,6 @@
 """Transport layer: frames between figwalk processes, and an HTTP client and server."""
 
+from figwalk.transport.byte_budget import ByteBudget, ByteCharge
 from figwalk.transport.frame_stream import Frame, FrameStream, FrameType
 from figwalk.transport.http_client import (
     ConnectionOptions,
@@ -19,6 +20,8 @@
 from figwalk.transport.responder import ClientDisconnectedError, Responder
 
 __all__ = [
+    "ByteBudget",
+    "ByteCharge",
     "ClientDisconnectedError",
     "ConnectionOptions",
     "Frame",
--- a/figwalk/transport/http_client.py
+++ b/figwalk/transport/http_client.py
@@ -4,7 +4,7 @@
 
 import errno
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 from types import TracebackType
 
 import attrs
@@ -12,6 +12,7 @@
 import trio
 
 from figwalk.errors import HttpError
+from figwalk.transport.byte_budget import ByteCharge
 from figwalk.transport.byte_stream import RECEIVE_BYTES, ByteStream
 from figwalk.transport.http_types import Headers, HttpRequest, find_header
 
@@ -101,23 +102,33 @@
             if data:
                 yield data
 
-    async def read(self, max_bytes: int = MAX_RESPONSE_BYTES) -> bytes:
+    async def read(
+        self, max_bytes: int = MAX_RESPONSE_BYTES, held: ByteCharge | None = None
+    ) -> bytes:
         """Return the rest of the body.
 
         Args:
             max_bytes: Maximum size of the rest of the body.
+            held: Counts the body, also one that is cut; without room, it is read no further.
 
         Raises:
             HttpError: The connection ended before the end of the body, or the body is above the
                 limit.
         """
         parts = []
-        size = 0
+        size = charged = 0
+        length = self.header(b"content-length")
+        if held is not None and length.isdecimal():
+            charged = min(int(length), max_bytes)
+            await held.add_when_free(charged)
         async for data in self.chunks():
             parts.append(data)
             size += len(data)
             if size > max_bytes:
                 raise HttpError(f"the answer is above {max_bytes} bytes")
+            if held is not None and size > charged:
+                await held.add_when_free(size - charged)
+                charged = size
         return b"".join(parts)
 
 
@@ -313,19 +324,22 @@
         self, request: HttpRequest, is_own_response: ResponseCheck | None = None
     ) -> HttpResponse:
         """Send a request and receive the head of its response."""
-        data = self._render(request)
+        parts = self._render(request)
         self._sent_at = trio.current_time()
-        if len(data) <= INLINE_REQUEST_BYTES:
-            await self._send(data)
+        if sum(map(len, parts)) <= INLINE_REQUEST_BYTES:
+            await self._send(b"".join(parts))
             # No byte of the response has been received yet, so the parser is not tried first.
             await self._receive()
             head = await self._receive_head(request, is_own_response)
         else:
-            head = await self._send_and_receive_head(data, request, is_own_response)
+            head = await self._send_and_receive_head(parts, request, is_own_response)
         return HttpResponse(self, head)
 
     async def _send_and_receive_head(
-        self, data: bytes, request: HttpRequest, is_own_response: ResponseCheck | None
+        self,
+        parts: Iterable[bytes],
+        request: HttpRequest,
+        is_own_response: ResponseCheck | None,
     ) -> h11.Response:
         """Receive while sending; stop sending if the response arrives before the body is sent."""
         self._request_incomplete = True
@@ -334,7 +348,8 @@
         async def send() -> None:
             nonlocal failure
             try:
-                await self._send(data)
+                for part in parts:
+                    await self._send(part)
             except HttpError as error:
                 # Raised only if no response arrives: it may have been sent before the server
                 # stopped receiving.
@@ -423,17 +438,20 @@
         """Close the socket immediately."""
         self._stream.socket.close()
 
-    def _render(self, request: HttpRequest) -> bytes:
-        """Return the bytes of a request and make the parser expect its response."""
+    def _render(self, request: HttpRequest) -> list[bytes]:
+        """Return the bytes of a request and make the parser expect its response.
+
+        The body is a part of its own, since a large one must not be copied.
+        """
         headers = [(b"content-length", str(len(request.body)).encode()), *request.headers]
         if not any(name.lower() == b"host" for name, _ in request.headers):
             headers.insert(0, self._host_header)
         try:
             head = h11.Request(method=request.method, target=request.target, headers=headers)
-            data = self._h11.send(head) or b""
+            parts = [self._h11.send(head) or b""]
             if request.body:
-                data += self._h11.send(h11.Data(data=request.body)) or b""
-            return data + (self._h11.send(_END_OF_MESSAGE) or b"")
+                parts.append(self._h11.send(h11.Data(data=request.body)) or b"")
+            return [*parts, self._h11.send(_END_OF_MESSAGE) or b""]
         except h11.LocalProtocolError as error:
             raise HttpConnectError(
                 f"request to {self._address} is not valid HTTP: {error}"
--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -10,9 +10,11 @@
 
 from figwalk.errors import CallerError, CallOutcome, ConnectionLostError
 from figwalk.events import Event, EventLog
+from figwalk.transport.byte_budget import ByteBudget, ByteCharge
 from figwalk.transport.byte_stream import RECEIVE_BYTES, ByteStream
-from figwalk.transport.http_types import Headers, HttpLimits, HttpRequest, find_header
+from figwalk.transport.http_types import HttpLimits, HttpRequest
 from figwalk.transport.listening import accept_connections, open_listeners
+from figwalk.transport.request_reader import NoRoomError, RequestReader
 from figwalk.transport.responder import CLOSE_HEADER, ClientDisconnectedError, Responder
 
 LISTEN_BACKLOG = 1024
@@ -43,14 +45,21 @@
         handler: Coroutine function called with each complete request and its responder.
         events: Event log.
         limits: Limits for requests and connections.
+        budget: Bound of the bytes that requests and their answers hold, or None for no bound.
     """
 
     def __init__(
-        self, handler: HttpHandler, events: EventLog, *, limits: HttpLimits | None = None
+        self,
+        handler: HttpHandler,
+        events: EventLog,
+        *,
+        limits: HttpLimits | None = None,
+        budget: ByteBudget | None = None,
     ) -> None:
         self._handler = handler
         self._events = events
         self._limits = limits or HttpLimits()
+        self._budget = budget or ByteBudget()
         self._connections = 0
         self._rejected_connections = 0
         self._active_requests = 0
@@ -86,7 +95,11 @@
                 async with trio.open_nursery() as accepting:
                     for listener in listeners:
                         accepting.start_soon(
-                            accept_connections, self._serve_connection, listener, connections
+                            accept_connections,
+                            self._serve_connection,
+                            listener,
+                            connections,
+                            self._budget.wait_below_limit,
                         )
                     task_status.started(bound_port)
             except* trio.ClosedResourceError:
@@ -158,7 +171,7 @@
             if self._rejected_connections <= MAX_REJECTED_CONNECTIONS:
                 with trio.move_on_after(LINGER_S):
                     await Responder(h11.Connection(h11.SERVER), ByteStream(stream)).send_json(
-                        503, _TOO_MANY_CONNECTIONS, [CLOSE_HEADER, (b"retry-after", b"1")]
+                        503, _TOO_MANY_CONNECTIONS, [CLOSE_HEADER, _RETRY_AFTER]
                     )
                     await _linger(stream)
         except (ConnectionLostError, trio.BrokenResourceError, trio.ClosedResourceError):
@@ -192,25 +205,34 @@
             waiting_since: Time of trio's clock since which the request has waited to be read, or
                 None if it has not arrived yet.
         """
-        try:
-            request = await self._receive_request(connection, stream, waiting_since)
-        except h11.RemoteProtocolError as error:
-            refusal = CallerError(error.error_status_hint, "malformed_request", str(error))
-            await self._refuse(connection, stream, refusal)
-            return _AfterRequest.LINGER
-        except CallerError as error:
-            await self._refuse(connection, stream, error)
-            return _AfterRequest.LINGER
-        if request is None:
-            return _AfterRequest.CLOSE
-        responder = Responder(
-            connection, stream, lambda: self._draining, head_only=request.method == "HEAD"
-        )
-        self._active_requests += 1
-        try:
-            await self._answer(request, responder)
-        finally:
-            self._active_requests -= 1
+        with self._budget.open_charge() as held:
+            try:
+                request = await self._receive_request(connection, stream, waiting_since, held)
+            except h11.RemoteProtocolError as error:
+                refusal = CallerError(error.error_status_hint, "malformed_request", str(error))
+                await self._refuse(connection, stream, refusal)
+                return _AfterRequest.LINGER
+            except CallerError as error:
+                await self._refuse(connection, stream, error)
+                return _AfterRequest.LINGER
+            except NoRoomError as error:
+                held.close()
+                await self._refuse_for_room(connection, stream, error)
+                return _AfterRequest.LINGER
+            if request is None:
+                return _AfterRequest.CLOSE
+            responder = Responder(
+                connection,
+                stream,
+                lambda: self._draining,
+                head_only=request.method == "HEAD",
+                held=held,
+            )
+            self._active_requests += 1
+            try:
+                await self._answer(request, responder)
+            finally:
+                self._active_requests -= 1
         if not responder.finished or connection.our_state is h11.MUST_CLOSE:
             return _AfterRequest.LINGER
         # A response that started before a drain has no `Connection: close`, so that the client may
@@ -219,13 +241,17 @@
         return _AfterRequest.NEXT
 
     async def _receive_request(
-        self, connection: h11.Connection, stream: ByteStream, waiting_since: float | None
+        self,
+        connection: h11.Connection,
+        stream: ByteStream,
+        waiting_since: float | None,
+        held: ByteCharge,
     ) -> HttpRequest | None:
         """Return the next request, or None if the connection is to be closed."""
         if not connection.trailing_data[0] and not await self._wait_for_request(connection, stream):
             return None
         started_at = trio.current_time() if waiting_since is None else waiting_since
-        reader = _RequestReader(connection, self._limits.max_body_bytes, started_at)
+        reader = RequestReader(connection, self._limits.max_body_bytes, held, started_at)
         request = reader.parse()
         if request is not h11.NEED_DATA:
             # Most requests arrive in one piece; parsing these without a timeout saves a cancel
@@ -295,6 +321,13 @@
         body = render_error("invalid_request_error", error.code, error.message)
         await responder.send_json(error.status, body, [CLOSE_HEADER])
 
+    async def _refuse_for_room(
+        self, connection: h11.Connection, stream: ByteStream, error: NoRoomError
+    ) -> None:
+        self._events.record(Event.HTTP_BODY_REFUSED, held=self._budget.held, detail=error.message)
+        body = _render_not_run("too_many_bytes", f"{error.message}; retry after 1 s")
+        await Responder(connection, stream).send_json(503, body, [CLOSE_HEADER, _RETRY_AFTER])
+
 
 async def _linger(stream: trio.SocketStream) -> None:
     """Shut down sending and discard received bytes until the client closes the connection."""
@@ -318,84 +351,17 @@
     LINGER = "linger"
 
 
-class _RequestReader:
-    """Assembles one request from the events of h11.
-
-    Args:
-        connection: The client's connection.
-        max_body_bytes: Maximum size of the body.
-        started_at: Time of trio's clock at which the first bytes were read, or since which they
-            have waited for that.
-    """
-
-    def __init__(
-        self, connection: h11.Connection, max_body_bytes: int, started_at: float = 0.0
-    ) -> None:
-        self._started_at = started_at
-        self._connection = connection
-        self._max_body_bytes = max_body_bytes
-        self._head: h11.Request | None = None
-        self._headers: Headers = []
-        self._body = bytearray()
-
-    def parse(self) -> HttpRequest | type[h11.NEED_DATA] | None:
-        """Return the request if it is complete, or None if the connection is to be closed.
-
-        Raises:
-            CallerError: The body is above the limit.
-        """
-        while True:
-            event = self._connection.next_event()
-            if event is h11.NEED_DATA:
-                return h11.NEED_DATA
-            if isinstance(event, h11.Request):
-                self._head = event
-                self._headers = list(event.headers)
-                # h11 has validated the header. The size is checked here because a client that waits
-                # for 100 has not sent the body.
-                self._check_body_size(int(find_header(self._headers, b"content-length", "0")))
-            elif isinstance(event, h11.Data):
-                self._body += event.data
-                self._check_body_size(len(self._body))
-            elif isinstance(event, h11.EndOfMessage) and self._head is not None:
-                return self._build()
-            else:
-                return None
-
-    async def receive(self, stream: ByteStream) -> None:
-        """Receive more of the request, after sending 100 to a client that waits for it."""
-        if self._connection.they_are_waiting_for_100_continue:
-            continue_response = h11.InformationalResponse(status_code=100, headers=[])
-            await stream.send_all(self._connection.send(continue_response) or b"")
-        self._connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
-
-    def _check_body_size(self, size: int) -> None:
-        if size > self._max_body_bytes:
-            raise CallerError(
-                413,
-                "body_too_large",
-                f"the body is above the limit of {self._max_body_bytes} bytes",
-            )
-
-    def _build(self) -> HttpRequest:
-        return HttpRequest(
-            self._head.method.decode("ascii"),
-            self._head.target.decode("latin-1"),
-            self._headers,
-            bytes(self._body),
-            self._started_at,
-        )
-
-
 def render_error(kind: str, code: str, message: str, **fields: object) -> dict[str, object]:
     """Return an error body in the format that OpenAI clients expect."""
     return {"error": {"type": kind, "code": code, "message": message, **fields}}
 
 
-_TOO_MANY_CONNECTIONS = render_error(
-    "server_error",
-    "too_many_connections",
-    "the server has too many open connections; retry after 1 s",
-    outcome=CallOutcome.NOT_RUN.value,
-    attempt=CallOutcome.NOT_RUN.value,
+def _render_not_run(code: str, message: str) -> dict[str, object]:
+    outcome = CallOutcome.NOT_RUN.value
+    return render_error("server_error", code, message, outcome=outcome, attempt=outcome)
+
+
+_RETRY_AFTER = (b"retry-after", b"1")
+_TOO_MANY_CONNECTIONS = _render_not_run(
+    "too_many_connections", "the server has too many open connections; retry after 1 s"
 )
--- a/figwalk/transport/listening.py
+++ b/figwalk/transport/listening.py
@@ -59,6 +59,7 @@
     handler: Callable[[trio.SocketStream, float], Awaitable[None]],
     listener: trio.SocketListener,
     nursery: trio.Nursery,
+    wait_for_room: Callable[[], Awaitable[None]] | None = None,
 ) -> None:
     """Accept connections until the listener is closed, and handle each in a task.
 
@@ -70,6 +71,7 @@
             accepted.
         listener: Listening socket.
         nursery: Nursery in which handlers run.
+        wait_for_room: Awaited before connections are accepted; they wait in the kernel meanwhile.
 
     Raises:
         ClosedResourceError: The listener was closed.
@@ -78,6 +80,10 @@
     try:
         while True:
             await trio.lowlevel.wait_readable(listener.socket)
+            if wait_for_room is not None:
+                await wait_for_room()
+                if listener.socket.fileno() < 0:
+                    raise trio.ClosedResourceError("the listener was closed meanwhile")
             for _ in range(MAX_ACCEPTED_AT_ONCE):
                 try:
                     client, _address = listening_socket.accept()
--- /dev/null
+++ b/figwalk/transport/request_reader.py
@@ -0,0 +1,100 @@
+"""Assembles the requests that an HTTP server receives."""
+
+from __future__ import annotations
+
+import h11
+
+from figwalk.errors import CallerError, FigwalkError
+from figwalk.transport.byte_budget import ByteCharge
+from figwalk.transport.byte_stream import RECEIVE_BYTES, ByteStream
+from figwalk.transport.http_types import Headers, HttpRequest, find_header
+
+
+class NoRoomError(FigwalkError):
+    """A request was not received, since its body would exceed the bound of held bytes."""
+
+
+class RequestReader:
+    """Assembles one request from the events of h11.
+
+    Args:
+        connection: The client's connection.
+        max_body_bytes: Maximum size of the body.
+        held: Counts the body against the bound of the server.
+        started_at: Time of trio's clock at which the first bytes were read, or since which they
+            have waited for that.
+    """
+
+    def __init__(
+        self,
+        connection: h11.Connection,
+        max_body_bytes: int,
+        held: ByteCharge,
+        started_at: float = 0.0,
+    ) -> None:
+        self._started_at = started_at
+        self._connection = connection
+        self._max_body_bytes = max_body_bytes
+        self._head: h11.Request | None = None
+        self._headers: Headers = []
+        self._held = held
+        self._body: list[bytes] = []
+        self._body_size = 0
+        self._charged = 0
+
+    def parse(self) -> HttpRequest | type[h11.NEED_DATA] | None:
+        """Return the request if it is complete, or None if the connection is to be closed.
+
+        Raises:
+            CallerError: The body is above the limit.
+            NoRoomError: The server holds too many bytes to receive the body.
+        """
+        while True:
+            event = self._connection.next_event()
+            if event is h11.NEED_DATA:
+                return h11.NEED_DATA
+            if isinstance(event, h11.Request):
+                self._head = event
+                self._headers = list(event.headers)
+                # h11 has validated the header. The size is checked here because a client that waits
+                # for 100 has not sent the body.
+                self._check_body_size(int(find_header(self._headers, b"content-length", "0")))
+            elif isinstance(event, h11.Data):
+                self._body.append(bytes(event.data))
+                self._body_size += len(event.data)
+                self._check_body_size(self._body_size)
+            elif isinstance(event, h11.EndOfMessage) and self._head is not None:
+                return self._build()
+            else:
+                return None
+
+    async def receive(self, stream: ByteStream) -> None:
+        """Receive more of the request, after sending 100 to a client that waits for it."""
+        if self._connection.they_are_waiting_for_100_continue:
+            continue_response = h11.InformationalResponse(status_code=100, headers=[])
+            await stream.send_all(self._connection.send(continue_response) or b"")
+        self._connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
+
+    def _check_body_size(self, size: int) -> None:
+        """Check and charge the size of the body that is known so far."""
+        if size > self._max_body_bytes:
+            raise CallerError(
+                413,
+                "body_too_large",
+                f"the body is above the limit of {self._max_body_bytes} bytes",
+            )
+        if size > self._charged:
+            if not self._held.try_add_body(size - self._charged):
+                raise NoRoomError("this server holds too many bytes of requests and answers")
+            self._charged = size
+
+    def _build(self) -> HttpRequest:
+        body = b"".join(self._body)
+        self._body.clear()
+        return HttpRequest(
+            self._head.method.decode("ascii"),
+            self._head.target.decode("latin-1"),
+            self._headers,
+            body,
+            self._started_at,
+        )
--- a/figwalk/transport/responder.py
+++ b/figwalk/transport/responder.py
@@ -9,11 +9,14 @@
 import trio
 
 from figwalk.errors import ConnectionLostError
+from figwalk.transport.byte_budget import ByteBudget, ByteCharge
 from figwalk.transport.byte_stream import RECEIVE_BYTES, ByteStream
 from figwalk.transport.http_types import Headers
 
 # Maximum read from a client that keeps sending while it waits for a response.
 MAX_PIPELINED_BYTES = 64 * 1024
+# Smaller bodies are sent together with the headers, in one system call.
+INLINE_BODY_BYTES = 64 * 1024
 JSON_HEADER = (b"content-type", b"application/json")
 CLOSE_HEADER = (b"connection", b"close")
 _END_OF_MESSAGE = h11.EndOfMessage()
@@ -24,6 +27,13 @@
 
     Handlers call `send` for a complete response, or `start`, `send_chunk` and `finish` for a
     streamed one.
+
+    Args:
+        connection: State of the HTTP connection.
+        stream: The client's connection.
+        closing: Returns whether the connection is to be closed after the response.
+        head_only: Whether the request was HEAD, so that the response has no body.
+        held: Counts what is held for the request and its response, until it has been sent.
     """
 
     def __init__(
@@ -33,17 +43,24 @@
         closing: Callable[[], bool] = lambda: False,
         *,
         head_only: bool = False,
+        held: ByteCharge | None = None,
     ) -> None:
         self._connection = connection
         self._stream = stream
         self._closing = closing
         self._head_only = head_only
+        self._held = held or ByteBudget().open_charge()
         self._started = False
         self._finished = False
         self._pipelined_bytes = 0
         # Set during a write; stays set if a cancellation interrupts the write.
         self._write_incomplete = False
 
+    @property
+    def held(self) -> ByteCharge:
+        """Counts what is held for the request and its response; handlers add what they receive."""
+        return self._held
+
     @property
     def started(self) -> bool:
         """Whether the status line has been sent."""
@@ -63,10 +80,14 @@
         """Send a complete response."""
         headers = [*headers, (b"content-length", str(len(body)).encode()), *self._closing_header()]
         data = self._connection.send(h11.Response(status_code=status, headers=headers)) or b""
-        data += self._render_body(body)
-        data += self._connection.send(_END_OF_MESSAGE) or b""
+        body = self._render_body(body)
+        end = self._connection.send(_END_OF_MESSAGE) or b""
         self._started = True
-        await self._write(data)
+        if len(body) <= INLINE_BODY_BYTES:
+            await self._write(data + body + end)
+        else:  # Not copied, since it may be large and the client slow.
+            for part in (data, body, end):
+                await self._write(part)
         self._finished = True
 
     async def send_json(self, status: int, content: object, headers: Headers | None = None) -> None:
@@ -145,6 +166,7 @@
             self._keep_pipelined(data)
 
     def _keep_pipelined(self, data: bytes) -> None:
+        self._held.add(len(data))
         self._pipelined_bytes += len(data)
         self._connection.receive_data(data)
 
