Don't prolong avoidance while streams run at a backend server

After an avoidance ended, a backend server stayed avoided as long as any call was in progress there. Streams that it was sending counted as the one call that tests it, so that one failure kept an engine out of use until its last stream had ended. Only calls without an answer count now. The new test fails on the code before.

--- a/figwalk/coordination/backend_tracker.py
+++ b/figwalk/coordination/backend_tracker.py
@@ -172,11 +172,12 @@
         """Return whether calls should go to other backend servers now, if there are any.
 
         After an avoidance ends, one call at a time tests whether the backend server has recovered.
+        Streams that it still sends don't count as tests, since they may last long.
         """
         now = self._timer.now()
         if now < self._avoided_until or self._is_unresponsive(now):
             return True
-        return self._down_count > 0 and bool(self._calls)
+        return self._down_count > 0 and any(not call.answered for call in self._calls.values())
 
     def estimate_load(self) -> int:
         """Return the calls that the backend server has now, from all callers.
--- a/tests/test_backend_tracker.py
+++ b/tests/test_backend_tracker.py
@@ -37,6 +37,18 @@
     assert not tracker.is_avoided()
 
 
+def test_running_stream_does_not_prolong_avoidance():
+    """Guards against a backend server avoided until its last stream ends, after one failure."""
+    timer = FakeTimer()
+    tracker = make_tracker(timer)
+    tracker.start("stream")
+    tracker.record_answer("stream", None)
+    tracker.start("c1")
+    tracker.finish("c1", AttemptOutcome.UNREACHABLE)
+    timer.advance(FIRST_AVOIDANCE_S + 0.01)
+    assert not tracker.is_avoided()
+
+
 def test_unresponsive_backend_is_avoided():
     """Guards against calls to a backend server that accepts connections but never answers."""
     timer = FakeTimer()
