--- a/figwalk/coordination/engine_tracker.py
+++ b/figwalk/coordination/engine_tracker.py
@@ -8,6 +8,7 @@
 from figwalk.coordination.backend_tracker import BackendTracker
 from figwalk.coordination.cached_parts import count_leading_tokens
 from figwalk.coordination.prefix_cache_estimate import PrefixCacheEstimate
+from figwalk.coordination.stream_pauses import NO_STREAMS, StreamLoad
 from figwalk.state.routing import EngineSpec
 
 # An event holds several tokens, so that the first one takes that many decode steps. This is the
@@ -23,6 +24,12 @@
 # prompts whose first part is cached.
 ASSUMED_UNCACHED_TOKENS = 4000.0
 UNCACHED_MEAN_WEIGHT = 0.05  # Some 20 calls count.
+# The fixed time may be most of what the prefill of fewer tokens takes.
+MIN_SPEED_SAMPLE_TOKENS = 2000
+# With more calls than this share of the slots, or a longer wait for other prompts than this share
+# of a prefill, a time does not show how fast the engine itself is.
+MAX_SPEED_SAMPLE_CALLS = 0.1
+MAX_SPEED_SAMPLE_WAIT = 0.1
 # Without the agent, the rate is estimated from the calls of this process. The bounds keep one odd
 # call from making an engine look unusable or unlimited.
 RATE_WEIGHT = 0.1
@@ -41,8 +48,8 @@
 class EngineTracker(BackendTracker):
     """A backend tracker that also tracks the prompts being prefilled and the cached parts."""
 
-    def __init__(self, *args: object, spec: EngineSpec) -> None:
-        super().__init__(*args)
+    def __init__(self, *args: object, spec: EngineSpec, **options: object) -> None:
+        super().__init__(*args, **options)
         self._prefilling: dict[object, float] = {}
         self._prefix_cache = PrefixCacheEstimate(spec.kv_tokens)
         self._rate_factor = 1.0
@@ -52,12 +59,14 @@
         self._up = True
         self._decoding = 0
         self._first_event_s = FIRST_EVENT_S
+        self._assumed_share = 1.0  # Part of the mean that still is the assumption.
         self._reported_rate: float | None = None
         self._reported_backlog = 0.0
         self._reported_at = -math.inf
         self._fixed_s = 0.0
         self._measured = False
         self._gateways = 0
+        self._stream_load = NO_STREAMS
         self._cached_parts: set[int] = set()
         self._prefilling_parts: frozenset[int] = frozenset()
         self._has_cache_report = False
@@ -112,15 +121,21 @@
         fixed_s: float = 0.0,
         measured: bool = True,
         gateways: int = 0,
+        stream_load: StreamLoad = NO_STREAMS,
     ) -> None:
         """Apply the state that the agent beside the engine reports."""
         self._gateways = gateways
+        self._stream_load = stream_load
         self._fixed_s = fixed_s
         self._measured = measured
         self._up = up
         self._decoding = decoding
+        is_new_rate = measured and tokens_per_s != self._reported_rate
         self._reported_rate = tokens_per_s
         self.apply_backlog(backlog_tokens)
+        if is_new_rate and tokens_per_s > 0:
+            # The agent measures over the prompts of all gateways, and so sooner than each of them.
+            self._record_speed("rate", 1 / tokens_per_s)
 
     def apply_cache_report(
         self,
@@ -199,16 +214,51 @@
         Args:
             reading_s: Seconds for which the engine prefills other prompts, which slows its decode.
         """
-        slowed_s = self._first_event_s + PREFILL_SLOWDOWN_SHARE * reading_s
-        return min(self._first_event_s * PREFILL_SLOWDOWN_FACTOR, slowed_s)
+        alone_s = self._lone_first_event_s * self.slowdown
+        slowed_s = alone_s + PREFILL_SLOWDOWN_SHARE * reading_s
+        return min(alone_s * PREFILL_SLOWDOWN_FACTOR, slowed_s)
 
     def record_first_event(self, predicted_s: float, took_s: float) -> None:
         """Learn how long the first event took after the prompt was prefilled or fetched."""
         if predicted_s <= 0:
             return
-        seconds = self._first_event_s * max(0.0, took_s) / predicted_s
+        seconds = self._lone_first_event_s * max(0.0, took_s) / predicted_s
         seconds = min(MAX_FIRST_EVENT_S, max(MIN_FIRST_EVENT_S, seconds))
         self._first_event_s += FIRST_EVENT_WEIGHT * (seconds - self._first_event_s)
+        self._assumed_share *= 1 - FIRST_EVENT_WEIGHT
+        self._record_speed("first_event", seconds)
+
+    def record_prefill_time(self, tokens: float, wait_s: float, took_s: float) -> None:
+        """Learn the engine's speed from how long a prefill took.
+
+        Args:
+            tokens: Tokens that were prefilled.
+            wait_s: Seconds that it was predicted to wait for other prompts.
+            took_s: Seconds that it took at the engine, wait included.
+        """
+        seconds = took_s - wait_s - self._fixed_s
+        if tokens >= MIN_SPEED_SAMPLE_TOKENS and wait_s <= MAX_SPEED_SAMPLE_WAIT * took_s:
+            self._record_speed("prefill", seconds / tokens / self.slowdown)
+
+    def record_decode_time(self, seconds: float | None) -> None:
+        """Learn the engine's speed from the seconds between the pieces of a stream, if known."""
+        if seconds is not None:
+            self._record_speed("decode", seconds / self.slowdown)
+
+    def _record_speed(self, work: str, seconds: float) -> None:
+        # Engines of one role are compared, since the others run at another speed by design.
+        most = max(1.0, MAX_SPEED_SAMPLE_CALLS * self.entry.slots)
+        if max(self.decoding, self.estimate_load()) <= most:
+            kind = f"{work} {self.entry.role.value}"
+            self.pacing.speeds.record(self.entry.backend, kind, seconds)
+
+    @property
+    def _lone_first_event_s(self) -> float:
+        """Seconds to the first event at an engine that does nothing else.
+
+        As far as this is still an assumption, it follows the speed of the engine's other work.
+        """
+        return self._first_event_s + self._assumed_share * FIRST_EVENT_S * (self.speed_factor - 1)
 
     @property
     def digest_age_s(self) -> float:
@@ -220,6 +270,11 @@
         """Gateways connected to the agent beside the engine, by a recent report; 0 without one."""
         return self._gateways if self._has_digest else 0
 
+    @property
+    def stream_load(self) -> StreamLoad:
+        """Streams that the engine runs, by a recent report; empty without one."""
+        return self._stream_load if self._has_digest else NO_STREAMS
+
     @property
     def reported_rate(self) -> float | None:
         """Prompt tokens that the engine prefills per second, by a recent report, or None."""
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -234,6 +234,11 @@
         "warning",
         "The VM list does not answer; the last known one stays in force.",
     )
+    CRASH_WITHDRAWN = (
+        820,
+        "info",
+        "A backend server that counted as ended goes on; calls that it held are no suspects.",
+    )
 
     BACKEND_CONFIRMED = (
         830,
@@ -250,6 +255,64 @@
         "info",
         "The bound of the bytes of requests and answers that the process holds.",
     )
+    ORGANISATIONS_CHANGED = (
+        840,
+        "info",
+        "A configuration with organisations took effect; the fields count their keys.",
+    )
+    CONFIG_UNCONFIRMED = (
+        841,
+        "warning",
+        "The store has not confirmed the configuration for so long that keys are not relied on.",
+    )
+    CONFIG_CONFIRMED = (842, "info", "The store confirms the configuration again.")
+    CONFIG_COPY_WRITTEN = (
+        843,
+        "warning",
+        "The store has lost the configuration in force; a copy was written for new processes.",
+    )
+    CONFIG_COPY_UNAVAILABLE = (
+        844,
+        "info",
+        "The copy of a lost configuration could not be read or written.",
+    )
+    DUTIES_TAKEN = (850, "info", "This process holds the lease and carries out the duties.")
+    DUTIES_LOST = (851, "warning", "This process no longer holds the lease of the duties.")
+    DUTY_LOG_FAILED = (
+        852,
+        "warning",
+        "The lease or a decision could not be read or written; it is tried again.",
+    )
+    DUTY_CALL_FAILED = (853, "warning", "A call of a duty failed; the fields give the reason.")
+    USAGE_UNWRITTEN = (
+        854,
+        "warning",
+        "The counts of this process could not be written to the log; they are written later.",
+    )
+    USAGE_DECIDED = (
+        855,
+        "info",
+        "The report of a usage window was decided; the fields name processes without counts.",
+    )
+    USAGE_SENT = (856, "info", "The platform has taken the report of a usage window.")
+    USAGE_COUNTS_LATE = (
+        857,
+        "warning",
+        "Counts are missing in the report of a usage window that was already decided.",
+    )
+    USAGE_RECORD_SKIPPED = (858, "warning", "A record of usage counts could not be decoded.")
+    DUTY_ORDERED = (859, "info", "An order was sent; the fields give the reason.")
+    PACE_LIMITED = (
+        860,
+        "info",
+        "A new or recovered backend server gets a limited number of calls at once.",
+    )
+    PACE_LIFTED = (861, "info", "A backend server kept up, and its limit of calls is lifted.")
+    ENGINE_RUNS_LISTED = (
+        870,
+        "info",
+        "The engine's reports list the calls that it runs, or do so no longer.",
+    )
 
     @property
     def number(self) -> int:
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
 from http import HTTPStatus
 
 import attrs
@@ -11,16 +12,21 @@
 
 from figwalk.coordination.backend_tracker import AttemptOutcome, BackendTracker
 from figwalk.coordination.call_quarantine import CallQuarantine
+from figwalk.duties.usage_counter import AttemptStart, UsageCounter
 from figwalk.errors import FigwalkError, HttpError, RefusalError
 from figwalk.events import Event, EventLog
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import AnswerFacts, BackendCodec, CallStep, KvSource, SendPlan
+from figwalk.gateway.crash_watcher import CrashWatcher, HeldCall
+from figwalk.organisations.access_control import AccessControl
+from figwalk.state.routing import CallKind
 from figwalk.timer import Timer
 from figwalk.transport import (
     ByteCharge,
     Headers,
     HttpConnectError,
+    HttpConnectTimeoutError,
     HttpExchange,
     HttpResponse,
     strip_hop_by_hop,
@@ -72,6 +78,7 @@
         facts: Fields decoded from the status and the headers.
         response: The response, whose body has not been read yet.
         tracker: Tracker of the backend server.
+        on_first_event: Called when the first event of a stream arrives.
     """
 
     backend: str
@@ -80,6 +87,7 @@
     facts: AnswerFacts
     response: HttpResponse
     tracker: BackendTracker
+    on_first_event: Callable[[], None] = lambda: None
 
     @property
     def succeeded(self) -> bool:
@@ -119,8 +127,11 @@
         pool: Connections to them.
         codec: Encodes requests and decodes answers in their protocol.
         quarantine: Calls that must not be sent.
+        access: Tells whether the configuration still allows a call, and for which organisation.
+        crashes: Learns which calls backend servers hold.
         events: Event log.
         timer: Source of time.
+        usage: Counts the calls that backend servers began, or None if nobody asks for it.
     """
 
     def __init__(
@@ -128,11 +139,17 @@
         pool: BackendPool,
         codec: BackendCodec,
         quarantine: CallQuarantine,
+        access: AccessControl,
+        crashes: CrashWatcher,
         events: EventLog,
         timer: Timer,
+        usage: UsageCounter | None = None,
     ) -> None:
+        self._usage = usage
         self._pool = pool
         self._quarantine = quarantine
+        self._access = access
+        self._crashes = crashes
         self._codec = codec
         self._events = events
         self._timer = timer
@@ -158,9 +175,11 @@
             AttemptError: There is no valid answer, the backend server states that it did not run
                 the call, or it takes no calls any more.
             ClientDisconnectedError: The caller has left; the call is not sent.
+            InvalidKeyError: The caller's key is no longer valid; the call is not sent.
             RefusalError: The deadline of the call has passed, or backend servers crash on it; the
                 call is not sent.
         """
+        plan = attrs.evolve(plan, organisation=self._access.check_again(call))
         is_run = plan.step is CallStep.RUN
         if is_run:
             call.sent_to.append(plan.backend.backend)
@@ -170,10 +189,14 @@
         outcome = AttemptOutcome.CANCELLED
         started_at = self._timer.now()
         connected_at: float | None = None
+        held: HeldCall | None = None
+        complete = False
         was_unresolved = call.unresolved
+        start = self._open_start(call, tracker, plan)
+        has_head = False
 
         def before_send() -> None:
-            nonlocal connected_at
+            nonlocal connected_at, held
             try:
                 self._check_before_send(call, plan)
             except FigwalkError:
@@ -184,18 +207,30 @@
             self._record_arrival(call, plan)
             self._record_sent(call, tracker, plan)
             connected_at = call.sent_at = self._timer.now()
+            if start is not None:
+                self._usage.record_sent(start)
+            held = self._crashes.start(plan.backend, call.identity, call.timing)
+            # Prompts differ in length, so that the times of model calls are not comparable.
+            tracker.record_sent(key, None if call.route.is_model_call else call.route.name)
 
         try:
             async with AsyncExitStack() as stack:
-                exchange = self._open(call, tracker, plan, before_send)
+                exchange = self._open(call, tracker, plan, before_send, start)
                 response = await _wait_for_head(stack, exchange, head_timeout_s, not_run=not is_run)
+                has_head = True
                 answer = self._read_head(call, tracker, plan, response, key)
+                if start is not None:
+                    self._usage.record_answered(start)
+                    answer.on_first_event = partial(self._usage.record_first_event, start)
+                self._crashes.record_answer(held)
                 outcome = AttemptOutcome.ANSWERED
                 if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
                     outcome = AttemptOutcome.FAILED
                 yield answer
+                complete = True
         except HttpConnectError as error:
-            outcome = AttemptOutcome.UNREACHABLE
+            is_timeout = isinstance(error, HttpConnectTimeoutError)
+            outcome = AttemptOutcome.UNCONNECTED if is_timeout else AttemptOutcome.UNREACHABLE
             call.unresolved = was_unresolved
             self._remove_from_sent(call, plan)
             raise AttemptError(outcome, str(error), not_run=True) from error
@@ -210,6 +245,11 @@
         finally:
             self._pool.release_body(in_flight)
             tracker.finish(key, outcome)
+            if start is not None:
+                self._usage.record_ended(start, outcome, has_head=has_head)
+            if held is not None:
+                is_cut = outcome is AttemptOutcome.ANSWERED and not complete
+                self._crashes.finish(held, AttemptOutcome.CANCELLED if is_cut else outcome)
             if outcome is not AttemptOutcome.ANSWERED:
                 connect_s = connected_at - started_at if connected_at is not None else None
                 self._record_failure(call, plan, outcome, started_at, tracker, connect_s=connect_s)
@@ -248,11 +288,15 @@
         self._events.record(
             Event.PREFILL_WASTED, request_id=call.call_id, backend=source.backend.backend
         )
+        organisation = call.organisation.name if call.organisation is not None else ""
         with trio.move_on_after(RELEASE_TIMEOUT_S, shield=True):
             try:
-                request = self._codec.encode_release(source)
+                request = self._codec.encode_release(source, organisation)
                 await self._pool.client(tracker).fetch(
-                    request.method, request.target, max_bytes=MAX_HANDLE_BYTES
+                    request.method,
+                    request.target,
+                    headers=request.headers,
+                    max_bytes=MAX_HANDLE_BYTES,
                 )
             except HttpError as error:
                 # The KV cache then expires at the engine.
@@ -260,6 +304,15 @@
                     Event.ATTEMPT_FAILED, request_id=call.call_id, step="release", detail=str(error)
                 )
 
+    def _open_start(
+        self, call: Call, tracker: BackendTracker, plan: SendPlan
+    ) -> AttemptStart | None:
+        """Return the record by which an attempt counts as usage, or None if it does not count."""
+        if self._usage is None or call.organisation is None or plan.step is not CallStep.RUN:
+            return None
+        is_stream = call.route.kind is CallKind.STREAM
+        return self._usage.open(call.organisation.name, call.service, tracker, is_stream=is_stream)
+
     def _check_before_send(self, call: Call, plan: SendPlan) -> None:
         """Check at the moment of sending that the reasons to send a call still hold.
 
@@ -267,13 +320,18 @@
         backend server may have left since the call was placed, for example during a prefill.
 
         Raises:
+            InvalidKeyError: The caller's key is no longer valid.
             ClientDisconnectedError: The caller has left.
             RefusalError: The deadline of the call has passed, or backend servers crash on it.
-            AttemptError: The backend server takes no calls any more.
+            AttemptError: The backend server takes no calls any more, or the call now belongs to
+                another organisation than the one in the request.
         """
         call.check_caller_connected()
         if not call.is_quarantine_test:
             self._quarantine.check(call.identity)
+        if self._access.check_again(call) != plan.organisation:
+            message = "the caller's organisation has changed"
+            raise AttemptError(AttemptOutcome.CANCELLED, message, not_run=True)
         if self._timer.left_s(call.deadline) <= 0:
             raise RefusalError("timeout", "the time ended before the call was sent")
         if not self._pool.is_open(plan.backend):
@@ -281,19 +339,28 @@
             raise AttemptError(AttemptOutcome.CANCELLED, message, not_run=True)
 
     def _open(
-        self, call: Call, tracker: BackendTracker, plan: SendPlan, before_send: SendHook
+        self,
+        call: Call,
+        tracker: BackendTracker,
+        plan: SendPlan,
+        before_send: SendHook,
+        start: AttemptStart | None,
     ) -> HttpExchange:
         request = self._codec.encode(call.request, plan)
         return self._pool.client(tracker).open(
             request,
-            is_own_response=lambda headers: self._check_echo(call, plan, headers),
+            is_own_response=lambda headers: self._check_echo(call, plan, headers, start),
             idle_limit_s=None if call.route.repeatable else MAX_IDLE_NON_REPEATABLE_S,
             before_send=before_send,
         )
 
-    def _check_echo(self, call: Call, plan: SendPlan, headers: Headers) -> bool:
+    def _check_echo(
+        self, call: Call, plan: SendPlan, headers: Headers, start: AttemptStart | None
+    ) -> bool:
         if self._codec.is_own_response(call.call_id, headers):
             return True
+        if start is not None:
+            start.spoiled = True
         self._events.record(
             Event.ANSWER_FOREIGN, request_id=call.call_id, backend=plan.backend.backend
         )
@@ -308,7 +375,8 @@
         key: object,
     ) -> Answer:
         facts = self._codec.decode_answer(response.status, response.headers)
-        tracker.record_answer(key, facts.load)
+        succeeded = HTTPStatus.OK <= response.status < HTTPStatus.MULTIPLE_CHOICES
+        tracker.record_answer(key, facts.load, succeeded=succeeded and not facts.not_run)
         if facts.leaving:
             self._pool.mark_leaving(plan.backend)
         if facts.closed_s > 0:
--- a/figwalk/gateway/backend_pool.py
+++ b/figwalk/gateway/backend_pool.py
@@ -10,8 +10,10 @@
 
 from figwalk.coordination.backend_tracker import BackendTracker
 from figwalk.coordination.engine_tracker import EngineTracker
+from figwalk.coordination.plain_placement import Distance
 from figwalk.coordination.request_pacer import RequestPacer
 from figwalk.events import EventLog
+from figwalk.pacing.service_pacing import ServicePacing
 from figwalk.state.backend_directory import BackendDirectory, BackendEntry
 from figwalk.state.notifier import Notifier
 from figwalk.state.routing import RoutingConfig, ServiceSpec
@@ -22,10 +24,14 @@
 
 # Far above the round trip of 24 ms between regions and the few milliseconds of an accept.
 CONNECT_TIMEOUT_S = 0.3
+# Connections that a gateway opens to one backend server at a time. Opening one costs the backend
+# server a millisecond, and in a burst all gateways open some at once.
+MAX_OPENING = 2
 # Detects a peer that lost power and acknowledges nothing. Well above the time of retransmissions on
 # a lossy link.
 UNACKNOWLEDGED_TIMEOUT_S = 1.5
-# Backend servers close idle connections after some seconds and reset a request sent after that.
+# Backend servers close idle connections after some seconds and reset a request sent after that. For
+# those that don't state after how many.
 IDLE_LIMIT_S = 4.0
 # Gateways that may be added while the fleet runs. They also need a share of a backend server's
 # connections.
@@ -60,6 +66,7 @@
         rng: Spreads the requests to limited backend servers over time.
         gateways: Largest number of gateways that share each backend server.
         max_backend_bytes: Largest number of bytes of the requests in flight at a backend server.
+        distance: Network round trips to the backend servers, or None if they are taken as 0.
     """
 
     def __init__(
@@ -71,7 +78,10 @@
         *,
         gateways: int,
         max_backend_bytes: float = math.inf,
+        distance: Distance | None = None,
     ) -> None:
+        self._distance = distance
+        self._pacing: dict[str, ServicePacing] = {}
         self._rng = rng
         self._directory = directory
         self._events = events
@@ -79,12 +89,22 @@
         self._max_gateways = gateways
         self._max_backend_bytes = max_backend_bytes
         self._routing: RoutingConfig | None = None
+        self._gaps_s: dict[str, float] = {}
         self._backends: dict[str, PooledBackend] = {}
         self._body_ended = Notifier()
 
     def set_routing(self, routing: RoutingConfig) -> None:
         """Use the services of a configuration; existing clients keep their connection limits."""
         self._routing = routing
+        self._gaps_s = {}
+        for route in routing.routes:
+            for share in route.services:
+                known_s = self._gaps_s.get(share.service, math.inf)
+                self._gaps_s[share.service] = min(known_s, route.gap_s)
+
+    def gap_s(self, service: str) -> float:
+        """Return the longest pause that callers of all streams of a service accept, in seconds."""
+        return self._gaps_s.get(service, math.inf)
 
     def sync(self) -> None:
         """Update trackers from the directory; drop backend servers that left or restarted."""
@@ -118,13 +138,14 @@
             service: Name of the service.
             body_bytes: Size of the call's body.
         """
-        return [
-            pooled.tracker
-            for pooled in self.of_service(service)
-            if self.is_open(pooled.tracker.entry)
-            and self._has_turn(pooled)
-            and (body_bytes <= SMALL_BODY_BYTES or pooled.in_flight.fits(body_bytes))
-        ]
+        trackers = []
+        for pooled in self.of_service(service):
+            if not self.is_open(pooled.tracker.entry) or not self._has_turn(pooled):
+                continue
+            if body_bytes <= SMALL_BODY_BYTES or pooled.in_flight.fits(body_bytes):
+                pooled.tracker.set_connected(pooled.client.has_idle)
+                trackers.append(pooled.tracker)
+        return trackers
 
     async def wait_body_ended(self) -> None:
         """Wait until some body is no longer in flight at its backend server."""
@@ -224,6 +245,10 @@
         pooled = self._backends.get(tracker.entry.backend)
         return pooled.client if pooled is not None else self._make_client(tracker.entry)
 
+    def count_opened(self) -> int:
+        """Return how many connections to the present backend servers were opened so far."""
+        return sum(pooled.client.opened for pooled in self._backends.values())
+
     def close(self) -> None:
         """Close all idle connections."""
         for backend in list(self._backends):
@@ -231,12 +256,23 @@
 
     def _add(self, entry: BackendEntry) -> PooledBackend:
         service = self._find_service(entry.service)
+        pacing = self._pacing.get(entry.service)
+        if pacing is None:
+            pacing = self._pacing[entry.service] = ServicePacing.create(self._timer)
+        network_s = self._distance.round_trip_s(entry.zone) if self._distance else 0.0
         if service is not None and service.engine is not None:
             tracker: BackendTracker = EngineTracker(
-                entry, self._timer, self._events, spec=service.engine
+                entry,
+                self._timer,
+                self._events,
+                spec=service.engine,
+                pacing=pacing,
+                network_s=network_s,
             )
         else:
-            tracker = BackendTracker(entry, self._timer, self._events)
+            tracker = BackendTracker(
+                entry, self._timer, self._events, pacing=pacing, network_s=network_s
+            )
         return PooledBackend(
             tracker,
             self._make_client(entry),
@@ -252,6 +288,7 @@
         options = ConnectionOptions(
             connect_timeout_s=CONNECT_TIMEOUT_S,
             max_idle=share,
+            max_opening=MAX_OPENING,
             idle_limit_s=IDLE_LIMIT_S,
             unacknowledged_timeout_s=UNACKNOWLEDGED_TIMEOUT_S,
         )
@@ -261,4 +298,6 @@
         return self._routing.services.get(name) if self._routing is not None else None
 
     def _drop(self, backend: str) -> None:
-        self._backends.pop(backend).client.close()
+        pooled = self._backends.pop(backend)
+        pooled.client.close()
+        self._pacing[pooled.tracker.entry.service].speeds.forget(backend)
--- a/figwalk/gateway/gateway_metrics.py
+++ b/figwalk/gateway/gateway_metrics.py
@@ -58,11 +58,27 @@
         self._backends = Gauge(
             "figwalk_backends", "Registered backend servers.", registry=self._registry
         )
+        self._paused_streams = Counter(
+            "figwalk_paused_streams",
+            "Streams with a pause between two events that was longer than their callers accept.",
+            ["service"],
+            registry=self._registry,
+        )
+        self._connections = Gauge(
+            "figwalk_backend_connections_opened",
+            "Connections that were opened to the present backend servers so far.",
+            registry=self._registry,
+        )
         self._engine_crashes = Counter(
             "figwalk_engine_crashes",
             "Backend servers that ended while they worked on calls of this gateway.",
             registry=self._registry,
         )
+        self._withdrawn_crashes = Counter(
+            "figwalk_withdrawn_crashes",
+            "Backend servers that counted as ended and went on.",
+            registry=self._registry,
+        )
         self._quarantined_parts = Gauge(
             "figwalk_quarantined_prompt_parts",
             "Parts whose prompts are refused because engines crash on them.",
@@ -86,6 +102,37 @@
             "Bodies that were not read so far, since too many bytes were held.",
             registry=self._registry,
         )
+        self._refused_keys = Counter(
+            "figwalk_refused_keys",
+            "Calls refused for the key of their organisation, by reason.",
+            ["reason"],
+            registry=self._registry,
+        )
+        self._organisations = Gauge(
+            "figwalk_organisations",
+            "Organisations in the configuration.",
+            registry=self._registry,
+        )
+        self._organisation_keys = Gauge(
+            "figwalk_organisation_keys",
+            "Keys of organisations in the configuration.",
+            registry=self._registry,
+        )
+        self._duties_held = Gauge(
+            "figwalk_duties_held",
+            "1 if this gateway carries out the duties for all.",
+            registry=self._registry,
+        )
+        self._unwritten_windows = Gauge(
+            "figwalk_usage_unwritten_windows",
+            "Ended usage windows whose counts are not in the log yet.",
+            registry=self._registry,
+        )
+        self._unsent_reports = Gauge(
+            "figwalk_usage_unsent_reports",
+            "Decided usage reports that the platform has not taken yet.",
+            registry=self._registry,
+        )
         self._dropped_lines = Gauge(
             "figwalk_log_lines_dropped", "Log lines dropped so far.", registry=self._registry
         )
@@ -116,14 +163,35 @@
         """Set the version of the configuration in force."""
         self._config_version.set(version)
 
+    def record_refused_key(self, reason: str) -> None:
+        """Count a call that was refused for the key of its organisation."""
+        self._refused_keys.labels(reason).inc()
+
+    def record_organisations(self, *, organisations: int, keys: int) -> None:
+        """Set the number of organisations in force, and of their keys."""
+        self._organisations.set(organisations)
+        self._organisation_keys.set(keys)
+
     def record_backend_count(self, count: int) -> None:
         """Set the number of registered backend servers."""
         self._backends.set(count)
 
+    def record_paused_stream(self, service: str) -> None:
+        """Count a stream with a pause that was longer than its caller accepts."""
+        self._paused_streams.labels(service).inc()
+
+    def record_opened_connections(self, count: int) -> None:
+        """Set the connections that were opened to the present backend servers so far."""
+        self._connections.set(count)
+
     def record_engine_crash(self) -> None:
         """Count a backend server that ended while it worked on calls."""
         self._engine_crashes.inc()
 
+    def record_withdrawn_crash(self) -> None:
+        """Count a backend server that counted as ended and goes on."""
+        self._withdrawn_crashes.inc()
+
     def record_quarantine(self, *, parts: int, requests: int) -> None:
         """Set the number of parts whose prompts are refused, and of refused requests."""
         self._quarantined_parts.set(parts)
@@ -135,6 +203,18 @@
         self._held_limit.set(budget.limit)
         self._refused_bodies.set(budget.refused)
 
+    def record_duties(self, *, held: bool, unwritten: int, unsent: int) -> None:
+        """Set whether this gateway holds the lease, and how far its part in usage is behind.
+
+        Args:
+            held: Whether it holds the lease.
+            unwritten: Ended windows whose counts are not in the log.
+            unsent: Decided reports that were not taken.
+        """
+        self._duties_held.set(held)
+        self._unwritten_windows.set(unwritten)
+        self._unsent_reports.set(unsent)
+
     def record_dropped_lines(self, count: int) -> None:
         """Set the number of log lines dropped since the start."""
         self._dropped_lines.set(count)
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -21,14 +21,20 @@
 from figwalk.gateway.caller_api import CallerApi
 from figwalk.gateway.crash_reports import CrashReports
 from figwalk.gateway.crash_watcher import CrashWatcher
+from figwalk.gateway.duty_views import DutyViews
+from figwalk.gateway.gateway_duties import GatewayDuties
 from figwalk.gateway.gateway_metrics import GatewayMetrics
 from figwalk.gateway.gateway_readiness import GatewayReadiness
 from figwalk.gateway.plain_calls import PlainCalls
 from figwalk.gateway.prompt_calls import PromptCalls
 from figwalk.gateway.prompt_offers import PromptOffers
 from figwalk.gateway.topic_handlers import BackendReader, RoutingReader
+from figwalk.organisations.access_control import AccessControl
+from figwalk.organisations.config_confirmation import ConfigConfirmation, ConfirmingLog
+from figwalk.organisations.config_copy import ConfigCopy
 from figwalk.platform import (
     BACKENDS_TOPIC,
+    CONFIG_COPY_TOPIC,
     CONFIG_KEY,
     CONFIG_TOPIC,
     CRASHES_TOPIC,
@@ -87,6 +93,7 @@
             random.Random(),
             gateways=settings.gateways,
             max_backend_bytes=settings.max_backend_bytes,
+            distance=Distance(settings.zone, settings.region, settings.regions),
         )
         self._offers = PromptOffers(
             self._pool.engines,
@@ -101,6 +108,14 @@
         self._budgets = ServiceRetryBudgets(
             settings.retry, self._timer, processes=lambda: self._gateway_count.count
         )
+        self._duties = GatewayDuties(
+            settings,
+            self._make_store,
+            self._events,
+            self._timer,
+            gateways=lambda: self._gateway_count.count,
+            views=DutyViews(lambda: self._routing.current, self._pool, tuple(settings.regions)),
+        )
         self._lag = LoopLag()
         self._quarantine = CallQuarantine(
             settings.process, self._events, self._timer, on_report=self._publish_crashes
@@ -112,16 +127,29 @@
             self._directory, self._quarantine, self._metrics, self._events, self._timer
         )
         self._routing = RoutingReader(
-            CONFIG_KEY, decode_routing, self._events, on_adopted=self._apply_routing
+            CONFIG_KEY,
+            decode_routing,
+            self._events,
+            on_adopted=self._apply_routing,
+            on_restored=lambda: self._config_copy.record_restored(),
+        )
+        self._config_copy = ConfigCopy(
+            self._make_store(), CONFIG_COPY_TOPIC, self._routing, self._events, random.Random()
+        )
+        self._confirmation = ConfigConfirmation(settings.revocation, self._events, self._timer)
+        self._access = AccessControl(
+            lambda: self._routing.current, self._confirmation, self._metrics, self._events
         )
         self._readiness = GatewayReadiness(lambda: self._routing.current, self._directory)
         self._was_ready: bool | None = None
         self._budget = ByteBudget(settings.max_held_bytes)
+        caller_api = self._make_caller_api()
         self._callers = HttpServer(
-            self._make_caller_api().handle,
+            caller_api.handle,
             self._events,
             limits=HttpLimits(max_connections=settings.max_connections),
             budget=self._budget,
+            screen=caller_api.screen,
         )
         self._health = HttpServer(self._answer_health, self._events)
         self._metrics_server = HttpServer(self._metrics.handle, self._events)
@@ -141,7 +169,9 @@
             nursery.start_soon(self._offers.run)
             nursery.start_soon(self._lag.run)
             nursery.start_soon(self._crashes.run)
+            nursery.start_soon(self._duties.run)
             nursery.start_soon(self._crash_reports.run)
+            nursery.start_soon(self._config_copy.run)
             for follower in self._make_followers():
                 nursery.start_soon(follower.run)
             for server, address in (
@@ -173,12 +203,15 @@
         self._events.record(Event.PROCESS_STOPPING, active=self._callers.active_requests)
         self._readiness.stop()
         self._accept_until = self._timer.now() + LAST_REQUEST_S
-        with trio.move_on_after(self._settings.grace_s - STOP_MARGIN_S) as scope:
+        self._duties.resign()
+        drain_s = self._settings.grace_s - STOP_MARGIN_S - self._duties.stop_s
+        with trio.move_on_after(drain_s) as scope:
             await self._callers.drain(accept_for_s=BALANCER_NOTICE_S)
         if scope.cancelled_caught:
             self._events.record(Event.PROCESS_STOP_CUT, active=self._callers.active_requests)
         else:
             self._events.record(Event.PROCESS_STOPPED)
+        await self._duties.stop()
         self._stopped.set()
 
     def _make_caller_api(self) -> CallerApi:
@@ -186,13 +219,21 @@
         rng = random.Random()
         distance = Distance(settings.zone, settings.region, settings.regions)
         placement = PlacementSettings(engines=settings.engines)
-        attempts = Attempts(self._pool, PlatformBackendCodec(), self._quarantine, events, timer)
+        attempts = Attempts(
+            self._pool,
+            PlatformBackendCodec(),
+            self._quarantine,
+            self._access,
+            self._crashes,
+            events,
+            timer,
+            self._duties.usage,
+        )
         plain = PlainCalls(
             self._pool,
             attempts,
             PlainPlacement(distance, rng),
             self._quarantine,
-            self._crashes,
             self._budgets,
             events,
             timer,
@@ -203,7 +244,6 @@
             PromptPlacement(placement, distance, rng),
             self._offers,
             self._quarantine,
-            self._crashes,
             self._lag,
             self._budgets,
             events,
@@ -215,6 +255,7 @@
             self._routing_for_new_call,
             plain,
             prompts,
+            self._access,
             self._quarantine,
             self._lag,
             self._metrics,
@@ -238,12 +279,12 @@
     def _make_followers(self) -> list[TopicFollower]:
         settings = self._settings
         config = TopicFollower(
-            self._make_store(),
+            ConfirmingLog(self._make_store(), self._confirmation, self._timer),
             CONFIG_TOPIC,
             self._routing,
             self._events,
             self._timer,
-            wait_s=settings.config_wait_s,
+            wait_s=self._confirmation.limit_wait_s(settings.config_wait_s),
         )
         backends = TopicFollower(
             self._make_store(),
@@ -284,9 +325,13 @@
         )
         self._pool.set_routing(routing)
         self._metrics.record_config_version(routing.version)
+        self._access.record_adopted(routing)
+        self._config_copy.record_adopted()
 
     def _update_backends(self) -> None:
         self._pool.sync()
+        # At each change, since a departure may be announced just before the registration ends.
+        self._crashes.update()
         self._metrics.record_backend_count(len(self._directory.entries()))
 
     async def _answer_health(self, request: HttpRequest, responder: Responder) -> None:
@@ -305,9 +350,12 @@
     async def _upkeep(self) -> None:
         self._metrics.record_loop_lag(self._lag.lag_s)
         self._metrics.record_held(self._budget)
+        self._metrics.record_opened_connections(self._pool.count_opened())
         self._gateway_count.record(self._pool.count_reported_gateways())
         self._crashes.update()
         self._crash_reports.expire()
+        self._confirmation.record_change()
+        self._duties.update(self._metrics)
         self._metrics.record_quarantine(
             parts=len(self._quarantine.parts), requests=len(self._quarantine.requests)
         )
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+from functools import partial
 from http import HTTPStatus
 
 import attrs
@@ -23,7 +24,6 @@
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import CallStep, KvSource, SendPlan
-from figwalk.gateway.crash_watcher import CrashWatcher
 from figwalk.gateway.placement_decision import AdmissionDecider, PlacementDecision
 from figwalk.gateway.plain_calls import (
     NO_BACKEND_RETRY_MS,
@@ -33,6 +33,7 @@
 from figwalk.gateway.prompt_offers import PromptOffers
 from figwalk.gateway.retries import take_retries
 from figwalk.gateway.stream_relay import StreamRelay
+from figwalk.spillover.remote_spread import keep_remote_offer
 from figwalk.state.routing import EngineSpec
 from figwalk.timer import MS_PER_S, Timer
 from figwalk.transport import Responder
@@ -62,7 +63,6 @@
         placement: Ranks engines and decides on admission.
         offers: Offers prompts to the agents beside engines.
         quarantine: Decides which prompts are not sent.
-        crashes: Learns of calls that broke.
         lag: Measures the delay of this process's event loop.
         budgets: Limit the retries at each service.
         events: Event log.
@@ -77,7 +77,6 @@
         placement: PromptPlacement,
         offers: PromptOffers,
         quarantine: CallQuarantine,
-        crashes: CrashWatcher,
         lag: LoopLag,
         budgets: ServiceRetryBudgets,
         events: EventLog,
@@ -90,7 +89,6 @@
         self._placement = placement
         self._offers = offers
         self._quarantine = quarantine
-        self._crashes = crashes
         self._lag = lag
         self._budgets = budgets
         self._events = events
@@ -130,7 +128,7 @@
         """
         retry_after_s = math.inf
         decisions: list[PlacementDecision] = []
-        for plan in self._find_plans(call, spec)[:MAX_OFFERS]:
+        for plan in self._choose_offers(call, spec):
             prompt = self._make_prompt_call(call)
             decision = await self._decide(call, prompt, plan)
             if decision.admitted and not self._pool.take_turns(plan.reader, plan.runner):
@@ -183,6 +181,7 @@
             reader=last.plan.reader.entry.backend,
             runner=last.plan.runner.entry.backend,
             admitted=last.admitted,
+            remote=self._placement.is_remote(last.plan),
             age_s=round(self._timer.now() - call.arrived_at, 4),
             tokens=prompt.tokens,
             uncached=int(last.plan.uncached_tokens),
@@ -202,6 +201,15 @@
             shared_parts=" ".join(part.part_id for part in call.facts.prompt[:-1]),
         )
 
+    def _choose_offers(self, call: Call, spec: EngineSpec) -> list[PromptPlan]:
+        plans = self._find_plans(call, spec)
+        prompt = self._make_prompt_call(call)
+        if self._placement.is_short(prompt):
+            return plans[:MAX_OFFERS]
+        return keep_remote_offer(
+            plans, partial(self._placement.admits, prompt), self._placement.is_remote, MAX_OFFERS
+        )
+
     def _find_plans(self, call: Call, spec: EngineSpec) -> list[PromptPlan]:
         trackers = self._pool.trackers(call.service, len(call.request.body))
         engines = [t for t in trackers if isinstance(t, EngineTracker)]
@@ -323,19 +331,16 @@
                 self._clear_pending_work(key, plan)
                 self._check_status(call, relay, answer)
                 if source is None:
-                    self._record_prefill_time(
-                        call, decision, self._timer.now() - answer.response.sent_at
-                    )
+                    took_s = self._timer.now() - answer.response.sent_at
+                    self._record_prefill_time(call, decision, took_s, succeeded=answer.succeeded)
                 else:
                     self._record_fetch_wait(plan, self._timer.now() - answer.response.sent_at)
                 await self._relay(call, relay, answer)
                 if answer.succeeded:
+                    if len(call.sent_to) == 1:
+                        plan.runner.record_decode_time(call.timing.usual_gap_s)
                     self._quarantine.record_answered(call.identity, began_at)
                 return answer.backend
-        except AttemptError as error:
-            if error.outcome is AttemptOutcome.BROKEN and not relay.has_event:
-                self._crashes.record_broken(plan.runner.entry, call.identity)
-            raise
         finally:
             self._clear_pending_work(key, plan)
 
@@ -385,7 +390,9 @@
             message = f"the engine answered with HTTP status {answer.status}"
             raise AttemptError(AttemptOutcome.FAILED, message, not_run=False)
 
-    def _record_prefill_time(self, call: Call, decision: PlacementDecision, took_s: float) -> None:
+    def _record_prefill_time(
+        self, call: Call, decision: PlacementDecision, took_s: float, *, succeeded: bool = True
+    ) -> None:
         """Record how long a prefill took beside its prediction, and report its end to the agent."""
         plan = decision.plan
         parts = _prompt_parts(call)
@@ -393,13 +400,18 @@
         overhead_s = self._placement.round_trip_s(plan.reader)
         if plan.reader is plan.runner:
             first_event_s = took_s - overhead_s - predicted_s
-            plan.runner.record_first_event(plan.first_event_s, first_event_s)
+            if succeeded:
+                plan.runner.record_first_event(plan.first_event_s, first_event_s)
             overhead_s += plan.first_event_s
         else:
             # The decode engine caches fetched prompt parts like those that it has prefilled itself.
             plan.runner.record_fetched(parts)
-        decision.end(read=True, took_s=took_s - overhead_s)
-        plan.reader.record_prefill(parts, predicted_s, took_s - overhead_s)
+        prefill_s = took_s - overhead_s
+        # A failure takes no time, and a transfer is not the engine's own work.
+        if succeeded and plan.donor is None:
+            plan.reader.record_prefill_time(plan.uncached_tokens, plan.backlog_s, prefill_s)
+        decision.end(read=True, took_s=prefill_s)
+        plan.reader.record_prefill(parts, predicted_s, prefill_s)
 
     def _make_send_plan(
         self,
@@ -432,7 +444,13 @@
         target_s = call.arrived_at + call.route.target_s - now
         abandoned_at = min(call.deadline, call.arrived_at + call.route.first_event_timeout_s)
         remaining_s = abandoned_at - now
-        return PromptCall(_prompt_parts(call), target_s, remaining_s, call.deadline - now)
+        return PromptCall(
+            _prompt_parts(call),
+            target_s,
+            remaining_s,
+            call.deadline - now,
+            self._pool.gap_s(call.service),
+        )
 
     def _first_event_timeout_s(self, call: Call) -> float | None:
         """Return how long to wait for a first event, or None if the call can't be retried then."""
--- a/figwalk/platform/engine_report.py
+++ b/figwalk/platform/engine_report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from figwalk.coordination.stream_pauses import EngineRun
 from figwalk.errors import HttpError
 from figwalk.platform.backend_codec import (
     is_leaving,
@@ -13,7 +14,7 @@
 from figwalk.protocol.messages import Role
 from figwalk.transport import Headers, HttpRequest
 
-_ROLES = {"prefill": Role.PREFILL, "decode": Role.DECODE}
+ROLES = {"prefill": Role.PREFILL, "decode": Role.DECODE}
 
 
 class PlatformEngineReportCodec(EngineReportCodec):
@@ -32,7 +33,7 @@
         try:
             fields = JsonFields.parse(body, "report of an engine")
             return EngineReport(
-                role=_ROLES.get(fields.text("stage"), Role.MIXED),
+                role=ROLES.get(fields.text("stage"), Role.MIXED),
                 changing=fields.flag("busy"),
                 born_ms=fields.integer("born", 0),
                 running=fields.integer("running"),
@@ -40,6 +41,23 @@
                 kv_tokens=fields.integer("kv-total"),
                 leaving=is_leaving(headers),
                 requests_per_s=read_request_limit(headers),
+                runs=_decode_runs(fields),
             )
         except PlatformRecordError as error:
             raise HttpError(str(error)) from error
+
+
+def _decode_runs(fields: JsonFields) -> tuple[EngineRun, ...] | None:
+    """Return the calls that an engine runs, or None without a list that can be read.
+
+    An engine without such a list is served as before, so a malformed one is no reason to reject the
+    whole report; the agent logs whether it gets a list.
+    """
+    runs = []
+    for row in fields.items("runs") if fields.has("runs") else [None]:
+        match row:
+            case [str(request_id), _, int(events), *_] if events >= 0:
+                runs.append(EngineRun(request_id, events))
+            case _:
+                return None
+    return tuple(runs)
--- a/figwalk/platform/store.py
+++ b/figwalk/platform/store.py
@@ -30,9 +30,12 @@
 from figwalk.transport.http_client import ConnectionOptions, HttpClient
 
 CONFIG_TOPIC = "keyed.op"
+CONFIG_COPY_TOPIC = "keyed.figwalk-config"
 CONFIG_KEY = "config"
 BACKENDS_TOPIC = "keyed.servers"
 CRASHES_TOPIC = "keyed.figwalk-crashes"
+DUTIES_TOPIC = "keyed.figwalk-duties"
+USAGE_TOPIC = "keyed.figwalk-usage"
 
 _PARTITION = 0
 _OFFSETS = struct.Struct("!QQ")
--- a/figwalk/transport/__init__.py
+++ b/figwalk/transport/__init__.py
@@ -1,20 +1,20 @@
 """Transport layer: frames between figwalk processes, and an HTTP client and server."""
 
 from figwalk.transport.byte_budget import ByteBudget, ByteCharge
-from figwalk.transport.frame_stream import Frame, FrameStream, FrameType
-from figwalk.transport.http_client import (
+from figwalk.transport.connection_pool import (
     ConnectionOptions,
-    HttpClient,
     HttpConnectError,
-    HttpExchange,
-    HttpResponse,
+    HttpConnectTimeoutError,
 )
-from figwalk.transport.http_server import HttpServer, render_error
+from figwalk.transport.frame_stream import Frame, FrameStream, FrameType
+from figwalk.transport.http_client import HttpClient, HttpExchange, HttpResponse
+from figwalk.transport.http_server import HttpServer
 from figwalk.transport.http_types import (
     Headers,
     HttpLimits,
     HttpRequest,
     find_header,
+    render_error,
     strip_hop_by_hop,
 )
 from figwalk.transport.responder import ClientDisconnectedError, Responder
@@ -30,6 +30,7 @@
     "Headers",
     "HttpClient",
     "HttpConnectError",
+    "HttpConnectTimeoutError",
     "HttpExchange",
     "HttpLimits",
     "HttpRequest",
--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Awaitable, Callable
 from enum import Enum
+from http import HTTPStatus
 
 import h11
 import trio
@@ -12,9 +14,9 @@
 from figwalk.events import Event, EventLog
 from figwalk.transport.byte_budget import ByteBudget, ByteCharge
 from figwalk.transport.byte_stream import RECEIVE_BYTES, ByteStream
-from figwalk.transport.http_types import HttpLimits, HttpRequest
+from figwalk.transport.http_types import HttpLimits, HttpRequest, render_error
 from figwalk.transport.listening import accept_connections, open_listeners
-from figwalk.transport.request_reader import NoRoomError, RequestReader
+from figwalk.transport.request_reader import NoRoomError, RequestReader, refuse_header
 from figwalk.transport.responder import CLOSE_HEADER, ClientDisconnectedError, Responder
 
 LISTEN_BACKLOG = 1024
@@ -26,6 +28,8 @@
 LINGER_S = 2.0
 MAX_REJECTED_CONNECTIONS = 64
 BACKLOG_POLL_S = 0.005
+# Start of the bytes that h11 quotes in a message; they may hold a key of the client.
+_QUOTED_BYTES = re.compile(r""":? (?:bytearray\()?b['"]""")
 
 
 class SlowSenderError(CallerError):
@@ -33,6 +37,7 @@
 
 
 HttpHandler = Callable[[HttpRequest, Responder], Awaitable[None]]
+HttpScreen = Callable[[HttpRequest, Responder], Awaitable[bool]]
 
 
 class HttpServer:
@@ -46,6 +51,9 @@
         events: Event log.
         limits: Limits for requests and connections.
         budget: Bound of the bytes that requests and their answers hold, or None for no bound.
+        screen: Called with the head of a request before more of its body is awaited; returns
+            whether it has sent a refusal, after which the connection is closed. May raise
+            `CallerError`, too.
     """
 
     def __init__(
@@ -55,8 +63,10 @@
         *,
         limits: HttpLimits | None = None,
         budget: ByteBudget | None = None,
+        screen: HttpScreen | None = None,
     ) -> None:
         self._handler = handler
+        self._screen = screen
         self._events = events
         self._limits = limits or HttpLimits()
         self._budget = budget or ByteBudget()
@@ -209,8 +219,7 @@
             try:
                 request = await self._receive_request(connection, stream, waiting_since, held)
             except h11.RemoteProtocolError as error:
-                refusal = CallerError(error.error_status_hint, "malformed_request", str(error))
-                await self._refuse(connection, stream, refusal)
+                await self._refuse(connection, stream, self._explain(error))
                 return _AfterRequest.LINGER
             except CallerError as error:
                 await self._refuse(connection, stream, error)
@@ -219,8 +228,8 @@
                 held.close()
                 await self._refuse_for_room(connection, stream, error)
                 return _AfterRequest.LINGER
-            if request is None:
-                return _AfterRequest.CLOSE
+            if isinstance(request, _AfterRequest):
+                return request
             responder = Responder(
                 connection,
                 stream,
@@ -240,28 +249,40 @@
         connection.start_next_cycle()
         return _AfterRequest.NEXT
 
+    def _explain(self, error: h11.RemoteProtocolError) -> CallerError:
+        # h11 checks the size of a head only while it is incomplete.
+        if error.error_status_hint == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
+            return refuse_header(self._limits.max_header_bytes)
+        detail = _QUOTED_BYTES.split(str(error))[0]
+        return CallerError(error.error_status_hint, "malformed_request", detail)
+
     async def _receive_request(
         self,
         connection: h11.Connection,
         stream: ByteStream,
         waiting_since: float | None,
         held: ByteCharge,
-    ) -> HttpRequest | None:
-        """Return the next request, or None if the connection is to be closed."""
+    ) -> HttpRequest | _AfterRequest:
+        """Return the next request, or what to do with the connection without one."""
         if not connection.trailing_data[0] and not await self._wait_for_request(connection, stream):
-            return None
+            return _AfterRequest.CLOSE
         started_at = trio.current_time() if waiting_since is None else waiting_since
-        reader = RequestReader(connection, self._limits.max_body_bytes, held, started_at)
+        reader = RequestReader(connection, self._limits, held, started_at)
         request = reader.parse()
         if request is not h11.NEED_DATA:
             # Most requests arrive in one piece; parsing these without a timeout saves a cancel
             # scope.
-            return request
+            return request or _AfterRequest.CLOSE
+        screen = self._screen
         with trio.move_on_after(self._limits.receive_timeout_s):
             while request is h11.NEED_DATA:
+                if screen is not None and (head := reader.build_head()) is not None:
+                    if await screen(head, Responder(connection, stream, lambda: True)):
+                        return _AfterRequest.LINGER
+                    screen = None
                 await reader.receive(stream)
                 request = reader.parse()
-            return request
+            return request or _AfterRequest.CLOSE
         raise SlowSenderError(
             408, "request_timeout", "the request was not complete in time; send it faster"
         )
@@ -351,11 +372,6 @@
     LINGER = "linger"
 
 
-def render_error(kind: str, code: str, message: str, **fields: object) -> dict[str, object]:
-    """Return an error body in the format that OpenAI clients expect."""
-    return {"error": {"type": kind, "code": code, "message": message, **fields}}
-
-
 def _render_not_run(code: str, message: str) -> dict[str, object]:
     outcome = CallOutcome.NOT_RUN.value
     return render_error("server_error", code, message, outcome=outcome, attempt=outcome)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from figwalk.coordination import crash_evidence
 from figwalk.coordination.crash_evidence import (
     MAX_CRASHES,
     REQUEST_PREFIX,
@@ -162,3 +163,45 @@
     reports[10:13] = [make_report(n, requests=["bad", f"s{n}"]) for n in range(10, 13)]
     reports.append(make_report(70, requests=["bad"]))
     assert find_deadly(*reports) == {"request:bad"}
+
+
+def test_memory_is_bounded_by_the_suspects_with_the_fewest_crashes(monkeypatch):
+    """Guards against a gateway that runs out of memory, or forgets the part that crashes."""
+    monkeypatch.setattr(crash_evidence, "MAX_SUSPECTS", 100)
+    evidence = CrashEvidence()
+    found = []
+    for number in range(40):
+        own = " ".join(f"{number}-{n}" for n in range(30))
+        evidence.add(make_report(number, f"bad {own}" if number % 2 else own), float(number))
+        assert len(evidence._crash_counts) <= 100
+        found.append(set(evidence.find_causes()))
+    assert found[5:] == [{"bad"}] * 35
+    assert sum(len(report.prompts) for report in evidence.reports_by("g1")) < 40
+    evidence.drop_before(100.0)
+    assert evidence._entries == 0
+
+
+@pytest.mark.parametrize("others", [5, 10, 50])
+def test_part_that_causes_a_small_share_of_the_crashes_is_found(others):
+    """Guards against a deadly part that many crashes of other kinds hide."""
+    reports = []
+    for number in range(5):
+        reports.append(make_report(f"bad{number}", f"bad s{number}", "popular"))
+        reports += [make_report(f"{number}-{n}", f"t{number}-{n}") for n in range(others)]
+        reports.append(make_report(f"bad{number}", reporter="g2", sound=["popular"]))
+    assert find_deadly(*reports) == {"bad"}
+
+
+def test_parts_in_work_when_many_servers_crash_at_once_are_not_found():
+    """Guards against parts in demand that are refused when a whole zone crashes in a moment."""
+    evidence = CrashEvidence()
+    for number in range(64):
+        evidence.add(make_report(number, f"head s{number % 8}"), number * 0.01)
+    assert evidence.find_causes() == {}
+
+
+def test_part_in_work_at_crashes_by_chance_does_not_hide_their_cause():
+    """Guards against a deadly part that one in demand hides, though it explains too few crashes."""
+    reports = [make_report(n, "popular" if n == 0 else f"t{n}") for n in range(28)]
+    reports += [make_report(n, "popular", "bad") for n in range(28, 31)]
+    assert find_deadly(*reports) == {"bad"}
