Answer with 500 if the screen of a request's head fails unexpectedly

Cause: an error in the screen left the connection's task, and so ended all connections and the process; only errors of the handler led to a 500 response and a TASK_FAILED event. Change: both end in HttpServer._send_failure. Result: the new test fails before the change with the error raised out of the server, and passes after it; 42 tests of test_http, test_organisations and test_held_bytes passed.

--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -273,13 +273,13 @@
             # Most requests arrive in one piece; parsing these without a timeout saves a cancel
             # scope.
             return request or _AfterRequest.CLOSE
-        screen = self._screen
+        screened = self._screen is None
         with trio.move_on_after(self._limits.receive_timeout_s):
             while request is h11.NEED_DATA:
-                if screen is not None and (head := reader.build_head()) is not None:
-                    if await screen(head, Responder(connection, stream, lambda: True)):
+                if not screened and (head := reader.build_head()) is not None:
+                    if await self._screen_head(head, Responder(connection, stream, lambda: True)):
                         return _AfterRequest.LINGER
-                    screen = None
+                    screened = True
                 await reader.receive(stream)
                 request = reader.parse()
             return request or _AfterRequest.CLOSE
@@ -320,12 +320,25 @@
         except ClientDisconnectedError:
             raise
         except Exception as error:
-            self._events.record(Event.TASK_FAILED, task=request.path, error=repr(error))
-            if responder.can_start:
-                await responder.send_json(
-                    500,
-                    render_error("server_error", "internal_error", "internal error; see the log"),
-                )
+            await self._send_failure(request, responder, error)
+
+    async def _screen_head(self, head: HttpRequest, responder: Responder) -> bool:
+        """Return whether a request was refused before its body arrived."""
+        try:
+            return await self._screen(head, responder)
+        except (CallerError, ClientDisconnectedError):
+            raise
+        except Exception as error:
+            await self._send_failure(head, responder, error)
+            return True
+
+    async def _send_failure(
+        self, request: HttpRequest, responder: Responder, error: Exception
+    ) -> None:
+        self._events.record(Event.TASK_FAILED, task=request.path, error=repr(error))
+        if responder.can_start:
+            body = render_error("server_error", "internal_error", "internal error; see the log")
+            await responder.send_json(500, body)
 
     async def _refuse(
         self,
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -55,6 +55,26 @@
     trio.run(main)
 
 
+def test_server_continues_after_an_unexpected_error_of_its_screen():
+    """Guards against an error in the check of a request's head that ends the whole process."""
+
+    async def screen(_request, _responder):
+        raise ValueError("unexpected")
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            server = HttpServer(respond, EventLog("test", Timer()), screen=screen)
+            port = await nursery.start(server.serve, LOOPBACK, 0)
+            stream = await trio.open_tcp_stream(LOOPBACK, port)
+            await stream.send_all(b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\n")
+            data = b"".join([part async for part in stream])
+            assert data.split(b" ")[1:2] == [b"500"]
+            assert (await HttpClient(LOOPBACK, port).fetch("GET", "/"))[1] == b"text"
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 async def send_bad_chunk(stream):
     await stream.receive_some(1000)
     head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
