--- a/figwalk/transport/byte_budget.py
+++ b/figwalk/transport/byte_budget.py
@@ -62,7 +62,7 @@
 
     @property
     def refused(self) -> int:
-        """Number of times that `ByteCharge.try_add` found no room."""
+        """Number of times that `ByteCharge.try_add_body` found no room."""
         return self._refused
 
     def open_charge(self) -> ByteCharge:
