Restore the review's rig

Cause: a part had taught the rig new fields of the settings' template, which the template no longer has. Change: review/ is as it was reviewed.

--- a/review/rig/processes.py
+++ b/review/rig/processes.py
@@ -13,7 +13,6 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_TIMEOUT_S = 30.0
-SECTION = re.compile(r"\{\{#([^}]+)\}\}\n?(.*?)\{\{/\1\}\}\n?", re.DOTALL)
 PLACEHOLDER = re.compile(r"\{\{([^}|]+)(\|json)?\}\}")
 BOUNDS = {
     "drain-ms": 2500,
@@ -22,11 +21,7 @@
     "budget-ratio": 0.2,
     "budget-window-s": 10,
     "budget-slack": 58,
-    "lease-ms": 3000,
-    "thaw-ms": 300,
-    "require-fencing": True,
 }
-LIMITS = {"memory-mb": 300.0}
 ZONES = {"rajkot-a": "saurashtra", "mehsana-a": "north-guj", "surat-a": "south-guj"}
 
 
@@ -54,26 +49,15 @@
 
 
 def render(template: str, fields: dict[str, object]) -> str:
-    """Fill in the placeholders of a settings template; drop the sections without a value."""
+    """Fill in the placeholders of a settings template."""
 
-    def find(path: str) -> object:
+    def fill(match: re.Match[str]) -> str:
         value: object = fields
-        for name in path.split("."):
+        for name in match[1].split("."):
             value = value[int(name)] if isinstance(value, list) else value[name]
-        return value
-
-    def fill(match: re.Match[str]) -> str:
-        value = find(match[1])
-        return json.dumps(value) if match[2] or isinstance(value, bool) else str(value)
-
-    def keep(match: re.Match[str]) -> str:
-        try:
-            find(match[1])
-        except KeyError:
-            return ""
-        return match[2]
+        return json.dumps(value) if match[2] else str(value)
 
-    return PLACEHOLDER.sub(fill, SECTION.sub(keep, template))
+    return PLACEHOLDER.sub(fill, template)
 
 
 class Program:
@@ -104,7 +88,6 @@
             "region": "saurashtra",
             "zones": ZONES,
             "bounds": BOUNDS,
-            "limits": LIMITS,
         }
         template = (ROOT / deploy["template"]).read_text()
         self._settings.write_text(render(template, common | fields))
