--- a/figwalk/transport/connection_pool.py
+++ b/figwalk/transport/connection_pool.py
@@ -194,7 +194,12 @@
             with trio.move_on_after(self._options.connect_timeout_s):
                 connection = await self._open_connection()
                 self._opened += 1
-                self.check_in(connection)
+                if connection.usable(self._options.idle_limit_s):
+                    self.check_in(connection)
+                else:
+                    # Opening another one at once would only add load to a server that has too many.
+                    connection.close()
+                    error = HttpConnectError(f"{self._address} closed a new connection at once")
         except HttpConnectError as connect_error:
             error = connect_error
         except Exception as unexpected:
