Share reads of the store among the gateways of a zone

Each gateway read three topics of the store for itself, and each call is priced. Gateways now read through an agent of their zone if the setting relay.readers_per_zone allows it and at least three gateways of the zone are connected to it; a read that the agent does not answer in time, or that is too old, is made at the store itself.

--- a/figwalk/coordination/compacted_log.py
+++ b/figwalk/coordination/compacted_log.py
@@ -43,11 +43,14 @@
         records: Records in order.
         era: Number that increases whenever the log is restored from an older copy, or None if the
             log does not report it.
+        age_s: Seconds by which the log was read before the request for this page was sent; 0 unless
+            another process has read it.
     """
 
     next_offset: int
     records: tuple[KeyedRecord, ...]
     era: int | None = None
+    age_s: float = 0.0
 
 
 class CompactedLog(ABC):
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -297,6 +297,18 @@
         "info",
         "The engine's reports list the calls that it runs, or do so no longer.",
     )
+    RELAY_USED = (890, "info", "An agent of the zone reads a topic of the store for this gateway.")
+    RELAY_LEFT = (
+        891,
+        "info",
+        "An agent does not serve a relayed read; it is not asked for a time.",
+    )
+    RELAY_SERVED = (
+        892,
+        "info",
+        "Reads of the store that this agent made and saved for gateways since the last such event.",
+    )
+    RELAY_PAGE_UNSENT = (893, "info", "The answer to a relayed read could not be sent.")
 
     @property
     def number(self) -> int:
--- a/figwalk/gateway/gateway_metrics.py
+++ b/figwalk/gateway/gateway_metrics.py
@@ -115,6 +115,13 @@
             "Decided usage reports that the platform has not taken yet.",
             registry=self._registry,
         )
+        self._store_reads = Counter(
+            "figwalk_store_reads",
+            "Reads of followed topics, by whether this gateway called the store or an agent relayed"
+            " them.",
+            ["source"],
+            registry=self._registry,
+        )
         self._dropped_lines = Gauge(
             "figwalk_log_lines_dropped", "Log lines dropped so far.", registry=self._registry
         )
@@ -187,6 +194,10 @@
         self._unwritten_windows.set(unwritten)
         self._unsent_reports.set(unsent)
 
+    def record_store_read(self, source: str) -> None:
+        """Count a read of a followed topic that the store or a relay was asked for."""
+        self._store_reads.labels(source).inc()
+
     def record_dropped_lines(self, count: int) -> None:
         """Set the number of log lines dropped since the start."""
         self._dropped_lines.set(count)
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -45,6 +45,7 @@
     decode_routing,
 )
 from figwalk.process_runner import Process
+from figwalk.relay.store_relay import StoreRelay
 from figwalk.state.backend_directory import BackendDirectory
 from figwalk.state.gateway_settings import GatewaySettings
 from figwalk.state.routing import RoutingConfig
@@ -103,6 +104,13 @@
             zone=settings.zone,
             region=settings.region,
         )
+        self._relay = StoreRelay(
+            settings,
+            self._offers.relay_links,
+            self._events,
+            self._timer,
+            on_read=self._metrics.record_store_read,
+        )
         self._gateway_count = GatewayCount(settings.gateways, self._timer)
         self._budgets = ServiceRetryBudgets(
             settings.retry, self._timer, processes=lambda: self._gateway_count.count
@@ -269,16 +277,18 @@
 
     def _make_followers(self) -> list[TopicFollower]:
         settings = self._settings
+        config_wait_s = self._confirmation.limit_wait_s(settings.config_wait_s)
+        config_log = self._relay.wrap_config(self._make_store(), config_wait_s)
         config = TopicFollower(
-            ConfirmingLog(self._make_store(), self._confirmation, self._timer),
+            ConfirmingLog(config_log, self._confirmation, self._timer),
             CONFIG_TOPIC,
             self._routing,
             self._events,
             self._timer,
-            wait_s=self._confirmation.limit_wait_s(settings.config_wait_s),
+            wait_s=config_wait_s,
         )
         backends = TopicFollower(
-            self._make_store(),
+            self._relay.wrap_backends(self._make_store()),
             BACKENDS_TOPIC,
             BackendReader(self._directory, decode_backend, self._events),
             self._events,
@@ -287,7 +297,7 @@
             on_progress=self._directory.expire,
         )
         crashes = TopicFollower(
-            self._make_store(),
+            self._relay.wrap_idle(self._make_store(), CRASH_REPORTS_WAIT_S),
             CRASHES_TOPIC,
             self._crash_reports,
             self._events,
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -5,7 +5,7 @@
 import itertools
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 import trio
@@ -25,8 +25,10 @@
     PromptDecision,
     PromptEnded,
     PromptOffer,
+    RelayPage,
 )
 from figwalk.protocol.peer_connection import PeerConnection
+from figwalk.relay.relay_link import RelayLink
 from figwalk.timer import MS_PER_S, Timer
 
 INCARNATION_BITS = 64
@@ -111,6 +113,12 @@
         # late answers adjust the wait as well.
         self._answers_due_at: dict[int, float] = {}
         self._ended_send, self._ended_receive = trio.open_memory_channel[PromptEnded](10_000)
+        self._relay = RelayLink()
+
+    @property
+    def relay(self) -> RelayLink:
+        """Relayed reads of the store over this connection."""
+        return self._relay
 
     async def run(self) -> None:
         """Keep the connection open, with reconnects, until cancelled."""
@@ -163,6 +171,7 @@
             self._events.record(Event.PEER_CONNECTED, peer=hello.process)
             backoff.reset()
             self._connection = connection
+            self._relay.attach(connection, hello)
             self._tracker.clear_cache_report()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._send_ends, connection)
@@ -174,6 +183,7 @@
             self._record_lost(group.exceptions[0])
         finally:
             self._connection = None
+            self._relay.detach()
             self._answers_due_at.clear()
             for channel in self._pending_offers.values():
                 channel.close()
@@ -202,6 +212,8 @@
                 )
             elif isinstance(message, PromptDecision):
                 self._apply_decision(message)
+            elif isinstance(message, RelayPage):
+                self._relay.apply(message)
 
     def _apply_decision(self, decision: PromptDecision) -> None:
         self._tracker.apply_backlog(decision.backlog_tokens)
@@ -291,6 +303,11 @@
             return None
         return await self._links[plan.reader][0].offer(call_id, prompt, plan, round_trip_s)
 
+    def relay_links(self) -> Iterator[RelayLink]:
+        """Yield the relayed reads of each connection."""
+        for link, _scope in self._links.values():
+            yield link.relay
+
     def _start(self, engine: EngineTracker, nursery: trio.Nursery) -> None:
         link = AgentLink(engine, self._port, self._hello, self._events, self._timer)
         scope = trio.CancelScope()
--- a/figwalk/organisations/config_confirmation.py
+++ b/figwalk/organisations/config_confirmation.py
@@ -90,7 +90,7 @@
         page = await self._log.read_newest(topic)
         if page.era is None or self._era is None or page.era >= self._era:
             self._era = page.era
-            self._confirmation.confirm(started_at)
+            self._confirmation.confirm(started_at - page.age_s)
         return page
 
     async def read(self, topic: str, offset: int, *, wait_s: float = 0.0) -> KeyedPage:
@@ -99,5 +99,5 @@
         page = await self._log.read(topic, offset, wait_s=wait_s)
         # In another era, the offset means other records, and the topic is listed again.
         if page.era == self._era:
-            self._confirmation.confirm(started_at)
+            self._confirmation.confirm(started_at - page.age_s)
         return page
--- a/figwalk/prompt_agent/process.py
+++ b/figwalk/prompt_agent/process.py
@@ -9,13 +9,14 @@
 
 from figwalk.coordination.prefill_queue import PrefillQueue
 from figwalk.events import Event, EventLog
-from figwalk.platform import PlatformEngineCacheCodec, PlatformEngineReportCodec
+from figwalk.platform import PlatformEngineCacheCodec, PlatformEngineReportCodec, PlatformStore
 from figwalk.process_runner import Process
 from figwalk.prompt_agent.cache_follower import CacheFollower
 from figwalk.prompt_agent.digest_sender import DIGEST_PERIOD_S
 from figwalk.prompt_agent.engine_watcher import REPORT_PERIOD_S, REPORT_TIMEOUT_S, EngineWatcher
 from figwalk.prompt_agent.prompt_server import PromptServer
 from figwalk.protocol.messages import ConnectionKind, Hello, Role
+from figwalk.relay.relay_server import RelayServer
 from figwalk.state.gateway_settings import PromptAgentSettings
 from figwalk.timer import Timer
 from figwalk.transport import ConnectionOptions, HttpClient
@@ -59,8 +60,14 @@
         self._cache = CacheFollower(
             self._cache_client, PlatformEngineCacheCodec(), queue.parts, self._events, self._timer
         )
+        self._relay = self._make_relay()
         self._server = PromptServer(
-            queue, self._watcher, self._events, self._timer, make_hello=self._make_hello
+            queue,
+            self._watcher,
+            self._events,
+            self._timer,
+            make_hello=self._make_hello,
+            relay=self._relay,
         )
         self._stopped = trio.Event()
 
@@ -74,6 +81,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._timer.run)
             nursery.start_soon(self._cache.run)
+            if self._relay is not None:
+                nursery.start_soon(self._relay.run)
             nursery.start_soon(trio.serve_listeners, self._server.serve_connection, listeners)
             self._timer.subscribe("engine-report", REPORT_PERIOD_S, self._watcher.poll)
             self._timer.subscribe("digests", DIGEST_PERIOD_S, self._server.digests.send_if_due)
@@ -91,6 +100,17 @@
         self._events.record(Event.PROCESS_STOPPED, dropped_lines=self._dropped_lines())
         self._stopped.set()
 
+    def _make_relay(self) -> RelayServer | None:
+        address, timeout_s = self._settings.store, self._settings.store_timeout_s
+        if address is None:
+            return None
+        return RelayServer(
+            lambda: PlatformStore(address, timeout_s=timeout_s),
+            self._settings.zone,
+            self._events,
+            self._timer,
+        )
+
     def _make_hello(self) -> Hello:
         return Hello(
             ConnectionKind.PROMPT,
@@ -98,4 +118,5 @@
             self._incarnation,
             zone=self._settings.zone,
             region=self._settings.region,
+            relays=self._relay is not None,
         )
--- a/figwalk/prompt_agent/prompt_server.py
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -20,8 +20,10 @@
     PromptDecision,
     PromptEnded,
     PromptOffer,
+    RelayRead,
 )
 from figwalk.protocol.peer_connection import PeerConnection
+from figwalk.relay.relay_server import RelayServer
 from figwalk.timer import MS_PER_S, Timer
 from figwalk.transport.byte_stream import ByteStream
 
@@ -37,6 +39,7 @@
         queue: Prompts that were granted to the engine.
         watcher: State of the engine.
         make_hello: Returns the agent's `Hello` message.
+        relay: Reads the store for gateways, or None if the agent does not.
         events: Event log.
         timer: Source of time.
     """
@@ -49,12 +52,14 @@
         timer: Timer,
         *,
         make_hello: Callable[[], Hello],
+        relay: RelayServer | None = None,
     ) -> None:
         self._queue = queue
         self._watcher = watcher
         self._events = events
         self._timer = timer
         self._make_hello = make_hello
+        self._relay = relay
         self._digests = DigestSender(self._make_digest, queue.parts, timer)
 
     @property
@@ -69,10 +74,13 @@
         gateway = ""
         try:
             with trio.fail_after(HELLO_TIMEOUT_S):
-                gateway = (await connection.receive_hello()).process
+                hello = await connection.receive_hello()
+                gateway = hello.process
                 await connection.send(self._make_hello())
             self._events.record(Event.PEER_CONNECTED, peer=gateway)
             self._digests.add(connection)
+            if self._relay is not None:
+                self._relay.add(connection, hello)
             await self._receive(connection)
         except (TransportError, trio.TooSlowError) as error:
             self._events.record(Event.PEER_LOST, peer=gateway, detail=str(error) or repr(error))
@@ -80,6 +88,8 @@
             self._events.record(Event.TASK_FAILED, task="peer connection", error=repr(error))
         finally:
             self._digests.remove(connection)
+            if self._relay is not None:
+                self._relay.drop(connection)
             self._queue.drop(connection)
             connection.close()
 
@@ -94,6 +104,8 @@
                     read=message.read,
                     took_s=message.took_ms / MS_PER_S,
                 )
+            elif isinstance(message, RelayRead) and self._relay is not None:
+                self._relay.handle(connection, message)
 
     def _decide(self, connection: PeerConnection, offer: PromptOffer) -> PromptDecision:
         prompt = PrefillRequest(
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -47,6 +47,15 @@
     BATCH = "batch"
 
 
+class RelayStatus(StrEnum):
+    """What an agent answers to a relayed read."""
+
+    OK = "ok"
+    UNAVAILABLE = "unavailable"
+    MISSING = "missing"
+    TOO_FEW = "too_few"
+
+
 class KeyState(StrEnum):
     """State of a claimed call at an agent."""
 
@@ -69,6 +78,7 @@
         backend: Backend server beside an agent, or an empty string.
         service: Service of that backend server, or an empty string.
         clock: Hybrid logical clock.
+        relays: Whether the process reads the platform's store for gateways that send `RelayRead`.
     """
 
     kind: ConnectionKind
@@ -79,6 +89,7 @@
     backend: str = ""
     service: str = ""
     clock: int = 0
+    relays: bool = False
 
 
 @attrs.frozen
@@ -458,6 +469,55 @@
     event_ms: float = 0.0
 
 
+@attrs.frozen
+class RelayRead:
+    """Asks an agent for the records of a topic, which it reads once for several gateways.
+
+    Attributes:
+        read_id: Identifies the read on its connection.
+        topic: Name of the topic.
+        offset: Offset of the first record.
+        wait_ms: Milliseconds that a read of the store waits for a new record.
+        hold_ms: Milliseconds until an answer without records is due.
+        period_ms: Least milliseconds between two reads of the store; if not 0, the answer follows
+            the next read even if records are known already.
+    """
+
+    read_id: int
+    topic: str
+    offset: int
+    wait_ms: int = 0
+    hold_ms: int = 0
+    period_ms: int = 0
+
+
+@attrs.frozen
+class RelayPage:
+    """Reply to `RelayRead`. The lists have one item for each record.
+
+    Attributes:
+        read_id: Id of the read.
+        status: Whether the records follow and, if not, why.
+        next_offset: Offset at which the next read starts.
+        era: Era of the store, or `NO_OFFSET` if it is unknown.
+        age_ms: Milliseconds by which the read of the store started before `RelayRead` arrived.
+        offsets: Positions in the topic.
+        keys: Keys.
+        values: Contents.
+        removed: Whether the key was removed.
+    """
+
+    read_id: int
+    status: RelayStatus
+    next_offset: int = 0
+    era: int = NO_OFFSET
+    age_ms: int = 0
+    offsets: list[int] = attrs.field(factory=list)
+    keys: list[str] = attrs.field(factory=list)
+    values: list[bytes] = attrs.field(factory=list, repr=False)
+    removed: list[bool] = attrs.field(factory=list)
+
+
 Message = (
     Hello
     | Call
@@ -480,4 +540,6 @@
     | PromptDecision
     | PromptEnded
     | EngineDigest
+    | RelayRead
+    | RelayPage
 )
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -15,6 +15,7 @@
   backend @5 :Text;
   service @6 :Text;
   clock @7 :UInt64;
+  relays @8 :Bool;
 }
 
 struct Call {
@@ -190,6 +191,27 @@
   eventMs @13 :Float32;
 }
 
+struct RelayRead {
+  readId @0 :UInt64;
+  topic @1 :Text;
+  offset @2 :UInt64;
+  waitMs @3 :UInt32;
+  holdMs @4 :UInt32;
+  periodMs @5 :UInt32;
+}
+
+struct RelayPage {
+  readId @0 :UInt64;
+  status @1 :Text;
+  nextOffset @2 :UInt64;
+  era @3 :Int64;
+  ageMs @4 :UInt32;
+  offsets @5 :List(UInt64);
+  keys @6 :List(Text);
+  values @7 :List(Data);
+  removed @8 :List(Bool);
+}
+
 struct Message {
   union {
     hello @0 :Hello;
@@ -213,5 +235,7 @@
     promptDecision @18 :PromptDecision;
     promptEnded @19 :PromptEnded;
     engineDigest @20 :EngineDigest;
+    relayRead @21 :RelayRead;
+    relayPage @22 :RelayPage;
   }
 }
--- a/figwalk/state/gateway_settings.py
+++ b/figwalk/state/gateway_settings.py
@@ -109,6 +109,18 @@
     max_age_ms: float = 5000.0
 
 
+@attrs.frozen
+class RelaySettings:
+    """Reads of the store that gateways of one availability zone share.
+
+    Attributes:
+        readers_per_zone: Agents of the zone that read the store for its gateways, one at a time; 0
+            if each gateway reads the store itself.
+    """
+
+    readers_per_zone: int = 0
+
+
 @attrs.frozen
 class GatewaySettings:
     """Settings of `figwalk-gateway`.
@@ -136,6 +148,7 @@
         lease: Lease of the process that orders and reports for all gateways.
         duties: Calls to the platform that one process makes for all, or None if there are none.
         revocation: How keys of organisations are treated while the store is unavailable.
+        relay: Reads of the store that gateways of one availability zone share.
         memory_mb: Memory that the process may use, in MB.
         log_lines_per_s: Largest number of log lines a second; a burst may add as many again.
         log_format: `json` or `console`.
@@ -161,6 +174,7 @@
     lease: LeaseSettings = attrs.field(factory=LeaseSettings)
     duties: DutySettings | None = None
     revocation: RevocationSettings = attrs.field(factory=RevocationSettings)
+    relay: RelaySettings = attrs.field(factory=RelaySettings)
     memory_mb: float = 300.0
     log_lines_per_s: int = 400
     log_format: str = "json"
@@ -200,6 +214,8 @@
         peers: Listening address for gateways.
         engine: Address of the HTTP server of the engine beside the agent.
         engines: Prefill speeds of the engines.
+        store: Address of the platform's store, which the agent reads for gateways, or None.
+        store_timeout_s: Timeout of a call to the store, in seconds.
         log_lines_per_s: Largest number of log lines a second; a burst may add as many again.
         log_format: `json` or `console`.
     """
@@ -210,5 +226,7 @@
     peers: Address
     engine: Address
     engines: EngineSettings = attrs.field(factory=EngineSettings)
+    store: Address | None = None
+    store_timeout_s: float = 1.0
     log_lines_per_s: int = 400
     log_format: str = "json"
