--- a/histories/platform_soak.py
+++ b/histories/platform_soak.py
@@ -69,6 +69,7 @@
         seconds: Seconds during which faults are injected.
         gateways: Gateways to run.
         engines: Engines, each with its agent.
+        zones: Availability zones; gateways share reads of the store if a zone has three of them.
         only: Names of the faults to use; all if empty.
         awaits_recovery: Whether calls go on until service has to be whole again.
     """
@@ -77,6 +78,7 @@
     seconds: float
     gateways: int = 3
     engines: int = 4
+    zones: int = 3
     only: frozenset[str] = frozenset()
     awaits_recovery: bool = True
 
@@ -131,7 +133,12 @@
                     self._addresses[link] = await forwarding.start(self._forwarders[link].run)
                 return self._addresses[link]
 
-            plan = make_plan(gateways=options.gateways, services=3, engines=options.engines)
+            plan = make_plan(
+                gateways=options.gateways,
+                services=3,
+                engines=options.engines,
+                zones=options.zones,
+            )
             self._deployment = PlatformDeployment(
                 plan, launcher, self._directory, route=route, config={"tenants": ORGANISATIONS}
             )
@@ -200,7 +207,10 @@
             "backend": [backend.name for backend in plan.backends],
             "engine": engines,
             "agent": [f"{name}-agent" for name in engines],
-            "store_link": [f"{name}-store" for name in plan.gateways],
+            "store_link": [
+                *(f"{name}-store" for name in plan.gateways),
+                *(f"{name}-agent-store" for name in engines),
+            ],
             "store": ["store"],
             "config": ["config"],
         }[group]
@@ -308,12 +318,18 @@
     parser.add_argument("--seconds", type=float, default=30.0, help="seconds with faults")
     parser.add_argument("--gateways", type=int, default=3)
     parser.add_argument("--engines", type=int, default=4)
+    parser.add_argument("--zones", type=int, default=3)
     parser.add_argument("--only", default="", help="names of the faults to use, with commas")
     parser.add_argument("--page", type=Path, help="HTML file to draw the run into")
     arguments = parser.parse_args()
     only = frozenset(filter(None, arguments.only.split(",")))
     options = SoakOptions(
-        arguments.seed, arguments.seconds, arguments.gateways, arguments.engines, only
+        arguments.seed,
+        arguments.seconds,
+        arguments.gateways,
+        arguments.engines,
+        arguments.zones,
+        only,
     )
     directory = Path(tempfile.mkdtemp(prefix="figwalk-soak-"))
     soak = PlatformSoak(options, directory)
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -11,7 +11,7 @@
 import trio
 
 from figwalk.errors import FigwalkError, HttpError
-from figwalk.state.gateway_settings import GatewaySettings, PromptAgentSettings
+from figwalk.state.gateway_settings import GatewaySettings, PromptAgentSettings, RelaySettings
 from figwalk.state.settings import Address
 from figwalk.state.settings_file import dump_settings
 from figwalk.transport import HttpClient
@@ -62,21 +62,26 @@
     backends: tuple[BackendPlan, ...]
 
 
-def make_plan(*, gateways: int = 2, services: int = 2, engines: int = 3) -> PlatformPlan:
-    """Return a plan spread over the zones, in which the first engine prefills."""
-    zones = list(REGIONS)
+def make_plan(
+    *, gateways: int = 2, services: int = 2, engines: int = 3, zones: int = len(REGIONS)
+) -> PlatformPlan:
+    """Return a plan spread over the first zones, in which the first engine prefills.
+
+    Gateways share reads of the store where there are at least three in a zone.
+    """
+    names = list(REGIONS)[:zones]
     backends = [
-        BackendPlan(f"orders-{i}", "orders", zones[i % len(zones)], f"127.0.3.{i + 1}")
+        BackendPlan(f"orders-{i}", "orders", names[i % zones], f"127.0.3.{i + 1}")
         for i in range(services)
     ]
     backends += [
         BackendPlan(
-            f"lm-{i}", "lm", zones[i % len(zones)], f"127.0.4.{i + 1}", "decode" if i else "prefill"
+            f"lm-{i}", "lm", names[i % zones], f"127.0.4.{i + 1}", "decode" if i else "prefill"
         )
         for i in range(engines)
     ]
-    names = {f"gateway-{i}": zones[i % len(zones)] for i in range(gateways)}
-    return PlatformPlan(names, tuple(backends))
+    placed = {f"gateway-{i}": names[i % zones] for i in range(gateways)}
+    return PlatformPlan(placed, tuple(backends))
 
 
 class PlatformDeployment:
@@ -87,7 +92,8 @@
         launcher: Starts the processes and ends them.
         directory: For settings files and the backend servers' run logs.
         route: Given the name of a link and the address of its server, returns the address that
-            clients are to use, on the same host: `GATEWAY-store`, the name of a backend server.
+            clients are to use, on the same host: `GATEWAY-store`, `AGENT-store`, the name of a
+            backend server.
         config: Fields of the operator's configuration beside those of `make_config`.
     """
 
@@ -197,6 +203,7 @@
             region="r",
             peers=Address(address.host, self._agents_port),
             engine=address,
+            store=await self._route(f"{name}-store", self._store_address),
         )
         path = self._directory / f"{name}.yaml"
         path.write_text(dump_settings(settings))
@@ -219,6 +226,7 @@
                 metrics=metrics,
                 agents_port=self._agents_port,
                 store=await self._route(f"{name}-store", self._store_address),
+                relay=RelaySettings(readers_per_zone=2),
             )
             self.write_settings(self._settings[name])
         self._processes[name] = await self._launcher.spawn(
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -22,11 +22,11 @@
 
 
 @asynccontextmanager
-async def running_deployment():
+async def running_deployment(**options):
     """Run a gateway, a plain service and three engines as processes."""
     with tempfile.TemporaryDirectory() as name, trio.fail_after(90):
         async with Launcher(Path(name)) as launcher:
-            plan = make_plan(gateways=1, services=2, engines=3)
+            plan = make_plan(**{"gateways": 1, "services": 2, "engines": 3} | options)
             deployment = PlatformDeployment(plan, launcher, Path(name))
             await deployment.start()
             yield deployment
@@ -191,3 +191,39 @@
         path = deployment.run_log(backend.name)
         lines += path.read_text().splitlines() if path.exists() else []
     return lines
+
+
+def test_gateways_of_a_zone_read_the_store_through_an_agent():
+    """Guards against a relay that works between fakes only, or stays with an agent that died."""
+
+    async def main():
+        async with running_deployment(gateways=3, engines=2, zones=1) as deployment:
+            gateways = [f"gateway-{number}" for number in range(3)]
+
+            async def wait_used(count):
+                """Wait until each gateway reads each of the three topics through an agent."""
+                with trio.fail_after(SETTLE_TIMEOUT_S):
+                    for name in gateways:
+                        while len(read_events(deployment, "RELAY_USED", name)) < count:
+                            await trio.sleep(0.05)
+                return read_events(deployment, "RELAY_USED")[-1]["peer"]
+
+            async def wait_route(number):
+                routes = [make_route(f"new{number}", "idempotent", "orders")]
+                await deployment.publish(make_config(number, routes))
+                with trio.fail_after(SETTLE_TIMEOUT_S):
+                    for name in gateways:
+                        callers = deployment.gateway(name).callers
+                        request = make_request(f"/new{number}/1")
+                        while (await fetch(callers, request))[0] != 200:
+                            await trio.sleep(0.05)
+
+            reader = await wait_used(3)
+            await wait_route(2)
+            deployment.processes[reader].kill()
+            await wait_route(3)
+            other = await wait_used(6)
+            assert other != reader
+            await wait_route(4)
+
+    trio.run(main)
