Tell agents the era of a relayed read

After a restore, gateways that had listed the topic anew were told that the agent lacks their records, until the agent's own read had ended, and read the store again and again meanwhile. A read that was in progress could add records that did not follow the new ones. Reads that failed for one reason doubled the time for which an agent is avoided.

--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -481,6 +481,7 @@
         hold_ms: Milliseconds until an answer without records is due.
         period_ms: Least milliseconds between two reads of the store; if not 0, the answer follows
             the next read even if records are known already.
+        era: Era of the store in which the offset is meant, or `NO_OFFSET` if it is unknown.
     """
 
     read_id: int
@@ -489,6 +490,7 @@
     wait_ms: int = 0
     hold_ms: int = 0
     period_ms: int = 0
+    era: int = NO_OFFSET
 
 
 @attrs.frozen
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -198,6 +198,7 @@
   waitMs @3 :UInt32;
   holdMs @4 :UInt32;
   periodMs @5 :UInt32;
+  era @6 :Int64;
 }
 
 struct RelayPage {
--- a/figwalk/relay/reader_choice.py
+++ b/figwalk/relay/reader_choice.py
@@ -58,13 +58,18 @@
                 return agent
         return None
 
-    def mark_failed(self, agent: str) -> float:
-        """Avoid an agent for a time that doubles with each failure; return it in seconds."""
+    def mark_failed(self, agent: str, asked_at: float) -> float:
+        """Avoid an agent for a time that doubles with each failure; return it in seconds.
+
+        Args:
+            agent: The agent.
+            asked_at: Timer time at which the read that failed was sent.
+        """
         now = self._timer.now()
         known = self._failures.get(agent)
-        if known is not None and now < known.until:
-            # Several topics fail at once.
-            return known.until - now
+        if known is not None and asked_at < known.until:
+            # The reads of several topics fail for the same reason.
+            return max(0.0, known.until - now)
         avoid_s = FIRST_AVOID_S if known is None else min(2 * known.avoid_s, MAX_AVOID_S)
         self._failures[agent] = _Failure(avoid_s, now + avoid_s)
         return avoid_s
--- a/figwalk/relay/relay_link.py
+++ b/figwalk/relay/relay_link.py
@@ -60,9 +60,15 @@
         if channel is not None:
             channel.send_nowait(page)
 
-    async def read(self, topic: str, offset: int, limits: ReadLimits) -> KeyedPage:
+    async def read(self, topic: str, offset: int, era: int | None, limits: ReadLimits) -> KeyedPage:
         """Return the records of a topic from an offset.
 
+        Args:
+            topic: Name of the topic.
+            offset: Offset of the first record.
+            era: Era of the store in which the offset is meant, or None if it is unknown.
+            limits: Times of the read.
+
         Raises:
             LogUnavailableError: The agent gave no answer in time, or could not read the store.
             LogTruncatedError: The agent does not have the records at the offset.
@@ -78,6 +84,7 @@
             to_ms(limits.wait_s),
             to_ms(limits.hold_s),
             to_ms(limits.period_s),
+            NO_OFFSET if era is None else era,
         )
         send, receive = trio.open_memory_channel[RelayPage](1)
         self._pending[read_id] = send
--- a/figwalk/relay/relay_server.py
+++ b/figwalk/relay/relay_server.py
@@ -115,7 +115,8 @@
             request.wait_ms / MS_PER_S, request.hold_ms / MS_PER_S, request.period_ms / MS_PER_S
         )
         try:
-            page = await topic.read(request.offset, limits)
+            era = None if request.era == NO_OFFSET else request.era
+            page = await topic.read(request.offset, era, limits)
         except LogTruncatedError:
             return RelayPage(request.read_id, RelayStatus.MISSING)
         except LogUnavailableError as error:
--- a/figwalk/relay/relayed_log.py
+++ b/figwalk/relay/relayed_log.py
@@ -10,6 +10,7 @@
 from figwalk.relay.read_limits import ReadLimits
 from figwalk.relay.reader_choice import ReaderChoice
 from figwalk.relay.relay_link import RelayLink
+from figwalk.timer import Timer
 
 # With fewer gateways, the messages outweigh the reads of the store that they save.
 MIN_GATEWAYS = 3
@@ -28,6 +29,7 @@
         choice: Chooses the agent.
         limits: Times of relayed reads.
         events: Event log.
+        timer: Source of time.
         zone: Availability zone of this gateway.
         on_read: Called with `store` or `relay` for each read that was made there.
     """
@@ -39,6 +41,7 @@
         choice: ReaderChoice,
         limits: ReadLimits,
         events: EventLog,
+        timer: Timer,
         *,
         zone: str,
         on_read: Callable[[str], None],
@@ -48,10 +51,12 @@
         self._choice = choice
         self._limits = limits
         self._events = events
+        self._timer = timer
         self._zone = zone
         self._on_read = on_read
         self._era: int | None = None
         self._reader: str | None = None
+        self._failures = 0
 
     async def read_newest(self, topic: str) -> KeyedPage:
         """Return the newest record of each key; see `CompactedLog.read_newest`."""
@@ -69,12 +74,12 @@
                 if page is None:
                     raise
                 return page
-        asked = self._reader_link()
+        failures = self._failures
         page = await self._read_relay(topic, offset)
         if page is not None:
             return page
         # A failed relayed read has used up the time for which records may be late.
-        return await self._read_store(topic, offset, wait_s if asked is None else 0.0)
+        return await self._read_store(topic, offset, wait_s if failures == self._failures else 0.0)
 
     async def _read_store(self, topic: str, offset: int, wait_s: float) -> KeyedPage:
         self._on_read("store")
@@ -87,15 +92,17 @@
             self._reader = None
             return None
         agent, link = chosen
+        asked_at = self._timer.now()
         try:
-            page = await link.read(topic, offset, self._limits)
+            page = await link.read(topic, offset, self._era, self._limits)
             self._check(page, offset)
         except LogTruncatedError:
             # The agent started to read after the records were written, or they are too large.
             return None
         except LogUnavailableError as error:
             self._reader = None
-            avoid_s = self._choice.mark_failed(agent)
+            self._failures += 1
+            avoid_s = self._choice.mark_failed(agent, asked_at)
             self._events.record(
                 Event.RELAY_LEFT,
                 topic=topic,
--- a/figwalk/relay/shared_topic.py
+++ b/figwalk/relay/shared_topic.py
@@ -56,6 +56,9 @@
         self._topic = topic
         self._timer = timer
         self._era: int | None = None
+        # Increases whenever the kept records are dropped, so that a read in progress meanwhile does
+        # not add records that don't follow the new ones.
+        self._generation = 0
         self._base = 0
         self._end: int | None = None
         self._records: list[KeyedRecord] = []
@@ -70,11 +73,12 @@
         """Number of reads of the store so far."""
         return self._reads
 
-    async def read(self, offset: int, limits: ReadLimits) -> KeyedPage:
+    async def read(self, offset: int, era: int | None, limits: ReadLimits) -> KeyedPage:
         """Return the records from an offset, and how long before this call they were read.
 
         Args:
             offset: Offset of the first record.
+            era: Era of the store in which the offset is meant, or None if it is unknown.
             limits: Times of the read.
 
         Raises:
@@ -85,6 +89,9 @@
         hold_until = self._timer.now() + limits.hold_s
         if self._fetch is None and arrived_at - self._read_at > MAX_IDLE_S:
             self._reset()
+        if era is not None and self._era is not None and era > self._era:
+            self._reset()
+            self._era = era
         is_recent = arrived_at - self._read_at <= limits.wait_s
         if limits.period_s == 0 and is_recent and self._has_records(offset):
             return self._make_page(offset, arrived_at)
@@ -137,8 +144,11 @@
         started_at = self._timer.boot_time()
         self._next_read_at = self._timer.now() + limits.period_s
         self._reads += 1
+        generation = self._generation
         try:
             page = await self._log.read(self._topic, end, wait_s=limits.wait_s)
+            if generation != self._generation:
+                return
             fetch.restored_era = self._update_era(page)
         except LogTruncatedError as error:
             self._reset()
@@ -187,6 +197,7 @@
         self._end = page.next_offset
 
     def _reset(self) -> None:
+        self._generation += 1
         self._base = 0
         self._end = None
         self._records.clear()
--- a/figwalk/relay/store_relay.py
+++ b/figwalk/relay/store_relay.py
@@ -44,6 +44,7 @@
         self._settings = settings
         self._links = links
         self._events = events
+        self._timer = timer
         self._on_read = on_read
         self._choice = ReaderChoice(settings.zone, settings.relay.readers_per_zone, timer)
 
@@ -81,6 +82,7 @@
             self._choice,
             limits,
             self._events,
+            self._timer,
             zone=self._settings.zone,
             on_read=self._on_read,
         )
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -130,9 +130,12 @@
         for value in range(5):
             zone.write(CONFIG, value)
         await trio.sleep(5)
+        calls = zone.count_calls()
         zone.topics.restore({CONFIG: 2})
+        await trio.sleep(1)
         zone.write(CONFIG, 7)
         await trio.sleep(6)
+        assert zone.count_calls() - calls < 50
         for gateway in zone.gateways:
             assert gateway.applied[CONFIG].values == [0, 1, 2, 3, 4, 7]
             assert gateway.applied[CONFIG].listed == 2
@@ -173,10 +176,10 @@
 
     async def leave():
         with scope:
-            await shared.read(0, limits)
+            await shared.read(0, 1, limits)
 
     async def stay():
-        pages.append(await shared.read(0, limits))
+        pages.append(await shared.read(0, 1, limits))
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(leave)
@@ -194,9 +197,32 @@
 async def test_shared_topic_behind_a_gateway_is_not_used():
     """Guards against a gateway that waits for an agent whose store has fewer records."""
     shared = SharedTopic(WaitingTopics(Topics()), BACKENDS, ClockTimer())
-    await shared.read(0, ReadLimits(period_s=1.1))
+    await shared.read(0, 1, ReadLimits(period_s=1.1))
     with pytest.raises(LogUnavailableError, match="before 3"):
-        await shared.read(3, ReadLimits(period_s=1.1))
+        await shared.read(3, 1, ReadLimits(period_s=1.1))
+
+
+@mock_time
+async def test_read_in_progress_at_a_restore_adds_no_records_of_the_new_era():
+    """Guards against skipped records where the restored store has grown past the read's offset."""
+    topics = Topics()
+    topics.records[CONFIG] += [("k", b"%d" % n) for n in range(10)]
+    shared = SharedTopic(WaitingTopics(topics), CONFIG, ClockTimer())
+    limits, pages = ReadLimits(wait_s=1.6, hold_s=1.6), {}
+    await shared.read(9, 1, limits)
+
+    async def read(offset, era):
+        pages[era] = await shared.read(offset, era, limits)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(read, 10, 1)
+        await trio.sleep(0.1)
+        topics.restore({CONFIG: 5})
+        nursery.start_soon(read, 5, 2)
+        await trio.sleep(0.01)
+        topics.records[CONFIG] += [("k", b"%d" % n) for n in range(100, 108)]
+    assert [record.offset for record in pages[2].records] == list(range(5, 13))
+    assert pages[1].era == 2
 
 
 @mock_time
@@ -206,15 +232,15 @@
     topics.records[CONFIG] += [("k", b"0"), ("k", b"1"), ("k", b"2")]
     shared = SharedTopic(WaitingTopics(topics), CONFIG, ClockTimer())
     limits = ReadLimits(wait_s=1.6, hold_s=1.6)
-    assert (await shared.read(2, limits)).next_offset == 3
+    assert (await shared.read(2, 1, limits)).next_offset == 3
     with pytest.raises(LogTruncatedError):
-        await shared.read(1, limits)
+        await shared.read(1, 1, limits)
     topics.records[CONFIG] += [("k", b"x" * (MAX_PAGE_BYTES + 1)), ("k", b"4")]
     with pytest.raises(LogTruncatedError):
-        await shared.read(3, limits)
-    assert [record.value for record in (await shared.read(4, limits)).records] == [b"4"]
+        await shared.read(3, 1, limits)
+    assert [record.value for record in (await shared.read(4, 1, limits)).records] == [b"4"]
     topics.records[CONFIG] += [("k", b"y" * (MAX_PAGE_BYTES // 2))] * 3
-    page = await shared.read(5, limits)
+    page = await shared.read(5, 1, limits)
     assert page.next_offset == 5 + len(page.records) < 8
 
 
@@ -227,14 +253,15 @@
     assert {ReaderChoice("a", 2, timer).choose(p) for p in itertools.permutations(agents)} == {
         first
     }
-    choice.mark_failed(first)
+    choice.mark_failed(first, timer.now())
     second = choice.choose(agents)
     assert second not in (first, None)
-    choice.mark_failed(second)
+    choice.mark_failed(second, timer.now())
     assert choice.choose(agents) is None
     timer.advance(FIRST_AVOID_S)
     assert choice.choose(agents) == first
-    assert choice.mark_failed(first) == 2 * FIRST_AVOID_S
+    assert choice.mark_failed(first, timer.now() - 1) == 0
+    assert choice.mark_failed(first, timer.now()) == 2 * FIRST_AVOID_S
     assert ReaderChoice("a", 0, timer).choose(agents) is None
 
 
