--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -292,6 +292,12 @@
     )
     USAGE_RECORD_SKIPPED = (858, "warning", "A record of usage counts could not be decoded.")
     DUTY_ORDERED = (859, "info", "An order was sent; the fields give the reason.")
+    PACE_LIMITED = (
+        860,
+        "info",
+        "A new or recovered backend server gets a limited number of calls at once.",
+    )
+    PACE_LIFTED = (861, "info", "A backend server kept up, and its limit of calls is lifted.")
     ENGINE_RUNS_LISTED = (
         870,
         "info",
