--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -47,6 +47,14 @@
     BATCH = "batch"
 
 
+class RelayStatus(StrEnum):
+    """What an agent answers to a relayed read."""
+
+    OK = "ok"
+    UNAVAILABLE = "unavailable"
+    MISSING = "missing"
+
+
 class KeyState(StrEnum):
     """State of a claimed call at an agent."""
 
@@ -440,6 +448,8 @@
         streams: Number of streams that the engine runs; 0 also if unknown.
         event_ms: Milliseconds that one event of a stream takes without prefill in between; 0 if
             unknown.
+        relay_gateways: Number of gateways of the agent's zone that are connected to it, if it
+            answers `RelayRead`, else 0.
     """
 
     up: bool
@@ -456,6 +466,58 @@
     gateways: int = 0
     streams: int = 0
     event_ms: float = 0.0
+    relay_gateways: int = 0
+
+
+@attrs.frozen
+class RelayRead:
+    """Asks an agent for the records of a topic, which it reads once for several gateways.
+
+    Attributes:
+        read_id: Identifies the read on its connection.
+        topic: Name of the topic.
+        offset: Offset of the first record.
+        wait_ms: Milliseconds that a read of the store waits for a new record.
+        hold_ms: Milliseconds until an answer without records is due.
+        period_ms: Least milliseconds between two reads of the store; if not 0, the answer follows
+            the next read even if records are known already.
+        era: Era of the store in which the offset is meant, or `NO_OFFSET` if it is unknown.
+    """
+
+    read_id: int
+    topic: str
+    offset: int
+    wait_ms: int = 0
+    hold_ms: int = 0
+    period_ms: int = 0
+    era: int = NO_OFFSET
+
+
+@attrs.frozen
+class RelayPage:
+    """Reply to `RelayRead`. The lists have one item for each record.
+
+    Attributes:
+        read_id: Id of the read.
+        status: Whether the records follow and, if not, why.
+        next_offset: Offset at which the next read starts.
+        era: Era of the store, or `NO_OFFSET` if it is unknown.
+        age_ms: Milliseconds by which the read of the store started before `RelayRead` arrived.
+        offsets: Positions in the topic.
+        keys: Keys.
+        values: Contents.
+        removed: Whether the key was removed.
+    """
+
+    read_id: int
+    status: RelayStatus
+    next_offset: int = 0
+    era: int = NO_OFFSET
+    age_ms: int = 0
+    offsets: list[int] = attrs.field(factory=list)
+    keys: list[str] = attrs.field(factory=list)
+    values: list[bytes] = attrs.field(factory=list, repr=False)
+    removed: list[bool] = attrs.field(factory=list)
 
 
 Message = (
@@ -480,4 +542,6 @@
     | PromptDecision
     | PromptEnded
     | EngineDigest
+    | RelayRead
+    | RelayPage
 )
