--- a/figwalk/duties/counts_reader.py
+++ b/figwalk/duties/counts_reader.py
@@ -5,6 +5,8 @@
 import math
 from abc import ABC, abstractmethod
 
+import trio
+
 from figwalk.coordination.compacted_log import CompactedLog, KeyedRecord
 from figwalk.duties.usage_records import UsageCounts, UsageRecordError
 from figwalk.duties.window_clock import WindowClock
@@ -82,6 +84,8 @@
         self._offset = page.next_offset
         for record in page.records:
             self._apply(record)
+            # Decoding takes most of a millisecond for each record; calls go on in between.
+            await trio.lowlevel.checkpoint()
         return True
 
     def _apply(self, record: KeyedRecord) -> None:
--- a/figwalk/duties/usage_counter.py
+++ b/figwalk/duties/usage_counter.py
@@ -41,6 +41,7 @@
         sent_at: Timer time at which it was sent, or None before.
         queue_s: Seconds that it was predicted to wait for a slot when it was sent.
         spoiled: Whether an answer arrived that does not bear the id of the call.
+        head_at: Timer time at which the head of its answer arrived, or None.
         counted: Whether it was counted already.
     """
 
@@ -51,6 +52,7 @@
     sent_at: float | None = None
     queue_s: float = 0.0
     spoiled: bool = False
+    head_at: float | None = None
     counted: bool = False
 
 
@@ -116,9 +118,9 @@
 
     def record_answered(self, start: AttemptStart) -> None:
         """Record that the head of an answer arrived, which shows that the call ran."""
+        now = start.head_at = self._timer.now()
         if start.is_stream or start.sent_at is None:
             return  # The first event counts.
-        now = self._timer.now()
         # What slows the work down is not learned as its usual time.
         slowdown = start.tracker.slowdown
         took_s = now - start.sent_at
@@ -141,7 +143,9 @@
             return
         now = self._timer.now()
         evidence = self._judge(start, outcome, now, has_head=has_head or start.spoiled)
-        began_at = now if start.is_stream else min(now, start.sent_at + start.queue_s)
+        began_at = min(now, start.sent_at + start.queue_s)
+        if start.is_stream:  # Without an event, for example a failure.
+            began_at = start.head_at or now
         if evidence is Evidence.BEGUN:
             self._count(start, began_at)
         elif evidence is Evidence.IF_ALIVE:
--- a/figwalk/duties/usage_ledger.py
+++ b/figwalk/duties/usage_ledger.py
@@ -23,11 +23,10 @@
     windows: dict[int, dict[str, int]] = attrs.field(factory=dict)
     partial: dict[str, int] = attrs.field(factory=dict)
 
-    def counts(self, window: int) -> dict[str, int]:
-        """Return what is known of a window; the start of one that was never written whole."""
-        if window in self.windows or window != self.through + 1:
-            return self.windows.get(window, {})
-        return self.partial
+    def partial_of(self, window: int) -> dict[str, int]:
+        """Return what was written of a window that was never written whole."""
+        is_next = window == self.through + 1 and window not in self.windows
+        return self.partial if is_next else {}
 
 
 class UsageLedger:
@@ -41,6 +40,8 @@
 
     def __init__(self) -> None:
         self._sources: dict[str, _Source] = {}
+        # Added up as the records come, which keeps the decision itself short.
+        self._sums: dict[int, dict[str, int]] = defaultdict(lambda: defaultdict(int))
 
     @property
     def first_window(self) -> int | None:
@@ -59,6 +60,8 @@
         source.stopped = source.stopped or counts.stopped
         added = {k: v for k, v in counts.windows.items() if k not in source.windows}
         source.windows |= added
+        for window, values in added.items():
+            _add(self._sums[window], values)
         return added
 
     def decide(self, window: int, *, overdue: bool) -> UsageDecision | None:
@@ -71,10 +74,9 @@
         missing = sorted({s.process for s in self._sources.values() if _is_missing(s, window)})
         if missing and not overdue:
             return None
-        sums: dict[str, int] = defaultdict(int)
+        sums = defaultdict(int, self._sums.get(window, {}))
         for source in self._sources.values():
-            for organisation, count in source.counts(window).items():
-                sums[organisation] += count
+            _add(sums, source.partial_of(window))
         return UsageDecision(window, dict(sorted(sums.items())), missing)
 
     def expire(self, window: int) -> list[str]:
@@ -90,11 +92,18 @@
         gone = [key for key, source in self._sources.items() if source.through < oldest]
         for key in gone:
             del self._sources[key]
+        for known in [k for k in self._sums if k < oldest]:
+            del self._sums[known]
         for source in self._sources.values():
             source.windows = {k: v for k, v in source.windows.items() if k >= oldest}
         return gone
 
 
+def _add(sums: dict[str, int], counts: dict[str, int]) -> None:
+    for organisation, count in counts.items():
+        sums[organisation] += count
+
+
 def _is_missing(source: _Source, window: int) -> bool:
     is_expected = not source.stopped and source.first <= window
     return is_expected and window - ABSENT_WINDOWS <= source.through < window
--- a/figwalk/duties/usage_records.py
+++ b/figwalk/duties/usage_records.py
@@ -113,7 +113,9 @@
 
 
 def _encode(record: Any) -> bytes:
-    return json.dumps(attrs.asdict(record), separators=(",", ":"), sort_keys=True).encode()
+    return json.dumps(
+        attrs.asdict(record, recurse=False), separators=(",", ":"), sort_keys=True
+    ).encode()
 
 
 def _decode(value: bytes, cls: type[T], list_counts: Any) -> T:
