--- a/figwalk/coordination/backend_tracker.py
+++ b/figwalk/coordination/backend_tracker.py
@@ -276,14 +276,14 @@
         """Return whether calls should go to other backend servers now, if there are any.
 
         After an avoidance ends, one call at a time tests whether the backend server has recovered.
-        So does one after a call got no connection.
+        So does one after a call got no connection. Streams that it still sends don't count as
+        tests, since they may last long.
         """
         now = self._timer.now()
         if now < self._avoided_until or self._is_unresponsive(now):
             return True
-        if self._doubt.is_raised:
-            return any(not call.answered for call in self._calls.values())
-        return self._down_count > 0 and bool(self._calls)
+        is_tested = self._down_count > 0 or self._doubt.is_raised
+        return is_tested and any(not call.answered for call in self._calls.values())
 
     @property
     def is_known_down(self) -> bool:
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -245,6 +245,16 @@
         "info",
         "A registration that the store had lost, or that had expired, is there again unchanged.",
     )
+    HTTP_BODY_REFUSED = (
+        831,
+        "warning",
+        "The body of a request was not read, since too many bytes are held.",
+    )
+    HELD_BYTES_BOUND = (
+        832,
+        "info",
+        "The bound of the bytes of requests and answers that the process holds.",
+    )
     ORGANISATIONS_CHANGED = (
         840,
         "info",
@@ -303,6 +313,18 @@
         "info",
         "The engine's reports list the calls that it runs, or do so no longer.",
     )
+    RELAY_USED = (890, "info", "An agent of the zone reads a topic of the store for this gateway.")
+    RELAY_LEFT = (
+        891,
+        "info",
+        "An agent does not serve a relayed read; it is not asked for a time.",
+    )
+    RELAY_SERVED = (
+        892,
+        "info",
+        "Reads of the store that this agent made and saved for gateways since the last such event.",
+    )
+    RELAY_PAGE_UNSENT = (893, "info", "The answer to a relayed read could not be sent.")
 
     @property
     def number(self) -> int:
--- a/figwalk/gateway/backend_pool.py
+++ b/figwalk/gateway/backend_pool.py
@@ -15,8 +15,11 @@
 from figwalk.events import EventLog
 from figwalk.pacing.service_pacing import ServicePacing
 from figwalk.state.backend_directory import BackendDirectory, BackendEntry
+from figwalk.state.notifier import Notifier
 from figwalk.state.routing import RoutingConfig, ServiceSpec
 from figwalk.timer import Timer
+from figwalk.transport import ByteBudget, ByteCharge
+from figwalk.transport.byte_budget import SMALL_BODY_BYTES
 from figwalk.transport.http_client import ConnectionOptions, HttpClient
 
 # Far above the round trip of 24 ms between regions and the few milliseconds of an accept.
@@ -44,11 +47,13 @@
         tracker: Load and failures of the backend server as seen by this process.
         client: Client with the connections to it.
         pacer: Spaces the requests to it while it limits them.
+        in_flight: Bounds the bytes of the requests in flight there, which it holds in memory.
     """
 
     tracker: BackendTracker
     client: HttpClient
     pacer: RequestPacer
+    in_flight: ByteBudget
 
 
 class BackendPool:
@@ -60,6 +65,7 @@
         timer: Source of time.
         rng: Spreads the requests to limited backend servers over time.
         gateways: Largest number of gateways that share each backend server.
+        max_backend_bytes: Largest number of bytes of the requests in flight at a backend server.
         distance: Network round trips to the backend servers, or None if they are taken as 0.
     """
 
@@ -71,6 +77,7 @@
         rng: random.Random,
         *,
         gateways: int,
+        max_backend_bytes: float = math.inf,
         distance: Distance | None = None,
     ) -> None:
         self._distance = distance
@@ -80,9 +87,11 @@
         self._events = events
         self._timer = timer
         self._max_gateways = gateways
+        self._max_backend_bytes = max_backend_bytes
         self._routing: RoutingConfig | None = None
         self._gaps_s: dict[str, float] = {}
         self._backends: dict[str, PooledBackend] = {}
+        self._body_ended = Notifier()
 
     def set_routing(self, routing: RoutingConfig) -> None:
         """Use the services of a configuration; existing clients keep their connection limits."""
@@ -122,15 +131,38 @@
                 pooled = self._backends[entry.backend] = self._add(entry)
             yield pooled
 
-    def trackers(self, service: str) -> list[BackendTracker]:
-        """Return the trackers of a service's backend servers that take a new call now."""
+    def trackers(self, service: str, body_bytes: int = 0) -> list[BackendTracker]:
+        """Return the trackers of a service's backend servers that take a new call now.
+
+        Args:
+            service: Name of the service.
+            body_bytes: Size of the call's body.
+        """
         trackers = []
         for pooled in self.of_service(service):
-            if self.is_open(pooled.tracker.entry) and self._has_turn(pooled):
+            if not self.is_open(pooled.tracker.entry) or not self._has_turn(pooled):
+                continue
+            if body_bytes <= SMALL_BODY_BYTES or pooled.in_flight.fits(body_bytes):
                 pooled.tracker.set_connected(pooled.client.has_idle)
                 trackers.append(pooled.tracker)
         return trackers
 
+    async def wait_body_ended(self) -> None:
+        """Wait until some body is no longer in flight at its backend server."""
+        await self._body_ended.wait()
+
+    def release_body(self, charge: ByteCharge) -> None:
+        """End the charge of a body that is no longer in flight."""
+        charge.close()
+        self._body_ended.notify()
+
+    def charge_body(self, tracker: BackendTracker, size: int) -> ByteCharge:
+        """Count a body as in flight at a backend server until `release_body`."""
+        pooled = self._backends.get(tracker.entry.backend)
+        charge = (pooled.in_flight if pooled is not None else ByteBudget()).open_charge()
+        charge.add(size)
+        return charge
+
     def is_open(self, entry: BackendEntry) -> bool:
         """Return whether a backend server takes calls of this process, apart from its limit."""
         return self._directory.takes_work(entry)
@@ -252,7 +284,10 @@
                 entry, self._timer, self._events, pacing=pacing, network_s=network_s
             )
         return PooledBackend(
-            tracker, self._make_client(entry), RequestPacer(self._timer, self._rng)
+            tracker,
+            self._make_client(entry),
+            RequestPacer(self._timer, self._rng),
+            ByteBudget(self._max_backend_bytes),
         )
 
     def _make_client(self, entry: BackendEntry) -> HttpClient:
--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -157,6 +157,7 @@
             arrived_at=arrived_at,
             deadline=arrived_at + limit_s,
             check_caller_connected=responder.check_connected,
+            held=responder.held,
             organisation=organisation,
             has_organisations=routing.organisations is not None,
         )
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -45,11 +45,12 @@
     decode_routing,
 )
 from figwalk.process_runner import Process
+from figwalk.relay.store_relay import StoreRelay
 from figwalk.state.backend_directory import BackendDirectory
 from figwalk.state.gateway_settings import GatewaySettings
 from figwalk.state.routing import RoutingConfig
 from figwalk.timer import Timer
-from figwalk.transport import HttpLimits, HttpRequest, HttpServer, Responder
+from figwalk.transport import ByteBudget, HttpLimits, HttpRequest, HttpServer, Responder
 
 UPKEEP_PERIOD_S = 0.2
 # The balancer checks readiness once a second and removes a VM after two failed checks.
@@ -92,6 +93,7 @@
             self._timer,
             random.Random(),
             gateways=settings.gateways,
+            max_backend_bytes=settings.max_backend_bytes,
             distance=Distance(settings.zone, settings.region, settings.regions),
         )
         self._offers = PromptOffers(
@@ -103,6 +105,13 @@
             zone=settings.zone,
             region=settings.region,
         )
+        self._relay = StoreRelay(
+            settings,
+            self._offers.relay_links,
+            self._events,
+            self._timer,
+            on_read=self._metrics.record_store_read,
+        )
         self._gateway_count = GatewayCount(settings.gateways, self._timer)
         self._budgets = ServiceRetryBudgets(
             settings.retry, self._timer, processes=lambda: self._gateway_count.count
@@ -141,11 +150,13 @@
         )
         self._readiness = GatewayReadiness(lambda: self._routing.current, self._directory)
         self._was_ready: bool | None = None
+        self._budget = ByteBudget(settings.max_held_bytes)
         caller_api = self._make_caller_api()
         self._callers = HttpServer(
             caller_api.handle,
             self._events,
             limits=HttpLimits(max_connections=settings.max_connections),
+            budget=self._budget,
             screen=caller_api.screen,
         )
         self._health = HttpServer(self._answer_health, self._events)
@@ -185,6 +196,12 @@
                 metrics=str(settings.metrics),
                 zone=settings.zone,
             )
+            self._events.record(
+                Event.HELD_BYTES_BOUND,
+                limit=settings.max_held_bytes,
+                backend_limit=settings.max_backend_bytes,
+                memory_mb=settings.memory_mb,
+            )
             await self._stopped.wait()
             nursery.cancel_scope.cancel()
         self._pool.close()
@@ -269,16 +286,18 @@
 
     def _make_followers(self) -> list[TopicFollower]:
         settings = self._settings
+        config_wait_s = self._confirmation.limit_wait_s(settings.config_wait_s)
+        config_log = self._relay.wrap_config(self._make_store(), config_wait_s)
         config = TopicFollower(
-            ConfirmingLog(self._make_store(), self._confirmation, self._timer),
+            ConfirmingLog(config_log, self._confirmation, self._timer),
             CONFIG_TOPIC,
             self._routing,
             self._events,
             self._timer,
-            wait_s=self._confirmation.limit_wait_s(settings.config_wait_s),
+            wait_s=config_wait_s,
         )
         backends = TopicFollower(
-            self._make_store(),
+            self._relay.wrap_backends(self._make_store()),
             BACKENDS_TOPIC,
             BackendReader(self._directory, decode_backend, self._events),
             self._events,
@@ -287,7 +306,7 @@
             on_progress=self._directory.expire,
         )
         crashes = TopicFollower(
-            self._make_store(),
+            self._relay.wrap_idle(self._make_store(), CRASH_REPORTS_WAIT_S),
             CRASHES_TOPIC,
             self._crash_reports,
             self._events,
@@ -340,6 +359,7 @@
 
     async def _upkeep(self) -> None:
         self._metrics.record_loop_lag(self._lag.lag_s)
+        self._metrics.record_held(self._budget)
         self._metrics.record_opened_connections(self._pool.count_opened())
         self._gateway_count.record(self._pool.count_reported_gateways())
         self._crashes.update()
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -188,6 +188,29 @@
   gateways @11 :UInt16;
   streams @12 :UInt32;
   eventMs @13 :Float32;
+  relayGateways @14 :UInt16;
+}
+
+struct RelayRead {
+  readId @0 :UInt64;
+  topic @1 :Text;
+  offset @2 :UInt64;
+  waitMs @3 :UInt32;
+  holdMs @4 :UInt32;
+  periodMs @5 :UInt32;
+  era @6 :Int64;
+}
+
+struct RelayPage {
+  readId @0 :UInt64;
+  status @1 :Text;
+  nextOffset @2 :UInt64;
+  era @3 :Int64;
+  ageMs @4 :UInt32;
+  offsets @5 :List(UInt64);
+  keys @6 :List(Text);
+  values @7 :List(Data);
+  removed @8 :List(Bool);
 }
 
 struct Message {
@@ -213,5 +236,7 @@
     promptDecision @18 :PromptDecision;
     promptEnded @19 :PromptEnded;
     engineDigest @20 :EngineDigest;
+    relayRead @21 :RelayRead;
+    relayPage @22 :RelayPage;
   }
 }
--- a/figwalk/state/gateway_settings.py
+++ b/figwalk/state/gateway_settings.py
@@ -12,6 +12,14 @@
 # reads should be rare; but a read that fails has to be repeated once within the deadline.
 CONFIG_WAIT_SHARE = 0.4
 BACKENDS_PERIOD_SHARE = 0.28
+# Memory of a gateway that holds no bodies, under load.
+BASE_MEMORY_MB = 96.0
+# Share of the rest that bodies may take. Copies that are made for a moment and memory that the
+# allocator does not return need the other part.
+HELD_MEMORY_SHARE = 0.5
+# Three bodies of the largest size that the users allow.
+MIN_HELD_MB = 12.0
+BYTES_PER_MB = 1_000_000
 
 
 @attrs.frozen
@@ -109,6 +117,18 @@
     max_age_ms: float = 5000.0
 
 
+@attrs.frozen
+class RelaySettings:
+    """Reads of the store that gateways of one availability zone share.
+
+    Attributes:
+        readers_per_zone: Agents of the zone that read the store for its gateways, one at a time; 0
+            if each gateway reads the store itself.
+    """
+
+    readers_per_zone: int = 0
+
+
 @attrs.frozen
 class GatewaySettings:
     """Settings of `figwalk-gateway`.
@@ -136,7 +156,12 @@
         lease: Lease of the process that orders and reports for all gateways.
         duties: Calls to the platform that one process makes for all, or None if there are none.
         revocation: How keys of organisations are treated while the store is unavailable.
+        relay: Reads of the store that gateways of one availability zone share.
         memory_mb: Memory that the process may use, in MB.
+        max_held_mb: Largest size of all requests and answers that the process holds together, in
+            MB, or None to derive it from `memory_mb`.
+        max_backend_mb: Largest size of the requests that the process has in flight at one backend
+            server, in MB; a single larger request is sent.
         log_lines_per_s: Largest number of log lines a second; a burst may add as many again.
         log_format: `json` or `console`.
     """
@@ -161,10 +186,26 @@
     lease: LeaseSettings = attrs.field(factory=LeaseSettings)
     duties: DutySettings | None = None
     revocation: RevocationSettings = attrs.field(factory=RevocationSettings)
+    relay: RelaySettings = attrs.field(factory=RelaySettings)
     memory_mb: float = 300.0
+    max_held_mb: float | None = None
+    max_backend_mb: float = 16.0
     log_lines_per_s: int = 400
     log_format: str = "json"
 
+    @property
+    def max_held_bytes(self) -> int:
+        """Largest number of bytes of all requests and answers that the process holds."""
+        held_mb = self.max_held_mb
+        if held_mb is None:
+            held_mb = max(MIN_HELD_MB, HELD_MEMORY_SHARE * (self.memory_mb - BASE_MEMORY_MB))
+        return int(held_mb * BYTES_PER_MB)
+
+    @property
+    def max_backend_bytes(self) -> int:
+        """Largest number of bytes of the requests in flight at one backend server."""
+        return int(self.max_backend_mb * BYTES_PER_MB)
+
     @property
     def config_wait_s(self) -> float:
         """Seconds for which a read of the configuration waits for a new record.
@@ -200,6 +241,8 @@
         peers: Listening address for gateways.
         engine: Address of the HTTP server of the engine beside the agent.
         engines: Prefill speeds of the engines.
+        store: Address of the platform's store, which the agent reads for gateways, or None.
+        store_timeout_s: Timeout of a call to the store, in seconds.
         log_lines_per_s: Largest number of log lines a second; a burst may add as many again.
         log_format: `json` or `console`.
     """
@@ -210,5 +253,7 @@
     peers: Address
     engine: Address
     engines: EngineSettings = attrs.field(factory=EngineSettings)
+    store: Address | None = None
+    store_timeout_s: float = 1.0
     log_lines_per_s: int = 400
     log_format: str = "json"
--- a/figwalk/transport/__init__.py
+++ b/figwalk/transport/__init__.py
@@ -1,5 +1,6 @@
 """Transport layer: frames between figwalk processes, and an HTTP client and server."""
 
+from figwalk.transport.byte_budget import ByteBudget, ByteCharge
 from figwalk.transport.connection_pool import (
     ConnectionOptions,
     HttpConnectError,
@@ -19,6 +20,8 @@
 from figwalk.transport.responder import ClientDisconnectedError, Responder
 
 __all__ = [
+    "ByteBudget",
+    "ByteCharge",
     "ClientDisconnectedError",
     "ConnectionOptions",
     "Frame",
--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -12,9 +12,11 @@
 
 from figwalk.errors import CallerError, CallOutcome, ConnectionLostError
 from figwalk.events import Event, EventLog
+from figwalk.transport.byte_budget import ByteBudget, ByteCharge
 from figwalk.transport.byte_stream import RECEIVE_BYTES, ByteStream
-from figwalk.transport.http_types import Headers, HttpLimits, HttpRequest, find_header, render_error
+from figwalk.transport.http_types import HttpLimits, HttpRequest, render_error
 from figwalk.transport.listening import accept_connections, open_listeners
+from figwalk.transport.request_reader import NoRoomError, RequestReader, refuse_header
 from figwalk.transport.responder import CLOSE_HEADER, ClientDisconnectedError, Responder
 
 LISTEN_BACKLOG = 1024
@@ -28,8 +30,6 @@
 BACKLOG_POLL_S = 0.005
 # Start of the bytes that h11 quotes in a message; they may hold a key of the client.
 _QUOTED_BYTES = re.compile(r""":? (?:bytearray\()?b['"]""")
-# Colon, space and line end of a header.
-_HEADER_LINE_EXTRA = 4
 
 
 class SlowSenderError(CallerError):
@@ -50,6 +50,7 @@
         handler: Coroutine function called with each complete request and its responder.
         events: Event log.
         limits: Limits for requests and connections.
+        budget: Bound of the bytes that requests and their answers hold, or None for no bound.
         screen: Called with the head of a request before more of its body is awaited; returns
             whether it has sent a refusal, after which the connection is closed. May raise
             `CallerError`, too.
@@ -61,12 +62,14 @@
         events: EventLog,
         *,
         limits: HttpLimits | None = None,
+        budget: ByteBudget | None = None,
         screen: HttpScreen | None = None,
     ) -> None:
         self._handler = handler
         self._screen = screen
         self._events = events
         self._limits = limits or HttpLimits()
+        self._budget = budget or ByteBudget()
         self._connections = 0
         self._rejected_connections = 0
         self._active_requests = 0
@@ -102,7 +105,11 @@
                 async with trio.open_nursery() as accepting:
                     for listener in listeners:
                         accepting.start_soon(
-                            accept_connections, self._serve_connection, listener, connections
+                            accept_connections,
+                            self._serve_connection,
+                            listener,
+                            connections,
+                            self._budget.wait_below_limit,
                         )
                     task_status.started(bound_port)
             except* trio.ClosedResourceError:
@@ -174,7 +181,7 @@
             if self._rejected_connections <= MAX_REJECTED_CONNECTIONS:
                 with trio.move_on_after(LINGER_S):
                     await Responder(h11.Connection(h11.SERVER), ByteStream(stream)).send_json(
-                        503, _TOO_MANY_CONNECTIONS, [CLOSE_HEADER, (b"retry-after", b"1")]
+                        503, _TOO_MANY_CONNECTIONS, [CLOSE_HEADER, _RETRY_AFTER]
                     )
                     await _linger(stream)
         except (ConnectionLostError, trio.BrokenResourceError, trio.ClosedResourceError):
@@ -208,24 +215,33 @@
             waiting_since: Time of trio's clock since which the request has waited to be read, or
                 None if it has not arrived yet.
         """
-        try:
-            request = await self._receive_request(connection, stream, waiting_since)
-        except h11.RemoteProtocolError as error:
-            await self._refuse(connection, stream, self._explain(error))
-            return _AfterRequest.LINGER
-        except CallerError as error:
-            await self._refuse(connection, stream, error)
-            return _AfterRequest.LINGER
-        if isinstance(request, _AfterRequest):
-            return request
-        responder = Responder(
-            connection, stream, lambda: self._draining, head_only=request.method == "HEAD"
-        )
-        self._active_requests += 1
-        try:
-            await self._answer(request, responder)
-        finally:
-            self._active_requests -= 1
+        with self._budget.open_charge() as held:
+            try:
+                request = await self._receive_request(connection, stream, waiting_since, held)
+            except h11.RemoteProtocolError as error:
+                await self._refuse(connection, stream, self._explain(error))
+                return _AfterRequest.LINGER
+            except CallerError as error:
+                await self._refuse(connection, stream, error)
+                return _AfterRequest.LINGER
+            except NoRoomError as error:
+                held.close()
+                await self._refuse_for_room(connection, stream, error)
+                return _AfterRequest.LINGER
+            if isinstance(request, _AfterRequest):
+                return request
+            responder = Responder(
+                connection,
+                stream,
+                lambda: self._draining,
+                head_only=request.method == "HEAD",
+                held=held,
+            )
+            self._active_requests += 1
+            try:
+                await self._answer(request, responder)
+            finally:
+                self._active_requests -= 1
         if not responder.finished or connection.our_state is h11.MUST_CLOSE:
             return _AfterRequest.LINGER
         # A response that started before a drain has no `Connection: close`, so that the client may
@@ -236,30 +252,34 @@
     def _explain(self, error: h11.RemoteProtocolError) -> CallerError:
         # h11 checks the size of a head only while it is incomplete.
         if error.error_status_hint == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
-            return _refuse_header(self._limits.max_header_bytes)
+            return refuse_header(self._limits.max_header_bytes)
         detail = _QUOTED_BYTES.split(str(error))[0]
         return CallerError(error.error_status_hint, "malformed_request", detail)
 
     async def _receive_request(
-        self, connection: h11.Connection, stream: ByteStream, waiting_since: float | None
+        self,
+        connection: h11.Connection,
+        stream: ByteStream,
+        waiting_since: float | None,
+        held: ByteCharge,
     ) -> HttpRequest | _AfterRequest:
         """Return the next request, or what to do with the connection without one."""
         if not connection.trailing_data[0] and not await self._wait_for_request(connection, stream):
             return _AfterRequest.CLOSE
         started_at = trio.current_time() if waiting_since is None else waiting_since
-        reader = _RequestReader(connection, self._limits, started_at)
+        reader = RequestReader(connection, self._limits, held, started_at)
         request = reader.parse()
         if request is not h11.NEED_DATA:
             # Most requests arrive in one piece; parsing these without a timeout saves a cancel
             # scope.
             return request or _AfterRequest.CLOSE
-        screen = self._screen
+        screened = self._screen is None
         with trio.move_on_after(self._limits.receive_timeout_s):
             while request is h11.NEED_DATA:
-                if screen is not None and (head := reader.build_head()) is not None:
-                    if await screen(head, Responder(connection, stream, lambda: True)):
+                if not screened and (head := reader.build_head()) is not None:
+                    if await self._screen_head(head, Responder(connection, stream, lambda: True)):
                         return _AfterRequest.LINGER
-                    screen = None
+                    screened = True
                 await reader.receive(stream)
                 request = reader.parse()
             return request or _AfterRequest.CLOSE
@@ -300,12 +320,25 @@
         except ClientDisconnectedError:
             raise
         except Exception as error:
-            self._events.record(Event.TASK_FAILED, task=request.path, error=repr(error))
-            if responder.can_start:
-                await responder.send_json(
-                    500,
-                    render_error("server_error", "internal_error", "internal error; see the log"),
-                )
+            await self._send_failure(request, responder, error)
+
+    async def _screen_head(self, head: HttpRequest, responder: Responder) -> bool:
+        """Return whether a request was refused before its body arrived."""
+        try:
+            return await self._screen(head, responder)
+        except (CallerError, ClientDisconnectedError):
+            raise
+        except Exception as error:
+            await self._send_failure(head, responder, error)
+            return True
+
+    async def _send_failure(
+        self, request: HttpRequest, responder: Responder, error: Exception
+    ) -> None:
+        self._events.record(Event.TASK_FAILED, task=request.path, error=repr(error))
+        if responder.can_start:
+            body = render_error("server_error", "internal_error", "internal error; see the log")
+            await responder.send_json(500, body)
 
     async def _refuse(
         self,
@@ -322,6 +355,13 @@
         body = render_error("invalid_request_error", error.code, error.message)
         await responder.send_json(error.status, body, [CLOSE_HEADER])
 
+    async def _refuse_for_room(
+        self, connection: h11.Connection, stream: ByteStream, error: NoRoomError
+    ) -> None:
+        self._events.record(Event.HTTP_BODY_REFUSED, held=self._budget.held, detail=error.message)
+        body = _render_not_run("too_many_bytes", f"{error.message}; retry after 1 s")
+        await Responder(connection, stream).send_json(503, body, [CLOSE_HEADER, _RETRY_AFTER])
+
 
 async def _linger(stream: trio.SocketStream) -> None:
     """Shut down sending and discard received bytes until the client closes the connection."""
@@ -331,14 +371,6 @@
             pass
 
 
-def _refuse_header(max_bytes: int) -> CallerError:
-    return CallerError(
-        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-        "header_too_large",
-        f"the request line and the headers are above the limit of {max_bytes} bytes",
-    )
-
-
 def _refuse_connect(request: HttpRequest) -> None:
     # h11 treats a 2xx response to CONNECT as the start of a tunnel and refuses its body.
     if request.method == "CONNECT":
@@ -353,89 +385,12 @@
     LINGER = "linger"
 
 
-class _RequestReader:
-    """Assembles one request from the events of h11.
-
-    Args:
-        connection: The client's connection.
-        limits: Maximum sizes of the header and the body.
-        started_at: Time of trio's clock at which the first bytes were read, or since which they
-            have waited for that.
-    """
-
-    def __init__(
-        self, connection: h11.Connection, limits: HttpLimits, started_at: float = 0.0
-    ) -> None:
-        self._started_at = started_at
-        self._connection = connection
-        self._limits = limits
-        self._head: h11.Request | None = None
-        self._headers: Headers = []
-        self._body = bytearray()
-
-    def parse(self) -> HttpRequest | type[h11.NEED_DATA] | None:
-        """Return the request if it is complete, or None if the connection is to be closed.
-
-        Raises:
-            CallerError: The header or the body is above its limit.
-        """
-        while True:
-            event = self._connection.next_event()
-            if event is h11.NEED_DATA:
-                return h11.NEED_DATA
-            if isinstance(event, h11.Request):
-                self._head = event
-                self._headers = list(event.headers)
-                self._check_header_size(event)
-                # h11 has validated the header. The size is checked here because a client that waits
-                # for 100 has not sent the body.
-                self._check_body_size(int(find_header(self._headers, b"content-length", "0")))
-            elif isinstance(event, h11.Data):
-                self._body += event.data
-                self._check_body_size(len(self._body))
-            elif isinstance(event, h11.EndOfMessage) and self._head is not None:
-                return self._build(bytes(self._body))
-            else:
-                return None
-
-    async def receive(self, stream: ByteStream) -> None:
-        """Receive more of the request, after sending 100 to a client that waits for it."""
-        if self._connection.they_are_waiting_for_100_continue:
-            continue_response = h11.InformationalResponse(status_code=100, headers=[])
-            await stream.send_all(self._connection.send(continue_response) or b"")
-        self._connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
-
-    def build_head(self) -> HttpRequest | None:
-        """Return the request without its body, or None if its head is not complete."""
-        return self._build(b"") if self._head is not None else None
-
-    def _check_header_size(self, head: h11.Request) -> None:
-        lines = sum(len(name) + len(value) + _HEADER_LINE_EXTRA for name, value in head.headers)
-        if lines + len(head.method) + len(head.target) > self._limits.max_header_bytes:
-            raise _refuse_header(self._limits.max_header_bytes)
-
-    def _check_body_size(self, size: int) -> None:
-        if size > self._limits.max_body_bytes:
-            raise CallerError(
-                413,
-                "body_too_large",
-                f"the body is above the limit of {self._limits.max_body_bytes} bytes",
-            )
-
-    def _build(self, body: bytes) -> HttpRequest:
-        return HttpRequest(
-            self._head.method.decode("ascii"),
-            self._head.target.decode("latin-1"),
-            self._headers,
-            body,
-            self._started_at,
-        )
+def _render_not_run(code: str, message: str) -> dict[str, object]:
+    outcome = CallOutcome.NOT_RUN.value
+    return render_error("server_error", code, message, outcome=outcome, attempt=outcome)
 
 
-_TOO_MANY_CONNECTIONS = render_error(
-    "server_error",
-    "too_many_connections",
-    "the server has too many open connections; retry after 1 s",
-    outcome=CallOutcome.NOT_RUN.value,
-    attempt=CallOutcome.NOT_RUN.value,
+_RETRY_AFTER = (b"retry-after", b"1")
+_TOO_MANY_CONNECTIONS = _render_not_run(
+    "too_many_connections", "the server has too many open connections; retry after 1 s"
 )
