--- /dev/null
+++ b/figwalk/fairness/__init__.py
@@ -0,0 +1,1 @@
+"""Shares of capacity among organisations while callers ask for more than there is."""
