Admit prompts by the shares of organisations at the agents

An agent granted prompts in the order of arrival, so that a burst of one organisation left no time for the prompts of others.

Offers carry the organisation's hash, the effective priority and whether the call is a repeat. The queue of an engine keeps the ledger, and organisations above their share may wait for part of the time to the target while there is pressure. Offers without an organisation, and those of gateways of an earlier version, are admitted as before.

tests/test_prefill_queue.py fails at test_large_organisation_leaves_room_for_others with equal room for all, and passes with this change.

--- a/figwalk/coordination/prefill_queue.py
+++ b/figwalk/coordination/prefill_queue.py
@@ -15,6 +15,7 @@
 from figwalk.coordination.cached_parts import CachedParts
 from figwalk.coordination.prefill_speed import PrefillSpeed
 from figwalk.coordination.stream_pauses import PauseLimit, PrefillSchedule
+from figwalk.fairness.fair_share import FULL_ROOM, FairShare, ShareDecision, ShareRequest
 from figwalk.timer import Timer
 
 # A gateway that is lost or disconnected never reports the end of its grants, which must not count
@@ -51,6 +52,7 @@
         after_s: Seconds from the end of the prefill until the first token reaches the caller.
         fetched_tokens: Tokens from the start of the prompt whose KV cache the engine fetches.
         pause_limit: Prefill that the engine may do beside its streams, or None without a limit.
+        share: What is known of the caller's organisation, without the work.
     """
 
     parts: Sequence[tuple[str, int]]
@@ -59,6 +61,7 @@
     after_s: float
     fetched_tokens: int = 0
     pause_limit: PauseLimit | None = None
+    share: ShareRequest = attrs.field(factory=ShareRequest)
 
 
 @attrs.frozen
@@ -70,12 +73,14 @@
         uncached_tokens: Tokens that the engine is predicted to prefill.
         wait_s: Seconds that the prompt is predicted to wait for others.
         finish_s: Seconds until the end of its prefill, as predicted.
+        share: Part of the time to the target that the prompt might wait.
     """
 
     granted: bool
     uncached_tokens: float
     wait_s: float
     finish_s: float
+    share: ShareDecision
 
 
 @attrs.define
@@ -101,6 +106,7 @@
         self._duty = 1.0
         self._paced_until = 0.0
         self._schedule = PrefillSchedule()
+        self._shares = FairShare(timer)
         self._granted_s = 0.0
         self._parts = CachedParts(timer)
         self._grants: dict[object, _Grant] = {}
@@ -196,7 +202,11 @@
         pause_s = max(self._pause_s(), self._excess_s(reading, backlog_s, own_s))
         wait_s = max(backlog_s, pause_s)
         finish_s = wait_s + own_s + self.fixed_s
-        granted = pause_s == 0.0 and self._admits(reading, wait_s, finish_s)
+        share = self._shares.admit(attrs.evolve(reading.share, work_s=finish_s - wait_s))
+        granted = pause_s == 0.0 and self._admits(reading, wait_s, finish_s, share.room)
+        is_late = finish_s + reading.after_s > reading.target_s
+        if wait_s > 0 and (is_late or not granted):
+            self._shares.record_pressure()
         if granted:
             now = self._timer.now()
             self._backlog_tokens, self._backlog_at = self._remaining_tokens() + uncached, now
@@ -204,10 +214,11 @@
             self._grants[key] = _Grant(owner, uncached, now + ttl_s, alone=not self._grants)
             self._schedule.add(now, now + wait_s, own_s)
             self._granted_s += own_s
+            self._shares.record(reading.share.organisation, finish_s - wait_s)
             self._paced_until = max(now, self._paced_until) + own_s / self._duty
             # The engine will have cached its shared parts for the prompts behind it.
             self._parts.expect(reading.parts[:-1])
-        return PrefillDecision(granted, uncached, wait_s, finish_s)
+        return PrefillDecision(granted, uncached, wait_s, finish_s, share)
 
     def finish(self, key: object, *, read: bool, took_s: float = 0.0) -> None:
         """Record that a granted prompt was prefilled or abandoned.
@@ -252,15 +263,22 @@
         return self._schedule.excess_s(self._timer.now() + wait_s, own_s, reading.pause_limit)
 
     @staticmethod
-    def _admits(reading: PrefillRequest, wait_s: float, finish_s: float) -> bool:
+    def _admits(reading: PrefillRequest, wait_s: float, finish_s: float, room: float) -> bool:
         """Return whether a prompt may be sent.
 
+        Args:
+            reading: The prompt.
+            wait_s: Seconds that it is predicted to wait for others.
+            finish_s: Seconds until the end of its prefill, as predicted.
+            room: Part of the time to its target that it may wait.
+
         A prompt that will be late is of use to its caller, but takes time from prompts that would
         be in time. It is sent only if its wait is short compared with its own prefill.
         """
         first_token_s = finish_s + reading.after_s
-        if first_token_s <= reading.target_s * ADMISSION_RATIO:
-            return True
+        in_time_s = reading.target_s * ADMISSION_RATIO
+        if first_token_s <= in_time_s:
+            return room >= FULL_ROOM or wait_s <= room * (in_time_s - first_token_s + wait_s)
         return first_token_s < reading.left_s and wait_s <= LATE_WAIT_SHARE * (finish_s - wait_s)
 
     def _expire(self) -> None:
--- a/figwalk/coordination/prompt_plan.py
+++ b/figwalk/coordination/prompt_plan.py
@@ -10,6 +10,7 @@
 from figwalk.coordination.cached_parts import hash_part
 from figwalk.coordination.engine_tracker import EngineTracker
 from figwalk.coordination.stream_pauses import StreamDisturbance
+from figwalk.fairness.fair_share import ShareRequest
 
 # Prefilling parts that another engine has cached takes capacity from prompts that could be served.
 # This share of that time counts as a delay, so that it happens only at engines with a short queue.
@@ -26,6 +27,7 @@
         left_s: Remaining seconds until the caller gives up if it has no first token.
         deadline_s: Remaining seconds until the caller gives up in any case; `left_s` by default.
         gap_s: Longest pause in seconds that callers of streams of its service accept.
+        share: What is known of the caller's organisation, without the work.
     """
 
     parts: tuple[tuple[str, int], ...]
@@ -35,6 +37,7 @@
         default=attrs.Factory(lambda call: call.left_s, takes_self=True)
     )
     gap_s: float = math.inf
+    share: ShareRequest = attrs.field(factory=ShareRequest)
 
     @cached_property
     def hashed_parts(self) -> tuple[tuple[int, int], ...]:
--- a/figwalk/fairness/fair_share.py
+++ b/figwalk/fairness/fair_share.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
+from enum import IntEnum, StrEnum
 
 import attrs
 
+from figwalk.coordination.cached_parts import hash_part
 from figwalk.fairness.share_ledger import ShareLedger
 from figwalk.timer import Timer
 
@@ -24,14 +25,15 @@
 # the calls of organisations below theirs: it would let repeats of a large one displace small ones.
 DUE_REPEAT_ROOM = 0.85
 UNKNOWN_ORGANISATION = 0
+FULL_ROOM = 1.0
 
 
-class TryKind(StrEnum):
+class TryKind(IntEnum):
     """Whether a call was seen before, and whether it came back at the time that it was told."""
 
-    FIRST = "first"
-    EARLY_REPEAT = "early_repeat"
-    DUE_REPEAT = "due_repeat"
+    FIRST = 0  # Also if unknown.
+    EARLY_REPEAT = 1
+    DUE_REPEAT = 2
 
 
 class ShareReason(StrEnum):
@@ -52,13 +54,13 @@
 
     Attributes:
         organisation: Hash of the caller's organisation, or `UNKNOWN_ORGANISATION`.
-        work_s: Seconds of work that the call is predicted to take.
+        work_s: Seconds of work that the call is predicted to take; 0 before the prediction.
         priority: Priority of the call; 0 is the highest.
         tried: Whether it was seen before.
     """
 
-    organisation: int
-    work_s: float
+    organisation: int = UNKNOWN_ORGANISATION
+    work_s: float = 0.0
     priority: int = 0
     tried: TryKind = TryKind.FIRST
 
@@ -76,9 +78,6 @@
     reason: ShareReason
 
 
-FULL_ROOM = 1.0
-
-
 class FairShare:
     """Shares room among organisations that together ask for more than the backend servers can do.
 
@@ -141,3 +140,8 @@
         least = LEAST_ROOM if request.priority == 0 else LOW_PRIORITY_ROOM
         excess = min(1.0, (used - FULL_ROOM_USE) / (1.0 - FULL_ROOM_USE))
         return ShareDecision(FULL_ROOM - excess * (FULL_ROOM - least), ShareReason.ABOVE_SHARE)
+
+
+def hash_organisation(name: str) -> int:
+    """Return the 32-bit hash that represents an organisation in messages and ledgers."""
+    return hash_part(name) or 1  # 0 is `UNKNOWN_ORGANISATION`.
--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -10,6 +10,7 @@
 
 from figwalk.coordination.call_arrivals import CallArrivals
 from figwalk.coordination.call_identity import CallIdentity
+from figwalk.fairness.fair_share import ShareRequest, TryKind, hash_organisation
 from figwalk.gateway.codecs import CallFacts
 from figwalk.gateway.stream_timing import StreamTiming
 from figwalk.state.routing import EngineSpec, Organisation, Route
@@ -33,6 +34,7 @@
         arrived_at: Timer time at which the request arrived, before it waited to be read.
         deadline: Timer time at which the caller must have its final answer.
         check_caller_connected: Raises `ClientDisconnectedError` if the caller has left.
+        tried: Whether the same call was seen before.
         has_organisations: Whether a configuration that applied to the call has organisations, so
             that backend servers must not get the caller's key.
         sent_to: Ids of the backend servers to which the call was sent; prefills don't count.
@@ -60,6 +62,7 @@
     deadline: float
     check_caller_connected: Callable[[], None]
     organisation: Organisation | None = None
+    tried: TryKind = TryKind.FIRST
     has_organisations: bool = False
     sent_to: list[str] = attrs.field(factory=list)
     arrivals: CallArrivals = attrs.field(factory=CallArrivals)
@@ -84,6 +87,14 @@
             return self.organisation.priority
         return self.route.priority
 
+    @property
+    def share_request(self) -> ShareRequest:
+        """What decides on the call's share of the room, without its work."""
+        if self.organisation is None:
+            return ShareRequest()
+        organisation = hash_organisation(self.organisation.name)
+        return ShareRequest(organisation, priority=self.priority, tried=self.tried)
+
     @cached_property
     def request_digest(self) -> str:
         """Digest of what the caller asks for; it is the same when the request comes again."""
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -449,6 +449,7 @@
             remaining_s,
             call.deadline - now,
             self._pool.gap_s(call.service),
+            call.share_request,
         )
 
     def _first_event_timeout_s(self, call: Call) -> float | None:
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -31,6 +31,7 @@
 
 INCARNATION_BITS = 64
 MAX_INT32 = 2**31 - 1
+MAX_UINT8 = 2**8 - 1
 # Least wait beyond the round trip. An agent decides within a millisecond, but its VM may be busy.
 ANSWER_MARGIN_S = 0.03
 # On a link of 10 Mbit/s an answer queues behind prompts of 9 KB, 7 ms each. Half of the users'
@@ -314,6 +315,9 @@
         max(0, _to_ms(plan.after_s)),
         clamp_to_uint32(prompt.shared_tokens) if plan.donor is not None else 0,
         _to_ms(prompt.gap_s) if math.isfinite(prompt.gap_s) and not plan.is_last_resort else 0,
+        prompt.share.organisation,
+        min(prompt.share.priority, MAX_UINT8),
+        prompt.share.tried,
     )
 
 
--- a/figwalk/prompt_agent/prompt_server.py
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -11,6 +11,7 @@
 from figwalk.coordination.prefill_queue import PrefillQueue, PrefillRequest
 from figwalk.errors import TransportError
 from figwalk.events import Event, EventLog
+from figwalk.fairness.fair_share import ShareRequest
 from figwalk.prompt_agent.digest_sender import DigestSender
 from figwalk.prompt_agent.engine_watcher import EngineWatcher
 from figwalk.protocol.codec import clamp_to_uint32
@@ -103,6 +104,7 @@
             after_s=offer.after_ms / MS_PER_S,
             fetched_tokens=offer.fetched_tokens,
             pause_limit=self._watcher.limit_prefill(offer.gap_ms / MS_PER_S),
+            share=ShareRequest(offer.organisation, priority=offer.priority, tried=offer.tried),
         )
         decision = self._queue.offer((connection, offer.call_id), connection, prompt)
         granted = decision.granted and self._watcher.up
@@ -126,6 +128,11 @@
             streams=self._watcher.stream_load.streams,
             event_s=round(self._watcher.stream_load.event_s, 4),
             gap_ms=offer.gap_ms,
+            organisation=offer.organisation,
+            priority=offer.priority,
+            tried=offer.tried.name,
+            room=round(decision.share.room, 3),
+            room_reason=decision.share.reason.value,
         )
         return PromptDecision(
             offer.call_id,
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -7,6 +7,7 @@
 import attrs
 
 from figwalk.errors import CallOutcome
+from figwalk.fairness.fair_share import UNKNOWN_ORGANISATION, TryKind
 from figwalk.transport.http_types import Headers
 
 NO_OFFSET = -1  # Means "none yet" in offset fields; the log's first offset is 0.
@@ -371,6 +372,9 @@
         fetched_tokens: Tokens from the start of the prompt whose KV cache the engine fetches.
         gap_ms: Longest pause in milliseconds that callers of the engine's streams accept and that
             the prefill must not exceed; 0 if unknown, or if the prompt has no other engine.
+        organisation: Hash of the caller's organisation, or `UNKNOWN_ORGANISATION`.
+        priority: Priority of the call, 0 to 255; 0 is the highest, and stands for an unknown one.
+        tried: Whether the call was seen before; a first try if unknown.
     """
 
     call_id: int
@@ -382,6 +386,9 @@
     after_ms: int
     fetched_tokens: int = 0
     gap_ms: int = 0
+    organisation: int = UNKNOWN_ORGANISATION
+    priority: int = 0
+    tried: TryKind = TryKind.FIRST
 
 
 @attrs.frozen
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -156,6 +156,9 @@
   afterMs @6 :UInt32;
   fetchedTokens @7 :UInt32;
   gapMs @8 :UInt32;
+  organisation @9 :UInt32;
+  priority @10 :UInt8;
+  tried @11 :UInt8;
 }
 
 struct PromptDecision {
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -1,8 +1,17 @@
 import pytest
 
 from figwalk.errors import MalformedFrameError
+from figwalk.fairness.fair_share import TryKind
 from figwalk.protocol.codec import decode_message, encode_message
-from figwalk.protocol.messages import Call, ConnectionKind, End, Hello, LoadReport, Refusal
+from figwalk.protocol.messages import (
+    Call,
+    ConnectionKind,
+    End,
+    Hello,
+    LoadReport,
+    PromptOffer,
+    Refusal,
+)
 
 SAMPLES = [
     Hello(ConnectionKind.CALL, "entry-1", 2**64 - 1, "rajkot-a", "saurashtra"),
@@ -10,6 +19,8 @@
     End(7, 12, True),
     End(7, 12, True, LoadReport(1, "llm-1", cache_stored=[1, 2**64 - 1])),
     Refusal(9, "overloaded"),
+    PromptOffer(1, "r", "a", [10], 250, 2000, 0),
+    PromptOffer(1, "r", "a", [10], 250, 2000, 0, 5, 6, 2**32 - 1, 255, TryKind.DUE_REPEAT),
 ]
 
 
--- a/tests/test_prefill_queue.py
+++ b/tests/test_prefill_queue.py
@@ -2,10 +2,12 @@
 
 import random
 
+import attrs
 import pytest
 from support.fake_timer import FakeTimer
 
 from figwalk.coordination.prefill_queue import GRANT_TTL_S, PrefillQueue, PrefillRequest
+from figwalk.fairness.fair_share import UNKNOWN_ORGANISATION, ShareRequest, TryKind
 
 RATE = 400_000.0
 TARGET_S = 0.25
@@ -148,3 +150,54 @@
     queue.set_engine(tokens_per_s=RATE)
     assert queue.depth == 0
     assert queue.offer(2, "g", reading).uncached_tokens == 6000
+
+
+def make_share(organisation, tried=TryKind.FIRST):
+    return ShareRequest(organisation, tried=tried)
+
+
+def fill_queue(queue, organisation):
+    """Offer prompts of one organisation until many are refused; return the last wait granted."""
+    waits = [0.0]
+    for number in range(200):
+        prompt = attrs.evolve(make_reading(number), share=make_share(organisation))
+        decision = queue.offer((organisation, number), "g", prompt)
+        waits += [decision.wait_s] * decision.granted
+    return waits[-1]
+
+
+def test_large_organisation_leaves_room_for_others():
+    """Guards against a burst of one organisation that leaves no time for the others' prompts."""
+    timer = FakeTimer()
+    queue = make_queue(timer)
+    small = attrs.evolve(make_reading("small"), share=make_share(2))
+    queue.offer("small", "g", small)
+    fill_queue(queue, 1)
+    for _ in range(20):  # From the first refusal on, the large one leaves room.
+        timer.advance(0.01)
+        fill_queue(queue, 1)
+    assert queue.offer("small-2", "g", attrs.evolve(small, parts=(("b", 6000),))).granted
+
+
+def test_prompts_without_organisation_are_admitted_as_before():
+    """Guards against deployments without organisations that refuse more or fewer prompts."""
+    plain, known = make_queue(FakeTimer()), make_queue(FakeTimer())
+    unknown_wait_s = fill_queue(plain, UNKNOWN_ORGANISATION)
+    assert unknown_wait_s == fill_queue(known, 1) > 0.1
+    for _ in range(3):
+        assert fill_queue(plain, UNKNOWN_ORGANISATION) == 0.0
+
+
+@pytest.mark.parametrize("tried", TryKind)
+def test_idle_engine_refuses_nothing(tried):
+    """Guards against a refusal for a share while the engine has nothing to do."""
+    timer = FakeTimer()
+    queue = make_queue(timer)
+    queue.offer("small", "g", attrs.evolve(make_reading("small"), share=make_share(2)))
+    fill_queue(queue, 1)
+    queue.drop("g")
+    timer.advance(0.2)
+    prompt = attrs.evolve(make_reading("next"), share=make_share(1, tried))
+    decision = queue.offer("next", "g", prompt)
+    assert decision.granted
+    assert decision.share.room < 1
