Share plain services among organisations and recognise repeats

Plain services were used in the order of arrival, and three repeats of a refused call at once counted as much as first tries.

A gateway now keeps a ledger for each plain service. Under pressure, and while calls wait at all backend servers of the service, calls of organisations above their share are refused with code share_used. A call whose digest was refused or is unanswered within 5 s is a repeat: an early one has a fifth of the room, one at the time that it was told goes before first tries of organisations above their share.

--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -10,6 +10,7 @@
 
 from figwalk.coordination.call_arrivals import CallArrivals
 from figwalk.coordination.call_identity import CallIdentity
+from figwalk.fairness.call_repeats import CallKey
 from figwalk.fairness.fair_share import ShareRequest, TryKind, hash_organisation
 from figwalk.gateway.codecs import CallFacts
 from figwalk.gateway.stream_timing import StreamTiming
@@ -105,6 +106,13 @@
         digest.update(request.body)
         return digest.hexdigest()
 
+    @cached_property
+    def repeat_key(self) -> CallKey | None:
+        """What is equal for the call and its repeats, or None if it belongs to no organisation."""
+        if self.organisation is None:
+            return None
+        return CallKey(self.organisation.name, self.request_digest)
+
     @cached_property
     def identity(self) -> CallIdentity:
         """What the call has in common with others that may crash backend servers too."""
--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -12,6 +12,7 @@
 from figwalk.coordination.loop_lag import LoopLag
 from figwalk.errors import CallerError, CallOutcome, RefusalError
 from figwalk.events import Event, EventLog
+from figwalk.fairness.call_repeats import CallRepeats
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import CallerCodec, CallFacts
 from figwalk.gateway.gateway_metrics import GatewayMetrics
@@ -68,6 +69,7 @@
         self._events = events
         self._timer = timer
         self._rng = rng
+        self._repeats = CallRepeats(timer)
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request.
@@ -162,6 +164,8 @@
         )
 
     async def _answer(self, call: Call, responder: Responder) -> None:
+        if call.repeat_key is not None:
+            call.tried = self._repeats.record_seen(call.repeat_key)
         try:
             with trio.CancelScope(deadline=call.deadline) as scope:
                 backend = await self._run(call, responder)
@@ -196,6 +200,8 @@
 
     async def _finish_refused(self, call: Call, responder: Responder, error: RefusalError) -> None:
         took_s = self._timer.now() - call.arrived_at
+        if call.repeat_key is not None and error.outcome is CallOutcome.NOT_RUN:
+            self._repeats.record_refused(call.repeat_key, error.retry_after_ms / MS_PER_S)
         self._events.record(
             Event.REQUEST_REFUSED,
             request_id=call.call_id,
@@ -207,6 +213,7 @@
             outcome=error.outcome.value,
             detail=error.message,
             retry_after_ms=error.retry_after_ms,
+            tried=call.tried.name,
             sent_to=" ".join(call.sent_to),
             started=responder.started,
             first_event_s=_since(call.arrived_at, call.timing.first_at),
@@ -256,6 +263,8 @@
     def _record_answered(self, call: Call, backend: str) -> None:
         took_s = self._timer.now() - call.arrived_at
         self._metrics.record_answer(call.service, took_s)
+        if call.repeat_key is not None:
+            self._repeats.record_answered(call.repeat_key)
         if call.timing.longest_gap_s > call.route.gap_s:
             self._metrics.record_paused_stream(call.service)
         self._events.record(
@@ -266,6 +275,7 @@
             version=call.config_version,
             backend=backend,
             attempts=len(call.sent_to),
+            tried=call.tried.name,
             predicted_s=round(call.predicted_s, 4) if call.predicted_s is not None else None,
             first_event_s=_since(call.arrived_at, call.timing.first_at),
             placed_s=_since(call.arrived_at, call.placed_at) if call.predicted_s else None,
--- a/figwalk/gateway/plain_calls.py
+++ b/figwalk/gateway/plain_calls.py
@@ -13,6 +13,7 @@
 from figwalk.coordination.windowed_retry_budget import ServiceRetryBudgets
 from figwalk.errors import CallOutcome, RefusalError
 from figwalk.events import EventLog
+from figwalk.fairness.plain_shares import PlainShares
 from figwalk.gateway.attempts import Answer, AttemptError, Attempts
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.call import Call
@@ -72,6 +73,7 @@
         placement: Chooses among them.
         quarantine: Learns which calls were answered.
         budgets: Limit the retries at each service.
+        shares: Refuses calls of organisations that used up their share.
         events: Event log.
         timer: Source of time.
     """
@@ -83,6 +85,7 @@
         placement: PlainPlacement,
         quarantine: CallQuarantine,
         budgets: ServiceRetryBudgets,
+        shares: PlainShares,
         events: EventLog,
         timer: Timer,
     ) -> None:
@@ -91,6 +94,7 @@
         self._placement = placement
         self._quarantine = quarantine
         self._budgets = budgets
+        self._shares = shares
         self._events = events
         self._timer = timer
 
@@ -100,6 +104,9 @@
         Raises:
             RefusalError: No backend server gave an answer that can be passed on to the caller.
         """
+        if call.organisation is not None:
+            trackers = self._pool.trackers(call.service)
+            self._shares.check(call.service, call.share_request, trackers, call.route.target_s)
         if call.route.kind is CallKind.STREAM:
             return await self._run_stream(call, responder)
         answer = await self._find_answer(call)
@@ -215,6 +222,7 @@
             )
         is_refused = error is not None and error.outcome is AttemptOutcome.REFUSED
         if is_refused and self._pool.trackers(call.service):
+            self._shares.record_full(call.service)
             return RefusalError("backends_full", str(error), retry_after_ms=FULL_RETRY_MS)
         return refuse_without_backend(self._pool, call.service)
 
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -16,6 +16,7 @@
 from figwalk.coordination.windowed_retry_budget import ServiceRetryBudgets
 from figwalk.errors import RefusalError
 from figwalk.events import Event, EventLog
+from figwalk.fairness.plain_shares import PlainShares
 from figwalk.gateway.attempts import Attempts
 from figwalk.gateway.backend_pool import BackendPool
 from figwalk.gateway.caller_api import CallerApi
@@ -226,6 +227,7 @@
             PlainPlacement(distance, rng),
             self._quarantine,
             self._budgets,
+            PlainShares(timer, rng),
             events,
             timer,
         )
