Tell refused callers of prompts when their share leaves room

A prompt refused for its organisation's share was told to come back after 50 ms, when there was still no room, and all callers refused together came back together.

The agent predicts when the wait has become short enough, and gateways spread the retries over half of the time that the callers have left. choose_retry_s has moved to a module of its own. Shares are also computed again after four records: in a burst within 20 ms, outdated shares gave the largest organisation all the room.

--- a/figwalk/coordination/prefill_queue.py
+++ b/figwalk/coordination/prefill_queue.py
@@ -74,6 +74,8 @@
         wait_s: Seconds that the prompt is predicted to wait for others.
         finish_s: Seconds until the end of its prefill, as predicted.
         share: Part of the time to the target that the prompt might wait.
+        retry_s: Seconds until the wait is predicted to be short enough for the room, if it was too
+            long for it; else 0.
     """
 
     granted: bool
@@ -81,6 +83,7 @@
     wait_s: float
     finish_s: float
     share: ShareDecision
+    retry_s: float = 0.0
 
 
 @attrs.define
@@ -218,7 +221,10 @@
             self._paced_until = max(now, self._paced_until) + own_s / self._duty
             # The engine will have cached its shared parts for the prompts behind it.
             self._parts.expect(reading.parts[:-1])
-        return PrefillDecision(granted, uncached, wait_s, finish_s, share)
+        retry_s = 0.0
+        if not granted and share.room < FULL_ROOM:
+            retry_s = max(0.0, wait_s - self._limit_s(reading, finish_s - wait_s, share.room))
+        return PrefillDecision(granted, uncached, wait_s, finish_s, share, retry_s)
 
     def finish(self, key: object, *, read: bool, took_s: float = 0.0) -> None:
         """Record that a granted prompt was prefilled or abandoned.
@@ -263,7 +269,13 @@
         return self._schedule.excess_s(self._timer.now() + wait_s, own_s, reading.pause_limit)
 
     @staticmethod
-    def _admits(reading: PrefillRequest, wait_s: float, finish_s: float, room: float) -> bool:
+    def _limit_s(reading: PrefillRequest, own_s: float, room: float) -> float:
+        """Return for how many seconds a prompt may wait with a part of the time to its target."""
+        in_time_s = reading.target_s * ADMISSION_RATIO - reading.after_s - own_s
+        return room * max(0.0, in_time_s)
+
+    @classmethod
+    def _admits(cls, reading: PrefillRequest, wait_s: float, finish_s: float, room: float) -> bool:
         """Return whether a prompt may be sent.
 
         Args:
@@ -276,9 +288,8 @@
         be in time. It is sent only if its wait is short compared with its own prefill.
         """
         first_token_s = finish_s + reading.after_s
-        in_time_s = reading.target_s * ADMISSION_RATIO
-        if first_token_s <= in_time_s:
-            return room >= FULL_ROOM or wait_s <= room * (in_time_s - first_token_s + wait_s)
+        if first_token_s <= reading.target_s * ADMISSION_RATIO:
+            return room >= FULL_ROOM or wait_s <= cls._limit_s(reading, finish_s - wait_s, room)
         return first_token_s < reading.left_s and wait_s <= LATE_WAIT_SHARE * (finish_s - wait_s)
 
     def _expire(self) -> None:
--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -23,6 +23,7 @@
 from figwalk.coordination.placement_settings import PlacementSettings
 from figwalk.coordination.plain_placement import CONNECT_COST_S, Distance
 from figwalk.coordination.prompt_plan import PromptCall, PromptPlan, mark_last_resort
+from figwalk.coordination.retry_times import MIN_RETRY_S, choose_retry_s
 from figwalk.coordination.stream_pauses import predict_disturbance, stream_slowness
 from figwalk.coordination.subject_affinity import hash_pair
 from figwalk.coordination.usable_engines import find_usable_engines
@@ -60,16 +61,6 @@
 # An agent surely refuses a prompt behind a backlog above this share of the time to the target. The
 # reported backlog is up to one heartbeat (0.4 s) old.
 MAX_BACKLOG_RATIO = 0.8
-# A backlog needs at least this time to shrink.
-MIN_RETRY_S = 0.05
-# Callers retry within a third of their remaining time, less the time that the refusal takes to
-# reach them.
-MAX_RETRY_SHARE = 0.3
-# The load of a burst falls within seconds, so that a later deadline needs no longer wait.
-MAX_RETRY_DEADLINE_S = 9.0
-# A caller whose retry would miss its target anyway waits for a random time between this share of
-# the longest wait and all of it, so that it meets neither the burst nor the others refused in it.
-MIN_LATE_RETRY_SHARE = 0.6
 BITS_PER_BYTE = 8
 BITS_PER_MEGABIT = 1_000_000
 # A fetch between availability zones takes twice, between regions ten times as long.
@@ -220,18 +211,10 @@
             return False
         return plan.backlog_s > MAX_BACKLOG_RATIO * max(call.target_s, MIN_RETRY_S)
 
-    def retry_after_s(self, call: PromptCall, plan: PromptPlan) -> float:
-        """Return the seconds after which a refused caller is to retry.
-
-        That is when the backlog leaves room for the call. If its target has passed by then, the
-        call is late whenever the caller retries, so that the retry is put off until the load has
-        most likely fallen.
-        """
-        longest_s = min(call.deadline_s, MAX_RETRY_DEADLINE_S) * MAX_RETRY_SHARE
+    def retry_after_s(self, call: PromptCall, plan: PromptPlan, room_s: float = 0.0) -> float:
+        """Return the seconds after which a refused caller is to retry; see `choose_retry_s`."""
         wait_s = plan.predicted_s - max(0.0, call.target_s) * self._settings.admission_ratio
-        if wait_s + plan.reading_s + plan.after_s > call.target_s:
-            return longest_s * self._rng.uniform(MIN_LATE_RETRY_SHARE, 1.0)
-        return min(longest_s, max(MIN_RETRY_S, wait_s))
+        return choose_retry_s(call, plan, max(wait_s, room_s), self._rng)
 
     def round_trip_s(self, engine: EngineTracker) -> float:
         """Return the network round trip of a call to an engine, in seconds."""
--- a/figwalk/fairness/share_ledger.py
+++ b/figwalk/fairness/share_ledger.py
@@ -19,8 +19,9 @@
 # An organisation is granted at least this part of the share of its work that all are granted on
 # average. The required least is a quarter.
 LEAST_SERVED_SHARE = 0.5
-# Shares are computed again after this time, or when an organisation appears.
+# Shares are computed again after this time or this many records, or when an organisation appears.
 SHARES_TTL_S = 0.02
+SHARES_MAX_RECORDS = 4
 LEVEL_STEPS = 30  # Steps of the search; each halves the error.
 
 
@@ -55,6 +56,7 @@
         self._base_at = timer.now()
         self._accounts: dict[int, _Account] = {}
         self._shares: _Shares | None = None
+        self._records = 0  # Since the shares were computed.
 
     @property
     def organisations(self) -> int:
@@ -87,9 +89,12 @@
 
     def _account(self, organisation: int) -> _Account:
         account = self._accounts.get(organisation)
+        self._records += 1
         if account is None:
             account = self._accounts[organisation] = _Account()
             self._shares = None
+        elif self._records > SHARES_MAX_RECORDS:
+            self._shares = None
         return account
 
     def _weigh(self) -> float:
@@ -110,6 +115,7 @@
         now = self._timer.now()
         if self._shares is None or now - self._shares.made_at >= SHARES_TTL_S:
             self._shares = self._compute_shares(now)
+            self._records = 0
         return self._shares
 
     def _compute_shares(self, now: float) -> _Shares:
--- a/figwalk/gateway/placement_decision.py
+++ b/figwalk/gateway/placement_decision.py
@@ -28,12 +28,14 @@
         admitted: Whether the prompt is sent by the plan.
         grant: Grant of the agent beside the prefill engine, or None if there is none or its end was
             already reported.
+        retry_s: Predicted seconds until the organisation's share leaves room; 0 if it does.
     """
 
     plan: PromptPlan
     judge: AdmissionDecider
     admitted: bool = attrs.field(kw_only=True)
     grant: Grant | None = attrs.field(default=None, kw_only=True)
+    retry_s: float = attrs.field(default=0.0, kw_only=True)
 
     def end(self, *, read: bool, took_s: float = 0.0) -> None:
         """Report to the agent that its grant has ended; further calls do nothing.
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -139,7 +139,8 @@
                 call.predicted_s = decision.plan.predicted_s
                 call.placed_at = self._timer.now()
                 break
-            retry_after_s = min(retry_after_s, self._placement.retry_after_s(prompt, decision.plan))
+            retry_s = self._placement.retry_after_s(prompt, decision.plan, decision.retry_s)
+            retry_after_s = min(retry_after_s, retry_s)
         self._record_placement(call, prompt, decisions)
         if decision.admitted:
             return decision
@@ -168,7 +169,11 @@
             reading_s=answer.finish_s - answer.wait_s,
         )
         return PlacementDecision(
-            plan, AdmissionDecider.AGENT, admitted=answer.grant is not None, grant=answer.grant
+            plan,
+            AdmissionDecider.AGENT,
+            admitted=answer.grant is not None,
+            grant=answer.grant,
+            retry_s=answer.retry_s,
         )
 
     def _record_placement(
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -76,12 +76,14 @@
         uncached_tokens: Tokens that the engine is predicted to prefill.
         wait_s: Predicted seconds that the prompt waits for others.
         finish_s: Predicted seconds until its prefill is complete.
+        retry_s: Predicted seconds until the organisation's share leaves room; 0 if it does.
     """
 
     grant: Grant | None
     uncached_tokens: int
     wait_s: float
     finish_s: float
+    retry_s: float
 
 
 class AgentLink:
@@ -228,6 +230,7 @@
             decision.uncached_tokens,
             decision.wait_ms / MS_PER_S,
             decision.finish_ms / MS_PER_S,
+            decision.retry_ms / MS_PER_S,
         )
 
     async def _send_ends(self, connection: PeerConnection) -> None:
--- a/figwalk/prompt_agent/prompt_server.py
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -141,6 +141,7 @@
             clamp_to_uint32(decision.wait_s * MS_PER_S),
             clamp_to_uint32(decision.finish_s * MS_PER_S),
             clamp_to_uint32(self._queue.backlog_tokens),
+            clamp_to_uint32(decision.retry_s * MS_PER_S),
         )
 
     def _make_digest(self, changes: PartChanges) -> EngineDigest:
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -402,6 +402,8 @@
         wait_ms: Predicted milliseconds that the prompt waits for other prompts.
         finish_ms: Predicted milliseconds until the end of its prefill.
         backlog_tokens: Prompt tokens queued for prefill, including this prompt if granted.
+        retry_ms: Milliseconds until the engine is predicted to have room for a prompt that was
+            refused because of its organisation's share; 0 for other reasons.
     """
 
     call_id: int
@@ -410,6 +412,7 @@
     wait_ms: int
     finish_ms: int
     backlog_tokens: int
+    retry_ms: int = 0
 
 
 @attrs.frozen
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -168,6 +168,7 @@
   waitMs @3 :UInt32;
   finishMs @4 :UInt32;
   backlogTokens @5 :UInt32;
+  retryMs @6 :UInt32;
 }
 
 struct PromptEnded {
--- a/tests/test_prefill_queue.py
+++ b/tests/test_prefill_queue.py
@@ -6,7 +6,12 @@
 import pytest
 from support.fake_timer import FakeTimer
 
-from figwalk.coordination.prefill_queue import GRANT_TTL_S, PrefillQueue, PrefillRequest
+from figwalk.coordination.prefill_queue import (
+    ARRIVAL_DELAY_S,
+    GRANT_TTL_S,
+    PrefillQueue,
+    PrefillRequest,
+)
 from figwalk.fairness.fair_share import UNKNOWN_ORGANISATION, ShareRequest, TryKind
 
 RATE = 400_000.0
@@ -201,3 +206,18 @@
     decision = queue.offer("next", "g", prompt)
     assert decision.granted
     assert decision.share.room < 1
+
+
+def test_refused_prompt_has_room_at_the_time_told():
+    """Guards against callers who come back to an engine that still has no room for them."""
+    timer = FakeTimer()
+    queue = make_queue(timer)
+    queue.offer("small", "g", attrs.evolve(make_reading("small"), share=make_share(2)))
+    fill_queue(queue, 1)
+    prompt = attrs.evolve(make_reading("x"), share=make_share(1))
+    retry_s = queue.offer("x", "g", prompt).retry_s
+    assert retry_s > 0
+    for number in range(200):  # The engine works meanwhile, and nothing else is granted.
+        queue.finish((1, number), read=False)
+    timer.advance(retry_s + ARRIVAL_DELAY_S)
+    assert queue.offer("y", "g", prompt).granted
--- a/tests/test_prompt_placement.py
+++ b/tests/test_prompt_placement.py
@@ -327,7 +327,12 @@
     call = PromptCall(LONG, 0.55, 2.0, 8.0)
     plan = engines.placement.rank(call, list(engines.trackers.values()), SPEC)[0]
     in_time_s = call.target_s - plan.reading_s - plan.after_s
-    assert engines.placement.retry_after_s(call, plan) <= in_time_s
+    for room_s in (0.0, 0.1):
+        waits = [engines.placement.retry_after_s(call, plan, room_s) for _ in range(100)]
+        assert max(waits) <= in_time_s
+        assert min(waits) >= room_s
+        # Callers that are refused together must not come back together.
+        assert max(waits) - min(waits) >= 0.3 * (in_time_s - room_s)
 
 
 def test_short_prompt_avoids_engine_with_long_prefill():
