Show shares and repeats in metrics and refusals, and describe them

Prompts refused for their organisation's share had the same code as others. They now have the code share_used, and figwalk_caller_repeats counts calls that came again.

--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -13,6 +13,7 @@
 from figwalk.errors import CallerError, CallOutcome, RefusalError
 from figwalk.events import Event, EventLog
 from figwalk.fairness.call_repeats import CallRepeats
+from figwalk.fairness.fair_share import TryKind
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import CallerCodec, CallFacts
 from figwalk.gateway.gateway_metrics import GatewayMetrics
@@ -166,6 +167,8 @@
     async def _answer(self, call: Call, responder: Responder) -> None:
         if call.repeat_key is not None:
             call.tried = self._repeats.record_seen(call.repeat_key)
+            if call.tried is not TryKind.FIRST:
+                self._metrics.record_caller_repeat(call.tried.name.lower())
         try:
             with trio.CancelScope(deadline=call.deadline) as scope:
                 backend = await self._run(call, responder)
--- a/figwalk/gateway/gateway_metrics.py
+++ b/figwalk/gateway/gateway_metrics.py
@@ -47,6 +47,13 @@
             ["service"],
             registry=self._registry,
         )
+        self._caller_repeats = Counter(
+            "figwalk_caller_repeats",
+            "Calls that came again without having been answered, by whether they came at the time "
+            "that they were told.",
+            ["tried"],
+            registry=self._registry,
+        )
         self._loop_lag = Gauge(
             "figwalk_loop_lag_seconds",
             "Time that a runnable task waits until it runs.",
@@ -137,6 +144,10 @@
             self._repeats.labels(service).inc(repeats)
             self._charged_retries.labels(service).inc(charged)
 
+    def record_caller_repeat(self, tried: str) -> None:
+        """Count a call that came again, early or at the time that it was told."""
+        self._caller_repeats.labels(tried).inc()
+
     def record_loop_lag(self, lag_s: float) -> None:
         """Set the seconds that a runnable task waits until it runs."""
         self._loop_lag.set(lag_s)
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -144,11 +144,11 @@
         self._record_placement(call, prompt, decisions)
         if decision.admitted:
             return decision
-        raise RefusalError(
-            "overloaded",
-            "no engine would give the first token in time",
-            retry_after_ms=max(0, int(retry_after_s * MS_PER_S)),
-        )
+        code, message = "overloaded", "no engine would give the first token in time"
+        if any(refused.retry_s > 0 for refused in decisions):
+            code, message = "share_used", "the organisation used up its share of the engines"
+        retry_after_ms = max(0, int(retry_after_s * MS_PER_S))
+        raise RefusalError(code, message, retry_after_ms=retry_after_ms)
 
     async def _decide(self, call: Call, prompt: PromptCall, plan: PromptPlan) -> PlacementDecision:
         """Decide on a plan, if possible by asking the agent beside its prefill engine."""
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -83,7 +83,7 @@
     uncached_tokens: int
     wait_s: float
     finish_s: float
-    retry_s: float
+    retry_s: float = 0.0
 
 
 class AgentLink:
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -38,7 +38,18 @@
         return attrs.evolve(super()._weigh(request), room=1.0)
 
 
-def play(organisations, *, copies, servers, seed, load=2.0, burst=False, restart=False, make=None):
+def play(
+    organisations,
+    *,
+    copies,
+    servers,
+    seed,
+    load=2.0,
+    burst=False,
+    restart=False,
+    make=None,
+    repeats=(),
+):
     """Offer calls at a multiple of what the servers can do, and return what callers get.
 
     Args:
@@ -50,6 +61,7 @@
         burst: Whether the largest alone asks for `load` every second second, and all for 0.9.
         restart: Whether each copy is replaced by a new one in the middle.
         make: Class of the copies.
+        repeats: As what the calls of organisation 3 come again at once when they are refused.
     """
     rng, timer, make = random.Random(seed), FakeTimer(0.0), make or FairShare
     ledgers = [make(timer) for _ in range(copies)]
@@ -69,14 +81,15 @@
         wait_s = max(0.0, free_at - timer.time)
         if copies == 1 or timer.time - known_at >= STATE_AGE_S:
             known_at, known_wait_s = timer.time, wait_s
-        request = ShareRequest(name, work_s)
         played.asked[name] += 1
-        if known_wait_s <= ledger.admit(request).room * (TARGET_S - WORK_S):
-            ledger.record(name, work_s)
-            played.idle_s += max(0.0, timer.time - free_at)
-            free_at = max(free_at, timer.time) + work_s
-            played.served[name] += wait_s <= TARGET_S
-        else:
+        for tried in (TryKind.FIRST, *(repeats if name == 3 else ())):
+            request = ShareRequest(name, work_s, tried=tried)
+            if known_wait_s <= ledger.admit(request).room * (TARGET_S - WORK_S):
+                ledger.record(name, work_s)
+                played.idle_s += max(0.0, timer.time - free_at)
+                free_at = max(free_at, timer.time) + work_s
+                played.served[name] += wait_s <= TARGET_S
+                break
             played.idle_refusals += known_wait_s == 0.0
             ledger.record_pressure()
     return played
@@ -119,6 +132,17 @@
     assert fair.share(fair.asked) >= 0.97 * alike.share(alike.asked)
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_three_repeats_at_once(seed):
+    """Guards against an organisation that gains room, or takes others', by repeating at once."""
+    options = {"copies": 1, "servers": 2, "seed": seed}
+    calm, unmarked = play(72, **options), play(72, **options, repeats=[TryKind.FIRST] * 3)
+    marked = play(72, **options, repeats=[TryKind.EARLY_REPEAT] * 3)
+    assert unmarked.share([3]) >= 1.3 * calm.share([3])
+    assert marked.share([3]) <= 1.1 * calm.share([3])
+    assert marked.share([1, 2]) >= 0.9 * calm.share([1, 2])
+
+
 def press(organisation=1):
     """Return a copy under pressure, where one organisation took nearly all of the work."""
     timer = FakeTimer()
@@ -137,6 +161,8 @@
     timer, share = press()
     assert share.admit(ShareRequest(1, WORK_S)).room < 1
     assert share.admit(ShareRequest(3, WORK_S)).room == 1
+    low, high = (share.admit(ShareRequest(1, WORK_S, priority=p)).room for p in (3, 0))
+    assert 0 < low < high < 1
     assert share.admit(ShareRequest(0, WORK_S)).reason is ShareReason.UNKNOWN
     timer.advance(1.5)
     assert share.admit(ShareRequest(1, WORK_S)).room == 1
