--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -139,15 +139,16 @@
                 call.predicted_s = decision.plan.predicted_s
                 call.placed_at = self._timer.now()
                 break
-            retry_after_s = min(retry_after_s, self._placement.retry_after_s(prompt, decision.plan))
+            retry_s = self._placement.retry_after_s(prompt, decision.plan, decision.retry_s)
+            retry_after_s = min(retry_after_s, retry_s)
         self._record_placement(call, prompt, decisions)
         if decision.admitted:
             return decision
-        raise RefusalError(
-            "overloaded",
-            "no engine would give the first token in time",
-            retry_after_ms=max(0, int(retry_after_s * MS_PER_S)),
-        )
+        code, message = "overloaded", "no engine would give the first token in time"
+        if any(refused.retry_s > 0 for refused in decisions):
+            code, message = "share_used", "the organisation used up its share of the engines"
+        retry_after_ms = max(0, int(retry_after_s * MS_PER_S))
+        raise RefusalError(code, message, retry_after_ms=retry_after_ms)
 
     async def _decide(self, call: Call, prompt: PromptCall, plan: PromptPlan) -> PlacementDecision:
         """Decide on a plan, if possible by asking the agent beside its prefill engine."""
@@ -168,7 +169,11 @@
             reading_s=answer.finish_s - answer.wait_s,
         )
         return PlacementDecision(
-            plan, AdmissionDecider.AGENT, admitted=answer.grant is not None, grant=answer.grant
+            plan,
+            AdmissionDecider.AGENT,
+            admitted=answer.grant is not None,
+            grant=answer.grant,
+            retry_s=answer.retry_s,
         )
 
     def _record_placement(
@@ -450,6 +455,7 @@
             remaining_s,
             call.deadline - now,
             self._pool.gap_s(call.service),
+            call.share_request,
         )
 
     def _first_event_timeout_s(self, call: Call) -> float | None:
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -33,6 +33,7 @@
 
 INCARNATION_BITS = 64
 MAX_INT32 = 2**31 - 1
+MAX_UINT8 = 2**8 - 1
 # Least wait beyond the round trip. An agent decides within a millisecond, but its VM may be busy.
 ANSWER_MARGIN_S = 0.03
 # On a link of 10 Mbit/s an answer queues behind prompts of 9 KB, 7 ms each. Half of the users'
@@ -77,12 +78,14 @@
         uncached_tokens: Tokens that the engine is predicted to prefill.
         wait_s: Predicted seconds that the prompt waits for others.
         finish_s: Predicted seconds until its prefill is complete.
+        retry_s: Predicted seconds until the organisation's share leaves room; 0 if it does.
     """
 
     grant: Grant | None
     uncached_tokens: int
     wait_s: float
     finish_s: float
+    retry_s: float = 0.0
 
 
 class AgentLink:
@@ -240,6 +243,7 @@
             decision.uncached_tokens,
             decision.wait_ms / MS_PER_S,
             decision.finish_ms / MS_PER_S,
+            decision.retry_ms / MS_PER_S,
         )
 
     async def _send_ends(self, connection: PeerConnection) -> None:
@@ -332,6 +336,9 @@
         max(0, _to_ms(plan.after_s)),
         clamp_to_uint32(prompt.shared_tokens) if plan.donor is not None else 0,
         _to_ms(prompt.gap_s) if math.isfinite(prompt.gap_s) and not plan.is_last_resort else 0,
+        prompt.share.organisation,
+        min(prompt.share.priority, MAX_UINT8),
+        prompt.share.tried,
     )
 
 
