--- a/figwalk/relay/relay_server.py
+++ b/figwalk/relay/relay_server.py
@@ -84,6 +84,10 @@
         """Start to answer a read."""
         if self._nursery is not None and len(self._open_reads[connection]) < MAX_OPEN_READS:
             self._nursery.start_soon(self._serve, connection, request)
+        else:
+            self._events.record(
+                Event.RELAY_PAGE_UNSENT, topic=request.topic, detail="too many reads are open"
+            )
 
     async def _serve(self, connection: PeerConnection, request: RelayRead) -> None:
         if connection not in self._gateways:
