--- a/tests/test_call_repeats.py
+++ b/tests/test_call_repeats.py
@@ -57,8 +57,8 @@
     def __init__(self):
         self.timer = FakeTimer()
         self.shares = PlainShares(self.timer, random.Random(1))
-        pacing = ServicePacing.create(self.timer)
         events = EventLog("test", self.timer)
+        pacing = ServicePacing.create(events, self.timer, random.Random(1))
         self.trackers = []
         for name in ("b1", "b2"):
             entry = BackendEntry(name, "x", Address("h", 1), "a", SLOTS, False, 1, 1)
