Make ledgers of shares before the clock runs

Prompt agents ended at their start: the ledger asked for the time outside of trio (tests/test_platform_soak.py::test_short_soak_breaks_no_rule). It now asks at the first record.

--- a/figwalk/fairness/share_ledger.py
+++ b/figwalk/fairness/share_ledger.py
@@ -53,7 +53,7 @@
         self._timer = timer
         # Work is added with a weight that grows with time, instead of letting all sums decay. All
         # sums thereby keep their ratios between changes.
-        self._base_at = timer.now()
+        self._base_at: float | None = None  # Components are made before the clock runs.
         self._accounts: dict[int, _Account] = {}
         self._shares: _Shares | None = None
         self._records = 0  # Since the shares were computed.
@@ -99,6 +99,8 @@
 
     def _weigh(self) -> float:
         """Return the weight of work that is recorded now."""
+        if self._base_at is None:
+            self._base_at = self._timer.now()
         factor = math.exp((self._timer.now() - self._base_at) / MEMORY_S)
         if factor < MAX_AGE_FACTOR:
             return factor
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -8,6 +8,7 @@
 from support.fake_timer import FakeTimer
 
 from figwalk.fairness.fair_share import FairShare, ShareReason, ShareRequest, TryKind
+from figwalk.timer import Timer
 
 TARGET_S = 0.4  # Time to the target that remains for waiting.
 WORK_S = 0.03
@@ -184,3 +185,8 @@
     share.record(1, WORK_S)
     share.record_pressure()
     assert share.admit(ShareRequest(1, WORK_S)).room == 1
+
+
+def test_copy_is_made_before_the_clock_runs():
+    """Guards against agents that end at their start: their parts are made outside of trio."""
+    assert not FairShare(Timer())._ledger.organisations
