--- a/figwalk/duties/role_duty.py
+++ b/figwalk/duties/role_duty.py
@@ -109,8 +109,12 @@
         self._sent: dict[str, _SentOrder] = {}
 
     def is_wanted(self) -> bool:
-        """Return whether an order is needed or its outcome is not known yet."""
-        return bool(self._needed or self._sent)
+        """Return whether an order is or may soon be needed, or its outcome is not known yet.
+
+        A lease that nobody holds can be claimed only after its duration, so it is sought as soon as
+        the engines are missing.
+        """
+        return bool(self._needed or self._sent or self._need.is_watching)
 
     def has_urgent_records(self) -> bool:
         """Return False: orders are not recorded in the log."""
--- a/figwalk/duties/role_need.py
+++ b/figwalk/duties/role_need.py
@@ -11,8 +11,9 @@
 # Engines that restart are back, and registrations that lapsed around an outage of the store are
 # renewed, within this time.
 ABSENCE_S = 2.0
-# While a deployment starts, prefill engines may be there long before others.
-FIRST_ABSENCE_S = 15.0
+# While a deployment starts, prefill engines may be there before others. An engine that lives has
+# registered within this time, three of its heartbeats.
+FIRST_ABSENCE_S = 4.0
 _RUNNING_ROLES = frozenset({Role.DECODE, Role.MIXED})
 
 
@@ -62,6 +63,11 @@
         self._absent_since: dict[str, float] = {}
         self._seen: set[str] = set()
 
+    @property
+    def is_watching(self) -> bool:
+        """Whether a service has no engine that runs prompts, for however short a time."""
+        return bool(self._absent_since)
+
     def update(self, service: str, engines: Sequence[KnownEngine], now: float) -> RoleChange | None:
         """Return the change that a service needs now, or None.
 
