Keep one clock that counts suspension

Cause: two parts written side by side each added Timer.boot_time and Timer.boot_now, which read CLOCK_BOOTTIME alike. Change: boot_now remains, and its callers and fakes use it. A test that set boot_now of the fake timer no longer has to.

--- a/figwalk/organisations/config_confirmation.py
+++ b/figwalk/organisations/config_confirmation.py
@@ -66,7 +66,7 @@
         self._events.record(event, age_s=round(self._age_s(), 3))
 
     def _age_s(self) -> float:
-        return self._timer.boot_time() - self._confirmed_at
+        return self._timer.boot_now() - self._confirmed_at
 
 
 class ConfirmingLog(CompactedLog):
@@ -86,7 +86,7 @@
 
     async def read_newest(self, topic: str) -> KeyedPage:
         """Return the newest record of each key; see `CompactedLog.read_newest`."""
-        started_at = self._timer.boot_time()
+        started_at = self._timer.boot_now()
         page = await self._log.read_newest(topic)
         if page.era is None or self._era is None or page.era >= self._era:
             self._era = page.era
@@ -95,7 +95,7 @@
 
     async def read(self, topic: str, offset: int, *, wait_s: float = 0.0) -> KeyedPage:
         """Return the records from an offset; see `CompactedLog.read`."""
-        started_at = self._timer.boot_time()
+        started_at = self._timer.boot_now()
         page = await self._log.read(topic, offset, wait_s=wait_s)
         # In another era, the offset means other records, and the topic is listed again.
         if page.era == self._era:
--- a/figwalk/relay/shared_topic.py
+++ b/figwalk/relay/shared_topic.py
@@ -85,7 +85,7 @@
             LogTruncatedError: The records at the offset are not kept here.
             LogUnavailableError: The store did not answer, or has fewer records than the caller.
         """
-        arrived_at = self._timer.boot_time()
+        arrived_at = self._timer.boot_now()
         hold_until = self._timer.now() + limits.hold_s
         if self._fetch is None and arrived_at - self._read_at > MAX_IDLE_S:
             self._reset()
@@ -141,7 +141,7 @@
         return fetch
 
     async def _read_store(self, fetch: _Fetch, end: int, limits: ReadLimits) -> None:
-        started_at = self._timer.boot_time()
+        started_at = self._timer.boot_now()
         self._next_read_at = self._timer.now() + limits.period_s
         self._reads += 1
         generation = self._generation
--- a/figwalk/timer.py
+++ b/figwalk/timer.py
@@ -44,13 +44,6 @@
         # `trio.current_time` looks up the clock on each call, which is more than half of its cost.
         return self._clock.current_time() if self._clock else trio.current_time()
 
-    def boot_time(self) -> float:
-        """Return the seconds since the VM was booted, with those for which it was suspended.
-
-        Monotonic time does not count the latter.
-        """
-        return time.clock_gettime(time.CLOCK_BOOTTIME)
-
     def left_s(self, deadline: float) -> float:
         """Return the seconds remaining until a monotonic time, or 0 if it has passed.
 
--- a/tests/support/fake_timer.py
+++ b/tests/support/fake_timer.py
@@ -18,7 +18,7 @@
         """Return the time set."""
         return self.time
 
-    def boot_time(self):
+    def boot_now(self):
         """Return the time set."""
         return self.time
 
--- a/tests/support/relay_fakes.py
+++ b/tests/support/relay_fakes.py
@@ -22,7 +22,7 @@
 class ClockTimer(Timer):
     """Timer whose boot time is trio's."""
 
-    def boot_time(self):
+    def boot_now(self):
         """Return monotonic time."""
         return self.now()
 
--- a/tests/test_access_control.py
+++ b/tests/test_access_control.py
@@ -112,14 +112,14 @@
     """Guards against keys that stay valid for too long, and calls refused without that rule."""
     gateway = Gateway(strict=strict, max_age_ms=5000)
     gateway.read(1, OTHER)
-    gateway.confirmation.confirm(gateway.timer.boot_time())
+    gateway.confirmation.confirm(gateway.timer.boot_now())
     gateway.timer.advance(4.9)
     gateway.confirmation.record_change()
     assert gateway.name("k-other") == "other"
     gateway.timer.advance(0.2)
     gateway.confirmation.record_change()
     assert gateway.name("k-other") == (503 if strict else "other")
-    gateway.confirmation.confirm(gateway.timer.boot_time())
+    gateway.confirmation.confirm(gateway.timer.boot_now())
     gateway.confirmation.record_change()
     assert gateway.name("k-other") == "other"
     names = [record.name for record in gateway.events.select()]
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -240,8 +240,8 @@
             fleet.store.set_faults(PlatformStoreFaults(refuse_status=503))
             # As after a suspension of the VM, which only this clock counts.
             timer = fleet.process._timer
-            boot_time = timer.boot_time
-            timer.boot_time = lambda: boot_time() + 100
+            boot_now = timer.boot_now
+            timer.boot_now = lambda: boot_now() + 100
             status, headers, _ = await fleet.call("/check/x", key="k-one")
             assert status == expected
             assert strict == ("retry-after" in headers)
--- a/tests/test_usage_counter.py
+++ b/tests/test_usage_counter.py
@@ -40,7 +40,6 @@
 
     def __init__(self):
         self.timer = FakeTimer()
-        self.timer.boot_now = self.timer.now
         clock = WindowClock(self.timer, 5.0, wall_ms=lambda: int(self.timer.now() * 1000))
         self.counter = UsageCounter(clock, self.timer)
         self.tracker = BackendTracker(ENTRY, self.timer, EventLog("g", self.timer))
