--- a/review/rig2/deployment.py
+++ b/review/rig2/deployment.py
@@ -26,6 +26,7 @@
 ZONES = {"a": "r", "b": "s", "c": "t"}
 READY_TIMEOUT_S = 30.0
 RESTART_DELAY_S = 0.5
+MEMORY_MB = 300
 # The sheet of `sites/umugati-vans.toml`.
 BOUNDS = {
     "grace-s": 8,
@@ -172,7 +173,7 @@
             "zones": ZONES,
             "ip": HOST,
             "internal-ports": [self._agents_port, self._agents_port + 15],
-            "limits": {"memory-mb": 300},
+            "limits": {"memory-mb": MEMORY_MB},
             "bounds": BOUNDS,
             "platform": {"address": str(store)},
         }
@@ -211,6 +212,15 @@
             return
         raise CaseError("the gateways were not ready in time")
 
+    def memory_mb(self, name: str) -> int:
+        """Return the resident memory of a process in MB, or 0 if it has ended."""
+        try:
+            text = Path(f"/proc/{self.processes[name].pid}/status").read_text()
+        except OSError:
+            return 0
+        found = re.search(r"VmRSS:\s+(\d+) kB", text)
+        return int(found[1]) * 1024 // 1_000_000 if found else 0
+
     def log_text(self, name: str) -> str:
         """Return what a process has logged."""
         return self.processes[name].log_path.read_text(errors="replace")
