--- a/review/rig2/deployment.py
+++ b/review/rig2/deployment.py
@@ -9,9 +9,11 @@
 import json
 import os
 import re
+import tempfile
 import time
 import tomllib
-from collections.abc import Mapping
+import traceback
+from collections.abc import Awaitable, Callable, Mapping
 from pathlib import Path
 
 import attrs
@@ -117,7 +119,14 @@
             raise CaseError(f"the store answered {status}")
 
     async def start_backend(
-        self, name: str, service: str, zone: str, *, host: str = HOST, **options: object
+        self,
+        name: str,
+        service: str,
+        zone: str,
+        *,
+        host: str = HOST,
+        module: str = "standins.platform_backend",
+        **options: object,
     ) -> Address:
         """Start a backend server's stand-in under its name."""
         port = choose_port(host)
@@ -132,7 +141,7 @@
             "--run-log": self.run_log(name),
         } | {f"--{key.replace('_', '-')}": value for key, value in options.items()}
         words = [str(word) for pair in arguments.items() for word in pair]
-        self.processes[name] = await self._launcher.start(name, "standins.platform_backend", *words)
+        self.processes[name] = await self._launcher.start(name, module, *words)
         return Address(host, port)
 
     def run_log(self, name: str) -> Path:
@@ -241,6 +250,28 @@
         return response.status, content
 
 
+def run_case(play: Callable[[Deployment], Awaitable[bool]], folder: Path) -> int:
+    """Run a case and return its exit status; its record is written to the folder.
+
+    Args:
+        play: Returns whether the rule was broken.
+        folder: Folder of the case.
+    """
+
+    async def main() -> int:
+        with tempfile.TemporaryDirectory() as name:
+            async with Launcher(Path(name)) as launcher:
+                deployment = Deployment(launcher, Path(name), folder / "record.txt")
+                return int(await play(deployment))
+
+    try:
+        return trio.run(main)
+    except Exception as error:
+        # Whatever goes wrong in the case itself says nothing about the rule.
+        traceback.print_exception(error)
+        return 2
+
+
 def has_trouble() -> bool:
     """Return whether the case is to bring its disruption about."""
     return os.environ.get("TROUBLE", "1") != "0"
