Add review case 9: a former holder's order arrives after its successor's

What breaks: an order that is on its way when its sender's machine is cut off arrives 0.7 s after the cut has healed, although the sender gave up the call and lost the lease: a lower fence number after a higher one at one replica that doesn't check them (rule ONE). The connection is closed without a reset, so that the kernel goes on sending.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,3 +7,4 @@
 export PYTHONPATH=target/deps:.
 python3 -c "import standins.platform_store, standins.platform_backend, standins.launcher"
 python3 -c "import review.rig2.caller, review.rig2.deployment, review.rig2.endless_backend"
+python3 -c "import review.rig2.links, review.rig2.order_engine"
--- a/review/rig2/deployment.py
+++ b/review/rig2/deployment.py
@@ -96,6 +96,7 @@
         self.gateways: dict[str, Gateway] = {}
         self.processes: dict[str, ProcessHandle] = {}
         self._settings: dict[str, tuple[str, dict[str, str]]] = {}
+        self.bounds: dict[str, object] = dict(BOUNDS)
 
     def note(self, what: str, **fields: object) -> None:
         """Append a line to the record."""
@@ -126,10 +127,15 @@
         *,
         host: str = HOST,
         module: str = "standins.platform_backend",
+        link: Callable[[Address], Awaitable[Address]] | None = None,
         **options: object,
     ) -> Address:
-        """Start a backend server's stand-in under its name."""
+        """Start a backend server's stand-in under its name; return its own address.
+
+        With `link`, it registers the address that this returns for its own.
+        """
         port = choose_port(host)
+        known = Address(host, port) if link is None else await link(Address(host, port))
         arguments = {
             "--id": name,
             "--service": service,
@@ -137,7 +143,7 @@
             "--host": host,
             "--port": port,
             "--store": self.store,
-            "--advertise": f"{host}:{port}",
+            "--advertise": known,
             "--run-log": self.run_log(name),
         } | {f"--{key.replace('_', '-')}": value for key, value in options.items()}
         words = [str(word) for pair in arguments.items() for word in pair]
@@ -183,7 +189,7 @@
             "ip": HOST,
             "internal-ports": [self._agents_port, self._agents_port + 15],
             "limits": {"memory-mb": MEMORY_MB},
-            "bounds": BOUNDS,
+            "bounds": self.bounds,
             "platform": {"address": str(store)},
         }
 
