--- a/review/rig2/deployment.py
+++ b/review/rig2/deployment.py
@@ -28,6 +28,7 @@
 ZONES = {"a": "r", "b": "s", "c": "t"}
 READY_TIMEOUT_S = 30.0
 RESTART_DELAY_S = 0.5
+CASE_S = 95.0
 MEMORY_MB = 300
 # The sheet of `sites/umugati-vans.toml`.
 BOUNDS = {
@@ -268,7 +269,9 @@
         with tempfile.TemporaryDirectory() as name:
             async with Launcher(Path(name)) as launcher:
                 deployment = Deployment(launcher, Path(name), folder / "record.txt")
-                return int(await play(deployment))
+                # Leaves the launcher the time to end all processes.
+                with trio.fail_after(CASE_S):
+                    return int(await play(deployment))
 
     try:
         return trio.run(main)
