Treat the end of a stream as broken if a write got the reset

Cause: the kernel reports the error of a socket once. If the upload's write is the first call after the reset, it gets ECONNRESET, and the reads after it return the received bytes and then nothing, as after a clean end. h11 takes that as the end of a body without a length. The client keeps the failure of the upload only for the case that no answer arrives.

ByteStream, through which all connections are read, now remembers that a write or read got an error, and raises BrokenResourceError where it would return the end of the stream. EPIPE is left out: a write gets it if the peer's end had arrived before the reset, and then the end is genuine.

Whole answers that end cleanly before the reset are still passed on.

--- a/figwalk/transport/byte_stream.py
+++ b/figwalk/transport/byte_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 
 import trio
@@ -18,6 +19,10 @@
     system call. This class waits only if the kernel has no data, or if the last read took all of
     it.
 
+    The kernel reports an error of a connection only once, to a write or to a read. If a write gets
+    it, the reads after the received bytes would return what looks like the end of the stream. They
+    raise `BrokenResourceError` instead.
+
     Args:
         stream: Connected socket.
     """
@@ -26,6 +31,7 @@
         self._stream = stream
         self._reads_without_yield = 0
         self._buffer_empty = False
+        self._broken = False
 
     @property
     def socket(self) -> trio.socket.SocketType:
@@ -39,8 +45,14 @@
             BrokenResourceError: The connection is lost.
         """
         sent = self.send_now(data)
-        if sent < len(data):
+        if sent == len(data):
+            return
+        try:
             await self._stream.send_all(memoryview(data)[sent:])
+        except trio.BrokenResourceError as error:
+            if isinstance(error.__cause__, OSError):
+                self._record_write_error(error.__cause__)
+            raise
 
     def send_now(self, data: bytes) -> int:
         """Send what the kernel accepts without waiting; return the number of bytes sent.
@@ -53,6 +65,7 @@
         except BlockingIOError:
             return 0
         except OSError as error:
+            self._record_write_error(error)
             raise trio.BrokenResourceError from error
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
@@ -69,11 +82,9 @@
             await trio.lowlevel.checkpoint()
         while True:
             try:
-                data = os.read(self.socket.fileno(), max_bytes)
+                data = self._read(max_bytes)
             except BlockingIOError:
                 await self._wait_readable()
-            except OSError as error:
-                raise trio.BrokenResourceError from error
             else:
                 # A short read took all available bytes, so another one would usually fail.
                 self._buffer_empty = len(data) < max_bytes
@@ -87,11 +98,9 @@
             BrokenResourceError: The connection is lost.
         """
         try:
-            return os.read(self.socket.fileno(), max_bytes)
+            return self._read(max_bytes)
         except BlockingIOError:
             return None
-        except OSError as error:
-            raise trio.BrokenResourceError from error
 
     async def wait_send_all_might_not_block(self) -> None:
         """Wait until the connection accepts bytes."""
@@ -105,6 +114,24 @@
         """Close the connection immediately."""
         self.socket.close()
 
+    def _read(self, max_bytes: int) -> bytes:
+        try:
+            data = os.read(self.socket.fileno(), max_bytes)
+        except BlockingIOError:
+            raise
+        except OSError as error:
+            self._broken = True
+            raise trio.BrokenResourceError from error
+        if not data and self._broken:
+            raise trio.BrokenResourceError("the connection was lost before the end of the stream")
+        return data
+
+    def _record_write_error(self, error: OSError) -> None:
+        # A write fails with EPIPE if the peer had ended its stream before the connection was lost,
+        # so that the end that a read then finds is genuine.
+        if error.errno != errno.EPIPE:
+            self._broken = True
+
     async def _wait_readable(self) -> None:
         self._reads_without_yield = 0
         try:
--- /dev/null
+++ b/tests/test_broken_answers.py
@@ -0,0 +1,234 @@
+"""Tests that a broken answer of a backend server never reaches a caller as a whole one."""
+
+import os
+import socket
+import struct
+from contextlib import asynccontextmanager
+
+import h11
+import pytest
+import trio
+from support.platform_fakes import HOST, answering, run_test, running_fleet
+
+from figwalk.errors import HttpError
+from figwalk.transport import HttpClient, HttpRequest
+from figwalk.transport.byte_stream import ByteStream
+from standins.platform_config import make_config
+
+# The reset is noticed by the writer or by the reader of a connection, whichever runs first.
+PLAYS = 40
+UNFRAMED = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: 1\r\n\r\n"
+# Larger than what the buffers of two sockets hold, so that the upload is still being written.
+UPLOAD_BYTES = 12 * 1024 * 1024
+SMALL_BUFFER_BYTES = 4096
+
+
+def reset(sock):
+    """Close a socket so that its peer receives a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+async def answer_and_reset(stream, answer, pause_s=0.0):
+    """Send an answer, and reset the connection at once or after a pause.
+
+    Without a pause no other task runs in between, so that the peer finds both when it runs next.
+    """
+    os.write(stream.socket.fileno(), answer)
+    if pause_s:
+        await trio.sleep(pause_s)
+    reset(stream.socket)
+
+
+@asynccontextmanager
+async def serving(handle):
+    """Run a server whose receive buffers are small; yield its port."""
+    listener = trio.socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    await listener.bind((HOST, 0))
+    listener.listen()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, handle, [trio.SocketListener(listener)])
+        yield listener.getsockname()[1]
+        nursery.cancel_scope.cancel()
+
+
+async def connect_pair():
+    """Return both ends of a TCP connection."""
+    with socket.create_server((HOST, 0)) as server:
+        stream = await trio.open_tcp_stream(HOST, server.getsockname()[1])
+        return ByteStream(stream), server.accept()[0]
+
+
+async def fail_to_write(stream):
+    """Write until the connection reports its loss."""
+    with pytest.raises(trio.BrokenResourceError):
+        while True:
+            await stream.send_all(b"x" * 65536)
+
+
+def test_end_after_a_reset_that_a_write_reported_is_no_clean_end():
+    """Guards against a reset that is taken for the end of the body.
+
+    The kernel reports an error of a socket once. A write that gets it leaves the following read
+    with what looks like the end of the stream.
+    """
+
+    async def test():
+        stream, peer = await connect_pair()
+        peer.sendall(b"part")
+        reset(peer)
+        await fail_to_write(stream)
+        assert await stream.receive_some(100) == b"part"
+        for _ in range(2):
+            with pytest.raises(trio.BrokenResourceError):
+                await stream.receive_some(100)
+            with pytest.raises(trio.BrokenResourceError):
+                stream.receive_now()
+
+    run_test(test)
+
+
+def test_end_before_a_reset_stays_a_clean_end():
+    """Guards against a whole answer that is lost because its server then stops reading."""
+
+    async def test():
+        stream, peer = await connect_pair()
+        peer.sendall(b"whole")
+        peer.shutdown(socket.SHUT_WR)
+        reset(peer)
+        await fail_to_write(stream)
+        assert await stream.receive_some(100) == b"whole"
+        assert await stream.receive_some(100) == b""
+
+    run_test(test)
+
+
+@pytest.mark.parametrize("pause_s", [0, 0.002])
+def test_unframed_answer_that_is_reset_during_an_upload_is_incomplete(pause_s):
+    """Guards against a part of an answer that is taken for a whole one."""
+
+    async def test():
+        async def handle(stream):
+            await stream.receive_some(100)
+            await answer_and_reset(stream, UNFRAMED % b"c1" + b"part", pause_s)
+
+        async with serving(handle) as port:
+            client = HttpClient(HOST, port)
+            request = HttpRequest("POST", "/", [], b"x" * UPLOAD_BYTES)
+            for _ in range(PLAYS):
+                with pytest.raises(HttpError):
+                    async with client.open(request) as response:
+                        await response.read()
+
+    run_test(test)
+
+
+def test_unframed_answer_that_ends_during_an_upload_is_complete():
+    """Guards against an early answer that is dropped although its server ended it."""
+
+    async def test():
+        async def handle(stream):
+            await stream.receive_some(100)
+            os.write(stream.socket.fileno(), UNFRAMED % b"c1" + b"whole")
+            stream.socket.shutdown(socket.SHUT_WR)
+            reset(stream.socket)
+
+        async with serving(handle) as port:
+            client = HttpClient(HOST, port)
+            request = HttpRequest("POST", "/", [], b"x" * UPLOAD_BYTES)
+            for _ in range(PLAYS):
+                async with client.open(request) as response:
+                    assert await response.read() == b"whole"
+
+    run_test(test)
+
+
+class UploadServer:
+    """Resets the first connection of each call after part of an answer; answers a repeat in full.
+
+    Args:
+        part: What of the body precedes the reset.
+    """
+
+    def __init__(self, part):
+        self.part = part
+        self.calls = []
+
+    async def handle(self, stream):
+        """Serve one request."""
+        data = b""
+        while b"\r\n\r\n" not in data:
+            # A small read leaves most of the upload in the buffers, as a busy server does.
+            if not (piece := await stream.receive_some(1024)):
+                return  # The gateway opened a connection that no call needed.
+            data += piece
+        head, _, body = data.partition(b"\r\n\r\n")
+        call_id = head.lower().partition(b"request-id: ")[2].partition(b"\r\n")[0]
+        self.calls.append(call_id)
+        if self.calls.count(call_id) == 1:
+            await answer_and_reset(stream, UNFRAMED % call_id + self.part)
+            return
+        received = len(body)
+        while received < UPLOAD_BYTES:
+            received += len(await stream.receive_some(65536))
+        await stream.send_all(UNFRAMED % call_id + b"whole")
+
+
+@asynccontextmanager
+async def uploading_fleet(part, service, **fields):
+    """Run a gateway in front of two backend servers that share an `UploadServer`."""
+    server = UploadServer(part)
+    async with serving(server.handle) as port, running_fleet() as fleet:
+        config = make_config()
+        config["limits"]["max-body-bytes"] = UPLOAD_BYTES
+        fleet.publish(config)
+        for name in ("b1", "b2"):
+            backend = await fleet.add_backend(name, answering(), service, **fields)
+            backend.port = port
+            backend.register(fleet.store, service, sequence=2, **fields)
+        await fleet.start_gateway()
+
+        async def upload(path, call_id):
+            body = b"x" * UPLOAD_BYTES
+            return await fleet.call(path, method="POST", body=body, call_id=call_id)
+
+        yield server, upload
+
+
+@pytest.mark.parametrize(
+    ("path", "service", "fields", "part"),
+    [
+        ("/order/x", "orders", {}, b"part"),
+        ("/chat/x", "lm", {"stage": "decode"}, b"id: 1\ndata: t1\n\n"),
+    ],
+    ids=["order", "stream"],
+)
+def test_caller_gets_no_whole_answer_from_a_reset_during_its_upload(path, service, fields, part):
+    """Guards against an order or a stream of which a caller gets a part as the whole answer."""
+
+    async def main():
+        async with uploading_fleet(part, service, **fields) as (server, upload):
+            for i in range(PLAYS):
+                try:
+                    status, _, _ = await upload(path, f"c{i}")
+                except h11.RemoteProtocolError:
+                    status = None  # A stream that has begun is cut.
+                assert status is None or status >= 500
+            assert len(server.calls) == len(set(server.calls))
+            assert len(server.calls) >= PLAYS // 2
+
+    run_test(main)
+
+
+def test_repeatable_call_that_is_reset_during_its_upload_is_answered_by_another_backend():
+    """Guards against a caller that gets a part of an answer, or none, though it may be repeated."""
+
+    async def main():
+        async with uploading_fleet(b"part", "orders") as (server, upload):
+            for i in range(PLAYS):
+                status, _, body = await upload("/check/x", f"c{i}")
+                assert (status, body) == (200, b"whole")
+            assert len(server.calls) == 2 * PLAYS
+
+    run_test(main)
