Test that answers with a broken head reach no caller

All readers of answers use this client. From a caller's view: an order gets 502 and is sent once, a repeatable call gets the answer of another backend server, a stream on which nothing may be repeated gets 502 or is cut. Nothing else is changed for it.

--- /dev/null
+++ b/tests/test_broken_heads.py
@@ -0,0 +1,186 @@
+"""Tests that an answer whose head is not HTTP/1.1 reaches no caller (RFC 9110 and RFC 9112)."""
+
+from collections import Counter
+
+import h11
+import pytest
+import trio
+from support.platform_fakes import HOST, answering, fetch, make_request, run_test, running_fleet
+
+from figwalk.errors import HttpError
+from figwalk.transport import HttpClient, HttpRequest
+from standins.platform_config import make_config
+
+OK = b"HTTP/1.1 200 OK\r\n"
+FIELDS = b"Request-Id: c1\r\nServer-Stamp: 1\r\nContent-Type: text/event-stream\r\n"
+LENGTH = b"Content-Length: 16\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+EVENT = b"id: 1\ndata: t1\n\n"
+BODY = b"\r\n" + EVENT
+CHUNKS = b"\r\n10\r\n" + EVENT + b"\r\n0\r\n\r\n"
+
+
+def status(line):
+    return line + b"\r\n" + FIELDS + LENGTH + BODY
+
+
+def field(line):
+    return OK + FIELDS + line + b"\r\n" + LENGTH + BODY
+
+
+FORMS = {
+    "status 000": status(b"HTTP/1.1 000 Trouble"),
+    "status 099": status(b"HTTP/1.1 099 Trouble"),
+    "status of two digits": status(b"HTTP/1.1 20 OK"),
+    "status of four digits": status(b"HTTP/1.1 2000 OK"),
+    "unasked upgrade": status(b"HTTP/1.1 101 Switching Protocols"),
+    "line before the status": b"\r\n" + status(b"HTTP/1.1 200 OK"),
+    "blank in a name": field(b"X Y: 1"),
+    "blank after a name": field(b"X : 1"),
+    "blank after the name of the length": OK + FIELDS + b"Content-Length : 2\r\n" + BODY,
+    "tab in a name": field(b"X\tY: 1"),
+    "control byte in a name": field(b"X\x01Y: 1"),
+    "null byte in a name": field(b"X\x00Y: 1"),
+    "carriage return in a name": field(b"X\rY: 1"),
+    "delete in a name": field(b"X\x7fY: 1"),
+    "no name": field(b": 1"),
+    "no colon": field(b"X"),
+    "blank before the first name": OK + b" X: 1\r\n" + FIELDS + LENGTH + BODY,
+    "blank in a name of an informational answer": b"HTTP/1.1 103 X\r\nX Y: 1\r\n\r\n"
+    + field(b"X: 1"),
+    "blank in a name of a trailer": OK + FIELDS + CHUNKED + CHUNKS[:-2] + b"X Y: 1\r\n\r\n",
+    "null byte in a value": field(b"X: a\x00b"),
+    "carriage return in a value": field(b"X: a\rb"),
+    "two lengths": OK + FIELDS + b"Content-Length: 2\r\n" + LENGTH + BODY,
+    "blank in the length": OK + FIELDS + b"Content-Length: 1 6\r\n" + BODY,
+    "signed length": OK + FIELDS + b"Content-Length: +16\r\n" + BODY,
+    "length of thousands of digits": OK
+    + FIELDS
+    + b"Content-Length: "
+    + b"1" * 5000
+    + b"\r\n"
+    + BODY,
+    "unknown coding": OK + FIELDS + b"Transfer-Encoding: gzip, chunked\r\n" + CHUNKS,
+    "end in the status": b"HTTP/1.1 20",
+    "end after the status": OK,
+    "end in a name": OK + FIELDS + b"Content-Le",
+    "end after a field": OK + FIELDS,
+    "end in a length": OK + FIELDS + b"Content-Length: 1",
+    "end in the empty line": OK + FIELDS + LENGTH + b"\r",
+    "end after an informational answer": b"HTTP/1.1 103 X\r\n\r\n",
+    "end before the last chunk": OK + FIELDS + CHUNKED + CHUNKS[:-5],
+    "end in a trailer": OK + FIELDS + CHUNKED + CHUNKS[:-2] + b"X: 1",
+}
+SOUND = {
+    "length": OK + FIELDS + LENGTH + BODY,
+    "chunks": OK + FIELDS + CHUNKED + CHUNKS,
+    "end of the connection": OK + FIELDS + BODY,
+    "HTTP/1.0": b"HTTP/1.0 200 OK\r\n" + FIELDS + BODY,
+    "no reason": b"HTTP/1.1 200\r\n" + FIELDS + LENGTH + BODY,
+    "tab and byte above 127 in a value": field(b"X: a\tb\xe9"),
+    "equal lengths": OK + FIELDS + LENGTH + LENGTH + BODY,
+    "highest status": status(b"HTTP/1.1 599 X"),
+}
+
+
+def sending(data):
+    """Return a script that sends bytes as the answer to a call, and ends the connection."""
+
+    async def script(_backend, stream, request):
+        await stream.send_all(data.replace(b"c1", request.call_id.encode()))
+        await stream.send_eof()
+        await stream.receive_some(1)
+        return False
+
+    return script
+
+
+async def fetch_from(data):
+    """Return status and body of an answer as the client reads them."""
+
+    async def serve(stream):
+        await stream.receive_some(65536)
+        await stream.send_all(data)
+        await stream.aclose()
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, serve, 0)
+        client = HttpClient(HOST, listeners[0].socket.getsockname()[1])
+        async with client.open(HttpRequest("GET", "/", [])) as response:
+            body = await response.read()
+        nursery.cancel_scope.cancel()
+    return response.status, body
+
+
+@pytest.mark.parametrize("form", FORMS)
+def test_client_rejects_a_broken_answer(form):
+    """Guards against any reader of answers that takes bytes for one which are none."""
+
+    async def test():
+        with pytest.raises((HttpError, ExceptionGroup)) as raised:
+            await fetch_from(FORMS[form])
+        assert raised.group_contains(HttpError) or raised.errisinstance(HttpError)
+
+    run_test(test)
+
+
+@pytest.mark.parametrize("form", SOUND)
+def test_client_reads_a_sound_answer(form):
+    """Guards against checks that reject what HTTP allows."""
+
+    async def test():
+        code, body = await fetch_from(SOUND[form])
+        assert (code, body) == (599 if form == "highest status" else 200, EVENT)
+
+    run_test(test)
+
+
+async def fetch_or_cut(fleet, path, call_id):
+    """Send a call; return its status, or None if its answer was cut."""
+    request = make_request(path, method="POST", body=b"1", call_id=call_id)
+    try:
+        return (await fetch(fleet.callers, request))[0]
+    except h11.RemoteProtocolError:
+        return None
+
+
+@pytest.mark.parametrize("form", FORMS)
+def test_caller_of_a_call_that_must_not_be_repeated_gets_an_error(form):
+    """Guards against a broken answer that reaches a caller, or an order that is sent twice."""
+
+    async def main():
+        async with running_fleet() as fleet:
+            fleet.publish(make_config())
+            backends = [await fleet.add_backend(name, sending(FORMS[form])) for name in "ab"]
+            engine = await fleet.add_backend("e", sending(FORMS[form]), "lm", stage="decode")
+            await fleet.start_gateway()
+            assert await fetch_or_cut(fleet, "/order/x", "o1") == 502
+            assert sum(len(backend.requests) for backend in backends) == 1
+            assert await fetch_or_cut(fleet, "/chat/x", "s1") in (502, None)
+            assert len(engine.requests) == 1
+
+    run_test(main)
+
+
+@pytest.mark.parametrize("form", FORMS)
+def test_caller_of_a_repeatable_call_gets_the_answer_of_another_backend(form):
+    """Guards against a broken answer that reaches a caller although the call may be repeated."""
+    attempts = Counter()
+
+    async def script(backend, stream, request):
+        attempts[request.call_id] += 1
+        first = attempts[request.call_id] == 1
+        answer = sending(FORMS[form]) if first else answering(b"whole")
+        return await answer(backend, stream, request)
+
+    async def main():
+        async with running_fleet() as fleet:
+            fleet.publish(make_config())
+            for name in ("b1", "b2"):
+                await fleet.add_backend(name, script)
+            await fleet.start_gateway()
+            code, _, body = await fleet.call("/check/x", call_id="k1")
+            assert (code, body) == (200, b"whole")
+            assert attempts["k1"] == 2
+
+    run_test(main)
