Reject answers whose status belongs to no class

Cause: h11 accepts every status of three digits from 100 on. RFC 9110, section 15, calls values above 599 invalid and has a client treat them as 5xx.

An order gets 502 and is sent once.

--- a/figwalk/transport/http_client.py
+++ b/figwalk/transport/http_client.py
@@ -12,6 +12,7 @@
 import trio
 
 from figwalk.errors import HttpError
+from figwalk.transport._response_head import check_response_head
 from figwalk.transport.byte_budget import ByteCharge
 from figwalk.transport.byte_stream import RECEIVE_BYTES, ByteStream
 from figwalk.transport.connection_pool import (
@@ -463,6 +464,9 @@
 
     def _parse_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         try:
-            return self._h11.next_event()
+            event = self._h11.next_event()
+            if isinstance(event, h11.InformationalResponse | h11.Response):
+                check_response_head(event)
         except h11.RemoteProtocolError as error:
             raise HttpError(f"{self._address} broke the HTTP exchange: {error}") from error
+        return event
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -33,6 +33,8 @@
     "status 099": status(b"HTTP/1.1 099 Trouble"),
     "status of two digits": status(b"HTTP/1.1 20 OK"),
     "status of four digits": status(b"HTTP/1.1 2000 OK"),
+    "status 600": status(b"HTTP/1.1 600 Trouble"),
+    "status 999": status(b"HTTP/1.1 999 Trouble"),
     "unasked upgrade": status(b"HTTP/1.1 101 Switching Protocols"),
     "line before the status": b"\r\n" + status(b"HTTP/1.1 200 OK"),
     "blank in a name": field(b"X Y: 1"),
