Reject answers with control characters in a reason or a value

Cause: h11 accepts control characters other than CR, LF, NUL, VT and FF in values and in the reason. RFC 9110, section 5.5, calls such values invalid; a reason has none by RFC 9112, section 4.

An order gets 502 and is sent once, a repeatable call gets the answer of another backend server. Tabs and bytes above 127 stay allowed.

--- a/figwalk/transport/_response_head.py
+++ b/figwalk/transport/_response_head.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import re
+
 import h11
 
 # Higher values belong to no class of status codes (RFC 9110, section 15).
 MAX_STATUS = 599
+# Reasons and values of fields hold tabs, printable characters and bytes above 127.
+_CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 def check_response_head(head: h11.InformationalResponse | h11.Response) -> None:
@@ -16,3 +20,5 @@
     """
     if head.status_code > MAX_STATUS:
         raise h11.RemoteProtocolError(f"status {head.status_code} is above {MAX_STATUS}")
+    if _CONTROL_CHARACTER.search(b"".join([head.reason, *(value for _, value in head.headers)])):
+        raise h11.RemoteProtocolError("a reason or the value of a field has a control character")
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -53,6 +53,12 @@
     "blank in a name of a trailer": OK + FIELDS + CHUNKED + CHUNKS[:-2] + b"X Y: 1\r\n\r\n",
     "null byte in a value": field(b"X: a\x00b"),
     "carriage return in a value": field(b"X: a\rb"),
+    "control byte in a value": field(b"X: a\x01b"),
+    "escape in a value": field(b"X: a\x1bb"),
+    "delete in a value": field(b"X: a\x7fb"),
+    "control byte in a value of an informational answer": b"HTTP/1.1 103 X\r\nX: \x01\r\n\r\n"
+    + field(b"X: 1"),
+    "control byte in a reason": status(b"HTTP/1.1 200 O\x01K"),
     "two lengths": OK + FIELDS + b"Content-Length: 2\r\n" + LENGTH + BODY,
     "blank in the length": OK + FIELDS + b"Content-Length: 1 6\r\n" + BODY,
     "signed length": OK + FIELDS + b"Content-Length: +16\r\n" + BODY,
