Reject answers of another major version of HTTP

Cause: h11 accepts any digits in the version and reads the message as HTTP/1.1. RFC 9110, section 2.5: the major version tells the syntax of a message.

Any minor version of HTTP/1 is still read.

--- a/figwalk/transport/_response_head.py
+++ b/figwalk/transport/_response_head.py
@@ -22,3 +22,6 @@
         raise h11.RemoteProtocolError(f"status {head.status_code} is above {MAX_STATUS}")
     if _CONTROL_CHARACTER.search(b"".join([head.reason, *(value for _, value in head.headers)])):
         raise h11.RemoteProtocolError("a reason or the value of a field has a control character")
+    if not head.http_version.startswith(b"1."):
+        version = head.http_version.decode("ascii")
+        raise h11.RemoteProtocolError(f"the answer is in HTTP/{version}, and not in HTTP/1.x")
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -35,6 +35,8 @@
     "status of four digits": status(b"HTTP/1.1 2000 OK"),
     "status 600": status(b"HTTP/1.1 600 Trouble"),
     "status 999": status(b"HTTP/1.1 999 Trouble"),
+    "HTTP/2.0": status(b"HTTP/2.0 200 OK"),
+    "HTTP/0.9": status(b"HTTP/0.9 200 OK"),
     "unasked upgrade": status(b"HTTP/1.1 101 Switching Protocols"),
     "line before the status": b"\r\n" + status(b"HTTP/1.1 200 OK"),
     "blank in a name": field(b"X Y: 1"),
