Reject answers with both a length and chunks, or with chunks in HTTP/1.0

Cause: h11 prefers the chunks, whatever else the head says. RFC 9112, section 6.3, wants a message with both to be handled as an error; section 6.1 wants chunks in HTTP/1.0 to be treated as faulty framing.

Evidence: six new cases of tests/test_broken_heads.py failed before, "assert 200 == 502" for orders; all 146 tests of the file pass with the check of each parsed head.

--- a/figwalk/transport/_response_head.py
+++ b/figwalk/transport/_response_head.py
@@ -20,8 +20,16 @@
     """
     if head.status_code > MAX_STATUS:
         raise h11.RemoteProtocolError(f"status {head.status_code} is above {MAX_STATUS}")
-    if _CONTROL_CHARACTER.search(b"".join([head.reason, *(value for _, value in head.headers)])):
+    fields = list(head.headers)
+    if _CONTROL_CHARACTER.search(b"".join([head.reason, *(value for _, value in fields)])):
         raise h11.RemoteProtocolError("a reason or the value of a field has a control character")
     if not head.http_version.startswith(b"1."):
         version = head.http_version.decode("ascii")
         raise h11.RemoteProtocolError(f"the answer is in HTTP/{version}, and not in HTTP/1.x")
+    names = [name for name, _ in fields]
+    if b"transfer-encoding" in names:
+        # RFC 9112, sections 6.1 and 6.3: the end of such a body is not certain.
+        if b"content-length" in names:
+            raise h11.RemoteProtocolError("the body has both a length and chunks")
+        if head.http_version < b"1.1":
+            raise h11.RemoteProtocolError("the body has chunks, which HTTP/1.0 does not know")
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -61,6 +61,8 @@
     "control byte in a value of an informational answer": b"HTTP/1.1 103 X\r\nX: \x01\r\n\r\n"
     + field(b"X: 1"),
     "control byte in a reason": status(b"HTTP/1.1 200 O\x01K"),
+    "length and chunks": OK + FIELDS + LENGTH + CHUNKED + CHUNKS,
+    "chunks in HTTP/1.0": b"HTTP/1.0 200 OK\r\n" + FIELDS + CHUNKED + CHUNKS,
     "two lengths": OK + FIELDS + b"Content-Length: 2\r\n" + LENGTH + BODY,
     "blank in the length": OK + FIELDS + b"Content-Length: 1 6\r\n" + BODY,
     "signed length": OK + FIELDS + b"Content-Length: +16\r\n" + BODY,
