Bound the answers that an agent forwards to an entry

Cause: HttpResponse.read has a bound, but the agent forwards pieces from HttpResponse.chunks, which had none, and the entry joins all pieces of a plain answer.

Evidence: test_agent_ends_an_endless_answer_as_incomplete failed before in both forms, all of 16 MiB arrived as complete. The gateway had the bound already (tests/test_endless_answers.py, kept).

--- a/figwalk/transport/http_client.py
+++ b/figwalk/transport/http_client.py
@@ -80,14 +80,22 @@
         """Return the first header with the given lower-case name as text, or the default."""
         return find_header(self._headers, name, default)
 
-    async def chunks(self) -> AsyncIterator[bytes]:
+    async def chunks(self, max_bytes: int | None = None) -> AsyncIterator[bytes]:
         """Yield the body; bytes received together are yielded in one piece.
 
+        Args:
+            max_bytes: Maximum size of the body, or None for no limit.
+
         Raises:
-            HttpError: The connection ended before the end of the body.
+            HttpError: The connection ended before the end of the body, or the body is above the
+                limit.
         """
+        size = 0
         while not self._complete:
             data, self._complete = await self._connection.receive_body()
+            size += len(data)
+            if max_bytes is not None and size > max_bytes:
+                raise HttpError(f"the answer is above {max_bytes} bytes")
             if data:
                 yield data
 
@@ -110,11 +118,9 @@
         if held is not None and length.isdecimal():
             charged = min(int(length), max_bytes)
             await held.add_when_free(charged)
-        async for data in self.chunks():
+        async for data in self.chunks(max_bytes):
             parts.append(data)
             size += len(data)
-            if size > max_bytes:
-                raise HttpError(f"the answer is above {max_bytes} bytes")
             if held is not None and size > charged:
                 await held.add_when_free(size - charged)
                 charged = size
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -7,6 +7,7 @@
 
 import pytest
 import trio
+from agent_fakes import agent_test, body_of
 from support.platform_fakes import HOST, answering, run_test, running_fleet
 
 from figwalk.errors import HttpError
@@ -184,3 +185,19 @@
             nursery.cancel_scope.cancel()
 
     run_test(test)
+
+
+@pytest.mark.parametrize("claim", ["", "order-1"], ids=["repeatable", "keyed"])
+def test_agent_ends_an_endless_answer_as_incomplete(claim):
+    """Guards against an entry that collects an endless answer until its memory is exhausted."""
+
+    @agent_test("service")
+    async def test(running):
+        running.backend.chunks = [PIECE] * (4 * MAX_RESPONSE_BYTES // len(PIECE))
+        entry = await running.connect()
+        await entry.call(claim_id=claim, incarnation=entry.hello.incarnation)
+        frames = await entry.result()
+        assert not frames[-1].complete
+        assert len(body_of(frames)) <= MAX_RESPONSE_BYTES
+
+    test()
