Bound the events that an entry keeps of a stream

Cause: StreamTranscript had no bound.

Above 8 MiB the transcript now keeps the last piece only. Such a stream is still relayed to its end, with the caller's reading as its pace; if it breaks off, it is cut, since the events that a resumption needs are gone.

--- a/figwalk/entry/model_calls.py
+++ b/figwalk/entry/model_calls.py
@@ -204,6 +204,8 @@
         resumes = 0
         while not await self._try_stream(call, call.plan.next_target()):
             if not call.transcript.empty:
+                if not call.transcript.resumable:
+                    raise _build_stream_cut("the stream is too long to be resumed")
                 resumes += 1
                 if resumes > MAX_RESUMES:
                     raise _build_stream_cut("the stream could not be resumed")
--- a/figwalk/protocol/chat.py
+++ b/figwalk/protocol/chat.py
@@ -18,6 +18,7 @@
 EVENT_END = b"\n\n"
 EVENT_PREFIX = b"data: "
 DONE_DATA = b"[DONE]"
+MAX_TRANSCRIPT_BYTES = 8 * 1024 * 1024
 
 JsonObject = dict[str, object]
 
@@ -163,28 +164,44 @@
 
 @attrs.define
 class StreamTranscript:
-    """Server-sent events already sent to a caller, kept to resume an interrupted stream."""
+    """Server-sent events already sent to a caller, kept to resume an interrupted stream.
+
+    Above `MAX_TRANSCRIPT_BYTES` the events are no longer kept, so that a stream without end does
+    not exhaust the memory of the process.
+    """
 
     _events: list[bytes] = attrs.field(factory=list)
+    _last: bytes = b""
+    _size_bytes: int = 0
 
     def add(self, data: bytes) -> None:
         """Append complete events."""
-        self._events.append(data)
+        self._last = data
+        self._size_bytes += len(data)
+        if self.resumable:
+            self._events.append(data)
+        else:
+            self._events.clear()
 
     @property
     def empty(self) -> bool:
         """Whether no event has been sent."""
-        return not self._events
+        return not self._last
+
+    @property
+    def resumable(self) -> bool:
+        """Whether all events are kept."""
+        return self._size_bytes <= MAX_TRANSCRIPT_BYTES
 
     @property
     def done(self) -> bool:
         """Whether the final `[DONE]` has been sent."""
-        return bool(self._events) and self._events[-1].rstrip().endswith(DONE_DATA)
+        return self._last.rstrip().endswith(DONE_DATA)
 
     @property
     def size_bytes(self) -> int:
         """Bytes of all events sent."""
-        return sum(map(len, self._events))
+        return self._size_bytes
 
     def tokens(self) -> list[str]:
         """Return the generated texts, one for each event that contains text."""
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -7,6 +7,7 @@
 from entry_fakes import HOST, JSON, SSE, Script, api_test
 
 from figwalk.errors import CallerError, CallOutcome, HttpError, RefusalError
+from figwalk.protocol.chat import MAX_TRANSCRIPT_BYTES
 from figwalk.transport import HttpRequest
 
 CHAT = json.dumps({"model": "m", "messages": [{"role": "user", "content": "hi"}]}).encode()
@@ -250,6 +251,29 @@
     api_test(Script(headers=SSE, chunks=[EVENT % (b"a", 1, b"x")], breaks=True), check=check)
 
 
+@pytest.mark.parametrize("breaks", [False, True], ids=["whole", "broken"])
+def test_stream_above_the_bound_of_its_transcript_is_relayed_but_not_resumed(breaks):
+    """Guards against a long stream that is cut, or resumed without the events sent before."""
+    event = EVENT % (b"a", 1, b"x" * 65536)
+    events = [event] * (MAX_TRANSCRIPT_BYTES // len(event) + 1)
+
+    async def check(api):
+        async with api.client.open(HttpRequest("POST", CHAT_PATH, [], STREAM)) as response:
+            data = b""
+            try:
+                async for part in response.chunks():
+                    data += part
+            except HttpError:
+                pass
+        assert data.startswith(b"".join(events))
+        assert response.complete != breaks
+        assert data.endswith(DONE) != breaks
+        assert len(api.backends.calls) == 1
+
+    first = Script(headers=SSE, chunks=[*events, *([] if breaks else [DONE])], breaks=breaks)
+    api_test(first, Script(headers=SSE, chunks=[DONE]), check=check)
+
+
 def test_retry_needs_budget():
     """Guards against retries that make an overload worse."""
 
--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -1,4 +1,5 @@
 import json
+import tracemalloc
 
 import pytest
 
@@ -6,6 +7,7 @@
 from figwalk.protocol.chat import (
     CHAT_PATH,
     COMPLETIONS_PATH,
+    MAX_TRANSCRIPT_BYTES,
     ModelRequest,
     StreamTranscript,
     rewrite_identity,
@@ -17,6 +19,7 @@
 FIRST = b'data: {"id": "a", "created": 1, "choices": [{"delta": {"content": "x"}}]}\n\n'
 SECOND = b'data: {"id": "b", "created": 2, "choices": [{"delta": {"content": "y"}}]}\n\n'
 DONE = b"data: [DONE]\n\n"
+BIG_EVENT_BYTES = 64 * 1024
 
 
 def parse(body, path=CHAT_PATH):
@@ -104,6 +107,23 @@
     assert len(body) < 4 * len(text) + 200
 
 
+def test_transcript_above_its_bound_keeps_no_events():
+    """Guards against a stream without end that exhausts the memory of an entry."""
+    transcript = StreamTranscript()
+    tracemalloc.start()
+    try:
+        for _ in range(3 * MAX_TRANSCRIPT_BYTES // BIG_EVENT_BYTES):
+            transcript.add(b"data: " + b"x" * BIG_EVENT_BYTES + b"\n\n")
+        held = tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+    assert held <= MAX_TRANSCRIPT_BYTES
+    assert not transcript.empty
+    assert not transcript.done
+    transcript.add(DONE)
+    assert transcript.done
+
+
 def test_transcript_returns_tokens_and_identity_for_resuming():
     """Guards against a resumed stream that repeats or drops text, or changes its id."""
     transcript = StreamTranscript()
