Refuse calls in the last half of a short grace time

Cause: the time until which calls are taken was 2.9 s after SIGTERM, whatever the grace time is.

Evidence: test_gateway_with_a_short_grace_time_refuses_what_comes_late_in_it failed before: no call was refused, and the test ended by its time limit, as the gateway was gone. Half of the grace time is now left to each call that is taken. With the 8 s of the deployments at hand, 2.9 s still apply.

--- a/figwalk/coordination/graceful_stop.py
+++ b/figwalk/coordination/graceful_stop.py
@@ -20,6 +20,8 @@
 STOPPING_RETRY_MS = 20  # Another process can answer at once.
 # Time in which final answers are sent to all callers that still wait for one.
 LAST_ANSWERS_S = 0.25
+# At least this share of the grace time is left to each call that is taken.
+CALL_SHARE = 0.5
 
 
 class GracefulStop:
@@ -45,10 +47,10 @@
 
         Args:
             grace_s: Seconds after which the process cuts all connections.
-            accept_s: Seconds for which new calls are taken.
+            accept_s: Seconds for which new calls are taken; fewer if the grace time is short.
         """
         started = self._timer.now()
-        self._accept_until = started + accept_s
+        self._accept_until = started + min(accept_s, (1 - CALL_SHARE) * grace_s)
         await trio.sleep_until(started + grace_s - LAST_ANSWERS_S)
         self._over = True
         for scope, has_begun in self._calls.items():
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -189,3 +189,24 @@
             assert not backend.requests
 
     run_test(main)
+
+
+def test_gateway_with_a_short_grace_time_refuses_what_comes_late_in_it():
+    """Guards against calls that are sent so late in a short grace time that they are cut."""
+
+    async def main():
+        async with running_fleet() as fleet:
+            fleet.settings["grace_s"] = 3.0
+            fleet.publish(make_config())
+            backend = await fleet.add_backend("b1", answering())
+            await fleet.start_gateway()
+            fleet.nursery.start_soon(fleet.process.stop)
+            await fleet.wait_ready(ready=False)
+            statuses = []
+            while 503 not in statuses:
+                status, headers, _ = await fleet.call("/order/x", method="POST", body=b"1")
+                statuses.append(status)
+            assert "retry-after" in headers
+            assert statuses.count(200) == len(statuses) - 1 == len(backend.requests)
+
+    run_test(main)
