Give callers of an entry a final answer before it cuts their connections

Cause: the entry cancelled everything at the end of the grace time, and took calls until then.

Evidence: test_order_without_an_answer_at_the_end_of_a_stop_gets_a_final_one, with real processes, failed before: the connection closed without an answer. The entry now uses GracefulStop, too.

--- a/figwalk/coordination/graceful_stop.py
+++ b/figwalk/coordination/graceful_stop.py
@@ -8,8 +8,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
 
 import trio
 
@@ -42,7 +42,8 @@
         """Whether the calls whose answers had not begun were ended."""
         return self._over
 
-    async def run(self, grace_s: float, *, accept_s: float) -> None:
+    @asynccontextmanager
+    async def stopping(self, grace_s: float, *, accept_s: float = math.inf) -> AsyncIterator[None]:
         """Limit calls from now on, and end them shortly before the grace time ends.
 
         Args:
@@ -51,11 +52,10 @@
         """
         started = self._timer.now()
         self._accept_until = started + min(accept_s, (1 - CALL_SHARE) * grace_s)
-        await trio.sleep_until(started + grace_s - LAST_ANSWERS_S)
-        self._over = True
-        for scope, has_begun in self._calls.items():
-            if not has_begun():
-                scope.cancel()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._end_calls, started + grace_s - LAST_ANSWERS_S)
+            yield
+            nursery.cancel_scope.cancel()
 
     def check_accepting(self) -> None:
         """Check that a new call may be taken.
@@ -68,6 +68,28 @@
                 REFUSAL_CODE, "this process is stopping", retry_after_ms=STOPPING_RETRY_MS
             )
 
+    async def run_call(
+        self,
+        has_begun: Callable[[], bool],
+        function: Callable[..., Awaitable[None]],
+        *arguments: object,
+    ) -> None:
+        """Run a coroutine function that answers a call, unless the process stops before.
+
+        Args:
+            has_begun: Returns whether the answer to the caller has begun; it is then not ended.
+            function: Sends the answer.
+            arguments: Arguments of the function.
+
+        Raises:
+            RefusalError: Too little of the grace time is left, or it ended before the answer.
+        """
+        self.check_accepting()
+        with self.limit(has_begun, math.inf) as scope:
+            await function(*arguments)
+        if scope.cancelled_caught:
+            raise make_stop_refusal(may_have_run=True)
+
     @contextmanager
     def limit(self, has_begun: Callable[[], bool], deadline: float) -> Iterator[trio.CancelScope]:
         """Run a call in a cancel scope that ends at its deadline, or before the process ends.
@@ -83,6 +105,13 @@
             finally:
                 del self._calls[scope]
 
+    async def _end_calls(self, at: float) -> None:
+        await trio.sleep_until(at)
+        self._over = True
+        for scope, has_begun in self._calls.items():
+            if not has_begun():
+                scope.cancel()
+
 
 def make_stop_refusal(*, may_have_run: bool) -> RefusalError:
     """Return the final answer to a call that had none when its process stopped."""
--- a/figwalk/entry/model_calls.py
+++ b/figwalk/entry/model_calls.py
@@ -5,6 +5,7 @@
 import attrs
 import trio
 
+from figwalk.coordination.graceful_stop import GracefulStop
 from figwalk.coordination.retry_budget import RetryBudget
 from figwalk.coordination.router import RouteRequest
 from figwalk.entry.attempt_plan import AttemptPlan
@@ -70,6 +71,7 @@
         tallies: Counts for operators.
         events: Event log.
         timer: Source of time.
+        stop: Ends calls before the process ends.
     """
 
     def __init__(
@@ -79,7 +81,9 @@
         tallies: Tallies,
         events: EventLog,
         timer: Timer,
+        stop: GracefulStop,
     ) -> None:
+        self._stop = stop
         self._backends = backends
         self._budget = budget
         self._tallies = tallies
@@ -106,7 +110,9 @@
         call = self._prepare_call(request, model, name, service, responder)
         try:
             answer = self._stream if model.stream else self._answer_buffered
-            await responder.run_while_connected(answer, call)
+            await self._stop.run_call(
+                lambda: responder.started, responder.run_while_connected, answer, call
+            )
         except RefusalError as error:
             self._tallies.record_refusal(error.code)
             if error.outcome is CallOutcome.NOT_RUN and not responder.started:
--- a/figwalk/entry/process.py
+++ b/figwalk/entry/process.py
@@ -8,6 +8,7 @@
 import trio
 
 from figwalk.coordination.claim_writer import ClaimWriter
+from figwalk.coordination.graceful_stop import GracefulStop
 from figwalk.coordination.http_log_client import HttpLogClient
 from figwalk.coordination.lease import Lease
 from figwalk.coordination.log_client import StoredRecord
@@ -65,6 +66,7 @@
         self._metrics = Metrics(
             settings.platform.statsd, prefix=f"figwalk.entry.{settings.process}", timer=self._timer
         )
+        self._stop = GracefulStop(self._timer)
         self._changed = Notifier()
         self._build_log_readers()
         self._build_routing()
@@ -178,7 +180,7 @@
             self._events,
             self._timer,
         )
-        common = (self._tallies, self._events, self._timer)
+        common = (self._tallies, self._events, self._timer, self._stop)
         self._caller_api = CallerApi(
             ModelCalls(self._backends, self._budget, *common),
             ServiceCalls(self._backends, self._budget, keyed, *common),
@@ -228,8 +230,9 @@
         """Stop accepting requests, finish the running ones within the grace time, then end."""
         self._readiness.stop()
         self._events.record(Event.PROCESS_STOPPING, running=self._callers_server.active_requests)
-        with trio.move_on_after(self._settings.grace_s) as scope:
-            async with trio.open_nursery() as nursery:
+        grace_s = self._settings.grace_s
+        with trio.move_on_after(grace_s) as scope:
+            async with self._stop.stopping(grace_s), trio.open_nursery() as nursery:
                 for server in (self._callers_server, self._admin_server):
                     nursery.start_soon(partial(server.drain, accept_for_s=BALANCER_NOTICE_S))
             await self._claim_writer.flush()
--- a/figwalk/entry/service_calls.py
+++ b/figwalk/entry/service_calls.py
@@ -6,6 +6,7 @@
 import re
 import urllib.parse
 
+from figwalk.coordination.graceful_stop import GracefulStop
 from figwalk.coordination.retry_budget import RetryBudget
 from figwalk.coordination.router import RouteRequest
 from figwalk.entry.attempt_plan import AttemptPlan
@@ -44,7 +45,9 @@
         tallies: Tallies,
         events: EventLog,
         timer: Timer,
+        stop: GracefulStop,
     ) -> None:
+        self._stop = stop
         self._backends = backends
         self._budget = budget
         self._keyed = keyed
@@ -73,10 +76,25 @@
         plan = self._plan(request, name)
         try:
             if _needs_key(service, http.method, target):
-                await self._serve_keyed(request, responder, name, service, target, plan)
+                await self._stop.run_call(
+                    lambda: responder.started,
+                    self._serve_keyed,
+                    request,
+                    responder,
+                    name,
+                    service,
+                    target,
+                    plan,
+                )
             else:
-                await responder.run_while_connected(
-                    self._serve_repeatable, request, responder, target, plan
+                await self._stop.run_call(
+                    lambda: responder.started,
+                    responder.run_while_connected,
+                    self._serve_repeatable,
+                    request,
+                    responder,
+                    target,
+                    plan,
                 )
         except RefusalError as error:
             self._tallies.record_refusal(error.code)
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -4,7 +4,6 @@
 
 import random
 from collections.abc import Callable
-from functools import partial
 
 import trio
 
@@ -214,10 +213,8 @@
         self._duties.resign()
         drain_s = self._settings.grace_s - STOP_MARGIN_S - self._duties.stop_s
         with trio.move_on_after(drain_s) as scope:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(partial(self._stop.run, drain_s, accept_s=LAST_REQUEST_S))
+            async with self._stop.stopping(drain_s, accept_s=LAST_REQUEST_S):
                 await self._callers.drain(accept_for_s=BALANCER_NOTICE_S)
-                nursery.cancel_scope.cancel()
         if scope.cancelled_caught:
             self._events.record(Event.PROCESS_STOP_CUT, active=self._callers.active_requests)
         else:
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -6,6 +6,7 @@
 import attrs
 import trio
 
+from figwalk.coordination.graceful_stop import GracefulStop
 from figwalk.coordination.retry_budget import RetryBudget
 from figwalk.coordination.router import Choice
 from figwalk.entry.caller_api import CallerApi
@@ -146,7 +147,8 @@
         self.ready = True
         budget = RetryBudget(self.timer, ratio=retry_ratio)
         self.keyed = FakeKeyed(keyed)
-        common = (self.tallies, self.events, self.timer)
+        self.stop = GracefulStop(self.timer)
+        common = (self.tallies, self.events, self.timer, self.stop)
         self.api = CallerApi(
             ModelCalls(self.backends, budget, *common),
             ServiceCalls(self.backends, budget, self.keyed, *common),
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -274,6 +274,50 @@
     api_test(first, Script(headers=SSE, chunks=[DONE]), check=check)
 
 
+@pytest.mark.parametrize(
+    ("method", "path", "body"),
+    [
+        ("POST", CHAT_PATH, CHAT),
+        ("POST", CHAT_PATH, STREAM),
+        ("GET", "/services/depot/stock/x", b""),
+    ],
+    ids=["buffered", "stream", "service"],
+)
+def test_call_without_an_answer_at_the_end_of_a_stop_gets_a_final_one(method, path, body):
+    """Guards against a caller whose connection ends without an answer, and who can't tell why."""
+
+    async def check(api):
+        async def stop():
+            while not api.backends.calls:
+                await trio.sleep(0)
+            async with api.stop.stopping(0.3):
+                await api.server.drain()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop)
+            response, data = await api.client.fetch(method, path, body=body)
+        assert response.status == 504
+        assert error_of(data)["code"] == "stopping"
+        assert error_of(data)["outcome"] == "outcome_unknown"
+        assert len(api.backends.calls) == 1
+
+    api_test(Script(waits=True), Script(), check=check)
+
+
+def test_call_that_comes_late_in_a_stop_is_refused_as_not_run():
+    """Guards against a call that is sent so late in the grace time that it is cut."""
+
+    async def check(api):
+        async with api.stop.stopping(20.0, accept_s=-1.0):
+            response, data = await api.client.fetch("POST", CHAT_PATH, body=CHAT)
+        assert response.status == 503
+        assert error_of(data)["code"] == "stopping"
+        assert error_of(data)["outcome"] == "not_run"
+        assert not api.backends.calls
+
+    api_test(Script(), check=check)
+
+
 def test_retry_needs_budget():
     """Guards against retries that make an overload worse."""
 
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -228,3 +228,18 @@
         running.handles[ENTRY].terminate()
         assert running.wait_end(ENTRY) == 0
         assert running.events(ENTRY)[-1] == "PROCESS_STOP_CUT"
+
+
+def test_order_without_an_answer_at_the_end_of_a_stop_gets_a_final_one(tmp_path):
+    """Guards against a caller whose connection ends without an answer, and who can't tell why."""
+    with DeploymentThread(tmp_path, grace_s=2) as running:
+        entry, log = running.address(ENTRY, "callers"), running.address("log", "http")
+        call(running.address("depot-1", "http"), "POST", "/faults", {"delay_ms": 20_000})
+        statuses = []
+        ordering = threading.Thread(target=place_order, args=(entry, statuses))
+        ordering.start()
+        wait_for_claim_record(log, "claims")
+        running.handles[ENTRY].terminate()
+        ordering.join()
+        assert running.wait_end(ENTRY) == 0
+    assert statuses == [504]
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -2,6 +2,7 @@
 import trio
 from trio.testing import MockClock
 
+from figwalk.coordination.graceful_stop import GracefulStop
 from figwalk.coordination.retry_budget import RetryBudget
 from figwalk.coordination.router import Choice
 from figwalk.entry.attempt_target import Target
@@ -148,7 +149,8 @@
         pool = _FakePool(fleet, reply or _FakeReply())
         tallies = Tallies(Metrics(None, prefix="entry", timer=timer), timer)
         events = EventLog("entry-1", timer)
-        calls = ModelCalls(backends(fleet, pool), RetryBudget(timer), tallies, events, timer)
+        stop = GracefulStop(timer)
+        calls = ModelCalls(backends(fleet, pool), RetryBudget(timer), tallies, events, timer, stop)
         request = HttpRequest("POST", "/v1/completions", list(headers), body)
         await calls.serve(request, responder or _FakeResponder())
         return fleet, pool, tallies, len(body)
