Reset the connection of an HTTP/1.0 caller whose stream breaks off

Cause: the missing last chunk marks a broken response only from HTTP/1.1 on.

Evidence: test_stream_to_a_caller_of_http_1_0_looks_complete_only_if_it_is failed before, the connection ended like that of a whole stream. From the start of such a response until it is finished, SO_LINGER now has the kernel reset the connection however it closes, also if the process ends; and the server does not shut down sending before. Callers of HTTP/1.1 are served as before.

--- a/figwalk/transport/http_server.py
+++ b/figwalk/transport/http_server.py
@@ -242,6 +242,8 @@
                 await self._answer(request, responder)
             finally:
                 self._active_requests -= 1
+        if responder.started and not responder.finished and responder.ends_with_connection:
+            return _AfterRequest.CLOSE  # Resets the connection; an orderly end would look complete.
         if not responder.finished or connection.our_state is h11.MUST_CLOSE:
             return _AfterRequest.LINGER
         # A response that started before a drain has no `Connection: close`, so that the client may
--- a/figwalk/transport/responder.py
+++ b/figwalk/transport/responder.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -20,6 +22,8 @@
 JSON_HEADER = (b"content-type", b"application/json")
 CLOSE_HEADER = (b"connection", b"close")
 _END_OF_MESSAGE = h11.EndOfMessage()
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_NO_RESET_ON_CLOSE = struct.pack("ii", 0, 0)
 
 
 class Responder:
@@ -76,6 +80,12 @@
         """Whether the complete response has been sent."""
         return self._finished
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the client knows the end of a streamed response by that of the connection."""
+        version = self._connection.their_http_version
+        return version is not None and version < b"1.1"
+
     async def send(self, status: int, headers: Headers, body: bytes = b"") -> None:
         """Send a complete response."""
         headers = [*headers, (b"content-length", str(len(body)).encode()), *self._closing_header()]
@@ -98,6 +108,9 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Send the status and headers of a streamed response."""
         self._started = True
+        if self.ends_with_connection:
+            # However the connection ends now, the client does not take that for the body's end.
+            self._set_linger(_RESET_ON_CLOSE)
         headers = [*headers, *self._closing_header()]
         await self._write(
             self._connection.send(h11.Response(status_code=status, headers=headers)) or b""
@@ -110,6 +123,8 @@
     async def finish(self) -> None:
         """End a streamed response, which marks it as complete for the client."""
         await self._write(self._connection.send(_END_OF_MESSAGE) or b"")
+        if self.ends_with_connection:
+            self._set_linger(_NO_RESET_ON_CLOSE)
         self._finished = True
 
     async def run_while_connected(
@@ -179,6 +194,9 @@
     def _closing_header(self) -> Headers:
         return [CLOSE_HEADER] if self._closing() else []
 
+    def _set_linger(self, option: bytes) -> None:
+        self._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+
     async def _write(self, data: bytes) -> None:
         if self._write_incomplete:
             raise ClientDisconnectedError("an earlier write to the client was interrupted")
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -8,7 +8,16 @@
 import h11
 import pytest
 import trio
-from support.platform_fakes import HOST, answering, run_test, running_fleet
+from support.platform_fakes import (
+    HEAD,
+    HOST,
+    answering,
+    chunk,
+    event,
+    make_request,
+    run_test,
+    running_fleet,
+)
 
 from figwalk.errors import HttpError
 from figwalk.transport import HttpClient, HttpRequest
@@ -232,3 +241,38 @@
             assert len(server.calls) == 2 * PLAYS
 
     run_test(main)
+
+
+@pytest.mark.parametrize("breaks", [True, False], ids=["broken", "whole"])
+def test_stream_to_a_caller_of_http_1_0_looks_complete_only_if_it_is(breaks):
+    """Guards against a part of a stream that ends like a whole one.
+
+    A caller of HTTP/1.0 knows no chunks and takes the end of the connection for that of the body.
+    """
+
+    async def script(_backend, stream, request):
+        await stream.send_all(HEAD.format(request.call_id).encode() + chunk(event(1)))
+        if not breaks:
+            await stream.send_all(b"0\r\n\r\n")
+        await stream.aclose()
+        return False
+
+    async def main():
+        async with running_fleet() as fleet:
+            fleet.publish(make_config())
+            await fleet.add_backend("e1", script, "lm", stage="decode")
+            await fleet.start_gateway()
+            request = make_request("/chat/x", method="POST", body=b"1")
+            stream = await trio.open_tcp_stream(fleet.callers.host, fleet.callers.port)
+            async with stream:
+                await stream.send_all(request.replace(b"HTTP/1.1", b"HTTP/1.0"))
+                data, was_reset = b"", False
+                try:
+                    while piece := await stream.receive_some(4096):
+                        data += piece
+                except trio.BrokenResourceError:
+                    was_reset = True
+            assert was_reset == breaks
+            assert breaks or data.endswith(event(1))
+
+    run_test(main)
