Play resets during uploads against a real gateway process

The servers that answer an upload early move to tests/support, and a gateway process is asked 40 times, as callers do.

--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -2,7 +2,6 @@
 
 import os
 import socket
-import struct
 from contextlib import asynccontextmanager
 
 import h11
@@ -18,47 +17,27 @@
     run_test,
     running_fleet,
 )
+from support.upload_server import (
+    PLAYS,
+    UNFRAMED,
+    UPLOAD_BYTES,
+    UploadServer,
+    answer_and_reset,
+    reset,
+    serve_slowly,
+)
 
 from figwalk.errors import HttpError
 from figwalk.transport import HttpClient, HttpRequest
 from figwalk.transport.byte_stream import ByteStream
 from standins.platform_config import make_config
 
-# The reset is noticed by the writer or by the reader of a connection, whichever runs first.
-PLAYS = 40
-UNFRAMED = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: 1\r\n\r\n"
-# Larger than what the buffers of two sockets hold, so that the upload is still being written.
-UPLOAD_BYTES = 12 * 1024 * 1024
-SMALL_BUFFER_BYTES = 4096
-
-
-def reset(sock):
-    """Close a socket so that its peer receives a reset."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    sock.close()
-
-
-async def answer_and_reset(stream, answer, pause_s=0.0):
-    """Send an answer, and reset the connection at once or after a pause.
-
-    Without a pause no other task runs in between, so that the peer finds both when it runs next.
-    """
-    os.write(stream.socket.fileno(), answer)
-    if pause_s:
-        await trio.sleep(pause_s)
-    reset(stream.socket)
-
 
 @asynccontextmanager
 async def serving(handle):
     """Run a server whose receive buffers are small; yield its port."""
-    listener = trio.socket.socket()
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
-    await listener.bind((HOST, 0))
-    listener.listen()
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(trio.serve_listeners, handle, [trio.SocketListener(listener)])
-        yield listener.getsockname()[1]
+        yield await nursery.start(serve_slowly, handle)
         nursery.cancel_scope.cancel()
 
 
@@ -153,37 +132,6 @@
     run_test(test)
 
 
-class UploadServer:
-    """Resets the first connection of each call after part of an answer; answers a repeat in full.
-
-    Args:
-        part: What of the body precedes the reset.
-    """
-
-    def __init__(self, part):
-        self.part = part
-        self.calls = []
-
-    async def handle(self, stream):
-        """Serve one request."""
-        data = b""
-        while b"\r\n\r\n" not in data:
-            # A small read leaves most of the upload in the buffers, as a busy server does.
-            if not (piece := await stream.receive_some(1024)):
-                return  # The gateway opened a connection that no call needed.
-            data += piece
-        head, _, body = data.partition(b"\r\n\r\n")
-        call_id = head.lower().partition(b"request-id: ")[2].partition(b"\r\n")[0]
-        self.calls.append(call_id)
-        if self.calls.count(call_id) == 1:
-            await answer_and_reset(stream, UNFRAMED % call_id + self.part)
-            return
-        received = len(body)
-        while received < UPLOAD_BYTES:
-            received += len(await stream.receive_some(65536))
-        await stream.send_all(UNFRAMED % call_id + b"whole")
-
-
 @asynccontextmanager
 async def uploading_fleet(part, service, **fields):
     """Run a gateway in front of two backend servers that share an `UploadServer`."""
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -9,6 +9,7 @@
 import pytest
 import trio
 from support.platform_fakes import fetch, make_request
+from support.upload_server import PLAYS, UPLOAD_BYTES, UploadServer, serve_slowly
 
 from figwalk.state.settings import Address
 from figwalk.transport import HttpClient
@@ -22,12 +23,12 @@
 
 
 @asynccontextmanager
-async def running_deployment(**options):
+async def running_deployment(*, route=None, **options):
     """Run a gateway, a plain service and three engines as processes."""
     with tempfile.TemporaryDirectory() as name, trio.fail_after(90):
         async with Launcher(Path(name)) as launcher:
             plan = make_plan(**{"gateways": 1, "services": 2, "engines": 3} | options)
-            deployment = PlatformDeployment(plan, launcher, Path(name))
+            deployment = PlatformDeployment(plan, launcher, Path(name), route=route)
             await deployment.start()
             yield deployment
 
@@ -227,3 +228,34 @@
             await wait_route(4)
 
     trio.run(main)
+
+
+def test_reset_during_an_upload_gives_no_caller_part_of_an_answer():
+    """Guards against part of an answer that is taken for the whole one, in a real gateway."""
+    server = UploadServer(b"part")
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+
+            async def route(name, address):
+                if name != "orders-0":
+                    return address
+                port = await nursery.start(serve_slowly, server.handle, address.host)
+                return Address(address.host, port)
+
+            async with running_deployment(services=1, engines=0, route=route) as deployment:
+                limits = make_config()["limits"] | {"max-body-bytes": UPLOAD_BYTES}
+                await deployment.publish(make_config(2, limits=limits))
+                body = b"x" * UPLOAD_BYTES
+                while (await call(deployment, "/order/x", method="POST", body=body))[0] == 413:
+                    await trio.sleep(0.05)
+                for i in range(PLAYS):
+                    status, _, _ = await call(
+                        deployment, "/order/x", method="POST", body=body, call_id=f"u{i}"
+                    )
+                    assert status in (502, 503)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert len(server.calls) == len(set(server.calls))
+    assert len(server.calls) >= PLAYS // 2
