Let agents forward answers of up to 32 MiB

The limit of buffered answers does not fit an agent, which passes pieces on at the pace of the entry.

--- a/figwalk/agent/call_server.py
+++ b/figwalk/agent/call_server.py
@@ -27,10 +27,11 @@
 from figwalk.protocol.messages import Answer, Call, End, Hello, Refusal
 from figwalk.timer import MS_PER_S, Timer
 from figwalk.transport import HttpConnectError, HttpResponse, strip_hop_by_hop
-from figwalk.transport.http_client import MAX_RESPONSE_BYTES
 
 HTTP_SERVICE_UNAVAILABLE = 503
 CANCEL_TIMEOUT_S = 2.0
+# The entry keeps an answer that is no stream until it is complete.
+MAX_FORWARDED_BYTES = 32 * 1024 * 1024
 # Limit for sending the last frames of calls that were cut.
 LAST_FRAMES_TIMEOUT_S = 2.0
 _USAGE_TAIL_BYTES = 512
@@ -292,7 +293,7 @@
             await self._forward_events(attempt, ticket, response, session)
             return
         tail = b""
-        async for data in response.chunks(MAX_RESPONSE_BYTES):
+        async for data in response.chunks(MAX_FORWARDED_BYTES):
             if not ticket.first_byte_at:
                 ticket.first_byte_at = self._timer.now()
             if kept is not None:
