Test broken answers to agents, entries, log and operator clients

What callers saw: before, callers of an entry also got part of an answer as the whole one (200 'part' for a repeatable call, a receipt for an order), since agents read answers through the same client. Likewise an append to the log or to the store, and a publication by an operator, counted as accepted if the answer was reset during the upload.

It was shown for gateways and for the client only.

Why this works: the answer and the reset are both sent before another task runs, 40 times for each kind of call, behind a real agent and a real entry. The number of calls that the backend server received shows that an order is sent once, and that only a repeatable call goes to another server.

--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -27,11 +27,20 @@
     serve_slowly,
 )
 
-from figwalk.errors import HttpError
+from figwalk.cli.admin_client import AdminClient
+from figwalk.cli.errors import AdminAnswerLostError
+from figwalk.coordination.http_log_client import HttpLogClient
+from figwalk.errors import HttpError, LogAnswerLostError, LogUnavailableError
+from figwalk.platform import PlatformStore
+from figwalk.protocol.records import Change
+from figwalk.state.settings import Address
 from figwalk.transport import HttpClient, HttpRequest
 from figwalk.transport.byte_stream import ByteStream
 from standins.platform_config import make_config
 
+# Above what is sent before the response is received, and what the buffers of two sockets hold.
+RECORD_BYTES = 256 * 1024
+
 
 @asynccontextmanager
 async def serving(handle):
@@ -132,6 +141,47 @@
     run_test(test)
 
 
+async def append_to_log(port, data):
+    """Append a record as an entry does."""
+    await HttpLogClient(Address(HOST, port), timeout_s=5.0).append("claims", "r1", data)
+
+
+async def append_to_store(port, data):
+    """Append a record as a gateway does."""
+    await PlatformStore(Address(HOST, port), timeout_s=5.0).append("topic", {"key": data})
+
+
+async def publish(port, data):
+    """Publish a value as the command line does."""
+    change = Change("presets/peak", {"description": data.decode()}, 0)
+    await AdminClient(f"http://{HOST}:{port}", "token").publish([change], author="test")
+
+
+@pytest.mark.parametrize(
+    ("write", "error"),
+    [
+        (append_to_log, LogAnswerLostError),
+        (append_to_store, LogUnavailableError),
+        (publish, AdminAnswerLostError),
+    ],
+    ids=["log", "store", "operator"],
+)
+def test_write_that_is_reset_during_its_upload_is_not_confirmed(write, error):
+    """Guards against a record or a publication that is taken for accepted, and is lost."""
+
+    async def test():
+        async def handle(stream):
+            await stream.receive_some(100)
+            await answer_and_reset(stream, UNFRAMED % b"c1" + b'{"offset": 1, "revision": 1}')
+
+        async with serving(handle) as port:
+            for _ in range(PLAYS):
+                with pytest.raises(error):
+                    await write(port, b"x" * RECORD_BYTES)
+
+    run_test(test)
+
+
 @asynccontextmanager
 async def uploading_fleet(part, service, **fields):
     """Run a gateway in front of two backend servers that share an `UploadServer`."""
