Reject answers with control characters in a trailer

What callers saw: the whole body of an answer, with 200, though the trailer after its last chunk held a control character in a value, so that the message was no HTTP.

Cause: h11 rejects null bytes, line ends and bad names in trailers as in heads, but accepts other control characters in values. check_response_head, which adds what h11 omits, saw heads only.

Change: the check of values is also made on the trailer, where answers are parsed. The module is named _response_checks.py, since it no longer looks at heads alone.

Why this works: h11 gives the trailer with the event that ends the body. An error there is raised before the body counts as complete.

--- a/figwalk/transport/_response_head.py
+++ b/figwalk/transport/_response_checks.py
@@ -1,8 +1,9 @@
-"""Checks the heads of responses for what RFC 9110 and RFC 9112 forbid and h11 accepts."""
+"""Checks of response heads and trailers that RFC 9110 and RFC 9112 require and h11 omits."""
 
 from __future__ import annotations
 
 import re
+from collections.abc import Iterable
 
 import h11
 
@@ -20,9 +21,10 @@
     """
     if head.status_code > MAX_STATUS:
         raise h11.RemoteProtocolError(f"status {head.status_code} is above {MAX_STATUS}")
+    if _CONTROL_CHARACTER.search(head.reason):
+        raise h11.RemoteProtocolError("the reason has a control character")
     fields = list(head.headers)
-    if _CONTROL_CHARACTER.search(b"".join([head.reason, *(value for _, value in fields)])):
-        raise h11.RemoteProtocolError("a reason or the value of a field has a control character")
+    _check_values(fields)
     if not head.http_version.startswith(b"1."):
         version = head.http_version.decode("ascii")
         raise h11.RemoteProtocolError(f"the answer is in HTTP/{version}, and not in HTTP/1.x")
@@ -33,3 +35,17 @@
             raise h11.RemoteProtocolError("the body has both a length and chunks")
         if head.http_version < b"1.1":
             raise h11.RemoteProtocolError("the body has chunks, which HTTP/1.0 does not know")
+
+
+def check_trailer(end: h11.EndOfMessage) -> None:
+    """Check that the trailer at the end of a body, if there is one, is valid.
+
+    Raises:
+        h11.RemoteProtocolError: The bytes are no trailer of HTTP/1.1.
+    """
+    _check_values(end.headers)
+
+
+def _check_values(fields: Iterable[tuple[bytes, bytes]]) -> None:
+    if _CONTROL_CHARACTER.search(b"".join([value for _, value in fields])):
+        raise h11.RemoteProtocolError("the value of a field has a control character")
--- a/figwalk/transport/http_client.py
+++ b/figwalk/transport/http_client.py
@@ -12,7 +12,7 @@
 import trio
 
 from figwalk.errors import HttpError
-from figwalk.transport._response_head import check_response_head
+from figwalk.transport._response_checks import check_response_head, check_trailer
 from figwalk.transport.byte_budget import ByteCharge
 from figwalk.transport.byte_stream import RECEIVE_BYTES, ByteStream
 from figwalk.transport.connection_pool import (
@@ -473,6 +473,8 @@
             event = self._h11.next_event()
             if isinstance(event, h11.InformationalResponse | h11.Response):
                 check_response_head(event)
+            elif isinstance(event, h11.EndOfMessage):
+                check_trailer(event)
         except h11.RemoteProtocolError as error:
             raise HttpError(f"{self._address} broke the HTTP exchange: {error}") from error
         return event
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -1,4 +1,4 @@
-"""Tests that an answer whose head is not HTTP/1.1 reaches no caller (RFC 9110 and RFC 9112)."""
+"""Tests that an answer that is not HTTP/1.1 reaches no caller (RFC 9110 and RFC 9112)."""
 
 from collections import Counter
 from contextlib import asynccontextmanager
@@ -57,6 +57,11 @@
     "blank in a name of an informational answer": b"HTTP/1.1 103 X\r\nX Y: 1\r\n\r\n"
     + field(b"X: 1"),
     "blank in a name of a trailer": OK + FIELDS + CHUNKED + CHUNKS[:-2] + b"X Y: 1\r\n\r\n",
+    "control byte in a value of a trailer": OK
+    + FIELDS
+    + CHUNKED
+    + CHUNKS[:-2]
+    + b"X: a\x01b\r\n\r\n",
     "null byte in a value": field(b"X: a\x00b"),
     "carriage return in a value": field(b"X: a\rb"),
     "control byte in a value": field(b"X: a\x01b"),
@@ -90,6 +95,7 @@
 SOUND = {
     "length": OK + FIELDS + LENGTH + BODY,
     "chunks": OK + FIELDS + CHUNKED + CHUNKS,
+    "trailer": OK + FIELDS + CHUNKED + CHUNKS[:-2] + b"X: 1\r\n\r\n",
     "end of the connection": OK + FIELDS + BODY,
     "HTTP/1.0": b"HTTP/1.0 200 OK\r\n" + FIELDS + BODY,
     "no reason": b"HTTP/1.1 200\r\n" + FIELDS + LENGTH + BODY,
