Bound all bytes that an entry holds

What callers saw: the calls of all callers of an entry ended when a faulty backend server sent answers without end, since the entry's process outgrew the memory of its VM.

Cause: since one answer is bounded, by 32 MiB, but not all answers that an entry collects at the same time, nor the events of all its streams (8 MiB each) and the bodies of its callers' requests.

A VM has 300 MB.

Change: the callers' server of an entry has a ByteBudget (setting max_held_mb, 100), as that of a gateway. Answers that are kept and transcripts of streams count against it. A large answer without room is cut and logged; a stream without room goes on, but can't be resumed.

Why this works: each byte is charged before it is kept, and released when the request ends or its answer is given up. Cutting instead of waiting lets none of such answers hold up others; the first 64 KiB of each are always admitted, so that usual answers pass in the meantime.

--- a/figwalk/entry/call_pool.py
+++ b/figwalk/entry/call_pool.py
@@ -17,8 +17,11 @@
 from figwalk.protocol.messages import Answer, Call, ConnectionKind, End, Refusal
 from figwalk.protocol.peer_connection import AnswerData, PeerConnection
 from figwalk.state.settings import Address
+from figwalk.transport import ByteCharge
 
 MAX_IDLE_CONNECTIONS = 128
+# So much of an answer is kept even without room: most answers are smaller, and end soon.
+SMALL_ANSWER_BYTES = 64 * 1024
 
 
 class AgentRefusalError(RefusalError):
@@ -100,9 +103,38 @@
             else:
                 raise MalformedFrameError(f"unexpected {type(message).__name__} in an answer")
 
-    async def read(self) -> bytes:
-        """Receive the whole body."""
-        return b"".join([chunk async for chunk in self.chunks()])
+    async def read(self, held: ByteCharge) -> bytes:
+        """Receive the whole body.
+
+        Args:
+            held: Counts the body, until the request that it belongs to ends.
+
+        Raises:
+            ConnectionLostError: The answer is incomplete, or the process holds too many bytes.
+            TransportError: The connection carries frames of another call.
+        """
+        parts = []
+        try:
+            async for data in self.chunks():
+                if self._received_bytes <= SMALL_ANSWER_BYTES:
+                    held.add(len(data))
+                elif not held.try_add(len(data)):
+                    raise self._no_room_error()
+                parts.append(data)
+        except TransportError:
+            held.remove(sum(map(len, parts)))
+            raise
+        return b"".join(parts)
+
+    def _no_room_error(self) -> ConnectionLostError:
+        # Waiting for room instead would let answers that don't end block each other, and all
+        # others behind them, until their deadlines.
+        self._events.record(
+            Event.ANSWER_WITHOUT_ROOM,
+            request_id=self._call.request_id,
+            received_bytes=self._received_bytes,
+        )
+        return ConnectionLostError("the answer is too large for what this process holds already")
 
     def _check_complete(self, end: End) -> None:
         if end.byte_count != self._received_bytes:
--- a/figwalk/entry/keyed_call.py
+++ b/figwalk/entry/keyed_call.py
@@ -10,7 +10,7 @@
 
 from figwalk.entry.caller_request import CallerRequest
 from figwalk.errors import CallerError
-from figwalk.transport import Headers, HttpRequest
+from figwalk.transport import ByteCharge, Headers, HttpRequest
 
 KEY_HEADER = b"idempotency-key"
 MAX_KEY_LENGTH = 255
@@ -29,6 +29,7 @@
         target: Path and query at the backend server.
         key: The idempotency key.
         digest: Digest of method, target and body.
+        held: Counts the answer.
     """
 
     request: CallerRequest
@@ -36,9 +37,12 @@
     target: str
     key: str
     digest: str
+    held: ByteCharge = attrs.field(eq=False, repr=False)
 
     @classmethod
-    def from_request(cls, request: CallerRequest, *, service: str, target: str) -> KeyedCall:
+    def from_request(
+        cls, request: CallerRequest, *, service: str, target: str, held: ByteCharge
+    ) -> KeyedCall:
         """Build a keyed call from a request after checking its idempotency key.
 
         Raises:
@@ -57,7 +61,7 @@
                 "invalid_idempotency_key",
                 f"Idempotency-Key must have 1 to {MAX_KEY_LENGTH} printable ASCII characters",
             )
-        return cls(request, service, target, key, _digest(request.http, target))
+        return cls(request, service, target, key, _digest(request.http, target), held)
 
     @property
     def created_ms(self) -> int | None:
--- a/figwalk/entry/keyed_calls.py
+++ b/figwalk/entry/keyed_calls.py
@@ -185,7 +185,7 @@
             with trio.move_on_at(call.request.deadline) as scope:
                 async with target.open(self._build_call(call, claim)) as reply:
                     answer = await reply.head()
-                    body = await reply.read()
+                    body = await reply.read(call.held)
             if scope.cancelled_caught:
                 # The agent doesn't cancel the call, and stores its answer for a retry of the key.
                 raise self._build_unknown_refusal(call, "it was still running at the deadline")
--- a/figwalk/entry/model_calls.py
+++ b/figwalk/entry/model_calls.py
@@ -59,7 +59,9 @@
     model: ModelRequest
     plan: AttemptPlan
     responder: Responder
-    transcript: StreamTranscript = attrs.field(factory=StreamTranscript)
+    transcript: StreamTranscript = attrs.field(
+        default=attrs.Factory(lambda self: StreamTranscript(self.responder.held), takes_self=True)
+    )
     first_chunk_at: float = 0.0
     identity: JsonObject = attrs.field(factory=dict)
 
@@ -179,7 +181,7 @@
         try:
             async with target.open(self._build_call(call, target)) as reply:
                 answer = await reply.head()
-                body = await reply.read()
+                body = await reply.read(call.responder.held)
                 _check_status(answer)
         except ClientDisconnectedError:
             raise
@@ -234,7 +236,8 @@
                 answer = await reply.head()
                 _check_status(answer)
                 if not find_header(answer.headers, b"content-type").startswith(EVENT_STREAM_TYPE):
-                    await self._forward_error(call, answer, await reply.read())
+                    body = await reply.read(call.responder.held)
+                    await self._forward_error(call, answer, body)
                     return True
                 await self._start_stream(call, answer)
                 async for data in reply.chunks():
--- a/figwalk/entry/process.py
+++ b/figwalk/entry/process.py
@@ -39,7 +39,7 @@
 from figwalk.state.notifier import Notifier
 from figwalk.state.settings import EntrySettings
 from figwalk.timer import Timer
-from figwalk.transport import HttpClient, HttpServer
+from figwalk.transport import ByteBudget, HttpClient, HttpServer
 from figwalk.transport.listening import open_listeners
 
 INCARNATION_BITS = 64
@@ -188,7 +188,10 @@
             self._readiness.is_ready,
         )
         self._callers_server = HttpServer(
-            self._caller_api.handle, self._events, limits=settings.limits
+            self._caller_api.handle,
+            self._events,
+            limits=settings.limits,
+            budget=ByteBudget(settings.max_held_bytes),
         )
         self._admin_api = AdminApi(
             settings.admin_token,
@@ -225,6 +228,7 @@
                 nursery.start_soon(task)
             await self._listen(nursery)
             self._events.record(Event.PROCESS_STARTED, process_kind="entry")
+            self._events.record(Event.HELD_BYTES_BOUND, limit=self._settings.max_held_bytes)
 
     async def stop(self) -> None:
         """Stop accepting requests, finish the running ones within the grace time, then end."""
--- a/figwalk/entry/service_calls.py
+++ b/figwalk/entry/service_calls.py
@@ -124,7 +124,7 @@
         target: str,
         plan: AttemptPlan,
     ) -> None:
-        call = KeyedCall.from_request(request, service=name, target=target)
+        call = KeyedCall.from_request(request, service=name, target=target, held=responder.held)
         answer = await self._keyed.run(call, plan)
         headers = [*answer.headers, request.id_header]
         if answer.replayed:
@@ -165,7 +165,7 @@
         try:
             async with chosen.open(call) as reply:
                 answer = await reply.head()
-                body = await reply.read()
+                body = await reply.read(responder.held)
         except RefusalError as error:
             plan.record_refusal(error)
             return False
--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -60,6 +60,11 @@
         "Another process holds the peer port; this one waits until it is free.",
     )
     ANSWER_MISMATCH = (206, "error", "An answer frame contained the identifier of another call.")
+    ANSWER_WITHOUT_ROOM = (
+        208,
+        "warning",
+        "A large answer was not received to its end, since too many bytes are held.",
+    )
 
     REQUEST_RECEIVED = (300, "debug", "A caller's request was accepted for routing.")
     REQUEST_ROUTED = (301, "debug", "A backend server was chosen for a request.")
--- a/figwalk/protocol/chat.py
+++ b/figwalk/protocol/chat.py
@@ -9,6 +9,7 @@
 from figwalk.errors import CallerError
 from figwalk.protocol.prefix import estimate_tokens, hash_prefix_pieces
 from figwalk.state.published import ServiceConfig
+from figwalk.transport import ByteCharge
 
 CHAT_PATH = "/v1/chat/completions"
 COMPLETIONS_PATH = "/v1/completions"
@@ -166,22 +167,32 @@
 class StreamTranscript:
     """Server-sent events already sent to a caller, kept to resume an interrupted stream.
 
-    Above `MAX_TRANSCRIPT_BYTES` the events are no longer kept, so that a stream without end does
-    not exhaust the memory of the process.
+    Above `MAX_TRANSCRIPT_BYTES`, or without room, the events are no longer kept, so that streams
+    without end do not exhaust the memory of the process.
+
+    Args:
+        held: Counts the events that are kept.
     """
 
+    _held: ByteCharge
     _events: list[bytes] = attrs.field(factory=list)
     _last: bytes = b""
     _size_bytes: int = 0
+    _resumable: bool = True
 
     def add(self, data: bytes) -> None:
         """Append complete events."""
+        kept_bytes = self._size_bytes
         self._last = data
         self._size_bytes += len(data)
-        if self.resumable:
+        if not self._resumable:
+            return
+        if self._size_bytes <= MAX_TRANSCRIPT_BYTES and self._held.try_add(len(data)):
             self._events.append(data)
-        else:
-            self._events.clear()
+            return
+        self._resumable = False
+        self._events.clear()
+        self._held.remove(kept_bytes)
 
     @property
     def empty(self) -> bool:
@@ -191,7 +202,7 @@
     @property
     def resumable(self) -> bool:
         """Whether all events are kept."""
-        return self._size_bytes <= MAX_TRANSCRIPT_BYTES
+        return self._resumable
 
     @property
     def done(self) -> bool:
--- a/figwalk/state/_structuring.py
+++ b/figwalk/state/_structuring.py
@@ -67,6 +67,7 @@
         "max_body_bytes",
         "max_connections",
         "max_header_bytes",
+        "max_held_mb",
         "max_output_tokens",
         "max_prompt_tokens",
         "max_running",
--- a/figwalk/state/gateway_settings.py
+++ b/figwalk/state/gateway_settings.py
@@ -5,7 +5,7 @@
 import attrs
 
 from figwalk.protocol.messages import Role
-from figwalk.state.settings import Address
+from figwalk.state.settings import BYTES_PER_MB, Address
 from figwalk.timer import MS_PER_S
 
 # Fractions of a deadline after which the store is read again. Calls to the store are billed, so
@@ -19,7 +19,6 @@
 HELD_MEMORY_SHARE = 0.5
 # Three bodies of the largest size that the users allow.
 MIN_HELD_MB = 12.0
-BYTES_PER_MB = 1_000_000
 
 
 @attrs.frozen
--- a/figwalk/state/settings.py
+++ b/figwalk/state/settings.py
@@ -9,6 +9,8 @@
 
 from figwalk.transport.http_types import HttpLimits
 
+BYTES_PER_MB = 1_000_000
+
 
 @attrs.frozen
 class Address:
@@ -57,6 +59,8 @@
         grace_s: Seconds that running requests may still take after SIGTERM.
         lease_ttl_s: Seconds after which the controller lease expires without renewal.
         report_timeout_s: Seconds without a report after which a backend server is avoided.
+        max_held_mb: Largest size of all requests and answers that the process holds together, in
+            MB.
         log_format: `json` or `console`.
     """
 
@@ -72,8 +76,14 @@
     grace_s: float = 60.0
     lease_ttl_s: float = 5.0
     report_timeout_s: float = 1.0
+    max_held_mb: float = 100.0
     log_format: str = "json"
 
+    @property
+    def max_held_bytes(self) -> int:
+        """Largest number of bytes of all requests and answers that the process holds."""
+        return int(self.max_held_mb * BYTES_PER_MB)
+
 
 @attrs.frozen
 class BackendSettings:
--- a/figwalk/transport/byte_budget.py
+++ b/figwalk/transport/byte_budget.py
@@ -144,6 +144,13 @@
         self.add(size)
         return True
 
+    def try_add(self, size: int) -> bool:
+        """Charge bytes if there is room; return whether there was."""
+        if not self._budget.fits(size):
+            return False
+        self.add(size)
+        return True
+
     async def add_when_free(self, size: int) -> None:
         """Charge bytes before they are received; wait while there is no room."""
         await self._budget.wait_for_room(self, size)
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -55,7 +55,7 @@
         if self.breaks:
             raise ConnectionLostError("backend server lost")
 
-    async def read(self):
+    async def read(self, _held):
         return b"".join([chunk async for chunk in self.chunk_list()])
 
 
--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -13,6 +13,7 @@
     rewrite_identity,
 )
 from figwalk.state.published import ServiceConfig
+from figwalk.transport import ByteBudget
 
 USER = {"role": "user", "content": "hi"}
 CHAT = {"model": "m", "messages": [USER]}
@@ -109,7 +110,7 @@
 
 def test_transcript_above_its_bound_keeps_no_events():
     """Guards against a stream without end that exhausts the memory of an entry."""
-    transcript = StreamTranscript()
+    transcript = StreamTranscript(ByteBudget().open_charge())
     tracemalloc.start()
     try:
         for _ in range(3 * MAX_TRANSCRIPT_BYTES // BIG_EVENT_BYTES):
@@ -124,9 +125,24 @@
     assert transcript.done
 
 
+def test_transcript_without_room_releases_its_events():
+    """Guards against streams that together exhaust the memory of an entry."""
+    budget = ByteBudget(limit=3 * len(FIRST))
+    first, second = (StreamTranscript(budget.open_charge()) for _ in range(2))
+    first.add(FIRST)
+    second.add(FIRST)
+    second.add(FIRST + FIRST)
+    assert first.resumable
+    assert not second.resumable
+    assert budget.held == len(FIRST)
+    second.add(SECOND + DONE)
+    assert second.done
+    assert budget.held == len(FIRST)
+
+
 def test_transcript_returns_tokens_and_identity_for_resuming():
     """Guards against a resumed stream that repeats or drops text, or changes its id."""
-    transcript = StreamTranscript()
+    transcript = StreamTranscript(ByteBudget().open_charge())
     assert transcript.empty
     role = b'data: {"id": "a", "created": 1, "choices": [{"delta": {"role": "assistant"}}]}\n\n'
     completion = b'data: {"id": "a", "choices": [{"text": "z"}]}\n\n'
@@ -151,7 +167,7 @@
 def test_comments_and_event_names_are_not_parsed_as_json():
     """Guards against a keep-alive comment that prevents its stream from being resumed."""
     named = b": ping\n\nevent: chunk\n" + FIRST
-    transcript = StreamTranscript()
+    transcript = StreamTranscript(ByteBudget().open_charge())
     transcript.add(named)
     assert transcript.tokens() == ["x"]
     assert rewrite_identity(b": ping\n\n" + DONE, {"id": "a"}) == b": ping\n\n" + DONE
--- a/tests/test_entry_links.py
+++ b/tests/test_entry_links.py
@@ -11,7 +11,12 @@
 
 from figwalk.entry import agent_link
 from figwalk.entry.agent_link import AgentLink, LinkOwner
-from figwalk.entry.call_pool import AgentRefusalError, CallPool, NotSentError
+from figwalk.entry.call_pool import (
+    SMALL_ANSWER_BYTES,
+    AgentRefusalError,
+    CallPool,
+    NotSentError,
+)
 from figwalk.errors import CallOutcome, ConnectionLostError, LogUnavailableError, TransportError
 from figwalk.events import EventLog
 from figwalk.protocol.messages import (
@@ -36,6 +41,7 @@
 from figwalk.state.notifier import Notifier
 from figwalk.state.settings import Address
 from figwalk.timer import Timer
+from figwalk.transport import ByteBudget
 
 AGENT_HELLO = Hello(ConnectionKind.CONTROL, "agent-1", 7, backend="llm-1", service="llm")
 
@@ -145,7 +151,7 @@
     return Call(call_id, "r1", "POST", "/x")
 
 
-async def read_answer(agent, frames):
+async def read_answer(agent, frames, budget=None):
     """Send a call that the agent answers with `frames`, and return the complete body."""
 
     async def reply():
@@ -160,7 +166,7 @@
     agent.nursery.start_soon(reply)
     async with agent.pool.open(call()) as answer:
         await answer.head()
-        return await answer.read()
+        return await answer.read((budget or ByteBudget()).open_charge())
 
 
 HEAD = Answer(1, 200)
@@ -194,6 +200,26 @@
     run()
 
 
+@pytest.mark.parametrize("size", [SMALL_ANSWER_BYTES, SMALL_ANSWER_BYTES + 1])
+def test_answer_without_room_is_received_only_if_it_is_small(size):
+    """Guards against answers that exhaust the memory, and against small ones that others block."""
+    budget = ByteBudget(limit=2 * SMALL_ANSWER_BYTES)
+    budget.open_charge().add(2 * SMALL_ANSWER_BYTES)
+    frames = [HEAD, (1, b"x" * (size - 1)), (1, b"x"), End(1, size, True)]
+
+    @link_test
+    async def run(agent):
+        if size == SMALL_ANSWER_BYTES:
+            assert len(await read_answer(agent, frames, budget)) == size
+            return
+        with pytest.raises(ConnectionLostError, match="too large"):
+            await read_answer(agent, frames, budget)
+        assert agent.names() == ["ANSWER_WITHOUT_ROOM"]
+        assert budget.held == 2 * SMALL_ANSWER_BYTES
+
+    run()
+
+
 @link_test
 async def test_connection_is_reused_after_a_complete_answer_or_refusal(agent):
     """Guards against a new connection per call, and an incomplete answer treated as complete."""
@@ -214,12 +240,12 @@
     assert caught.value.outcome is CallOutcome.NOT_RUN
     async with agent.pool.open(call()) as reply:
         await reply.head()
-        assert await reply.read() == b""
+        assert await reply.read(ByteBudget().open_charge()) == b""
         assert reply.complete
     with pytest.raises(ConnectionLostError, match="ended before its end"):
         async with agent.pool.open(call()) as reply:
             await reply.head()
-            await reply.read()
+            await reply.read(ByteBudget().open_charge())
 
 
 @link_test
--- a/tests/test_failures_broken_answers.py
+++ b/tests/test_failures_broken_answers.py
@@ -1,6 +1,7 @@
 """Backend servers whose answers are broken, behind real agents and entries (invariants 4 and 6)."""
 
 import json
+from pathlib import Path
 from types import SimpleNamespace
 
 import trio
@@ -23,6 +24,12 @@
 UPLOAD = b'{"pad": "%s"}' % (b"x" * 512 * 1024)
 UNFRAMED = b"HTTP/1.1 200 OK\r\nContent-Type: %s\r\nX-Request-Id: %s\r\n\r\n"
 EVENT = b'data: {"id": "1", "choices": [{"index": 0, "delta": {"content": "t1"}}]}\n\n'
+# Memory of an entry's VM at the current deployments.
+VM_MEMORY_MB = 300
+ENDLESS_CALLS = 24
+# The server stops after this, so that a client without a bound fails a test instead of exhausting
+# the memory of the machine.
+MAX_ENDLESS_BYTES = 96 * 1024 * 1024
 # One retry for each call, which the retry budget would not allow by default.
 PUBLISHED = CONFIGURATION | {
     "presets/ordinary": {"role_policy": "fixed", "retry_ratio": 1.0},
@@ -183,3 +190,42 @@
         assert depot_1.calls == len(FORMS)
 
     run_with_servers(tmp_path, test, depot_1=script)
+
+
+async def answer_without_end(stream, call_id, _path):
+    """Send chunks until the agent closes the connection."""
+    fields = b"Transfer-Encoding: chunked\r\nX-Request-Id: %s\r\n\r\n" % call_id
+    await stream.send_all(b"HTTP/1.1 200 OK\r\n" + fields)
+    piece = b"x" * 65536
+    try:
+        for _ in range(MAX_ENDLESS_BYTES // len(piece)):
+            await stream.send_all(b"%x\r\n%s\r\n" % (len(piece), piece))
+    except trio.BrokenResourceError:
+        pass
+
+
+def read_peak_memory_mb(pid):
+    """Return the largest resident size that a process has had so far."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(status.partition("VmHWM:")[2].split()[0]) / 1024
+
+
+def test_answers_without_end_do_not_exhaust_the_memory_of_an_entry(tmp_path):
+    """Guards against a faulty server that ends the calls of all callers of an entry."""
+
+    async def test(fleet, depot_1):
+        statuses = []
+
+        async def call():
+            answer = await fleet.caller().call("GET", f"/services/{SERVICE}/check")
+            statuses.append(answer.status)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(ENDLESS_CALLS):
+                nursery.start_soon(call)
+        assert min(statuses) >= 500
+        assert depot_1.calls >= ENDLESS_CALLS
+        for handle in (fleet.entries["entry-1"], fleet.agents["depot-1"]):
+            assert read_peak_memory_mb(handle.pid) < VM_MEMORY_MB
+
+    run_with_servers(tmp_path, test, depot_1=answer_without_end)
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -15,7 +15,7 @@
 from figwalk.state.fleet import Fleet
 from figwalk.state.published import ServiceConfig
 from figwalk.timer import Timer
-from figwalk.transport import HttpRequest
+from figwalk.transport import ByteBudget, ByteCharge, HttpRequest
 
 EVENT = b'data: {"choices": [{"text": "a"}]}\n\n'
 SERVICE = ServiceConfig("model", models=["m"])
@@ -118,6 +118,7 @@
     started: bool = False
     finished: bool = False
     sent: bytes = b""
+    held: ByteCharge = attrs.field(factory=lambda: ByteBudget().open_charge())
 
     async def run_while_connected(self, function, *arguments):
         await function(*arguments)
