Test the memory of a gateway that gets many answers without end

What callers saw: nothing here; operators of similar systems reported processes that outgrew the memory of their VM.

Change: tests only. Both tests of endless answers share their server.

Why this works: a plain answer counts against the bound of all bytes that the gateway holds, and an event of a resumable stream ends at 1 MiB.

--- a/tests/test_failures_broken_answers.py
+++ b/tests/test_failures_broken_answers.py
@@ -1,13 +1,17 @@
 """Backend servers whose answers are broken, behind real agents and entries (invariants 4 and 6)."""
 
 import json
-from pathlib import Path
 from types import SimpleNamespace
 
 import trio
 
 from figwalk.state.settings import Address
 from standins.launcher import Launcher
+from tests.support.endless_server import (
+    VM_MEMORY_MB,
+    read_peak_memory_mb,
+    send_endless_answer,
+)
 from tests.support.platform_fakes import HOST
 from tests.support.small_fleet import (
     CONFIGURATION,
@@ -24,12 +28,7 @@
 UPLOAD = b'{"pad": "%s"}' % (b"x" * 512 * 1024)
 UNFRAMED = b"HTTP/1.1 200 OK\r\nContent-Type: %s\r\nX-Request-Id: %s\r\n\r\n"
 EVENT = b'data: {"id": "1", "choices": [{"index": 0, "delta": {"content": "t1"}}]}\n\n'
-# Memory of an entry's VM at the current deployments.
-VM_MEMORY_MB = 300
 ENDLESS_CALLS = 24
-# The server stops after this, so that a client without a bound fails a test instead of exhausting
-# the memory of the machine.
-MAX_ENDLESS_BYTES = 96 * 1024 * 1024
 # One retry for each call, which the retry budget would not allow by default.
 PUBLISHED = CONFIGURATION | {
     "presets/ordinary": {"role_policy": "fixed", "retry_ratio": 1.0},
@@ -193,21 +192,8 @@
 
 
 async def answer_without_end(stream, call_id, _path):
-    """Send chunks until the agent closes the connection."""
-    fields = b"Transfer-Encoding: chunked\r\nX-Request-Id: %s\r\n\r\n" % call_id
-    await stream.send_all(b"HTTP/1.1 200 OK\r\n" + fields)
-    piece = b"x" * 65536
-    try:
-        for _ in range(MAX_ENDLESS_BYTES // len(piece)):
-            await stream.send_all(b"%x\r\n%s\r\n" % (len(piece), piece))
-    except trio.BrokenResourceError:
-        pass
-
-
-def read_peak_memory_mb(pid):
-    """Return the largest resident size that a process has had so far."""
-    status = Path(f"/proc/{pid}/status").read_text()
-    return int(status.partition("VmHWM:")[2].split()[0]) / 1024
+    """Send an answer until the agent closes the connection."""
+    await send_endless_answer(stream, b"X-Request-Id: %s\r\n" % call_id)
 
 
 def test_answers_without_end_do_not_exhaust_the_memory_of_an_entry(tmp_path):
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -3,11 +3,13 @@
 import json
 import tempfile
 from contextlib import asynccontextmanager
+from functools import partial
 from pathlib import Path
 
 import attrs
 import pytest
 import trio
+from support.endless_server import VM_MEMORY_MB, read_peak_memory_mb, send_endless_answer
 from support.platform_fakes import fetch, make_request
 from support.upload_server import PLAYS, UPLOAD_BYTES, UploadServer, serve_slowly
 
@@ -18,17 +20,18 @@
 from standins.platform_config import make_config, make_route
 from standins.platform_deployment import PlatformDeployment, make_plan
 
+ENDLESS_CALLS = 120
 PROMPT = "aa:600,bb:300"
 SETTLE_TIMEOUT_S = 20.0  # Ends a test whose condition is never met.
 
 
 @asynccontextmanager
-async def running_deployment(*, route=None, **options):
+async def running_deployment(*, route=None, config=None, **options):
     """Run a gateway, a plain service and three engines as processes."""
     with tempfile.TemporaryDirectory() as name, trio.fail_after(90):
         async with Launcher(Path(name)) as launcher:
             plan = make_plan(**{"gateways": 1, "services": 2, "engines": 3} | options)
-            deployment = PlatformDeployment(plan, launcher, Path(name), route=route)
+            deployment = PlatformDeployment(plan, launcher, Path(name), route=route, config=config)
             await deployment.start()
             yield deployment
 
@@ -259,3 +262,58 @@
     trio.run(main)
     assert len(server.calls) == len(set(server.calls))
     assert len(server.calls) >= PLAYS // 2
+
+
+async def answer_without_end(served, stream):
+    """Serve one call with an answer that lasts until the gateway closes the connection."""
+    async with stream:
+        head = b""
+        while b"\r\n\r\n" not in head:
+            if not (data := await stream.receive_some()):
+                return
+            head += data
+        call_id = head.lower().partition(b"request-id: ")[2].partition(b"\r\n")[0]
+        served.add(call_id)
+        await send_endless_answer(stream, b"Request-Id: %s\r\nServer-Stamp: 1\r\n" % call_id)
+
+
+@pytest.mark.parametrize("path", ["/check/x", "/long/x"], ids=["repeatable", "resumable"])
+def test_answers_without_end_do_not_exhaust_the_memory_of_a_gateway(path):
+    """Guards against a faulty server that ends the calls of all callers of a gateway."""
+    statuses, served = [], set()
+
+    async def call_once(deployment, number):
+        prompt = (f"Prefix-Hash: {number:x}:60", "Token-Counts: 60,4", "Model: m")
+        options = {"call_id": f"c{number}", "headers": prompt, "deadline_ms": 5000}
+        statuses.append((await call(deployment, path, method="POST", **options))[0])
+
+    services = make_config()["services"]
+    for service in services:
+        service["max-connections"] = 6 * ENDLESS_CALLS
+    services[1]["engine"] |= {"slots": 2 * ENDLESS_CALLS, "kv-tokens": 10_000_000}
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+
+            async def route(name, address):
+                if name.endswith("-store"):
+                    return address
+                handler = partial(answer_without_end, served)
+                serve = partial(trio.serve_tcp, handler, 0, host=address.host)
+                listeners = await nursery.start(serve)
+                return Address(address.host, listeners[0].socket.getsockname()[1])
+
+            async with running_deployment(
+                services=1, engines=2, route=route, config={"services": services}
+            ) as deployment:
+                async with trio.open_nursery() as calls:
+                    for number in range(ENDLESS_CALLS):
+                        calls.start_soon(call_once, deployment, number)
+                assert min(statuses) >= 500
+                pid = deployment.processes["gateway-0"].pid
+                assert read_peak_memory_mb(pid) < VM_MEMORY_MB
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert len(statuses) == ENDLESS_CALLS
+    assert served
