Test resumable streams after answers with a broken head

What callers saw: nothing here; the gateway handles these cases already, and the test is kept. The other tests of broken heads play streams that may not be resumed only.

--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -6,7 +6,16 @@
 import h11
 import pytest
 import trio
-from support.platform_fakes import HOST, answering, fetch, make_request, run_test, running_fleet
+from support.platform_fakes import (
+    HOST,
+    answering,
+    event,
+    fetch,
+    make_request,
+    run_test,
+    running_fleet,
+    streaming,
+)
 
 from figwalk.cli.admin_client import AdminClient, AdminUnavailableError
 from figwalk.errors import HttpError, LogUnavailableError
@@ -226,3 +235,29 @@
             assert attempts["k1"] == 2
 
     run_test(main)
+
+
+@pytest.mark.parametrize("form", FORMS)
+def test_caller_of_a_resumable_stream_gets_all_events_once(form):
+    """Guards against a broken answer that passes for a stream, or whose events come twice."""
+    attempts = Counter()
+
+    async def script(backend, stream, request):
+        attempts[request.call_id] += 1
+        first = attempts[request.call_id] == 1
+        return await (sending(FORMS[form]) if first else streaming(3))(backend, stream, request)
+
+    async def main():
+        async with running_fleet() as fleet:
+            fleet.publish(make_config())
+            for name in ("e1", "e2"):
+                await fleet.add_backend(name, script, "lm", stage="decode")
+            await fleet.start_gateway()
+            prompt = ("Prefix-Hash: aa:60", "Token-Counts: 60,5", "Model: m")
+            code, _, body = await fleet.call(
+                "/long/x", method="POST", body=b"1", headers=prompt, call_id="s1"
+            )
+            assert (code, body) == (200, event(1) + event(2) + event(3))
+            assert attempts["s1"] == 2
+
+    run_test(main)
