Test resumable streams that are reset during their upload

Change: tests only. The upload server gives a repeat what follows its Last-Event-Id.

Why this works: the reset counts as broken in whichever order writer and reader see it, so that the stream goes on at the other engine after the events that the caller has. The test counts two sends for each call.

--- a/tests/support/upload_server.py
+++ b/tests/support/upload_server.py
@@ -48,10 +48,12 @@
 
     Args:
         part: What of the body precedes the reset.
+        repeat: Returns the body for a repeat, given its `Last-Event-Id`, or 0.
     """
 
-    def __init__(self, part):
+    def __init__(self, part, repeat=lambda _last_event_id: b"whole"):
         self.part = part
+        self.repeat = repeat
         self.calls = []
 
     async def handle(self, stream):
@@ -63,7 +65,7 @@
                 return  # The gateway opened a connection that no call needed.
             data += piece
         head, _, body = data.partition(b"\r\n\r\n")
-        call_id = head.lower().partition(b"request-id: ")[2].partition(b"\r\n")[0]
+        call_id = read_field(head, b"request-id")
         self.calls.append(call_id)
         if self.calls.count(call_id) == 1:
             await answer_and_reset(stream, UNFRAMED % call_id + self.part)
@@ -71,4 +73,10 @@
         received = len(body)
         while received < UPLOAD_BYTES:
             received += len(await stream.receive_some(65536))
-        await stream.send_all(UNFRAMED % call_id + b"whole")
+        last_event_id = int(read_field(head, b"last-event-id") or 0)
+        await stream.send_all(UNFRAMED % call_id + self.repeat(last_event_id))
+
+
+def read_field(head, name):
+    """Return the value of a field in the head of a request, or no bytes."""
+    return head.lower().partition(b"\r\n%s: " % name)[2].partition(b"\r\n")[0]
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -183,9 +183,8 @@
 
 
 @asynccontextmanager
-async def uploading_fleet(part, service, **fields):
+async def uploading_fleet(server, service, **fields):
     """Run a gateway in front of two backend servers that share an `UploadServer`."""
-    server = UploadServer(part)
     async with serving(server.handle) as port, running_fleet() as fleet:
         config = make_config()
         config["limits"]["max-body-bytes"] = UPLOAD_BYTES
@@ -200,7 +199,7 @@
             body = b"x" * UPLOAD_BYTES
             return await fleet.call(path, method="POST", body=body, call_id=call_id)
 
-        yield server, upload
+        yield upload
 
 
 @pytest.mark.parametrize(
@@ -215,7 +214,8 @@
     """Guards against an order or a stream of which a caller gets a part as the whole answer."""
 
     async def main():
-        async with uploading_fleet(part, service, **fields) as (server, upload):
+        server = UploadServer(part)
+        async with uploading_fleet(server, service, **fields) as upload:
             for i in range(PLAYS):
                 try:
                     status, _, _ = await upload(path, f"c{i}")
@@ -232,7 +232,8 @@
     """Guards against a caller that gets a part of an answer, or none, though it may be repeated."""
 
     async def main():
-        async with uploading_fleet(b"part", "orders") as (server, upload):
+        server = UploadServer(b"part")
+        async with uploading_fleet(server, "orders") as upload:
             for i in range(PLAYS):
                 status, _, body = await upload("/check/x", f"c{i}")
                 assert (status, body) == (200, b"whole")
@@ -241,6 +242,23 @@
     run_test(main)
 
 
+def test_resumable_stream_that_is_reset_during_its_upload_goes_on_at_another_engine():
+    """Guards against events that are missing, or come twice, after a reset in a stream."""
+
+    def stream_after(last_event_id):
+        return b"".join(event(number) for number in range(last_event_id + 1, 4))
+
+    async def main():
+        server = UploadServer(event(1), stream_after)
+        async with uploading_fleet(server, "lm", stage="decode") as upload:
+            for i in range(PLAYS):
+                status, _, body = await upload("/long/x", f"c{i}")
+                assert (status, body) == (200, stream_after(0))
+            assert len(server.calls) == 2 * PLAYS
+
+    run_test(main)
+
+
 @pytest.mark.parametrize("breaks", [True, False], ids=["broken", "whole"])
 def test_stream_to_a_caller_of_http_1_0_looks_complete_only_if_it_is(breaks):
     """Guards against a part of a stream that ends like a whole one.
