Release an answer that is given up together with its charge

What callers saw: the calls of all callers of a gateway end when a faulty backend server sends answers without end: its process outgrows the memory of the VM, though each answer and all bytes held together are bounded.

Callers keep the error in a variable of a frame that is in the traceback, so that only the garbage collector ends the cycle. By then, the charge of the request has been released, so that further answers are admitted.

Change: HttpResponse.read, Reply.read and EventStreamSplitter clear what they collected when they fail.

Why this works: what remains with an error is at most one piece as received.

--- a/figwalk/entry/call_pool.py
+++ b/figwalk/entry/call_pool.py
@@ -121,10 +121,13 @@
                 elif not held.try_add(len(data)):
                     raise self._no_room_error()
                 parts.append(data)
+            return b"".join(parts)
         except TransportError:
             held.remove(sum(map(len, parts)))
             raise
-        return b"".join(parts)
+        finally:
+            # The traceback of an error keeps this frame, often until the next garbage collection.
+            parts.clear()
 
     def _no_room_error(self) -> ConnectionLostError:
         # Waiting for room instead would let answers that don't end block each other, and all
--- a/figwalk/protocol/event_stream.py
+++ b/figwalk/protocol/event_stream.py
@@ -73,6 +73,8 @@
             data = self._incomplete_event + data
         end = _find_end(data)
         if end < len(data) and len(data) - end > MAX_EVENT_BYTES:
+            # The traceback keeps this frame, often until the next garbage collection.
+            data = self._incomplete_event = b""
             raise HttpError(f"a server-sent event is above {MAX_EVENT_BYTES} bytes")
         self._incomplete_event = data[end:]
         if not end:
--- a/figwalk/transport/http_client.py
+++ b/figwalk/transport/http_client.py
@@ -118,13 +118,17 @@
         if held is not None and length.isdecimal():
             charged = min(int(length), max_bytes)
             await held.add_when_free(charged)
-        async for data in self.chunks(max_bytes):
-            parts.append(data)
-            size += len(data)
-            if held is not None and size > charged:
-                await held.add_when_free(size - charged)
-                charged = size
-        return b"".join(parts)
+        try:
+            async for data in self.chunks(max_bytes):
+                parts.append(data)
+                size += len(data)
+                if held is not None and size > charged:
+                    await held.add_when_free(size - charged)
+                    charged = size
+            return b"".join(parts)
+        finally:
+            # The traceback of an error keeps this frame, often until the next garbage collection.
+            parts.clear()
 
 
 class HttpClient:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -3,6 +3,7 @@
 The tests count the bytes that the server could send before the client closed the connection.
 """
 
+import tracemalloc
 from contextlib import asynccontextmanager
 
 import pytest
@@ -12,6 +13,7 @@
 
 from figwalk.agent.call_server import MAX_FORWARDED_BYTES
 from figwalk.errors import HttpError
+from figwalk.protocol.event_stream import EventStreamSplitter
 from figwalk.transport import HttpClient, HttpRequest
 from figwalk.transport.http_client import MAX_RESPONSE_BYTES, MAX_SKIPPED_BYTES
 from standins.platform_config import make_config
@@ -29,6 +31,9 @@
 # the memory of the machine.
 MAX_SENT_BYTES = 96 * 1024 * 1024
 
+# A few pieces, as they are received.
+MAX_KEPT_BYTES = 8 * len(PIECE)
+
 FORMS = {
     "informational": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 2000),
     "line": (b"", PIECE),
@@ -101,6 +106,42 @@
     run_test(test)
 
 
+def test_error_of_an_endless_answer_does_not_keep_its_body():
+    """Guards against memory that is in use, but no longer counted, until the garbage collection.
+
+    An error that a caller of `read` keeps in a variable forms a reference cycle with its traceback.
+    """
+
+    async def test():
+        async with running_server("chunked body") as (_, port):
+            tracemalloc.start()
+            try:
+                with pytest.raises(HttpError) as caught:
+                    await HttpClient(HOST, port).fetch("GET", "/")
+                held = tracemalloc.get_traced_memory()[0]
+            finally:
+                tracemalloc.stop()
+            assert "above" in str(caught.value)
+            assert held < MAX_KEPT_BYTES
+
+    run_test(test)
+
+
+def test_error_of_an_endless_event_does_not_keep_it():
+    """Guards against memory that is in use, but no longer counted, until the garbage collection."""
+    splitter = EventStreamSplitter()
+    tracemalloc.start()
+    try:
+        with pytest.raises(HttpError) as caught:
+            while True:
+                splitter.feed(PIECE)
+        held = tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+    assert "above" in str(caught.value)
+    assert held < MAX_KEPT_BYTES
+
+
 def test_stalled_answer_to_another_call_times_out():
     """Guards against a call that waits until its deadline for the end of another call's answer."""
 
