--- a/figwalk/entry/model_calls.py
+++ b/figwalk/entry/model_calls.py
@@ -59,9 +59,7 @@
     model: ModelRequest
     plan: AttemptPlan
     responder: Responder
-    transcript: StreamTranscript = attrs.field(
-        default=attrs.Factory(lambda self: StreamTranscript(self.responder.held), takes_self=True)
-    )
+    transcript: StreamTranscript
     first_chunk_at: float = 0.0
     identity: JsonObject = attrs.field(factory=dict)
 
@@ -161,7 +159,7 @@
             region=self._backends.region,
         )
         plan = AttemptPlan(self._backends, self._budget, route, request.request_id, self._events)
-        return _ModelCall(request, model, plan, responder)
+        return _ModelCall(request, model, plan, responder, StreamTranscript(responder.held))
 
     async def _answer_buffered(self, call: _ModelCall) -> None:
         with trio.move_on_after(self._timer.left_s(call.request.deadline)) as scope:
--- a/figwalk/transport/byte_budget.py
+++ b/figwalk/transport/byte_budget.py
@@ -138,15 +138,19 @@
     def try_add_body(self, size: int) -> bool:
         """Charge bytes of a request's body if there is room; return whether there was."""
         is_small = self._size + size <= SMALL_BODY_BYTES
-        if not self._budget.fits(size, share=1.0 if is_small else LARGE_BODY_SHARE):
-            self._budget.count_refusal()
-            return False
-        self.add(size)
-        return True
+        if self.try_add(size, share=1.0 if is_small else LARGE_BODY_SHARE):
+            return True
+        self._budget.count_refusal()
+        return False
+
+    def try_add(self, size: int, *, share: float = 1.0) -> bool:
+        """Charge bytes if there is room; return whether there was.
 
-    def try_add(self, size: int) -> bool:
-        """Charge bytes if there is room; return whether there was."""
-        if not self._budget.fits(size):
+        Args:
+            size: Number of bytes.
+            share: Share of the bound that may be used.
+        """
+        if not self._budget.fits(size, share=share):
             return False
         self.add(size)
         return True
--- a/tests/support/upload_server.py
+++ b/tests/support/upload_server.py
@@ -58,12 +58,8 @@
 
     async def handle(self, stream):
         """Serve one request."""
-        data = b""
-        while b"\r\n\r\n" not in data:
-            # A small read leaves most of the upload in the buffers, as a busy server does.
-            if not (piece := await stream.receive_some(1024)):
-                return  # The gateway opened a connection that no call needed.
-            data += piece
+        if not (data := await receive_head(stream)):
+            return  # The gateway opened a connection that no call needed.
         head, _, body = data.partition(b"\r\n\r\n")
         call_id = read_field(head, b"request-id")
         self.calls.append(call_id)
@@ -77,6 +73,19 @@
         await stream.send_all(UNFRAMED % call_id + self.repeat(last_event_id))
 
 
+async def receive_head(stream):
+    """Return the head of a request with what follows it, or nothing if the client closes instead.
+
+    Small reads leave most of an upload in the buffers, as a busy server does.
+    """
+    data = b""
+    while b"\r\n\r\n" not in data:
+        if not (piece := await stream.receive_some(1024)):
+            return b""
+        data += piece
+    return data
+
+
 def read_field(head, name):
     """Return the value of a field in the head of a request, or no bytes."""
     return head.lower().partition(b"\r\n%s: " % name)[2].partition(b"\r\n")[0]
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -126,6 +126,17 @@
     return script
 
 
+def breaking_first(attempts, form, answer):
+    """Return a script that breaks the first answer to each call; others are as `answer` gives."""
+
+    async def script(backend, stream, request):
+        attempts[request.call_id] += 1
+        first = attempts[request.call_id] == 1
+        return await (sending(FORMS[form]) if first else answer)(backend, stream, request)
+
+    return script
+
+
 @asynccontextmanager
 async def answering_with(data):
     """Run a server that sends the same bytes to every request; yield its port."""
@@ -217,12 +228,7 @@
 def test_caller_of_a_repeatable_call_gets_the_answer_of_another_backend(form):
     """Guards against a broken answer that reaches a caller although the call may be repeated."""
     attempts = Counter()
-
-    async def script(backend, stream, request):
-        attempts[request.call_id] += 1
-        first = attempts[request.call_id] == 1
-        answer = sending(FORMS[form]) if first else answering(b"whole")
-        return await answer(backend, stream, request)
+    script = breaking_first(attempts, form, answering(b"whole"))
 
     async def main():
         async with running_fleet() as fleet:
@@ -241,11 +247,7 @@
 def test_caller_of_a_resumable_stream_gets_all_events_once(form):
     """Guards against a broken answer that passes for a stream, or whose events come twice."""
     attempts = Counter()
-
-    async def script(backend, stream, request):
-        attempts[request.call_id] += 1
-        first = attempts[request.call_id] == 1
-        return await (sending(FORMS[form]) if first else streaming(3))(backend, stream, request)
+    script = breaking_first(attempts, form, streaming(3))
 
     async def main():
         async with running_fleet() as fleet:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -9,6 +9,7 @@
 import pytest
 import trio
 from agent_fakes import agent_test, body_of
+from support.endless_server import CHUNK, MAX_ENDLESS_BYTES, PIECE
 from support.platform_fakes import HOST, answering, run_test, running_fleet
 
 from figwalk.agent.call_server import MAX_FORWARDED_BYTES
@@ -23,13 +24,8 @@
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 HUGE = b"Content-Length: 99999999999\r\n\r\n"
 UNTIL_CLOSE = b"Connection: close\r\n\r\n"
-PIECE = b"x" * 65536
-CHUNK = b"10000\r\n" + PIECE + b"\r\n"
 # Bytes that the buffers of two loopback sockets may hold beside those that the client reads.
 BUFFERED_BYTES = 16 * 1024 * 1024
-# The server stops after this, so that a client without a bound fails a test instead of exhausting
-# the memory of the machine.
-MAX_SENT_BYTES = 96 * 1024 * 1024
 
 # A few pieces, as they are received.
 MAX_KEPT_BYTES = 8 * len(PIECE)
@@ -64,7 +60,7 @@
         await stream.receive_some(65536)
         try:
             await stream.send_all(self.head)
-            while self.sent < MAX_SENT_BYTES:
+            while self.sent < MAX_ENDLESS_BYTES:
                 await stream.send_all(self.piece)
                 self.sent += len(self.piece)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -168,7 +164,7 @@
     async def script(backend, stream, request):
         backend.sent = 0
         await stream.send_all(head.replace(b"c1", request.call_id.encode()))
-        while backend.sent < MAX_SENT_BYTES:
+        while backend.sent < MAX_ENDLESS_BYTES:
             await stream.send_all(piece)
             backend.sent += len(piece)
         return False
--- a/tests/test_failures_broken_answers.py
+++ b/tests/test_failures_broken_answers.py
@@ -21,7 +21,13 @@
     SmallFleet,
     Stream,
 )
-from tests.support.upload_server import PLAYS, answer_and_reset, serve_slowly
+from tests.support.upload_server import (
+    PLAYS,
+    answer_and_reset,
+    read_field,
+    receive_head,
+    serve_slowly,
+)
 from tests.test_broken_heads import FORMS
 
 # Larger than what the buffers of two sockets hold, so that the upload is still being written.
@@ -58,7 +64,7 @@
         async with stream:
             while head := await receive_head(stream):
                 path = head.split(b" ")[1].partition(b"?")[0]
-                call_id = head.lower().partition(b"x-request-id: ")[2].partition(b"\r\n")[0]
+                call_id = read_field(head, b"x-request-id")
                 if path not in CONTROL_ANSWERS:
                     self.calls += 1
                     await self.script(stream, call_id, path)
@@ -68,17 +74,6 @@
                 await stream.send_all(b"HTTP/1.1 200 OK\r\n" + fields + b"\r\n\r\n" + body)
 
 
-async def receive_head(stream):
-    """Return the head of a request, or nothing once the client has closed the connection.
-
-    Small reads leave most of an upload in the buffers, as a busy server does.
-    """
-    head = b""
-    while b"\r\n\r\n" not in head and (data := await stream.receive_some(256)):
-        head += data
-    return head
-
-
 async def reset_during_upload(stream, call_id, path):
     """Send part of an answer without a length, and reset the connection."""
     is_stream = path.endswith(b"/completions")
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -11,7 +11,14 @@
 import trio
 from support.endless_server import VM_MEMORY_MB, read_peak_memory_mb, send_endless_answer
 from support.platform_fakes import fetch, make_request
-from support.upload_server import PLAYS, UPLOAD_BYTES, UploadServer, serve_slowly
+from support.upload_server import (
+    PLAYS,
+    UPLOAD_BYTES,
+    UploadServer,
+    read_field,
+    receive_head,
+    serve_slowly,
+)
 
 from figwalk.state.settings import Address
 from figwalk.transport import HttpClient
@@ -267,12 +274,9 @@
 async def answer_without_end(served, stream):
     """Serve one call with an answer that lasts until the gateway closes the connection."""
     async with stream:
-        head = b""
-        while b"\r\n\r\n" not in head:
-            if not (data := await stream.receive_some()):
-                return
-            head += data
-        call_id = head.lower().partition(b"request-id: ")[2].partition(b"\r\n")[0]
+        if not (head := await receive_head(stream)):
+            return
+        call_id = read_field(head, b"request-id")
         served.add(call_id)
         await send_endless_answer(stream, b"Request-Id: %s\r\nServer-Stamp: 1\r\n" % call_id)
 
