Log the software version of engines, and callers that take streams up

PROMPT_PLACED and the events of registrations now carry the version, and STREAM_TAKEN_UP names the event and the attempt that a caller goes on from. No decision changes. A registration without a version, or with one that is no text, names no backend server, as for its other fields; the tests' registrations lacked it.

--- a/figwalk/events.py
+++ b/figwalk/events.py
@@ -76,6 +76,7 @@
     STREAM_CUT = (307, "error", "A stream ended before all of it was sent.")
     RETRY_BUDGET_EMPTY = (308, "warning", "The retry budget allows no further attempt.")
     REPEAT_SENT = (309, "info", "A call reaches backend servers once more than its first time.")
+    STREAM_TAKEN_UP = (310, "info", "A caller asks for the rest of a stream that broke off.")
 
     CALL_ADMITTED = (400, "debug", "The agent admitted a call.")
     CALL_REFUSED = (401, "info", "The agent refused a call.")
--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -189,6 +189,15 @@
             self._record_answered(call, backend)
 
     async def _run(self, call: Call, responder: Responder) -> str:
+        if call.facts.resume_after:
+            self._events.record(
+                Event.STREAM_TAKEN_UP,
+                request_id=call.call_id,
+                route=call.route.name,
+                service=call.service,
+                after=call.facts.resume_after,
+                resumes=call.facts.resumes,
+            )
         call.is_quarantine_test = self._quarantine.admit(call.identity)
         if call.engine is not None:
             return await self._prompt_calls.run(call, responder, call.engine)
--- a/figwalk/gateway/codecs.py
+++ b/figwalk/gateway/codecs.py
@@ -34,6 +34,7 @@
         caller_timeout_s: Seconds until the caller times out, or None if the request states none.
         prompt: Parts of the prompt in order; empty for calls that are not model calls.
         resume_after: Id of the last event that the caller received of a broken stream, or empty.
+        resumes: Id of the attempt that brought the first event of that stream, or empty.
         api_key: Key of the caller's organisation, or empty.
         max_output_tokens: Largest number of tokens of the answer, or None if it is not stated.
         expected_output_tokens: The caller's estimate of that number, often far off, or None.
@@ -43,6 +44,7 @@
     caller_timeout_s: float | None
     prompt: tuple[PromptPart, ...] = ()
     resume_after: str = ""
+    resumes: str = ""
     api_key: str = attrs.field(default="", repr=False)
     max_output_tokens: int | None = None
     expected_output_tokens: int | None = None
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -185,6 +185,7 @@
             request_id=call.call_id,
             reader=last.plan.reader.entry.backend,
             runner=last.plan.runner.entry.backend,
+            software=last.plan.runner.entry.software_version,
             admitted=last.admitted,
             remote=self._placement.is_remote(last.plan),
             age_s=round(self._timer.now() - call.arrived_at, 4),
--- a/figwalk/platform/backend_records.py
+++ b/figwalk/platform/backend_records.py
@@ -40,4 +40,6 @@
         sequence=fields.integer("sequence"),
         cold_s=fields.number("cold-remaining-ms", 0.0) / MS_PER_S,
         role=_ROLES.get(stage, Role.MIXED),
+        # Of the server's software; `models` has the versions of the weights.
+        software_version=fields.short_token("version"),
     )
--- a/figwalk/platform/caller_codec.py
+++ b/figwalk/platform/caller_codec.py
@@ -20,6 +20,7 @@
             caller_timeout_s=_parse_timeout_s(request),
             prompt=_parse_prompt(request.header(names.PREFIX_PARTS)),
             resume_after=request.header(names.LAST_EVENT_ID),
+            resumes=request.header(names.RESUMES),
             api_key=_parse_key(request.headers),
             max_output_tokens=_parse_max_output(request.header(names.TOKEN_COUNTS)),
             expected_output_tokens=_parse_count(request.header(names.LENGTH_HINT)),
--- a/figwalk/platform/headers.py
+++ b/figwalk/platform/headers.py
@@ -9,6 +9,8 @@
 # Parts of the prompt as ID:TOKENS; the last one belongs to the request or its session alone.
 PREFIX_PARTS = b"prefix-hash"
 LAST_EVENT_ID = b"last-event-id"
+# From callers that take up a broken stream: id of the attempt that brought its first event.
+RESUMES = b"resumes"
 # In all responses of the store; increases when the store is restored from an older copy.
 STORE_ERA = b"store-era"
 SIGNATURE = b"server-stamp"
--- a/figwalk/state/backend_directory.py
+++ b/figwalk/state/backend_directory.py
@@ -35,6 +35,7 @@
         sequence: Increases with each registration since its start.
         cold_s: Seconds for which it is still slow after its start.
         role: Role of an engine; mixed for a plain service.
+        software_version: Version of its software. What two versions stream doesn't fit together.
     """
 
     backend: str
@@ -47,6 +48,7 @@
     sequence: int
     cold_s: float = 0.0
     role: Role = Role.MIXED
+    software_version: str = ""
 
     @property
     def age_key(self) -> tuple[int, int]:
@@ -329,5 +331,6 @@
             role=entry.role.value,
             born_ms=entry.born_ms,
             sequence=entry.sequence,
+            software=entry.software_version,
             **fields,
         )
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -52,6 +52,7 @@
     "address": "10.0.0.1:80",
     "zone": "a",
     "slots": 8,
+    "version": "v1.1",
     "state": "ready",
     "stage": "prefill",
     "cold-remaining-ms": 500,
@@ -84,8 +85,9 @@
 
 
 def test_registration_is_decoded():
-    """Guards against a registration whose role or age is lost."""
+    """Guards against a registration whose role, age or software version is lost."""
     entry = decode_backend("b1", json.dumps(REGISTRATION).encode())
+    assert entry.software_version == "v1.1"
     assert (entry.role, entry.born_ms, entry.sequence) == (Role.PREFILL, 1000, 3)
     assert entry.cold_s == 0.5
 
@@ -102,6 +104,8 @@
         {"born": 1.5},
         {"stage": "other"},
         {"slots": -1},
+        {"version": None},
+        {"version": 7},
     ],
 )
 def test_malformed_registration_is_rejected(change):
--- a/tests/test_records_after_restore.py
+++ b/tests/test_records_after_restore.py
@@ -31,7 +31,13 @@
 
     def register(self, sequence=KNOWN_SEQUENCE, state="ready"):
         """Read a registration."""
-        fields = {"service": "orders", "address": "10.0.0.1:80", "zone": "a", "slots": 6}
+        fields = {
+            "service": "orders",
+            "address": "10.0.0.1:80",
+            "zone": "a",
+            "slots": 6,
+            "version": "v1",
+        }
         fields |= {"state": state, "born": 1000, "sequence": sequence}
         self.reader.apply(KeyedRecord(0, "b1", json.dumps(fields).encode()))
 
