Check that a taken-up stream goes on after the event that the caller names

Callers that took up a stream with Last-Event-Id could get events again that they already had, followed by the rest.

Cause: the relay compared ids only in the second and later answers of one request. The first answer of a take-up was passed on unchecked, so that a backend server which ignores Last-Event-Id could begin anew.

Evidence: five cases of tests/test_stream_order.py failed before. With Last-Event-Id 5 the relay passed on events 1 and 5, and events without an id; with Last-Event-Id 2 a gateway passed on events 1 and 2 of an engine.

Change: EventOrder keeps the last id over all answers. In an answer that goes on after a known id, each event needs an id that follows. A violation ends the attempt as before, so that another engine is tried if the route allows it.

Why it works: the caller's id is the last id that EventOrder knows when the first answer starts, and nothing of a chunk is passed on before its ids are checked. One pass over the lines now yields the ids, instead of a search and, on resumed streams, a split with a search in each event.

--- a/figwalk/gateway/stream_relay.py
+++ b/figwalk/gateway/stream_relay.py
@@ -13,6 +13,47 @@
 
 _ID_FIELD = b"id:"
 _COMMENT_START = b":"
+_EMPTY_LINES = (b"", b"\r")
+
+
+class EventOrder:
+    """Checks that the events of a stream follow one another over all answers that it consists of.
+
+    Args:
+        resume_after: Id of the last event that the caller received earlier, or empty.
+    """
+
+    def __init__(self, resume_after: str = "") -> None:
+        self._last_id = resume_after
+        self._continues = False
+
+    @property
+    def last_id(self) -> str:
+        """Id of the last event, or empty."""
+        return self._last_id
+
+    def start_answer(self) -> None:
+        """Expect the events of another answer."""
+        self._continues = bool(self._last_id)
+
+    def advance(self, event_ids: list[str], backend: str) -> None:
+        """Add the next events, all or none of them.
+
+        Args:
+            event_ids: Their ids, empty for an event without one.
+            backend: Id of the backend server that sent them.
+
+        Raises:
+            HttpError: An event of an answer that continues a stream has no id, or an id that does
+                not follow. A faulty backend server may begin anew, or write an error into the
+                stream.
+        """
+        last = self._last_id
+        for event_id in event_ids:
+            if self._continues and not _follows(event_id, last):
+                raise HttpError(f"{backend} sent event {event_id!r} of a stream after {last!r}")
+            last = event_id or last
+        self._last_id = last
 
 
 class StreamRelay:
@@ -42,7 +83,7 @@
         self._timing = timing
         self._timer = timer
         self._resumable = resumable
-        self._last_event_id = resume_after
+        self._order = EventOrder(resume_after)
 
     @property
     def started(self) -> bool:
@@ -51,8 +92,8 @@
 
     @property
     def last_event_id(self) -> str:
-        """Id of the last event passed on, or empty."""
-        return self._last_event_id
+        """Id of the last event passed on or received earlier, or empty."""
+        return self._order.last_id
 
     async def relay(self, answer: Answer) -> None:
         """Relay an answer up to its end.
@@ -60,13 +101,14 @@
         Raises:
             HttpError: The answer is truncated, or ends inside an event: it may have neither a
                 length nor chunks, so that its end alone does not show that it is complete. Or it
-                does not continue a stream that has begun. If the stream may be resumed, only
-                complete events were passed on.
+                does not continue a stream that has begun, here or at an earlier request of the
+                caller. If the stream may be resumed, only complete events were passed on.
             ClientDisconnectedError: The caller disconnected.
         """
-        is_resumed = self.started
-        if is_resumed and not (answer.status == HTTPStatus.OK and _has_events(answer)):
+        has_events = _has_events(answer)
+        if self.started and not (answer.status == HTTPStatus.OK and has_events):
             raise HttpError(f"{answer.backend} did not continue a stream with events")
+        self._order.start_answer()
         splitter = EventStreamSplitter()
         boundaries = EventBoundaries()
         is_begun = False
@@ -79,10 +121,10 @@
             self._timing.has_event |= boundaries.found
             complete = splitter.feed(data) if self._resumable else data
             if complete:
-                if is_resumed:
-                    self._check_order(answer, complete)
+                if self._resumable and has_events:
+                    self._order.advance(split_event_ids(complete), answer.backend)
                 await self._send(answer, complete)
-        if _has_events(answer) and boundaries.inside_event:
+        if has_events and boundaries.inside_event:
             raise HttpError(f"{answer.backend} ended a stream inside an event")
         if splitter.incomplete_event:
             await self._send(answer, splitter.incomplete_event)
@@ -90,27 +132,9 @@
             await self._responder.start(answer.status, answer.headers)
         await self._responder.finish()
 
-    def _check_order(self, answer: Answer, events: bytes) -> None:
-        """Check that the events of a resumed stream follow those that the caller has.
-
-        Raises:
-            HttpError: An event has no id, or an id that does not follow. A faulty backend server
-                may begin anew, or write an error into the stream.
-        """
-        last = self._last_event_id
-        for event in _split_events(events):
-            event_id = find_last_event_id(event)
-            if not _follows(event_id, last):
-                raise HttpError(
-                    f"{answer.backend} sent event {event_id!r} of a stream after {last!r}"
-                )
-            last = event_id
-
     async def _send(self, answer: Answer, data: bytes) -> None:
         if not self._responder.started:
             await self._responder.start(answer.status, answer.headers)
-        if self._resumable:
-            self._last_event_id = find_last_event_id(data) or self._last_event_id
         self._timing.record_piece(self._timer.now())
         held = self._responder.held
         held.add(len(data))
@@ -124,22 +148,11 @@
     return answer.succeeded and (not content_type or content_type.startswith(EVENT_STREAM_TYPE))
 
 
-def _split_events(events: bytes) -> list[bytes]:
-    """Return the events in some bytes, without those that consist of comments."""
-    blocks = events.replace(b"\r\n", b"\n").split(b"\n\n")
-    lines = [[line for line in block.split(b"\n") if line] for block in blocks]
-    return [
-        b"\n".join(block)
-        for block in lines
-        if not all(line.startswith(_COMMENT_START) for line in block)
-    ]
-
-
 def _follows(event_id: str, last: str) -> bool:
     """Return whether an event may come after another one; the ids of a stream increase."""
     if event_id.isdecimal() and last.isdecimal():
         return _numeric_key(event_id) > _numeric_key(last)
-    return event_id not in ("", last) or not last
+    return event_id not in ("", last)
 
 
 def _numeric_key(digits: str) -> tuple[int, str]:
@@ -148,12 +161,22 @@
     return len(digits), digits
 
 
-def find_last_event_id(events: bytes) -> str:
-    """Return the value of the last `id` field in some events, or an empty string."""
-    position = len(events)
-    while (position := events.rfind(_ID_FIELD, 0, position)) >= 0:
-        if position == 0 or events[position - 1 : position] == b"\n":
-            end = events.find(b"\n", position)
-            line = events[position + len(_ID_FIELD) : end if end >= 0 else len(events)]
-            return line.strip().decode("latin-1")
-    return ""
+def split_event_ids(events: bytes) -> list[str]:
+    """Return the id of each event in some complete events, empty for an event without one.
+
+    Lines end with LF or CRLF. Blocks that consist of comments are no events.
+    """
+    event_ids = []
+    event_id = ""
+    inside_event = False
+    for line in events.split(b"\n"):
+        if line in _EMPTY_LINES:
+            if inside_event:
+                event_ids.append(event_id)
+            event_id = ""
+            inside_event = False
+        elif not line.startswith(_COMMENT_START):
+            inside_event = True
+            if line.startswith(_ID_FIELD):
+                event_id = line[len(_ID_FIELD) :].strip().decode("latin-1")
+    return event_ids
--- /dev/null
+++ b/tests/test_stream_order.py
@@ -0,0 +1,148 @@
+"""Tests that the events of a stream reach the caller in order, whichever servers send them."""
+
+import pytest
+import trio
+from support.platform_fakes import (
+    HEAD,
+    chunk,
+    event,
+    run_test,
+    running_fleet,
+    streaming,
+)
+
+from figwalk.errors import HttpError
+from figwalk.gateway.attempts import Answer
+from figwalk.gateway.stream_relay import StreamRelay
+from figwalk.gateway.stream_timing import StreamTiming
+from figwalk.timer import Timer
+from figwalk.transport import ByteBudget
+from standins.platform_config import make_config, make_route
+
+EVENTS_HEADER = (b"content-type", b"text/event-stream")
+
+
+class _FakeResponder:
+    """Keeps what the caller gets."""
+
+    def __init__(self):
+        self.started = False
+        self.finished = False
+        self.sent = b""
+        self.held = ByteBudget().open_charge()
+
+    async def start(self, _status, _headers):
+        self.started = True
+
+    async def send_chunk(self, data):
+        self.sent += data
+
+    async def finish(self):
+        self.finished = True
+
+
+class _FakeResponse:
+    """Yields pieces of a body, which may break off after them."""
+
+    def __init__(self, pieces, *, breaks):
+        self.pieces = pieces
+        self.breaks = breaks
+
+    async def chunks(self):
+        for piece in self.pieces:
+            yield piece
+        if self.breaks:
+            raise HttpError("the connection was reset")
+
+
+class _FakeTracker:
+    """Ignores the times of data."""
+
+    def record_data(self):
+        pass
+
+
+def answer(*pieces, breaks=False, headers=(EVENTS_HEADER,)):
+    """Return an answer with the pieces of a body."""
+    response = _FakeResponse(pieces, breaks=breaks)
+    return Answer("b1", 200, list(headers), None, response, _FakeTracker())
+
+
+def broken(*pieces, **options):
+    """Return an answer that breaks off after the pieces of its body."""
+    return answer(*pieces, breaks=True, **options)
+
+
+def relay_all(*answers, resumable=True, resume_after=""):
+    """Relay answers in succession, all but the last one broken; return what the caller got."""
+    responder = _FakeResponder()
+
+    async def main():
+        timer = Timer()
+        relay = StreamRelay(
+            responder, StreamTiming(), timer, resumable=resumable, resume_after=resume_after
+        )
+        for earlier in answers[:-1]:
+            with pytest.raises(HttpError):
+                await relay.relay(earlier)
+        await relay.relay(answers[-1])
+
+    trio.run(main)
+    return responder
+
+
+def numbered(*numbers):
+    """Return events with ids."""
+    return b"".join(map(event, numbers))
+
+
+@pytest.mark.parametrize("first", ["id: 1\n", "id: 5\n", "", ": note\nevent: error\n"])
+def test_answer_must_follow_the_event_that_the_caller_names(first):
+    """Guards against a server that ignores `Last-Event-Id` and begins a stream anew."""
+    with pytest.raises(HttpError, match="after '5'"):
+        relay_all(answer(first.encode() + b"data: x\n\n"), resume_after="5")
+
+
+def test_answer_that_follows_the_event_that_the_caller_names_is_passed_on():
+    """Guards against a check that rejects a stream which goes on where the caller has it."""
+    # The caller's id alone does not show whether the ids count up by one.
+    for numbers in [(6, 7), (8, 9)]:
+        responder = relay_all(answer(b": hello\n\n" + numbered(*numbers)), resume_after="5")
+        assert responder.finished
+        assert responder.sent.endswith(numbered(*numbers))
+
+
+def run_with_engines(test, *scripts):
+    async def main():
+        async with running_fleet() as fleet:
+            routes = [
+                make_route("long", "stream", "lm", resumable=True, **{"max-attempts": 2}),
+                make_route("safe", "idempotent", "lm", **{"max-attempts": 2}),
+            ]
+            fleet.publish(make_config(routes=routes))
+            engines = [
+                await fleet.add_backend(f"e{number}", script, "lm", stage="decode")
+                for number, script in enumerate(scripts)
+            ]
+            await fleet.start_gateway()
+            await test(fleet, engines)
+
+    run_test(main)
+
+
+def test_taken_up_stream_that_begins_anew_is_retried_on_another_engine():
+    """Guards against events that a caller gets again from an engine that ignores its last id."""
+
+    async def begin_anew(_backend, stream, request):
+        data = chunk(numbered(1, 2)) + b"0\r\n\r\n"
+        await stream.send_all(HEAD.format(request.call_id).encode() + data)
+        return True
+
+    async def test(fleet, engines):
+        for number in range(8):
+            options = {"call_id": f"c{number}", "headers": ["Last-Event-Id: 2"]}
+            _, _, body = await fleet.call("/long/x", method="POST", body=b"1", **options)
+            assert body == numbered(3, 4)
+        assert engines[0].requests
+
+    run_with_engines(test, begin_anew, streaming(4))
