Break off a first answer whose event ids go back or repeat

A caller could get pieces twice, or go back in a stream, within the first answer. If that answer then broke off, the stream was also resumed after the id that had gone back.

Cause: the ids of a first answer were only remembered, never compared.

Change: every event with an id must follow the last id, in each answer. Events without an id are still passed on in a first answer.

Why it works: the server that repeats itself is broken off before the repeat is passed on, and the rest is resumed after the last event that the caller has, or retried whole if it has none. Ids may still jump.

--- a/figwalk/gateway/stream_relay.py
+++ b/figwalk/gateway/stream_relay.py
@@ -44,13 +44,13 @@
             backend: Id of the backend server that sent them.
 
         Raises:
-            HttpError: An event of an answer that continues a stream has no id, or an id that does
-                not follow. A faulty backend server may begin anew, or write an error into the
+            HttpError: The id of an event does not follow, or an event of an answer that continues a
+                stream has none. A faulty backend server may begin anew, or write an error into the
                 stream.
         """
         last = self._last_id
         for event_id in event_ids:
-            if self._continues and not _follows(event_id, last):
+            if last and (event_id or self._continues) and not _follows(event_id, last):
                 raise HttpError(f"{backend} sent event {event_id!r} of a stream after {last!r}")
             last = event_id or last
         self._last_id = last
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -146,3 +146,36 @@
         assert engines[0].requests
 
     run_with_engines(test, begin_anew, streaming(4))
+
+
+@pytest.mark.parametrize("repeat", [numbered(1), numbered(2), numbered(3, 3), numbered(3, 1)])
+def test_first_answer_that_repeats_itself_is_broken_off_and_can_be_resumed(repeat):
+    """Guards against pieces that come twice, and against a resume from an event that repeats."""
+    responder = relay_all(answer(numbered(1, 2), repeat), answer(numbered(3)))
+    assert responder.sent == numbered(1, 2, 3)
+    assert responder.finished
+
+
+def test_first_answer_whose_first_events_repeat_is_not_passed_on():
+    """Guards against a stream that begins out of order, though it could be retried whole."""
+    responder = relay_all(answer(numbered(1, 2, 1)), answer(numbered(1, 2, 3)))
+    assert responder.sent == numbered(1, 2, 3)
+
+
+def test_first_answer_may_have_events_without_ids_and_ids_that_jump():
+    """Guards against order checks that break off sound streams."""
+    data = b"data: a\n\n" + numbered(2, 7) + b": note\n\ndata: b\n\nid: end\ndata: c\n\n"
+    assert relay_all(answer(data)).sent == data
+
+
+def test_events_of_a_stream_that_may_not_be_resumed_are_passed_on_unchecked():
+    """Guards against order checks on routes for which the ids of events mean nothing."""
+    data = numbered(2, 1) + numbered(2)
+    assert relay_all(answer(data), resumable=False, resume_after="5").sent == data
+
+
+def test_text_that_is_no_stream_is_passed_on_unchecked():
+    """Guards against lines of another body that are taken for ids of events."""
+    header = (b"content-type", b"text/plain")
+    data = b"id: 2\n\nid: 1\n\n"
+    assert relay_all(answer(data, headers=[header]), resume_after="5").sent == data
