Check that a resumed stream leaves no event out where its ids count up

A caller could miss pieces of a stream that another engine went on with, and got an answer that looked complete.

Cause: the first id of a resumed answer only had to be above the last one.

Evidence: four cases of tests/test_stream_order.py failed before. After events 1 and 2, the relay passed on an answer that began at 4; in a trial with a gateway, events 1 and 2 were followed by 5.

Change: where two events or more were seen and their ids counted up by one, over all answers so far, a resumed answer must begin at the next number.

Why it works: a server that counts events by one would have given the missing ones the numbers between. Streams whose ids jumped may jump again. After a single event, or with only the caller's id, a gap can't be told from ids that jump, and such an answer is passed on as before.

--- a/figwalk/gateway/stream_relay.py
+++ b/figwalk/gateway/stream_relay.py
@@ -11,6 +11,8 @@
 from figwalk.timer import Timer
 from figwalk.transport import Responder, find_header
 
+# Longer numbers do not count events; `int` refuses those with thousands of digits.
+MAX_COUNTED_DIGITS = 20
 _ID_FIELD = b"id:"
 _COMMENT_START = b":"
 _EMPTY_LINES = (b"", b"\r")
@@ -25,7 +27,10 @@
 
     def __init__(self, resume_after: str = "") -> None:
         self._last_id = resume_after
+        self._id_count = 0
+        self._counts_up = True
         self._continues = False
+        self._at_start = True
 
     @property
     def last_id(self) -> str:
@@ -35,6 +40,7 @@
     def start_answer(self) -> None:
         """Expect the events of another answer."""
         self._continues = bool(self._last_id)
+        self._at_start = True
 
     def advance(self, event_ids: list[str], backend: str) -> None:
         """Add the next events, all or none of them.
@@ -45,15 +51,25 @@
 
         Raises:
             HttpError: The id of an event does not follow, or an event of an answer that continues a
-                stream has none. A faulty backend server may begin anew, or write an error into the
-                stream.
+                stream has none. A faulty backend server may begin anew, leave events out, or write
+                an error into the stream.
         """
-        last = self._last_id
+        last, count, counts_up = self._last_id, self._id_count, self._counts_up
+        # A stream whose ids may jump does not show whether events are missing where it goes on;
+        # neither do the caller's id or a single event.
+        must_be_next = self._at_start and counts_up and count > 1
         for event_id in event_ids:
-            if last and (event_id or self._continues) and not _follows(event_id, last):
-                raise HttpError(f"{backend} sent event {event_id!r} of a stream after {last!r}")
-            last = event_id or last
-        self._last_id = last
+            if not _is_next(event_id, last):
+                is_checked = last and (event_id or self._continues)
+                if is_checked and (must_be_next or not _follows(event_id, last)):
+                    raise HttpError(f"{backend} sent event {event_id!r} of a stream after {last!r}")
+                counts_up = counts_up and not (event_id and count)
+            if event_id:
+                last = event_id
+                count += 1
+            must_be_next = False
+        self._last_id, self._id_count, self._counts_up = last, count, counts_up
+        self._at_start = self._at_start and not event_ids
 
 
 class StreamRelay:
@@ -155,6 +171,13 @@
     return event_id not in ("", last)
 
 
+def _is_next(event_id: str, last: str) -> bool:
+    """Return whether the id of an event is the number after that of another one."""
+    if not (event_id.isdecimal() and last.isdecimal()) or len(event_id) > MAX_COUNTED_DIGITS:
+        return False
+    return len(last) <= len(event_id) and int(event_id) == int(last) + 1
+
+
 def _numeric_key(digits: str) -> tuple[int, str]:
     """Return a key that orders decimal numbers of any length by value."""
     digits = digits.lstrip("0")
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -179,3 +179,37 @@
     header = (b"content-type", b"text/plain")
     data = b"id: 2\n\nid: 1\n\n"
     assert relay_all(answer(data, headers=[header]), resume_after="5").sent == data
+
+
+@pytest.mark.parametrize("seen", [(1, 2), (9, 10, 11), (998, 999)])
+def test_resumed_stream_whose_ids_count_up_has_no_gap(seen):
+    """Guards against a missing piece where another server goes on."""
+    for event_id in (seen[-1] + 2, "end", "9" * 5000):
+        with pytest.raises(HttpError, match=f"after '{seen[-1]}'"):
+            relay_all(broken(numbered(*seen)), answer(f"id: {event_id}\ndata: x\n\n".encode()))
+    rest = range(seen[-1] + 1, seen[-1] + 4)
+    responder = relay_all(broken(numbered(*seen)), answer(numbered(*rest)))
+    assert responder.sent == numbered(*seen, *rest)
+
+
+def test_gap_is_noticed_where_a_stream_is_resumed_again():
+    """Guards against a check that counts only the events of the first answer."""
+    answers = [broken(numbered(1)), broken(numbered(2)), answer(numbered(4))]
+    with pytest.raises(HttpError, match="after '2'"):
+        relay_all(*answers)
+    with pytest.raises(HttpError, match="after '7'"):
+        relay_all(broken(numbered(6, 7)), answer(numbered(9)), resume_after="5")
+
+
+@pytest.mark.parametrize(
+    ("seen", "rest"),
+    [
+        (numbered(1, 2, 4), numbered(7)),
+        (numbered(1, 4), numbered(5)),
+        (numbered(1), numbered(3)),
+        (b"id: a1\ndata: x\n\nid: a2\ndata: x\n\n", b"id: a4\ndata: x\n\n"),
+    ],
+)
+def test_resumed_stream_may_jump_if_its_ids_do_not_count_up(seen, rest):
+    """Guards against a gap check that breaks off streams whose ids jump, or may jump."""
+    assert relay_all(broken(seen), answer(rest)).sent == seen + rest
