Do not resume a stream after an event without an id

A caller could get a whole stream again after its first part, as one answer that looked complete.

Cause: a stream is resumed after the last id that was seen. With no id at all, the next engine began anew, and any event may follow an empty id; with an event without an id after the last one that has an id, the next engine could send that event again.

Change: StreamRelay.can_continue tells whether the last event passed on has an id; if not, an answer that would continue it is rejected before any of it is read, and the caller's answer stays incomplete.

Why it works: Last-Event-Id then always names the last event that the caller has. A stream of which only comments were passed on may begin anew. PromptCalls does not ask can_continue yet, so the next engine still gets the call and is counted as failed; nothing of its answer is passed on.

--- a/figwalk/gateway/stream_relay.py
+++ b/figwalk/gateway/stream_relay.py
@@ -29,14 +29,20 @@
         self._last_id = resume_after
         self._id_count = 0
         self._counts_up = True
+        self._ends_with_id = True
         self._continues = False
         self._at_start = True
 
     @property
     def last_id(self) -> str:
-        """Id of the last event, or empty."""
+        """Id of the last event that has one, or empty."""
         return self._last_id
 
+    @property
+    def can_continue(self) -> bool:
+        """Whether another answer can begin after the last event: it has an id, or there is none."""
+        return self._ends_with_id
+
     def start_answer(self) -> None:
         """Expect the events of another answer."""
         self._continues = bool(self._last_id)
@@ -69,7 +75,9 @@
                 count += 1
             must_be_next = False
         self._last_id, self._id_count, self._counts_up = last, count, counts_up
-        self._at_start = self._at_start and not event_ids
+        if event_ids:
+            self._ends_with_id = bool(event_ids[-1])
+            self._at_start = False
 
 
 class StreamRelay:
@@ -111,6 +119,11 @@
         """Id of the last event passed on or received earlier, or empty."""
         return self._order.last_id
 
+    @property
+    def can_continue(self) -> bool:
+        """Whether an answer of another backend server can continue what was passed on."""
+        return self._order.can_continue
+
     async def relay(self, answer: Answer) -> None:
         """Relay an answer up to its end.
 
@@ -118,10 +131,13 @@
             HttpError: The answer is truncated, or ends inside an event: it may have neither a
                 length nor chunks, so that its end alone does not show that it is complete. Or it
                 does not continue a stream that has begun, here or at an earlier request of the
-                caller. If the stream may be resumed, only complete events were passed on.
+                caller, or nothing can continue what was passed on. If the stream may be resumed,
+                only complete events were passed on.
             ClientDisconnectedError: The caller disconnected.
         """
         has_events = _has_events(answer)
+        if not self.can_continue:
+            raise HttpError("what was passed on of a stream can't be continued")
         if self.started and not (answer.status == HTTPStatus.OK and has_events):
             raise HttpError(f"{answer.backend} did not continue a stream with events")
         self._order.start_answer()
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -73,9 +73,9 @@
     return answer(*pieces, breaks=True, **options)
 
 
-def relay_all(*answers, resumable=True, resume_after=""):
+def relay_all(*answers, resumable=True, resume_after="", responder=None):
     """Relay answers in succession, all but the last one broken; return what the caller got."""
-    responder = _FakeResponder()
+    responder = responder or _FakeResponder()
 
     async def main():
         timer = Timer()
@@ -213,3 +213,19 @@
 def test_resumed_stream_may_jump_if_its_ids_do_not_count_up(seen, rest):
     """Guards against a gap check that breaks off streams whose ids jump, or may jump."""
     assert relay_all(broken(seen), answer(rest)).sent == seen + rest
+
+
+@pytest.mark.parametrize("passed_on", [b"data: a\n\n", numbered(1) + b"data: b\n\n"])
+def test_stream_is_not_continued_after_an_event_without_an_id(passed_on):
+    """Guards against a piece that comes again since the last event can't be named to a server."""
+    for rest in (b"data: a\n\n", numbered(2)):
+        responder = _FakeResponder()
+        with pytest.raises(HttpError, match="can't be continued"):
+            relay_all(broken(passed_on), answer(rest), responder=responder)
+        assert responder.sent == passed_on
+
+
+def test_stream_of_which_only_comments_were_passed_on_may_begin_anew():
+    """Guards against a stream that is cut though the caller has no event of it."""
+    responder = relay_all(broken(b": note\n\n"), answer(numbered(1, 2)))
+    assert responder.sent == b": note\n\n" + numbered(1, 2)
