Do not join answers that may not be resumed

On a route whose calls may be repeated but not resumed (kind safe) at a service with engines, a caller could get the beginning of one engine's answer followed by the answer of another engine, in one body. On a resumable route, events could follow the text of another answer.

Cause: after a broken answer the call is sent again if the route allows repeats, also when part of the answer was passed on. The relay let an answer without a content type, or with events, continue anything; it checks ids only where events were passed on.

Change: StreamRelay.can_continue is false once anything but the events of a resumable stream was passed on.

Why it works: relay asks it before it reads another answer; the caller's answer then stays incomplete. As for events without ids, PromptCalls does not ask it yet before it sends the call again.

--- a/figwalk/gateway/stream_relay.py
+++ b/figwalk/gateway/stream_relay.py
@@ -108,6 +108,7 @@
         self._timer = timer
         self._resumable = resumable
         self._order = EventOrder(resume_after)
+        self._sent_other_data = False
 
     @property
     def started(self) -> bool:
@@ -122,7 +123,9 @@
     @property
     def can_continue(self) -> bool:
         """Whether an answer of another backend server can continue what was passed on."""
-        return self._order.can_continue
+        if not self.started:
+            return True
+        return self._resumable and not self._sent_other_data and self._order.can_continue
 
     async def relay(self, answer: Answer) -> None:
         """Relay an answer up to its end.
@@ -135,9 +138,9 @@
                 only complete events were passed on.
             ClientDisconnectedError: The caller disconnected.
         """
-        has_events = _has_events(answer)
         if not self.can_continue:
-            raise HttpError("what was passed on of a stream can't be continued")
+            raise HttpError("what was passed on can't be continued")
+        has_events = _has_events(answer)
         if self.started and not (answer.status == HTTPStatus.OK and has_events):
             raise HttpError(f"{answer.backend} did not continue a stream with events")
         self._order.start_answer()
@@ -153,7 +156,9 @@
             self._timing.has_event |= boundaries.found
             complete = splitter.feed(data) if self._resumable else data
             if complete:
-                if self._resumable and has_events:
+                if not has_events:
+                    self._sent_other_data = True
+                elif self._resumable:
                     self._order.advance(split_event_ids(complete), answer.backend)
                 await self._send(answer, complete)
         if has_events and boundaries.inside_event:
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -229,3 +229,26 @@
     """Guards against a stream that is cut though the caller has no event of it."""
     responder = relay_all(broken(b": note\n\n"), answer(numbered(1, 2)))
     assert responder.sent == b": note\n\n" + numbered(1, 2)
+
+
+def test_answer_that_is_no_stream_is_not_continued_by_events():
+    """Guards against events after the text of another answer."""
+    header = (b"content-type", b"text/plain")
+    with pytest.raises(HttpError, match="can't be continued"):
+        relay_all(broken(b"a\n\n", headers=[header]), answer(numbered(1)))
+    answers = [broken(b"a", headers=[header]), broken(numbered(1)), answer(numbered(2))]
+    assert relay_all(*answers).sent == numbered(1, 2)
+
+
+@pytest.mark.parametrize("headers", [[], [EVENTS_HEADER]])
+def test_answer_that_may_not_be_resumed_is_not_joined_with_another_one(headers):
+    """Guards against the answers of two runs in one body, on routes whose calls may be repeated."""
+    responder = _FakeResponder()
+    with pytest.raises(HttpError, match="can't be continued"):
+        relay_all(
+            broken(b"ab", headers=headers),
+            answer(b"xy\n\n", headers=headers),
+            resumable=False,
+            responder=responder,
+        )
+    assert responder.sent == b"ab"
