Know the media type of a stream in any case

A stream with the content type Text/Event-Stream that ended inside an event looked complete to its caller if it had neither a length nor chunks, and a resumable one stayed cut.

Cause: the relay compared the media type as sent, though its case does not matter (RFC 9110, section 8.3.1).

Evidence: test_media_type_of_a_stream_is_known_in_any_case failed before: an answer that ended inside its second event was passed on to its end.

Change: the relay compares the media type in lower case.

Why it works: such an answer now counts as events, so that its end inside an event is noticed and the stream can be resumed.

--- a/figwalk/gateway/stream_relay.py
+++ b/figwalk/gateway/stream_relay.py
@@ -181,7 +181,7 @@
 
 def _has_events(answer: Answer) -> bool:
     """Return whether the body of an answer on a stream's route consists of events."""
-    content_type = find_header(answer.headers, b"content-type")
+    content_type = find_header(answer.headers, b"content-type").lower()
     return answer.succeeded and (not content_type or content_type.startswith(EVENT_STREAM_TYPE))
 
 
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -252,3 +252,12 @@
             responder=responder,
         )
     assert responder.sent == b"ab"
+
+
+def test_media_type_of_a_stream_is_known_in_any_case():
+    """Guards against a stream that ends inside an event and whose end looks complete."""
+    header = (b"content-type", b"Text/Event-Stream; charset=utf-8")
+    responder = relay_all(
+        answer(numbered(1) + b"id: 2\nda", headers=[header]), answer(numbered(2), headers=[header])
+    )
+    assert responder.sent == numbered(1, 2)
