Add prompt agents, kills of gateways and open streams to the fakes of the platform

Tests of streams that callers take up need several gateways with agents that can be killed and started again, and answers that are read as they arrive. Backend servers can listen at hosts of their own, since a gateway finds the agent beside an engine by the engine's host.

--- a/tests/support/platform_fakes.py
+++ b/tests/support/platform_fakes.py
@@ -1,5 +1,6 @@
-"""Runs a gateway with scripted backend servers and the stand-in of the platform's store."""
+"""Runs gateways and prompt agents with scripted backend servers and the store's stand-in."""
 
+import itertools
 import json
 import random
 from contextlib import asynccontextmanager
@@ -8,10 +9,11 @@
 import h11
 import trio
 
-from figwalk.events import EventLog
+from figwalk.events import Event, EventLog
 from figwalk.gateway.process import GatewayProcess
 from figwalk.platform import BACKENDS_TOPIC, CONFIG_KEY, CONFIG_TOPIC
-from figwalk.state.gateway_settings import GatewaySettings, RetrySettings
+from figwalk.prompt_agent.process import PromptAgentProcess
+from figwalk.state.gateway_settings import GatewaySettings, PromptAgentSettings, RetrySettings
 from figwalk.state.settings import Address
 from figwalk.timer import Timer
 from figwalk.transport import HttpServer
@@ -22,8 +24,19 @@
 HOST = "127.0.0.1"
 # Ends a test that hangs; no verdict depends on it.
 HANG_GUARD_S = 120.0
+# Where no agent listens.
+NO_AGENTS_PORT = 1
 HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nServer-Stamp: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
 
+# What an engine answers to the agent beside it. Other requests of agents are left to the script.
+AGENT_ANSWERS = {
+    "/report": json.dumps(
+        {"stage": "decode", "busy": False, "born": 1000, "running": 0, "waiting": 0, "kv-total": 1}
+    ).encode(),
+    "/kv-list": b'{"epoch": 1, "next": 1, "held": []}',
+    "/kv-events?since=1": b'{"epoch": 1, "next": 1, "events": []}',
+}
+
 
 @attrs.define
 class ReceivedRequest:
@@ -52,11 +65,14 @@
         name: Id of the backend server.
         script: Coroutine function called with this object, the stream and each request received; it
             returns whether the connection stays open.
+        host: Address to listen at. The agent beside an engine has the same one.
     """
 
-    def __init__(self, name, script):
+    def __init__(self, name, script, host=HOST):
         self.name = name
         self.script = script
+        self.host = host
+        self.has_agent = False
         self.requests = []
         self.arrived = trio.Event()
         self.connections = 0
@@ -74,7 +90,7 @@
 
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
         """Serve until cancelled or crashed."""
-        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        listeners = await trio.open_tcp_listeners(0, host=self.host)
         self.port = listeners[0].socket.getsockname()[1]
         with self._scope:
             await trio.serve_listeners(self._serve_connection, listeners, task_status=task_status)
@@ -83,7 +99,7 @@
         """Write the record with which a backend server registers itself."""
         content = {
             "service": service,
-            "address": f"{HOST}:{self.port}",
+            "address": f"{self.host}:{self.port}",
             "zone": "a",
             "version": "v1",
             "slots": 8,
@@ -102,6 +118,10 @@
                 request = await _receive(connection, stream)
                 if request is None:
                     return
+                if self.has_agent and request.target in AGENT_ANSWERS:
+                    await stream.send_all(render(request, AGENT_ANSWERS[request.target]))
+                    connection = h11.Connection(h11.SERVER)
+                    continue
                 self.requests.append(request)
                 self.arrived.set()
                 self.arrived = trio.Event()
@@ -207,12 +227,78 @@
     return await streaming(2)(backend, stream, request)
 
 
+class RunningProcess:
+    """A process that runs as a task and can be killed.
+
+    Args:
+        process: What to run: a gateway or an agent.
+    """
+
+    def __init__(self, process):
+        self.process = process
+        self._scope = trio.CancelScope()
+        self._ended = trio.Event()
+
+    async def run(self):
+        """Run until the process ends or is killed."""
+        try:
+            with self._scope:
+                await self.process.run()
+        finally:
+            self._ended.set()
+
+    async def kill(self):
+        """End the process abruptly, with all its connections."""
+        self._scope.cancel()
+        await self._ended.wait()
+
+
+class Agents:
+    """The prompt agents beside the engines of a fleet.
+
+    Args:
+        nursery: Runs the agents.
+    """
+
+    def __init__(self, nursery):
+        self.port = choose_port()
+        self._nursery = nursery
+        self._starts = itertools.count(1)
+        self._running = {}
+
+    @property
+    def names(self):
+        """Names of the running agents; an agent that starts again has another one."""
+        return {running.process._settings.process for running in self._running.values()}
+
+    def start(self, backend):
+        """Start the agent beside an engine."""
+        backend.has_agent = True
+        settings = PromptAgentSettings(
+            process=f"agent-{backend.name}-{next(self._starts)}",
+            zone="a",
+            region="r",
+            peers=Address(backend.host, self.port),
+            engine=Address(backend.host, backend.port),
+        )
+        self._running[backend.name] = running = RunningProcess(PromptAgentProcess(settings))
+        self._nursery.start_soon(running.run)
+
+    async def kill(self, *backends):
+        """Kill the agents beside some engines."""
+        for backend in backends:
+            await self._running.pop(backend.name).kill()
+
+
 class Fleet:
     """A running gateway with its store and backend servers."""
 
     def __init__(self, store, nursery):
         self.store = store
         self.nursery = nursery
+        self.agents = Agents(nursery)
+        self.starts = itertools.count(1)
+        self.running = None
         # A gateway that has just started allows few retries; this ratio allows some for each call.
         self.settings = {"retry": RetrySettings(ratio=20.0)}
         self.process = None
@@ -224,15 +310,20 @@
         """Write a configuration as an operator does."""
         self.store.put(CONFIG_TOPIC, CONFIG_KEY, json.dumps(config).encode())
 
-    async def add_backend(self, name, script, service="orders", **fields):
+    async def add_backend(self, name, script, service="orders", *, host=HOST, **fields):
         """Start a backend server and register it."""
-        backend = ScriptedBackend(name, script)
+        backend = ScriptedBackend(name, script, host)
         await self.nursery.start(backend.serve)
         backend.register(self.store, service, **fields)
         return backend
 
-    async def start_gateway(self, name="gateway-1"):
-        """Start the gateway and wait until it knows the configuration and the backend servers."""
+    async def start_gateway(self, name="gateway-1", *, agents_port=NO_AGENTS_PORT):
+        """Start the gateway and wait until it knows the configuration and the backend servers.
+
+        Args:
+            name: Name of the process.
+            agents_port: Port of the agents on the engines' hosts, usually that of `agents`.
+        """
         ports = [choose_port() for _ in range(3)]
         self.callers, self.health, self.metrics = (Address(HOST, port) for port in ports)
         settings = GatewaySettings(
@@ -243,16 +334,36 @@
             callers=self.callers,
             health=self.health,
             metrics=self.metrics,
-            agents_port=1,
+            agents_port=agents_port,
             store=self.store_address,
             store_timeout_s=0.5,
             **self.settings,
         )
-        random.seed(1)
+        # Processes that were started one after another identify themselves by different numbers.
+        random.seed(next(self.starts))
         self.process = GatewayProcess(settings)
-        self.nursery.start_soon(self.process.run)
+        self.running = RunningProcess(self.process)
+        self.nursery.start_soon(self.running.run)
         await self.wait_ready()
 
+    async def kill_gateway(self):
+        """End the gateway abruptly."""
+        await self.running.kill()
+
+    async def wait_agents(self):
+        """Wait until the gateway is connected to all running agents."""
+        while not self.agents.names <= self._list_agents():
+            await trio.sleep(0.01)
+
+    async def wait_backends(self, count):
+        """Wait until the gateway knows this number of backend servers."""
+        while f"figwalk_backends {count}.0" not in await self.read_metrics():
+            await trio.sleep(0.01)
+
+    def _list_agents(self):
+        events = self.process._events.select()
+        return {e.fields["peer"] for e in events if e.name == Event.PEER_CONNECTED.name}
+
     async def wait_ready(self, *, ready=True):
         """Wait until the readiness check reports the given state."""
         while await self._is_ready() != ready:
@@ -275,14 +386,28 @@
             return False
         return status == 200
 
-    async def add_gateway(self, name):
-        """Start another gateway of the same deployment; return its fleet."""
+    async def add_gateway(self, name, *, store=None, agents_port=NO_AGENTS_PORT):
+        """Start another gateway of the same deployment; return its fleet.
+
+        Args:
+            name: Name of the process.
+            store: Address at which this gateway reaches the store, or None for the usual one.
+            agents_port: Port of the agents on the engines' hosts.
+        """
         fleet = Fleet(self.store, self.nursery)
-        fleet.store_address = self.store_address
+        fleet.store_address = store or self.store_address
         fleet.settings = self.settings
-        await fleet.start_gateway(name)
+        fleet.agents, fleet.starts = self.agents, self.starts
+        await fleet.start_gateway(name, agents_port=agents_port)
         return fleet
 
+    @asynccontextmanager
+    async def open_stream(self, path, **options):
+        """Send a caller's request on a new connection and yield the answer as it arrives."""
+        async with await trio.open_tcp_stream(self.callers.host, self.callers.port) as stream:
+            await stream.send_all(make_request(path, **options))
+            yield OpenStream(stream)
+
     @asynccontextmanager
     async def connect(self):
         """Open a connection for several calls."""
@@ -310,6 +435,50 @@
         return await read_answer(self.stream)
 
 
+class OpenStream:
+    """The answer to a caller's request that is read as it arrives.
+
+    Args:
+        stream: The connection.
+    """
+
+    def __init__(self, stream):
+        self.status = None
+        self.body = b""
+        self._complete = False
+        self._stream = stream
+        self._connection = h11.Connection(h11.CLIENT)
+        self._connection.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
+        self._connection.send(h11.EndOfMessage())
+
+    async def read_events(self, count):
+        """Read until this number of events has arrived; return the body so far."""
+        while self.body.count(b"\n\n") < count:
+            assert await self._read_on(), (self.status, self.body)
+        return self.body
+
+    async def read_end(self):
+        """Read up to the end of the connection or the answer; return whether it is complete."""
+        try:
+            while await self._read_on():
+                pass
+        except (h11.RemoteProtocolError, trio.BrokenResourceError):
+            return False
+        return self._complete
+
+    async def _read_on(self):
+        event = self._connection.next_event()
+        if event is h11.NEED_DATA:
+            self._connection.receive_data(await self._stream.receive_some(65536))
+        elif isinstance(event, h11.Response):
+            self.status = event.status_code
+        elif isinstance(event, h11.Data):
+            self.body += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            self._complete = True
+        return not isinstance(event, h11.EndOfMessage | h11.ConnectionClosed)
+
+
 @asynccontextmanager
 async def running_fleet():
     """Run a store; the test adds backend servers and a gateway."""
