Add tests of streams taken up after kills, restarts and changes of the configuration

They cover releases during which gateways or agents are killed, a gateway with an old list of backend servers, unknown origins, split routes, plain services, servers that start again as another version, and retries before a first event.

--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+from support.forwarder import Forwarder
 from support.platform_fakes import (
     HEAD,
     chunk,
@@ -13,6 +14,7 @@
 )
 from trio.testing import wait_all_tasks_blocked
 
+from figwalk.platform import BACKENDS_TOPIC
 from standins.platform_config import make_config, make_route
 
 FIRST_EVENTS = 2  # Of each stream before it breaks off.
@@ -104,6 +106,25 @@
             await gateway.wait_agents()
         return gateways
 
+    async def restart_agents(self, engines, *gateways):
+        """Kill the agents beside engines, start them again and let gateways connect to them."""
+        await self.fleet.agents.kill(*engines)
+        for engine in engines:
+            self.fleet.agents.start(engine)
+        for gateway in gateways:
+            await gateway.wait_agents()
+        await deliver_messages()
+
+    async def restart_as(self, server, version, gateways):
+        """Start an engine again under its id as another version; wait until gateways know it."""
+        self.true_versions[server.name] = version
+        fields = {"stage": "decode", "version": version, "born": 2000}
+        server.register(self.fleet.store, "lm", **fields)
+        # The list is read in order, so that gateways which know this server also know the others.
+        await self.add("marker", version, agent=False)
+        for gateway in gateways:
+            await gateway.wait_backends(len(self.servers))
+
     async def begin(self, gateway, call_id, version, *, stack=None, path=ENGINE_ROUTE):
         """Begin a stream at a version and leave, or hold it open up to the end of the stack."""
         self.open_versions = {version}
@@ -124,14 +145,6 @@
         status, _, body = await self.take_up(gateway, call_id, **options)
         assert (status, body) == (200, events_of(version, FIRST_EVENTS + 1))
 
-    async def check_refused(self, gateway, call_id, **options):
-        """Check that a stream is refused as not run and that no backend server is asked."""
-        asked = self.count_take_ups()
-        status, headers, _ = await self.take_up(gateway, call_id, **options)
-        assert self.count_take_ups() == asked
-        assert status == 503
-        assert "retry-after" in headers
-
     def count_take_ups(self, *names):
         """Return how many requests to go on the named servers received, or all of them."""
         servers = [self.servers[name] for name in names or self.servers]
@@ -195,26 +208,26 @@
     await wait_all_tasks_blocked(0.001)
 
 
-async def begin_many(deployment, gateways, versions=VERSIONS, *, stack=None):
+async def begin_many(deployment, gateways, versions=VERSIONS, *, stack=None, path=ENGINE_ROUTE):
     """Begin streams of each version at gateways in turn; return their ids and versions."""
-    streams = {f"{version}-s{n}": version for n in range(STREAMS) for version in versions}
+    streams = {f"{version}-s{n}": version for version in versions for n in range(STREAMS)}
     for number, (call_id, version) in enumerate(streams.items()):
-        gateway = gateways[number // len(versions) % len(gateways)]
-        await deployment.begin(gateway, call_id, version, stack=stack)
+        gateway = gateways[number % len(gateways)]
+        await deployment.begin(gateway, call_id, version, stack=stack, path=path)
     return streams
 
 
-async def check_all_go_on(deployment, gateways, streams):
+async def check_all_go_on(deployment, gateways, streams, *, path=ENGINE_ROUTE):
     """Take up all streams at once, at gateways in turn, and check that each goes on."""
     answers = {}
 
     async def take_up(gateway, call_id):
-        status, _, body = await deployment.take_up(gateway, call_id)
+        status, _, body = await deployment.take_up(gateway, call_id, path=path)
         answers[call_id] = (status, body)
 
     async with trio.open_nursery() as nursery:
         for number, call_id in enumerate(streams):
-            nursery.start_soon(take_up, gateways[number // 2 % len(gateways)], call_id)
+            nursery.start_soon(take_up, gateways[number % len(gateways)], call_id)
     for name, server in deployment.servers.items():
         taken_up = {r.headers["resumes"] for r in server.requests if "resumes" in r.headers}
         assert {streams[call_id] for call_id in taken_up} <= {deployment.true_versions[name]}
@@ -223,6 +236,21 @@
     }
 
 
+async def check_all_refused(deployment, gateways, streams, *, attempt=2):
+    """Take up all streams at once; check that each is refused as not run and no server is asked."""
+    refusals = {}
+
+    async def take_up(gateway, call_id):
+        status, headers, _ = await deployment.take_up(gateway, call_id, attempt=attempt)
+        refusals[call_id] = (status, "retry-after" in headers)
+
+    async with trio.open_nursery() as nursery:
+        for number, call_id in enumerate(streams):
+            nursery.start_soon(take_up, gateways[number % len(gateways)], call_id)
+    assert deployment.count_take_ups() == 0
+    assert refusals == dict.fromkeys(streams, (503, True))
+
+
 def test_broken_stream_is_not_resumed_at_another_version():
     """Guards against an answer that joins the events of two versions."""
 
@@ -315,3 +343,346 @@
         await check_all_go_on(deployment, [target], streams)
 
     run_deployment(test)
+
+
+def fail_first_take_up(deployment, break_off_later):
+    """Have the first server that a caller's take-up reaches break it off.
+
+    Args:
+        deployment: The deployment.
+        break_off_later: Whether the server sends one event before.
+    """
+    broken = []
+
+    async def breaking(server, stream, request):
+        if "resumes" not in request.headers or broken:
+            return None
+        broken.append(server.name)
+        if break_off_later:
+            version = deployment.true_versions[server.name]
+            number = FIRST_EVENTS + 1
+            await send_events(stream, request, events_of(version, number, number))
+        await stream.aclose()
+        return False
+
+    deployment.override = breaking
+
+
+@pytest.mark.parametrize("break_off_later", [False, True])
+@pytest.mark.parametrize("versions", VERSIONS_OF_FOUR)
+def test_stream_that_breaks_off_again_after_it_was_taken_up_stays_at_its_version(
+    versions, break_off_later
+):
+    """Guards against a retry of a take-up at another version than the one that began the stream."""
+
+    async def test(deployment):
+        for number, version in enumerate(versions):
+            await deployment.add(f"e{number}", version)
+        first, second = await deployment.start_gateways("gateway-1", "gateway-2")
+        streams = {f"{version}-s{number}": version for number in range(4) for version in VERSIONS}
+        for call_id, version in streams.items():
+            await deployment.begin(first, call_id, version)
+        fail_first_take_up(deployment, break_off_later)
+        for call_id, version in streams.items():
+            await deployment.check_goes_on(second, call_id, version)
+
+    run_deployment(test)
+
+
+def test_streams_go_on_at_their_version_after_all_gateways_were_killed():
+    """Guards against origins that are lost with the gateways."""
+
+    async def test(deployment):
+        for number, version in enumerate(VERSIONS):
+            await deployment.add(f"e{number}", version)
+        gateways = await deployment.start_gateways("gateway-1", "gateway-2")
+        async with AsyncExitStack() as stack:
+            streams = await begin_many(deployment, gateways, stack=stack)
+            await deliver_messages()
+            for gateway in gateways:
+                await gateway.kill_gateway()
+        gateways = await deployment.start_gateways("gateway-1", "gateway-2")
+        await check_all_go_on(deployment, gateways, streams)
+
+    run_deployment(test)
+
+
+@pytest.mark.parametrize("change", ["removed", "draining"])
+def test_stream_whose_version_left_while_gateways_were_killed_is_refused(change):
+    """Guards against new gateways that let old streams go on at the only version they know."""
+
+    async def test(deployment):
+        old = await deployment.add("e1", "v1")
+        await deployment.add("e2", "v2")
+        (gateway,) = await deployment.start_gateways("gateway-1")
+        async with AsyncExitStack() as stack:
+            streams = await begin_many(deployment, [gateway], ["v1"], stack=stack)
+            await deliver_messages()
+            await gateway.kill_gateway()
+        if change == "removed":
+            deployment.fleet.store.remove(BACKENDS_TOPIC, "e1")
+        else:
+            old.register(deployment.fleet.store, "lm", stage="decode", state="draining", sequence=2)
+        # Gateways don't connect to agents beside engines that leave.
+        await deployment.fleet.agents.kill(old)
+        (gateway,) = await deployment.start_gateways("gateway-1")
+        await check_all_refused(deployment, [gateway], streams)
+
+    run_deployment(test)
+
+
+def test_stream_whose_version_left_is_refused_by_gateways_that_live_on():
+    """Guards against gateways that know the origin of a stream and let it go on elsewhere."""
+
+    async def test(deployment):
+        await deployment.add("e1", "v1")
+        await deployment.add("e2", "v2")
+        gateways = await deployment.start_gateways("gateway-1", "gateway-2")
+        streams = await begin_many(deployment, gateways, ["v1"])
+        deployment.fleet.store.remove(BACKENDS_TOPIC, "e1")
+        for number, gateway in enumerate(gateways):
+            await gateway.wait_backends(1)
+            await check_all_refused(deployment, [gateway], streams, attempt=number)
+
+    run_deployment(test)
+
+
+def test_gateway_with_an_old_list_of_servers_refuses_streams_of_a_version_it_does_not_know():
+    """Guards against a gateway out of step that lets streams of the new version go on at the old.
+
+    Once it knows the new version's servers, the streams go on.
+    """
+
+    async def test(deployment):
+        for number in range(2):
+            await deployment.add(f"old-{number}", "v1")
+        fleet = deployment.fleet
+        forwarder = Forwarder(fleet.store_address)
+        store = await fleet.nursery.start(forwarder.run)
+        stale = await fleet.add_gateway("gateway-2", store=store, agents_port=fleet.agents.port)
+        await stale.wait_agents()
+        forwarder.cut(refuse=True)
+        for number in range(2):
+            await deployment.add(f"new-{number}", "v2")
+        (current,) = await deployment.start_gateways("gateway-1")
+        streams = await begin_many(deployment, [current], ["v2"])
+        await check_all_refused(deployment, [stale], streams)
+        forwarder.forward()
+        await stale.wait_backends(4)
+        await check_all_go_on(deployment, [stale], streams)
+
+    run_deployment(test)
+
+
+@pytest.mark.parametrize("resumes", [[], ["Resumes: unknown"], ["Resumes: s2"]])
+@pytest.mark.parametrize("path", [ENGINE_ROUTE, PLAIN_ROUTE])
+def test_stream_without_a_known_origin_is_refused_as_not_run(path, resumes):
+    """Guards against streams that go on at any version since nothing is known of their beginning.
+
+    The last case names the request itself, which brought no event.
+    """
+
+    async def test(deployment):
+        for number in range(2):
+            await deployment.add(f"e{number}", "v1")
+        await deployment.add("plain", "v1", "orders")
+        (gateway,) = await deployment.start_gateways("gateway-1")
+        await deployment.begin(gateway, "s1", "v1", path=path)
+        options = make_options("s2", "Last-Event-Id: 2", *resumes)
+        status, headers, _ = await gateway.call(path, **options)
+        assert deployment.count_take_ups() == 0
+        assert status == 503
+        assert "retry-after" in headers
+
+    run_deployment(test)
+
+
+def test_agents_that_start_again_learn_the_origins_from_the_gateways():
+    """Guards against origins that are lost when a gateway is killed after the agents restarted."""
+
+    async def test(deployment):
+        engines = [await deployment.add(f"e{n}", version) for n, version in enumerate(VERSIONS)]
+        first, second = await deployment.start_gateways("gateway-1", "gateway-2")
+        streams = await begin_many(deployment, [first])
+        await deployment.restart_agents(engines, first, second)
+        await first.kill_gateway()
+        await check_all_go_on(deployment, [second], streams)
+
+    run_deployment(test)
+
+
+def test_streams_are_refused_after_all_agents_and_gateways_were_killed():
+    """Guards against streams that go on at any version since all that knew it are gone."""
+
+    async def test(deployment):
+        engines = [await deployment.add(f"e{n}", version) for n, version in enumerate(VERSIONS)]
+        (gateway,) = await deployment.start_gateways("gateway-1")
+        streams = await begin_many(deployment, [gateway])
+        await gateway.kill_gateway()
+        await deployment.restart_agents(engines)
+        (gateway,) = await deployment.start_gateways("gateway-1")
+        await check_all_refused(deployment, [gateway], streams)
+
+    run_deployment(test)
+
+
+def test_gateway_without_agents_refuses_streams_of_others_and_takes_up_its_own():
+    """Guards against a gateway that is cut off from the agents and guesses versions."""
+
+    async def test(deployment):
+        for number, version in enumerate(VERSIONS):
+            await deployment.add(f"e{number}", version)
+        (first,) = await deployment.start_gateways("gateway-1")
+        isolated = await deployment.fleet.add_gateway("gateway-2")
+        others = await begin_many(deployment, [first])
+        await check_all_refused(deployment, [isolated], others)
+        for version in VERSIONS:
+            await deployment.begin(isolated, f"own-{version}", version)
+            await deployment.check_goes_on(isolated, f"own-{version}", version)
+
+    run_deployment(test)
+
+
+def split(**weights):
+    """Return the field of a route that splits its calls between services."""
+    services = {"lm": weights.get("lm"), "lm-next": weights.get("lm_next")}
+    shares = [{"service": s, "weight": w} for s, w in services.items() if w is not None]
+    return {"traffic-split": shares}
+
+
+async def begin_at_split_route(deployment):
+    """Begin streams at the service that has all of the weight; return gateways and streams."""
+    for number, service in enumerate(["lm", "lm", "lm-next", "lm-next"]):
+        await deployment.add(f"e{number}", "v1", service)
+    gateways = await deployment.start_gateways("gateway-1", "gateway-2")
+    streams = await begin_many(deployment, gateways, ["v1"])
+    assert deployment.servers["e0"].requests or deployment.servers["e1"].requests
+    return gateways, streams
+
+
+@pytest.mark.parametrize("weight", [0, 1])
+def test_stream_of_a_split_route_goes_on_at_the_service_that_began_it(weight):
+    """Guards against streams that go on at another service when the weights change."""
+
+    async def test(deployment):
+        gateways, streams = await begin_at_split_route(deployment)
+        deployment.fleet.publish(make_stream_config(2, **split(lm=weight, lm_next=100)))
+        for gateway in gateways:
+            await gateway.wait_version(2)
+        await check_all_go_on(deployment, gateways[::-1], streams)
+        assert deployment.count_take_ups("e2", "e3") == 0
+
+    run_deployment(test, make_stream_config(**split(lm=1, lm_next=0)))
+
+
+def test_stream_is_refused_when_its_route_no_longer_has_the_service_that_began_it():
+    """Guards against streams that go on at the service that replaced the one that began them."""
+
+    async def test(deployment):
+        gateways, streams = await begin_at_split_route(deployment)
+        deployment.fleet.publish(make_stream_config(2, **split(lm_next=1)))
+        for number, gateway in enumerate(gateways):
+            await gateway.wait_version(2)
+            await check_all_refused(deployment, [gateway], streams, attempt=number)
+
+    run_deployment(test, make_stream_config(**split(lm=1, lm_next=0)))
+
+
+@pytest.mark.parametrize("place", ["same gateway", "other gateway"])
+def test_streams_of_a_plain_service_go_on_at_their_version(place):
+    """Guards against streams of services without engines that go on at any version."""
+
+    async def test(deployment):
+        for number, version in enumerate(VERSIONS):
+            await deployment.add(f"plain-{number}", version, "orders")
+            await deployment.add(f"e{number}", version)
+        gateways = await deployment.start_gateways("gateway-1", "gateway-2")
+        streams = await begin_many(deployment, gateways, path=PLAIN_ROUTE)
+        if place == "other gateway":
+            gateways.reverse()
+        await check_all_go_on(deployment, gateways, streams, path=PLAIN_ROUTE)
+
+    run_deployment(test)
+
+
+@pytest.mark.parametrize("place", ["same gateway", "other gateway"])
+def test_streams_of_a_server_that_started_again_as_another_version_do_not_go_on_there(place):
+    """Guards against streams that go on at a backend server since its id is the same as before."""
+
+    async def test(deployment):
+        server = await deployment.add("e1", "v1")
+        await deployment.add("e2", "v2")
+        gateways = await deployment.start_gateways("gateway-1", "gateway-2")
+        streams = await begin_many(deployment, gateways, ["v1"])
+        await deployment.restart_as(server, "v2", gateways)
+        if place == "other gateway":
+            gateways.reverse()
+        await check_all_refused(deployment, gateways, streams)
+
+    run_deployment(test)
+
+
+def test_stream_of_a_server_whose_registration_was_old_does_not_go_on_at_that_version():
+    """Guards against a wrong origin: the server had started as another version already.
+
+    The gateway that began the streams read the new registration only after their first events.
+    """
+
+    async def test(deployment):
+        server = await deployment.add("e1", "v1")
+        deployment.true_versions["e1"] = "v2"
+        await deployment.add("e2", "v1")
+        gateways = await deployment.start_gateways("gateway-1", "gateway-2")
+        streams = await begin_many(deployment, gateways, ["v2"])
+        await deployment.restart_as(server, "v2", gateways)
+        for number, call_id in enumerate(streams):
+            await deployment.take_up(gateways[(number + 1) % 2], call_id)
+        assert deployment.count_take_ups("e2") == 0
+
+    run_deployment(test)
+
+
+async def send_head(stream, request):
+    """Send the head of an answer and break off before its first event."""
+    await stream.send_all(HEAD.format(request.call_id).encode())
+    await stream.aclose()
+    return False
+
+
+async def reset(stream, _request):
+    """Close the connection without an answer."""
+    await stream.aclose()
+    return False
+
+
+async def refuse(stream, request):
+    """State that the request was not run."""
+    return await refusing(None, stream, request)
+
+
+@pytest.mark.parametrize("fail", [refuse, reset, send_head])
+def test_stream_belongs_to_the_server_whose_first_event_was_passed_on(fail):
+    """Guards against the version of an attempt that brought no event as that of the stream."""
+
+    async def test(deployment):
+        for number, version in enumerate(VERSIONS):
+            await deployment.add(f"e{number}", version)
+        first, second = await deployment.start_gateways("gateway-1", "gateway-2")
+        tried = []
+
+        async def fail_first(server, stream, request):
+            if "last-event-id" in request.headers:
+                return None
+            tried.append(server.name)
+            return await fail(stream, request) if len(tried) == 1 else None
+
+        deployment.override = fail_first
+        async with first.open_stream(ENGINE_ROUTE, **make_options("s1")) as stream:
+            body = await stream.read_events(FIRST_EVENTS)
+        assert len(set(tried)) == 2
+        version = deployment.true_versions[tried[1]]
+        assert body == events_of(version, last=FIRST_EVENTS)
+        # A second gateway prefers the same server as the first one did.
+        await deployment.check_goes_on(second, "s1", version)
+
+    run_deployment(test)
