--- a/tests/support/platform_fakes.py
+++ b/tests/support/platform_fakes.py
@@ -271,7 +271,7 @@
         """Names of the running agents; an agent that starts again has another one."""
         return {running.process._settings.process for running in self._running.values()}
 
-    def start(self, backend):
+    async def start(self, backend):
         """Start the agent beside an engine."""
         backend.has_agent = True
         settings = PromptAgentSettings(
@@ -281,7 +281,10 @@
             peers=Address(backend.host, self.port),
             engine=Address(backend.host, backend.port),
         )
-        self._running[backend.name] = running = RunningProcess(PromptAgentProcess(settings))
+        agent = PromptAgentProcess(settings)
+        # An agent without a report of its engine tells gateways that the engine is down.
+        await agent._watcher.poll()
+        self._running[backend.name] = running = RunningProcess(agent)
         self._nursery.start_soon(running.run)
 
     async def kill(self, *backends):
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -95,7 +95,7 @@
             **fields,
         )
         if is_engine and agent:
-            self.fleet.agents.start(server)
+            await self.fleet.agents.start(server)
         return server
 
     async def start_gateways(self, *names):
@@ -110,7 +110,7 @@
         """Kill the agents beside engines, start them again and let gateways connect to them."""
         await self.fleet.agents.kill(*engines)
         for engine in engines:
-            self.fleet.agents.start(engine)
+            await self.fleet.agents.start(engine)
         for gateway in gateways:
             await gateway.wait_agents()
         await deliver_messages()
