--- a/tests/support/forwarder.py
+++ b/tests/support/forwarder.py
@@ -57,10 +57,12 @@
 
     Args:
         target: Address of the server.
+        port: Port to listen at, or 0 for any free one.
     """
 
-    def __init__(self, target: Address) -> None:
+    def __init__(self, target: Address, *, port: int = 0) -> None:
         self._target = target
+        self._port = port
         self._links = {direction: Link() for direction in Direction}
         self._connections: dict[trio.CancelScope, _Connection] = {}
         self._refusing = False
@@ -75,7 +77,7 @@
         self, *, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Listen and forward until cancelled; reports the address when started."""
-        listeners = await trio.open_tcp_listeners(0, host=self._target.host)
+        listeners = await trio.open_tcp_listeners(self._port, host=self._target.host)
         task_status.started(Address(*listeners[0].socket.getsockname()[:2]))
         await trio.serve_listeners(self._serve, listeners)
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -15,6 +15,8 @@
 from trio.testing import wait_all_tasks_blocked
 
 from figwalk.platform import BACKENDS_TOPIC
+from figwalk.state.settings import Address
+from standins.launcher import choose_port
 from standins.platform_config import make_config, make_route
 
 FIRST_EVENTS = 2  # Of each stream before it breaks off.
@@ -543,6 +545,58 @@
     run_deployment(test)
 
 
+@pytest.mark.parametrize("is_silent", [False, True])
+def test_gateway_that_is_cut_off_from_agents_refuses_streams_of_others_until_it_is_not(is_silent):
+    """Guards against a gateway that guesses versions since the agents don't answer it."""
+
+    async def test(deployment):
+        engines = [await deployment.add(f"e{n}", version) for n, version in enumerate(VERSIONS)]
+        fleet, port = deployment.fleet, choose_port()
+        forwarders = [Forwarder(Address(e.host, fleet.agents.port), port=port) for e in engines]
+        for forwarder in forwarders:
+            await fleet.nursery.start(forwarder.run)
+        (first,) = await deployment.start_gateways("gateway-1")
+        second = await fleet.add_gateway("gateway-2", agents_port=port)
+        await second.wait_agents()
+        streams = await begin_many(deployment, [first])
+        for version in VERSIONS:
+            await deployment.begin(second, f"own-{version}", version)
+        for forwarder in forwarders:
+            if is_silent:
+                forwarder.drop()
+            else:
+                forwarder.cut(refuse=True)
+        await check_all_refused(deployment, [second], streams)
+        for version in VERSIONS:
+            await deployment.check_goes_on(second, f"own-{version}", version)
+        for forwarder in forwarders:
+            forwarder.forward()
+        for call_id, version in streams.items():
+            status, headers, body = await deployment.take_up(second, call_id)
+            while status == 503:
+                await trio.sleep(float(headers["retry-after"]))
+                status, headers, body = await deployment.take_up(second, call_id)
+            assert (status, body) == (200, events_of(version, FIRST_EVENTS + 1))
+
+    run_deployment(test)
+
+
+def test_stream_that_is_taken_up_twice_stays_at_its_version():
+    """Guards against a second take-up for which the first one counts as the beginning."""
+
+    async def test(deployment):
+        for number, version in enumerate(VERSIONS):
+            await deployment.add(f"e{number}", version)
+        gateways = await deployment.start_gateways("gateway-1", "gateway-2", "gateway-3")
+        streams = await begin_many(deployment, gateways)
+        # Each gateway takes up streams of the one before it.
+        for _ in range(2):
+            gateways.append(gateways.pop(0))
+            await check_all_go_on(deployment, gateways, streams)
+
+    run_deployment(test)
+
+
 def split(**weights):
     """Return the field of a route that splits its calls between services."""
     services = {"lm": weights.get("lm"), "lm-next": weights.get("lm_next")}
