Run stand-in engines of several software versions side by side

Every stand-in registered version v1 and streamed the same events, so that a stream joined from two versions looked sound. Events now depend on the version, the run log names it, and a deployment can replace a backend server by one of another version or add one beside it.

--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -4,11 +4,13 @@
 second. After SIGTERM it registers as draining, serves on for --drain-s and then leaves.
 
 A call is answered in one of --slots places; --queue more calls wait. Answers echo Request-Id and
-bear Server-Stamp, their content depends only on the call (`expected_body`, `expected_event`).
-Calls that are not run get 503, 421 or 400 with Not-Executed; one whose Deadline-Ms is over while
-it runs gets 504. The file --run-log gets a line for each call that arrives (`received`), that is
-prefilled (`prefill`) and that begins to run (`run`), written before anything is answered; the first
-also tells the value of Tenant and whether there was an X-Api-Key.
+bear Server-Stamp, their content depends only on the call (`expected_body`), that of events also on
+the software version (`expected_event`). Calls that are not run get 503, 421 or 400 with
+Not-Executed; one whose Deadline-Ms is over while it runs gets 504. The file --run-log gets a line
+for each call that arrives (`received`), that is prefilled (`prefill`) and that begins to run
+(`run`), written before anything is answered; the first also tells the value of Tenant and whether
+there was an X-Api-Key. Two more lines tell of the first registration (`registered`) and of SIGTERM
+(`leaving`). All name the software version.
 
 An engine reads a prompt first (Prefix-Hash: ID:TOKENS parts; parts read before cost nothing) and
 then streams as many events as the second number of Token-Counts, from the one after Last-Event-Id.
@@ -59,6 +61,7 @@
 CACHED_PARTS = 1000
 CACHE_POLL_S = 0.02
 DEFAULT_PATIENCE_MS = 30_000
+DEFAULT_VERSION = "v1"
 
 
 @attrs.frozen
@@ -88,14 +91,15 @@
     return hashlib.sha256(f"{call_id} {target}".encode()).hexdigest().encode()
 
 
-def expected_event(prompt: str, number: int) -> bytes:
+def expected_event(prompt: str, number: int, version: str = DEFAULT_VERSION) -> bytes:
     """Return an event of a stream.
 
     Args:
         prompt: Value of the header Prefix-Hash.
         number: Its id, counted from 1.
+        version: Software version of the engine.
     """
-    digest = hashlib.sha256(f"{prompt} {number}".encode()).hexdigest()
+    digest = hashlib.sha256(f"{version} {prompt} {number}".encode()).hexdigest()
     return f"id: {number}\ndata: {digest}\n\n".encode()
 
 
@@ -125,12 +129,17 @@
 
     async def run(self) -> None:
         """Register again and again."""
+        registered = False
         while True:
-            await self._register()
+            succeeded = await self._register()
+            if succeeded and not registered:
+                registered = True
+                self._note("registered")
             await trio.sleep(HEARTBEAT_S)
 
     async def leave(self) -> None:
         """Register as draining and serve on for the time that the platform allows."""
+        self._note("leaving")
         await self._register()
         await trio.sleep(self._options.drain_s)
 
@@ -257,7 +266,7 @@
         headers = [*self._sign(call_id), (b"content-type", b"text/event-stream")]
         await responder.start(200, headers)
         for number in range(first, last + 1):
-            event = expected_event(prompt, number)
+            event = expected_event(prompt, number, self._options.version)
             if cut_after is not None and number - first >= cut_after:
                 await responder.send_chunk(event[: len(event) // 2])
                 return
@@ -269,13 +278,14 @@
         until = self._handles.pop(handle, 0.0)
         return until > trio.current_time() and not self.use_up("drop_handles")
 
-    async def _register(self) -> None:
+    async def _register(self) -> bool:
+        """Send one registration; return whether the store took it."""
         self._sequence += 1
         value: dict[str, object] = {
             "service": self._options.service,
             "address": self._options.advertise,
             "zone": self._options.zone,
-            "version": "v1",
+            "version": self._options.version,
             "slots": self._options.slots,
             "state": "draining" if self.stopping.is_set() else "ready",
             "cold-remaining-ms": 0,
@@ -292,9 +302,11 @@
         }
         try:
             with trio.fail_after(STORE_TIMEOUT_S):
-                await self._store.fetch("POST", "/records", body=json.dumps(record).encode())
+                body = json.dumps(record).encode()
+                response, _ = await self._store.fetch("POST", "/records", body=body)
         except (HttpError, trio.TooSlowError):
-            return  # The next one follows in a second.
+            return False  # The next one follows in a second.
+        return response.status == 200
 
     def _keep(self, part: str, size: int) -> None:
         if part not in self._cached:
@@ -362,9 +374,15 @@
     def _sign(self, call_id: str) -> Headers:
         return [*_echo(call_id), (b"server-stamp", f"{self._options.id}.{call_id}".encode())]
 
-    def _note(self, event: str, call_id: str, headers: Headers | None = None) -> None:
+    def _note(self, event: str, call_id: str = "", headers: Headers | None = None) -> None:
         if self._run_log >= 0:
-            line = {"event": event, "id": call_id, "at": time.time(), "backend": self._options.id}
+            line: dict[str, object] = {
+                "event": event,
+                "id": call_id,
+                "at": time.time(),
+                "backend": self._options.id,
+                "version": self._options.version,
+            }
             if headers is not None:
                 line["organisation"] = find_header(headers, b"tenant")
                 line["has_key"] = bool(find_header(headers, b"x-api-key"))
@@ -408,6 +426,7 @@
     add("--zone", default="a", help="availability zone")
     add("--store", required=True, help="HOST:PORT of the store")
     add("--advertise", required=True, help="HOST:PORT that it registers")
+    add("--version", default=DEFAULT_VERSION, help="software version")
     add("--stage", choices=["prefill", "decode"], default="", help="stage of an engine")
     add("--slots", type=int, default=8, help="calls that run at once")
     add("--queue", type=int, default=24, help="calls that may wait")
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -16,6 +16,7 @@
 from figwalk.state.settings_file import dump_settings
 from figwalk.transport import HttpClient
 from standins.launcher import Launcher, ProcessHandle, choose_port
+from standins.platform_backend import DEFAULT_VERSION
 from standins.platform_config import make_config
 
 REGIONS = {"a": "r", "b": "r", "c": "s"}
@@ -114,13 +115,14 @@
         self._store_address = Address("", 0)
         self._agents_port = choose_port()
         self._ports = {backend.name: choose_port(backend.host) for backend in plan.backends}
+        self._versions: dict[str, str] = {}
         self._settings: dict[str, GatewaySettings] = {}
         self._processes: dict[str, ProcessHandle] = {}
         self._starts: Counter[str] = Counter()
 
     @property
     def plan(self) -> PlatformPlan:
-        """What is run."""
+        """What is run, without the backend servers that have left."""
         return self._plan
 
     @property
@@ -147,9 +149,7 @@
         self._store_address = store.addresses["http"]
         await self.publish(make_config(1))
         for backend in self._plan.backends:
-            await self.start_backend(backend.name)
-            if backend.stage:
-                await self.start_agent(f"{backend.name}-agent")
+            await self._start_with_agent(backend)
         for name in self._plan.gateways:
             await self.start_gateway(name)
         for name in self._plan.gateways:
@@ -171,10 +171,43 @@
         if response.status != 200:
             raise PlatformDeploymentError(f"the store answered {response.status} to a publication")
 
-    async def start_backend(self, name: str) -> None:
-        """Start a backend server under a new id."""
+    def version(self, name: str) -> str:
+        """Return the software version with which a backend server starts."""
+        return self._versions.get(name, DEFAULT_VERSION)
+
+    async def add_backend(self, backend: BackendPlan, version: str) -> None:
+        """Start another backend server, and its agent if it is an engine.
+
+        Args:
+            backend: What to run; the name may be that of one that has left.
+            version: Its software version.
+        """
+        if backend.name not in self._ports:
+            self._ports[backend.name] = choose_port(backend.host)
+        self._versions[backend.name] = version
+        self._plan = attrs.evolve(self._plan, backends=(*self._plan.backends, backend))
+        await self._start_with_agent(backend)
+
+    async def remove_backend(self, name: str) -> None:
+        """Let a backend server drain and leave, and end its agent then."""
+        names = [name, f"{name}-agent"] if self._find_plan(name).stage else [name]
+        rest = tuple(backend for backend in self._plan.backends if backend.name != name)
+        self._plan = attrs.evolve(self._plan, backends=rest)
+        for process in names:
+            self._processes[process].terminate()
+            await self._processes[process].wait()
+
+    async def start_backend(self, name: str, version: str | None = None) -> None:
+        """Start a backend server under a new id.
+
+        Args:
+            name: Its name in the plan.
+            version: Software version from now on; the present one if omitted.
+        """
         backend = self._find_plan(name)
         self._starts[name] += 1
+        if version is not None:
+            self._versions[name] = version
         address = await self._route(name, self.backend_address(name))
         arguments = {
             "--id": f"{name}.{self._starts[name]}",
@@ -185,6 +218,7 @@
             "--store": str(self._store_address),
             "--advertise": str(address),
             "--run-log": str(self.run_log(name)),
+            "--version": self.version(name),
         }
         if backend.stage:
             arguments["--stage"] = backend.stage
@@ -290,6 +324,11 @@
         finally:
             client.close()
 
+    async def _start_with_agent(self, backend: BackendPlan) -> None:
+        await self.start_backend(backend.name)
+        if backend.stage:
+            await self.start_agent(f"{backend.name}-agent")
+
     def _find_plan(self, name: str) -> BackendPlan:
         return next(backend for backend in self._plan.backends if backend.name == name)
 
