Let callers of the soak take up streams, and judge all their attempts together

The soak could not see streams that were joined from two software versions: no caller took a stream up, and each answer was judged alone. Callers now take broken streams up at other gateways, engines of two versions replace each other beside the other faults, and gateways are also killed all at once, lose their callers' connections and their links to agents. Callers stay on open connections until the gateway closes them.

The checks of stream bytes move from own_answer to the rule order, which asks as much of each answer and also that the attempts of a caller are one stream of one version. The rule lost bounds the streams that don't go on; it needs the clock, order doesn't.

--- a/histories/platform_caller.py
+++ b/histories/platform_caller.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import select
+import socket
+import time
+
 import h11
 import trio
 
 from figwalk.state.settings import Address
 from figwalk.timer import MS_PER_S
-from histories.platform_history import CallKind, PlatformCall
+from histories.platform_call import CallKind, PlatformCall
 from standins.platform_config import CALLER_HOST
+from tests.support.forwarder import RESET_ON_CLOSE
 
 CONNECT_TIMEOUT_S = 1.0
 
@@ -31,6 +36,20 @@
                 return None
         return None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the gateway has not closed the connection; it sends nothing between answers."""
+        descriptor = self._stream.socket.fileno()
+        return descriptor >= 0 and not select.select([descriptor], [], [], 0)[0]
+
+    def close(self, *, reset: bool) -> None:
+        """Close or reset the connection, also while a call is on it."""
+        if self._stream.socket.fileno() < 0:
+            return
+        if reset:
+            self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self._stream.socket.close()
+
     async def exchange(self, call: PlatformCall) -> None:
         """Send a call and note its answer."""
         self.reusable = False
@@ -44,6 +63,8 @@
         if call.kind.is_stream:
             tokens = sum(int(part.partition(":")[2]) for part in call.prompt.split(","))
             headers += [("prefix-hash", call.prompt), ("token-counts", f"{tokens},{call.events}")]
+        if call.resumes:
+            headers += [("last-event-id", str(call.after)), ("resumes", call.resumes)]
         method = "GET" if call.kind is CallKind.CHECK else "POST"
         if method == "POST":
             headers.append(("content-length", "0"))
@@ -64,6 +85,7 @@
                 self._connection.receive_data(await self._stream.receive_some(65536))
             elif isinstance(event, h11.Response):
                 call.status = event.status_code
+                call.began_at = time.time()
                 headers = dict(event.headers)
                 call.echoed_id = headers.get(b"request-id", b"").decode()
                 call.signed = b"server-stamp" in headers
--- a/histories/platform_faults.py
+++ b/histories/platform_faults.py
@@ -6,6 +6,7 @@
 import time
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractContextManager
 
 import attrs
 import trio
@@ -13,10 +14,13 @@
 from figwalk.errors import HttpError
 from histories.platform_history import GRACE_S, PlannedStop, PlatformHistory
 from standins.launcher import ProcessHandle
-from standins.platform_deployment import PlatformDeployment
+from standins.platform_deployment import BackendPlan, PlatformDeployment
 from tests.support.forwarder import Direction, Forwarder
 
 SHORTEST_S, LONGEST_S = 0.2, 5.0
+VERSIONS = ("v1", "v2")
+# Suffixes of the names of engines that replace each other, and the networks of their VMs.
+ENGINE_PLACES = (("", "127.0.4"), ("b", "127.0.5"), ("c", "127.0.6"))
 
 
 class FaultTarget(ABC):
@@ -33,8 +37,19 @@
         """The processes."""
 
     @abstractmethod
-    def link(self, name: str) -> Forwarder:
-        """Return the forwarder of a link."""
+    def links(self, name: str) -> list[Forwarder]:
+        """Return the forwarders of a link; agents have one for each gateway, and vice versa."""
+
+    @abstractmethod
+    def claim(self, fault: str, *targets: str) -> AbstractContextManager[list[str]]:
+        """Keep other faults off those targets that none acts on, and return these.
+
+        They are noted as disturbed by the fault.
+        """
+
+    @abstractmethod
+    def reset_callers(self, gateway: str) -> None:
+        """Reset the callers' connections to a gateway."""
 
     @abstractmethod
     async def publish(self, rng: random.Random) -> None:
@@ -114,11 +129,15 @@
 
 def _disturb_link(disturb: Callable[[Forwarder, random.Random], None]) -> Action:
     async def act(soak: FaultTarget, target: str, rng: random.Random) -> None:
-        forwarder = soak.link(target)
-        disturb(forwarder, rng)
+        forwarders = soak.links(target)
+        state = rng.getstate()
+        for forwarder in forwarders:
+            rng.setstate(state)  # Each link gets the same fault.
+            disturb(forwarder, rng)
         await trio.sleep(_duration(rng))
-        forwarder.delay(0.0)
-        forwarder.forward()
+        for forwarder in forwarders:
+            forwarder.delay(0.0)
+            forwarder.forward()
 
     return act
 
@@ -153,6 +172,106 @@
     return act
 
 
+async def _kill_all_gateways(soak: FaultTarget, _target: str, rng: random.Random) -> None:
+    deployment = soak.deployment
+    with soak.claim("kill_gateway", *deployment.plan.gateways) as names:
+        for name in names:
+            deployment.processes[name].kill()
+        for name in names:
+            await deployment.processes[name].wait()
+        await trio.sleep(rng.choice([0.0, rng.uniform(0.0, 2.0)]))
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                nursery.start_soon(_start, soak, name)
+
+
+async def _reset_callers(soak: FaultTarget, target: str, rng: random.Random) -> None:
+    for _ in range(rng.randint(1, 3)):
+        soak.reset_callers(target)
+        await trio.sleep(rng.uniform(0.0, 0.5))
+
+
+async def _replace_in_place(soak: FaultTarget, target: str, rng: random.Random) -> None:
+    """Restart an engine as the other version, on the same VM."""
+    handle = soak.deployment.processes[target]
+    if rng.random() < 0.3:
+        handle.kill()
+    else:
+        handle.terminate()
+    with trio.move_on_after(GRACE_S):
+        await handle.wait()
+    if handle.returncode is None:
+        handle.kill()
+        await handle.wait()
+    await trio.sleep(rng.choice([0.0, 1.0]))
+    other = _other_version(soak.deployment.version(target))
+    await soak.deployment.start_backend(target, other)
+
+
+async def _release(soak: FaultTarget, target: str, rng: random.Random) -> None:
+    """Let engines of another version join, sometimes while gateways are paused, and old ones leave.
+
+    Some releases replace only some of the engines, and some are rolled back.
+    """
+    deployment = soak.deployment
+    engines = [backend for backend in deployment.plan.backends if backend.service == target]
+    versions = {deployment.version(engine.name) for engine in engines}
+    version = rng.choice(VERSIONS)
+    if versions == {version}:
+        version = _other_version(version)
+    old = [engine for engine in engines if deployment.version(engine.name) != version]
+    old = rng.sample(old, rng.choice([len(old), rng.randint(1, len(old))]))
+    paused = rng.sample(list(deployment.plan.gateways), rng.choice([0, 0, 1, 2]))
+    joined: list[tuple[str, str]] = []
+    async with trio.open_nursery() as nursery:
+        for name in paused:
+            nursery.start_soon(_pause_if_free, soak, name, rng)
+        for engine in old:
+            nursery.start_soon(_join, soak, engine, version, joined)
+    await trio.sleep(rng.uniform(0.0, 3.0))
+    is_rolled_back = rng.random() < 0.25
+    gap_s = rng.choice([0.0, 0.0, rng.uniform(0.2, 1.0)])
+    async with trio.open_nursery() as nursery:
+        for old_name, new_name in joined:
+            nursery.start_soon(_leave, soak, new_name if is_rolled_back else old_name)
+            await trio.sleep(gap_s)
+
+
+async def _pause_if_free(soak: FaultTarget, gateway: str, rng: random.Random) -> None:
+    with soak.claim("pause_gateway", gateway) as free:
+        if free:
+            await _pause(soak, gateway, rng)
+
+
+async def _join(
+    soak: FaultTarget, old: BackendPlan, version: str, joined: list[tuple[str, str]]
+) -> None:
+    """Start an engine beside an old one, on another VM; without a free one, do nothing."""
+    stem = old.name.rstrip("".join(suffix for suffix, _ in ENGINE_PLACES))
+    number = old.host.rpartition(".")[2]
+    present = {backend.name for backend in soak.deployment.plan.backends}
+    for suffix, network in ENGINE_PLACES:
+        name = stem + suffix
+        if name in present:
+            continue
+        new = attrs.evolve(old, name=name, host=f"{network}.{number}")
+        with soak.claim("join_backend", name, f"{name}-agent"):
+            await soak.deployment.add_backend(new, version)
+        joined.append((old.name, name))
+        return
+
+
+async def _leave(soak: FaultTarget, name: str) -> None:
+    """Let an engine drain and leave, unless another fault acts on it or on its agent."""
+    with soak.claim("leave_backend", name, f"{name}-agent") as free:
+        if len(free) == 2:
+            await soak.deployment.remove_backend(name)
+
+
+def _other_version(version: str) -> str:
+    return VERSIONS[1 - VERSIONS.index(version)]
+
+
 async def _publish(soak: FaultTarget, _target: str, rng: random.Random) -> None:
     for _ in range(rng.choice([1, 1, 12])):
         await soak.publish(rng)
@@ -165,6 +284,8 @@
 
 FAULTS: tuple[tuple[str, str, Action], ...] = (
     ("kill_gateway", "gateway", _kill),
+    ("kill_all_gateways", "gateways", _kill_all_gateways),
+    ("reset_callers", "gateway", _reset_callers),
     ("stop_gateway", "gateway", _stop),
     ("pause_gateway", "gateway", _pause),
     ("change_settings", "gateway", _change_settings),
@@ -181,6 +302,8 @@
     ("cut_store_link", "store_link", _disturb_link(_cut)),
     ("hold_store_link", "store_link", _disturb_link(_hold)),
     ("slow_store_link", "store_link", _disturb_link(_delay)),
+    ("cut_agent_links", "agent_link", _disturb_link(_cut)),
+    ("hold_agent_links", "agent_link", _disturb_link(_hold)),
     ("store_refuses", "store", _standin_fault(refuse_status=(lambda _: 503, 0))),
     ("store_silent", "store", _standin_fault(silent=(lambda _: True, False))),
     ("refusing_backend", "backend", _standin_fault(refuse=(_few, 0))),
@@ -192,3 +315,8 @@
     ("lost_handles", "engine", _standin_fault(drop_handles=(_few, 0))),
     ("publish", "config", _publish),
 )
+# These run in series beside the faults.
+RELEASES: tuple[tuple[str, str, Action], ...] = (
+    ("release", "lm", _release),
+    ("replace_in_place", "engine", _replace_in_place),
+)
--- a/histories/platform_history.py
+++ b/histories/platform_history.py
@@ -4,13 +4,19 @@
 
 import json
 from collections import defaultdict
-from collections.abc import Iterable
-from enum import Enum
+from collections.abc import Collection, Iterable
 
 import attrs
 
 from histories.checker import Violation
-from standins.platform_backend import expected_body, expected_event
+from histories.platform_call import PlatformCall
+from histories.platform_streams import group_streams
+from standins.platform_backend import (
+    DEFAULT_VERSION,
+    HEARTBEAT_S,
+    MISSED_HEARTBEATS,
+    expected_body,
+)
 
 # Each of these says that the call has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -21,73 +27,12 @@
 RECOVER_S = 15.0
 # Scheduling on a shared machine, on top of the sheet's bounds.
 CLOCK_SLACK_S = 1.0
-
-
-class CallKind(Enum):
-    """Kind of a call and the route that carries it.
-
-    Values: name of the route.
-    """
-
-    CHECK = "check"
-    ORDER = "order"
-    CHAT = "chat"
-    LONG = "long"
-
-    @property
-    def is_stream(self) -> bool:
-        """Whether the answer is a stream of events."""
-        return self in {CallKind.CHAT, CallKind.LONG}
-
-    @property
-    def max_runs(self) -> int:
-        """Runs that the route allows for one call."""
-        return 2 if self in {CallKind.CHECK, CallKind.LONG} else 1
-
-
-@attrs.define
-class PlatformCall:
-    """One call of a caller and what came of it.
-
-    Attributes:
-        call_id: Its id.
-        kind: Its kind.
-        target: Path.
-        gateway: Where it was sent.
-        sent_at: Unix seconds.
-        patience_s: Seconds that the caller said it would wait.
-        prompt: Prefix parts of a stream.
-        events: Events that a stream should have.
-        key: Key of the caller's organisation, or empty.
-        organisation: Name of that organisation, or empty.
-        status: Status of the answer, or None.
-        echoed_id: Id that the answer bears.
-        signed: Whether it bears a backend server's signature.
-        body: Its body, as far as it came.
-        whole: Whether the body came whole.
-        ended_at: Unix seconds, 0 while it is open.
-        abandoned: Whether the caller left before the end.
-        calm: Whether no fault was in force since `RECOVER_S` before.
-    """
-
-    call_id: str
-    kind: CallKind
-    target: str
-    gateway: str
-    sent_at: float
-    patience_s: float
-    prompt: str = ""
-    events: int = 0
-    key: str = ""
-    organisation: str = ""
-    status: int | None = None
-    echoed_id: str = ""
-    signed: bool = False
-    body: bytes = b""
-    whole: bool = False
-    ended_at: float = 0.0
-    abandoned: bool = False
-    calm: bool = False
+# The users' sheet: rule LOST holds for this many streams that are taken up, and for this share of
+# that of new streams that begin.
+MIN_TAKE_UPS = 12
+MIN_TAKE_UP_SHARE = 0.5
+# Gateways know a new backend server after this time at the latest, unless a link of theirs fails.
+SETTLE_S = MISSED_HEARTBEATS * HEARTBEAT_S
 
 
 @attrs.frozen
@@ -101,6 +46,8 @@
         backend: Id of the backend server.
         organisation: Name of an organisation in the request, for `received`.
         has_key: Whether the request held a key, for `received`.
+        version: Software version of the backend server.
+        stage: Its stage if it is an engine, or empty.
     """
 
     event: str
@@ -109,6 +56,13 @@
     backend: str
     organisation: str = ""
     has_key: bool = False
+    version: str = ""
+    stage: str = ""
+
+    @property
+    def server(self) -> str:
+        """Name of the backend server in the deployment's plan."""
+        return self.backend.rpartition(".")[0]
 
 
 @attrs.frozen
@@ -170,6 +124,18 @@
         """Return whether the callers ran all the time between two points of time."""
         return not any(since < end and until > start for since, until in self.stalls)
 
+    def is_disturbed(self, targets: Collection[str], start: float, end: float) -> bool:
+        """Return whether a fault of one of the targets was in force in a time."""
+        return any(
+            since < end and until > start
+            for _, target, since, until in self.disturbances
+            if target in targets
+        )
+
+    def versions(self) -> list[str]:
+        """Return the software versions that backend servers had."""
+        return sorted({DEFAULT_VERSION, *(note.version for note in self.notes if note.version)})
+
     def read_run_log(self, lines: Iterable[str]) -> None:
         """Take the lines of a backend server's run log; a last line may be cut off."""
         for line in lines:
@@ -183,6 +149,8 @@
                         fields["backend"],
                         fields.get("organisation", ""),
                         fields.get("has_key", False),
+                        fields["version"],
+                        fields["stage"],
                     )
                 )
 
@@ -221,7 +189,7 @@
 
 
 def check_answers(history: PlatformHistory) -> list[Violation]:
-    """An answer is that of its own call, signed and whole."""
+    """An answer is that of its own call and signed, and that of a plain service whole."""
     violations = []
     for call in history.calls.values():
         fault = _find_fault(call)
@@ -230,6 +198,17 @@
     return violations
 
 
+def check_streams(history: PlatformHistory) -> list[Violation]:
+    """The answers to all attempts of a caller are together one whole stream of one version."""
+    violations = []
+    versions = history.versions()
+    for stream in group_streams(history.calls.values()):
+        fault = stream.find_fault(versions)
+        if fault:
+            violations.append(Violation("order", fault, stream.attempts))
+    return violations
+
+
 def check_organisations(history: PlatformHistory) -> list[Violation]:
     """Backend servers get the name of the caller's organisation and no key; no key is refused."""
     violations = [
@@ -318,6 +297,102 @@
     ]
 
 
+def check_take_ups(history: PlatformHistory) -> list[Violation]:
+    """Streams that are taken up go on about as often as new ones begin."""
+    counts = count_take_ups(history)
+    begun_share = counts.begun / max(counts.new, 1)
+    share = len(counts.went_on) / max(counts.judged, 1)
+    if counts.judged < MIN_TAKE_UPS or share >= MIN_TAKE_UP_SHARE * begun_share:
+        return []
+    message = (
+        f"{len(counts.went_on)} of {counts.judged} streams went on that were taken up, "
+        f"{counts.begun} of {counts.new} new ones began"
+    )
+    return [Violation("lost", message, tuple(counts.lost))]
+
+
+@attrs.define
+class TakeUpCounts:
+    """Resumable streams at gateways without a fault of their own.
+
+    Attributes:
+        new: New streams.
+        begun: Those of them that began.
+        went_on: Attempts to take up a stream, the first of each stream, that went on.
+        lost: Those that did not.
+    """
+
+    new: int = 0
+    begun: int = 0
+    went_on: list[PlatformCall] = attrs.field(factory=list)
+    lost: list[PlatformCall] = attrs.field(factory=list)
+
+    @property
+    def judged(self) -> int:
+        """Streams that were taken up."""
+        return len(self.went_on) + len(self.lost)
+
+
+def count_take_ups(history: PlatformHistory) -> TakeUpCounts:
+    """Count new streams, and those taken up while two engines of their version serve.
+
+    A stream counts once, by the first attempt to take it up that meets the conditions. A stream
+    that its caller left before anything came tells nothing.
+    """
+    counts = TakeUpCounts()
+    servers = _ServerTimes(history)
+    versions = history.versions()
+    for stream in group_streams(history.calls.values()):
+        if not stream.attempts[0].kind.is_resumable:
+            continue
+        for call in stream.attempts:
+            begun = call.status == 200 and (call.whole or bool(call.body))
+            end = call.began_at or call.ended_at or call.sent_at + call.patience_s
+            if (call.abandoned and not begun) or _is_gateway_disturbed(history, call, end):
+                continue
+            if not history.is_measured(call.sent_at, end):
+                continue
+            if not call.resumes:
+                counts.new += 1
+                counts.begun += begun
+            elif servers.count(stream.find_version(versions), call.sent_at, end) >= 2:
+                (counts.went_on if begun else counts.lost).append(call)
+                break
+    return counts
+
+
+def _is_gateway_disturbed(history: PlatformHistory, call: PlatformCall, end: float) -> bool:
+    links = {f"{call.gateway}-{side}" for side in ("store", "agents")}
+    return history.is_disturbed({call.gateway, *links}, call.sent_at, end)
+
+
+class _ServerTimes:
+    """Times in which engines that generate answers serve.
+
+    Args:
+        history: Its notes tell when backend servers registered first and left.
+    """
+
+    def __init__(self, history: PlatformHistory) -> None:
+        self._history = history
+        self._notes: defaultdict[str, list[BackendNote]] = defaultdict(list)
+        for note in sorted(history.notes, key=lambda note: note.at):
+            if note.event in {"registered", "leaving"} and note.stage == "decode":
+                self._notes[note.server].append(note)
+
+    def count(self, version: str, start: float, end: float) -> int:
+        """Return how many engines of a version serve throughout, and have for `SETTLE_S`."""
+        count = 0
+        for server, notes in self._notes.items():
+            newest = next((note for note in reversed(notes) if note.at < end), None)
+            if newest is None or newest.event == "leaving" or newest.version != version:
+                continue
+            is_settled = newest.at < start - SETTLE_S
+            if is_settled and not self._history.is_disturbed({server}, start, end):
+                count += 1
+        return count
+
+
 def check_failures(history: PlatformHistory) -> list[Violation]:
     """No process logs an error of its own."""
     return [Violation("failure", line, ()) for line in history.failures]
@@ -327,10 +402,11 @@
     check_run_counts,
     check_refusals,
     check_answers,
+    check_streams,
     check_organisations,
     check_failures,
 )
-_TIMED_RULES = (check_ends, check_stops, check_retry_bound, check_calm_calls)
+_TIMED_RULES = (check_ends, check_stops, check_retry_bound, check_calm_calls, check_take_ups)
 
 
 def _group(history: PlatformHistory, event: str) -> defaultdict[str, list[BackendNote]]:
@@ -355,13 +431,8 @@
         return ""
     if not call.signed:
         return "a 200 without a signature"
-    if not call.kind.is_stream:
-        if call.whole and call.body != expected_body(call.call_id, call.target):
-            return "the body is that of another call"
+    if call.kind.is_stream or not call.whole:
         return ""
-    expected = b"".join(expected_event(call.prompt, n) for n in range(1, call.events + 1))
-    if call.whole and call.body != expected:
-        return f"the stream is not whole: {len(call.body)} of {len(expected)} bytes"
-    if not expected.startswith(call.body):
-        return "the stream has other events than it should"
+    if call.body != expected_body(call.call_id, call.target):
+        return "the body is that of another call"
     return ""
--- a/histories/platform_page.py
+++ b/histories/platform_page.py
@@ -7,7 +7,8 @@
 from html import escape
 
 from histories.checker import Violation
-from histories.platform_history import NOT_RUN_STATUSES, PlatformCall, PlatformHistory
+from histories.platform_call import PlatformCall
+from histories.platform_history import NOT_RUN_STATUSES, PlatformHistory
 
 WIDTH, MARGIN = 1200, 170
 ROW = 14
@@ -43,7 +44,12 @@
             box = (at(start + bucket * BUCKET_S), top + 2 * ROW - height, BUCKET_S * scale, height)
             shapes.append(_draw_box(*box, color, f"{count} {result}"))
         top += 3 * ROW
-    top += LATENCY_HEIGHT
+    shapes.append(_draw_label("streams taken up", top + ROW))
+    for call in calls:
+        if call.resumes:
+            title = f"{call.call_id} takes up {call.resumes} after {call.after}: {_result(call)}"
+            shapes.append(_draw_box(at(call.sent_at), top, 2, ROW, COLORS[_result(call)], title))
+    top += 2 * ROW + LATENCY_HEIGHT
     shapes.append(_draw_label("latency, 0 to 2 s", top))
     for call in calls:
         height = min(2.0, call.ended_at - call.sent_at) / 2.0 * LATENCY_HEIGHT
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -10,7 +10,7 @@
 for each call that arrives (`received`), that is prefilled (`prefill`) and that begins to run
 (`run`), written before anything is answered; the first also tells the value of Tenant and whether
 there was an X-Api-Key. Two more lines tell of the first registration (`registered`) and of SIGTERM
-(`leaving`). All name the software version.
+(`leaving`). All name the software version and the stage.
 
 An engine reads a prompt first (Prefix-Hash: ID:TOKENS parts; parts read before cost nothing) and
 then streams as many events as the second number of Token-Counts, from the one after Last-Event-Id.
@@ -382,6 +382,7 @@
                 "at": time.time(),
                 "backend": self._options.id,
                 "version": self._options.version,
+                "stage": self._options.stage,
             }
             if headers is not None:
                 line["organisation"] = find_header(headers, b"tenant")
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -25,6 +25,7 @@
 ASK_TIMEOUT_S = 1.0
 
 Route = Callable[[str, Address], Awaitable[Address]]
+AgentRoute = Callable[[str, str, Address, int], Awaitable[None]]
 
 
 class PlatformDeploymentError(FigwalkError):
@@ -95,6 +96,8 @@
         route: Given the name of a link and the address of its server, returns the address that
             clients are to use, on the same host: `GATEWAY-store`, `AGENT-store`, the name of a
             backend server.
+        route_agent: Given a gateway, an agent, the agent's address and a port, forwards that port
+            of the agent's host to the agent; the gateway is then told that port.
         config: Fields of the operator's configuration beside those of `make_config`.
     """
 
@@ -105,6 +108,7 @@
         directory: Path,
         *,
         route: Route | None = None,
+        route_agent: AgentRoute | None = None,
         config: dict[str, object] | None = None,
     ) -> None:
         self._plan = plan
@@ -114,6 +118,8 @@
         self._route = route or _keep_address
         self._store_address = Address("", 0)
         self._agents_port = choose_port()
+        self._route_agent = route_agent
+        self._routed_ports = {name: choose_port() for name in plan.gateways if route_agent}
         self._ports = {backend.name: choose_port(backend.host) for backend in plan.backends}
         self._versions: dict[str, str] = {}
         self._settings: dict[str, GatewaySettings] = {}
@@ -244,6 +250,9 @@
         self._processes[name] = await self._launcher.spawn(
             name, "figwalk.prompt_agent.main", str(path)
         )
+        if self._route_agent is not None:
+            for gateway, port in self._routed_ports.items():
+                await self._route_agent(gateway, name, settings.peers, port)
 
     async def start_gateway(self, name: str) -> None:
         """Start a gateway; see `wait_ready`."""
@@ -258,7 +267,7 @@
                 callers=callers,
                 health=health,
                 metrics=metrics,
-                agents_port=self._agents_port,
+                agents_port=self._routed_ports.get(name, self._agents_port),
                 store=await self._route(f"{name}-store", self._store_address),
                 relay=RelaySettings(readers_per_zone=2),
             )
