--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -26,6 +26,24 @@
     ),
     awaits_recovery=False,
 )
+RELEASE_OPTIONS = attrs.evolve(
+    OPTIONS,
+    seconds=12.0,
+    gateways=3,
+    engines=4,
+    only=frozenset(
+        {
+            "release",
+            "replace_in_place",
+            "kill_gateway",
+            "kill_all_gateways",
+            "reset_callers",
+            "kill_agent",
+            "kill_backend",
+            "cut_streams",
+        }
+    ),
+)
 ORDER = PlatformCall(
     call_id="o",
     kind=CallKind.ORDER,
@@ -258,3 +276,13 @@
     assert check_platform_history(soak.history, timeless=True) == []
     assert any(call.status == 200 for call in soak.history.calls.values())
     assert soak.history.disturbances
+
+
+def test_short_soak_of_releases_joins_no_streams_of_two_versions(tmp_path):
+    """Guards against streams that go on at another software version than they began at."""
+    soak = PlatformSoak(RELEASE_OPTIONS, tmp_path)
+    trio.run(soak.run)
+    violations = check_platform_history(soak.history, timeless=True)
+    assert [violation.message for violation in violations] == []
+    assert {"v1", "v2"} <= {note.version for note in soak.history.notes if note.event == "run"}
+    assert any(call.resumes and call.whole_events for call in soak.history.calls.values())
