Let streams go on only at the software version that began them

Cause: what decides where a stream goes on knew nothing of where it began. A gateway kept no version of a stream; the gateway of the second attempt could not know it, since Resumes was not read and the first gateway's knowledge was its own. With a route that splits its calls, the service was drawn anew, too.

The change: before the first event of a resumable stream is passed on, the gateway keeps its origin (service, version, id and start of the server) and tells three agents, chosen by a hash that is the same at all gateways. Another gateway asks them when a caller takes the stream up. Where the origin is not known, or no server of its version is left, the stream is refused as not run or cut. What a gateway's own list of servers shows decides only where a stream can go on, never where it began, so that a gateway that is out of step or has just started does not guess.

Why this works: a stream goes on only on a positive record that was made by the process that passed on its first event, before it did.

--- a/figwalk/coordination/retry_times.py
+++ b/figwalk/coordination/retry_times.py
@@ -33,9 +33,22 @@
         room_s: Seconds until there is room for the call, as predicted.
         rng: Chooses among the times.
     """
-    longest_s = min(call.deadline_s, MAX_RETRY_DEADLINE_S) * MAX_RETRY_SHARE
     spare_s = call.target_s - (room_s + plan.reading_s + plan.after_s)
     if spare_s < 0:
-        return longest_s * rng.uniform(MIN_LATE_RETRY_SHARE, 1.0)
+        return choose_late_retry_s(call.deadline_s, rng)
     spread_s = rng.uniform(0.0, RETRY_SPREAD_SHARE * spare_s)
-    return min(longest_s, max(MIN_RETRY_S, room_s) + spread_s)
+    return min(_longest_wait_s(call.deadline_s), max(MIN_RETRY_S, room_s) + spread_s)
+
+
+def choose_late_retry_s(deadline_s: float, rng: random.Random) -> float:
+    """Return the seconds after which a caller is to retry that gains nothing by coming back soon.
+
+    Args:
+        deadline_s: Seconds until the caller stops waiting.
+        rng: Chooses among the times.
+    """
+    return _longest_wait_s(deadline_s) * rng.uniform(MIN_LATE_RETRY_SHARE, 1.0)
+
+
+def _longest_wait_s(deadline_s: float) -> float:
+    return min(deadline_s, MAX_RETRY_DEADLINE_S) * MAX_RETRY_SHARE
--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -14,7 +14,9 @@
 from figwalk.fairness.fair_share import ShareRequest, TryKind, hash_organisation
 from figwalk.gateway.codecs import CallFacts
 from figwalk.gateway.stream_timing import StreamTiming
-from figwalk.state.routing import EngineSpec, Organisation, Route
+from figwalk.state.backend_directory import BackendEntry
+from figwalk.state.routing import CallKind, EngineSpec, Organisation, Route
+from figwalk.state.stream_origins import StreamOrigin
 from figwalk.transport import ByteCharge, HttpRequest
 
 REQUEST_DIGEST_BYTES = 12
@@ -46,6 +48,8 @@
             nor refused as not run.
         is_quarantine_test: Whether the call is sent to test whether backend servers still crash on
             it.
+        origin: Backend server that began the stream and that decides where the rest may come from,
+            or None before the first event.
         predicted_s: Predicted seconds from placement to the first token, or None before placement.
         placed_at: Timer time of that prediction.
         sent_at: Timer time at which the call or its prefill was last sent on an open connection, or
@@ -72,6 +76,7 @@
     failed_prefill_engines: list[str] = attrs.field(factory=list)
     unresolved: bool = False
     is_quarantine_test: bool = False
+    origin: StreamOrigin | None = None
     predicted_s: float | None = None
     placed_at: float = 0.0
     sent_at: float | None = None
@@ -121,6 +126,16 @@
         part_ids = tuple(part.part_id for part in self.facts.prompt)
         return CallIdentity(part_ids, self.request_digest)
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether the caller asks for the rest of a stream that broke off."""
+        may_resume = self.route.kind is CallKind.STREAM and self.route.resumable
+        return may_resume and bool(self.facts.resume_after)
+
+    def fits_origin(self, entry: BackendEntry) -> bool:
+        """Return whether what a backend server streams fits to what the caller has."""
+        return self.origin is None or self.origin.fits(entry)
+
     @property
     def may_try_another_backend(self) -> bool:
         """Whether the route allows an attempt on one more backend server."""
--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -18,6 +18,7 @@
 from figwalk.gateway.gateway_metrics import GatewayMetrics
 from figwalk.gateway.plain_calls import PlainCalls
 from figwalk.gateway.prompt_calls import PromptCalls
+from figwalk.gateway.stream_versions import StreamVersions
 from figwalk.organisations.access_control import AccessControl, InvalidKeyError
 from figwalk.state.routing import RoutingConfig
 from figwalk.timer import MS_PER_S, Timer
@@ -35,6 +36,7 @@
             `RefusalError` if the gateway accepts no new calls.
         plain_calls: Answers calls of plain services.
         prompt_calls: Answers calls of services with model engines.
+        versions: Finds which software version began a stream that a caller takes up.
         access: Authenticates callers.
         quarantine: Decides which calls are not sent to backend servers.
         lag: Measures the delay of this process's event loop.
@@ -51,6 +53,7 @@
         routing: Callable[[], RoutingConfig | None],
         plain_calls: PlainCalls,
         prompt_calls: PromptCalls,
+        versions: StreamVersions,
         access: AccessControl,
         quarantine: CallQuarantine,
         lag: LoopLag,
@@ -64,6 +67,7 @@
         self._routing = routing
         self._plain_calls = plain_calls
         self._prompt_calls = prompt_calls
+        self._versions = versions
         self._access = access
         self._quarantine = quarantine
         self._lag = lag
@@ -189,15 +193,8 @@
             self._record_answered(call, backend)
 
     async def _run(self, call: Call, responder: Responder) -> str:
-        if call.facts.resume_after:
-            self._events.record(
-                Event.STREAM_TAKEN_UP,
-                request_id=call.call_id,
-                route=call.route.name,
-                service=call.service,
-                after=call.facts.resume_after,
-                resumes=call.facts.resumes,
-            )
+        if call.takes_up_stream:
+            await self._versions.take_up(call)
         call.is_quarantine_test = self._quarantine.admit(call.identity)
         if call.engine is not None:
             return await self._prompt_calls.run(call, responder, call.engine)
--- a/figwalk/gateway/gateway_metrics.py
+++ b/figwalk/gateway/gateway_metrics.py
@@ -47,6 +47,13 @@
             ["service"],
             registry=self._registry,
         )
+        self._take_ups = Counter(
+            "figwalk_stream_take_ups",
+            "Streams that callers asked the rest of, by whether it is known which software version "
+            "began them.",
+            ["origin"],
+            registry=self._registry,
+        )
         self._caller_repeats = Counter(
             "figwalk_caller_repeats",
             "Calls that came again without having been answered, by whether they came at the time "
@@ -179,6 +186,10 @@
             self._repeats.labels(service).inc(repeats)
             self._charged_retries.labels(service).inc(charged)
 
+    def record_take_up(self, *, known: bool) -> None:
+        """Count a caller that asks for the rest of a stream, and whether its origin is known."""
+        self._take_ups.labels("known" if known else "unknown").inc()
+
     def record_caller_repeat(self, tried: str) -> None:
         """Count a call that came again, early or at the time that it was told."""
         self._caller_repeats.labels(tried).inc()
--- a/figwalk/gateway/plain_calls.py
+++ b/figwalk/gateway/plain_calls.py
@@ -21,6 +21,7 @@
 from figwalk.gateway.codecs import SendPlan
 from figwalk.gateway.retries import take_retries
 from figwalk.gateway.stream_relay import StreamRelay
+from figwalk.gateway.stream_versions import StreamVersions
 from figwalk.state.routing import CallKind
 from figwalk.timer import MS_PER_S, Timer
 from figwalk.transport import Headers, Responder
@@ -78,6 +79,7 @@
         quarantine: Learns which calls were answered.
         budgets: Limit the retries at each service.
         shares: Refuses calls of organisations that used up their share.
+        versions: Records which software version began each stream.
         events: Event log.
         timer: Source of time.
     """
@@ -90,6 +92,7 @@
         quarantine: CallQuarantine,
         budgets: ServiceRetryBudgets,
         shares: PlainShares,
+        versions: StreamVersions,
         events: EventLog,
         timer: Timer,
     ) -> None:
@@ -99,6 +102,7 @@
         self._quarantine = quarantine
         self._budgets = budgets
         self._shares = shares
+        self._versions = versions
         self._events = events
         self._timer = timer
 
@@ -131,12 +135,21 @@
             self._pool.take_turns(tracker)
             tried.append(tracker.entry.backend)
             plan = SendPlan(tracker.entry, call.deadline - self._timer.now())
-            relay = StreamRelay(responder, call.timing, self._timer, resumable=False)
+            relay = StreamRelay(
+                responder,
+                call.timing,
+                self._timer,
+                resumable=call.route.resumable,
+                resume_after=call.facts.resume_after,
+                on_begin=lambda answer: self._versions.record_begin(call, answer.tracker.entry),
+            )
             try:
                 async with self._attempts.send(call, tracker, plan) as answer:
                     began_at = self._timer.now()
                     self._reject_unproven_not_run(call, answer.status)
                     await relay.relay(answer)
+                    if answer.succeeded:
+                        self._versions.record_end(call)
                     if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
                         self._quarantine.record_answered(call.identity, began_at)
                     return answer.backend
@@ -184,7 +197,8 @@
         return tracker
 
     def _choose_now(self, call: Call, tried: list[str]) -> BackendTracker | None:
-        candidates = self._pool.trackers(call.service, len(call.request.body))
+        trackers = self._pool.trackers(call.service, len(call.request.body))
+        candidates = [tracker for tracker in trackers if call.fits_origin(tracker.entry)]
         return self._placement.choose(candidates, tried=tried)
 
     async def _attempt(self, call: Call, tracker: BackendTracker) -> BufferedAnswer:
@@ -246,7 +260,7 @@
         if is_refused and self._pool.trackers(call.service):
             self._shares.record_full(call.service)
             return RefusalError("backends_full", str(error), retry_after_ms=FULL_RETRY_MS)
-        return refuse_without_backend(self._pool, call)
+        return self._versions.find_refusal(call) or refuse_without_backend(self._pool, call)
 
 
 def refuse_without_backend(pool: BackendPool, call: Call) -> RefusalError:
--- a/figwalk/gateway/process.py
+++ b/figwalk/gateway/process.py
@@ -26,9 +26,11 @@
 from figwalk.gateway.gateway_duties import GatewayDuties
 from figwalk.gateway.gateway_metrics import GatewayMetrics
 from figwalk.gateway.gateway_readiness import GatewayReadiness
+from figwalk.gateway.origin_exchange import OriginExchange
 from figwalk.gateway.plain_calls import PlainCalls
 from figwalk.gateway.prompt_calls import PromptCalls
 from figwalk.gateway.prompt_offers import PromptOffers
+from figwalk.gateway.stream_versions import StreamVersions
 from figwalk.gateway.topic_handlers import BackendReader, RoutingReader
 from figwalk.organisations.access_control import AccessControl
 from figwalk.organisations.config_confirmation import ConfigConfirmation, ConfirmingLog
@@ -104,6 +106,7 @@
             process=settings.process,
             zone=settings.zone,
             region=settings.region,
+            on_connected=lambda: self._origins.update(),
         )
         self._relay = StoreRelay(
             settings,
@@ -112,6 +115,7 @@
             self._timer,
             on_read=self._metrics.record_store_read,
         )
+        self._origins = OriginExchange(self._offers.origin_keepers, self._timer)
         self._gateway_count = GatewayCount(settings.gateways, self._timer)
         self._budgets = ServiceRetryBudgets(
             settings.retry, self._timer, processes=lambda: self._gateway_count.count
@@ -237,6 +241,15 @@
             timer,
             self._duties.usage,
         )
+        versions = StreamVersions(
+            self._origins,
+            self._directory,
+            lambda: self._routing.current,
+            self._metrics,
+            events,
+            timer,
+            rng,
+        )
         plain = PlainCalls(
             self._pool,
             attempts,
@@ -244,6 +257,7 @@
             self._quarantine,
             self._budgets,
             PlainShares(timer, rng),
+            versions,
             events,
             timer,
         )
@@ -255,6 +269,7 @@
             self._quarantine,
             self._lag,
             self._budgets,
+            versions,
             events,
             timer,
             short_prompt_tokens=placement.short_prompt_tokens,
@@ -264,6 +279,7 @@
             self._routing_for_new_call,
             plain,
             prompts,
+            versions,
             self._access,
             self._quarantine,
             self._lag,
@@ -363,6 +379,7 @@
         self._gateway_count.record(self._pool.count_reported_gateways())
         self._crashes.update()
         self._crash_reports.expire()
+        self._origins.update()
         self._confirmation.record_change()
         self._duties.update(self._metrics)
         self._metrics.record_quarantine(
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -33,6 +33,8 @@
 from figwalk.gateway.prompt_offers import PromptOffers
 from figwalk.gateway.retries import take_retries
 from figwalk.gateway.stream_relay import StreamRelay
+from figwalk.gateway.stream_versions import StreamVersions
+from figwalk.protocol.messages import Role
 from figwalk.spillover.remote_spread import choose_offers
 from figwalk.state.routing import EngineSpec
 from figwalk.timer import MS_PER_S, Timer
@@ -65,6 +67,7 @@
         quarantine: Decides which prompts are not sent.
         lag: Measures the delay of this process's event loop.
         budgets: Limit the retries at each service.
+        versions: Records which software version began each stream.
         events: Event log.
         timer: Source of time.
         short_prompt_tokens: Prompts up to this length are short.
@@ -79,6 +82,7 @@
         quarantine: CallQuarantine,
         lag: LoopLag,
         budgets: ServiceRetryBudgets,
+        versions: StreamVersions,
         events: EventLog,
         timer: Timer,
         *,
@@ -91,6 +95,7 @@
         self._quarantine = quarantine
         self._lag = lag
         self._budgets = budgets
+        self._versions = versions
         self._events = events
         self._timer = timer
         self._short_prompt_tokens = short_prompt_tokens
@@ -109,6 +114,7 @@
             self._timer,
             resumable=call.route.resumable,
             resume_after=call.facts.resume_after,
+            on_begin=lambda answer: self._versions.record_begin(call, answer.tracker.entry),
         )
         decision = await self._place(call, spec)
         while True:
@@ -220,10 +226,16 @@
         trackers = self._pool.trackers(call.service, len(call.request.body))
         engines = [t for t in trackers if isinstance(t, EngineTracker)]
         tried = {*call.sent_to, *call.failed_prefill_engines}
-        candidates = [t for t in engines if t.entry.backend not in tried]
+        candidates = [
+            engine
+            for engine in engines
+            if engine.entry.backend not in tried
+            # A prefill engine streams nothing.
+            and (engine.entry.role is Role.PREFILL or call.fits_origin(engine.entry))
+        ]
         plans = self._placement.rank(self._make_prompt_call(call), candidates, spec)
         if not plans:
-            raise refuse_without_backend(self._pool, call)
+            raise self._versions.find_refusal(call) or refuse_without_backend(self._pool, call)
         return plans
 
     async def _place_retry(
@@ -239,6 +251,8 @@
             raise self._refuse_unknown(error)
         if call.is_quarantine_test and not error.not_run:
             raise self._refuse_unknown(error)
+        if not relay.can_continue or self._versions.is_uncertain(call):
+            raise self._refuse_unknown(error)
         if call.sent_to and not call.may_try_another_backend:
             raise self._refuse(call, error)
         needed = call.arrivals.retries_needed(with_prefill=False)
@@ -343,6 +357,7 @@
                     self._record_fetch_wait(plan, self._timer.now() - answer.response.sent_at)
                 await self._relay(call, relay, answer)
                 if answer.succeeded:
+                    self._versions.record_end(call)
                     if len(call.sent_to) == 1:
                         plan.runner.record_decode_time(call.timing.usual_gap_s)
                     self._quarantine.record_answered(call.identity, began_at)
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -17,11 +17,15 @@
 from figwalk.coordination.stream_pauses import StreamLoad
 from figwalk.errors import TransportError
 from figwalk.events import Event, EventLog
+from figwalk.gateway.origin_exchange import OriginKeeper
 from figwalk.protocol.codec import clamp_to_uint32
 from figwalk.protocol.messages import (
     ConnectionKind,
     EngineDigest,
     Hello,
+    Message,
+    OriginQuery,
+    OriginReply,
     PromptDecision,
     PromptEnded,
     PromptOffer,
@@ -29,6 +33,7 @@
 )
 from figwalk.protocol.peer_connection import PeerConnection
 from figwalk.relay.relay_link import RelayLink
+from figwalk.state.stream_origins import StreamOrigin
 from figwalk.timer import MS_PER_S, Timer
 
 INCARNATION_BITS = 64
@@ -88,7 +93,7 @@
     retry_s: float = 0.0
 
 
-class AgentLink:
+class AgentLink(OriginKeeper):
     """The connection to the agent beside one engine.
 
     Args:
@@ -97,11 +102,20 @@
         hello: First message of this gateway on each connection.
         events: Event log.
         timer: Source of time.
+        on_connected: Called when a connection is open.
     """
 
     def __init__(
-        self, tracker: EngineTracker, port: int, hello: Hello, events: EventLog, timer: Timer
+        self,
+        tracker: EngineTracker,
+        port: int,
+        hello: Hello,
+        events: EventLog,
+        timer: Timer,
+        *,
+        on_connected: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_connected = on_connected
         self._tracker = tracker
         self._port = port
         self._hello = hello
@@ -115,7 +129,9 @@
         # Timer time at which the answer to each offer is due. Offers that timed out stay, so that
         # late answers adjust the wait as well.
         self._answers_due_at: dict[int, float] = {}
-        self._ended_send, self._ended_receive = trio.open_memory_channel[PromptEnded](10_000)
+        self._queue_send, self._queue_receive = trio.open_memory_channel[Message](10_000)
+        self._keeps_origins = False
+        self._pending_queries: dict[int, trio.MemorySendChannel[OriginReply]] = {}
         self._relay = RelayLink()
 
     @property
@@ -123,6 +139,21 @@
         """Relayed reads of the store over this connection."""
         return self._relay
 
+    @property
+    def host(self) -> str:
+        """IP address of the agent's VM."""
+        return self._tracker.entry.address.host
+
+    @property
+    def connected(self) -> bool:
+        """Whether the agent is connected and keeps origins."""
+        return self._connection is not None and self._keeps_origins
+
+    @property
+    def session(self) -> object:
+        """The present connection, or None."""
+        return self._connection
+
     async def run(self) -> None:
         """Keep the connection open, with reconnects, until cancelled."""
         backoff = Backoff(first_s=FIRST_RECONNECT_S, max_s=MAX_RECONNECT_S)
@@ -157,13 +188,37 @@
 
     def queue_end(self, offer_id: int, *, read: bool, took_s: float = 0.0) -> None:
         """Queue a report to the agent that a granted prompt has ended."""
+        # Without the report, the grant expires at the agent.
+        self._queue(PromptEnded(offer_id, read, max(0, _to_ms(took_s))))
+
+    def tell(self, attempt: bytes, origin: StreamOrigin) -> None:
+        """Queue a message that tells the agent the origin of a stream."""
+        self._queue(origin.to_message(attempt))
+
+    async def ask(self, attempt: bytes) -> StreamOrigin | None:
+        """Ask the agent for the origin of a stream; see `OriginKeeper.ask`."""
+        connection = self._connection
+        if connection is None:
+            return None
+        query_id = next(self._ids)
+        send, receive = trio.open_memory_channel[OriginReply](1)
+        self._pending_queries[query_id] = send
         try:
-            self._ended_send.send_nowait(PromptEnded(offer_id, read, max(0, _to_ms(took_s))))
+            await connection.send(OriginQuery(query_id, attempt))
+            begun = (await receive.receive()).begun
+        except (TransportError, trio.EndOfChannel):
+            return None
+        finally:
+            self._pending_queries.pop(query_id, None)
+        return StreamOrigin.from_message(begun) if begun is not None else None
+
+    def _queue(self, message: Message) -> None:
+        try:
+            self._queue_send.send_nowait(message)
         except trio.WouldBlock:
-            # Without the report, the grant expires at the agent.
             self._events.record(
                 Event.PEER_LOST,
-                detail="dropped a completion notice: too many wait to be sent",
+                detail=f"dropped {type(message).__name__}: too many messages wait to be sent",
             )
 
     async def _serve(self, backoff: Backoff) -> None:
@@ -174,10 +229,12 @@
             self._events.record(Event.PEER_CONNECTED, peer=hello.process)
             backoff.reset()
             self._connection = connection
+            self._keeps_origins = hello.keeps_origins
             self._relay.attach(connection, hello)
             self._tracker.clear_cache_report()
+            self._on_connected()
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._send_ends, connection)
+                nursery.start_soon(self._send_queued, connection)
                 await self._receive(connection)
         except* (TransportError, trio.TooSlowError) as group:
             # Recorded here and not raised for `run` to record: if the task is also cancelled, a
@@ -188,7 +245,7 @@
             self._connection = None
             self._relay.detach()
             self._answers_due_at.clear()
-            for channel in self._pending_offers.values():
+            for channel in (*self._pending_offers.values(), *self._pending_queries.values()):
                 channel.close()
             connection.close()
 
@@ -218,6 +275,10 @@
                 self._apply_decision(message)
             elif isinstance(message, RelayPage):
                 self._relay.apply(message)
+            elif isinstance(message, OriginReply):
+                channel = self._pending_queries.pop(message.query_id, None)
+                if channel is not None:
+                    channel.send_nowait(message)
 
     def _apply_decision(self, decision: PromptDecision) -> None:
         self._tracker.apply_backlog(decision.backlog_tokens)
@@ -246,9 +307,9 @@
             decision.retry_ms / MS_PER_S,
         )
 
-    async def _send_ends(self, connection: PeerConnection) -> None:
+    async def _send_queued(self, connection: PeerConnection) -> None:
         while True:
-            await connection.send(await self._ended_receive.receive())
+            await connection.send(await self._queue_receive.receive())
 
     def _record_lost(self, error: BaseException) -> None:
         self._events.record(
@@ -267,6 +328,7 @@
         region: Its region.
         events: Event log.
         timer: Source of time.
+        on_connected: Called when a connection to an agent is open.
     """
 
     def __init__(
@@ -279,7 +341,9 @@
         process: str,
         zone: str,
         region: str,
+        on_connected: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_connected = on_connected
         self._engines = engines
         self._port = port
         self._hello = Hello(
@@ -313,8 +377,19 @@
         for link, _scope in self._links.values():
             yield link.relay
 
+    def origin_keepers(self) -> list[AgentLink]:
+        """Return the connected agents that keep the origins of streams."""
+        return [link for link, _scope in self._links.values() if link.connected]
+
     def _start(self, engine: EngineTracker, nursery: trio.Nursery) -> None:
-        link = AgentLink(engine, self._port, self._hello, self._events, self._timer)
+        link = AgentLink(
+            engine,
+            self._port,
+            self._hello,
+            self._events,
+            self._timer,
+            on_connected=self._on_connected,
+        )
         scope = trio.CancelScope()
         self._links[engine] = (link, scope)
 
--- a/figwalk/gateway/stream_relay.py
+++ b/figwalk/gateway/stream_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from http import HTTPStatus
 
 from figwalk.errors import HttpError
@@ -92,6 +93,7 @@
         timer: Source of time.
         resumable: Whether the stream may be resumed.
         resume_after: Id of the last event that the caller received earlier, or empty.
+        on_begin: Called before the first event of a resumable stream is passed on.
     """
 
     def __init__(
@@ -102,6 +104,7 @@
         *,
         resumable: bool,
         resume_after: str = "",
+        on_begin: Callable[[Answer], None] = lambda _answer: None,
     ) -> None:
         self._responder = responder
         self._timing = timing
@@ -109,6 +112,8 @@
         self._resumable = resumable
         self._order = EventOrder(resume_after)
         self._sent_other_data = False
+        self._on_begin = on_begin
+        self._has_begun = False
 
     @property
     def started(self) -> bool:
@@ -160,6 +165,7 @@
                     self._sent_other_data = True
                 elif self._resumable:
                     self._order.advance(split_event_ids(complete), answer.backend)
+                    self._record_begin(answer)
                 await self._send(answer, complete)
         if has_events and boundaries.inside_event:
             raise HttpError(f"{answer.backend} ended a stream inside an event")
@@ -169,6 +175,11 @@
             await self._responder.start(answer.status, answer.headers)
         await self._responder.finish()
 
+    def _record_begin(self, answer: Answer) -> None:
+        if not self._has_begun:
+            self._has_begun = True
+            self._on_begin(answer)
+
     async def _send(self, answer: Answer, data: bytes) -> None:
         if not self._responder.started:
             await self._responder.start(answer.status, answer.headers)
--- a/figwalk/prompt_agent/process.py
+++ b/figwalk/prompt_agent/process.py
@@ -118,4 +118,5 @@
             self._incarnation,
             zone=self._settings.zone,
             region=self._settings.region,
+            keeps_origins=True,
         )
--- a/figwalk/prompt_agent/prompt_server.py
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -18,13 +18,17 @@
 from figwalk.protocol.messages import (
     EngineDigest,
     Hello,
+    OriginQuery,
+    OriginReply,
     PromptDecision,
     PromptEnded,
     PromptOffer,
     RelayRead,
+    StreamBegun,
 )
 from figwalk.protocol.peer_connection import PeerConnection
 from figwalk.relay.relay_server import RelayServer
+from figwalk.state.stream_origins import StreamOrigin, StreamOrigins
 from figwalk.timer import MS_PER_S, Timer
 from figwalk.transport.byte_stream import ByteStream
 
@@ -61,6 +65,7 @@
         self._timer = timer
         self._make_hello = make_hello
         self._relay = relay
+        self._origins = StreamOrigins(timer)
         self._digests = DigestSender(self._make_digest, queue.parts, timer)
 
     @property
@@ -107,6 +112,15 @@
                 )
             elif isinstance(message, RelayRead) and self._relay is not None:
                 self._relay.handle(connection, message)
+            elif isinstance(message, StreamBegun):
+                self._origins.add(message.attempt, StreamOrigin.from_message(message))
+            elif isinstance(message, OriginQuery):
+                await connection.send(self._find_origin(message))
+
+    def _find_origin(self, query: OriginQuery) -> OriginReply:
+        origin = self._origins.find(query.attempt)
+        begun = origin.to_message(query.attempt) if origin is not None else None
+        return OriginReply(query.query_id, begun)
 
     def _decide(self, connection: PeerConnection, offer: PromptOffer) -> PromptDecision:
         prompt = PrefillRequest(
--- a/figwalk/protocol/codec.py
+++ b/figwalk/protocol/codec.py
@@ -137,7 +137,8 @@
 _READERS: dict[type, Callable[..., Any]] = {}
 _CLASSES: tuple[type, ...] = typing.get_args(Message)
 # Classes that are fields of other classes are compiled first.
-for _cls in sorted(_CLASSES, key=lambda cls: cls not in (messages.LoadReport, messages.Desired)):
+_NESTED = (messages.LoadReport, messages.Desired, messages.StreamBegun)
+for _cls in sorted(_CLASSES, key=lambda cls: cls not in _NESTED):
     _compile_class(_cls)
 _UNION_NAMES = {cls: _union_name(cls) for cls in _CLASSES}
 _UNION_FIELDS = _SCHEMA.Message.schema.fields
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -78,6 +78,8 @@
         backend: Backend server beside an agent, or an empty string.
         service: Service of that backend server, or an empty string.
         clock: Hybrid logical clock.
+        keeps_origins: Whether the process keeps the origins of streams; see `StreamBegun`. Earlier
+            versions don't understand these messages.
     """
 
     kind: ConnectionKind
@@ -88,6 +90,7 @@
     backend: str = ""
     service: str = ""
     clock: int = 0
+    keeps_origins: bool = False
 
 
 @attrs.frozen
@@ -530,6 +533,51 @@
     removed: list[bool] = attrs.field(factory=list)
 
 
+@attrs.frozen
+class StreamBegun:
+    """Tells an agent which backend server began a stream that callers may take up again.
+
+    Attributes:
+        attempt: Digest of the id of the caller's attempt that got the first event.
+        service: Service of the backend server.
+        software_version: Version of its software.
+        backend: Its id.
+        born_ms: Wall-clock milliseconds of its start.
+    """
+
+    attempt: bytes
+    service: str
+    software_version: str
+    backend: str
+    born_ms: int
+
+
+@attrs.frozen
+class OriginQuery:
+    """Asks an agent which backend server began a stream.
+
+    Attributes:
+        query_id: Identifies the query on its connection.
+        attempt: Digest of the id of the caller's attempt that got the first event.
+    """
+
+    query_id: int
+    attempt: bytes
+
+
+@attrs.frozen
+class OriginReply:
+    """Reply to `OriginQuery`.
+
+    Attributes:
+        query_id: Id of the query.
+        begun: What the agent was told, or None if it does not know the stream.
+    """
+
+    query_id: int
+    begun: StreamBegun | None = None
+
+
 Message = (
     Hello
     | Call
@@ -554,4 +602,7 @@
     | EngineDigest
     | RelayRead
     | RelayPage
+    | StreamBegun
+    | OriginQuery
+    | OriginReply
 )
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -15,6 +15,7 @@
   backend @5 :Text;
   service @6 :Text;
   clock @7 :UInt64;
+  keepsOrigins @8 :Bool;
 }
 
 struct Call {
@@ -217,6 +218,24 @@
   removed @8 :List(Bool);
 }
 
+struct StreamBegun {
+  attempt @0 :Data;
+  service @1 :Text;
+  softwareVersion @2 :Text;
+  backend @3 :Text;
+  bornMs @4 :UInt64;
+}
+
+struct OriginQuery {
+  queryId @0 :UInt64;
+  attempt @1 :Data;
+}
+
+struct OriginReply {
+  queryId @0 :UInt64;
+  begun @1 :StreamBegun;
+}
+
 struct Message {
   union {
     hello @0 :Hello;
@@ -242,5 +261,8 @@
     engineDigest @20 :EngineDigest;
     relayRead @21 :RelayRead;
     relayPage @22 :RelayPage;
+    streamBegun @23 :StreamBegun;
+    originQuery @24 :OriginQuery;
+    originReply @25 :OriginReply;
   }
 }
--- a/figwalk/state/routing.py
+++ b/figwalk/state/routing.py
@@ -104,6 +104,13 @@
         """Whether a call may be sent again if it has possibly run."""
         return self.kind is CallKind.IDEMPOTENT or (self.kind is CallKind.STREAM and self.resumable)
 
+    def may_use(self, service: str) -> bool:
+        """Return whether the route sends calls to a service."""
+        weights = {share.service: share.weight for share in self.services}
+        if sum(weights.values()) <= 0:
+            return service == self.services[0].service
+        return weights.get(service, 0.0) > 0
+
     def pick_service(self, rng: random.Random) -> str:
         """Return the service for one call, drawn at random by the weights.
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -9,8 +9,11 @@
     End,
     Hello,
     LoadReport,
+    OriginQuery,
+    OriginReply,
     PromptOffer,
     Refusal,
+    StreamBegun,
 )
 
 SAMPLES = [
@@ -21,6 +24,9 @@
     Refusal(9, "overloaded"),
     PromptOffer(1, "r", "a", [10], 250, 2000, 0),
     PromptOffer(1, "r", "a", [10], 250, 2000, 0, 5, 6, 2**32 - 1, 255, TryKind.DUE_REPEAT),
+    OriginQuery(3, b"\x00\xff"),
+    OriginReply(3),
+    OriginReply(3, StreamBegun(b"\x00\xff", "lm", "v1.1", "b1", 2**53)),
 ]
 
 
