--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -450,10 +450,7 @@
 
 
 def test_gateway_with_an_old_list_of_servers_refuses_streams_of_a_version_it_does_not_know():
-    """Guards against a gateway out of step that lets streams of the new version go on at the old.
-
-    Once it knows the new version's servers, the streams go on.
-    """
+    """Guards against a gateway out of step that lets streams of the new version go on at the old."""
 
     async def test(deployment):
         for number in range(2):
@@ -476,13 +473,11 @@
     run_deployment(test)
 
 
+# The last case names the request itself, which has brought no event.
 @pytest.mark.parametrize("resumes", [[], ["Resumes: unknown"], ["Resumes: s2"]])
 @pytest.mark.parametrize("path", [ENGINE_ROUTE, PLAIN_ROUTE])
 def test_stream_without_a_known_origin_is_refused_as_not_run(path, resumes):
-    """Guards against streams that go on at any version since nothing is known of their beginning.
-
-    The last case names the request itself, which brought no event.
-    """
+    """Guards against streams that go on at any version since nothing is known of their beginning."""
 
     async def test(deployment):
         for number in range(2):
@@ -677,13 +672,11 @@
 
 
 def test_stream_of_a_server_whose_registration_was_old_does_not_go_on_at_that_version():
-    """Guards against a wrong origin: the server had started as another version already.
-
-    The gateway that began the streams read the new registration only after their first events.
-    """
+    """Guards against a wrong origin: the server had started as another version already."""
 
     async def test(deployment):
         server = await deployment.add("e1", "v1")
+        # Gateways read the new registration only after the first events of the streams.
         deployment.true_versions["e1"] = "v2"
         await deployment.add("e2", "v1")
         gateways = await deployment.start_gateways("gateway-1", "gateway-2")
