--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -450,7 +450,7 @@
 
 
 def test_gateway_with_an_old_list_of_servers_refuses_streams_of_a_version_it_does_not_know():
-    """Guards against a gateway out of step that lets streams of the new version go on at the old."""
+    """Guards against a gateway out of step whose streams of a new version go on at an old one."""
 
     async def test(deployment):
         for number in range(2):
@@ -477,7 +477,7 @@
 @pytest.mark.parametrize("resumes", [[], ["Resumes: unknown"], ["Resumes: s2"]])
 @pytest.mark.parametrize("path", [ENGINE_ROUTE, PLAIN_ROUTE])
 def test_stream_without_a_known_origin_is_refused_as_not_run(path, resumes):
-    """Guards against streams that go on at any version since nothing is known of their beginning."""
+    """Guards against streams that go on at any version since their origin is unknown."""
 
     async def test(deployment):
         for number in range(2):
