--- a/histories/platform_faults.py
+++ b/histories/platform_faults.py
@@ -255,7 +255,9 @@
         if name in present:
             continue
         new = attrs.evolve(old, name=name, host=f"{network}.{number}")
-        with soak.claim("join_backend", name, f"{name}-agent"):
+        with soak.claim("join_backend", name, f"{name}-agent") as free:
+            if len(free) < 2:
+                continue  # Another engine takes that place.
             await soak.deployment.add_backend(new, version)
         joined.append((old.name, name))
         return
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -122,6 +122,7 @@
         self._routed_ports = {name: choose_port() for name in plan.gateways if route_agent}
         self._ports = {backend.name: choose_port(backend.host) for backend in plan.backends}
         self._versions: dict[str, str] = {}
+        self._backends = {backend.name: backend for backend in plan.backends}
         self._settings: dict[str, GatewaySettings] = {}
         self._processes: dict[str, ProcessHandle] = {}
         self._starts: Counter[str] = Counter()
@@ -184,6 +185,8 @@
     async def add_backend(self, backend: BackendPlan, version: str) -> None:
         """Start another backend server, and its agent if it is an engine.
 
+        The plan lists it as soon as all of its processes and links are there.
+
         Args:
             backend: What to run; the name may be that of one that has left.
             version: Its software version.
@@ -191,8 +194,9 @@
         if backend.name not in self._ports:
             self._ports[backend.name] = choose_port(backend.host)
         self._versions[backend.name] = version
-        self._plan = attrs.evolve(self._plan, backends=(*self._plan.backends, backend))
+        self._backends[backend.name] = backend
         await self._start_with_agent(backend)
+        self._plan = attrs.evolve(self._plan, backends=(*self._plan.backends, backend))
 
     async def remove_backend(self, name: str) -> None:
         """Let a backend server drain and leave, and end its agent then."""
@@ -339,7 +343,7 @@
             await self.start_agent(f"{backend.name}-agent")
 
     def _find_plan(self, name: str) -> BackendPlan:
-        return next(backend for backend in self._plan.backends if backend.name == name)
+        return self._backends[name]
 
 
 async def _keep_address(_link: str, address: Address) -> Address:
