Rely on no registration that is known to be outdated, and hear slow agents

- A server that starts again under its id as another version got streams of the old one until its registration was read.
Agents now tell the start of their engines in digests; an engine that runs since later than its registration says gets no stream that goes on, and a stream that begins there has an uncertain origin.
- That a server has started as another version was forgotten when its registration ended or when it went back to the earlier one, and was not checked when the call was sent.
The directory keeps it, and it is checked at each send.
- Answers of agents that took longer than 0.1 s were dropped, and asked for again.
Questions stay open until the caller has waited 0.75 s, so that silent agents don't hide slow ones; a gateway that has just started waits as long for its connections.
- A gateway whose list does not show the version of a stream yet sent its caller away for up to a third of its time.
- A caller that names an earlier attempt takes a stream up, whatever this gateway's configuration says of the route.

--- a/figwalk/coordination/backend_tracker.py
+++ b/figwalk/coordination/backend_tracker.py
@@ -290,6 +290,11 @@
         """Whether a process beside the backend server says that it is down."""
         return False
 
+    @property
+    def has_started_anew(self) -> bool:
+        """Whether the backend server is known to run since later than its registration says."""
+        return False
+
     def is_kept_out(self) -> bool:
         """Return whether calls should go elsewhere now: it is avoided, or limited without room."""
         self._keep_out_cost_s = 0.0
--- a/figwalk/coordination/engine_tracker.py
+++ b/figwalk/coordination/engine_tracker.py
@@ -66,6 +66,7 @@
         self._fixed_s = 0.0
         self._measured = False
         self._gateways = 0
+        self._reported_born_ms = 0
         self._stream_load = NO_STREAMS
         self._cached_parts: set[int] = set()
         self._prefilling_parts: frozenset[int] = frozenset()
@@ -122,8 +123,10 @@
         measured: bool = True,
         gateways: int = 0,
         stream_load: StreamLoad = NO_STREAMS,
+        born_ms: int = 0,
     ) -> None:
         """Apply the state that the agent beside the engine reports."""
+        self._reported_born_ms = born_ms
         self._gateways = gateways
         self._stream_load = stream_load
         self._fixed_s = fixed_s
@@ -304,6 +307,11 @@
         """Whether a recent report of the agent beside the engine says that it is down."""
         return self._has_digest and not self._up
 
+    @property
+    def has_started_anew(self) -> bool:
+        """Whether the engine has started again since the registration that is known."""
+        return 0 < self.entry.born_ms < self._reported_born_ms
+
     def is_avoided(self) -> bool:
         """Return whether calls to the engine are avoided now; see `BackendTracker.is_avoided`."""
         return self.is_known_down or super().is_avoided()
--- a/figwalk/gateway/attempts.py
+++ b/figwalk/gateway/attempts.py
@@ -326,8 +326,8 @@
             InvalidKeyError: The caller's key is no longer valid.
             ClientDisconnectedError: The caller has left.
             RefusalError: The deadline of the call has passed, or backend servers crash on it.
-            AttemptError: The backend server takes no calls any more, or the call now belongs to
-                another organisation than the one in the request.
+            AttemptError: The backend server takes no calls any more, the call now belongs to
+                another organisation than the one in the request, or its stream can't go on.
         """
         call.check_caller_connected()
         if not call.is_quarantine_test:
@@ -337,6 +337,9 @@
             raise AttemptError(AttemptOutcome.CANCELLED, message, not_run=True)
         if self._timer.left_s(call.deadline) <= 0:
             raise RefusalError("timeout", "the time ended before the call was sent")
+        if call.origin is not None and self._pool.has_changed_version(call.origin):
+            message = "it has become uncertain which software version began the stream"
+            raise AttemptError(AttemptOutcome.CANCELLED, message, not_run=True)
         if not self._pool.is_open(plan.backend):
             message = f"{plan.backend.backend} takes no calls any more"
             raise AttemptError(AttemptOutcome.CANCELLED, message, not_run=True)
--- a/figwalk/gateway/backend_pool.py
+++ b/figwalk/gateway/backend_pool.py
@@ -17,6 +17,7 @@
 from figwalk.state.backend_directory import BackendDirectory, BackendEntry
 from figwalk.state.notifier import Notifier
 from figwalk.state.routing import RoutingConfig, ServiceSpec
+from figwalk.state.stream_origins import StreamOrigin
 from figwalk.timer import Timer
 from figwalk.transport import ByteBudget, ByteCharge
 from figwalk.transport.byte_budget import SMALL_BODY_BYTES
@@ -167,6 +168,10 @@
         """Return whether a backend server takes calls of this process, apart from its limit."""
         return self._directory.takes_work(entry)
 
+    def has_changed_version(self, origin: StreamOrigin) -> bool:
+        """Return whether the server that began a stream has started again as another version."""
+        return self._directory.has_changed_version(origin.backend, origin.born_ms)
+
     def take_turns(self, *trackers: BackendTracker) -> bool:
         """Take a turn at each backend server that limits requests, or at none of them.
 
--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -8,13 +8,13 @@
 
 import attrs
 
+from figwalk.coordination.backend_tracker import BackendTracker
 from figwalk.coordination.call_arrivals import CallArrivals
 from figwalk.coordination.call_identity import CallIdentity
 from figwalk.fairness.call_repeats import CallKey
 from figwalk.fairness.fair_share import ShareRequest, TryKind, hash_organisation
 from figwalk.gateway.codecs import CallFacts
 from figwalk.gateway.stream_timing import StreamTiming
-from figwalk.state.backend_directory import BackendEntry
 from figwalk.state.routing import CallKind, EngineSpec, Organisation, Route
 from figwalk.state.stream_origins import StreamOrigin
 from figwalk.transport import ByteCharge, HttpRequest
@@ -129,12 +129,15 @@
     @property
     def takes_up_stream(self) -> bool:
         """Whether the caller asks for the rest of a stream that broke off."""
-        may_resume = self.route.kind is CallKind.STREAM and self.route.resumable
-        return may_resume and bool(self.facts.resume_after)
+        may_resume = self.route.resumable or bool(self.facts.resumes)
+        is_stream = self.route.kind is CallKind.STREAM
+        return is_stream and may_resume and bool(self.facts.resume_after)
 
-    def fits_origin(self, entry: BackendEntry) -> bool:
+    def fits_origin(self, tracker: BackendTracker) -> bool:
         """Return whether what a backend server streams fits to what the caller has."""
-        return self.origin is None or self.origin.fits(entry)
+        if self.origin is None:
+            return True
+        return self.origin.fits(tracker.entry) and not tracker.has_started_anew
 
     @property
     def may_try_another_backend(self) -> bool:
--- a/figwalk/gateway/origin_exchange.py
+++ b/figwalk/gateway/origin_exchange.py
@@ -22,11 +22,13 @@
 # Agents that are asked. More than are told, since the gateways don't know the same agents while
 # some come and go.
 ASKED_KEEPERS = 6
-# An agent in another region answers after 24 ms, and its VM may be busy.
-ASK_TIMEOUT_S = 0.1
-# Delays before each round of questions. The message about a stream may arrive after its caller is
-# back, and a gateway that has just started is not connected to the agents yet.
+# Bounds the time that a caller waits, also for agents whose VMs are busy or cut off.
+FIND_TIMEOUT_S = 0.75
+# Delays before each question to an agent that does not know a stream: the message about the stream
+# may arrive after its caller is back.
 ASK_DELAYS_S = (0.0, 0.05, 0.1, 0.2)
+# A gateway that has just started connects to the agents while callers wait.
+CONNECTION_CHECK_S = 0.05
 
 
 class OriginKeeper(ABC):
@@ -92,13 +94,35 @@
         self._open.pop(attempt, None)
 
     async def find(self, attempt: bytes) -> StreamOrigin | None:
-        """Return the origin of a stream, or None if neither this process nor an agent knows it."""
-        for delay_s in ASK_DELAYS_S:
-            await trio.sleep(delay_s)
-            origin = self._origins.find(attempt) or await self._ask(attempt)
-            if origin is not None:
-                return origin
-        return None
+        """Return the origin of a stream, or None if neither this process nor an agent knows it.
+
+        Agents are asked at once, and the first one that knows the stream decides.
+        """
+        open_questions: set[object] = set()
+        asked: set[object] = set()
+
+        async def ask(keeper: OriginKeeper, session: object) -> None:
+            for delay_s in ASK_DELAYS_S:
+                await trio.sleep(delay_s)
+                origin = await keeper.ask(attempt)
+                if origin is not None:
+                    self._origins.add(attempt, origin)
+                    nursery.cancel_scope.cancel()
+            open_questions.remove(session)
+
+        with trio.move_on_after(FIND_TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                while self._origins.find(attempt) is None:
+                    for keeper in _rank(attempt, self._keepers())[:ASKED_KEEPERS]:
+                        if keeper.session not in asked:
+                            asked.add(keeper.session)
+                            open_questions.add(keeper.session)
+                            nursery.start_soon(ask, keeper, keeper.session)
+                    if asked and not open_questions:
+                        break
+                    await trio.sleep(CONNECTION_CHECK_S)
+                nursery.cancel_scope.cancel()
+        return self._origins.find(attempt)
 
     def update(self) -> None:
         """Tell agents that are new, or that take the place of others, of the open streams."""
@@ -125,25 +149,6 @@
                 return
             del self._open[oldest]
 
-    async def _ask(self, attempt: bytes) -> StreamOrigin | None:
-        """Ask agents at once, and return the first origin that one of them knows."""
-        found: list[StreamOrigin] = []
-
-        async def ask(keeper: OriginKeeper) -> None:
-            origin = await keeper.ask(attempt)
-            if origin is not None:
-                found.append(origin)
-                nursery.cancel_scope.cancel()
-
-        with trio.move_on_after(ASK_TIMEOUT_S):
-            async with trio.open_nursery() as nursery:
-                for keeper in _rank(attempt, self._keepers())[:ASKED_KEEPERS]:
-                    nursery.start_soon(ask, keeper)
-        if not found:
-            return None
-        self._origins.add(attempt, found[0])
-        return self._origins.find(attempt)
-
 
 def _rank(attempt: bytes, keepers: Sequence[OriginKeeper]) -> list[OriginKeeper]:
     """Return agents in an order that depends on the stream and is the same at all gateways."""
--- a/figwalk/gateway/plain_calls.py
+++ b/figwalk/gateway/plain_calls.py
@@ -141,7 +141,7 @@
                 self._timer,
                 resumable=call.route.resumable,
                 resume_after=call.facts.resume_after,
-                on_begin=lambda answer: self._versions.record_begin(call, answer.tracker.entry),
+                on_begin=lambda answer: self._versions.record_begin(call, answer.tracker),
             )
             try:
                 async with self._attempts.send(call, tracker, plan) as answer:
@@ -198,7 +198,7 @@
 
     def _choose_now(self, call: Call, tried: list[str]) -> BackendTracker | None:
         trackers = self._pool.trackers(call.service, len(call.request.body))
-        candidates = [tracker for tracker in trackers if call.fits_origin(tracker.entry)]
+        candidates = [tracker for tracker in trackers if call.fits_origin(tracker)]
         return self._placement.choose(candidates, tried=tried)
 
     async def _attempt(self, call: Call, tracker: BackendTracker) -> BufferedAnswer:
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -114,7 +114,7 @@
             self._timer,
             resumable=call.route.resumable,
             resume_after=call.facts.resume_after,
-            on_begin=lambda answer: self._versions.record_begin(call, answer.tracker.entry),
+            on_begin=lambda answer: self._versions.record_begin(call, answer.tracker),
         )
         decision = await self._place(call, spec)
         while True:
@@ -231,7 +231,7 @@
             for engine in engines
             if engine.entry.backend not in tried
             # A prefill engine streams nothing.
-            and (engine.entry.role is Role.PREFILL or call.fits_origin(engine.entry))
+            and (engine.entry.role is Role.PREFILL or call.fits_origin(engine))
         ]
         plans = self._placement.rank(self._make_prompt_call(call), candidates, spec)
         if not plans:
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -263,6 +263,7 @@
                     measured=message.measured,
                     gateways=message.gateways,
                     stream_load=StreamLoad(message.streams, message.event_ms / MS_PER_S),
+                    born_ms=message.born_ms,
                 )
                 self._tracker.apply_cache_report(
                     message.kept,
--- a/figwalk/gateway/stream_versions.py
+++ b/figwalk/gateway/stream_versions.py
@@ -5,13 +5,16 @@
 import random
 from collections.abc import Callable
 
+import attrs
+
+from figwalk.coordination.backend_tracker import BackendTracker
 from figwalk.coordination.retry_times import choose_late_retry_s
 from figwalk.errors import RefusalError
 from figwalk.events import Event, EventLog
 from figwalk.gateway.call import Call
 from figwalk.gateway.gateway_metrics import GatewayMetrics
 from figwalk.gateway.origin_exchange import OriginExchange
-from figwalk.state.backend_directory import BackendDirectory, BackendEntry
+from figwalk.state.backend_directory import BackendDirectory
 from figwalk.state.routing import RoutingConfig
 from figwalk.state.stream_origins import StreamOrigin, digest_attempt
 from figwalk.timer import MS_PER_S, Timer
@@ -85,10 +88,12 @@
             self._redirect(call, origin)
         call.origin = origin
 
-    def record_begin(self, call: Call, entry: BackendEntry) -> None:
+    def record_begin(self, call: Call, tracker: BackendTracker) -> None:
         """Record the origin of a stream before its first event is passed on to the caller."""
         if call.origin is None:
-            call.origin = StreamOrigin.from_entry(entry)
+            call.origin = StreamOrigin.from_entry(tracker.entry)
+            if tracker.has_started_anew:
+                call.origin = attrs.evolve(call.origin, software_version="")
         self._exchange.begin(digest_attempt(call.call_id), call.origin)
         if call.takes_up_stream:
             self._exchange.begin(digest_attempt(call.facts.resumes), call.origin)
@@ -100,19 +105,20 @@
             self._exchange.end(digest_attempt(call.facts.resumes))
 
     def find_refusal(self, call: Call) -> RefusalError | None:
-        """Return the refusal of a stream whose service has no server of its version, or None.
-
-        A server of that version may yet come back, after a crash or as a release is undone.
-        """
+        """Return the refusal of a stream whose service has no server of its version, or None."""
         origin = call.origin
         if origin is None or any(map(origin.fits, self._directory.of_service(call.service))):
             return None
-        retry_s = choose_late_retry_s(self._timer.left_s(call.deadline), self._rng)
+        retry_after_ms = UNKNOWN_ORIGIN_RETRY_MS
+        if self._directory.has_seen_version(origin.service, origin.software_version):
+            # A server of that version may come back, after a crash or as a release is undone.
+            retry_s = choose_late_retry_s(self._timer.left_s(call.deadline), self._rng)
+            retry_after_ms = int(retry_s * MS_PER_S)
         return RefusalError(
             "stream_version_gone",
             f"no backend server of {origin.service!r} has version {origin.software_version!r}, "
             "which began the stream",
-            retry_after_ms=int(retry_s * MS_PER_S),
+            retry_after_ms=retry_after_ms,
         )
 
     def is_uncertain(self, call: Call) -> bool:
@@ -120,7 +126,12 @@
         return call.origin is not None and self._is_refuted(call.origin)
 
     def _is_refuted(self, origin: StreamOrigin) -> bool:
-        return origin.is_refuted_by(self._directory.find(origin.backend))
+        """Return whether the origin's server may have been another version than was registered.
+
+        A backend server may start again under its id. Until that is registered, what it streams
+        counts as the version that it had before.
+        """
+        return self._directory.has_changed_version(origin.backend, origin.born_ms)
 
     def _redirect(self, call: Call, origin: StreamOrigin) -> None:
         """Send a call to the service that began its stream, if its route still uses it."""
--- a/figwalk/prompt_agent/engine_watcher.py
+++ b/figwalk/prompt_agent/engine_watcher.py
@@ -129,6 +129,11 @@
         report = self._report
         return self._up and report is not None and not (report.changing or report.leaving)
 
+    @property
+    def born_ms(self) -> int:
+        """Wall-clock milliseconds of the engine's start; 0 before its first report."""
+        return self._report.born_ms if self._report is not None else 0
+
     @property
     def decoding(self) -> int:
         """Calls that the engine is generating tokens for."""
--- a/figwalk/prompt_agent/prompt_server.py
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -187,6 +187,7 @@
             clamp_to_uint32(self._watcher.stream_load.streams),
             self._watcher.stream_load.event_s * MS_PER_S,
             0 if self._relay is None else min(self._relay.count_gateways(), MAX_UINT16),
+            self._watcher.born_ms,
         )
 
 
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -463,6 +463,7 @@
             unknown.
         relay_gateways: Number of gateways of the agent's zone that are connected to it, if it
             answers `RelayRead`, else 0.
+        born_ms: Wall-clock milliseconds of the engine's start; 0 if unknown.
     """
 
     up: bool
@@ -480,6 +481,7 @@
     streams: int = 0
     event_ms: float = 0.0
     relay_gateways: int = 0
+    born_ms: int = 0
 
 
 @attrs.frozen
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -194,6 +194,7 @@
   streams @12 :UInt32;
   eventMs @13 :Float32;
   relayGateways @14 :UInt16;
+  bornMs @15 :UInt64;
 }
 
 struct RelayRead {
--- a/figwalk/state/backend_directory.py
+++ b/figwalk/state/backend_directory.py
@@ -92,6 +92,24 @@
         return entry.age_key > self.age_key
 
 
+@attrs.frozen
+class _StartedVersion:
+    """The newest start under an id, and the newest one that changed the software version.
+
+    Attributes:
+        born_ms: Wall-clock milliseconds of the newest start.
+        software_version: Its software version.
+        changed_ms: Start of the newest instance whose version differed from that of the instance
+            before it, or 0.
+        seen_at: Timer time of its newest registration.
+    """
+
+    born_ms: int
+    software_version: str
+    changed_ms: int
+    seen_at: float
+
+
 class BackendDirectory:
     """The registered backend servers.
 
@@ -111,6 +129,9 @@
         self._on_change = on_change
         self._entries: dict[str, BackendEntry] = {}
         self._removed: dict[str, _Removal] = {}
+        self._versions: dict[str, _StartedVersion] = {}
+        # Timer time of the newest registration of each service and software version.
+        self._seen_versions: dict[tuple[str, str], float] = {}
         self._expiring: dict[str, float] = {}
         self._store_recovered_at: float | None = None
         self._store_unavailable = False
@@ -167,6 +188,20 @@
         """
         return self._is_leaving(self._find_instance(entry) or entry)
 
+    def has_changed_version(self, backend: str, born_ms: int) -> bool:
+        """Return whether a backend server has started again as another software version.
+
+        Args:
+            backend: Its id.
+            born_ms: Wall-clock milliseconds of the start since which it may have changed.
+        """
+        started = self._versions.get(backend)
+        return started is not None and started.changed_ms > born_ms
+
+    def has_seen_version(self, service: str, software_version: str) -> bool:
+        """Return whether a backend server of a service and version was registered lately."""
+        return (service, software_version) in self._seen_versions
+
     def mark_leaving(self, entry: BackendEntry) -> None:
         """Record that a backend server announced in an answer that it leaves.
 
@@ -243,6 +278,7 @@
             return False
         if removal is not None and not removal.is_undone_by(entry):
             return False
+        self._record_version(entry)
         self._entries[entry.backend] = entry
         self._removed.pop(entry.backend, None)
         self._expiring.pop(entry.backend, None)
@@ -278,12 +314,35 @@
         for backend in [name for name, r in self._removed.items() if r.removed_at < cutoff]:
             del self._removed[backend]
         self._notices.drop_expired(self._entries.__contains__)
+        self._versions = {
+            backend: started
+            for backend, started in self._versions.items()
+            if started.seen_at >= cutoff or backend in self._entries
+        }
+        self._seen_versions = {
+            version: seen_at
+            for version, seen_at in self._seen_versions.items()
+            if seen_at >= cutoff
+        }
 
     def remove_missing(self, backends: set[str]) -> None:
         """Remove all backend servers that a complete read of the list does not contain."""
         for backend in [name for name in self._entries if name not in backends]:
             self.remove(backend)
 
+    def _record_version(self, entry: BackendEntry) -> None:
+        now = self._timer.now()
+        self._seen_versions[entry.service, entry.software_version] = now
+        known = self._versions.get(entry.backend)
+        changed_ms = 0
+        if known is not None:
+            is_changed = entry.software_version != known.software_version
+            is_start = entry.born_ms > known.born_ms
+            changed_ms = entry.born_ms if is_start and is_changed else known.changed_ms
+        self._versions[entry.backend] = _StartedVersion(
+            entry.born_ms, entry.software_version, changed_ms, now
+        )
+
     def _find_instance(self, entry: BackendEntry) -> BackendEntry | None:
         """Return the newest registration of the same instance, or None if it has none."""
         known = self._entries.get(entry.backend)
--- a/figwalk/state/stream_origins.py
+++ b/figwalk/state/stream_origins.py
@@ -31,7 +31,8 @@
 
     Attributes:
         service: Its service.
-        software_version: Version of its software.
+        software_version: Version of its software, or empty if it is uncertain, so that the stream
+            can't go on.
         backend: Its id.
         born_ms: Wall-clock milliseconds of its start.
     """
@@ -57,20 +58,9 @@
 
     def fits(self, entry: BackendEntry) -> bool:
         """Return whether the stream may go on at a backend server."""
-        return (entry.service, entry.software_version) == (self.service, self.software_version)
-
-    def is_refuted_by(self, entry: BackendEntry | None) -> bool:
-        """Return whether a newer registration of the id makes the version uncertain.
-
-        A backend server may start again under its id. Until that is registered, what it streams
-        counts as the version that it had before.
-
-        Args:
-            entry: Newest registration under the origin's id, or None if there is none.
-        """
-        if entry is None or entry.born_ms <= self.born_ms:
+        if not self.software_version:
             return False
-        return entry.software_version != self.software_version
+        return (entry.service, entry.software_version) == (self.service, self.software_version)
 
 
 @attrs.frozen
--- a/tests/support/platform_fakes.py
+++ b/tests/support/platform_fakes.py
@@ -29,10 +29,8 @@
 HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nServer-Stamp: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 # What an engine answers to the agent beside it. Other requests of agents are left to the script.
+REPORT = {"stage": "decode", "busy": False, "running": 0, "waiting": 0, "kv-total": 1}
 AGENT_ANSWERS = {
-    "/report": json.dumps(
-        {"stage": "decode", "busy": False, "born": 1000, "running": 0, "waiting": 0, "kv-total": 1}
-    ).encode(),
     "/kv-list": b'{"epoch": 1, "next": 1, "held": []}',
     "/kv-events?since=1": b'{"epoch": 1, "next": 1, "events": []}',
 }
@@ -73,6 +71,7 @@
         self.script = script
         self.host = host
         self.has_agent = False
+        self.born_ms = 1000  # In the reports to its agent.
         self.requests = []
         self.arrived = trio.Event()
         self.connections = 0
@@ -110,6 +109,12 @@
         } | fields
         store.put(BACKENDS_TOPIC, self.name, json.dumps(content).encode())
 
+    def _find_agent_answer(self, target):
+        """Return the answer to a request of the agent, or None if the script answers."""
+        if self.has_agent and target == "/report":
+            return json.dumps(REPORT | {"born": self.born_ms}).encode()
+        return AGENT_ANSWERS.get(target) if self.has_agent else None
+
     async def _serve_connection(self, stream):
         self.connections += 1
         connection = h11.Connection(h11.SERVER)
@@ -118,8 +123,9 @@
                 request = await _receive(connection, stream)
                 if request is None:
                     return
-                if self.has_agent and request.target in AGENT_ANSWERS:
-                    await stream.send_all(render(request, AGENT_ANSWERS[request.target]))
+                answer = self._find_agent_answer(request.target)
+                if answer is not None:
+                    await stream.send_all(render(request, answer))
                     connection = h11.Connection(h11.SERVER)
                     continue
                 self.requests.append(request)
@@ -358,6 +364,15 @@
         while not self.agents.names <= self._list_agents():
             await trio.sleep(0.01)
 
+    async def wait_started_anew(self, *names):
+        """Wait until the agents of some engines have told the gateway of their new starts."""
+        while not all(
+            engine.has_started_anew
+            for engine in self.process._pool.engines()
+            if engine.entry.backend in names
+        ):
+            await trio.sleep(0.01)
+
     async def wait_backends(self, count):
         """Wait until the gateway knows this number of backend servers."""
         while f"figwalk_backends {count}.0" not in await self.read_metrics():
--- a/tests/test_origin_exchange.py
+++ b/tests/test_origin_exchange.py
@@ -33,12 +33,14 @@
     Attributes:
         silent: Whether nothing arrives at the agent any more.
         delay_s: Seconds that a message about a stream takes.
+        answer_s: Seconds that an answer takes.
     """
 
     def __init__(self, agent):
         self.agent = agent
         self.silent = False
         self.delay_s = LINK_S
+        self.answer_s = LINK_S
 
     @property
     def host(self):
@@ -59,7 +61,7 @@
         """Ask the agent; there is no answer on a silent connection."""
         if self.silent:
             await trio.sleep_forever()
-        await trio.sleep(LINK_S)
+        await trio.sleep(self.answer_s)
         return self.agent.origins.find(attempt)
 
     async def _deliver(self, attempt, origin, start):
@@ -153,6 +155,37 @@
     assert await find_all(second) == [None] + [V1] * (len(ATTEMPTS) - 1)
 
 
+@mock_time
+async def test_slow_agents_are_heard_beside_silent_ones():
+    """Guards against answers of busy agents that come too late to count."""
+    agents = make_agents()
+    first, second = Gateway(agents), Gateway(agents)
+    first.begin(*ATTEMPTS)
+    await trio.sleep(1)
+    for number, link in enumerate(second.links):
+        link.silent = number < KEEPERS - 1
+        link.answer_s = 0.5
+    assert await find_all(second) == [V1] * len(ATTEMPTS)
+
+
+@mock_time
+async def test_gateway_that_is_not_connected_yet_waits_for_agents():
+    """Guards against streams that are refused since all gateways have just started."""
+    agents = make_agents()
+    first, second = Gateway(agents), Gateway(agents)
+    first.begin(*ATTEMPTS)
+    await trio.sleep(1)
+    links, second.links = second.links, []
+
+    async def connect():
+        await trio.sleep(0.4)
+        second.links = links
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(connect)
+        assert await find_all(second) == [V1] * len(ATTEMPTS)
+
+
 @mock_time
 async def test_silent_agents_do_not_keep_a_caller_waiting():
     """Guards against a take-up that waits for agents behind a cut link."""
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -3,7 +3,8 @@
 import pytest
 from support.fake_timer import FakeTimer
 
-from figwalk.state.backend_directory import BackendEntry
+from figwalk.events import EventLog
+from figwalk.state.backend_directory import REMOVAL_RETENTION_S, BackendDirectory, BackendEntry
 from figwalk.state.settings import Address
 from figwalk.state.stream_origins import (
     ATTEMPT_DIGEST_BYTES,
@@ -38,19 +39,49 @@
     assert ORIGIN.fits(entry) == fits
 
 
+def test_stream_of_an_uncertain_version_goes_on_nowhere():
+    """Guards against an uncertain version that fits a server without one."""
+    assert not StreamOrigin("lm", "", "e1", 1000).fits(make_entry(""))
+
+
 @pytest.mark.parametrize(
-    ("entry", "refuted"),
+    ("starts", "changed"),
     [
-        (None, False),
-        (make_entry("v1.1"), False),
-        (make_entry("v1", born_ms=2000), False),
-        (make_entry("v1.1", born_ms=2000), True),
-        (make_entry("v1.1", born_ms=500), False),
+        ([], False),
+        ([("v1", 1000)], False),
+        ([("v1", 1000), ("v1", 2000)], False),
+        ([("v1", 1000), ("v2", 2000)], True),
+        ([("v1", 1000), ("v2", 2000), None], True),
+        ([("v1", 1000), None, ("v2", 2000)], True),
+        ([("v1", 1000), ("v2", 2000), ("v1", 3000)], True),
+        ([("v0", 500), ("v1", 1000)], False),
     ],
 )
-def test_later_start_of_another_version_refutes_an_origin(entry, refuted):
-    """Guards against a version that was taken from an outdated registration."""
-    assert ORIGIN.is_refuted_by(entry) == refuted
+def test_start_as_another_version_is_remembered(starts, changed):
+    """Guards against an origin whose version was taken from an outdated registration."""
+    timer = FakeTimer()
+    directory = BackendDirectory(EventLog("test", timer), timer)
+    for start in starts:
+        if start is None:
+            directory.remove("e1")
+        else:
+            directory.apply(make_entry(start[0], born_ms=start[1]))
+        directory.expire()
+    assert directory.has_changed_version("e1", 1000) == changed
+
+
+def test_starts_and_versions_of_removed_servers_are_forgotten():
+    """Guards against versions that fill the memory of a gateway."""
+    timer = FakeTimer()
+    directory = BackendDirectory(EventLog("test", timer), timer)
+    directory.apply(make_entry("v1"))
+    directory.apply(make_entry("v2", born_ms=2000))
+    directory.remove("e1")
+    assert directory.has_seen_version("lm", "v1")
+    timer.advance(REMOVAL_RETENTION_S + 1)
+    directory.expire()
+    assert not directory.has_seen_version("lm", "v1")
+    assert not directory.has_changed_version("e1", 1000)
 
 
 def test_origin_that_was_told_twice_with_different_versions_is_unknown():
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -689,6 +689,44 @@
     run_deployment(test)
 
 
+@pytest.mark.parametrize("other_serves", [True, False])
+def test_stream_does_not_go_on_at_a_server_whose_registration_is_known_to_be_old(other_serves):
+    """Guards against a server that started as another version, though its agent has told so."""
+
+    async def test(deployment):
+        servers = [await deployment.add(f"e{number}", "v1") for number in range(2)]
+        gateways = await deployment.start_gateways("gateway-1", "gateway-2")
+        streams = await begin_many(deployment, gateways, ["v1"])
+        for server in servers[:1] if other_serves else servers:
+            server.born_ms = 2000
+            deployment.true_versions[server.name] = "v2"
+            for gateway in gateways:
+                await gateway.wait_started_anew(server.name)
+        if other_serves:
+            await check_all_go_on(deployment, gateways[::-1], streams)
+        else:
+            await check_all_refused(deployment, gateways[::-1], streams)
+
+    run_deployment(test)
+
+
+def test_stream_that_began_at_a_server_with_an_old_registration_does_not_go_on():
+    """Guards against an origin with a version that the agent has shown to be outdated."""
+
+    async def test(deployment):
+        server = await deployment.add("e1", "v2")
+        await deployment.add("e2", "v1", agent=False)
+        server.register(deployment.fleet.store, "lm", stage="decode", version="v1")
+        server.born_ms = 2000
+        gateways = await deployment.start_gateways("gateway-1", "gateway-2")
+        for gateway in gateways:
+            await gateway.wait_started_anew("e1")
+        streams = await begin_many(deployment, gateways, ["v2"])
+        await check_all_refused(deployment, gateways[::-1], streams)
+
+    run_deployment(test)
+
+
 async def send_head(stream, request):
     """Send the head of an answer and break off before its first event."""
     await stream.send_all(HEAD.format(request.call_id).encode())
