--- a/figwalk/gateway/backend_pool.py
+++ b/figwalk/gateway/backend_pool.py
@@ -170,7 +170,9 @@
 
     def has_changed_version(self, origin: StreamOrigin) -> bool:
         """Return whether the server that began a stream has started again as another version."""
-        return self._directory.has_changed_version(origin.backend, origin.born_ms)
+        return self._directory.has_changed_version(
+            origin.backend, origin.born_ms, until_ms=origin.begun_ms
+        )
 
     def take_turns(self, *trackers: BackendTracker) -> bool:
         """Take a turn at each backend server that limits requests, or at none of them.
--- a/figwalk/gateway/origin_exchange.py
+++ b/figwalk/gateway/origin_exchange.py
@@ -27,6 +27,8 @@
 # Delays before each question to an agent that does not know a stream: the message about the stream
 # may arrive after its caller is back.
 ASK_DELAYS_S = (0.0, 0.05, 0.1, 0.2)
+# Agents of other regions answer this much later than those of the gateway's own.
+OTHER_ANSWERS_S = 0.03
 # A gateway that has just started connects to the agents while callers wait.
 CONNECTION_CHECK_S = 0.05
 
@@ -60,12 +62,12 @@
     Attributes:
         origin: Its origin.
         begun_at: Timer time of its first event.
-        told: Connections on which agents were told of it.
+        told: Connections on which agents were told of it, with the agents' scores.
     """
 
     origin: StreamOrigin
     begun_at: float
-    told: set[object] = attrs.field(factory=set)
+    told: dict[object, bytes] = attrs.field(factory=dict)
 
 
 class OriginExchange:
@@ -96,10 +98,12 @@
     async def find(self, attempt: bytes) -> StreamOrigin | None:
         """Return the origin of a stream, or None if neither this process nor an agent knows it.
 
-        Agents are asked at once, and the first one that knows the stream decides.
+        Agents are asked at once. Those that answer soon after the first one that knows the stream
+        count too: if they name another version, the origin is uncertain.
         """
         open_questions: set[object] = set()
         asked: set[object] = set()
+        found = trio.Event()
 
         async def ask(keeper: OriginKeeper, session: object) -> None:
             for delay_s in ASK_DELAYS_S:
@@ -107,39 +111,59 @@
                 origin = await keeper.ask(attempt)
                 if origin is not None:
                     self._origins.add(attempt, origin)
-                    nursery.cancel_scope.cancel()
+                    found.set()
+                if found.is_set():
+                    break
             open_questions.remove(session)
+            if not open_questions:
+                nursery.cancel_scope.cancel()
 
-        with trio.move_on_after(FIND_TIMEOUT_S):
+        origin = self._origins.find(attempt)
+        if origin is not None:
+            return origin
+        with trio.move_on_after(FIND_TIMEOUT_S) as scope:
             async with trio.open_nursery() as nursery:
-                while self._origins.find(attempt) is None:
+                while not found.is_set():
                     for keeper in _rank(attempt, self._keepers())[:ASKED_KEEPERS]:
                         if keeper.session not in asked:
                             asked.add(keeper.session)
                             open_questions.add(keeper.session)
                             nursery.start_soon(ask, keeper, keeper.session)
-                    if asked and not open_questions:
-                        break
-                    await trio.sleep(CONNECTION_CHECK_S)
-                nursery.cancel_scope.cancel()
+                    with trio.move_on_after(CONNECTION_CHECK_S):
+                        await found.wait()
+                scope.deadline = min(scope.deadline, trio.current_time() + OTHER_ANSWERS_S)
         return self._origins.find(attempt)
 
     def update(self) -> None:
         """Tell agents that are new, or that take the place of others, of the open streams."""
         self._drop_old()
-        keepers = self._keepers()
-        sessions = {keeper.session for keeper in keepers}
-        if sessions == self._sessions:
+        keepers = {keeper.session: keeper for keeper in self._keepers()}
+        lost = self._sessions - keepers.keys()
+        new = keepers.keys() - self._sessions
+        self._sessions = set(keepers)
+        if not lost and not new:
             return
-        self._sessions = sessions
         for attempt, stream in self._open.items():
-            self._tell(attempt, stream, keepers)
+            for session in lost & stream.told.keys():
+                del stream.told[session]
+            if len(stream.told) < KEEPERS:
+                self._tell(attempt, stream, list(keepers.values()))
+                continue
+            # The agents that other gateways ask first are among those told and the new ones.
+            worst = max(stream.told.values())
+            for session in new - stream.told.keys():
+                if _score(attempt, keepers[session].host) < worst:
+                    self._tell_one(attempt, stream, keepers[session])
 
     def _tell(self, attempt: bytes, stream: _OpenStream, keepers: Sequence[OriginKeeper]) -> None:
         for keeper in _rank(attempt, keepers)[:KEEPERS]:
             if keeper.session not in stream.told:
-                stream.told.add(keeper.session)
-                keeper.tell(attempt, stream.origin)
+                self._tell_one(attempt, stream, keeper)
+
+    @staticmethod
+    def _tell_one(attempt: bytes, stream: _OpenStream, keeper: OriginKeeper) -> None:
+        stream.told[keeper.session] = _score(attempt, keeper.host)
+        keeper.tell(attempt, stream.origin)
 
     def _drop_old(self) -> None:
         cutoff = self._timer.now() - ORIGIN_RETENTION_S
@@ -151,8 +175,13 @@
 
 
 def _rank(attempt: bytes, keepers: Sequence[OriginKeeper]) -> list[OriginKeeper]:
-    """Return agents in an order that depends on the stream and is the same at all gateways."""
-    return sorted(
-        keepers,
-        key=lambda keeper: blake2b(keeper.host.encode(), key=attempt, digest_size=8).digest(),
-    )
+    """Return agents in an order that depends on the stream and is the same at all gateways.
+
+    An agent beside several engines has several connections, of which one is returned.
+    """
+    by_host = {keeper.host: keeper for keeper in keepers}
+    return sorted(by_host.values(), key=lambda keeper: _score(attempt, keeper.host))
+
+
+def _score(attempt: bytes, host: str) -> bytes:
+    return blake2b(host.encode(), key=attempt, digest_size=8).digest()
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -252,7 +252,7 @@
         if call.is_quarantine_test and not error.not_run:
             raise self._refuse_unknown(error)
         if not relay.can_continue or self._versions.is_uncertain(call):
-            raise self._refuse_unknown(error)
+            raise self._refuse(call, error)
         if call.sent_to and not call.may_try_another_backend:
             raise self._refuse(call, error)
         needed = call.arrivals.retries_needed(with_prefill=False)
--- a/figwalk/gateway/stream_versions.py
+++ b/figwalk/gateway/stream_versions.py
@@ -91,7 +91,7 @@
     def record_begin(self, call: Call, tracker: BackendTracker) -> None:
         """Record the origin of a stream before its first event is passed on to the caller."""
         if call.origin is None:
-            call.origin = StreamOrigin.from_entry(tracker.entry)
+            call.origin = StreamOrigin.from_entry(tracker.entry, self._timer.wall_ms())
             if tracker.has_started_anew:
                 call.origin = attrs.evolve(call.origin, software_version="")
         self._exchange.begin(digest_attempt(call.call_id), call.origin)
@@ -131,7 +131,11 @@
         A backend server may start again under its id. Until that is registered, what it streams
         counts as the version that it had before.
         """
-        return self._directory.has_changed_version(origin.backend, origin.born_ms)
+        if not origin.software_version:
+            return True
+        return self._directory.has_changed_version(
+            origin.backend, origin.born_ms, until_ms=origin.begun_ms
+        )
 
     def _redirect(self, call: Call, origin: StreamOrigin) -> None:
         """Send a call to the service that began its stream, if its route still uses it."""
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -542,9 +542,10 @@
     Attributes:
         attempt: Digest of the id of the caller's attempt that got the first event.
         service: Service of the backend server.
-        software_version: Version of its software.
+        software_version: Version of its software, or empty if it is uncertain.
         backend: Its id.
         born_ms: Wall-clock milliseconds of its start.
+        begun_ms: Wall-clock milliseconds of the first event.
     """
 
     attempt: bytes
@@ -552,6 +553,7 @@
     software_version: str
     backend: str
     born_ms: int
+    begun_ms: int = 0
 
 
 @attrs.frozen
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -225,6 +225,7 @@
   softwareVersion @2 :Text;
   backend @3 :Text;
   bornMs @4 :UInt64;
+  begunMs @5 :UInt64;
 }
 
 struct OriginQuery {
--- a/figwalk/state/backend_directory.py
+++ b/figwalk/state/backend_directory.py
@@ -18,6 +18,10 @@
 RENEWAL_WAIT_S = 2.0
 # Removals are kept this long, so that a delayed registration from before one can't undo it.
 REMOVAL_RETENTION_S = 120.0
+# Largest difference between the clocks of two VMs that is counted on.
+CLOCK_TOLERANCE_MS = 5_000
+# Changes of the software version that are remembered for one id.
+MAX_VERSION_CHANGES = 8
 
 
 @attrs.frozen
@@ -94,19 +98,18 @@
 
 @attrs.frozen
 class _StartedVersion:
-    """The newest start under an id, and the newest one that changed the software version.
+    """The newest start under an id, and the latest ones that changed the software version.
 
     Attributes:
         born_ms: Wall-clock milliseconds of the newest start.
         software_version: Its software version.
-        changed_ms: Start of the newest instance whose version differed from that of the instance
-            before it, or 0.
+        changes_ms: Starts of instances whose version differed from that of the instance before.
         seen_at: Timer time of its newest registration.
     """
 
     born_ms: int
     software_version: str
-    changed_ms: int
+    changes_ms: tuple[int, ...]
     seen_at: float
 
 
@@ -188,15 +191,18 @@
         """
         return self._is_leaving(self._find_instance(entry) or entry)
 
-    def has_changed_version(self, backend: str, born_ms: int) -> bool:
-        """Return whether a backend server has started again as another software version.
+    def has_changed_version(self, backend: str, born_ms: int, until_ms: int) -> bool:
+        """Return whether a backend server started again as another software version.
 
         Args:
             backend: Its id.
-            born_ms: Wall-clock milliseconds of the start since which it may have changed.
+            born_ms: Wall-clock milliseconds of the start after which it may have changed.
+            until_ms: Wall-clock milliseconds up to which it may have.
         """
         started = self._versions.get(backend)
-        return started is not None and started.changed_ms > born_ms
+        if started is None:
+            return False
+        return any(born_ms < at <= until_ms + CLOCK_TOLERANCE_MS for at in started.changes_ms)
 
     def has_seen_version(self, service: str, software_version: str) -> bool:
         """Return whether a backend server of a service and version was registered lately."""
@@ -334,13 +340,14 @@
         now = self._timer.now()
         self._seen_versions[entry.service, entry.software_version] = now
         known = self._versions.get(entry.backend)
-        changed_ms = 0
+        changes_ms: tuple[int, ...] = ()
         if known is not None:
             is_changed = entry.software_version != known.software_version
             is_start = entry.born_ms > known.born_ms
-            changed_ms = entry.born_ms if is_start and is_changed else known.changed_ms
+            new = (entry.born_ms,) if is_start and is_changed else ()
+            changes_ms = (*known.changes_ms, *new)[-MAX_VERSION_CHANGES:]
         self._versions[entry.backend] = _StartedVersion(
-            entry.born_ms, entry.software_version, changed_ms, now
+            entry.born_ms, entry.software_version, changes_ms, now
         )
 
     def _find_instance(self, entry: BackendEntry) -> BackendEntry | None:
--- a/figwalk/state/stream_origins.py
+++ b/figwalk/state/stream_origins.py
@@ -35,26 +35,46 @@
             can't go on.
         backend: Its id.
         born_ms: Wall-clock milliseconds of its start.
+        begun_ms: Wall-clock milliseconds of the stream's first event.
     """
 
     service: str
     software_version: str
     backend: str
     born_ms: int
+    begun_ms: int = 0
 
     @classmethod
-    def from_entry(cls, entry: BackendEntry) -> StreamOrigin:
-        """Return the origin of a stream that a registered backend server began."""
-        return cls(entry.service, entry.software_version, entry.backend, entry.born_ms)
+    def from_entry(cls, entry: BackendEntry, begun_ms: int) -> StreamOrigin:
+        """Return the origin of a stream that a registered backend server began.
+
+        Args:
+            entry: Registration that was used for the call.
+            begun_ms: Wall-clock milliseconds of the first event.
+        """
+        return cls(entry.service, entry.software_version, entry.backend, entry.born_ms, begun_ms)
 
     @classmethod
     def from_message(cls, message: StreamBegun) -> StreamOrigin:
         """Return the origin that a message between processes contains."""
-        return cls(message.service, message.software_version, message.backend, message.born_ms)
+        return cls(
+            message.service,
+            message.software_version,
+            message.backend,
+            message.born_ms,
+            message.begun_ms,
+        )
 
     def to_message(self, attempt: bytes) -> StreamBegun:
         """Return the message that tells another process the origin of a stream."""
-        return StreamBegun(attempt, self.service, self.software_version, self.backend, self.born_ms)
+        return StreamBegun(
+            attempt,
+            self.service,
+            self.software_version,
+            self.backend,
+            self.born_ms,
+            self.begun_ms,
+        )
 
     def fits(self, entry: BackendEntry) -> bool:
         """Return whether the stream may go on at a backend server."""
@@ -65,9 +85,9 @@
 
 @attrs.frozen
 class _Record:
-    """A known origin, or None if different ones were told, and when it was told last."""
+    """A known origin, and when it was told last."""
 
-    origin: StreamOrigin | None
+    origin: StreamOrigin
     updated_at: float
 
 
@@ -90,14 +110,13 @@
     def add(self, attempt: bytes, origin: StreamOrigin) -> None:
         """Record the origin of a stream; if another version is known for it, it is uncertain."""
         known = self._records.pop(attempt, None)
-        kept: StreamOrigin | None = origin
-        if known is not None and (known.origin is None or not _is_same(known.origin, origin)):
-            kept = None
-        self._records[attempt] = _Record(kept, self._timer.now())
+        if known is not None and not _is_same(known.origin, origin):
+            origin = attrs.evolve(origin, software_version="")
+        self._records[attempt] = _Record(origin, self._timer.now())
         self._drop_old()
 
     def find(self, attempt: bytes) -> StreamOrigin | None:
-        """Return the origin of a stream, or None if it is unknown or uncertain."""
+        """Return the origin of a stream, which may be uncertain, or None if it is unknown."""
         record = self._records.get(attempt)
         if record is None or self._is_old(record):
             return None
