Resume a stream only where the same model, adapter and version are loaded

What callers saw: one streamed answer of an entry joined the text of two adapters or weight versions of a model, where the engine that began it broke off and another engine of the service went on.

Cause: engines of a service may have different models, adapters or versions loaded, by orders or from their start. Load reports did not carry what is loaded, and an entry resumed a stream at any engine of the service.

Evidence, with real processes, all failed before: - test_stream_is_not_resumed_at_an_engine_with_another_version_or_adapter, for both: the stream went on at llm-2, which has another version or adapter. - test_streams_are_resumed_at_the_engine_of_their_version_beside_an_idle_one_of _another: the streams of a killed engine went to llm-3, of another version. With the new fields of the reports but without the check, 10 new cases in tests/test_model_calls.py failed, with the stream at the preferred engine, of another model, adapter or version.

Change: LoadReport has model, adapter and version as its last fields, which the agent takes from the engine's GET /state. An entry keeps what the engine that began a stream had loaded when the attempt was sent. All attempts after the first event go only to engines that report the same; with none, the stream is cut as with no engine left (backend_lost, outcome_unknown). STREAM_RESUMED names the three. First attempts are chosen as before.

A report without the fields counts as unknown, which fits only another unknown one, so that entries go on resuming streams among agents of earlier releases. Names above 1024 characters or without a UTF-8 form, which a report can't carry, are an error of the engine's answer.

Fleet.set_model, which only a test called, is gone: the model comes from the reports. test_backends_excluded_from_candidates now reports it.

Why this works: an agent reports an engine as serving only after it has read the engine's state, and refuses calls while an order is carried out.

--- a/figwalk/agent/backend_client.py
+++ b/figwalk/agent/backend_client.py
@@ -34,6 +34,8 @@
 # The agent sets the first two itself. It could not split a compressed stream at event boundaries.
 # The client never waits for 100 Continue.
 _DROPPED_HEADERS = frozenset({REQUEST_ID_HEADER, PRIORITY_HEADER, b"accept-encoding", b"expect"})
+# Load reports carry the names, and are sent several times a second.
+MAX_NAME_CHARS = 1024
 HTTP_OK = 200
 HTTP_ACCEPTED = 202
 _T = TypeVar("_T")
@@ -44,17 +46,24 @@
     """The backend server's answer belongs to another request."""
 
 
+def _check_name(_state: object, attribute: attrs.Attribute[str], name: str) -> None:
+    """Check that a name can be sent in load reports; JSON strings need not have a UTF-8 form."""
+    if len(name) > MAX_NAME_CHARS:
+        raise ValueError(f"{attribute.name} is longer than {MAX_NAME_CHARS} characters")
+    name.encode()
+
+
 @attrs.frozen
 class EngineState:
     """Body of `GET /state`."""
 
     role: Role
     state: str
-    model: str
+    model: str = attrs.field(validator=_check_name)
     order: int
     incarnation: Any
-    adapter: str = ""
-    version: str = ""
+    adapter: str = attrs.field(default="", validator=_check_name)
+    version: str = attrs.field(default="", validator=_check_name)
 
     @property
     def ready(self) -> bool:
--- a/figwalk/agent/load_reporter.py
+++ b/figwalk/agent/load_reporter.py
@@ -90,6 +90,9 @@
             engine_report_age_ms=self._monitor.load_age_ms,
             cache_stored=stored or [],
             cache_evicted=evicted or [],
+            model=engine.model if engine else "",
+            adapter=engine.adapter if engine else "",
+            version=engine.version if engine else "",
         )
 
     def _combine_pending(self, load: EngineLoad | None) -> tuple[int, int]:
--- a/figwalk/entry/attempt_plan.py
+++ b/figwalk/entry/attempt_plan.py
@@ -8,6 +8,7 @@
 from figwalk.entry.backends import Backends
 from figwalk.errors import CallOutcome, RefusalError
 from figwalk.events import Event, EventLog
+from figwalk.state.fleet import LoadedModel
 
 # A retry after one of these refusals uses no retry budget: a planned change, such as a role change,
 # must not fail a request.
@@ -42,6 +43,7 @@
         self._excluded: set[str] = set()
         self._refusals: list[RefusalError] = []
         self._retry_is_free = True
+        self._loaded: LoadedModel | None = None
         budget.record_first_attempt()
 
     @property
@@ -55,7 +57,7 @@
         Raises:
             RefusalError: No backend server remains to be tried, or the retry budget is exhausted.
         """
-        choice = self._backends.choose(self._route, frozenset(self._excluded))
+        choice = self._backends.choose(self._route, frozenset(self._excluded), self._loaded)
         if choice is None:
             raise self._final_refusal()
         if not self._retry_is_free and not self._budget.try_retry():
@@ -84,8 +86,16 @@
         self._refusals.append(RefusalError("backend_lost", str(error), outcome=CallOutcome.UNKNOWN))
         self._retry_is_free = False
 
-    def allow_resume(self) -> None:
-        """Let the next attempt resume an interrupted stream without using the retry budget."""
+    def allow_resume(self, loaded: LoadedModel) -> None:
+        """Let the next attempt resume an interrupted stream without using the retry budget.
+
+        It and all later ones go only to engines that have the same loaded as the one that began
+        the stream: the texts of two models, adapters or versions do not fit together.
+
+        Args:
+            loaded: What the engine that began the stream had loaded.
+        """
+        self._loaded = loaded
         self._retry_is_free = True
 
     def _final_refusal(self) -> RefusalError:
--- a/figwalk/entry/attempt_target.py
+++ b/figwalk/entry/attempt_target.py
@@ -10,7 +10,7 @@
 from figwalk.coordination.router import Choice
 from figwalk.entry.call_pool import ActiveCall, CallPool, Reply
 from figwalk.protocol.messages import Call
-from figwalk.state.fleet import Fleet
+from figwalk.state.fleet import Fleet, LoadedModel
 
 
 @attrs.frozen
@@ -23,6 +23,7 @@
         incarnation: Incarnation of its agent.
         fleet: The entry's view of load, which counts the call while it is in flight.
         pieces: Prefix pieces of the prompt, which the engine will soon have in its prefix cache.
+        loaded: What its engine had loaded when it was chosen.
     """
 
     choice: Choice
@@ -30,6 +31,7 @@
     incarnation: int
     fleet: Fleet = attrs.field(repr=False)
     pieces: Sequence[int] = attrs.field(default=(), repr=False)
+    loaded: LoadedModel = attrs.field(factory=LoadedModel)
 
     def open(self, call: Call) -> TrackedCall:
         """Return a context manager like that of `CallPool.open` that also counts the call."""
--- a/figwalk/entry/backends.py
+++ b/figwalk/entry/backends.py
@@ -27,7 +27,7 @@
 )
 from figwalk.state.configuration import Configuration
 from figwalk.state.control import Control
-from figwalk.state.fleet import Fleet
+from figwalk.state.fleet import Fleet, LoadedModel
 from figwalk.state.notifier import Notifier
 from figwalk.state.published import Limits, ServiceConfig
 from figwalk.state.settings import Address, EntrySettings
@@ -119,13 +119,21 @@
         """Return the link to the agent of a backend server, or None if it is unknown."""
         return self._links_by_backend.get(backend)
 
-    def choose(self, route: RouteRequest, excluded: frozenset[str]) -> Choice | None:
-        """Choose a backend server for a request; return None if none accepts work."""
+    def choose(
+        self, route: RouteRequest, excluded: frozenset[str], loaded: LoadedModel | None = None
+    ) -> Choice | None:
+        """Choose a backend server for a request; return None if none accepts work.
+
+        Args:
+            route: The request.
+            excluded: Backend servers that this request has already tried.
+            loaded: What the backend server must have loaded, or None for anything.
+        """
         if self._policy is None:
             return None
         candidates = [
             view
-            for view in self._fleet.candidates(route.service, excluded=excluded)
+            for view in self._fleet.candidates(route.service, excluded=excluded, loaded=loaded)
             if view.name in self._links_by_backend and self._links_by_backend[view.name].connected
         ]
         return self._policy.choose(route, candidates, self._timer.now())
@@ -142,7 +150,9 @@
             pieces: Prefix pieces of the prompt.
         """
         link = self._links_by_backend[choice.backend]
-        return Target(choice, self._pools[link], link.peer.incarnation, self._fleet, pieces)
+        view = self._fleet.find(choice.backend)
+        loaded = view.loaded if view is not None else LoadedModel()
+        return Target(choice, self._pools[link], link.peer.incarnation, self._fleet, pieces, loaded)
 
     async def run(self) -> None:
         """Run all links until cancelled."""
--- a/figwalk/entry/model_calls.py
+++ b/figwalk/entry/model_calls.py
@@ -27,6 +27,7 @@
 )
 from figwalk.protocol.event_stream import EVENT_STREAM_TYPE
 from figwalk.protocol.messages import Answer, Call, Priority
+from figwalk.state.fleet import LoadedModel
 from figwalk.state.published import ServiceConfig
 from figwalk.timer import MS_PER_S, Timer
 from figwalk.transport import (
@@ -53,7 +54,18 @@
 
 @attrs.define
 class _ModelCall:
-    """State of one caller's model call while it is being answered."""
+    """State of one caller's model call while it is being answered.
+
+    Attributes:
+        request: What the caller sent.
+        model: The request to a model that it contains.
+        plan: Chooses the backend server for each attempt.
+        responder: Sends the answer to the caller.
+        transcript: Events of a stream that were sent to the caller.
+        first_chunk_at: Timer time at which the first of them arrived.
+        loaded: What the engine that began the stream had loaded when the attempt was sent.
+        identity: `id` and `created` that events of a resumed stream must have.
+    """
 
     request: CallerRequest
     model: ModelRequest
@@ -61,6 +73,7 @@
     responder: Responder
     transcript: StreamTranscript
     first_chunk_at: float = 0.0
+    loaded: LoadedModel = attrs.field(factory=LoadedModel)
     identity: JsonObject = attrs.field(factory=dict)
 
 
@@ -216,11 +229,12 @@
                 resumes += 1
                 if resumes > MAX_RESUMES:
                     raise _build_stream_cut("the stream could not be resumed")
-                call.plan.allow_resume()
+                call.plan.allow_resume(call.loaded)
                 self._events.record(
                     Event.STREAM_RESUMED,
                     request_id=call.request.request_id,
                     sent_bytes=call.transcript.size_bytes,
+                    **attrs.asdict(call.loaded),
                 )
         if not call.responder.finished:
             await call.responder.finish()
@@ -257,6 +271,7 @@
     async def _forward_chunk(self, call: _ModelCall, target: Target, data: bytes) -> None:
         if call.transcript.empty:
             call.first_chunk_at = self._timer.now()
+            call.loaded = target.loaded
         if call.identity:
             data = rewrite_identity(data, call.identity)
         # Added before the send: a chunk that may have reached the caller must not be generated
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -167,6 +167,10 @@
         engine_report_age_ms: Age of the figures in this report that come from the engine.
         cache_stored: Hashes of prefix pieces that the engine cached since the previous report.
         cache_evicted: Hashes of prefix pieces that the engine evicted since the previous report.
+        model: Model that the engine has loaded; empty if unknown, as in reports of agents of
+            earlier releases.
+        adapter: Adapter that the engine has loaded, or empty.
+        version: Version of the model that the engine has loaded; empty if unknown.
     """
 
     sequence: int
@@ -189,6 +193,9 @@
     engine_report_age_ms: int = 0
     cache_stored: list[int] = attrs.field(factory=list)
     cache_evicted: list[int] = attrs.field(factory=list)
+    model: str = ""
+    adapter: str = ""
+    version: str = ""
 
 
 @attrs.frozen
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -64,6 +64,9 @@
   engineReportAgeMs @17 :UInt32;
   cacheStored @18 :List(UInt64);
   cacheEvicted @19 :List(UInt64);
+  model @20 :Text;
+  adapter @21 :Text;
+  version @22 :Text;
 }
 
 struct End {
--- a/figwalk/state/backend_view.py
+++ b/figwalk/state/backend_view.py
@@ -67,6 +67,21 @@
     unavailable_s: float
 
 
+@attrs.frozen
+class LoadedModel:
+    """What an engine has loaded, by its agent's reports; empty where it is unknown.
+
+    Attributes:
+        model: Name of the model.
+        adapter: Name of the adapter.
+        version: Version of the model's weights.
+    """
+
+    model: str = ""
+    adapter: str = ""
+    version: str = ""
+
+
 class _CallSet:
     """Calls in flight, with token totals kept up to date so that routing does not sum them."""
 
@@ -143,7 +158,6 @@
         self._region = region
         self._address = address
         self._incarnation = incarnation
-        self._model: str | None = None
         self._report: LoadReport | None = None
         self._reported_at = 0.0
         self._leaving = False
@@ -188,7 +202,14 @@
     @property
     def model(self) -> str | None:
         """Loaded model, or None if it was not reported to this entry."""
-        return self._model
+        return self.loaded.model or None
+
+    @property
+    def loaded(self) -> LoadedModel:
+        """What its engine has loaded, by the newest report."""
+        if self._report is None:
+            return LoadedModel()
+        return LoadedModel(self._report.model, self._report.adapter, self._report.version)
 
     @property
     def report(self) -> LoadReport | None:
@@ -299,10 +320,6 @@
         unavailable_s = now - since if since is not None else 0.0
         return RoleChange(self._name, before, self._role, now, unavailable_s)
 
-    def set_model(self, model: str | None) -> None:
-        """Set the loaded model, or None if it is not known."""
-        self._model = model
-
     def set_entry_count(self, count: int) -> None:
         """Set the number of entries, this one included, that send calls to the backend server."""
         self._entry_count = count
--- a/figwalk/state/fleet.py
+++ b/figwalk/state/fleet.py
@@ -6,14 +6,20 @@
 from collections.abc import Collection, Sequence
 
 from figwalk.protocol.messages import LoadReport
-from figwalk.state.backend_view import BackendView, PredictedLoad, RoleChange, SentCall
+from figwalk.state.backend_view import (
+    BackendView,
+    LoadedModel,
+    PredictedLoad,
+    RoleChange,
+    SentCall,
+)
 from figwalk.state.demand import CallClass, DemandProfile
 from figwalk.state.mix import MixEstimate, MixEstimator, TokenRates
 from figwalk.state.prefixes import PrefixIndex
 from figwalk.state.settings import Address
 from figwalk.timer import Timer
 
-__all__ = ["BackendView", "Fleet", "PredictedLoad", "RoleChange", "SentCall"]
+__all__ = ["BackendView", "Fleet", "LoadedModel", "PredictedLoad", "RoleChange", "SentCall"]
 
 MAX_ROLE_CHANGES = 64  # For each service; the role policy evaluates about the last ten minutes.
 
@@ -179,12 +185,6 @@
         if view is not None:
             view.clear_leaving()
 
-    def set_model(self, backend: str, model: str | None) -> None:
-        """Set the model that a backend server has loaded."""
-        view = self._backends.get(backend)
-        if view is not None:
-            view.set_model(model)
-
     def set_entry_count(self, count: int) -> None:
         """Set the number of live entries.
 
@@ -201,7 +201,11 @@
         self._withdrawn = frozenset(backends)
 
     def candidates(
-        self, service: str, model: str | None = None, excluded: Collection[str] = frozenset()
+        self,
+        service: str,
+        model: str | None = None,
+        excluded: Collection[str] = frozenset(),
+        loaded: LoadedModel | None = None,
     ) -> list[BackendView]:
         """Return the backend servers that may get a new call.
 
@@ -209,6 +213,8 @@
             service: Service to be called.
             model: Model to be used; a backend server whose model is not known may have it.
             excluded: Backend servers that this request has already tried.
+            loaded: What a backend server must have loaded, or None for anything. What is unknown
+                equals only what is unknown too.
         """
         views = self._by_service.get(service, {})
         # If all reports are old, this entry was paused or disconnected. It then uses the last
@@ -222,6 +228,7 @@
             if name not in excluded
             and name not in self._withdrawn
             and (model is None or view.model in (None, model))
+            and (loaded is None or view.loaded == loaded)
             and (name in fresh or not fresh)
             and view.accepts_work
         ]
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -18,6 +18,7 @@
 from figwalk.events import EventLog
 from figwalk.metrics import Metrics
 from figwalk.protocol.messages import Answer
+from figwalk.state.fleet import LoadedModel
 from figwalk.state.published import CallRule, ServiceConfig
 from figwalk.timer import Timer
 from figwalk.transport import HttpClient, HttpServer
@@ -76,6 +77,7 @@
     script: Script
     calls: list
     incarnation: int = 7
+    loaded: LoadedModel = attrs.field(factory=LoadedModel)
 
     @asynccontextmanager
     async def open(self, call):
@@ -99,7 +101,7 @@
     def next_call_id(self):
         return len(self.calls) + 1
 
-    def choose(self, _route, excluded):
+    def choose(self, _route, excluded, _loaded=None):
         remaining = [name for name in self.scripts if name not in excluded]
         return Choice(remaining[0], 0, 0, 0, False, "test") if remaining else None
 
--- a/tests/test_agent_orders.py
+++ b/tests/test_agent_orders.py
@@ -1,7 +1,9 @@
+import pytest
 import trio
 from agent_fakes import agent_test
 
 from figwalk.agent.desired_role import DesiredRole
+from figwalk.errors import HttpError
 from figwalk.protocol.messages import BackendState, Confirm, Confirmed, Desired, End, Role
 
 
@@ -28,6 +30,40 @@
     assert [order["order"] for order in running.backend.orders] == [5]
 
 
+@agent_test()
+async def test_reports_carry_what_the_engine_has_loaded(running):
+    """Guards against entries that resume streams of one adapter or version at another."""
+    running.backend.state |= {"adapter": "a1", "version": "1"}
+    control = await running.control()
+    await control.report(model="m", adapter="a1", version="1", state=BackendState.SERVING)
+    running.backend.state |= {"adapter": "a2", "version": "2"}
+    await send_order(control, desired(5))
+    changed = await control.report(order_offset=5, state=BackendState.SERVING)
+    assert (changed.model, changed.adapter, changed.version) == ("m", "a2", "2")
+
+
+@pytest.mark.parametrize("field", ["model", "adapter", "version"])
+@pytest.mark.parametrize("name", ["\ud800", "x" * 1025], ids=["surrogate", "long"])
+def test_names_that_reports_cannot_carry_are_an_error_of_the_engine(field, name):
+    """Guards against an engine's answer that ends the agent when it sends its next report."""
+
+    @agent_test()
+    async def check(running):
+        running.backend.state[field] = name
+        with pytest.raises(HttpError, match="not a EngineState"):
+            await running.agent._client.read_state()
+
+    check()
+
+
+@agent_test(kind="plain")
+async def test_reports_of_plain_services_carry_no_model(running):
+    """Guards against reports that need the state of an engine."""
+    control = await running.control()
+    report = await control.report(state=BackendState.SERVING)
+    assert (report.model, report.adapter, report.version) == ("", "", "")
+
+
 @agent_test()
 async def test_unconfirmed_order_is_not_sent_and_serving_goes_on(running):
     """Guards against stale orders, and against an agent that stops serving in a log outage."""
--- a/tests/test_attempt_plan.py
+++ b/tests/test_attempt_plan.py
@@ -12,6 +12,7 @@
 from figwalk.errors import CallOutcome, ConnectionLostError, RefusalError
 from figwalk.events import EventLog
 from figwalk.metrics import Metrics
+from figwalk.state.fleet import LoadedModel
 from figwalk.timer import Timer
 
 NOT_RUN, UNKNOWN = CallOutcome.NOT_RUN, CallOutcome.UNKNOWN
@@ -42,7 +43,7 @@
                 return
             record_failure(plan, failure)
             if resume:
-                plan.allow_resume()
+                plan.allow_resume(LoadedModel())
         with pytest.raises(RefusalError) as caught:
             plan.next_target()
         refusals.append(caught.value)
--- a/tests/test_failures_answers.py
+++ b/tests/test_failures_answers.py
@@ -5,6 +5,7 @@
 
 from tests.support.small_fleet import (
     SERVICE,
+    Stream,
     run_fleet_test,
     streaming,
 )
@@ -31,6 +32,50 @@
     run_fleet_test(tmp_path, test)
 
 
+@pytest.mark.parametrize("option", ["--version", "--adapter"])
+def test_stream_is_not_resumed_at_an_engine_with_another_version_or_adapter(tmp_path, option):
+    """Guards against an answer that joins the text of two weight versions or adapters."""
+
+    async def test(fleet):
+        await fleet.start(engines=1)
+        await fleet.hold_answers(hold=True)
+        stream = Stream("Why fill a tyre?", TOKENS)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.caller().read, stream)
+            await stream.started.wait()
+            await start_engine(fleet, "llm-2", option, "other")
+            fleet.backends["llm-1"].kill()
+        assert await fleet.find_server(stream) == "llm-1"
+        assert stream.error is not None
+        assert b'"code": "backend_lost"' in stream.body
+        assert b"[DONE]" not in stream.body
+
+    run_fleet_test(tmp_path, test)
+
+
+def test_streams_are_resumed_at_the_engine_of_their_version_beside_an_idle_one_of_another(tmp_path):
+    """Guards against streams that are cut, or joined from two versions, during a release."""
+
+    async def test(fleet):
+        await fleet.start(engines=2)
+        async with streaming(fleet, STREAMS, TOKENS) as streams:
+            await start_engine(fleet, "llm-3", "--version", "other")
+            served = await fleet.find_server(streams[0])
+            fleet.backends[served].kill()
+            await fleet.backends[served].wait()
+        servers = {await fleet.find_server(stream) for stream in streams}
+        assert servers == {"llm-1", "llm-2"} - {served}
+
+    run_fleet_test(tmp_path, test)
+
+
+async def start_engine(fleet, name, *options):
+    """Add an engine to a running fleet, and wait until it serves."""
+    await fleet.start_engine(name, *options)
+    await fleet.start_agent(name)
+    await fleet.wait_serving()
+
+
 def test_answer_with_the_id_of_another_call_never_reaches_a_caller(tmp_path):
     """Guards against callers of a plain service that receive each other's answers."""
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -58,7 +58,7 @@
 def test_backends_excluded_from_candidates(fleet, timer):
     """Covers earlier attempts, another model, withdrawal, missing reports and leaving."""
     assert names(fleet.candidates("llm", excluded={"b"})) == ["a"]
-    fleet.set_model("a", "m1")
+    fleet.update_report(make_report("a", 2, model="m1"))
     assert names(fleet.candidates("llm", "m2")) == ["b"]
     assert names(fleet.candidates("llm", "m1")) == ["a", "b"]
     fleet.set_withdrawn({"b"})
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -1,18 +1,25 @@
 import attrs
+import pytest
 import trio
+from entry_fakes import SSE, FakeConfiguration, FakeReply, Script
+from test_entry_backends import SETTINGS, FakeLink
 from trio.testing import MockClock
 
 from figwalk.coordination.graceful_stop import GracefulStop
 from figwalk.coordination.retry_budget import RetryBudget
-from figwalk.coordination.router import Choice
+from figwalk.coordination.router import Choice, RoutingPolicy
 from figwalk.entry.attempt_target import Target
+from figwalk.entry.backends import Backends
 from figwalk.entry.model_calls import ModelCalls
 from figwalk.entry.tallies import Tallies
+from figwalk.errors import CallOutcome, RefusalError
 from figwalk.events import EventLog
 from figwalk.metrics import Metrics
-from figwalk.protocol.messages import Answer
+from figwalk.protocol.messages import Answer, ConnectionKind, Hello, LoadReport
 from figwalk.protocol.prefix import PIECE_BYTES, PIECE_TOKENS
+from figwalk.state.control import Control
 from figwalk.state.fleet import Fleet
+from figwalk.state.notifier import Notifier
 from figwalk.state.published import ServiceConfig
 from figwalk.timer import Timer
 from figwalk.transport import ByteBudget, ByteCharge, HttpRequest
@@ -73,7 +80,7 @@
     def services(self):
         return {"llm": SERVICE}
 
-    def choose(self, route, excluded):
+    def choose(self, route, excluded, loaded=None):
         return Choice("llm-1", 0.1, 0.01, PIECE_TOKENS, True, "")
 
     def target(self, choice, pieces):
@@ -89,7 +96,7 @@
 class _BusyBackends(_FakeBackends):
     """Backend servers of which none accepts work."""
 
-    def choose(self, route, excluded):
+    def choose(self, route, excluded, loaded=None):
         return None
 
 
@@ -224,3 +231,172 @@
     assert not pool.calls
     assert tallies.refusals == {"no_backend": 1}
     assert pool.refused == [("llm", 1000, 2)]
+
+
+TOKEN_EVENT = b'data: {"choices": [{"text": "%b"}]}\n\n'
+LOADED = {"model": "m", "adapter": "a", "version": "1"}
+OTHER = {**LOADED, "version": "2"}
+UNKNOWN = {}
+
+
+class _FirstPolicy(RoutingPolicy):
+    """Prefers the backend server that was registered first."""
+
+    def choose(self, request, candidates, now):
+        return Choice(candidates[0].name, 0, 0, 0, False, "first") if candidates else None
+
+
+@attrs.define
+class _Engine:
+    """One engine: what its reports say that it has loaded, and the script of its answers.
+
+    `reports` follow, one after the other, when a call has been sent.
+    """
+
+    loaded: dict
+    script: Script
+    reports: list = attrs.field(factory=list)
+
+
+def breaking(loaded, *reports):
+    """Return an engine that breaks off after its first event."""
+    chunks = [TOKEN_EVENT % b"x"]
+    return _Engine(loaded, Script(headers=SSE, chunks=chunks, breaks=True), list(reports))
+
+
+def finishing(loaded):
+    """Return an engine that completes a stream."""
+    return _Engine(loaded, Script(headers=SSE, chunks=[TOKEN_EVENT % b"y", b"data: [DONE]\n\n"]))
+
+
+def refusing(loaded):
+    """Return an engine whose agent refuses calls."""
+    return _Engine(loaded, Script(RefusalError("changing", "refused")))
+
+
+class _EnginePool:
+    """Call connections to one engine; adds its name to `sent` with each call."""
+
+    def __init__(self, name, engine, sent, report):
+        self.name = name
+        self.engine = engine
+        self.sent = sent
+        self.report = report
+
+    async def start(self, call):
+        self.sent.append(self.name)
+        for loaded in self.engine.reports:
+            self.report(loaded)
+        reply = FakeReply(self.engine.script)
+        reply.end = None
+        return reply
+
+    def end(self, reply):
+        pass
+
+
+@attrs.define
+class _Served:
+    """How a streamed call ended: engines that got it, what the caller got, and the events."""
+
+    sent: list = attrs.field(factory=list)
+    responder: _FakeResponder = attrs.field(factory=_FakeResponder)
+    events: list = attrs.field(factory=list)
+
+    @property
+    def cut(self):
+        """Code and outcome with which the stream was cut, or None."""
+        refused = [record for record in self.events if record.name == "REQUEST_REFUSED"]
+        return (refused[-1].fields["code"], refused[-1].fields["outcome"]) if refused else None
+
+
+def serve_stream(*engines):
+    """Serve a streamed call at an entry that prefers the engines in this order."""
+
+    async def main():
+        served = _Served()
+        timer = Timer()
+        events = EventLog("entry-1", timer)
+        fleet = Fleet(timer)
+        backends = Backends(
+            SETTINGS,
+            configuration=FakeConfiguration(),
+            control=Control(),
+            control_follower=None,
+            fleet=fleet,
+            changed=Notifier(),
+            events=events,
+            timer=timer,
+            incarnation=1,
+        )
+        backends.set_policy(_FirstPolicy())
+        for number, engine in enumerate(engines):
+            connect_engine(backends, f"e{number}", engine, served.sent)
+        tallies = Tallies(Metrics(None, prefix="entry", timer=timer), timer)
+        stop = GracefulStop(timer)
+        calls = ModelCalls(backends, RetryBudget(timer), tallies, events, timer, stop)
+        body = b'{"model": "m", "stream": true, "max_tokens": 2, "prompt": "p"}'
+        await calls.serve(HttpRequest("POST", "/v1/completions", [], body), served.responder)
+        served.events = events.select()
+        return served
+
+    return trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+def connect_engine(backends, name, engine, sent):
+    """Connect an entry to the agent of an engine, which reports what it has loaded."""
+    hello = Hello(ConnectionKind.CONTROL, f"agent-{name}", 1, backend=name, service="llm")
+    link = FakeLink(hello, vm=f"agent-{name}")
+    sequences = iter(range(1, 100))
+
+    def report(loaded):
+        backends.on_report(link, LoadReport(next(sequences), name, **loaded))
+
+    backends.on_connected(link)
+    backends._pools[link] = _EnginePool(name, engine, sent, report)
+    report(engine.loaded)
+
+
+@pytest.mark.parametrize("field", ["model", "adapter", "version"])
+@pytest.mark.parametrize("value", ["other", ""])
+def test_stream_is_resumed_only_where_the_same_is_loaded(field, value):
+    """Guards against one answer with the text of two models, adapters or versions.
+
+    The engine of another one is preferred, and has to be passed over.
+    """
+    differs = {**LOADED, field: value}
+    served = serve_stream(breaking(LOADED), finishing(differs), finishing(LOADED))
+    assert served.sent == ["e0", "e2"]
+    assert served.responder.finished
+    served = serve_stream(breaking(LOADED), finishing(differs))
+    assert served.sent == ["e0"]
+    assert served.cut == ("backend_lost", CallOutcome.UNKNOWN)
+    assert b'"error"' in served.responder.sent
+    assert not served.responder.finished
+
+
+def test_stream_of_an_engine_whose_state_is_unknown_is_resumed_only_at_another_such():
+    """Guards against a join with what an agent of an earlier release does not report."""
+    served = serve_stream(breaking(UNKNOWN), finishing(LOADED), finishing(UNKNOWN))
+    assert served.sent == ["e0", "e2"]
+
+
+@pytest.mark.parametrize("engines", [(OTHER, LOADED), (LOADED, OTHER)])
+def test_what_was_loaded_when_the_attempt_was_sent_counts(engines):
+    """Guards against a comparison with what an engine loaded after it had begun the stream."""
+    served = serve_stream(breaking(LOADED, OTHER), *map(finishing, engines))
+    assert served.sent == ["e0", f"e{1 + engines.index(LOADED)}"]
+
+
+def test_stream_that_breaks_off_again_stays_where_the_same_is_loaded():
+    """Guards against a check that holds for the first resumption only."""
+    served = serve_stream(
+        breaking(LOADED), breaking(LOADED), refusing(LOADED), finishing(OTHER), finishing(LOADED)
+    )
+    assert served.sent == ["e0", "e1", "e2", "e4"]
+
+
+def test_engine_that_sent_no_event_does_not_bind_the_stream():
+    """Guards against first attempts that are bound to what the first engine has loaded."""
+    served = serve_stream(refusing(LOADED), breaking(OTHER), finishing(LOADED), finishing(OTHER))
+    assert served.sent == ["e0", "e1", "e3"]
