Read the state of an engine that was down before it is reported as serving

What callers could see: after an engine had crashed and started again with another version, streams that had broken off elsewhere went on at it, as its agent still reported what the engine had loaded before.

Cause: the monitor read the engine's state only if it had none; after that, only the order executor read it, once a second. A restarted engine was reported as serving as soon as its health check succeeded.

Change: the poll that finds the engine healthy again reads its state first; the engine stays down until that succeeds. One that is up keeps serving if only its load figures are late or missing, as before.

Not covered: an engine that starts again between two health checks (250 ms) is reported with its old state until the order executor reads it, up to 1 s later.

--- a/figwalk/agent/backend_monitor.py
+++ b/figwalk/agent/backend_monitor.py
@@ -113,12 +113,16 @@
     async def _poll_engine(self) -> bool:
         """Read the load; return whether the engine's state, which calls need, is known."""
         try:
-            if self._engine_state is None:
+            if self._engine_state is None or not self._serving.up:
+                # An engine that was down may have started again with another model or role.
                 self.set_engine_state(await self._backend.read_state())
+        except HttpError:
+            return False
+        try:
             load = await self._backend.read_load()
         except HttpError:
             # The engine keeps serving if only its load figures are late or missing.
-            return self._engine_state is not None
+            return True
         now = self._timer.now()
         self._load = load
         self._load_at = now
--- a/tests/test_agent_states.py
+++ b/tests/test_agent_states.py
@@ -130,6 +130,29 @@
     await control.report(state=messages.BackendState.DOWN)
 
 
+@agent_test()
+async def test_state_of_an_engine_that_was_down_is_read_before_it_serves(running):
+    """Guards against reports that a restarted engine serves with what it had loaded before."""
+    control = await running.control()
+    await control.report(state=messages.BackendState.SERVING)
+    running.agent._serving.set_up(False)
+    running.backend.state["version"] = "2"
+    await running.agent._monitor.poll()
+    assert running.agent._serving.up
+    assert running.agent._reporter.build().version == "2"
+
+
+@agent_test()
+async def test_engine_that_was_down_serves_only_once_its_state_is_known(running):
+    """Guards against reports of a restarted engine whose state could not be read."""
+    control = await running.control()
+    await control.report(state=messages.BackendState.SERVING)
+    running.agent._serving.set_up(False)
+    running.backend.state["version"] = "x" * 5000
+    await running.agent._monitor.poll()
+    assert not running.agent._serving.up
+
+
 @agent_test()
 async def test_cache_events_reach_every_entry(running):
     """Guards against an entry that connects later and routes without the cache contents."""
