Complete a stream that broke off after its finish_reason instead of resuming it

What callers saw: the event with finish_reason came twice if the engine's stream broke off between it and [DONE], and text might follow the first one. If no other engine was left, an answer whose text was whole was cut.

Cause: an entry resumed every stream that lacked [DONE]. The next engine, given all tokens, sends the end of the answer again.

Change: if the events sent contain a finish_reason, and the usage if the caller asked for it, the entry sends [DONE] itself. If only the usage is missing, the stream is resumed as before, but events with choices are dropped.

Why this works: a request has one choice, and nothing of it follows its finish_reason.

Not covered: a stream above 8 MiB, of which the events are not kept, is cut as before. A stream that broke off before its first text is resumed with no tokens, and gets another role event.

--- a/figwalk/entry/model_calls.py
+++ b/figwalk/entry/model_calls.py
@@ -19,9 +19,11 @@
 from figwalk.errors import CallerError, CallOutcome, RefusalError, TransportError
 from figwalk.events import Event, EventLog
 from figwalk.protocol.chat import (
+    DONE_EVENT,
     JsonObject,
     ModelRequest,
     StreamTranscript,
+    drop_choices,
     render_error_event,
     rewrite_identity,
 )
@@ -65,6 +67,7 @@
         first_chunk_at: Timer time at which the first of them arrived.
         loaded: What the engine that began the stream had loaded when the attempt was sent.
         identity: `id` and `created` that events of a resumed stream must have.
+        ended: Whether a resumed stream lacks only the events after its `finish_reason`.
     """
 
     request: CallerRequest
@@ -75,6 +78,7 @@
     first_chunk_at: float = 0.0
     loaded: LoadedModel = attrs.field(factory=LoadedModel)
     identity: JsonObject = attrs.field(factory=dict)
+    ended: bool = False
 
 
 class ModelCalls:
@@ -226,6 +230,10 @@
             if not call.transcript.empty:
                 if not call.transcript.resumable:
                     raise _build_stream_cut("the stream is too long to be resumed")
+                call.ended = call.transcript.has_finish_reason()
+                if call.ended and (not call.model.includes_usage or call.transcript.has_usage()):
+                    await call.responder.send_chunk(DONE_EVENT)
+                    break
                 resumes += 1
                 if resumes > MAX_RESUMES:
                     raise _build_stream_cut("the stream could not be resumed")
@@ -274,6 +282,11 @@
             call.loaded = target.loaded
         if call.identity:
             data = rewrite_identity(data, call.identity)
+        if call.ended:
+            # The engine repeats the end of the text, and might generate more of it.
+            data = drop_choices(data)
+            if not data:
+                return
         # Added before the send: a chunk that may have reached the caller must not be generated
         # again when the stream is resumed.
         call.transcript.add(data)
--- a/figwalk/protocol/chat.py
+++ b/figwalk/protocol/chat.py
@@ -19,6 +19,7 @@
 EVENT_END = b"\n\n"
 EVENT_PREFIX = b"data: "
 DONE_DATA = b"[DONE]"
+DONE_EVENT = EVENT_PREFIX + DONE_DATA + EVENT_END
 MAX_TRANSCRIPT_BYTES = 8 * 1024 * 1024
 
 JsonObject = dict[str, object]
@@ -78,6 +79,12 @@
         """Whether the caller set the maximum answer length; otherwise it is a default."""
         return any(self.body.get(name) is not None for name in _MAX_TOKENS_FIELDS)
 
+    @property
+    def includes_usage(self) -> bool:
+        """Whether the caller asked for an event with the usage at the end of a stream."""
+        options = self.body.get("stream_options")
+        return isinstance(options, dict) and bool(options.get("include_usage"))
+
     def check_limits(self, service: ServiceConfig) -> None:
         """Check the request against the service's limits.
 
@@ -214,16 +221,28 @@
         """Bytes of all events sent."""
         return self._size_bytes
 
+    def has_finish_reason(self) -> bool:
+        """Return whether the event that ends the answer's text has been sent."""
+        choices = (event.get("choices") or [{}] for event in self._parse())
+        return any(first.get("finish_reason") for first, *_ in choices)
+
+    def has_usage(self) -> bool:
+        """Return whether the event with the usage of the whole answer has been sent."""
+        return any(event.get("usage") and not event.get("choices") for event in self._parse())
+
     def tokens(self) -> list[str]:
         """Return the generated texts, one for each event that contains text."""
-        texts = (_event_text(event) for event in parse_events(b"".join(self._events)))
+        texts = (_event_text(event) for event in self._parse())
         return [text for text in texts if text]
 
     def identity(self) -> JsonObject:
         """Return `id` and `created` of the first event, which every later event must repeat."""
-        events = parse_events(b"".join(self._events))
+        events = self._parse()
         return {key: events[0][key] for key in ("id", "created") if events and key in events[0]}
 
+    def _parse(self) -> list[JsonObject]:
+        return parse_events(b"".join(self._events))
+
 
 def parse_events(data: bytes) -> list[JsonObject]:
     """Return the JSON objects in complete server-sent events, without `[DONE]`."""
@@ -242,6 +261,16 @@
     return EVENT_END.join(blocks)
 
 
+def drop_choices(data: bytes) -> bytes:
+    """Return complete server-sent events without those that have choices."""
+    return EVENT_END.join(block for block in data.split(EVENT_END) if not _has_choices(block))
+
+
+def _has_choices(block: bytes) -> bool:
+    payload = _event_data(block)
+    return bool(payload) and payload != DONE_DATA and bool(json.loads(payload).get("choices"))
+
+
 def _event_data(block: bytes) -> bytes:
     """Return the data of one event; empty if it has only comments and other fields."""
     prefix = EVENT_PREFIX.strip()
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -1,3 +1,5 @@
+import json
+
 import attrs
 import pytest
 import trio
@@ -310,8 +312,11 @@
         return (refused[-1].fields["code"], refused[-1].fields["outcome"]) if refused else None
 
 
-def serve_stream(*engines):
-    """Serve a streamed call at an entry that prefers the engines in this order."""
+def serve_stream(*engines, usage=False):
+    """Serve a streamed call at an entry that prefers the engines in this order.
+
+    `usage` tells whether the caller asks for an event with the usage.
+    """
 
     async def main():
         served = _Served()
@@ -335,7 +340,10 @@
         tallies = Tallies(Metrics(None, prefix="entry", timer=timer), timer)
         stop = GracefulStop(timer)
         calls = ModelCalls(backends, RetryBudget(timer), tallies, events, timer, stop)
-        body = b'{"model": "m", "stream": true, "max_tokens": 2, "prompt": "p"}'
+        content = {"model": "m", "stream": True, "max_tokens": 2, "prompt": "p"}
+        if usage:
+            content["stream_options"] = {"include_usage": True}
+        body = json.dumps(content).encode()
         await calls.serve(HttpRequest("POST", "/v1/completions", [], body), served.responder)
         served.events = events.select()
         return served
@@ -400,3 +408,44 @@
     """Guards against first attempts that are bound to what the first engine has loaded."""
     served = serve_stream(refusing(LOADED), breaking(OTHER), finishing(LOADED), finishing(OTHER))
     assert served.sent == ["e0", "e1", "e3"]
+
+
+END_EVENT = b'data: {"choices": [{"text": "", "finish_reason": "stop"}]}\n\n'
+USAGE_EVENT = b'data: {"choices": [], "usage": {"total_tokens": 3}}\n\n'
+DONE_EVENT = b"data: [DONE]\n\n"
+
+
+def sending(*chunks, breaks=False):
+    """Return an engine that sends chunks."""
+    return _Engine(LOADED, Script(headers=SSE, chunks=list(chunks), breaks=breaks))
+
+
+@pytest.mark.parametrize(
+    ("usage", "chunks"),
+    [
+        (False, [TOKEN_EVENT % b"x", END_EVENT]),
+        (False, [TOKEN_EVENT % b"x" + END_EVENT]),
+        (True, [TOKEN_EVENT % b"x", END_EVENT, USAGE_EVENT]),
+    ],
+    ids=["chunks", "one chunk", "usage"],
+)
+def test_stream_that_breaks_off_before_its_last_line_is_completed_by_the_entry(usage, chunks):
+    """Guards against a second end of the answer, and a cut of one that lacks only `[DONE]`."""
+    other = sending(END_EVENT, USAGE_EVENT, DONE_EVENT)
+    for engines in ([sending(*chunks, breaks=True), other], [sending(*chunks, breaks=True)]):
+        served = serve_stream(*engines, usage=usage)
+        assert served.sent == ["e0"]
+        assert served.responder.sent == b"".join(chunks) + DONE_EVENT
+        assert served.responder.finished
+        assert served.events[-1].name == "REQUEST_ANSWERED"
+
+
+@pytest.mark.parametrize("text", [b"", TOKEN_EVENT % b"more"])
+def test_stream_that_breaks_off_before_its_usage_gets_only_that_from_another_engine(text):
+    """Guards against a second end of the answer, text behind its end, and a lost usage."""
+    begun = TOKEN_EVENT % b"x" + END_EVENT
+    other = sending(text + END_EVENT, USAGE_EVENT + DONE_EVENT)
+    served = serve_stream(sending(begun, breaks=True), other, usage=True)
+    assert served.sent == ["e0", "e1"]
+    assert served.responder.sent == begun + USAGE_EVENT + DONE_EVENT
+    assert served.responder.finished
