Split events of model streams at CRLF too

What callers saw: the stream of an engine that ends lines with CRLF was cut with an internal error when it broke off, though another engine could go on.

Cause: agents forward events that end with LF or CRLF, but the entry split them at two LF only, so that several events were read as one JSON text.

Evidence: test_stream_with_crlf_is_resumed and test_events_with_crlf_are_split_as_those_with_lf failed before with JSONDecodeError: Extra data.

Change: events are split at an empty line of either kind, which is kept when events are written again.

Why this works: the boundaries are those of EventStreamSplitter, from which each chunk of a stream comes.

--- a/figwalk/protocol/chat.py
+++ b/figwalk/protocol/chat.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 
 import attrs
 
@@ -20,6 +21,8 @@
 EVENT_PREFIX = b"data: "
 DONE_DATA = b"[DONE]"
 DONE_EVENT = EVENT_PREFIX + DONE_DATA + EVENT_END
+# Lines end with LF or CRLF, as in `EventStreamSplitter`, by which agents forward whole events.
+_EVENT_BOUNDARY = re.compile(rb"(\r?\n\r?\n)")
 MAX_TRANSCRIPT_BYTES = 8 * 1024 * 1024
 
 JsonObject = dict[str, object]
@@ -246,24 +249,31 @@
 
 def parse_events(data: bytes) -> list[JsonObject]:
     """Return the JSON objects in complete server-sent events, without `[DONE]`."""
-    payloads = (_event_data(block) for block in data.split(EVENT_END))
+    payloads = (_event_data(block) for block, _ in _split_blocks(data))
     return [json.loads(payload) for payload in payloads if payload and payload != DONE_DATA]
 
 
 def rewrite_identity(data: bytes, identity: JsonObject) -> bytes:
     """Return complete server-sent events with `id` and `created` replaced."""
-    blocks = []
-    for block in data.split(EVENT_END):
+    parts = []
+    for block, boundary in _split_blocks(data):
         payload = _event_data(block)
         if payload and payload != DONE_DATA:
             block = EVENT_PREFIX + json.dumps({**json.loads(payload), **identity}).encode()
-        blocks.append(block)
-    return EVENT_END.join(blocks)
+        parts += [block, boundary]
+    return b"".join(parts)
 
 
 def drop_choices(data: bytes) -> bytes:
     """Return complete server-sent events without those that have choices."""
-    return EVENT_END.join(block for block in data.split(EVENT_END) if not _has_choices(block))
+    kept = (block + end for block, end in _split_blocks(data) if not _has_choices(block))
+    return b"".join(kept)
+
+
+def _split_blocks(data: bytes) -> list[tuple[bytes, bytes]]:
+    """Return events with the boundary after each; the last one is empty if there is none."""
+    parts = _EVENT_BOUNDARY.split(data)
+    return list(zip(parts[::2], [*parts[1::2], b""], strict=True))
 
 
 def _has_choices(block: bytes) -> bool:
--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -10,6 +10,7 @@
     MAX_TRANSCRIPT_BYTES,
     ModelRequest,
     StreamTranscript,
+    drop_choices,
     rewrite_identity,
 )
 from figwalk.state.published import ServiceConfig
@@ -171,3 +172,19 @@
     transcript.add(named)
     assert transcript.tokens() == ["x"]
     assert rewrite_identity(b": ping\n\n" + DONE, {"id": "a"}) == b": ping\n\n" + DONE
+
+
+def test_events_with_crlf_are_split_as_those_with_lf():
+    """Guards against an internal error that cuts a stream of an engine that ends lines with CRLF.
+
+    The agent takes such events for complete ones.
+    """
+    first, second, done = (data.replace(b"\n", b"\r\n") for data in (FIRST, SECOND, DONE))
+    transcript = StreamTranscript(ByteBudget().open_charge())
+    transcript.add(first + b": ping\r\n\r\n" + SECOND + second)
+    assert transcript.tokens() == ["x", "y", "y"]
+    assert transcript.identity() == {"id": "a", "created": 1}
+    rewritten = second.replace(b'"b"', b'"a"').replace(b"2", b"1")
+    data = rewrite_identity(second + SECOND + second + done, {"id": "a", "created": 1})
+    assert data == rewritten + rewritten.replace(b"\r", b"") + rewritten + done
+    assert drop_choices(first + SECOND + done) == done
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -449,3 +449,15 @@
     assert served.sent == ["e0", "e1"]
     assert served.responder.sent == begun + USAGE_EVENT + DONE_EVENT
     assert served.responder.finished
+
+
+def test_stream_with_crlf_is_resumed():
+    """Guards against an internal error in place of the rest of an answer."""
+    first, second, done = (
+        data.replace(b"\n", b"\r\n")
+        for data in (TOKEN_EVENT % b"x", TOKEN_EVENT % b"y", DONE_EVENT)
+    )
+    served = serve_stream(sending(first, first, breaks=True), sending(second, second + done))
+    assert served.sent == ["e0", "e1"]
+    assert served.responder.sent == 2 * first + 2 * second + done
+    assert served.responder.finished
