--- a/figwalk/protocol/chat.py
+++ b/figwalk/protocol/chat.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 
 import attrs
 
@@ -19,6 +20,9 @@
 EVENT_END = b"\n\n"
 EVENT_PREFIX = b"data: "
 DONE_DATA = b"[DONE]"
+DONE_EVENT = EVENT_PREFIX + DONE_DATA + EVENT_END
+# Lines end with LF or CRLF, as in `EventStreamSplitter`, by which agents forward whole events.
+_EVENT_BOUNDARY = re.compile(rb"(\r?\n\r?\n)")
 MAX_TRANSCRIPT_BYTES = 8 * 1024 * 1024
 
 JsonObject = dict[str, object]
@@ -78,6 +82,12 @@
         """Whether the caller set the maximum answer length; otherwise it is a default."""
         return any(self.body.get(name) is not None for name in _MAX_TOKENS_FIELDS)
 
+    @property
+    def includes_usage(self) -> bool:
+        """Whether the caller asked for an event with the usage at the end of a stream."""
+        options = self.body.get("stream_options")
+        return isinstance(options, dict) and bool(options.get("include_usage"))
+
     def check_limits(self, service: ServiceConfig) -> None:
         """Check the request against the service's limits.
 
@@ -214,32 +224,61 @@
         """Bytes of all events sent."""
         return self._size_bytes
 
+    def has_finish_reason(self) -> bool:
+        """Return whether the event that ends the answer's text has been sent."""
+        choices = (event.get("choices") or [{}] for event in self._parse())
+        return any(first.get("finish_reason") for first, *_ in choices)
+
+    def has_usage(self) -> bool:
+        """Return whether the event with the usage of the whole answer has been sent."""
+        return any(event.get("usage") and not event.get("choices") for event in self._parse())
+
     def tokens(self) -> list[str]:
         """Return the generated texts, one for each event that contains text."""
-        texts = (_event_text(event) for event in parse_events(b"".join(self._events)))
+        texts = (_event_text(event) for event in self._parse())
         return [text for text in texts if text]
 
     def identity(self) -> JsonObject:
         """Return `id` and `created` of the first event, which every later event must repeat."""
-        events = parse_events(b"".join(self._events))
+        events = self._parse()
         return {key: events[0][key] for key in ("id", "created") if events and key in events[0]}
 
+    def _parse(self) -> list[JsonObject]:
+        return parse_events(b"".join(self._events))
+
 
 def parse_events(data: bytes) -> list[JsonObject]:
     """Return the JSON objects in complete server-sent events, without `[DONE]`."""
-    payloads = (_event_data(block) for block in data.split(EVENT_END))
+    payloads = (_event_data(block) for block, _ in _split_blocks(data))
     return [json.loads(payload) for payload in payloads if payload and payload != DONE_DATA]
 
 
 def rewrite_identity(data: bytes, identity: JsonObject) -> bytes:
     """Return complete server-sent events with `id` and `created` replaced."""
-    blocks = []
-    for block in data.split(EVENT_END):
+    parts = []
+    for block, boundary in _split_blocks(data):
         payload = _event_data(block)
         if payload and payload != DONE_DATA:
             block = EVENT_PREFIX + json.dumps({**json.loads(payload), **identity}).encode()
-        blocks.append(block)
-    return EVENT_END.join(blocks)
+        parts += [block, boundary]
+    return b"".join(parts)
+
+
+def drop_choices(data: bytes) -> bytes:
+    """Return complete server-sent events without those that have choices."""
+    kept = (block + end for block, end in _split_blocks(data) if not _has_choices(block))
+    return b"".join(kept)
+
+
+def _split_blocks(data: bytes) -> list[tuple[bytes, bytes]]:
+    """Return events with the boundary after each; the last one is empty if there is none."""
+    parts = _EVENT_BOUNDARY.split(data)
+    return list(zip(parts[::2], [*parts[1::2], b""], strict=True))
+
+
+def _has_choices(block: bytes) -> bool:
+    payload = _event_data(block)
+    return bool(payload) and payload != DONE_DATA and bool(json.loads(payload).get("choices"))
 
 
 def _event_data(block: bytes) -> bytes:
