Add a test of long streams that go on at busy engines of their version

While two engines of the version that began them prefill two long prompts each, 12 of 12 new streams begin at the other version and 0 of 12 streams go on: a take-up is admitted by the target of a first event, which its caller has had.

--- a/tests/test_stream_versions_review.py
+++ b/tests/test_stream_versions_review.py
@@ -237,6 +237,55 @@
     run_deployment(test)
 
 
+def make_long_options(call_id, own_part, *names):
+    """Return the options of a request with a long prompt that shares no part with others."""
+    headers = [f"Prefix-Hash: {own_part}:20000", "Token-Counts: 20000,20", "Model: m", *names]
+    return make_options(call_id) | {"headers": headers}
+
+
+def test_long_streams_go_on_at_busy_engines_of_their_version():
+    """Guards against take-ups that are refused as too late for a first event that they have had."""
+
+    async def test(deployment):
+        for number, version in enumerate(["v1", "v1", "v2", "v2"]):
+            await deployment.add(f"e{number}", version, agent=False)
+        (gateway,) = await deployment.start_gateways("gateway-1")
+        deployment.open_versions = {"v1"}
+        for number in range(12):
+            options = make_long_options(f"s{number}", f"a{number}")
+            async with gateway.open_stream(ENGINE_ROUTE, **options) as stream:
+                await stream.read_events(FIRST_EVENTS)
+
+        async def hold(server, stream, request):
+            if not request.call_id.startswith("load"):
+                return None
+            if deployment.true_versions[server.name] == "v1":
+                await trio.sleep_forever()
+            return await refusing(server, stream, request)
+
+        deployment.override = hold
+        statuses = []
+        async with trio.open_nursery() as nursery:
+            for number in range(12):
+                options = make_long_options(f"load-{number}", f"b{number}")
+                nursery.start_soon(lambda each: gateway.call(ENGINE_ROUTE, **each), options)
+                await trio.sleep(0.02)
+            deployment.open_versions = {"v2"}
+            for number in range(12):
+                options = make_long_options(f"n{number}", f"c{number}")
+                async with gateway.open_stream(ENGINE_ROUTE, **options) as stream:
+                    await stream.read_events(FIRST_EVENTS)  # All new streams begin.
+            for number in range(12):
+                names = [f"Last-Event-Id: {FIRST_EVENTS}", f"Resumes: s{number}"]
+                options = make_long_options(f"s{number}-2", f"a{number}", *names)
+                status, _, _ = await gateway.call(ENGINE_ROUTE, **options)
+                statuses.append(status)
+            nursery.cancel_scope.cancel()
+        assert statuses.count(200) >= len(statuses) / 2
+
+    run_deployment(test, make_stream_config(**{"target-latency-ms": 250}))
+
+
 class SlowLink(Link):
     """A connection to an agent on a busy VM, which answers after 150 ms."""
 
