--- a/tests/test_stream_versions_review.py
+++ b/tests/test_stream_versions_review.py
@@ -114,41 +114,62 @@
     run_deployment(test)
 
 
+async def take_up_during_registration(deployment):
+    """Take streams up whose origin a registration refutes while their prompts are prefilled.
+
+    Returns the server of the old version and the statuses of the answers.
+    """
+    server = await deployment.add("e1", "v1", agent=False)
+    deployment.true_versions["e1"] = "v2"
+    other = await deployment.add("e2", "v1", agent=False)
+    reader = await deployment.add("reader", "v1", agent=False, stage="prefill")
+    (gateway,) = await deployment.start_gateways("gateway-1")
+    streams = await begin_many(deployment, [gateway], ["v2"])
+    is_registered = trio.Event()
+    statuses = []
+
+    async def prefill(asked, stream, request):
+        if asked is not reader:
+            return None
+        await is_registered.wait()
+        body = b'{"transfer-handle":"h1","tokens":45000,"version":1}'
+        await stream.send_all(render(request, body, signed=False))
+        return True
+
+    deployment.override = prefill
+
+    async def take_up(call_id):
+        names = [f"Last-Event-Id: {FIRST_EVENTS}", f"Resumes: {call_id}"]
+        options = make_options(f"{call_id}-2") | {"headers": [*LONG_PROMPT, *names]}
+        status, _, _ = await gateway.call(ENGINE_ROUTE, **options)
+        statuses.append(status)
+
+    async with trio.open_nursery() as nursery:
+        for call_id in streams:
+            nursery.start_soon(take_up, call_id)
+        await reader.arrived.wait()
+        await deployment.restart_as(server, "v2", [gateway])
+        is_registered.set()
+    return other, statuses
+
+
 def test_origin_that_becomes_uncertain_during_the_prefill_is_noticed():
     """Guards against a registration that arrives between the take-up and the sending."""
 
     async def test(deployment):
-        server = await deployment.add("e1", "v1", agent=False)
-        deployment.true_versions["e1"] = "v2"
-        other = await deployment.add("e2", "v1", agent=False)
-        reader = await deployment.add("reader", "v1", agent=False, stage="prefill")
-        (gateway,) = await deployment.start_gateways("gateway-1")
-        streams = await begin_many(deployment, [gateway], ["v2"])
-        is_registered = trio.Event()
+        other, _ = await take_up_during_registration(deployment)
+        # Calls with this header were sent after the prefill, so after the registration was read.
+        assert [r.call_id for r in other.requests if "kv-source" in r.headers] == []
 
-        async def prefill(asked, stream, request):
-            if asked is not reader:
-                return None
-            await is_registered.wait()
-            body = b'{"transfer-handle":"h1","tokens":45000,"version":1}'
-            await stream.send_all(render(request, body, signed=False))
-            return True
+    run_deployment(test)
 
-        deployment.override = prefill
 
-        async def take_up(call_id):
-            names = [f"Last-Event-Id: {FIRST_EVENTS}", f"Resumes: {call_id}"]
-            options = make_options(f"{call_id}-2") | {"headers": [*LONG_PROMPT, *names]}
-            await gateway.call(ENGINE_ROUTE, **options)
+def test_stream_whose_origin_becomes_uncertain_before_the_sending_is_refused_as_not_run():
+    """Guards against a 502, which promises nothing, for a call that was sent nowhere."""
 
-        async with trio.open_nursery() as nursery:
-            for call_id in streams:
-                nursery.start_soon(take_up, call_id)
-            await reader.arrived.wait()
-            await deployment.restart_as(server, "v2", [gateway])
-            is_registered.set()
-        # Calls with this header were sent after the prefill, so after the registration was read.
-        assert [r.call_id for r in other.requests if "kv-source" in r.headers] == []
+    async def test(deployment):
+        _, statuses = await take_up_during_registration(deployment)
+        assert set(statuses) <= {200, 503}
 
     run_deployment(test)
 
@@ -223,6 +244,55 @@
     run_deployment(test)
 
 
+def make_long_options(call_id, own_part, *names):
+    """Return the options of a request with a long prompt that shares no part with others."""
+    headers = [f"Prefix-Hash: {own_part}:20000", "Token-Counts: 20000,20", "Model: m", *names]
+    return make_options(call_id) | {"headers": headers}
+
+
+def test_long_streams_go_on_at_busy_engines_of_their_version():
+    """Guards against take-ups that are refused as too late for a first event that they have had."""
+
+    async def test(deployment):
+        for number, version in enumerate(["v1", "v1", "v2", "v2"]):
+            await deployment.add(f"e{number}", version, agent=False)
+        (gateway,) = await deployment.start_gateways("gateway-1")
+        deployment.open_versions = {"v1"}
+        for number in range(12):
+            options = make_long_options(f"s{number}", f"a{number}")
+            async with gateway.open_stream(ENGINE_ROUTE, **options) as stream:
+                await stream.read_events(FIRST_EVENTS)
+
+        async def hold(server, stream, request):
+            if not request.call_id.startswith("load"):
+                return None
+            if deployment.true_versions[server.name] == "v1":
+                await trio.sleep_forever()
+            return await refusing(server, stream, request)
+
+        deployment.override = hold
+        statuses = []
+        async with trio.open_nursery() as nursery:
+            for number in range(12):
+                options = make_long_options(f"load-{number}", f"b{number}")
+                nursery.start_soon(lambda each: gateway.call(ENGINE_ROUTE, **each), options)
+                await trio.sleep(0.02)
+            deployment.open_versions = {"v2"}
+            for number in range(12):
+                options = make_long_options(f"n{number}", f"c{number}")
+                async with gateway.open_stream(ENGINE_ROUTE, **options) as stream:
+                    await stream.read_events(FIRST_EVENTS)  # All new streams begin.
+            for number in range(12):
+                names = [f"Last-Event-Id: {FIRST_EVENTS}", f"Resumes: s{number}"]
+                options = make_long_options(f"s{number}-2", f"a{number}", *names)
+                status, _, _ = await gateway.call(ENGINE_ROUTE, **options)
+                statuses.append(status)
+            nursery.cancel_scope.cancel()
+        assert statuses.count(200) >= len(statuses) / 2
+
+    run_deployment(test, make_stream_config(**{"target-latency-ms": 250}))
+
+
 class SlowLink(Link):
     """A connection to an agent on a busy VM, which answers after 150 ms."""
 
