Admit streams that are taken up by what their callers still wait

Callers of long prompts got no more of a stream that had broken off while the engines of its version were busy: a take-up was admitted by the target of the first event, which its caller has had. What counts is how long the caller waits for the next event.

--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -462,9 +462,12 @@
 
     def _make_prompt_call(self, call: Call) -> PromptCall:
         now = self._timer.now()
-        target_s = call.arrived_at + call.route.target_s - now
         abandoned_at = min(call.deadline, call.arrived_at + call.route.first_event_timeout_s)
         remaining_s = abandoned_at - now
+        target_s = call.arrived_at + call.route.target_s - now
+        if call.takes_up_stream:
+            # The caller has had the first event, and engines of other versions can't help it.
+            target_s = remaining_s
         return PromptCall(
             _prompt_parts(call),
             target_s,
