--- a/tests/test_stream_versions_review.py
+++ b/tests/test_stream_versions_review.py
@@ -6,7 +6,7 @@
 import trio
 from support.forwarder import Forwarder
 from support.mock_time import mock_time
-from support.platform_fakes import AGENT_ANSWERS, refusing, render
+from support.platform_fakes import refusing, render
 from test_origin_exchange import ATTEMPTS, V1, V2, Gateway, Link, find_all, make_agents
 from test_stream_versions import (
     ENGINE_ROUTE,
@@ -48,20 +48,6 @@
     }
 
 
-def report_born(deployment, server, born_ms):
-    """Have an engine report another start to the agent beside it."""
-    server.has_agent = False  # The script gets the requests of the agent.
-
-    async def report(asked, stream, request):
-        if asked is not server or request.target not in AGENT_ANSWERS:
-            return None
-        body = AGENT_ANSWERS[request.target].replace(b'"born": 1000', b'"born": %d' % born_ms)
-        await stream.send_all(render(request, body))
-        return True
-
-    deployment.override = report
-
-
 @pytest.mark.parametrize("restarted", ["e0", "e1"])
 def test_stream_does_not_go_on_at_a_server_that_started_again_as_another_version(restarted):
     """Guards against a gateway cut off from the store that trusts its list for the target."""
@@ -79,7 +65,7 @@
         # The store and the agent beside the server know the new start, the gateway's list does not.
         server = deployment.servers[restarted]
         server.register(fleet.store, "lm", stage="decode", version="v2", born=2000)
-        report_born(deployment, server, 2000)
+        server.born_ms = 2000
         await trio.sleep(REPORTED_S)
         streams = await begin_many(deployment, [gateway], ["v1"])
         await take_up_all(deployment, gateway, streams)
@@ -128,6 +114,41 @@
     run_deployment(test)
 
 
+def test_gateway_that_started_after_a_change_of_version_does_not_rely_on_an_older_start():
+    """Guards against an origin that is refuted only by gateways that saw both registrations."""
+
+    async def test(deployment):
+        _, gateway, streams = await begin_at_old_registration(deployment)
+        await gateway.kill_gateway()
+        (newer,) = await deployment.start_gateways("gateway-2")
+        await take_up_all(deployment, newer, streams)
+        assert list_joined(deployment, streams) == set()
+
+    run_deployment(test)
+
+
+def test_stream_that_began_before_the_agent_reported_a_new_start_does_not_go_on():
+    """Guards against a gateway cut off from the store that relies on an origin it knows is old."""
+
+    async def test(deployment):
+        server = await deployment.add("e1", "v1")
+        await deployment.add("e2", "v1")
+        fleet = deployment.fleet
+        forwarder = Forwarder(fleet.store_address)
+        store = await fleet.nursery.start(forwarder.run)
+        gateway = await fleet.add_gateway("gateway-1", store=store, agents_port=fleet.agents.port)
+        await gateway.wait_agents()
+        forwarder.cut(refuse=True)
+        deployment.true_versions["e1"] = "v2"
+        streams = await begin_many(deployment, [gateway], ["v2"])
+        server.born_ms = 2000
+        await trio.sleep(REPORTED_S)
+        await take_up_all(deployment, gateway, streams)
+        assert list_joined(deployment, streams) == set()
+
+    run_deployment(test)
+
+
 async def take_up_during_registration(deployment):
     """Take streams up whose origin a registration refutes while their prompts are prefilled.
 
