--- a/tests/test_stream_versions_review.py
+++ b/tests/test_stream_versions_review.py
@@ -114,6 +114,41 @@
     run_deployment(test)
 
 
+def test_gateway_that_started_after_a_change_of_version_does_not_rely_on_an_older_start():
+    """Guards against an origin that is refuted only by gateways that saw both registrations."""
+
+    async def test(deployment):
+        _, gateway, streams = await begin_at_old_registration(deployment)
+        await gateway.kill_gateway()
+        (newer,) = await deployment.start_gateways("gateway-2")
+        await take_up_all(deployment, newer, streams)
+        assert list_joined(deployment, streams) == set()
+
+    run_deployment(test)
+
+
+def test_stream_that_began_before_the_agent_reported_a_new_start_does_not_go_on():
+    """Guards against a gateway cut off from the store that relies on an origin it knows is old."""
+
+    async def test(deployment):
+        server = await deployment.add("e1", "v1")
+        await deployment.add("e2", "v1")
+        fleet = deployment.fleet
+        forwarder = Forwarder(fleet.store_address)
+        store = await fleet.nursery.start(forwarder.run)
+        gateway = await fleet.add_gateway("gateway-1", store=store, agents_port=fleet.agents.port)
+        await gateway.wait_agents()
+        forwarder.cut(refuse=True)
+        deployment.true_versions["e1"] = "v2"
+        streams = await begin_many(deployment, [gateway], ["v2"])
+        server.born_ms = 2000
+        await trio.sleep(REPORTED_S)
+        await take_up_all(deployment, gateway, streams)
+        assert list_joined(deployment, streams) == set()
+
+    run_deployment(test)
+
+
 async def take_up_during_registration(deployment):
     """Take streams up whose origin a registration refutes while their prompts are prefilled.
 
