Make the relay of a stream in one place, and expire open streams with their origins

Plain and prompt calls built the same relay from the same seven lines; StreamVersions, which records the origin, makes it for both. The exchange had a copy of the age and size rule of StreamOrigins for its open streams; a stream is now dropped when its origin is forgotten, and keeps no time of its own.

Behaviour is unchanged.

--- a/figwalk/gateway/origin_exchange.py
+++ b/figwalk/gateway/origin_exchange.py
@@ -9,12 +9,7 @@
 import attrs
 import trio
 
-from figwalk.state.stream_origins import (
-    MAX_ORIGINS,
-    ORIGIN_RETENTION_S,
-    StreamOrigin,
-    StreamOrigins,
-)
+from figwalk.state.stream_origins import StreamOrigin, StreamOrigins
 from figwalk.timer import Timer
 
 # Agents that are told of a stream. In a release, agents end with the engines beside them.
@@ -61,12 +56,10 @@
 
     Attributes:
         origin: Its origin.
-        begun_at: Timer time of its first event.
         told: Connections on which agents were told of it, with the agents' scores.
     """
 
     origin: StreamOrigin
-    begun_at: float
     told: dict[object, bytes] = attrs.field(factory=dict)
 
 
@@ -80,7 +73,6 @@
 
     def __init__(self, peers: Callable[[], Sequence[OriginPeer]], timer: Timer) -> None:
         self._peers = peers
-        self._timer = timer
         self._origins = StreamOrigins(timer)
         self._open: dict[bytes, _OpenStream] = {}  # Oldest first.
         self._sessions: set[object] = set()
@@ -88,7 +80,8 @@
     def begin(self, attempt: bytes, origin: StreamOrigin) -> None:
         """Record the origin of a stream, before its first event is passed on."""
         self._origins.add(attempt, origin)
-        stream = self._open[attempt] = _OpenStream(origin, self._timer.now())
+        self._open.pop(attempt, None)
+        stream = self._open[attempt] = _OpenStream(origin)
         self._tell(attempt, stream, self._peers())
 
     def end(self, attempt: bytes) -> None:
@@ -140,7 +133,7 @@
 
     def update(self) -> None:
         """Tell agents that are new, or that take the place of others, of the open streams."""
-        self._drop_old()
+        self._drop_forgotten()
         peers = {peer.session: peer for peer in self._peers()}
         lost = self._sessions - peers.keys()
         new = peers.keys() - self._sessions
@@ -169,11 +162,10 @@
         stream.told[peer.session] = _score(attempt, peer.host)
         peer.tell(attempt, stream.origin)
 
-    def _drop_old(self) -> None:
-        cutoff = self._timer.now() - ORIGIN_RETENTION_S
+    def _drop_forgotten(self) -> None:
         while self._open:
             oldest = next(iter(self._open))
-            if len(self._open) <= MAX_ORIGINS and self._open[oldest].begun_at >= cutoff:
+            if self._origins.find(oldest) is not None:
                 return
             del self._open[oldest]
 
--- a/figwalk/gateway/plain_calls.py
+++ b/figwalk/gateway/plain_calls.py
@@ -20,7 +20,6 @@
 from figwalk.gateway.call import Call
 from figwalk.gateway.codecs import SendPlan
 from figwalk.gateway.retries import take_retries
-from figwalk.gateway.stream_relay import StreamRelay
 from figwalk.gateway.stream_versions import StreamVersions
 from figwalk.state.routing import CallKind
 from figwalk.timer import MS_PER_S, Timer
@@ -135,14 +134,7 @@
             self._pool.take_turns(tracker)
             tried.append(tracker.entry.backend)
             plan = SendPlan(tracker.entry, call.deadline - self._timer.now())
-            relay = StreamRelay(
-                responder,
-                call.timing,
-                self._timer,
-                resumable=call.route.resumable,
-                resume_after=call.facts.resume_after,
-                on_begin=lambda answer: self._versions.record_begin(call, answer.tracker),
-            )
+            relay = self._versions.make_relay(call, responder)
             try:
                 async with self._attempts.send(call, tracker, plan) as answer:
                     began_at = self._timer.now()
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -108,14 +108,7 @@
                 to the caller.
         """
         self._budgets.of_service(call.service).record_first_attempt()
-        relay = StreamRelay(
-            responder,
-            call.timing,
-            self._timer,
-            resumable=call.route.resumable,
-            resume_after=call.facts.resume_after,
-            on_begin=lambda answer: self._versions.record_begin(call, answer.tracker),
-        )
+        relay = self._versions.make_relay(call, responder)
         decision = await self._place(call, spec)
         while True:
             try:
--- a/figwalk/gateway/stream_versions.py
+++ b/figwalk/gateway/stream_versions.py
@@ -15,10 +15,12 @@
 from figwalk.gateway.call import Call
 from figwalk.gateway.gateway_metrics import GatewayMetrics
 from figwalk.gateway.origin_exchange import OriginExchange
+from figwalk.gateway.stream_relay import StreamRelay
 from figwalk.state.backend_directory import BackendDirectory
 from figwalk.state.routing import RoutingConfig
 from figwalk.state.stream_origins import StreamOrigin, digest_attempt
 from figwalk.timer import MS_PER_S, Timer
+from figwalk.transport import Responder
 
 # A caller may come back to a gateway that knows more: the list of backend servers, the connections
 # to agents and messages from other gateways are at most this old in ordinary times.
@@ -92,7 +94,18 @@
             self._redirect(call, origin)
         call.origin = origin
 
-    def record_begin(self, call: Call, tracker: BackendTracker) -> None:
+    def make_relay(self, call: Call, responder: Responder) -> StreamRelay:
+        """Return a relay that records the origin of a call's stream."""
+        return StreamRelay(
+            responder,
+            call.timing,
+            self._timer,
+            resumable=call.route.resumable,
+            resume_after=call.facts.resume_after,
+            on_begin=lambda answer: self._record_begin(call, answer.tracker),
+        )
+
+    def _record_begin(self, call: Call, tracker: BackendTracker) -> None:
         """Record the origin of a stream before its first event is passed on to the caller."""
         if call.origin is None:
             call.origin = StreamOrigin.from_entry(tracker.entry, self._timer.wall_ms())
