--- a/figwalk/gateway/caller_api.py
+++ b/figwalk/gateway/caller_api.py
@@ -235,9 +235,12 @@
             first_event_s=_since(call.arrived_at, call.timing.first_at),
             longest_gap_s=round(call.timing.longest_gap_s, 4),
             pieces=call.timing.pieces,
+            events=call.timing.events,
+            output_tokens=call.facts.max_output_tokens,
             took_s=round(took_s, 4),
         )
         if not responder.can_start:
+            self._metrics.record_unfinished_answer(call.service, error.code)
             return  # The answer has begun; the server closes the connection before its end.
         await self._send_refusal(call.call_id, responder, error)
 
@@ -298,6 +301,8 @@
             read_s=_round(call.read_s),
             longest_gap_s=round(call.timing.longest_gap_s, 4),
             pieces=call.timing.pieces,
+            events=call.timing.events,
+            output_tokens=call.facts.max_output_tokens,
             took_s=round(took_s, 4),
         )
 
--- a/figwalk/gateway/gateway_metrics.py
+++ b/figwalk/gateway/gateway_metrics.py
@@ -78,6 +78,12 @@
             ["service"],
             registry=self._registry,
         )
+        self._unfinished_answers = Counter(
+            "figwalk_unfinished_answers",
+            "Answers that had begun and of which callers did not get the end, by reason.",
+            ["service", "code"],
+            registry=self._registry,
+        )
         self._connections = Gauge(
             "figwalk_backend_connections_opened",
             "Connections that were opened to the present backend servers so far.",
@@ -219,6 +225,10 @@
         """Count a stream with a pause that was longer than its caller accepts."""
         self._paused_streams.labels(service).inc()
 
+    def record_unfinished_answer(self, service: str, code: str) -> None:
+        """Count an answer that had begun and of which the caller did not get the end."""
+        self._unfinished_answers.labels(service, code).inc()
+
     def record_opened_connections(self, count: int) -> None:
         """Set the connections that were opened to the present backend servers so far."""
         self._connections.set(count)
--- a/figwalk/gateway/stream_relay.py
+++ b/figwalk/gateway/stream_relay.py
@@ -154,11 +154,12 @@
         is_begun = False
         async for data in answer.response.chunks():
             answer.tracker.record_data()
+            received = boundaries.count
             boundaries.feed(data)
+            self._timing.events += boundaries.count - received
             if boundaries.found and not is_begun:
                 is_begun = True
                 answer.on_first_event()
-            self._timing.has_event |= boundaries.found
             complete = splitter.feed(data) if self._resumable else data
             if complete:
                 if not has_events:
--- a/figwalk/gateway/stream_timing.py
+++ b/figwalk/gateway/stream_timing.py
@@ -20,19 +20,24 @@
         first_at: Timer time of the first piece, or None before it.
         last_at: Timer time of the latest piece, or None before the first one.
         longest_gap_s: Longest time between two successive pieces, in seconds.
-        has_event: Whether any backend server has sent a complete event of the stream.
+        events: Number of complete events that backend servers have sent of the stream.
     """
 
     pieces: int = 0
     first_at: float | None = None
     last_at: float | None = None
     longest_gap_s: float = 0.0
-    has_event: bool = False
+    events: int = 0
     _latest: deque[float] = attrs.field(
         factory=lambda: deque(maxlen=RUN_PIECES + 1), init=False, repr=False
     )
     _fastest_run_s: float | None = attrs.field(default=None, init=False)
 
+    @property
+    def has_event(self) -> bool:
+        """Whether any backend server has sent a complete event of the stream."""
+        return self.events > 0
+
     @property
     def usual_gap_s(self) -> float | None:
         """Seconds between two pieces in the fastest run of pieces, or None before any run."""
--- a/figwalk/protocol/event_stream.py
+++ b/figwalk/protocol/event_stream.py
@@ -18,13 +18,18 @@
 
     def __init__(self) -> None:
         self._tail = b""
-        self._found = False
+        self._count = 0
         self._inside_event = False
 
+    @property
+    def count(self) -> int:
+        """Number of complete events, comments and the final `[DONE]` included."""
+        return self._count
+
     @property
     def found(self) -> bool:
         """Whether an event was complete."""
-        return self._found
+        return self._count > 0
 
     @property
     def inside_event(self) -> bool:
@@ -33,9 +38,10 @@
 
     def feed(self, data: bytes) -> None:
         """Add received bytes."""
+        counted = _count_ends(self._tail)
         data = self._tail + data
         end = _find_end(data)
-        self._found = self._found or end > 0
+        self._count += _count_ends(data) - counted
         self._inside_event = end < len(data)
         self._tail = data[-_BOUNDARY_BYTES:]
 
@@ -84,14 +90,18 @@
         return complete_events
 
     def _count_events(self, complete_events: bytes) -> None:
-        # Every event ends with an empty line; the line ending is LF or CRLF.
-        self._event_count += complete_events.count(b"\n\n") + complete_events.count(b"\n\r\n")
+        self._event_count += _count_ends(complete_events)
         tail = complete_events[-_TAIL_BYTES:].rstrip()
         self._done = tail.endswith(_DONE) and tail[: -len(_DONE)].rstrip().endswith(_FIELD)
         if self._done:
             self._event_count -= 1
 
 
+def _count_ends(data: bytes) -> int:
+    """Return the number of empty lines, one of which ends each event; they end with LF or CRLF."""
+    return data.count(b"\n\n") + data.count(b"\n\r\n")
+
+
 def _find_end(data: bytes) -> int:
     """Return the position after the last empty line, or 0."""
     lf_end = data.rfind(b"\n\n")
--- a/tests/test_crash_watcher.py
+++ b/tests/test_crash_watcher.py
@@ -190,7 +190,7 @@
     gateway.timer.advance(0.1)
     gateway.watcher.record_answer(answered)
     gateway.watcher.finish(answered, AttemptOutcome.ANSWERED)
-    begun.timing.has_event = True
+    begun.timing.events = 1
     gateway.send("bad")
     gateway.wait(2.0)
     gateway.send("late")
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -451,3 +451,21 @@
 
     script = answering_raw(answer)
     run_with_engines(test, one=(script, "decode"), two=(script, "decode"))
+
+
+def test_stream_that_outlasts_its_time_is_counted_as_unfinished():
+    """Guards against streams that are cut at their deadline and that no metric shows."""
+
+    async def script(_backend, stream, request):
+        await stream.send_all(HEAD.format(request.call_id).encode() + chunk(event(1)))
+        await trio.sleep_forever()
+
+    async def test(fleet, one):
+        with pytest.raises(h11.RemoteProtocolError):
+            await fleet.call("/chat/x", method="POST", body=b"1", headers=SHORT, deadline_ms=300)
+        counted = 'figwalk_unfinished_answers_total{code="timeout",service="lm"} 1.0'
+        assert counted in await fleet.read_metrics()
+        refused = [e for e in fleet.process._events.select() if e.name == "REQUEST_REFUSED"]
+        assert [(e.fields["events"], e.fields["output_tokens"]) for e in refused] == [("1", "20")]
+
+    run_with_engines(test, one=(script, "decode"))
