Reproduce long answers that are sent where they can't end in time

A chat of 169 events and 14 s goes to an engine whose events take 80 ms, beside 15 streams, though the other engine is idle: callers see an answer that is cut at its deadline.

--- a/tests/support/platform_fakes.py
+++ b/tests/support/platform_fakes.py
@@ -71,7 +71,9 @@
         self.script = script
         self.host = host
         self.has_agent = False
-        self.born_ms = 1000  # In the reports to its agent.
+        # In the reports to its agent.
+        self.born_ms = 1000
+        self.list_runs = None
         self.requests = []
         self.arrived = trio.Event()
         self.connections = 0
@@ -112,7 +114,11 @@
     def _find_agent_answer(self, target):
         """Return the answer to a request of the agent, or None if the script answers."""
         if self.has_agent and target == "/report":
-            return json.dumps(REPORT | {"born": self.born_ms}).encode()
+            report = REPORT | {"born": self.born_ms}
+            if self.list_runs is not None:
+                runs = self.list_runs()
+                report |= {"runs": runs, "running": len(runs)}
+            return json.dumps(report).encode()
         return AGENT_ANSWERS.get(target) if self.has_agent else None
 
     async def _serve_connection(self, stream):
