Keep streams fast enough that answers of the largest length end in time

Cause: placement and the agents bound the pause between two events (events up to 0.36 of the accepted pause, prefill for 0.3 of the time), and nothing bounds the whole answer. Events of 92 ms beside 19 streams, as at the engines of the cut chats, keep every pause and take 15.5 s for 169 events, without any prefill; 14 s are left.

Change: a gateway learns how many tokens an event holds, and so the largest number of events that a call may still get. It puts a stream where events are short enough for that and where no stricter stream would be slowed down, and announces it to the agent beside the engine. The agent follows the progress of its streams and lowers its share of prefill where one would end too late with the usual share; gateways offer long prompts there last. Long prompts with long answers are decoded at an engine that is fast enough.

Why this works: the time of an event, including prefill, now stays below the time left divided by the events that may still come, for the strictest stream of each engine, and a stream that falls behind tightens the limit by itself. Streams that have time to spare, and gateways and agents of earlier versions, are treated as before.

--- a/figwalk/coordination/engine_tracker.py
+++ b/figwalk/coordination/engine_tracker.py
@@ -221,6 +221,14 @@
         slowed_s = alone_s + PREFILL_SLOWDOWN_SHARE * reading_s
         return min(alone_s * PREFILL_SLOWDOWN_FACTOR, slowed_s)
 
+    def lone_event_s(self, relative_rate: float) -> float:
+        """Return the seconds of an event if the engine runs nothing else.
+
+        Args:
+            relative_rate: Prefill rate of the engine as a multiple of the usual one.
+        """
+        return max(self.first_event_s(0.0), FIRST_EVENT_S / relative_rate)
+
     def record_first_event(self, predicted_s: float, took_s: float) -> None:
         """Learn how long the first event took after the prompt was prefilled or fetched."""
         if predicted_s <= 0:
--- a/figwalk/coordination/prompt_placement.py
+++ b/figwalk/coordination/prompt_placement.py
@@ -25,6 +25,7 @@
 from figwalk.coordination.plain_placement import CONNECT_COST_S, Distance
 from figwalk.coordination.prompt_plan import PromptCall, PromptPlan, mark_last_resort
 from figwalk.coordination.retry_times import MIN_RETRY_S, choose_retry_s
+from figwalk.coordination.stream_pace import predict_pacing_s
 from figwalk.coordination.stream_pauses import (
     delay_to_others_s,
     predict_disturbance,
@@ -185,7 +186,13 @@
             return (
                 runner.keep_out_cost_s if has_room else 0.0,
                 is_prefilling,
-                stream_slowness(runner.stream_load, call.gap_s, rates[runner] / usual_rate),
+                stream_slowness(
+                    runner.stream_load,
+                    call.gap_s,
+                    rates[runner] / usual_rate,
+                    call.needed_event_s,
+                    lone_event_s=runner.lone_event_s(rates[runner] / usual_rate),
+                ),
                 is_full,
                 load + failing + runner.keep_out_cost_s,
                 runner.entry.zone in prefill_zones,
@@ -262,6 +269,8 @@
             disturbance=predict_disturbance(
                 reader.stream_load, call.gap_s, call.target_s, uncached / rate
             ),
+            is_slow=call.needs_pace
+            and stream_slowness(runner.stream_load, call.gap_s, 1.0, call.needed_event_s) > 0,
         )
 
     def _concurrent_prefill_s(
@@ -365,9 +374,9 @@
             known += PREFERRED_HIT_SHARE * (call.shared_tokens - known)
         return max(0.0, call.tokens - known)
 
-    def _rank_key(self, plan: PromptPlan) -> tuple[bool, float, float]:
+    def _rank_key(self, plan: PromptPlan) -> tuple[bool, bool, float, float]:
         too_long = plan.disturbance.too_long and not plan.is_last_resort
-        return (too_long, self._cost_s(plan), self._rng.random())
+        return (too_long, plan.is_slow, self._cost_s(plan), self._rng.random())
 
     def _cost_s(self, plan: PromptPlan) -> float:
         failures = plan.reader.failure_share() + plan.runner.failure_share()
@@ -377,6 +386,7 @@
             cost_s += 0.0 if engine.has_connection else CONNECT_COST_S
         # Other fetches on the links of both engines wait for this one.
         cost_s += plan.fetch_s + plan.transfer_s + plan.disturbance.delay_s
+        cost_s += predict_pacing_s(plan.reader.stream_load, plan.reading_s)
         cost_s -= SECOND_HOME_S if plan.reader is self._second_home else 0.0
         moves = (plan.reader is not plan.runner) + (plan.donor is not None)
         return cost_s + moves * TRANSFER_BILL_S
--- a/figwalk/coordination/prompt_plan.py
+++ b/figwalk/coordination/prompt_plan.py
@@ -9,6 +9,7 @@
 
 from figwalk.coordination.cached_parts import hash_part
 from figwalk.coordination.engine_tracker import EngineTracker
+from figwalk.coordination.stream_pace import SUFFICIENT_PACE_SHARE, needed_event_s
 from figwalk.coordination.stream_pauses import StreamDisturbance
 from figwalk.fairness.fair_share import ShareRequest
 
@@ -27,6 +28,7 @@
         left_s: Remaining seconds until the caller gives up if it has no first token.
         deadline_s: Remaining seconds until the caller gives up in any case; `left_s` by default.
         gap_s: Longest pause in seconds that callers of streams of its service accept.
+        events: Largest number of events that the caller may still get; 0 if unknown.
         share: What is known of the caller's organisation, without the work.
     """
 
@@ -37,6 +39,7 @@
         default=attrs.Factory(lambda call: call.left_s, takes_self=True)
     )
     gap_s: float = math.inf
+    events: float = 0.0
     share: ShareRequest = attrs.field(factory=ShareRequest)
 
     @cached_property
@@ -59,6 +62,16 @@
         """Tokens of the last part, which only this call has."""
         return self.tokens - self.shared_tokens
 
+    @property
+    def needed_event_s(self) -> float:
+        """Longest mean seconds of an event with which the answer ends in time."""
+        return needed_event_s(self.events, self.deadline_s)
+
+    @property
+    def needs_pace(self) -> bool:
+        """Whether the answer may end too late at an engine that just keeps the accepted pause."""
+        return self.needed_event_s < SUFFICIENT_PACE_SHARE * self.gap_s
+
     @cached_property
     def subject(self) -> tuple[str, ...]:
         """Ids of the shared parts: all but the last one."""
@@ -89,6 +102,8 @@
         transfer_s: Seconds that this KV transfer takes.
         disturbance: What the prefill does to the streams of the prefill engine.
         is_last_resort: Whether the prefill would pause streams there, and at every other engine.
+        is_slow: Whether the decode engine is too slow for the answer, or the answer for the streams
+            there.
     """
 
     reader: EngineTracker
@@ -107,6 +122,7 @@
     transfer_s: float = 0.0
     disturbance: StreamDisturbance = attrs.field(factory=StreamDisturbance)
     is_last_resort: bool = False
+    is_slow: bool = False
 
     @property
     def reserve_s(self) -> float:
--- a/figwalk/coordination/stream_pauses.py
+++ b/figwalk/coordination/stream_pauses.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Sequence
 
@@ -59,10 +60,13 @@
     Attributes:
         streams: Number of streams that run there.
         event_s: Seconds that one event takes there without prefill in between; 0 if unknown.
+        needed_event_s: Longest mean seconds of an event, prefill included, with which all of them
+            end in time; infinite if unknown.
     """
 
     streams: int = 0
     event_s: float = 0.0
+    needed_event_s: float = math.inf
 
 
 NO_STREAMS = StreamLoad()
@@ -128,20 +132,30 @@
     return StreamDisturbance(prefill_s > limit.prefill_s, delay_s)
 
 
-def stream_slowness(load: StreamLoad, gap_s: float, relative_rate: float) -> float:
-    """Return how unfit an engine is for further streams by its speed; 0 if it is fast enough.
+def stream_slowness(
+    load: StreamLoad,
+    gap_s: float,
+    relative_rate: float,
+    needed_event_s: float = math.inf,
+    *,
+    lone_event_s: float = 0.0,
+) -> float:
+    """Return how unfit an engine is for a further stream by its speed; 0 if it is fast enough.
 
     Args:
         load: Streams of the engine.
         gap_s: Longest pause that their callers accept, in seconds.
         relative_rate: Prefill rate of the engine as a multiple of the usual one.
+        needed_event_s: Longest mean seconds of an event with which the stream ends in time.
+        lone_event_s: Seconds of an event if the engine runs nothing else; 0 if unknown.
     """
-    if gap_s == float("inf"):
+    accepted_s = min(MAX_EVENT_SHARE * gap_s, needed_event_s, load.needed_event_s)
+    if accepted_s == math.inf:
         return 0.0
-    if load.event_s <= 0:
-        return 1.0 if relative_rate < SLOW_RATE_SHARE else 0.0
-    share = load.event_s / gap_s
-    return 1.0 + round(share - MAX_EVENT_SHARE, 1) if share > MAX_EVENT_SHARE else 0.0
+    is_slow = load.event_s <= 0 and relative_rate < SLOW_RATE_SHARE
+    event_s = load.event_s or lone_event_s
+    excess = event_s / accepted_s - 1 if accepted_s > 0 else math.inf
+    return 1.0 + round(max(0.0, excess), 1) if is_slow or excess > 0 else 0.0
 
 
 class StreamProgress:
--- a/figwalk/gateway/call.py
+++ b/figwalk/gateway/call.py
@@ -15,6 +15,7 @@
 from figwalk.fairness.fair_share import ShareRequest, TryKind, hash_organisation
 from figwalk.gateway.codecs import CallFacts
 from figwalk.gateway.stream_timing import StreamTiming
+from figwalk.protocol.event_stream import MAX_COUNTED_DIGITS
 from figwalk.state.routing import CallKind, EngineSpec, Organisation, Route
 from figwalk.state.stream_origins import StreamOrigin
 from figwalk.transport import ByteCharge, HttpRequest
@@ -133,6 +134,14 @@
         is_stream = self.route.kind is CallKind.STREAM
         return is_stream and may_resume and bool(self.facts.resume_after)
 
+    @property
+    def received_events(self) -> int:
+        """Events that the caller has, as far as their ids count them, or that were relayed."""
+        after = self.facts.resume_after
+        is_count = after.isdecimal() and len(after) <= MAX_COUNTED_DIGITS
+        earlier = int(after) if self.takes_up_stream and is_count else 0
+        return earlier + self.timing.events
+
     def fits_origin(self, tracker: BackendTracker) -> bool:
         """Return whether what a backend server streams fits to what the caller has."""
         if self.origin is None:
--- a/figwalk/gateway/prompt_calls.py
+++ b/figwalk/gateway/prompt_calls.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from figwalk.coordination.answer_lengths import AnswerLengths
 from figwalk.coordination.backend_tracker import AttemptOutcome
 from figwalk.coordination.call_quarantine import CallQuarantine
 from figwalk.coordination.engine_tracker import EngineTracker
@@ -99,6 +100,7 @@
         self._events = events
         self._timer = timer
         self._short_prompt_tokens = short_prompt_tokens
+        self._lengths = AnswerLengths()
 
     async def run(self, call: Call, responder: Responder, spec: EngineSpec) -> str:
         """Answer a call; return the id of the engine that answered.
@@ -199,6 +201,8 @@
             output_tokens=call.facts.max_output_tokens,
             streams=last.plan.runner.stream_load.streams,
             event_s=round(last.plan.runner.stream_load.event_s, 4),
+            events=round(prompt.events, 1),
+            needed_event_s=round(prompt.needed_event_s, 4),
             route=call.route.name,
             donor=last.plan.donor.entry.backend if last.plan.donor else None,
             judge=last.judge.value,
@@ -340,6 +344,7 @@
             for engine in (plan.reader, plan.runner):
                 engine.start_fetch(key, plan.fetch_s)
         head_timeout_s = self._first_event_timeout_s(call)
+        self._announce_stream(call, plan.runner)
         try:
             async with self._attempts.send(
                 call, plan.runner, send_plan, head_timeout_s=head_timeout_s
@@ -355,6 +360,9 @@
                 await self._relay(call, relay, answer)
                 if answer.succeeded:
                     self._versions.record_end(call)
+                    self._lengths.record(
+                        call.service, call.facts.max_output_tokens, call.received_events
+                    )
                     if len(call.sent_to) == 1:
                         plan.runner.record_decode_time(call.timing.usual_gap_s)
                     self._quarantine.record_answered(call.identity, began_at)
@@ -471,9 +479,21 @@
             remaining_s,
             call.deadline - now,
             self._pool.gap_s(call.service),
+            self._remaining_events(call),
             call.share_request,
         )
 
+    def _remaining_events(self, call: Call) -> float:
+        """Return the largest number of events that the caller may still get; 0 if unknown."""
+        events = self._lengths.longest(call.service, call.facts.max_output_tokens)
+        return max(1.0, events - call.received_events) if events else 0.0
+
+    def _announce_stream(self, call: Call, engine: EngineTracker) -> None:
+        """Tell the agent beside an engine of a stream that the engine has to keep in time."""
+        prompt = self._make_prompt_call(call)
+        if prompt.needs_pace:
+            self._offers.expect_stream(engine, call.call_id, prompt.events, prompt.deadline_s)
+
     def _first_event_timeout_s(self, call: Call) -> float | None:
         """Return how long to wait for a first event, or None if the call can't be retried then."""
         if not call.route.repeatable or len(call.sent_to) + 1 >= call.route.max_backends:
--- a/figwalk/gateway/prompt_offers.py
+++ b/figwalk/gateway/prompt_offers.py
@@ -30,6 +30,7 @@
     PromptEnded,
     PromptOffer,
     RelayPage,
+    StreamExpected,
 )
 from figwalk.protocol.peer_connection import PeerConnection
 from figwalk.relay.relay_link import RelayLink
@@ -131,6 +132,7 @@
         self._answers_due_at: dict[int, float] = {}
         self._queue_send, self._queue_receive = trio.open_memory_channel[Message](10_000)
         self._keeps_origins = False
+        self._paces_streams = False
         self._pending_queries: dict[int, trio.MemorySendChannel[OriginReply]] = {}
         self._relay = RelayLink()
 
@@ -191,6 +193,12 @@
         # Without the report, the grant expires at the agent.
         self._queue(PromptEnded(offer_id, read, max(0, _to_ms(took_s))))
 
+    def expect_stream(self, call_id: str, events: float, left_s: float) -> None:
+        """Queue a message that a stream is about to begin; see `PromptOffers.expect_stream`."""
+        if self._connection is not None and self._paces_streams:
+            left_ms = clamp_to_uint32(left_s * MS_PER_S)
+            self._queue(StreamExpected(call_id, clamp_to_uint32(math.ceil(events)), left_ms))
+
     def tell(self, attempt: bytes, origin: StreamOrigin) -> None:
         """Queue a message that tells the agent the origin of a stream."""
         self._queue(origin.to_message(attempt))
@@ -230,6 +238,7 @@
             backoff.reset()
             self._connection = connection
             self._keeps_origins = hello.keeps_origins
+            self._paces_streams = hello.paces_streams
             self._relay.attach(connection, hello)
             self._tracker.clear_cache_report()
             self._on_connected()
@@ -262,7 +271,11 @@
                     fixed_s=message.fixed_ms / MS_PER_S,
                     measured=message.measured,
                     gateways=message.gateways,
-                    stream_load=StreamLoad(message.streams, message.event_ms / MS_PER_S),
+                    stream_load=StreamLoad(
+                        message.streams,
+                        message.event_ms / MS_PER_S,
+                        message.needed_event_ms / MS_PER_S or math.inf,
+                    ),
                     born_ms=message.born_ms,
                 )
                 self._tracker.apply_cache_report(
@@ -373,6 +386,20 @@
             return None
         return await self._links[plan.reader][0].offer(call_id, prompt, plan, round_trip_s)
 
+    def expect_stream(
+        self, engine: EngineTracker, call_id: str, events: float, left_s: float
+    ) -> None:
+        """Tell the agent beside an engine that a stream is about to begin there.
+
+        Args:
+            engine: The engine.
+            call_id: Id of the call.
+            events: Largest number of events.
+            left_s: Seconds until the last one is due.
+        """
+        if engine in self._links:
+            self._links[engine][0].expect_stream(call_id, events, left_s)
+
     def relay_links(self) -> Iterator[RelayLink]:
         """Yield the relayed reads of each connection."""
         for link, _scope in self._links.values():
--- a/figwalk/gateway/stream_relay.py
+++ b/figwalk/gateway/stream_relay.py
@@ -8,12 +8,15 @@
 from figwalk.errors import HttpError
 from figwalk.gateway.attempts import Answer
 from figwalk.gateway.stream_timing import StreamTiming
-from figwalk.protocol.event_stream import EVENT_STREAM_TYPE, EventBoundaries, EventStreamSplitter
+from figwalk.protocol.event_stream import (
+    EVENT_STREAM_TYPE,
+    MAX_COUNTED_DIGITS,
+    EventBoundaries,
+    EventStreamSplitter,
+)
 from figwalk.timer import Timer
 from figwalk.transport import Responder, find_header
 
-# Longer numbers do not count events; `int` refuses those with thousands of digits.
-MAX_COUNTED_DIGITS = 20
 _ID_FIELD = b"id:"
 _COMMENT_START = b":"
 _EMPTY_LINES = (b"", b"\r")
--- a/figwalk/prompt_agent/digest_sender.py
+++ b/figwalk/prompt_agent/digest_sender.py
@@ -131,5 +131,6 @@
         or abs(now.decoding - sent.decoding) >= DECODING_STEP
         or (now.streams > 0) != (sent.streams > 0)
         or abs(now.event_ms - sent.event_ms) > EVENT_TIME_STEP * sent.event_ms
+        or abs(now.needed_event_ms - sent.needed_event_ms) > EVENT_TIME_STEP * sent.needed_event_ms
         or abs(now.tokens_per_s - sent.tokens_per_s) > RATE_STEP * sent.tokens_per_s
     )
--- a/figwalk/prompt_agent/engine_watcher.py
+++ b/figwalk/prompt_agent/engine_watcher.py
@@ -8,7 +8,9 @@
 import trio
 
 from figwalk.coordination.prefill_queue import PrefillQueue
+from figwalk.coordination.stream_pace import StreamDeadlines, limit_prefill_share
 from figwalk.coordination.stream_pauses import (
+    NO_STREAMS,
     EngineRun,
     PauseLimit,
     StreamLoad,
@@ -32,12 +34,6 @@
 MAX_REPORT_BYTES = 256 * 1024
 # One missed report may be a transient fault; the next poll, one period later, decides.
 DOWN_AFTER_MISSED_REPORTS = 2
-# Prefill between the tokens of streams makes each token take about three times as long. If prefill
-# takes at most this share of the time, the longest answers still end within their callers' 15 s.
-PREFILL_DUTY_WITH_STREAMS = 0.3
-# Fewer running calls than this may just be prompts that were prefilled elsewhere and generate their
-# first tokens here.
-MIN_STREAMS = 4
 
 
 @attrs.frozen
@@ -121,6 +117,8 @@
         self._paused_until = 0.0
         self._up = False
         self._progress = StreamProgress()
+        self._deadlines = StreamDeadlines()
+        self._stream_load = NO_STREAMS
         self._prefilled_s = 0.0
 
     @property
@@ -144,11 +142,21 @@
     @property
     def stream_load(self) -> StreamLoad:
         """Streams that the engine runs; empty if its reports don't list its calls."""
-        return self._progress.load
+        return self._stream_load
 
     def limit_prefill(self, gap_s: float) -> PauseLimit | None:
         """Return the limit of prefill beside the streams; see `stream_pauses.limit_prefill`."""
-        return limit_prefill(self._progress.load, gap_s)
+        return limit_prefill(self._stream_load, gap_s)
+
+    def expect_stream(self, request_id: str, events: float, left_s: float) -> None:
+        """Add a stream that is about to begin at the engine.
+
+        Args:
+            request_id: Id under which the engine lists the call.
+            events: Largest number of events.
+            left_s: Seconds until the last one is due.
+        """
+        self._deadlines.expect(self._timer.now(), request_id, events, left_s)
 
     @property
     def report(self) -> EngineReport | None:
@@ -203,21 +211,25 @@
             self._events.record(Event.BACKEND_LIMITED, requests_per_s=report.requests_per_s)
         if (previous is not None and previous.runs is not None) != (report.runs is not None):
             self._events.record(Event.ENGINE_RUNS_LISTED, listed=report.runs is not None)
-        is_streaming = self._count_streams(report) >= MIN_STREAMS
-        self._queue.set_duty(PREFILL_DUTY_WITH_STREAMS if is_streaming else 1.0)
+        self._stream_load = self._measure_streams(report)
+        load = self._stream_load if report.runs is not None else StreamLoad(self.decoding)
+        self._queue.set_duty(limit_prefill_share(load))
         if not self._up:
             self._up = True
             self._events.record(Event.BACKEND_UP, running=report.running, waiting=report.waiting)
 
-    def _count_streams(self, report: EngineReport) -> int:
+    def _measure_streams(self, report: EngineReport) -> StreamLoad:
         if report.runs is None:
             self._progress = StreamProgress()
-            return self.decoding
+            return NO_STREAMS
         prefilled_s = self._queue.prefilled_s
         runs = () if report.role is Role.PREFILL else report.runs
-        self._progress.record(self._timer.now(), runs, prefilled_s - self._prefilled_s)
+        now = self._timer.now()
+        self._progress.record(now, runs, prefilled_s - self._prefilled_s)
         self._prefilled_s = prefilled_s
-        return self._progress.load.streams
+        load = self._progress.load
+        needed_s = self._deadlines.needed_event_s(now, runs, load.event_s)
+        return attrs.evolve(load, needed_event_s=needed_s)
 
     def _record_missed_report(self, detail: str) -> None:
         self._missed_reports += 1
--- a/figwalk/prompt_agent/process.py
+++ b/figwalk/prompt_agent/process.py
@@ -119,4 +119,5 @@
             zone=self._settings.zone,
             region=self._settings.region,
             keeps_origins=True,
+            paces_streams=True,
         )
--- a/figwalk/prompt_agent/prompt_server.py
+++ b/figwalk/prompt_agent/prompt_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 from collections.abc import Callable
 
@@ -25,6 +26,7 @@
     PromptOffer,
     RelayRead,
     StreamBegun,
+    StreamExpected,
 )
 from figwalk.protocol.peer_connection import PeerConnection
 from figwalk.relay.relay_server import RelayServer
@@ -114,6 +116,10 @@
                 self._relay.handle(connection, message)
             elif isinstance(message, StreamBegun):
                 self._origins.add(message.attempt, StreamOrigin.from_message(message))
+            elif isinstance(message, StreamExpected):
+                self._watcher.expect_stream(
+                    message.request_id, message.events, message.left_ms / MS_PER_S
+                )
             elif isinstance(message, OriginQuery):
                 await connection.send(self._find_origin(message))
 
@@ -153,6 +159,8 @@
             fixed_s=round(self._queue.fixed_s, 4),
             streams=self._watcher.stream_load.streams,
             event_s=round(self._watcher.stream_load.event_s, 4),
+            needed_event_s=round(self._watcher.stream_load.needed_event_s, 4),
+            duty=round(self._queue.duty, 3),
             gap_ms=offer.gap_ms,
             organisation=offer.organisation,
             priority=offer.priority,
@@ -171,6 +179,7 @@
         )
 
     def _make_digest(self, changes: PartChanges) -> EngineDigest:
+        load = self._watcher.stream_load
         return EngineDigest(
             self._watcher.up,
             clamp_to_uint32(self._queue.backlog_tokens),
@@ -184,10 +193,11 @@
             changes.complete,
             list(self._queue.parts.expected),
             min(self._digests.gateways, MAX_UINT16),
-            clamp_to_uint32(self._watcher.stream_load.streams),
-            self._watcher.stream_load.event_s * MS_PER_S,
+            clamp_to_uint32(load.streams),
+            load.event_s * MS_PER_S,
             0 if self._relay is None else min(self._relay.count_gateways(), MAX_UINT16),
             self._watcher.born_ms,
+            0.0 if math.isinf(load.needed_event_s) else load.needed_event_s * MS_PER_S,
         )
 
 
--- a/figwalk/protocol/event_stream.py
+++ b/figwalk/protocol/event_stream.py
@@ -6,6 +6,8 @@
 
 EVENT_STREAM_TYPE = "text/event-stream"
 MAX_EVENT_BYTES = 1024 * 1024
+# Longer ids do not count events; `int` refuses those with thousands of digits.
+MAX_COUNTED_DIGITS = 20
 _DONE = b"[DONE]"
 _FIELD = b"data:"
 _TAIL_BYTES = 32
--- a/figwalk/protocol/messages.py
+++ b/figwalk/protocol/messages.py
@@ -80,6 +80,8 @@
         clock: Hybrid logical clock.
         keeps_origins: Whether the process keeps the origins of streams; see `StreamBegun`. Earlier
             versions don't understand these messages.
+        paces_streams: Whether the process keeps streams in time; see `StreamExpected`. Earlier
+            versions don't understand it.
     """
 
     kind: ConnectionKind
@@ -91,6 +93,7 @@
     service: str = ""
     clock: int = 0
     keeps_origins: bool = False
+    paces_streams: bool = False
 
 
 @attrs.frozen
@@ -471,6 +474,8 @@
         relay_gateways: Number of gateways of the agent's zone that are connected to it, if it
             answers `RelayRead`, else 0.
         born_ms: Wall-clock milliseconds of the engine's start; 0 if unknown.
+        needed_event_ms: Longest mean milliseconds of an event with which all streams of the engine
+            end in time; 0 if unknown.
     """
 
     up: bool
@@ -489,6 +494,7 @@
     event_ms: float = 0.0
     relay_gateways: int = 0
     born_ms: int = 0
+    needed_event_ms: float = 0.0
 
 
 @attrs.frozen
@@ -563,6 +569,21 @@
     begun_ms: int = 0
 
 
+@attrs.frozen
+class StreamExpected:
+    """Tells the agent beside an engine how long a stream may be that is about to begin there.
+
+    Attributes:
+        request_id: Id under which the engine lists the call.
+        events: Largest number of events.
+        left_ms: Milliseconds until the last one is due.
+    """
+
+    request_id: str
+    events: int
+    left_ms: int
+
+
 @attrs.frozen
 class OriginQuery:
     """Asks an agent which backend server began a stream.
@@ -616,4 +637,5 @@
     | StreamBegun
     | OriginQuery
     | OriginReply
+    | StreamExpected
 )
--- a/figwalk/protocol/peer.capnp
+++ b/figwalk/protocol/peer.capnp
@@ -16,6 +16,7 @@
   service @6 :Text;
   clock @7 :UInt64;
   keepsOrigins @8 :Bool;
+  pacesStreams @9 :Bool;
 }
 
 struct Call {
@@ -198,6 +199,7 @@
   eventMs @13 :Float32;
   relayGateways @14 :UInt16;
   bornMs @15 :UInt64;
+  neededEventMs @16 :Float32;
 }
 
 struct RelayRead {
@@ -241,6 +243,12 @@
   begun @1 :StreamBegun;
 }
 
+struct StreamExpected {
+  requestId @0 :Text;
+  events @1 :UInt32;
+  leftMs @2 :UInt32;
+}
+
 struct Message {
   union {
     hello @0 :Hello;
@@ -269,5 +277,6 @@
     streamBegun @23 :StreamBegun;
     originQuery @24 :OriginQuery;
     originReply @25 :OriginReply;
+    streamExpected @26 :StreamExpected;
   }
 }
--- a/tests/test_prompt_agent.py
+++ b/tests/test_prompt_agent.py
@@ -1,5 +1,6 @@
 """Tests of the prompt agent on an engine's VM and of gateways' connections to it."""
 
+import itertools
 from contextlib import asynccontextmanager
 
 import pytest
@@ -55,6 +56,10 @@
         await responder.send_json(200, self.report)
 
 
+AGENT_HELLO = Hello(ConnectionKind.PROMPT, "a", 1, paces_streams=True)
+OLD_AGENT_HELLO = Hello(ConnectionKind.PROMPT, "a", 1)
+
+
 class Pair:
     """An agent and a gateway's connection to it."""
 
@@ -79,7 +84,7 @@
 
 
 @asynccontextmanager
-async def running_pair(delay_s=0.0):
+async def running_pair(delay_s=0.0, hello=AGENT_HELLO):
     """Run an engine, its agent, and a gateway's connection with a delay in each direction."""
     timer = Timer()
     events = EventLog("test", timer)
@@ -97,9 +102,7 @@
             timer,
         )
         await watcher.poll()
-        agent = PromptServer(
-            queue, watcher, events, timer, make_hello=lambda: Hello(ConnectionKind.PROMPT, "a", 1)
-        )
+        agent = PromptServer(queue, watcher, events, timer, make_hello=lambda: hello)
         listeners = await trio.open_tcp_listeners(0, host=HOST)
         agent_port = listeners[0].socket.getsockname()[1]
         agent_scope = trio.CancelScope()
@@ -294,6 +297,40 @@
     assert pair.watcher.limit_prefill(0.3) is not None
 
 
+async def poll_stream(pair, events):
+    """Let the agent see a stream that has made these events, a while after the last report."""
+    pair.engine.report |= {"stage": "decode", "runs": [["s1", 100, events, 2]]}
+    await pair.watcher.poll()
+
+
+@with_pair
+async def test_agent_keeps_an_announced_stream_in_time(pair):
+    """Guards against prefill that goes on, and streams that join, where one will be cut."""
+    # Many events between two reports, so that the stream can end in time however slow this test is.
+    pair.offers.expect_stream(pair.tracker, "s1", 100_000, 500.0)
+    for events in itertools.count(1000, 1000):
+        await poll_stream(pair, min(events, 50_000))
+        if pair.tracker.stream_load.needed_event_s < float("inf"):
+            break
+        await trio.sleep(0.02)
+    assert pair.tracker.stream_load.needed_event_s < 0.01
+    assert pair.queue.duty < 1.0
+
+
+def test_earlier_agent_gets_no_message_that_it_does_not_know():
+    """Guards against lost connections to agents while a new version is rolled out."""
+
+    async def main():
+        async with running_pair(hello=OLD_AGENT_HELLO) as pair:
+            connection = pair.offers._links[pair.tracker][0]._connection
+            pair.offers.expect_stream(pair.tracker, "s1", 1000, 5.0)
+            assert (await pair.offer()).grant is not None
+            assert len(pair.watcher._deadlines) == 0
+            assert pair.offers._links[pair.tracker][0]._connection is connection
+
+    run_test(main)
+
+
 @with_pair
 async def test_restarted_engine_counts_as_empty(pair):
     """Guards against prompts that count as cached at an engine that lost its prefix cache."""
