--- a/figwalk/coordination/stream_pace.py
+++ b/figwalk/coordination/stream_pace.py
@@ -48,15 +48,17 @@
 def limit_prefill_share(load: StreamLoad) -> float:
     """Return the share of its time that an engine may prefill beside its streams.
 
-    Streams only lower the usual share where they would end too late with it: a stream that loses
-    time early can make up for it.
+    Streams lower it only where they would end too late beside `MAX_PREFILL_SHARE`: a stream that
+    loses time early can make up for it.
 
     Args:
         load: Streams of the engine.
     """
-    usual = MAX_PREFILL_SHARE if load.streams >= MIN_STREAMS else 1.0
-    left = 1.0 - load.event_s / load.needed_event_s
-    return usual if left >= MAX_PREFILL_SHARE else max(MIN_PREFILL_SHARE, left)
+    usual_share = MAX_PREFILL_SHARE if load.streams >= MIN_STREAMS else 1.0
+    left_share = 1.0 - load.event_s / load.needed_event_s
+    if left_share >= MAX_PREFILL_SHARE:
+        return usual_share
+    return max(MIN_PREFILL_SHARE, left_share)
 
 
 def predict_pacing_s(load: StreamLoad, prefill_s: float) -> float:
--- a/tests/support/stream_model.py
+++ b/tests/support/stream_model.py
@@ -208,11 +208,11 @@
         events = max(2, int(self.day.events(self.rng)))
         stream = Stream(f"s{len(self.streams)}", events, now)
         self.streams.append(stream)
-        known = float(self.day.most_events) if self.day.states_lengths else 0.0
-        call, _, plans = self._rank((("chat", 50), ("own", 100)), known)
+        stated = float(self.day.most_events) if self.day.states_lengths else 0.0
+        call, _, plans = self._rank((("chat", 50), ("own", 100)), stated)
         engine = next(e for e in self.engines if e.name == plans[0].runner.entry.backend)
         if call.needs_pace:
-            engine.watcher.expect_stream(stream.name, known, self.day.limit_s)
+            engine.watcher.expect_stream(stream.name, stated, self.day.limit_s)
         engine.running.append(stream)
 
     def _offer_prompt(self):
