--- a/tests/test_stream_pace.py
+++ b/tests/test_stream_pace.py
@@ -1,7 +1,8 @@
 """Tests that engines and placement keep streams of the largest length in time."""
 
 import pytest
-from support.stream_model import StreamCell, StreamDay
+from support.fake_timer import FakeTimer
+from support.stream_model import ModelEngine, Stream, StreamCell, StreamDay
 from test_prompt_placement import LONG, SHORT, SPEC, EngineFleet
 
 from figwalk.coordination.answer_lengths import AnswerLengths
@@ -47,6 +48,21 @@
     assert known.share_ended() >= unknown.share_ended()
 
 
+def test_agent_prefills_less_while_an_announced_stream_needs_its_engine():
+    """Guards against an agent that is told of a stream and prefills on beside it."""
+    timer = FakeTimer(0.0)
+    engine = ModelEngine("e1", 1.0, make_day(), timer)
+    engine.running.append(Stream("s", LONGEST, 0.0))
+    for announced in (False, True):
+        if announced:
+            engine.watcher.expect_stream("s", LONGEST, LIMIT_S - timer.now())
+        for _ in range(20):
+            timer.advance(0.1)
+            engine.running[0].done += 0.1 / 0.07
+            engine.report()
+        assert (engine.queue.duty < MAX_PREFILL_SHARE) == announced
+
+
 def test_stream_that_falls_behind_leaves_less_time_to_prefill():
     """Guards against an engine that prefills on while a stream needs all of its time."""
     deadlines = StreamDeadlines()
