Revert "Predict first events by the events of the streams that run beside them"

The learned time of a first event already includes the usual load there, so the bound counted it twice. Its test goes too, as it tests nothing but the reverted prediction.

--- a/figwalk/coordination/engine_tracker.py
+++ b/figwalk/coordination/engine_tracker.py
@@ -214,12 +214,10 @@
     def first_event_s(self, reading_s: float) -> float:
         """Return the seconds from the end of the prefill, or the fetch, to the first event.
 
-        It takes no less than the events of the streams that run beside it.
-
         Args:
             reading_s: Seconds for which the engine prefills other prompts, which slows its decode.
         """
-        alone_s = max(self._lone_first_event_s * self.slowdown, self.stream_load.event_s)
+        alone_s = self._lone_first_event_s * self.slowdown
         slowed_s = alone_s + PREFILL_SLOWDOWN_SHARE * reading_s
         return min(alone_s * PREFILL_SLOWDOWN_FACTOR, slowed_s)
 
--- a/tests/test_stream_pace.py
+++ b/tests/test_stream_pace.py
@@ -162,16 +162,6 @@
     assert choose_runner(float(LONGEST)) == "d2"
 
 
-def test_first_event_takes_as_long_as_the_events_of_other_streams():
-    """Guards against long prompts that are late beside streams though predicted in time."""
-    fleet = make_fleet()
-    usual_s = fleet.trackers["d1"].first_event_s(0.0)
-    fleet.report("d1", decoding=10, stream_load=StreamLoad(10, 0.09))
-    assert fleet.trackers["d1"].first_event_s(0.0) == 0.09
-    fleet.report("d1", decoding=10, stream_load=StreamLoad(10, 0.02))
-    assert fleet.trackers["d1"].first_event_s(0.0) == usual_s
-
-
 def test_long_prompt_prefers_an_engine_that_may_prefill():
     """Guards against offers to engines that refuse them to keep their streams in time."""
     fleet = make_fleet()
