Give the test of the longest answer an engine that is clearly too slow

Traced: the agent measured 76.8 ms for events of 80 ms, and 77 ms is what a stream of 169 events and 14 s may take, so that the engine rightly took it.

--- a/tests/test_long_answers.py
+++ b/tests/test_long_answers.py
@@ -9,8 +9,8 @@
 GAP_MS = 300
 TIMEOUT_MS = 14_000
 LONGEST = 169
-# With a pause of 300 ms accepted, this is no pause, yet 169 such events take 13.5 s.
-BUSY_EVENT_S = 0.08
+# With a pause of 300 ms accepted, this is no pause, yet 169 such events take 16 s.
+BUSY_EVENT_S = 0.095
 BUSY_STREAMS = 15
 SLOTS = 64
 
